--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,101 @@
+/**
+ * Messages between the hosts of azurewell.
+ *
+ * Compact protocol, framed by a four-byte length. Versions of neighbours may differ by one during a
+ * rolling replacement: fields are only added, every field is optional on the wire, and an envelope with a
+ * body that is not known decodes to no body and is counted and dropped.
+ * Spans are microseconds and never points in time: clocks of two hosts are not comparable.
+ */
+namespace cpp azurewell.wire
+
+struct EngineSummary {
+  1: string engine
+  2: i32 queued
+  3: i32 running
+  4: list<string> loaded
+}
+
+struct Heartbeat {
+  1: i64 ticket
+  2: bool leaving
+  3: list<EngineSummary> engines
+  4: string zone
+  5: i32 seat
+  6: string address
+  7: i64 highestFencing
+}
+
+struct SlotAsk {
+  1: string request
+  2: string engine
+  3: string adapter
+  4: string customer
+  5: i64 cost
+  6: double weight
+  7: i64 untilDeadline
+  8: i64 serial
+}
+
+struct SlotGrant {
+  1: string request
+  2: string engine
+  3: i64 leaseLength
+  4: i64 basis
+}
+
+struct SlotRefusal {
+  1: string request
+  2: string engine
+  3: i32 code
+}
+
+struct RunningSlot {
+  1: string request
+  2: string adapter
+  3: bool running
+}
+
+struct SlotRenewal {
+  1: string engine
+  2: list<RunningSlot> slots
+  3: i64 serial
+}
+
+struct SlotRenewed {
+  1: string engine
+  2: i64 basis
+  3: i64 leaseLength
+}
+
+struct SlotRelease {
+  1: string request
+  2: string engine
+  3: i64 used
+}
+
+struct TicketAsk {
+  1: i64 after
+}
+
+struct TicketPush {
+  1: i64 number
+  2: string text
+}
+
+union Body {
+  1: Heartbeat heartbeat
+  2: SlotAsk slotAsk
+  3: SlotGrant slotGrant
+  4: SlotRefusal slotRefusal
+  5: SlotRenewal slotRenewal
+  6: SlotRelease slotRelease
+  7: TicketAsk ticketAsk
+  8: TicketPush ticketPush
+  9: SlotRenewed slotRenewed
+}
+
+struct Envelope {
+  1: string sender
+  2: i64 incarnation
+  3: Body body
+}
--- /dev/null
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "azurewell/units/ids.h"
+#include "azurewell/units/result_code.h"
+#include "azurewell/units/time.h"
+#include "azurewell/units/tokens.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurewell {
+
+/// What a keeper tells every host about one engine it keeps.
+struct EngineSummary
+{
+    UpstreamId engine;
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::vector<AdapterRef> loaded;
+};
+
+/// "I am alive", sent to every other host once a heartbeat interval.
+struct Heartbeat
+{
+    TicketNumber ticket; ///< The newest ticket in force at the sender.
+    bool isLeaving = false; ///< The sender drains: ask it for nothing new.
+    std::vector<EngineSummary> engines;
+    ZoneId zone;
+    SeatNumber seat;
+    std::string address; ///< Where the sender's peer port listens.
+    FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
+};
+
+/// Asks an engine's keeper for a slot.
+struct SlotAsk
+{
+    RequestId request;
+    UpstreamId engine;
+    AdapterRef adapter;
+    CustomerId customer;
+    Tokens cost;
+    double weight = 1.0;
+    Span untilDeadline {};
+    std::uint64_t serial = 0; ///< Rises with each ask and renewal of the sender.
+};
+
+/// The slot is the asker's for a lease. The keeper counts it from the grant. The asker counts it from
+/// when it sent the newest ask or renewal that the keeper had received by then (`basis`), which was
+/// earlier, so the asker's lease always ends first, however late the grant arrives.
+struct SlotGrant
+{
+    RequestId request;
+    UpstreamId engine;
+    Span leaseLength {};
+    std::uint64_t basis = 0; ///< The `serial` the lease is counted from.
+};
+
+struct SlotRefusal
+{
+    RequestId request;
+    UpstreamId engine;
+    ResultCode code = ResultCode::NoUpstream;
+};
+
+/// One request of a SlotRenewal.
+struct RunningSlot
+{
+    RequestId request;
+    AdapterRef adapter;
+    bool isRunning = false; ///< False while it still waits for a slot.
+};
+
+/// These requests still wait or run. Slots and pins of running ones last for another lease; a keeper
+/// that has just taken over learns of them from this message.
+struct SlotRenewal
+{
+    UpstreamId engine;
+    std::vector<RunningSlot> slots;
+    std::uint64_t serial = 0;
+};
+
+/// The keeper has renewed what `basis` listed.
+struct SlotRenewed
+{
+    UpstreamId engine;
+    std::uint64_t basis = 0;
+    Span leaseLength {};
+};
+
+struct SlotRelease
+{
+    RequestId request;
+    UpstreamId engine;
+    Tokens used; ///< Prompt and generated tokens; corrects the fair queue's charge.
+};
+
+/// Asks for the tickets after a number.
+struct TicketAsk
+{
+    TicketNumber after;
+};
+
+/// One ticket's text, relayed from host to host.
+struct TicketPush
+{
+    TicketNumber number;
+    std::string text;
+};
+
+using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal, SlotRenewal,
+                              SlotRelease, TicketAsk, TicketPush, SlotRenewed>;
+
+/// A message with its sender. A body of a kind that this version does not know is std::monostate.
+struct PeerMessage
+{
+    HostId sender;
+    Incarnation incarnation;
+    PeerBody body;
+};
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/fleet/src/membership.cpp
@@ -0,0 +1,107 @@
+#include "azurewell/fleet/membership.h"
+
+#include "azurewell/routing/rendezvous.h"
+
+namespace azurewell {
+
+namespace {
+
+void movePeer(Peer &peer, const Chart &chart, PeerEvent event)
+{
+    peer.state = advance(chart, peer.state, event);
+}
+
+bool isUsableState(PeerState state)
+{
+    return state == PeerState::Alive;
+}
+
+} // namespace
+
+void applyHostList(Membership &membership, const Chart &chart, const HostId &self, const std::vector<ListedHost> &listed)
+{
+    if (listed.empty())
+        return;
+    for (auto &[id, peer] : membership.peers)
+        peer.isListed = false;
+    for (const ListedHost &host : listed) {
+        if (host.id == self)
+            continue;
+        Peer &peer = membership.peers[host.id];
+        peer.id = host.id;
+        peer.zone = host.zone;
+        peer.address = host.address;
+        peer.isListed = true;
+        movePeer(peer, chart, host.isLeaving ? PeerEvent::ListedLeaving : PeerEvent::Listed);
+    }
+    for (auto &[id, peer] : membership.peers) {
+        if (!peer.isListed)
+            movePeer(peer, chart, PeerEvent::Unlisted);
+    }
+}
+
+bool noteHeartbeat(Membership &membership, const Chart &chart, const HostId &sender, Incarnation incarnation,
+                   const Heartbeat &beat, Instant now)
+{
+    Peer &peer = membership.peers[sender];
+    if (incarnation < peer.incarnation)
+        return false;
+    if (incarnation > peer.incarnation && peer.state != PeerState::Unheard)
+        peer.state = PeerState::Unheard;
+    peer.id = sender;
+    peer.incarnation = incarnation;
+    peer.zone = beat.zone;
+    peer.seat = beat.seat;
+    if (!beat.address.empty())
+        peer.address = beat.address;
+    peer.ticket = beat.ticket;
+    peer.silentAfter = now + suspectAfter;
+    peer.goneAfter = now + goneAfter;
+    movePeer(peer, chart, beat.isLeaving ? PeerEvent::LeaveAnnounced : PeerEvent::Heartbeat);
+    return true;
+}
+
+void noteSilence(Membership &membership, const Chart &chart, Instant now)
+{
+    for (auto &[id, peer] : membership.peers) {
+        if (peer.state == PeerState::Unheard)
+            continue;
+        if (now >= peer.silentAfter)
+            movePeer(peer, chart, PeerEvent::HeartbeatMissed);
+        if (now >= peer.goneAfter)
+            movePeer(peer, chart, PeerEvent::SuspicionOver);
+    }
+}
+
+bool isUsable(const Membership &membership, const HostId &id)
+{
+    const auto found = membership.peers.find(id);
+    return found != membership.peers.end() && isUsableState(found->second.state);
+}
+
+std::optional<HostId> keeperOf(const Membership &membership, const HostId &self, const ZoneId &selfZone, bool isSelfLeaving,
+                               const UpstreamId &engine, const ZoneId &zone)
+{
+    std::optional<HostId> best;
+    std::uint64_t bestWeight = 0;
+    bool isBestInZone = false;
+    const auto consider = [&](const HostId &host, const ZoneId &hostZone) {
+        const bool isInZone = hostZone == zone;
+        const std::uint64_t weight = rendezvousWeight(engine.value, host.value);
+        const bool isBetter = !best || (isInZone && !isBestInZone) || (isInZone == isBestInZone && weight > bestWeight);
+        if (isBetter) {
+            best = host;
+            bestWeight = weight;
+            isBestInZone = isInZone;
+        }
+    };
+    if (!isSelfLeaving)
+        consider(self, selfZone);
+    for (const auto &[id, peer] : membership.peers) {
+        if (isUsableState(peer.state))
+            consider(id, peer.zone);
+    }
+    return best;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/host/include/azurewell/host/events.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "azurewell/fleet/membership.h"
+#include "azurewell/fleet/messages.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurewell {
+
+enum class RequestKind : std::uint8_t { Completion, ServiceCall };
+
+/// A caller's request, head and body read; the shell keeps the body.
+struct RequestArrived
+{
+    RequestId request;
+    RequestKind kind = RequestKind::Completion;
+    KeyHash key;
+    AdapterRef adapter; ///< Completions.
+    ServiceId service; ///< Service calls.
+    bool isSafeMethod = false; ///< GET or HEAD: may be sent twice whatever the service is.
+    Tokens promptTokens;
+    Tokens mostGenerated;
+    Instant deadline;
+};
+
+/// The caller closed its connection before the answer was whole.
+struct CallerLeft
+{
+    RequestId request;
+};
+
+/// How far a stream has come.
+struct AttemptProgress
+{
+    RequestId request;
+    std::uint32_t attempt = 0;
+    Tokens generated; ///< Tokens passed on to the caller so far, all attempts together.
+};
+
+/// How an attempt at an upstream ended.
+enum class AttemptOutcome : std::uint8_t {
+    Done, ///< The whole answer was passed on.
+    NotSent, ///< No byte of the request can have reached the upstream.
+    Refused, ///< The upstream answered that it did not take the request (503 or 429).
+    Failed, ///< The connection ended, or the answer was not whole.
+    Silent, ///< Nothing came within the idle deadline.
+    Mismatch, ///< The answer belonged to another request and was dropped.
+};
+
+struct AttemptEnded
+{
+    RequestId request;
+    std::uint32_t attempt = 0;
+    AttemptOutcome outcome = AttemptOutcome::Done;
+    Tokens generated; ///< Passed on to the caller, all attempts together.
+    bool hasAnswerBegun = false; ///< The caller has seen the head of an answer.
+};
+
+struct PeerMessageReceived
+{
+    PeerMessage message;
+};
+
+/// A ticket read from the platform.
+struct TicketRead
+{
+    std::string text;
+};
+
+/// An upstream in the platform's list.
+struct ListedUpstream
+{
+    UpstreamId id;
+    bool isLeaving = false;
+};
+
+/// The platform's list of live and leaving hosts, late by seconds.
+struct HostListRead
+{
+    std::vector<ListedHost> hosts;
+    std::vector<ListedUpstream> upstreams;
+};
+
+/// What an engine says of its load; the keeper asks for it.
+struct LoadReported
+{
+    UpstreamId engine;
+    bool isReachable = true;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::vector<AdapterRef> loaded;
+    std::uint64_t engineStart = 0; ///< Changes when the engine restarts.
+};
+
+/// A load or unload order was carried out or refused.
+struct OrderEnded
+{
+    UpstreamId engine;
+    AdapterRef adapter;
+    bool isLoad = true;
+    bool isDone = false;
+};
+
+/// Time passed. The shell sends it every tickInterval.
+struct Tick
+{
+};
+
+/// The operator (or the platform) asks for a planned stop.
+struct StopAsked
+{
+};
+
+using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded, PeerMessageReceived, TicketRead,
+                           HostListRead, LoadReported, OrderEnded, Tick, StopAsked>;
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/host/include/azurewell/host/host.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "azurewell/host/actions.h"
+#include "azurewell/host/events.h"
+#include "azurewell/host/host_state.h"
+
+#include <vector>
+
+namespace azurewell {
+
+/// How often a Tick is due.
+inline constexpr Span tickInterval = fromSeconds(0.01);
+
+/// A host that knows nothing yet. \a identity must carry an incarnation above any earlier one.
+HostState makeHost(HostIdentity identity, KnownCharts charts);
+
+/// The whole behaviour of a host: changes \a state by \a event and appends what is to be done to
+/// \a actions. Reads no clock and draws no random number but from the seed in the identity, so the
+/// same events give the same actions.
+void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions);
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "azurewell/charts/known_charts.h"
+#include "azurewell/fleet/membership.h"
+#include "azurewell/host/counters.h"
+#include "azurewell/host/events.h"
+#include "azurewell/limits/token_bucket.h"
+#include "azurewell/placement/engine_adapters.h"
+#include "azurewell/routing/retry_budget.h"
+#include "azurewell/scheduling/fair_queue.h"
+#include "azurewell/tickets/state_in_force.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace azurewell {
+
+/// Who this host is; from the settings file.
+struct HostIdentity
+{
+    HostId id;
+    ZoneId zone;
+    SeatNumber seat; ///< The place in the zone that this host fills; its part of every rate.
+    std::string peerAddress;
+    Incarnation incarnation; ///< Must be above that of any earlier life of the same host.
+    std::uint64_t randomSeed = 0;
+};
+
+enum class RequestPhase : std::uint8_t { WaitingForTokens, WaitingForSlot, Running };
+
+/// A caller's request on its way through this host.
+struct RequestRecord
+{
+    RequestArrived asked;
+    CustomerId customer;
+    RequestPhase phase = RequestPhase::WaitingForTokens;
+    Tokens reserved; ///< Still reserved in the customer's bucket.
+    Tokens generated; ///< Passed on to the caller.
+    UpstreamId upstream; ///< Where it waits or runs.
+    HostId keeper; ///< Who was asked for the slot.
+    Instant leaseEnds; ///< The slot is ours until then.
+    std::uint32_t attempt = 0;
+    std::set<UpstreamId> failedAt; ///< Not tried again for this request.
+    bool isIdempotent = true;
+};
+
+/// A slot that this host, as keeper, has granted.
+struct GrantedSlot
+{
+    HostId asker;
+    CustomerId customer;
+    AdapterRef adapter;
+    Tokens charged;
+    double weight = 1.0;
+    Instant leaseEnds;
+};
+
+/// An engine that this host keeps.
+struct KeptEngine
+{
+    FairQueue queue;
+    EngineAdapters adapters;
+    std::map<RequestId, GrantedSlot> granted;
+    Instant nextLoadReport;
+    std::uint64_t engineStart = 0;
+    std::map<HostId, std::uint64_t> newestSerial; ///< Of each asker; basis of its leases.
+};
+
+/// What this host knows of an upstream when it routes.
+struct KnownUpstream
+{
+    UpstreamState state = UpstreamState::Unknown;
+    std::uint32_t reported = 0; ///< Queued and running, by the keeper's last word.
+    std::uint32_t inFlight = 0; ///< Sent by this host and not ended.
+    std::set<AdapterRef> loaded;
+    Instant ejectedUntil;
+    std::uint32_t failuresInARow = 0;
+};
+
+/// Everything that one host knows. Lost when the process ends, and safe when lost.
+struct HostState
+{
+    HostIdentity self;
+    KnownCharts charts;
+    std::mt19937_64 random;
+
+    ProcessState process = ProcessState::Starting;
+    StateInForce inForce;
+    std::map<TicketNumber, std::string> ticketTexts; ///< For relay to other hosts.
+    std::map<TicketNumber, std::string> earlyTickets; ///< Read before the one they follow.
+    Membership membership;
+    Instant nextHeartbeat;
+    FencingNumber fencing; ///< The highest that was used or seen.
+
+    std::unordered_map<RequestId, RequestRecord> requests;
+    std::unordered_map<CustomerId, TokenBucket> buckets;
+    std::deque<RequestId> waitingForTokens; ///< Oldest first.
+    std::unordered_map<UpstreamId, KnownUpstream> upstreams;
+    std::map<UpstreamId, KeptEngine> kept;
+    RetryBudget retryBudget;
+
+    std::uint64_t nextSerial = 1;
+    std::map<std::uint64_t, Instant> serialSentAt; ///< When each ask or renewal was sent.
+    std::deque<PeerMessage> loopback; ///< Messages of this host to itself.
+
+    Counters counters;
+};
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/host/src/host.cpp
@@ -0,0 +1,112 @@
+#include "azurewell/host/host.h"
+
+#include "internal.h"
+
+namespace azurewell {
+
+using namespace internal;
+
+namespace {
+
+void stopIfDrained(Step &step)
+{
+    HostState &state = step.state;
+    if (state.process != ProcessState::Draining || !state.requests.empty())
+        return;
+    state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
+    step.actions.emplace_back(LeaveProcess {});
+}
+
+void onTick(Step &step)
+{
+    noteSilence(step.state.membership, step.state.charts.peer, step.now);
+    expireRequests(step);
+    admitWaiting(step);
+    tendEngines(step);
+    sendHeartbeats(step);
+    stopIfDrained(step);
+}
+
+void onStopAsked(Step &step)
+{
+    HostState &state = step.state;
+    state.process = advance(state.charts.process, state.process, ProcessEvent::StopAsked);
+    state.nextHeartbeat = step.now; // the others hear of it at once
+    sendHeartbeats(step);
+}
+
+struct Handler
+{
+    Step &step;
+
+    void operator()(const RequestArrived &event) const
+    {
+        onRequestArrived(this->step, event);
+    }
+    void operator()(const CallerLeft &event) const
+    {
+        onCallerLeft(this->step, event);
+    }
+    void operator()(const AttemptProgress &event) const
+    {
+        onAttemptProgress(this->step, event);
+    }
+    void operator()(const AttemptEnded &event) const
+    {
+        onAttemptEnded(this->step, event);
+    }
+    void operator()(const PeerMessageReceived &event) const
+    {
+        onPeerMessage(this->step, event.message);
+    }
+    void operator()(const TicketRead &event) const
+    {
+        onTicketRead(this->step, event.text);
+    }
+    void operator()(const HostListRead &event) const
+    {
+        onHostList(this->step, event);
+    }
+    void operator()(const LoadReported &event) const
+    {
+        onLoadReported(this->step, event);
+    }
+    void operator()(const OrderEnded &event) const
+    {
+        onOrderEnded(this->step, event);
+    }
+    void operator()(const Tick &) const
+    {
+        onTick(this->step);
+    }
+    void operator()(const StopAsked &) const
+    {
+        onStopAsked(this->step);
+    }
+};
+
+} // namespace
+
+HostState makeHost(HostIdentity identity, KnownCharts charts)
+{
+    HostState state;
+    state.random.seed(identity.randomSeed);
+    state.fencing = FencingNumber { identity.incarnation.value };
+    state.self = std::move(identity);
+    state.process = static_cast<ProcessState>(charts.process.initial);
+    state.charts = std::move(charts);
+    return state;
+}
+
+void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions)
+{
+    Step step { state, now, actions };
+    std::visit(Handler { step }, event);
+    while (!state.loopback.empty()) {
+        const PeerMessage message = std::move(state.loopback.front());
+        state.loopback.pop_front();
+        onPeerMessage(step, message);
+    }
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/host/src/requests.cpp
@@ -0,0 +1,543 @@
+#include "azurewell/routing/choose_engine.h"
+#include "azurewell/routing/rendezvous.h"
+#include "internal.h"
+
+#include <algorithm>
+
+namespace azurewell::internal {
+
+namespace {
+
+/// A request that its customer's rate can admit within this time waits instead of being refused.
+constexpr Span longestTokenWait = fromSeconds(2);
+/// The asker's lease is cut by this share for clocks that run at different rates (200 ppm is the worst
+/// that quartz does; a hundred times that costs a tenth of a second of a ten-second lease).
+constexpr double leaseDriftMargin = 0.02;
+/// Failures in a row after which an upstream gets no work for a while.
+constexpr std::uint32_t failuresToEject = 3;
+constexpr Span ejection = fromSeconds(5);
+constexpr std::uint32_t mostAttempts = 4;
+/// Tells callers when to come back where nothing better is known.
+constexpr Span defaultRetryAfter = fromSeconds(1);
+
+RequestRecord *recordOf(HostState &state, const RequestId &id)
+{
+    const auto found = state.requests.find(id);
+    return found == state.requests.end() ? nullptr : &found->second;
+}
+
+Tokens costOf(const RequestArrived &asked)
+{
+    return asked.promptTokens + asked.mostGenerated;
+}
+
+void refuse(Step &step, const RequestId &request, ResultCode code, RunState runState, std::optional<Span> retryAfter = {},
+            const std::string &detail = {})
+{
+    countRefusal(step.state.counters, code);
+    step.actions.emplace_back(Refuse { request, code, runState, retryAfter, detail });
+}
+
+/// Returns what is still reserved to the customer's bucket.
+void returnTokens(Step &step, RequestRecord &record)
+{
+    const auto bucket = step.state.buckets.find(record.customer);
+    if (bucket != step.state.buckets.end())
+        giveBack(bucket->second, record.reserved, step.now);
+    record.reserved = Tokens {};
+}
+
+/// Counts \a amount of the reservation as made.
+void settleTokens(Step &step, RequestRecord &record, Tokens amount)
+{
+    const Tokens settled = std::min(amount, record.reserved);
+    const auto bucket = step.state.buckets.find(record.customer);
+    if (bucket != step.state.buckets.end())
+        settle(bucket->second, settled, step.now);
+    record.reserved -= settled;
+}
+
+void releaseSlot(Step &step, const RequestRecord &record, Tokens used)
+{
+    if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
+        sendTo(step, record.keeper, SlotRelease { record.asked.request, record.upstream, used });
+}
+
+/// Ends a request: slot and tokens go back, the record goes.
+void endRequest(Step &step, RequestRecord &record)
+{
+    HostState &state = step.state;
+    if (record.phase == RequestPhase::Running) {
+        KnownUpstream &upstream = state.upstreams[record.upstream];
+        upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
+    }
+    releaseSlot(step, record, record.asked.promptTokens + record.generated);
+    returnTokens(step, record);
+    const RequestId id = record.asked.request; // a copy: the record holds the original
+    std::erase(state.waitingForTokens, id);
+    state.requests.erase(id);
+}
+
+void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState)
+{
+    refuse(step, record.asked.request, code, runState, defaultRetryAfter);
+    endRequest(step, record);
+}
+
+UpstreamView viewOf(const HostState &state, const RequestRecord &record, const Upstream &upstream)
+{
+    UpstreamView view;
+    view.id = upstream.id;
+    view.isOwnZone = upstream.zone == state.self.zone;
+    view.isLeaving = upstream.isLeaving || record.failedAt.contains(upstream.id);
+    view.affinity = rendezvousWeight(record.asked.adapter.value, upstream.id.value);
+    const auto known = state.upstreams.find(upstream.id);
+    if (known != state.upstreams.end()) {
+        view.state = known->second.state;
+        view.hasAdapter = known->second.loaded.contains(record.asked.adapter);
+        const double requests = std::max(known->second.reported, known->second.inFlight);
+        view.load = requests / static_cast<double>(upstream.batchSlots);
+    }
+    return view;
+}
+
+std::vector<UpstreamView> viewsFor(const HostState &state, const RequestRecord &record)
+{
+    std::vector<UpstreamView> views;
+    const bool isCompletion = record.asked.kind == RequestKind::Completion;
+    const auto adapter = state.inForce.adapters.find(record.asked.adapter);
+    for (const auto &[id, upstream] : state.inForce.upstreams) {
+        const bool isEngine = isCompletion && upstream.kind == UpstreamKind::Engine
+                && adapter != state.inForce.adapters.end() && upstream.baseModel == adapter->second.baseModel;
+        const bool isBackEnd = !isCompletion && upstream.kind == UpstreamKind::Service
+                && upstream.service == record.asked.service;
+        if (isEngine || isBackEnd)
+            views.push_back(viewOf(state, record, upstream));
+    }
+    return views;
+}
+
+std::uint64_t nextSerial(Step &step)
+{
+    HostState &state = step.state;
+    const std::uint64_t serial = state.nextSerial++;
+    state.serialSentAt[serial] = step.now;
+    while (state.serialSentAt.size() > 1 && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
+        state.serialSentAt.erase(state.serialSentAt.begin());
+    return serial;
+}
+
+/// When a lease that the keeper counts from `basis` ends here.
+Instant leaseEnd(const HostState &state, std::uint64_t basis, Span length)
+{
+    const auto sent = state.serialSentAt.find(basis);
+    if (sent == state.serialSentAt.end())
+        return Instant {};
+    return sent->second + length - fromSeconds(toSeconds(length) * leaseDriftMargin);
+}
+
+void dispatch(Step &step, RequestRecord &record, Instant notAfter)
+{
+    HostState &state = step.state;
+    const auto upstream = state.inForce.upstreams.find(record.upstream);
+    if (upstream == state.inForce.upstreams.end()) {
+        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
+        return;
+    }
+    record.phase = RequestPhase::Running;
+    ++record.attempt;
+    ++state.upstreams[record.upstream].inFlight;
+    ++state.counters.dispatched;
+    if (record.generated.count > 0)
+        ++state.counters.resumed;
+    if (record.attempt == 1)
+        settleTokens(step, record, record.asked.promptTokens);
+    step.actions.emplace_back(Dispatch { record.asked.request, record.attempt, record.upstream, upstream->second.address,
+                                         record.generated, record.isIdempotent, notAfter });
+}
+
+void callService(Step &step, RequestRecord &record)
+{
+    const std::optional<UpstreamId> backEnd = chooseBackEnd(viewsFor(step.state, record));
+    if (!backEnd) {
+        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
+        return;
+    }
+    record.upstream = *backEnd;
+    dispatch(step, record, record.asked.deadline);
+}
+
+void seekSlot(Step &step, RequestRecord &record)
+{
+    HostState &state = step.state;
+    record.phase = RequestPhase::WaitingForSlot;
+    const std::optional<UpstreamId> engine = chooseEngine(viewsFor(state, record));
+    const auto upstream = engine ? state.inForce.upstreams.find(*engine) : state.inForce.upstreams.end();
+    if (upstream == state.inForce.upstreams.end()) {
+        record.upstream = UpstreamId {};
+        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
+        return;
+    }
+    const bool isLeaving = state.process != ProcessState::Serving;
+    const std::optional<HostId> keeper = keeperOf(state.membership, state.self.id, state.self.zone, isLeaving, *engine,
+                                                  upstream->second.zone);
+    const auto customer = state.inForce.customers.find(record.customer);
+    record.upstream = *engine;
+    record.keeper = keeper.value_or(state.self.id);
+    SlotAsk ask;
+    ask.request = record.asked.request;
+    ask.engine = *engine;
+    ask.adapter = record.asked.adapter;
+    ask.customer = record.customer;
+    ask.cost = costOf(record.asked);
+    ask.weight = customer == state.inForce.customers.end() ? 1.0 : customer->second.weight;
+    ask.untilDeadline = record.asked.deadline - step.now;
+    ask.serial = nextSerial(step);
+    sendTo(step, record.keeper, ask);
+}
+
+void start(Step &step, RequestRecord &record)
+{
+    countFirstTry(step.state.retryBudget);
+    if (record.asked.kind == RequestKind::ServiceCall)
+        callService(step, record);
+    else
+        seekSlot(step, record);
+}
+
+/// Gives this host's part of the customer's rate and burst its present size. A bucket earns from the
+/// ticket on, not from the customer's first request.
+TokenBucket &shapeBucket(Step &step, const Customer &customer)
+{
+    HostState &state = step.state;
+    const double part = 1.0 / std::max(1U, totalSeats(state.inForce));
+    const bool isNew = !state.buckets.contains(customer.id);
+    TokenBucket &bucket = state.buckets[customer.id];
+    if (isNew)
+        bucket.refilledAt = step.now;
+    reshape(bucket, customer.rate.perSecond * part, static_cast<double>(customer.burst.count) * part, step.now);
+    return bucket;
+}
+
+/// Whether the request was admitted, or ended.
+bool tryAdmit(Step &step, RequestRecord &record, const Customer &customer)
+{
+    TokenBucket &bucket = step.state.buckets[customer.id];
+    const Tokens cost = costOf(record.asked);
+    if (tryReserve(bucket, cost, step.now)) {
+        record.reserved = cost;
+        start(step, record);
+        return true;
+    }
+    const Instant earliest = earliestFor(bucket, cost, step.now);
+    const Instant patience = std::min(step.now + longestTokenWait, record.asked.deadline);
+    if (earliest <= patience)
+        return false;
+    const Span wait = earliest == never ? defaultRetryAfter : earliest - step.now;
+    refuse(step, record.asked.request, ResultCode::RateExceeded, RunState::NotRun, wait);
+    endRequest(step, record);
+    return true;
+}
+
+RetryReason retryReasonOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::NotSent:
+        return RetryReason::NotSent;
+    case AttemptOutcome::Refused:
+        return RetryReason::UpstreamRefused;
+    case AttemptOutcome::Silent:
+        return RetryReason::UpstreamSilent;
+    case AttemptOutcome::Mismatch:
+        return RetryReason::AnswerMismatch;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Done:
+        break;
+    }
+    return RetryReason::UpstreamFailed;
+}
+
+ResultCode refusalOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::NotSent:
+        return ResultCode::NoUpstream;
+    case AttemptOutcome::Refused:
+        return ResultCode::UpstreamRefused;
+    case AttemptOutcome::Silent:
+        return ResultCode::UpstreamSilent;
+    case AttemptOutcome::Mismatch:
+        return ResultCode::AnswerMismatch;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Done:
+        break;
+    }
+    return ResultCode::UpstreamFailed;
+}
+
+/// Whether the upstream certainly did not run the request.
+bool isCertainlyNotRun(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Refused;
+}
+
+void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome)
+{
+    KnownUpstream &upstream = step.state.upstreams[id];
+    const Chart &chart = step.state.charts.upstream;
+    if (outcome == AttemptOutcome::Done) {
+        upstream.failuresInARow = 0;
+        upstream.state = advance(chart, upstream.state, UpstreamEvent::Answered);
+        return;
+    }
+    ++upstream.failuresInARow;
+    if (upstream.failuresInARow >= failuresToEject && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
+        upstream.state = advance(chart, upstream.state, UpstreamEvent::Failed);
+        upstream.ejectedUntil = step.now + ejection;
+    }
+}
+
+/// Tries a failed request elsewhere where that is safe and the budget allows; otherwise refuses it.
+void retryOrRefuse(Step &step, RequestRecord &record, AttemptOutcome outcome)
+{
+    const bool isNotRun = isCertainlyNotRun(outcome);
+    const bool isSafe = isNotRun || record.isIdempotent;
+    const RunState runState = isNotRun ? RunState::NotRun : RunState::Unknown;
+    if (!isSafe) {
+        endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
+        return;
+    }
+    if (record.attempt >= mostAttempts || record.asked.deadline <= step.now) {
+        endRefused(step, record, refusalOf(outcome), runState);
+        return;
+    }
+    if (!takeRetry(step.state.retryBudget)) {
+        endRefused(step, record, ResultCode::RetryBudgetSpent, runState);
+        return;
+    }
+    countRetry(step.state.counters, retryReasonOf(outcome));
+    record.failedAt.insert(record.upstream);
+    releaseSlot(step, record, record.generated);
+    if (record.asked.kind == RequestKind::ServiceCall)
+        callService(step, record);
+    else
+        seekSlot(step, record);
+}
+
+} // namespace
+
+void onRequestArrived(Step &step, const RequestArrived &event)
+{
+    HostState &state = step.state;
+    ++state.counters.arrived;
+    if (state.process != ProcessState::Serving) {
+        const bool isStarting = state.process == ProcessState::Starting;
+        refuse(step, event.request, isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
+               defaultRetryAfter);
+        return;
+    }
+    const Result<const Customer *> customer = customerOf(state.inForce, event.key);
+    if (!customer) {
+        refuse(step, event.request, customer.error().code, RunState::NotRun);
+        return;
+    }
+    RequestRecord record;
+    record.asked = event;
+    record.customer = customer.value()->id;
+    if (event.kind == RequestKind::Completion) {
+        const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer, event.adapter);
+        if (!adapter) {
+            refuse(step, event.request, adapter.error().code, RunState::NotRun);
+            return;
+        }
+    } else {
+        const Result<const Service *> service = serviceFor(state.inForce, *customer.value(), event.service);
+        if (!service) {
+            refuse(step, event.request, service.error().code, RunState::NotRun);
+            return;
+        }
+        record.isIdempotent = event.isSafeMethod || service.value()->isIdempotent;
+    }
+    if (costOf(event) > customer.value()->burst) {
+        refuse(step, event.request, ResultCode::ExceedsBurst, RunState::NotRun);
+        return;
+    }
+    RequestRecord &kept = state.requests[event.request] = std::move(record);
+    if (!tryAdmit(step, kept, *customer.value()))
+        state.waitingForTokens.push_back(event.request);
+}
+
+void admitWaiting(Step &step)
+{
+    HostState &state = step.state;
+    const std::deque<RequestId> waiting = std::exchange(state.waitingForTokens, {});
+    std::set<CustomerId> stillWaiting;
+    for (const RequestId &id : waiting) {
+        RequestRecord *record = recordOf(state, id);
+        if (!record)
+            continue;
+        const auto customer = state.inForce.customers.find(record->customer);
+        if (customer == state.inForce.customers.end()) {
+            endRefused(step, *record, ResultCode::KeyUnknown, RunState::NotRun);
+            continue;
+        }
+        // In order within a customer: a small request must not overtake a large one for ever.
+        const bool isBehind = stillWaiting.contains(record->customer);
+        if (isBehind || !tryAdmit(step, *record, customer->second)) {
+            stillWaiting.insert(customer->first);
+            state.waitingForTokens.push_back(id);
+        }
+    }
+}
+
+void expireRequests(Step &step)
+{
+    HostState &state = step.state;
+    std::vector<RequestId> expired;
+    for (const auto &[id, record] : state.requests) {
+        if (record.phase != RequestPhase::Running && record.asked.deadline <= step.now)
+            expired.push_back(id);
+    }
+    for (const RequestId &id : expired)
+        endRefused(step, state.requests.at(id), ResultCode::WaitedTooLong, RunState::NotRun);
+    for (auto &[id, upstream] : state.upstreams) {
+        if (upstream.state == UpstreamState::Ejected && upstream.ejectedUntil <= step.now)
+            upstream.state = advance(state.charts.upstream, upstream.state, UpstreamEvent::EjectionOver);
+    }
+}
+
+void onSlotGrant(Step &step, const SlotGrant &grant)
+{
+    RequestRecord *record = recordOf(step.state, grant.request);
+    const bool isAwaited = record && record->phase == RequestPhase::WaitingForSlot && record->upstream == grant.engine;
+    if (!isAwaited) {
+        // The caller has gone, or the grant came after a retry went elsewhere.
+        const auto engine = step.state.inForce.upstreams.find(grant.engine);
+        if (engine != step.state.inForce.upstreams.end()) {
+            const std::optional<HostId> keeper = keeperOf(step.state.membership, step.state.self.id, step.state.self.zone,
+                                                          false, grant.engine, engine->second.zone);
+            sendTo(step, keeper.value_or(step.state.self.id), SlotRelease { grant.request, grant.engine, Tokens {} });
+        }
+        return;
+    }
+    // Checked at the moment of dispatch: a process that was stopped since the grant must not use it.
+    const Instant ends = leaseEnd(step.state, grant.basis, grant.leaseLength);
+    if (ends <= step.now) {
+        countRetry(step.state.counters, RetryReason::SlotLost);
+        releaseSlot(step, *record, Tokens {});
+        seekSlot(step, *record);
+        return;
+    }
+    record->leaseEnds = ends;
+    dispatch(step, *record, ends);
+}
+
+void onSlotRefusal(Step &step, const SlotRefusal &refusal)
+{
+    RequestRecord *record = recordOf(step.state, refusal.request);
+    if (!record || record->phase != RequestPhase::WaitingForSlot || record->upstream != refusal.engine)
+        return;
+    endRefused(step, *record, refusal.code, RunState::NotRun);
+}
+
+void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed)
+{
+    const Instant ends = leaseEnd(step.state, renewed.basis, renewed.leaseLength);
+    for (auto &[id, record] : step.state.requests) {
+        if (record.phase == RequestPhase::Running && record.upstream == renewed.engine && record.keeper == keeper)
+            record.leaseEnds = std::max(record.leaseEnds, ends);
+    }
+}
+
+void renewSlots(Step &step)
+{
+    HostState &state = step.state;
+    std::map<std::pair<HostId, UpstreamId>, std::vector<RunningSlot>> byKeeper;
+    for (auto &[id, record] : state.requests) {
+        if (record.asked.kind != RequestKind::Completion || record.phase == RequestPhase::WaitingForTokens)
+            continue;
+        const bool isRunning = record.phase == RequestPhase::Running;
+        byKeeper[{ record.keeper, record.upstream }].push_back(RunningSlot { id, record.asked.adapter, isRunning });
+    }
+    for (auto &[where, slots] : byKeeper)
+        sendTo(step, where.first, SlotRenewal { where.second, std::move(slots), nextSerial(step) });
+}
+
+void onCallerLeft(Step &step, const CallerLeft &event)
+{
+    RequestRecord *record = recordOf(step.state, event.request);
+    if (!record)
+        return;
+    if (record->phase == RequestPhase::Running) {
+        const auto upstream = step.state.inForce.upstreams.find(record->upstream);
+        const std::string address = upstream == step.state.inForce.upstreams.end() ? "" : upstream->second.address;
+        step.actions.emplace_back(CancelAttempt { event.request, record->upstream, address });
+    }
+    countRefusal(step.state.counters, ResultCode::CallerGone);
+    endRequest(step, *record);
+}
+
+void onAttemptProgress(Step &step, const AttemptProgress &event)
+{
+    RequestRecord *record = recordOf(step.state, event.request);
+    if (!record || record->attempt != event.attempt || event.generated <= record->generated)
+        return;
+    settleTokens(step, *record, event.generated - record->generated);
+    step.state.counters.generatedTokens += static_cast<std::uint64_t>((event.generated - record->generated).count);
+    record->generated = event.generated;
+}
+
+void onAttemptEnded(Step &step, const AttemptEnded &event)
+{
+    onAttemptProgress(step, AttemptProgress { event.request, event.attempt, event.generated });
+    RequestRecord *record = recordOf(step.state, event.request);
+    if (!record || record->attempt != event.attempt || record->phase != RequestPhase::Running)
+        return;
+    noteUpstreamOutcome(step, record->upstream, event.outcome);
+    if (event.outcome == AttemptOutcome::Done) {
+        ++step.state.counters.completed;
+        endRequest(step, *record);
+        return;
+    }
+    KnownUpstream &upstream = step.state.upstreams[record->upstream];
+    upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
+    record->phase = RequestPhase::WaitingForSlot;
+    retryOrRefuse(step, *record, event.outcome);
+}
+
+void enforceTickets(Step &step)
+{
+    HostState &state = step.state;
+    std::vector<std::pair<RequestId, ResultCode>> ended;
+    for (const auto &[id, record] : state.requests) {
+        const Result<const Customer *> customer = customerOf(state.inForce, record.asked.key);
+        if (!customer)
+            ended.emplace_back(id, customer.error().code);
+    }
+    for (const auto &[id, code] : ended) {
+        RequestRecord &record = state.requests.at(id);
+        const bool isRunning = record.phase == RequestPhase::Running;
+        if (isRunning && !record.isIdempotent)
+            continue; // a filing that was sent cannot be taken back; its answer is still the caller's
+        if (isRunning) {
+            const auto upstream = state.inForce.upstreams.find(record.upstream);
+            const std::string address = upstream == state.inForce.upstreams.end() ? "" : upstream->second.address;
+            step.actions.emplace_back(CancelAttempt { id, record.upstream, address });
+        }
+        endRefused(step, record, code, isRunning ? RunState::Ran : RunState::NotRun);
+    }
+    std::erase_if(state.buckets, [&state](const auto &entry) { return !state.inForce.customers.contains(entry.first); });
+    for (const auto &[id, customer] : state.inForce.customers)
+        shapeBucket(step, customer);
+}
+
+void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries)
+{
+    for (const EngineSummary &summary : summaries) {
+        KnownUpstream &upstream = step.state.upstreams[summary.engine];
+        upstream.reported = summary.queued + summary.running;
+        upstream.loaded = std::set<AdapterRef>(summary.loaded.begin(), summary.loaded.end());
+    }
+}
+
+} // namespace azurewell::internal
--- /dev/null
+++ b/packages/placement/src/engine_adapters.cpp
@@ -0,0 +1,107 @@
+#include "azurewell/placement/engine_adapters.h"
+
+#include <algorithm>
+
+namespace azurewell {
+
+namespace {
+
+constexpr Span firstBackOff = fromSeconds(0.5);
+constexpr Span longestBackOff = fromSeconds(30);
+constexpr std::uint32_t mostDoublings = 6;
+
+bool takesSlot(const AdapterOnEngine &adapter)
+{
+    return adapter.state == AdapterState::Loading || adapter.state == AdapterState::Loaded
+            || adapter.state == AdapterState::Unloading;
+}
+
+bool isEvictable(const AdapterOnEngine &adapter)
+{
+    return adapter.state == AdapterState::Loaded && adapter.pins == 0;
+}
+
+} // namespace
+
+bool isLoaded(const EngineAdapters &engine, const AdapterRef &ref)
+{
+    const auto found = engine.adapters.find(ref);
+    return found != engine.adapters.end() && found->second.state == AdapterState::Loaded;
+}
+
+std::uint32_t usedSlots(const EngineAdapters &engine)
+{
+    const auto count = std::count_if(engine.adapters.begin(), engine.adapters.end(),
+                                     [](const auto &entry) { return takesSlot(entry.second); });
+    return static_cast<std::uint32_t>(count);
+}
+
+PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now)
+{
+    const auto known = engine.adapters.find(wanted);
+    if (known != engine.adapters.end()) {
+        const bool isUnderway = known->second.state != AdapterState::Absent;
+        if (isUnderway || known->second.retryAfter > now)
+            return {};
+    }
+    if (usedSlots(engine) < engine.slots)
+        return PlacementStep { PlacementStep::Kind::Load, wanted };
+    if (now < engine.noEvictionBefore)
+        return {};
+
+    const std::pair<const AdapterRef, AdapterOnEngine> *oldest = nullptr;
+    for (const auto &entry : engine.adapters) {
+        if (entry.second.state == AdapterState::Unloading)
+            return {}; // a slot is on its way already
+        if (isEvictable(entry.second) && (!oldest || entry.second.lastUsed < oldest->second.lastUsed))
+            oldest = &entry;
+    }
+    if (!oldest)
+        return {};
+    return PlacementStep { PlacementStep::Kind::Evict, oldest->first };
+}
+
+void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref, AdapterEvent event, Instant now)
+{
+    AdapterOnEngine &adapter = engine.adapters[ref];
+    adapter.state = advance(chart, adapter.state, event);
+    if (event == AdapterEvent::LoadDone) {
+        adapter.failures = 0;
+        adapter.lastUsed = now;
+    }
+    if (adapter.state == AdapterState::Absent && adapter.pins == 0 && adapter.failures == 0)
+        engine.adapters.erase(ref);
+}
+
+void backOff(EngineAdapters &engine, const AdapterRef &ref, double jitter, Instant now)
+{
+    AdapterOnEngine &adapter = engine.adapters[ref];
+    const std::uint32_t doublings = std::min(adapter.failures, mostDoublings);
+    ++adapter.failures;
+    const Span pause = std::min<Span>(firstBackOff * (1LL << doublings), longestBackOff);
+    adapter.retryAfter = now + pause / 2 + fromSeconds(toSeconds(pause) * jitter / 2);
+}
+
+void endBackOffs(EngineAdapters &engine, const Chart &chart, Instant now)
+{
+    for (auto &[ref, adapter] : engine.adapters) {
+        if (adapter.state == AdapterState::BackingOff && adapter.retryAfter <= now)
+            adapter.state = advance(chart, adapter.state, AdapterEvent::BackoffOver);
+    }
+}
+
+void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now)
+{
+    AdapterOnEngine &adapter = engine.adapters[ref];
+    ++adapter.pins;
+    adapter.lastUsed = now;
+}
+
+void unpin(EngineAdapters &engine, const AdapterRef &ref)
+{
+    const auto found = engine.adapters.find(ref);
+    if (found != engine.adapters.end() && found->second.pins > 0)
+        --found->second.pins;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/routing/include/azurewell/routing/rendezvous.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace azurewell {
+
+/// The weight of \a node for \a key (highest-random-weight hashing): each key goes to the node with
+/// the highest weight, and only the keys of a lost node move. Equal on every host and build.
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view node);
+
+/// A 64-bit hash that is equal on every host and build (std::hash is not).
+std::uint64_t stableHash(std::string_view text);
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/routing/src/retry_budget.cpp
@@ -0,0 +1,20 @@
+#include "azurewell/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace azurewell {
+
+void countFirstTry(RetryBudget &budget)
+{
+    budget.tokens = std::min(budget.tokens + earnedByFirstTry, mostSavedRetries);
+}
+
+bool takeRetry(RetryBudget &budget)
+{
+    if (budget.tokens < 1.0)
+        return false;
+    budget.tokens -= 1.0;
+    return true;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/tickets/src/ticket_parser.cpp
@@ -0,0 +1,151 @@
+#include "azurewell/tickets/json_reader.h"
+#include "azurewell/tickets/ticket.h"
+
+namespace azurewell {
+
+namespace {
+
+constexpr double mostTicketNumber = 9e15; // integers up to here are exact in a double
+constexpr double mostTokens = 1e12;
+constexpr double mostSlots = 4096;
+constexpr std::size_t hashLength = 64; // SHA-256 in hexadecimal
+
+Customer readCustomer(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "id", "rate", "burst", "weight", "services" });
+    Customer customer;
+    customer.id = CustomerId { reader.text("id") };
+    customer.rate = TokenRate { reader.number("rate", 0, mostTokens) };
+    customer.burst = Tokens { static_cast<std::int64_t>(reader.number("burst", 0, mostTokens)) };
+    customer.weight = reader.number("weight", 0.01, 1000, 1.0);
+    for (const std::string &service : reader.texts("services"))
+        customer.services.emplace_back(service);
+    customer.ticket = ticket;
+    return customer;
+}
+
+Key readKey(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "sha256", "customer", "state" });
+    Key key;
+    key.hash = KeyHash { reader.text("sha256") };
+    if (key.hash.value.size() != hashLength
+        || key.hash.value.find_first_not_of("0123456789abcdef") != std::string::npos)
+        reader.complain("sha256", "must be 64 lower-case hexadecimal digits, never the key itself");
+    key.customer = CustomerId { reader.text("customer") };
+    const std::string state = reader.text("state");
+    if (state != "issued" && state != "withdrawn")
+        reader.complain("state", "must be \"issued\" or \"withdrawn\"");
+    key.state = state == "withdrawn" ? KeyState::Withdrawn : KeyState::Issued;
+    key.ticket = ticket;
+    return key;
+}
+
+Adapter readAdapter(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "adapter", "customer", "base" });
+    Adapter adapter;
+    adapter.ref = AdapterRef { reader.text("adapter") };
+    const std::size_t at = adapter.ref.value.find('@');
+    if (at == std::string::npos || at == 0 || at + 1 == adapter.ref.value.size())
+        reader.complain("adapter", "must be written name@version");
+    adapter.customer = CustomerId { reader.text("customer") };
+    adapter.baseModel = reader.text("base");
+    adapter.ticket = ticket;
+    return adapter;
+}
+
+Upstream readUpstream(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "id", "kind", "zone", "address", "base", "service", "batch_slots", "adapter_slots",
+                       "checks_fencing", "leaving" });
+    Upstream upstream;
+    upstream.id = UpstreamId { reader.text("id") };
+    const std::string kind = reader.text("kind");
+    if (kind != "engine" && kind != "service")
+        reader.complain("kind", "must be \"engine\" or \"service\"");
+    upstream.kind = kind == "service" ? UpstreamKind::Service : UpstreamKind::Engine;
+    upstream.zone = ZoneId { reader.text("zone") };
+    upstream.address = reader.text("address");
+    if (upstream.kind == UpstreamKind::Engine) {
+        upstream.baseModel = reader.text("base");
+        upstream.adapterSlots = static_cast<std::uint32_t>(reader.number("adapter_slots", 1, mostSlots));
+    } else {
+        upstream.service = ServiceId { reader.text("service") };
+    }
+    upstream.batchSlots = static_cast<std::uint32_t>(reader.number("batch_slots", 1, mostSlots));
+    upstream.checksFencing = reader.flag("checks_fencing", false);
+    upstream.isLeaving = reader.flag("leaving", false);
+    upstream.ticket = ticket;
+    return upstream;
+}
+
+Service readService(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "id", "idempotent" });
+    return Service { ServiceId { reader.text("id") }, reader.flag("idempotent", false), ticket };
+}
+
+Zone readZone(JsonReader &reader, TicketNumber ticket)
+{
+    reader.allowOnly({ "id", "seats" });
+    Zone zone;
+    zone.id = ZoneId { reader.text("id") };
+    zone.seats = static_cast<std::uint32_t>(reader.number("seats", 1, 1000));
+    zone.ticket = ticket;
+    return zone;
+}
+
+void readSets(JsonReader &sets, Ticket &ticket)
+{
+    sets.allowOnly({ "customers", "keys", "adapters", "upstreams", "services", "zones" });
+    for (JsonReader &reader : sets.objects("customers"))
+        ticket.customers.push_back(readCustomer(reader, ticket.number));
+    for (JsonReader &reader : sets.objects("keys"))
+        ticket.keys.push_back(readKey(reader, ticket.number));
+    for (JsonReader &reader : sets.objects("adapters"))
+        ticket.adapters.push_back(readAdapter(reader, ticket.number));
+    for (JsonReader &reader : sets.objects("upstreams"))
+        ticket.upstreams.push_back(readUpstream(reader, ticket.number));
+    for (JsonReader &reader : sets.objects("services"))
+        ticket.services.push_back(readService(reader, ticket.number));
+    for (JsonReader &reader : sets.objects("zones"))
+        ticket.zones.push_back(readZone(reader, ticket.number));
+}
+
+void readRemovals(JsonReader &removals, Ticket &ticket)
+{
+    removals.allowOnly({ "adapters", "customers", "upstreams" });
+    for (const std::string &name : removals.texts("adapters"))
+        ticket.removedAdapters.emplace_back(name);
+    for (const std::string &name : removals.texts("customers"))
+        ticket.removedCustomers.emplace_back(name);
+    for (const std::string &name : removals.texts("upstreams"))
+        ticket.removedUpstreams.emplace_back(name);
+}
+
+} // namespace
+
+Result<Ticket> parseTicket(std::string_view text)
+{
+    const Result<nlohmann::json> json = parseJsonWithComments(text, ResultCode::TicketInvalid);
+    if (!json)
+        return json.error();
+
+    std::string complaint;
+    JsonReader reader(json.value(), "", complaint);
+    reader.allowOnly({ "ticket", "by", "why", "set", "remove" });
+    Ticket ticket;
+    ticket.number = TicketNumber { static_cast<std::uint64_t>(reader.number("ticket", 1, mostTicketNumber)) };
+    ticket.by = reader.text("by");
+    ticket.why = reader.text("why");
+    JsonReader sets = reader.object("set");
+    readSets(sets, ticket);
+    JsonReader removals = reader.object("remove");
+    readRemovals(removals, ticket);
+    if (!complaint.empty())
+        return Error { ResultCode::TicketInvalid, complaint };
+    return ticket;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/units/include/azurewell/units/result.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "azurewell/units/result_code.h"
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/all_narrow.hpp>
+#include <boost/outcome/success_failure.hpp>
+
+#include <string>
+
+namespace azurewell {
+
+/// What went wrong, for a person: a numbered code and where.
+struct Error
+{
+    ResultCode code = ResultCode::InternalError;
+    std::string detail; ///< File, line or key, what is wrong, what is allowed.
+};
+
+/// A value or an Error; nothing is thrown. Check with `if (!result)` before `.value()`.
+template <typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::all_narrow>;
+
+} // namespace azurewell
