--- a/cmake/AzurewellPackage.cmake
+++ b/cmake/AzurewellPackage.cmake
@@ -3,6 +3,8 @@
 #   azurewell_package(<name> SOURCES <file>... USES <target>...)
 #   azurewell_package_tests(<name> SOURCES <file>... [USES <target>...])
 
+# Qt's lower-case macros (slots, signals, emit) would clash with ordinary names.
+add_compile_definitions(QT_NO_KEYWORDS)
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow)
 
 function(azurewell_package name)
--- a/packages/charts/include/azurewell/charts/chart.h
+++ b/packages/charts/include/azurewell/charts/chart.h
@@ -25,10 +25,10 @@
     std::uint16_t initial = 0;
 };
 
-/// Reads the flat subset of SCXML that the charts use: `<scxml initial>`, `<state id>`, `<final id>`
-/// and `<transition event target>`. States and events are renumbered to the order of \a states and
-/// \a events, the names that the code uses; a name that the code has and the file lacks is an error,
-/// and so is the reverse. Errors: ChartInvalid with the line.
+/// Reads the flat subset of SCXML that the charts use: `<scxml initial>`, `<state id>`, `<final
+/// id>` and `<transition event target>`. States and events are renumbered to the order of \a states
+/// and \a events, the names that the code uses; a name that the code has and the file lacks is an
+/// error, and so is the reverse. Errors: ChartInvalid with the line.
 Result<Chart> parseChart(std::string_view scxml, std::span<const std::string_view> states,
                          std::span<const std::string_view> events);
 
--- a/packages/charts/include/azurewell/charts/known_charts.h
+++ b/packages/charts/include/azurewell/charts/known_charts.h
@@ -11,26 +11,62 @@
 /// The life of the process (charts/process.scxml).
 enum class ProcessState : std::uint8_t { Starting, Serving, Draining, Stopped };
 enum class ProcessEvent : std::uint8_t { StateInForce, StopAsked, LastRequestDone };
-inline constexpr std::array<std::string_view, 4> processStateNames { "starting", "serving", "draining", "stopped" };
-inline constexpr std::array<std::string_view, 3> processEventNames { "state.in.force", "stop.asked", "last.request.done" };
+inline constexpr std::array<std::string_view, 4> processStateNames{ "starting", "serving",
+                                                                    "draining", "stopped" };
+inline constexpr std::array<std::string_view, 3> processEventNames{ "state.in.force", "stop.asked",
+                                                                    "last.request.done" };
 
 /// What a host knows of an upstream (charts/upstream.scxml).
 enum class UpstreamState : std::uint8_t { Unknown, Live, Ejected, Probing, Leaving };
-enum class UpstreamEvent : std::uint8_t { Answered, Failed, EjectionOver, ListedLeaving, ListedLive };
-inline constexpr std::array<std::string_view, 5> upstreamStateNames { "unknown", "live", "ejected", "probing", "leaving" };
-inline constexpr std::array<std::string_view, 5> upstreamEventNames { "answered", "failed", "ejection.over", "listed.leaving", "listed.live" };
+enum class UpstreamEvent : std::uint8_t {
+    Answered,
+    Failed,
+    EjectionOver,
+    ListedLeaving,
+    ListedLive
+};
+inline constexpr std::array<std::string_view, 5> upstreamStateNames{ "unknown", "live", "ejected",
+                                                                     "probing", "leaving" };
+inline constexpr std::array<std::string_view, 5> upstreamEventNames{
+    "answered", "failed", "ejection.over", "listed.leaving", "listed.live"
+};
 
 /// An adapter on one engine (charts/adapter.scxml).
 enum class AdapterState : std::uint8_t { Absent, Loading, Loaded, Unloading, BackingOff };
-enum class AdapterEvent : std::uint8_t { LoadOrdered, LoadDone, LoadFailed, UnloadOrdered, UnloadDone, UnloadFailed, BackoffOver, EngineRestarted };
-inline constexpr std::array<std::string_view, 5> adapterStateNames { "absent", "loading", "loaded", "unloading", "backing.off" };
-inline constexpr std::array<std::string_view, 8> adapterEventNames { "load.ordered", "load.done", "load.failed", "unload.ordered", "unload.done", "unload.failed", "backoff.over", "engine.restarted" };
+enum class AdapterEvent : std::uint8_t {
+    LoadOrdered,
+    LoadDone,
+    LoadFailed,
+    UnloadOrdered,
+    UnloadDone,
+    UnloadFailed,
+    BackoffOver,
+    EngineRestarted
+};
+inline constexpr std::array<std::string_view, 5> adapterStateNames{ "absent", "loading", "loaded",
+                                                                    "unloading", "backing.off" };
+inline constexpr std::array<std::string_view, 8> adapterEventNames{
+    "load.ordered", "load.done",     "load.failed",  "unload.ordered",
+    "unload.done",  "unload.failed", "backoff.over", "engine.restarted"
+};
 
 /// Another host (charts/peer.scxml).
 enum class PeerState : std::uint8_t { Unheard, Alive, Suspect, Leaving, Gone };
-enum class PeerEvent : std::uint8_t { Heartbeat, HeartbeatMissed, LeaveAnnounced, ListedLeaving, Unlisted, Listed, SuspicionOver };
-inline constexpr std::array<std::string_view, 5> peerStateNames { "unheard", "alive", "suspect", "leaving", "gone" };
-inline constexpr std::array<std::string_view, 7> peerEventNames { "heartbeat", "heartbeat.missed", "leave.announced", "listed.leaving", "unlisted", "listed", "suspicion.over" };
+enum class PeerEvent : std::uint8_t {
+    Heartbeat,
+    HeartbeatMissed,
+    LeaveAnnounced,
+    ListedLeaving,
+    Unlisted,
+    Listed,
+    SuspicionOver
+};
+inline constexpr std::array<std::string_view, 5> peerStateNames{ "unheard", "alive", "suspect",
+                                                                 "leaving", "gone" };
+inline constexpr std::array<std::string_view, 7> peerEventNames{
+    "heartbeat", "heartbeat.missed", "leave.announced", "listed.leaving",
+    "unlisted",  "listed",           "suspicion.over"
+};
 
 /// The charts a host runs by.
 struct KnownCharts
--- a/packages/charts/src/chart.cpp
+++ b/packages/charts/src/chart.cpp
@@ -28,7 +28,7 @@
 
 Error invalid(std::int64_t line, const std::string &what)
 {
-    return Error { ResultCode::ChartInvalid, "line " + std::to_string(line) + ": " + what };
+    return Error{ ResultCode::ChartInvalid, "line " + std::to_string(line) + ": " + what };
 }
 
 std::string attribute(const QXmlStreamReader &reader, const char *name)
@@ -45,8 +45,8 @@
         raw.states.push_back(attribute(reader, "id"));
     } else if (name == QLatin1String("transition")) {
         const std::string source = raw.states.empty() ? std::string() : raw.states.back();
-        raw.transitions.push_back(Transition { source, attribute(reader, "event"),
-                                               attribute(reader, "target"), reader.lineNumber() });
+        raw.transitions.push_back(Transition{ source, attribute(reader, "event"),
+                                              attribute(reader, "target"), reader.lineNumber() });
     }
 }
 
@@ -116,11 +116,13 @@
 {
     QFile file(QString::fromStdString(path));
     if (!file.open(QIODevice::ReadOnly))
-        return Error { ResultCode::FileUnreadable, path + ": " + file.errorString().toStdString() };
+        return Error{ ResultCode::FileUnreadable, path + ": " + file.errorString().toStdString() };
     const QByteArray content = file.readAll();
-    Result<Chart> chart = parseChart(std::string_view(content.data(), static_cast<std::size_t>(content.size())), states, events);
+    Result<Chart> chart = parseChart(
+            std::string_view(content.data(), static_cast<std::size_t>(content.size())), states,
+            events);
     if (!chart)
-        return Error { chart.error().code, path + ": " + chart.error().detail };
+        return Error{ chart.error().code, path + ": " + chart.error().detail };
     return chart;
 }
 
--- a/packages/charts/tests/charts_test.cpp
+++ b/packages/charts/tests/charts_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 2> states { "off", "on" };
-constexpr std::array<std::string_view, 1> events { "press" };
+constexpr std::array<std::string_view, 2> states{ "off", "on" };
+constexpr std::array<std::string_view, 1> events{ "press" };
 
 } // namespace
 
@@ -16,15 +16,19 @@
     const Result<KnownCharts> charts = loadKnownCharts(AZUREWELL_CHARTS_DIR);
     ASSERT_TRUE(charts) << charts.error().detail;
     const Chart &process = charts.value().process;
-    EXPECT_EQ(advance(process, ProcessState::Serving, ProcessEvent::StopAsked), ProcessState::Draining);
-    EXPECT_EQ(advance(process, ProcessState::Draining, ProcessEvent::StateInForce), ProcessState::Draining);
+    EXPECT_EQ(advance(process, ProcessState::Serving, ProcessEvent::StopAsked),
+              ProcessState::Draining);
+    EXPECT_EQ(advance(process, ProcessState::Draining, ProcessEvent::StateInForce),
+              ProcessState::Draining);
 }
 
 TEST(Charts, EditingTheFileChangesBehaviour)
 {
-    const char *toggles = R"(<scxml initial="off"><state id="off"><transition event="press" target="on"/></state>
+    const char *toggles
+            = R"(<scxml initial="off"><state id="off"><transition event="press" target="on"/></state>
         <state id="on"><transition event="press" target="off"/></state></scxml>)";
-    const char *sticks = R"(<scxml initial="off"><state id="off"><transition event="press" target="on"/></state>
+    const char *sticks
+            = R"(<scxml initial="off"><state id="off"><transition event="press" target="on"/></state>
         <state id="on"/></scxml>)";
     const Result<Chart> toggling = parseChart(toggles, states, events);
     const Result<Chart> sticking = parseChart(sticks, states, events);
@@ -36,7 +40,8 @@
 
 TEST(Charts, AFileThatLacksAStateIsRefusedWithItsName)
 {
-    const Result<Chart> chart = parseChart(R"(<scxml initial="off"><state id="off"/></scxml>)", states, events);
+    const Result<Chart> chart = parseChart(R"(<scxml initial="off"><state id="off"/></scxml>)",
+                                           states, events);
     ASSERT_FALSE(chart);
     EXPECT_EQ(chart.error().code, ResultCode::ChartInvalid);
     EXPECT_NE(chart.error().detail.find("'on'"), std::string::npos);
--- a/packages/fleet/include/azurewell/fleet/codec.h
+++ b/packages/fleet/include/azurewell/fleet/codec.h
@@ -16,11 +16,12 @@
 /// \a message as one frame: four bytes of length (big-endian), then Thrift's compact protocol.
 std::string encodeFrame(const PeerMessage &message);
 
-/// Decodes what follows a frame's length. Errors: MessageInvalid; never throws and never reads beyond
-/// \a payload, whatever is in it.
+/// Decodes what follows a frame's length. Errors: MessageInvalid; never throws and never reads
+/// beyond \a payload, whatever is in it.
 Result<PeerMessage> decodePayload(std::string_view payload);
 
-/// The length in a frame's head (the first frameHeadBytes of \a head). Errors: MessageInvalid above longestFrame.
+/// The length in a frame's head (the first frameHeadBytes of \a head). Errors: MessageInvalid above
+/// longestFrame.
 Result<std::uint32_t> frameLength(std::string_view head);
 
 } // namespace azurewell
--- a/packages/fleet/include/azurewell/fleet/membership.h
+++ b/packages/fleet/include/azurewell/fleet/membership.h
@@ -29,13 +29,13 @@
     PeerState state = PeerState::Unheard;
     TicketNumber ticket;
     Instant silentAfter; ///< Suspect when nothing is heard until then.
-    Instant goneAfter; ///< Gone when nothing is heard until then.
+    Instant goneAfter;   ///< Gone when nothing is heard until then.
     bool isListed = false;
 };
 
-/// The other hosts: the platform's lagging list joined with what they say themselves. The list alone
-/// is late by seconds and may be stale for an hour; heartbeats alone cannot tell of a host that this
-/// one has never met.
+/// The other hosts: the platform's lagging list joined with what they say themselves. The list
+/// alone is late by seconds and may be stale for an hour; heartbeats alone cannot tell of a host
+/// that this one has never met.
 struct Membership
 {
     std::map<HostId, Peer> peers;
@@ -46,13 +46,15 @@
 /// A suspect is gone after this silence; longer than every lease, so that its leases have ended.
 inline constexpr Span goneAfter = fromSeconds(10);
 
-/// Takes over the platform's list. An empty list is ignored: the platform has lost its data, not the fleet.
-void applyHostList(Membership &membership, const Chart &chart, const HostId &self, const std::vector<ListedHost> &listed);
+/// Takes over the platform's list. An empty list is ignored: the platform has lost its data, not
+/// the fleet.
+void applyHostList(Membership &membership, const Chart &chart, const HostId &self,
+                   const std::vector<ListedHost> &listed);
 
-/// Notes a heartbeat. False where the sender's incarnation is older than one already heard: a process
-/// that was replaced and woke up late; nothing it says may be used.
-bool noteHeartbeat(Membership &membership, const Chart &chart, const HostId &sender, Incarnation incarnation,
-                   const Heartbeat &beat, Instant now);
+/// Notes a heartbeat. False where the sender's incarnation is older than one already heard: a
+/// process that was replaced and woke up late; nothing it says may be used.
+bool noteHeartbeat(Membership &membership, const Chart &chart, const HostId &sender,
+                   Incarnation incarnation, const Heartbeat &beat, Instant now);
 
 /// Moves silent peers to suspect and gone.
 void noteSilence(Membership &membership, const Chart &chart, Instant now);
@@ -62,7 +64,8 @@
 
 /// The host that keeps \a engine of \a zone, among this host and the usable peers: the highest
 /// rendezvous weight in the engine's zone; if the zone has no host, over all zones.
-std::optional<HostId> keeperOf(const Membership &membership, const HostId &self, const ZoneId &selfZone, bool isSelfLeaving,
-                               const UpstreamId &engine, const ZoneId &zone);
+std::optional<HostId> keeperOf(const Membership &membership, const HostId &self,
+                               const ZoneId &selfZone, bool isSelfLeaving, const UpstreamId &engine,
+                               const ZoneId &zone);
 
 } // namespace azurewell
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -23,12 +23,12 @@
 /// "I am alive", sent to every other host once a heartbeat interval.
 struct Heartbeat
 {
-    TicketNumber ticket; ///< The newest ticket in force at the sender.
+    TicketNumber ticket;    ///< The newest ticket in force at the sender.
     bool isLeaving = false; ///< The sender drains: ask it for nothing new.
     std::vector<EngineSummary> engines;
     ZoneId zone;
     SeatNumber seat;
-    std::string address; ///< Where the sender's peer port listens.
+    std::string address;          ///< Where the sender's peer port listens.
     FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
 };
 
@@ -41,18 +41,18 @@
     CustomerId customer;
     Tokens cost;
     double weight = 1.0;
-    Span untilDeadline {};
+    Span untilDeadline{};
     std::uint64_t serial = 0; ///< Rises with each ask and renewal of the sender.
 };
 
-/// The slot is the asker's for a lease. The keeper counts it from the grant. The asker counts it from
-/// when it sent the newest ask or renewal that the keeper had received by then (`basis`), which was
-/// earlier, so the asker's lease always ends first, however late the grant arrives.
+/// The slot is the asker's for a lease. The keeper counts it from the grant. The asker counts it
+/// from when it sent the newest ask or renewal that the keeper had received by then (`basis`),
+/// which was earlier, so the asker's lease always ends first, however late the grant arrives.
 struct SlotGrant
 {
     RequestId request;
     UpstreamId engine;
-    Span leaseLength {};
+    Span leaseLength{};
     std::uint64_t basis = 0; ///< The `serial` the lease is counted from.
 };
 
@@ -71,8 +71,8 @@
     bool isRunning = false; ///< False while it still waits for a slot.
 };
 
-/// These requests still wait or run. Slots and pins of running ones last for another lease; a keeper
-/// that has just taken over learns of them from this message.
+/// These requests still wait or run. Slots and pins of running ones last for another lease; a
+/// keeper that has just taken over learns of them from this message.
 struct SlotRenewal
 {
     UpstreamId engine;
@@ -85,7 +85,7 @@
 {
     UpstreamId engine;
     std::uint64_t basis = 0;
-    Span leaseLength {};
+    Span leaseLength{};
 };
 
 struct SlotRelease
@@ -108,8 +108,8 @@
     std::string text;
 };
 
-using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal, SlotRenewal,
-                              SlotRelease, TicketAsk, TicketPush, SlotRenewed>;
+using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
+                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -144,38 +144,41 @@
 Heartbeat fromWire(const wire::Heartbeat &in)
 {
     Heartbeat beat;
-    beat.ticket = TicketNumber { static_cast<std::uint64_t>(in.ticket) };
+    beat.ticket = TicketNumber{ static_cast<std::uint64_t>(in.ticket) };
     beat.isLeaving = in.leaving;
     for (const wire::EngineSummary &summary : in.engines) {
-        beat.engines.push_back(EngineSummary { UpstreamId { summary.engine }, static_cast<std::uint32_t>(summary.queued),
-                                               static_cast<std::uint32_t>(summary.running),
-                                               idsOf<AdapterRef>(summary.loaded) });
+        beat.engines.push_back(EngineSummary{
+                UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
+                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded) });
     }
-    beat.zone = ZoneId { in.zone };
-    beat.seat = SeatNumber { static_cast<std::uint32_t>(in.seat) };
+    beat.zone = ZoneId{ in.zone };
+    beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
     beat.address = in.address;
-    beat.highestFencing = FencingNumber { static_cast<std::uint64_t>(in.highestFencing) };
+    beat.highestFencing = FencingNumber{ static_cast<std::uint64_t>(in.highestFencing) };
     return beat;
 }
 
 SlotAsk fromWire(const wire::SlotAsk &in)
 {
-    return SlotAsk { RequestId { in.request }, UpstreamId { in.engine }, AdapterRef { in.adapter },
-                     CustomerId { in.customer }, Tokens { in.cost }, in.weight, Span { in.untilDeadline },
-                     static_cast<std::uint64_t>(in.serial) };
+    return SlotAsk{ RequestId{ in.request },  UpstreamId{ in.engine },
+                    AdapterRef{ in.adapter }, CustomerId{ in.customer },
+                    Tokens{ in.cost },        in.weight,
+                    Span{ in.untilDeadline }, static_cast<std::uint64_t>(in.serial) };
 }
 
 SlotRenewal fromWire(const wire::SlotRenewal &in)
 {
     SlotRenewal renewal;
-    renewal.engine = UpstreamId { in.engine };
+    renewal.engine = UpstreamId{ in.engine };
     renewal.serial = static_cast<std::uint64_t>(in.serial);
     for (const wire::RunningSlot &slot : in.slots)
-        renewal.slots.push_back(RunningSlot { RequestId { slot.request }, AdapterRef { slot.adapter }, slot.running });
+        renewal.slots.push_back(
+                RunningSlot{ RequestId{ slot.request }, AdapterRef{ slot.adapter }, slot.running });
     return renewal;
 }
 
-/// The code \a number stands for; a neighbour of another version may send one that is not known here.
+/// The code \a number stands for; a neighbour of another version may send one that is not known
+/// here.
 ResultCode codeOf(std::int32_t number)
 {
     for (const ResultCodeInfo &info : resultCodeTable()) {
@@ -193,29 +196,32 @@
         return fromWire(in.slotAsk);
     if (in.__isset.slotGrant) {
         const wire::SlotGrant &grant = in.slotGrant;
-        return SlotGrant { RequestId { grant.request }, UpstreamId { grant.engine }, Span { grant.leaseLength },
-                           static_cast<std::uint64_t>(grant.basis) };
+        return SlotGrant{ RequestId{ grant.request }, UpstreamId{ grant.engine },
+                          Span{ grant.leaseLength }, static_cast<std::uint64_t>(grant.basis) };
     }
     if (in.__isset.slotRefusal) {
         const wire::SlotRefusal &refusal = in.slotRefusal;
-        return SlotRefusal { RequestId { refusal.request }, UpstreamId { refusal.engine }, codeOf(refusal.code) };
+        return SlotRefusal{ RequestId{ refusal.request }, UpstreamId{ refusal.engine },
+                            codeOf(refusal.code) };
     }
     if (in.__isset.slotRenewal)
         return fromWire(in.slotRenewal);
     if (in.__isset.slotRenewed) {
         const wire::SlotRenewed &renewed = in.slotRenewed;
-        return SlotRenewed { UpstreamId { renewed.engine }, static_cast<std::uint64_t>(renewed.basis),
-                             Span { renewed.leaseLength } };
+        return SlotRenewed{ UpstreamId{ renewed.engine }, static_cast<std::uint64_t>(renewed.basis),
+                            Span{ renewed.leaseLength } };
     }
     if (in.__isset.slotRelease) {
         const wire::SlotRelease &release = in.slotRelease;
-        return SlotRelease { RequestId { release.request }, UpstreamId { release.engine }, Tokens { release.used } };
+        return SlotRelease{ RequestId{ release.request }, UpstreamId{ release.engine },
+                            Tokens{ release.used } };
     }
     if (in.__isset.ticketAsk)
-        return TicketAsk { TicketNumber { static_cast<std::uint64_t>(in.ticketAsk.after) } };
+        return TicketAsk{ TicketNumber{ static_cast<std::uint64_t>(in.ticketAsk.after) } };
     if (in.__isset.ticketPush)
-        return TicketPush { TicketNumber { static_cast<std::uint64_t>(in.ticketPush.number) }, in.ticketPush.text };
-    return std::monostate {};
+        return TicketPush{ TicketNumber{ static_cast<std::uint64_t>(in.ticketPush.number) },
+                           in.ticketPush.text };
+    return std::monostate{};
 }
 
 } // namespace
@@ -226,7 +232,7 @@
     envelope.__set_sender(message.sender.value);
     envelope.__set_incarnation(static_cast<std::int64_t>(message.incarnation.value));
     wire::Body body;
-    std::visit(ToWire { body }, message.body);
+    std::visit(ToWire{ body }, message.body);
     envelope.__set_body(body);
 
     const auto buffer = std::make_shared<TMemoryBuffer>();
@@ -248,15 +254,17 @@
     // Thrift reports bad input by exceptions; they end here, off the hot path of good messages.
     try {
         const auto buffer = std::make_shared<TMemoryBuffer>();
-        buffer->write(reinterpret_cast<const std::uint8_t *>(payload.data()), static_cast<std::uint32_t>(payload.size()));
+        buffer->write(reinterpret_cast<const std::uint8_t *>(payload.data()),
+                      static_cast<std::uint32_t>(payload.size()));
         TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<std::int32_t>(payload.size()),
                                                   static_cast<std::int32_t>(payload.size()));
         wire::Envelope envelope;
         envelope.read(&protocol);
-        return PeerMessage { HostId { envelope.sender }, Incarnation { static_cast<std::uint64_t>(envelope.incarnation) },
-                             fromWire(envelope.body) };
+        return PeerMessage{ HostId{ envelope.sender },
+                            Incarnation{ static_cast<std::uint64_t>(envelope.incarnation) },
+                            fromWire(envelope.body) };
     } catch (const std::exception &error) {
-        return Error { ResultCode::MessageInvalid, error.what() };
+        return Error{ ResultCode::MessageInvalid, error.what() };
     }
 }
 
@@ -266,7 +274,8 @@
     for (std::size_t index = 0; index < frameHeadBytes; ++index)
         length = (length << 8) | static_cast<unsigned char>(head[index]);
     if (length > longestFrame)
-        return Error { ResultCode::MessageInvalid, "a frame of " + std::to_string(length) + " bytes" };
+        return Error{ ResultCode::MessageInvalid,
+                      "a frame of " + std::to_string(length) + " bytes" };
     return length;
 }
 
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-void applyHostList(Membership &membership, const Chart &chart, const HostId &self, const std::vector<ListedHost> &listed)
+void applyHostList(Membership &membership, const Chart &chart, const HostId &self,
+                   const std::vector<ListedHost> &listed)
 {
     if (listed.empty())
         return;
@@ -40,8 +41,8 @@
     }
 }
 
-bool noteHeartbeat(Membership &membership, const Chart &chart, const HostId &sender, Incarnation incarnation,
-                   const Heartbeat &beat, Instant now)
+bool noteHeartbeat(Membership &membership, const Chart &chart, const HostId &sender,
+                   Incarnation incarnation, const Heartbeat &beat, Instant now)
 {
     Peer &peer = membership.peers[sender];
     if (incarnation < peer.incarnation)
@@ -79,8 +80,9 @@
     return found != membership.peers.end() && isUsableState(found->second.state);
 }
 
-std::optional<HostId> keeperOf(const Membership &membership, const HostId &self, const ZoneId &selfZone, bool isSelfLeaving,
-                               const UpstreamId &engine, const ZoneId &zone)
+std::optional<HostId> keeperOf(const Membership &membership, const HostId &self,
+                               const ZoneId &selfZone, bool isSelfLeaving, const UpstreamId &engine,
+                               const ZoneId &zone)
 {
     std::optional<HostId> best;
     std::uint64_t bestWeight = 0;
@@ -88,7 +90,8 @@
     const auto consider = [&](const HostId &host, const ZoneId &hostZone) {
         const bool isInZone = hostZone == zone;
         const std::uint64_t weight = rendezvousWeight(engine.value, host.value);
-        const bool isBetter = !best || (isInZone && !isBestInZone) || (isInZone == isBestInZone && weight > bestWeight);
+        const bool isBetter = !best || (isInZone && !isBestInZone)
+                || (isInZone == isBestInZone && weight > bestWeight);
         if (isBetter) {
             best = host;
             bestWeight = weight;
--- a/packages/fleet/tests/codec_test.cpp
+++ b/packages/fleet/tests/codec_test.cpp
@@ -14,7 +14,8 @@
     const Result<std::uint32_t> length = frameLength(frame);
     EXPECT_TRUE(length);
     EXPECT_EQ(length.value() + frameHeadBytes, frame.size());
-    const Result<PeerMessage> decoded = decodePayload(std::string_view(frame).substr(frameHeadBytes));
+    const Result<PeerMessage> decoded = decodePayload(
+            std::string_view(frame).substr(frameHeadBytes));
     EXPECT_TRUE(decoded);
     return decoded.value();
 }
@@ -23,11 +24,13 @@
 
 TEST(Codec, ASlotAskComesBackWhole)
 {
-    const SlotAsk ask { RequestId { "r" }, UpstreamId { "e" },  AdapterRef { "a@1" }, CustomerId { "c" },
-                        Tokens { 7 },      2.5,                 Span { 12 },       3 };
-    const PeerMessage back = throughTheWire(PeerMessage { HostId { "h" }, Incarnation { 9 }, ask });
+    const SlotAsk ask{ RequestId{ "r" },    UpstreamId{ "e" },
+                       AdapterRef{ "a@1" }, CustomerId{ "c" },
+                       Tokens{ 7 },         2.5,
+                       Span{ 12 },          3 };
+    const PeerMessage back = throughTheWire(PeerMessage{ HostId{ "h" }, Incarnation{ 9 }, ask });
     const SlotAsk &got = std::get<SlotAsk>(back.body);
-    EXPECT_EQ(back.sender, HostId { "h" });
+    EXPECT_EQ(back.sender, HostId{ "h" });
     EXPECT_EQ(got.adapter, ask.adapter);
     EXPECT_EQ(got.cost, ask.cost);
     EXPECT_EQ(got.untilDeadline, ask.untilDeadline);
--- a/packages/fleet/tests/membership_test.cpp
+++ b/packages/fleet/tests/membership_test.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-const HostId self { "h0" };
-const HostId other { "h1" };
-const ZoneId zone { "z" };
+const HostId self{ "h0" };
+const HostId other{ "h1" };
+const ZoneId zone{ "z" };
 
 struct Fixture
 {
@@ -20,7 +20,8 @@
         Heartbeat beat;
         beat.zone = zone;
         beat.isLeaving = isLeaving;
-        return noteHeartbeat(this->membership, this->charts.peer, other, Incarnation { incarnation }, beat, now);
+        return noteHeartbeat(this->membership, this->charts.peer, other, Incarnation{ incarnation },
+                             beat, now);
     }
 };
 
@@ -29,13 +30,14 @@
 TEST(Membership, APeerIsUsableOnlyWhileItIsHeard)
 {
     Fixture fixture;
-    applyHostList(fixture.membership, fixture.charts.peer, self, { ListedHost { other, zone, "127.0.0.1:1", false } });
+    applyHostList(fixture.membership, fixture.charts.peer, self,
+                  { ListedHost{ other, zone, "127.0.0.1:1", false } });
     EXPECT_FALSE(isUsable(fixture.membership, other));
-    EXPECT_TRUE(fixture.beat(1, Instant { 0 }));
+    EXPECT_TRUE(fixture.beat(1, Instant{ 0 }));
     EXPECT_TRUE(isUsable(fixture.membership, other));
-    noteSilence(fixture.membership, fixture.charts.peer, Instant { 0 } + suspectAfter);
+    noteSilence(fixture.membership, fixture.charts.peer, Instant{ 0 } + suspectAfter);
     EXPECT_FALSE(isUsable(fixture.membership, other));
-    EXPECT_TRUE(fixture.beat(1, Instant { 0 } + fromSeconds(3)));
+    EXPECT_TRUE(fixture.beat(1, Instant{ 0 } + fromSeconds(3)));
     EXPECT_TRUE(isUsable(fixture.membership, other));
 }
 
@@ -44,20 +46,24 @@
 TEST(Membership, AnOlderIncarnationIsNotHeard)
 {
     Fixture fixture;
-    EXPECT_TRUE(fixture.beat(2, Instant { 0 }));
-    EXPECT_FALSE(fixture.beat(1, Instant { 1 }));
-    EXPECT_EQ(fixture.membership.peers[other].incarnation, Incarnation { 2 });
+    EXPECT_TRUE(fixture.beat(2, Instant{ 0 }));
+    EXPECT_FALSE(fixture.beat(1, Instant{ 1 }));
+    EXPECT_EQ(fixture.membership.peers[other].incarnation, Incarnation{ 2 });
 }
 
 TEST(Membership, ALeavingHostKeepsNoEngine)
 {
     Fixture fixture;
-    fixture.beat(1, Instant { 0 });
+    fixture.beat(1, Instant{ 0 });
     int keptByOther = 0;
     for (int engine = 0; engine < 100; ++engine)
-        keptByOther += keeperOf(fixture.membership, self, zone, false, UpstreamId { std::to_string(engine) }, zone) == other;
+        keptByOther += keeperOf(fixture.membership, self, zone, false,
+                                UpstreamId{ std::to_string(engine) }, zone)
+                == other;
     EXPECT_NEAR(keptByOther, 50, 20);
-    fixture.beat(1, Instant { 1 }, true);
+    fixture.beat(1, Instant{ 1 }, true);
     for (int engine = 0; engine < 100; ++engine)
-        EXPECT_EQ(keeperOf(fixture.membership, self, zone, false, UpstreamId { std::to_string(engine) }, zone), self);
+        EXPECT_EQ(keeperOf(fixture.membership, self, zone, false,
+                           UpstreamId{ std::to_string(engine) }, zone),
+                  self);
 }
--- a/packages/host/include/azurewell/host/actions.h
+++ b/packages/host/include/azurewell/host/actions.h
@@ -25,9 +25,9 @@
     std::uint32_t attempt = 0;
     UpstreamId upstream;
     std::string address;
-    Tokens resumeFrom; ///< Tokens the caller has already; the upstream goes on after them.
+    Tokens resumeFrom;       ///< Tokens the caller has already; the upstream goes on after them.
     bool mayRunTwice = true; ///< False: not one byte may be sent a second time.
-    Instant notAfter; ///< The slot's lease: past this it must not be sent any more.
+    Instant notAfter;        ///< The slot's lease: past this it must not be sent any more.
 };
 
 /// Stop an attempt: close its connection and tell the upstream to cancel it.
@@ -75,6 +75,7 @@
 {
 };
 
-using Action = std::variant<Refuse, Dispatch, CancelAttempt, SendPeer, OrderEngine, AskLoad, TicketNoted, LeaveProcess>;
+using Action = std::variant<Refuse, Dispatch, CancelAttempt, SendPeer, OrderEngine, AskLoad,
+                            TicketNoted, LeaveProcess>;
 
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/counters.h
+++ b/packages/host/include/azurewell/host/counters.h
@@ -10,9 +10,18 @@
 namespace azurewell {
 
 /// Why a request was tried again.
-enum class RetryReason : std::uint8_t { NotSent, UpstreamRefused, UpstreamFailed, UpstreamSilent, AnswerMismatch, SlotLost };
-inline constexpr std::array<std::string_view, 6> retryReasonNames { "not_sent",        "upstream_refused", "upstream_failed",
-                                                                    "upstream_silent", "answer_mismatch",  "slot_lost" };
+enum class RetryReason : std::uint8_t {
+    NotSent,
+    UpstreamRefused,
+    UpstreamFailed,
+    UpstreamSilent,
+    AnswerMismatch,
+    SlotLost
+};
+inline constexpr std::array<std::string_view, 6> retryReasonNames{
+    "not_sent",        "upstream_refused", "upstream_failed",
+    "upstream_silent", "answer_mismatch",  "slot_lost"
+};
 
 /// What a host counts; /metrics publishes it.
 struct Counters
@@ -21,7 +30,7 @@
     std::uint64_t completed = 0;
     std::uint64_t dispatched = 0;
     std::uint64_t resumed = 0;
-    std::uint64_t staleMessages = 0; ///< From an older incarnation of a peer.
+    std::uint64_t staleMessages = 0;   ///< From an older incarnation of a peer.
     std::uint64_t unknownMessages = 0; ///< Of a kind this version does not know.
     std::uint64_t ticketsRefused = 0;
     std::uint64_t loadsOrdered = 0;
@@ -29,7 +38,7 @@
     std::uint64_t evictionsOrdered = 0;
     std::uint64_t generatedTokens = 0;
     std::map<ResultCode, std::uint64_t> refusals;
-    std::array<std::uint64_t, retryReasonNames.size()> retries {};
+    std::array<std::uint64_t, retryReasonNames.size()> retries{};
 };
 
 void countRefusal(Counters &counters, ResultCode code);
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -17,8 +17,8 @@
     RequestId request;
     RequestKind kind = RequestKind::Completion;
     KeyHash key;
-    AdapterRef adapter; ///< Completions.
-    ServiceId service; ///< Service calls.
+    AdapterRef adapter;        ///< Completions.
+    ServiceId service;         ///< Service calls.
     bool isSafeMethod = false; ///< GET or HEAD: may be sent twice whatever the service is.
     Tokens promptTokens;
     Tokens mostGenerated;
@@ -41,11 +41,11 @@
 
 /// How an attempt at an upstream ended.
 enum class AttemptOutcome : std::uint8_t {
-    Done, ///< The whole answer was passed on.
-    NotSent, ///< No byte of the request can have reached the upstream.
-    Refused, ///< The upstream answered that it did not take the request (503 or 429).
-    Failed, ///< The connection ended, or the answer was not whole.
-    Silent, ///< Nothing came within the idle deadline.
+    Done,     ///< The whole answer was passed on.
+    NotSent,  ///< No byte of the request can have reached the upstream.
+    Refused,  ///< The upstream answered that it did not take the request (503 or 429).
+    Failed,   ///< The connection ended, or the answer was not whole.
+    Silent,   ///< Nothing came within the idle deadline.
     Mismatch, ///< The answer belonged to another request and was dropped.
 };
 
@@ -54,7 +54,7 @@
     RequestId request;
     std::uint32_t attempt = 0;
     AttemptOutcome outcome = AttemptOutcome::Done;
-    Tokens generated; ///< Passed on to the caller, all attempts together.
+    Tokens generated;            ///< Passed on to the caller, all attempts together.
     bool hasAnswerBegun = false; ///< The caller has seen the head of an answer.
 };
 
@@ -113,7 +113,8 @@
 {
 };
 
-using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded, PeerMessageReceived, TicketRead,
-                           HostListRead, LoadReported, OrderEnded, Tick, StopAsked>;
+using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
+                           PeerMessageReceived, TicketRead, HostListRead, LoadReported, OrderEnded,
+                           Tick, StopAsked>;
 
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -38,11 +38,11 @@
     RequestArrived asked;
     CustomerId customer;
     RequestPhase phase = RequestPhase::WaitingForTokens;
-    Tokens reserved; ///< Still reserved in the customer's bucket.
-    Tokens generated; ///< Passed on to the caller.
+    Tokens reserved;     ///< Still reserved in the customer's bucket.
+    Tokens generated;    ///< Passed on to the caller.
     UpstreamId upstream; ///< Where it waits or runs.
-    HostId keeper; ///< Who was asked for the slot.
-    Instant leaseEnds; ///< The slot is ours until then.
+    HostId keeper;       ///< Who was asked for the slot.
+    Instant leaseEnds;   ///< The slot is ours until then.
     std::uint32_t attempt = 0;
     std::set<UpstreamId> failedAt; ///< Not tried again for this request.
     bool isIdempotent = true;
@@ -90,7 +90,7 @@
 
     ProcessState process = ProcessState::Starting;
     StateInForce inForce;
-    std::map<TicketNumber, std::string> ticketTexts; ///< For relay to other hosts.
+    std::map<TicketNumber, std::string> ticketTexts;  ///< For relay to other hosts.
     std::map<TicketNumber, std::string> earlyTickets; ///< Read before the one they follow.
     Membership membership;
     Instant nextHeartbeat;
@@ -105,7 +105,7 @@
 
     std::uint64_t nextSerial = 1;
     std::map<std::uint64_t, Instant> serialSentAt; ///< When each ask or renewal was sent.
-    std::deque<PeerMessage> loopback; ///< Messages of this host to itself.
+    std::deque<PeerMessage> loopback;              ///< Messages of this host to itself.
 
     Counters counters;
 };
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -14,7 +14,7 @@
     if (state.process != ProcessState::Draining || !state.requests.empty())
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
-    step.actions.emplace_back(LeaveProcess {});
+    step.actions.emplace_back(LeaveProcess{});
 }
 
 void onTick(Step &step)
@@ -91,7 +91,7 @@
 {
     HostState state;
     state.random.seed(identity.randomSeed);
-    state.fencing = FencingNumber { identity.incarnation.value };
+    state.fencing = FencingNumber{ identity.incarnation.value };
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
@@ -100,8 +100,8 @@
 
 void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions)
 {
-    Step step { state, now, actions };
-    std::visit(Handler { step }, event);
+    Step step{ state, now, actions };
+    std::visit(Handler{ step }, event);
     while (!state.loopback.empty()) {
         const PeerMessage message = std::move(state.loopback.front());
         state.loopback.pop_front();
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -11,22 +11,24 @@
 void onHeartbeat(Step &step, const PeerMessage &message, const Heartbeat &beat)
 {
     HostState &state = step.state;
-    if (!noteHeartbeat(state.membership, state.charts.peer, message.sender, message.incarnation, beat, step.now)) {
+    if (!noteHeartbeat(state.membership, state.charts.peer, message.sender, message.incarnation,
+                       beat, step.now)) {
         ++state.counters.staleMessages;
         return;
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
     noteSummaries(step, beat.engines);
     if (beat.ticket > state.inForce.ticket)
-        sendTo(step, message.sender, TicketAsk { state.inForce.ticket });
+        sendTo(step, message.sender, TicketAsk{ state.inForce.ticket });
 }
 
 void onTicketAsk(Step &step, const HostId &asker, const TicketAsk &ask)
 {
     std::size_t sent = 0;
     const auto &texts = step.state.ticketTexts;
-    for (auto entry = texts.upper_bound(ask.after); entry != texts.end() && sent < ticketsPerAnswer; ++entry) {
-        sendTo(step, asker, TicketPush { entry->first, entry->second });
+    for (auto entry = texts.upper_bound(ask.after); entry != texts.end() && sent < ticketsPerAnswer;
+         ++entry) {
+        sendTo(step, asker, TicketPush{ entry->first, entry->second });
         ++sent;
     }
 }
@@ -85,11 +87,11 @@
     const Result<TicketNumber> applied = applyTicket(state.inForce, ticket);
     if (!applied) {
         ++state.counters.ticketsRefused;
-        step.actions.emplace_back(TicketNoted { ticket.number, false, applied.error().detail });
+        step.actions.emplace_back(TicketNoted{ ticket.number, false, applied.error().detail });
         return false;
     }
     state.ticketTexts[ticket.number] = text;
-    step.actions.emplace_back(TicketNoted { ticket.number, true, {} });
+    step.actions.emplace_back(TicketNoted{ ticket.number, true, {} });
     return true;
 }
 
@@ -98,7 +100,7 @@
 {
     HostState &state = step.state;
     while (true) {
-        const auto next = state.earlyTickets.find(TicketNumber { state.inForce.ticket.value + 1 });
+        const auto next = state.earlyTickets.find(TicketNumber{ state.inForce.ticket.value + 1 });
         if (next == state.earlyTickets.end())
             return;
         const std::string text = next->second;
@@ -115,24 +117,25 @@
 {
     HostState &state = step.state;
     if (host == state.self.id) {
-        state.loopback.push_back(PeerMessage { host, state.self.incarnation, std::move(body) });
+        state.loopback.push_back(PeerMessage{ host, state.self.incarnation, std::move(body) });
         return;
     }
     const auto peer = state.membership.peers.find(host);
     if (peer != state.membership.peers.end())
-        step.actions.emplace_back(SendPeer { host, peer->second.address, std::move(body) });
+        step.actions.emplace_back(SendPeer{ host, peer->second.address, std::move(body) });
 }
 
 void onPeerMessage(Step &step, const PeerMessage &message)
 {
     HostState &state = step.state;
     const auto peer = state.membership.peers.find(message.sender);
-    const bool isStale = peer != state.membership.peers.end() && message.incarnation < peer->second.incarnation;
+    const bool isStale = peer != state.membership.peers.end()
+            && message.incarnation < peer->second.incarnation;
     if (isStale) {
         ++state.counters.staleMessages;
         return;
     }
-    std::visit(BodyHandler { step, message }, message.body);
+    std::visit(BodyHandler{ step, message }, message.body);
 }
 
 void onTicketRead(Step &step, const std::string &text)
@@ -141,7 +144,7 @@
     const Result<Ticket> ticket = parseTicket(text);
     if (!ticket) {
         ++state.counters.ticketsRefused;
-        step.actions.emplace_back(TicketNoted { TicketNumber {}, false, ticket.error().detail });
+        step.actions.emplace_back(TicketNoted{ TicketNumber{}, false, ticket.error().detail });
         return;
     }
     if (ticket.value().number <= state.inForce.ticket)
@@ -163,7 +166,8 @@
     applyHostList(state.membership, state.charts.peer, state.self.id, event.hosts);
     for (const ListedUpstream &listed : event.upstreams) {
         KnownUpstream &upstream = state.upstreams[listed.id];
-        const UpstreamEvent word = listed.isLeaving ? UpstreamEvent::ListedLeaving : UpstreamEvent::ListedLive;
+        const UpstreamEvent word = listed.isLeaving ? UpstreamEvent::ListedLeaving
+                                                    : UpstreamEvent::ListedLive;
         upstream.state = advance(state.charts.upstream, upstream.state, word);
     }
 }
@@ -177,7 +181,8 @@
 
     Heartbeat beat;
     beat.ticket = state.inForce.ticket;
-    beat.isLeaving = state.process == ProcessState::Draining || state.process == ProcessState::Stopped;
+    beat.isLeaving = state.process == ProcessState::Draining
+            || state.process == ProcessState::Stopped;
     beat.engines = summarizeEngines(state);
     beat.zone = state.self.zone;
     beat.seat = state.self.seat;
@@ -185,7 +190,7 @@
     beat.highestFencing = state.fencing;
     for (const auto &[id, peer] : state.membership.peers) {
         if (peer.isListed || peer.state != PeerState::Gone)
-            step.actions.emplace_back(SendPeer { id, peer.address, beat });
+            step.actions.emplace_back(SendPeer{ id, peer.address, beat });
     }
     noteSummaries(step, beat.engines);
     renewSlots(step);
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -10,8 +10,8 @@
 
 /// A request that its customer's rate can admit within this time waits instead of being refused.
 constexpr Span longestTokenWait = fromSeconds(2);
-/// The asker's lease is cut by this share for clocks that run at different rates (200 ppm is the worst
-/// that quartz does; a hundred times that costs a tenth of a second of a ten-second lease).
+/// The asker's lease is cut by this share for clocks that run at different rates (200 ppm is the
+/// worst that quartz does; a hundred times that costs a tenth of a second of a ten-second lease).
 constexpr double leaseDriftMargin = 0.02;
 /// Failures in a row after which an upstream gets no work for a while.
 constexpr std::uint32_t failuresToEject = 3;
@@ -31,11 +31,11 @@
     return asked.promptTokens + asked.mostGenerated;
 }
 
-void refuse(Step &step, const RequestId &request, ResultCode code, RunState runState, std::optional<Span> retryAfter = {},
-            const std::string &detail = {})
+void refuse(Step &step, const RequestId &request, ResultCode code, RunState runState,
+            std::optional<Span> retryAfter = {}, const std::string &detail = {})
 {
     countRefusal(step.state.counters, code);
-    step.actions.emplace_back(Refuse { request, code, runState, retryAfter, detail });
+    step.actions.emplace_back(Refuse{ request, code, runState, retryAfter, detail });
 }
 
 /// Returns what is still reserved to the customer's bucket.
@@ -44,7 +44,7 @@
     const auto bucket = step.state.buckets.find(record.customer);
     if (bucket != step.state.buckets.end())
         giveBack(bucket->second, record.reserved, step.now);
-    record.reserved = Tokens {};
+    record.reserved = Tokens{};
 }
 
 /// Counts \a amount of the reservation as made.
@@ -60,7 +60,7 @@
 void releaseSlot(Step &step, const RequestRecord &record, Tokens used)
 {
     if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
-        sendTo(step, record.keeper, SlotRelease { record.asked.request, record.upstream, used });
+        sendTo(step, record.keeper, SlotRelease{ record.asked.request, record.upstream, used });
 }
 
 /// Ends a request: slot and tokens go back, the record goes.
@@ -108,7 +108,8 @@
     const auto adapter = state.inForce.adapters.find(record.asked.adapter);
     for (const auto &[id, upstream] : state.inForce.upstreams) {
         const bool isEngine = isCompletion && upstream.kind == UpstreamKind::Engine
-                && adapter != state.inForce.adapters.end() && upstream.baseModel == adapter->second.baseModel;
+                && adapter != state.inForce.adapters.end()
+                && upstream.baseModel == adapter->second.baseModel;
         const bool isBackEnd = !isCompletion && upstream.kind == UpstreamKind::Service
                 && upstream.service == record.asked.service;
         if (isEngine || isBackEnd)
@@ -122,7 +123,8 @@
     HostState &state = step.state;
     const std::uint64_t serial = state.nextSerial++;
     state.serialSentAt[serial] = step.now;
-    while (state.serialSentAt.size() > 1 && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
+    while (state.serialSentAt.size() > 1
+           && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
         state.serialSentAt.erase(state.serialSentAt.begin());
     return serial;
 }
@@ -132,7 +134,7 @@
 {
     const auto sent = state.serialSentAt.find(basis);
     if (sent == state.serialSentAt.end())
-        return Instant {};
+        return Instant{};
     return sent->second + length - fromSeconds(toSeconds(length) * leaseDriftMargin);
 }
 
@@ -152,8 +154,9 @@
         ++state.counters.resumed;
     if (record.attempt == 1)
         settleTokens(step, record, record.asked.promptTokens);
-    step.actions.emplace_back(Dispatch { record.asked.request, record.attempt, record.upstream, upstream->second.address,
-                                         record.generated, record.isIdempotent, notAfter });
+    step.actions.emplace_back(Dispatch{ record.asked.request, record.attempt, record.upstream,
+                                        upstream->second.address, record.generated,
+                                        record.isIdempotent, notAfter });
 }
 
 void callService(Step &step, RequestRecord &record)
@@ -172,15 +175,16 @@
     HostState &state = step.state;
     record.phase = RequestPhase::WaitingForSlot;
     const std::optional<UpstreamId> engine = chooseEngine(viewsFor(state, record));
-    const auto upstream = engine ? state.inForce.upstreams.find(*engine) : state.inForce.upstreams.end();
+    const auto upstream = engine ? state.inForce.upstreams.find(*engine)
+                                 : state.inForce.upstreams.end();
     if (upstream == state.inForce.upstreams.end()) {
-        record.upstream = UpstreamId {};
+        record.upstream = UpstreamId{};
         endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
         return;
     }
     const bool isLeaving = state.process != ProcessState::Serving;
-    const std::optional<HostId> keeper = keeperOf(state.membership, state.self.id, state.self.zone, isLeaving, *engine,
-                                                  upstream->second.zone);
+    const std::optional<HostId> keeper = keeperOf(state.membership, state.self.id, state.self.zone,
+                                                  isLeaving, *engine, upstream->second.zone);
     const auto customer = state.inForce.customers.find(record.customer);
     record.upstream = *engine;
     record.keeper = keeper.value_or(state.self.id);
@@ -205,8 +209,8 @@
         seekSlot(step, record);
 }
 
-/// Gives this host's part of the customer's rate and burst its present size. A bucket earns from the
-/// ticket on, not from the customer's first request.
+/// Gives this host's part of the customer's rate and burst its present size. A bucket earns from
+/// the ticket on, not from the customer's first request.
 TokenBucket &shapeBucket(Step &step, const Customer &customer)
 {
     HostState &state = step.state;
@@ -215,7 +219,8 @@
     TokenBucket &bucket = state.buckets[customer.id];
     if (isNew)
         bucket.refilledAt = step.now;
-    reshape(bucket, customer.rate.perSecond * part, static_cast<double>(customer.burst.count) * part, step.now);
+    reshape(bucket, customer.rate.perSecond * part,
+            static_cast<double>(customer.burst.count) * part, step.now);
     return bucket;
 }
 
@@ -291,7 +296,8 @@
         return;
     }
     ++upstream.failuresInARow;
-    if (upstream.failuresInARow >= failuresToEject && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
+    if (upstream.failuresInARow >= failuresToEject
+        && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
         upstream.state = advance(chart, upstream.state, UpstreamEvent::Failed);
         upstream.ejectedUntil = step.now + ejection;
     }
@@ -332,7 +338,8 @@
     ++state.counters.arrived;
     if (state.process != ProcessState::Serving) {
         const bool isStarting = state.process == ProcessState::Starting;
-        refuse(step, event.request, isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
+        refuse(step, event.request,
+               isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
                defaultRetryAfter);
         return;
     }
@@ -345,13 +352,15 @@
     record.asked = event;
     record.customer = customer.value()->id;
     if (event.kind == RequestKind::Completion) {
-        const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer, event.adapter);
+        const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer,
+                                                           event.adapter);
         if (!adapter) {
             refuse(step, event.request, adapter.error().code, RunState::NotRun);
             return;
         }
     } else {
-        const Result<const Service *> service = serviceFor(state.inForce, *customer.value(), event.service);
+        const Result<const Service *> service = serviceFor(state.inForce, *customer.value(),
+                                                           event.service);
         if (!service) {
             refuse(step, event.request, service.error().code, RunState::NotRun);
             return;
@@ -402,29 +411,34 @@
         endRefused(step, state.requests.at(id), ResultCode::WaitedTooLong, RunState::NotRun);
     for (auto &[id, upstream] : state.upstreams) {
         if (upstream.state == UpstreamState::Ejected && upstream.ejectedUntil <= step.now)
-            upstream.state = advance(state.charts.upstream, upstream.state, UpstreamEvent::EjectionOver);
+            upstream.state = advance(state.charts.upstream, upstream.state,
+                                     UpstreamEvent::EjectionOver);
     }
 }
 
 void onSlotGrant(Step &step, const SlotGrant &grant)
 {
     RequestRecord *record = recordOf(step.state, grant.request);
-    const bool isAwaited = record && record->phase == RequestPhase::WaitingForSlot && record->upstream == grant.engine;
+    const bool isAwaited = record && record->phase == RequestPhase::WaitingForSlot
+            && record->upstream == grant.engine;
     if (!isAwaited) {
         // The caller has gone, or the grant came after a retry went elsewhere.
         const auto engine = step.state.inForce.upstreams.find(grant.engine);
         if (engine != step.state.inForce.upstreams.end()) {
-            const std::optional<HostId> keeper = keeperOf(step.state.membership, step.state.self.id, step.state.self.zone,
-                                                          false, grant.engine, engine->second.zone);
-            sendTo(step, keeper.value_or(step.state.self.id), SlotRelease { grant.request, grant.engine, Tokens {} });
+            const std::optional<HostId> keeper = keeperOf(step.state.membership, step.state.self.id,
+                                                          step.state.self.zone, false, grant.engine,
+                                                          engine->second.zone);
+            sendTo(step, keeper.value_or(step.state.self.id),
+                   SlotRelease{ grant.request, grant.engine, Tokens{} });
         }
         return;
     }
-    // Checked at the moment of dispatch: a process that was stopped since the grant must not use it.
+    // Checked at the moment of dispatch: a process that was stopped since the grant must not use
+    // it.
     const Instant ends = leaseEnd(step.state, grant.basis, grant.leaseLength);
     if (ends <= step.now) {
         countRetry(step.state.counters, RetryReason::SlotLost);
-        releaseSlot(step, *record, Tokens {});
+        releaseSlot(step, *record, Tokens{});
         seekSlot(step, *record);
         return;
     }
@@ -435,7 +449,8 @@
 void onSlotRefusal(Step &step, const SlotRefusal &refusal)
 {
     RequestRecord *record = recordOf(step.state, refusal.request);
-    if (!record || record->phase != RequestPhase::WaitingForSlot || record->upstream != refusal.engine)
+    if (!record || record->phase != RequestPhase::WaitingForSlot
+        || record->upstream != refusal.engine)
         return;
     endRefused(step, *record, refusal.code, RunState::NotRun);
 }
@@ -444,7 +459,8 @@
 {
     const Instant ends = leaseEnd(step.state, renewed.basis, renewed.leaseLength);
     for (auto &[id, record] : step.state.requests) {
-        if (record.phase == RequestPhase::Running && record.upstream == renewed.engine && record.keeper == keeper)
+        if (record.phase == RequestPhase::Running && record.upstream == renewed.engine
+            && record.keeper == keeper)
             record.leaseEnds = std::max(record.leaseEnds, ends);
     }
 }
@@ -454,13 +470,15 @@
     HostState &state = step.state;
     std::map<std::pair<HostId, UpstreamId>, std::vector<RunningSlot>> byKeeper;
     for (auto &[id, record] : state.requests) {
-        if (record.asked.kind != RequestKind::Completion || record.phase == RequestPhase::WaitingForTokens)
+        if (record.asked.kind != RequestKind::Completion
+            || record.phase == RequestPhase::WaitingForTokens)
             continue;
         const bool isRunning = record.phase == RequestPhase::Running;
-        byKeeper[{ record.keeper, record.upstream }].push_back(RunningSlot { id, record.asked.adapter, isRunning });
+        byKeeper[{ record.keeper, record.upstream }].push_back(
+                RunningSlot{ id, record.asked.adapter, isRunning });
     }
     for (auto &[where, slots] : byKeeper)
-        sendTo(step, where.first, SlotRenewal { where.second, std::move(slots), nextSerial(step) });
+        sendTo(step, where.first, SlotRenewal{ where.second, std::move(slots), nextSerial(step) });
 }
 
 void onCallerLeft(Step &step, const CallerLeft &event)
@@ -470,8 +488,10 @@
         return;
     if (record->phase == RequestPhase::Running) {
         const auto upstream = step.state.inForce.upstreams.find(record->upstream);
-        const std::string address = upstream == step.state.inForce.upstreams.end() ? "" : upstream->second.address;
-        step.actions.emplace_back(CancelAttempt { event.request, record->upstream, address });
+        const std::string address = upstream == step.state.inForce.upstreams.end()
+                ? ""
+                : upstream->second.address;
+        step.actions.emplace_back(CancelAttempt{ event.request, record->upstream, address });
     }
     countRefusal(step.state.counters, ResultCode::CallerGone);
     endRequest(step, *record);
@@ -483,13 +503,14 @@
     if (!record || record->attempt != event.attempt || event.generated <= record->generated)
         return;
     settleTokens(step, *record, event.generated - record->generated);
-    step.state.counters.generatedTokens += static_cast<std::uint64_t>((event.generated - record->generated).count);
+    step.state.counters.generatedTokens += static_cast<std::uint64_t>(
+            (event.generated - record->generated).count);
     record->generated = event.generated;
 }
 
 void onAttemptEnded(Step &step, const AttemptEnded &event)
 {
-    onAttemptProgress(step, AttemptProgress { event.request, event.attempt, event.generated });
+    onAttemptProgress(step, AttemptProgress{ event.request, event.attempt, event.generated });
     RequestRecord *record = recordOf(step.state, event.request);
     if (!record || record->attempt != event.attempt || record->phase != RequestPhase::Running)
         return;
@@ -518,15 +539,20 @@
         RequestRecord &record = state.requests.at(id);
         const bool isRunning = record.phase == RequestPhase::Running;
         if (isRunning && !record.isIdempotent)
-            continue; // a filing that was sent cannot be taken back; its answer is still the caller's
+            continue; // a filing that was sent cannot be taken back; its answer is still the
+                      // caller's
         if (isRunning) {
             const auto upstream = state.inForce.upstreams.find(record.upstream);
-            const std::string address = upstream == state.inForce.upstreams.end() ? "" : upstream->second.address;
-            step.actions.emplace_back(CancelAttempt { id, record.upstream, address });
+            const std::string address = upstream == state.inForce.upstreams.end()
+                    ? ""
+                    : upstream->second.address;
+            step.actions.emplace_back(CancelAttempt{ id, record.upstream, address });
         }
         endRefused(step, record, code, isRunning ? RunState::Ran : RunState::NotRun);
     }
-    std::erase_if(state.buckets, [&state](const auto &entry) { return !state.inForce.customers.contains(entry.first); });
+    std::erase_if(state.buckets, [&state](const auto &entry) {
+        return !state.inForce.customers.contains(entry.first);
+    });
     for (const auto &[id, customer] : state.inForce.customers)
         shapeBucket(step, customer);
 }
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -19,8 +19,8 @@
     return found == state.inForce.upstreams.end() ? nullptr : &found->second;
 }
 
-/// The engine as this host keeps it; made on first use, evicting nothing until every lease of a former
-/// keeper has run out.
+/// The engine as this host keeps it; made on first use, evicting nothing until every lease of a
+/// former keeper has run out.
 KeptEngine &keptEngine(Step &step, const Upstream &engine)
 {
     const auto found = step.state.kept.find(engine.id);
@@ -31,17 +31,19 @@
     KeptEngine &kept = step.state.kept[engine.id];
     kept.adapters.slots = engine.adapterSlots;
     kept.adapters.noEvictionBefore = step.now + slotLease;
-    step.actions.emplace_back(AskLoad { engine.id, engine.address });
+    step.actions.emplace_back(AskLoad{ engine.id, engine.address });
     kept.nextLoadReport = step.now + loadReportInterval;
     return kept;
 }
 
-void refuseSlot(Step &step, const HostId &asker, const RequestId &request, const UpstreamId &engine, ResultCode code)
+void refuseSlot(Step &step, const HostId &asker, const RequestId &request, const UpstreamId &engine,
+                ResultCode code)
 {
-    sendTo(step, asker, SlotRefusal { request, engine, code });
+    sendTo(step, asker, SlotRefusal{ request, engine, code });
 }
 
-void grantSlot(Step &step, KeptEngine &kept, const UpstreamId &engine, const WaitingRequest &request)
+void grantSlot(Step &step, KeptEngine &kept, const UpstreamId &engine,
+               const WaitingRequest &request)
 {
     GrantedSlot slot;
     slot.asker = request.asker;
@@ -52,13 +54,16 @@
     slot.leaseEnds = step.now + slotLease;
     kept.granted[request.request] = slot;
     pin(kept.adapters, request.adapter, step.now);
-    sendTo(step, request.asker, SlotGrant { request.request, engine, slotLease, kept.newestSerial[request.asker] });
+    sendTo(step, request.asker,
+           SlotGrant{ request.request, engine, slotLease, kept.newestSerial[request.asker] });
 }
 
 /// Grants slots while the engine has room for requests whose adapter is loaded.
 void grantReady(Step &step, KeptEngine &kept, const Upstream &engine)
 {
-    const auto mayRun = [&kept](const WaitingRequest &request) { return isLoaded(kept.adapters, request.adapter); };
+    const auto mayRun = [&kept](const WaitingRequest &request) {
+        return isLoaded(kept.adapters, request.adapter);
+    };
     while (kept.granted.size() < engine.batchSlots) {
         const std::optional<WaitingRequest> request = takeNext(kept.queue, mayRun);
         if (!request)
@@ -73,8 +78,9 @@
     const bool isLoad = placement.kind == PlacementStep::Kind::Load;
     const AdapterEvent event = isLoad ? AdapterEvent::LoadOrdered : AdapterEvent::UnloadOrdered;
     applyEvent(kept.adapters, state.charts.adapter, placement.adapter, event, step.now);
-    state.fencing = FencingNumber { state.fencing.value + 1 };
-    step.actions.emplace_back(OrderEngine { engine.id, engine.address, isLoad, placement.adapter, state.fencing });
+    state.fencing = FencingNumber{ state.fencing.value + 1 };
+    step.actions.emplace_back(
+            OrderEngine{ engine.id, engine.address, isLoad, placement.adapter, state.fencing });
     ++(isLoad ? state.counters.loadsOrdered : state.counters.evictionsOrdered);
 }
 
@@ -108,7 +114,7 @@
     orderLoads(step, kept, engine);
     if (step.now >= kept.nextLoadReport) {
         kept.nextLoadReport = step.now + loadReportInterval;
-        step.actions.emplace_back(AskLoad { engine.id, engine.address });
+        step.actions.emplace_back(AskLoad{ engine.id, engine.address });
     }
 }
 
@@ -116,7 +122,9 @@
 bool isKeeper(const HostState &state, const Upstream &engine)
 {
     const bool isLeaving = state.process != ProcessState::Serving;
-    return keeperOf(state.membership, state.self.id, state.self.zone, isLeaving, engine.id, engine.zone) == state.self.id;
+    return keeperOf(state.membership, state.self.id, state.self.zone, isLeaving, engine.id,
+                    engine.zone)
+            == state.self.id;
 }
 
 } // namespace
@@ -168,7 +176,7 @@
             pin(kept.adapters, slot.adapter, step.now);
         }
     }
-    sendTo(step, asker, SlotRenewed { renewal.engine, renewal.serial, slotLease });
+    sendTo(step, asker, SlotRenewed{ renewal.engine, renewal.serial, slotLease });
 }
 
 void onSlotRelease(Step &step, const SlotRelease &release)
@@ -181,7 +189,8 @@
     const auto slot = kept->second.granted.find(release.request);
     if (slot != kept->second.granted.end()) {
         const GrantedSlot &granted = slot->second;
-        correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged, release.used);
+        correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
+                      release.used);
         unpin(kept->second.adapters, granted.adapter);
         kept->second.granted.erase(slot);
     }
@@ -230,8 +239,10 @@
         backOff(adapters, event.adapter, jitter(step.state.random), step.now);
         return;
     }
-    const AdapterEvent unloaded = event.isDone ? AdapterEvent::UnloadDone : AdapterEvent::UnloadFailed;
-    applyEvent(adapters, chart, event.adapter, event.isLoad ? AdapterEvent::LoadDone : unloaded, step.now);
+    const AdapterEvent unloaded = event.isDone ? AdapterEvent::UnloadDone
+                                               : AdapterEvent::UnloadFailed;
+    applyEvent(adapters, chart, event.adapter, event.isLoad ? AdapterEvent::LoadDone : unloaded,
+               step.now);
     grantReady(step, kept->second, *engine);
     orderLoads(step, kept->second, *engine);
 }
--- a/packages/host/tests/host_test.cpp
+++ b/packages/host/tests/host_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const KeyHash key { std::string(64, 'a') };
+const KeyHash key{ std::string(64, 'a') };
 
 const std::string ticketText = R"({ "ticket": 1, "by": "ana", "why": "start", "set": {
     "zones": [ { "id": "z", "seats": 1 } ],
@@ -25,15 +25,15 @@
 struct Fixture
 {
     HostState state;
-    Instant now { 0 };
+    Instant now{ 0 };
     std::vector<Action> actions;
 
     Fixture()
     {
         HostIdentity self;
-        self.id = HostId { "h0" };
-        self.zone = ZoneId { "z" };
-        self.incarnation = Incarnation { 1 };
+        self.id = HostId{ "h0" };
+        self.zone = ZoneId{ "z" };
+        self.incarnation = Incarnation{ 1 };
         this->state = makeHost(self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value());
     }
 
@@ -44,7 +44,9 @@
         const std::vector<Action> taken = this->actions;
         for (const Action &action : taken) {
             if (const OrderEngine *order = std::get_if<OrderEngine>(&action))
-                handle(this->state, OrderEnded { order->engine, order->adapter, order->isLoad, true }, this->now, this->actions);
+                handle(this->state,
+                       OrderEnded{ order->engine, order->adapter, order->isLoad, true }, this->now,
+                       this->actions);
         }
     }
     void pass(Span span)
@@ -52,24 +54,24 @@
         const Instant until = this->now + span;
         while (this->now < until) {
             this->now = this->now + tickInterval;
-            this->give(Tick {});
+            this->give(Tick{});
         }
     }
     void begin()
     {
-        this->give(TicketRead { ticketText });
+        this->give(TicketRead{ ticketText });
         this->pass(fromSeconds(1));
     }
     RequestArrived request(const std::string &id, RequestKind kind = RequestKind::Completion)
     {
         RequestArrived event;
-        event.request = RequestId { id };
+        event.request = RequestId{ id };
         event.kind = kind;
         event.key = key;
-        event.adapter = AdapterRef { "a@1" };
-        event.service = ServiceId { "filings" };
-        event.promptTokens = Tokens { 10 };
-        event.mostGenerated = Tokens { 20 };
+        event.adapter = AdapterRef{ "a@1" };
+        event.service = ServiceId{ "filings" };
+        event.promptTokens = Tokens{ 10 };
+        event.mostGenerated = Tokens{ 20 };
         event.deadline = this->now + fromSeconds(30);
         return event;
     }
@@ -91,21 +93,21 @@
     fixture.begin();
     fixture.give(fixture.request("r1"));
     ASSERT_NE(fixture.last<Dispatch>(), nullptr);
-    EXPECT_EQ(fixture.last<Dispatch>()->upstream, UpstreamId { "e1" });
-    fixture.give(AttemptEnded { RequestId { "r1" }, 1, AttemptOutcome::Done, Tokens { 20 }, true });
+    EXPECT_EQ(fixture.last<Dispatch>()->upstream, UpstreamId{ "e1" });
+    fixture.give(AttemptEnded{ RequestId{ "r1" }, 1, AttemptOutcome::Done, Tokens{ 20 }, true });
     EXPECT_TRUE(fixture.state.requests.empty());
-    EXPECT_TRUE(fixture.state.kept.at(UpstreamId { "e1" }).granted.empty());
+    EXPECT_TRUE(fixture.state.kept.at(UpstreamId{ "e1" }).granted.empty());
 }
 
-// A key is withdrawn while a caller's stream runs and another request waits. Both end within the same
-// moment, and new requests are refused with the reason.
+// A key is withdrawn while a caller's stream runs and another request waits. Both end within the
+// same moment, and new requests are refused with the reason.
 TEST(Host, AWithdrawnKeyStopsEverywhere)
 {
     Fixture fixture;
     fixture.begin();
     for (const char *id : { "r1", "r2", "r3" })
         fixture.give(fixture.request(id));
-    fixture.give(TicketRead { withdrawal });
+    fixture.give(TicketRead{ withdrawal });
     EXPECT_TRUE(fixture.state.requests.empty());
     EXPECT_NE(fixture.last<CancelAttempt>(), nullptr);
     EXPECT_EQ(fixture.state.counters.refusals[ResultCode::KeyWithdrawn], 3U);
@@ -113,8 +115,8 @@
     EXPECT_EQ(fixture.last<Refuse>()->code, ResultCode::KeyWithdrawn);
 }
 
-// A back end reads a filing and closes without answering. Whether it was filed is not known, so it is
-// not sent again, and the caller is told just that.
+// A back end reads a filing and closes without answering. Whether it was filed is not known, so it
+// is not sent again, and the caller is told just that.
 TEST(Host, AFilingIsNeverSentTwice)
 {
     Fixture fixture;
@@ -122,7 +124,7 @@
     fixture.give(fixture.request("f1", RequestKind::ServiceCall));
     ASSERT_NE(fixture.last<Dispatch>(), nullptr);
     EXPECT_FALSE(fixture.last<Dispatch>()->mayRunTwice);
-    fixture.give(AttemptEnded { RequestId { "f1" }, 1, AttemptOutcome::Failed, Tokens {}, false });
+    fixture.give(AttemptEnded{ RequestId{ "f1" }, 1, AttemptOutcome::Failed, Tokens{}, false });
     EXPECT_EQ(fixture.last<Dispatch>(), nullptr);
     ASSERT_NE(fixture.last<Refuse>(), nullptr);
     EXPECT_EQ(fixture.last<Refuse>()->runState, RunState::Unknown);
@@ -135,12 +137,12 @@
     Fixture fixture;
     fixture.begin();
     fixture.give(fixture.request("r1"));
-    fixture.give(StopAsked {});
+    fixture.give(StopAsked{});
     fixture.pass(fromSeconds(1));
     EXPECT_EQ(fixture.last<LeaveProcess>(), nullptr);
     fixture.give(fixture.request("r2"));
     EXPECT_EQ(fixture.last<Refuse>()->code, ResultCode::HostDraining);
-    fixture.give(AttemptEnded { RequestId { "r1" }, 1, AttemptOutcome::Done, Tokens { 20 }, true });
-    fixture.give(Tick {});
+    fixture.give(AttemptEnded{ RequestId{ "r1" }, 1, AttemptOutcome::Done, Tokens{ 20 }, true });
+    fixture.give(Tick{});
     EXPECT_NE(fixture.last<LeaveProcess>(), nullptr);
 }
--- a/packages/limits/include/azurewell/limits/token_bucket.h
+++ b/packages/limits/include/azurewell/limits/token_bucket.h
@@ -7,20 +7,21 @@
 
 /// One part of a customer's rate and burst, owned by one host place.
 ///
-/// Load pattern: a customer sends several times its rate, in bursts, with streams that run for seconds.
-/// Without it that customer takes the engines from the others.
+/// Load pattern: a customer sends several times its rate, in bursts, with streams that run for
+/// seconds. Without it that customer takes the engines from the others.
 ///
-/// `level + reserved` never exceeds `burst`: tokens that were reserved but not made yet keep their room
-/// in the bucket. A bucket that refilled while reserved tokens were still to be made would let a slow
-/// engine deliver the reservation and a refilled burst in the same moment, and the customer would
-/// receive up to twice its burst in that window.
+/// `level + reserved` never exceeds `burst`: tokens that were reserved but not made yet keep their
+/// room in the bucket. A bucket that refilled while reserved tokens were still to be made would let
+/// a slow engine deliver the reservation and a refilled burst in the same moment, and the customer
+/// would receive up to twice its burst in that window.
 struct TokenBucket
 {
     double ratePerSecond = 0;
     double burst = 0; ///< Tokens.
-    double level = 0; ///< Tokens that may be reserved now. A new bucket is empty: it has earned nothing.
+    double level
+            = 0; ///< Tokens that may be reserved now. A new bucket is empty: it has earned nothing.
     double reserved = 0; ///< Tokens promised to admitted requests and not made yet.
-    Instant refilledAt; ///< When `level` was last brought up to date.
+    Instant refilledAt;  ///< When `level` was last brought up to date.
 };
 
 /// Brings `level` up to \a now. Time that runs backwards earns nothing.
@@ -39,7 +40,7 @@
 Instant earliestFor(const TokenBucket &bucket, Tokens amount, Instant now);
 
 /// The answer of earliestFor() for an amount above the burst.
-inline constexpr Instant never { INT64_MAX };
+inline constexpr Instant never{ INT64_MAX };
 
 /// Changes rate and burst without creating tokens: the level is cut to the new burst.
 void reshape(TokenBucket &bucket, double ratePerSecond, double burst, Instant now);
--- a/packages/limits/src/token_bucket.cpp
+++ b/packages/limits/src/token_bucket.cpp
@@ -50,7 +50,7 @@
         return now;
     if (later.ratePerSecond <= 0)
         return never;
-    return now + fromSeconds((wanted - later.level) / later.ratePerSecond) + Span { 1 };
+    return now + fromSeconds((wanted - later.level) / later.ratePerSecond) + Span{ 1 };
 }
 
 void reshape(TokenBucket &bucket, double ratePerSecond, double burst, Instant now)
--- a/packages/limits/tests/token_bucket_test.cpp
+++ b/packages/limits/tests/token_bucket_test.cpp
@@ -8,7 +8,7 @@
 
 constexpr Instant second(int n)
 {
-    return Instant { n * 1'000'000LL };
+    return Instant{ n * 1'000'000LL };
 }
 
 TokenBucket bucketOf(double rate, double burst)
@@ -26,8 +26,8 @@
 TEST(TokenBucket, ANewBucketIsEmpty)
 {
     TokenBucket bucket = bucketOf(10, 100);
-    EXPECT_FALSE(tryReserve(bucket, Tokens { 1 }, second(0)));
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 10 }, second(1)));
+    EXPECT_FALSE(tryReserve(bucket, Tokens{ 1 }, second(0)));
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 10 }, second(1)));
 }
 
 // A slow engine makes the tokens of a reservation long after it was granted. Were the bucket full
@@ -35,26 +35,26 @@
 TEST(TokenBucket, ReservedTokensKeepTheirRoomUntilTheyAreMade)
 {
     TokenBucket bucket = bucketOf(10, 100);
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 100 }, second(10)));
-    EXPECT_FALSE(tryReserve(bucket, Tokens { 1 }, second(100)));
-    settle(bucket, Tokens { 100 }, second(100));
-    EXPECT_FALSE(tryReserve(bucket, Tokens { 1 }, second(100)));
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 10 }, second(101)));
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 100 }, second(10)));
+    EXPECT_FALSE(tryReserve(bucket, Tokens{ 1 }, second(100)));
+    settle(bucket, Tokens{ 100 }, second(100));
+    EXPECT_FALSE(tryReserve(bucket, Tokens{ 1 }, second(100)));
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 10 }, second(101)));
 }
 
 TEST(TokenBucket, TokensGivenBackCanBeReservedAtOnce)
 {
     TokenBucket bucket = bucketOf(10, 100);
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 100 }, second(10)));
-    giveBack(bucket, Tokens { 60 }, second(10));
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 60 }, second(10)));
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 100 }, second(10)));
+    giveBack(bucket, Tokens{ 60 }, second(10));
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 60 }, second(10)));
 }
 
 TEST(TokenBucket, EarliestTimeIsTold)
 {
     TokenBucket bucket = bucketOf(10, 100);
-    const Instant at = earliestFor(bucket, Tokens { 50 }, second(0));
-    EXPECT_EQ(at, second(5) + Span { 1 });
-    EXPECT_TRUE(tryReserve(bucket, Tokens { 50 }, at));
-    EXPECT_EQ(earliestFor(bucket, Tokens { 101 }, second(0)), never);
+    const Instant at = earliestFor(bucket, Tokens{ 50 }, second(0));
+    EXPECT_EQ(at, second(5) + Span{ 1 });
+    EXPECT_TRUE(tryReserve(bucket, Tokens{ 50 }, at));
+    EXPECT_EQ(earliestFor(bucket, Tokens{ 101 }, second(0)), never);
 }
--- a/packages/placement/include/azurewell/placement/engine_adapters.h
+++ b/packages/placement/include/azurewell/placement/engine_adapters.h
@@ -13,7 +13,7 @@
 struct AdapterOnEngine
 {
     AdapterState state = AdapterState::Absent;
-    std::uint32_t pins = 0; ///< Requests that run on it or hold a slot for it.
+    std::uint32_t pins = 0;     ///< Requests that run on it or hold a slot for it.
     std::uint32_t failures = 0; ///< Loads that failed in a row.
     Instant lastUsed;
     Instant retryAfter; ///< No load is ordered before this.
@@ -41,16 +41,17 @@
 /// Adapters that occupy a slot: loading, loaded or unloading.
 std::uint32_t usedSlots(const EngineAdapters &engine);
 
-/// The next step towards having \a wanted loaded: a load where a slot is free; otherwise the eviction
-/// of the least recently used adapter that nothing pins; nothing while everything is pinned, while a
-/// load backs off, or while a former keeper's leases may still run.
+/// The next step towards having \a wanted loaded: a load where a slot is free; otherwise the
+/// eviction of the least recently used adapter that nothing pins; nothing while everything is
+/// pinned, while a load backs off, or while a former keeper's leases may still run.
 PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now);
 
 /// Moves \a ref by the chart.
-void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref, AdapterEvent event, Instant now);
+void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref,
+                AdapterEvent event, Instant now);
 
-/// Counts a failed load of \a ref and stores when the next may be tried: exponential with a cap, and
-/// \a jitter in [0, 1) spreads the engines that failed together.
+/// Counts a failed load of \a ref and stores when the next may be tried: exponential with a cap,
+/// and \a jitter in [0, 1) spreads the engines that failed together.
 void backOff(EngineAdapters &engine, const AdapterRef &ref, double jitter, Instant now);
 
 /// Returns adapters whose back-off is over to absent.
--- a/packages/placement/src/engine_adapters.cpp
+++ b/packages/placement/src/engine_adapters.cpp
@@ -45,7 +45,7 @@
             return {};
     }
     if (usedSlots(engine) < engine.slots)
-        return PlacementStep { PlacementStep::Kind::Load, wanted };
+        return PlacementStep{ PlacementStep::Kind::Load, wanted };
     if (now < engine.noEvictionBefore)
         return {};
 
@@ -53,15 +53,17 @@
     for (const auto &entry : engine.adapters) {
         if (entry.second.state == AdapterState::Unloading)
             return {}; // a slot is on its way already
-        if (isEvictable(entry.second) && (!oldest || entry.second.lastUsed < oldest->second.lastUsed))
+        if (isEvictable(entry.second)
+            && (!oldest || entry.second.lastUsed < oldest->second.lastUsed))
             oldest = &entry;
     }
     if (!oldest)
         return {};
-    return PlacementStep { PlacementStep::Kind::Evict, oldest->first };
+    return PlacementStep{ PlacementStep::Kind::Evict, oldest->first };
 }
 
-void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref, AdapterEvent event, Instant now)
+void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref,
+                AdapterEvent event, Instant now)
 {
     AdapterOnEngine &adapter = engine.adapters[ref];
     adapter.state = advance(chart, adapter.state, event);
--- a/packages/placement/tests/engine_adapters_test.cpp
+++ b/packages/placement/tests/engine_adapters_test.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-const AdapterRef first { "a@1" };
-const AdapterRef second { "b@1" };
-const AdapterRef third { "c@1" };
+const AdapterRef first{ "a@1" };
+const AdapterRef second{ "b@1" };
+const AdapterRef third{ "c@1" };
 
 struct Fixture
 {
@@ -28,39 +28,40 @@
 
 } // namespace
 
-// Two popular adapters fill an engine and a third is asked for. Unloading one that is answering would
-// break that answer, so the idle one has to go, and none where both are answering.
+// Two popular adapters fill an engine and a third is asked for. Unloading one that is answering
+// would break that answer, so the idle one has to go, and none where both are answering.
 TEST(EngineAdapters, AServingAdapterIsNeverEvicted)
 {
     Fixture fixture(2);
-    fixture.load(first, Instant { 1 });
-    fixture.load(second, Instant { 2 });
-    pin(fixture.engine, first, Instant { 3 });
-    const PlacementStep step = nextStep(fixture.engine, third, Instant { 4 });
+    fixture.load(first, Instant{ 1 });
+    fixture.load(second, Instant{ 2 });
+    pin(fixture.engine, first, Instant{ 3 });
+    const PlacementStep step = nextStep(fixture.engine, third, Instant{ 4 });
     EXPECT_EQ(step.kind, PlacementStep::Kind::Evict);
     EXPECT_EQ(step.adapter, second);
-    pin(fixture.engine, second, Instant { 4 });
-    EXPECT_EQ(nextStep(fixture.engine, third, Instant { 5 }).kind, PlacementStep::Kind::Nothing);
+    pin(fixture.engine, second, Instant{ 4 });
+    EXPECT_EQ(nextStep(fixture.engine, third, Instant{ 5 }).kind, PlacementStep::Kind::Nothing);
 }
 
-// An engine's keeper was replaced. Requests that the former one let in may still be running, and the
-// new one cannot see them; it may load into free slots but evict nothing until their leases are over.
+// An engine's keeper was replaced. Requests that the former one let in may still be running, and
+// the new one cannot see them; it may load into free slots but evict nothing until their leases are
+// over.
 TEST(EngineAdapters, ANewKeeperEvictsNothingUntilOldLeasesAreOver)
 {
     Fixture fixture(1);
-    fixture.engine.noEvictionBefore = Instant { 100 };
-    fixture.load(first, Instant { 1 });
-    EXPECT_EQ(nextStep(fixture.engine, second, Instant { 99 }).kind, PlacementStep::Kind::Nothing);
-    EXPECT_EQ(nextStep(fixture.engine, second, Instant { 100 }).kind, PlacementStep::Kind::Evict);
+    fixture.engine.noEvictionBefore = Instant{ 100 };
+    fixture.load(first, Instant{ 1 });
+    EXPECT_EQ(nextStep(fixture.engine, second, Instant{ 99 }).kind, PlacementStep::Kind::Nothing);
+    EXPECT_EQ(nextStep(fixture.engine, second, Instant{ 100 }).kind, PlacementStep::Kind::Evict);
 }
 
-// Loads of one adapter fail again and again. Callers of that adapter wait or are refused; the weight
-// store must not be asked in a tight loop.
+// Loads of one adapter fail again and again. Callers of that adapter wait or are refused; the
+// weight store must not be asked in a tight loop.
 TEST(EngineAdapters, FailedLoadsBackOffWithACap)
 {
     Fixture fixture(1);
-    Instant now { 0 };
-    Span last {};
+    Instant now{ 0 };
+    Span last{};
     for (int failure = 0; failure < 12; ++failure) {
         applyEvent(fixture.engine, fixture.charts.adapter, first, AdapterEvent::LoadOrdered, now);
         applyEvent(fixture.engine, fixture.charts.adapter, first, AdapterEvent::LoadFailed, now);
--- a/packages/routing/src/choose_engine.cpp
+++ b/packages/routing/src/choose_engine.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Above this many requests per slot a loaded engine is passed over: the wait in its queue is by then
-/// longer than a load elsewhere (a quarter second against a mean service time of several seconds).
+/// Above this many requests per slot a loaded engine is passed over: the wait in its queue is by
+/// then longer than a load elsewhere (a quarter second against a mean service time of several
+/// seconds).
 constexpr double overload = 2.0;
 
 using Rank = std::tuple<int, int, double>;
@@ -45,7 +46,8 @@
 
 bool mayTakeWork(const UpstreamView &view)
 {
-    return !view.isLeaving && view.state != UpstreamState::Leaving && view.state != UpstreamState::Ejected;
+    return !view.isLeaving && view.state != UpstreamState::Leaving
+            && view.state != UpstreamState::Ejected;
 }
 
 std::optional<UpstreamId> chooseEngine(std::span<const UpstreamView> views)
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -13,7 +13,7 @@
 UpstreamView viewOf(const char *id, double load, bool hasAdapter, bool isOwnZone = true)
 {
     UpstreamView view;
-    view.id = UpstreamId { id };
+    view.id = UpstreamId{ id };
     view.state = UpstreamState::Live;
     view.load = load;
     view.hasAdapter = hasAdapter;
@@ -25,16 +25,16 @@
 
 TEST(Routing, ALoadedAdapterIsPreferredUntilItsEngineIsOverloaded)
 {
-    std::vector<UpstreamView> views { viewOf("warm", 0.9, true), viewOf("cold", 0.0, false) };
-    EXPECT_EQ(chooseEngine(views), UpstreamId { "warm" });
+    std::vector<UpstreamView> views{ viewOf("warm", 0.9, true), viewOf("cold", 0.0, false) };
+    EXPECT_EQ(chooseEngine(views), UpstreamId{ "warm" });
     views[0].load = 3.0;
-    EXPECT_EQ(chooseEngine(views), UpstreamId { "cold" });
+    EXPECT_EQ(chooseEngine(views), UpstreamId{ "cold" });
 }
 
 // The platform marks an engine as leaving. New work sent there would be cut off when it goes.
 TEST(Routing, ALeavingUpstreamGetsNoNewWork)
 {
-    std::vector<UpstreamView> views { viewOf("a", 0.0, true) };
+    std::vector<UpstreamView> views{ viewOf("a", 0.0, true) };
     views[0].isLeaving = true;
     EXPECT_FALSE(chooseEngine(views));
     EXPECT_FALSE(chooseBackEnd(views));
@@ -42,7 +42,7 @@
 
 TEST(Routing, OnlyKeysOfALostNodeMove)
 {
-    const std::vector<std::string> nodes { "h0", "h1", "h2", "h3" };
+    const std::vector<std::string> nodes{ "h0", "h1", "h2", "h3" };
     int moved = 0;
     for (int key = 0; key < 1000; ++key) {
         const std::string name = "engine" + std::to_string(key);
@@ -51,7 +51,8 @@
         for (const std::string &node : nodes) {
             if (before.empty() || rendezvousWeight(name, node) > rendezvousWeight(name, before))
                 before = node;
-            if (node != "h3" && (after.empty() || rendezvousWeight(name, node) > rendezvousWeight(name, after)))
+            if (node != "h3"
+                && (after.empty() || rendezvousWeight(name, node) > rendezvousWeight(name, after)))
                 after = node;
         }
         moved += before != after ? 1 : 0;
@@ -60,8 +61,8 @@
     EXPECT_NEAR(moved, 250, 60);
 }
 
-// Every upstream answers 503 for a while. A caller sees a refusal after at most a few tries, and the
-// upstreams see less than a tenth more traffic than without retries.
+// Every upstream answers 503 for a while. A caller sees a refusal after at most a few tries, and
+// the upstreams see less than a tenth more traffic than without retries.
 TEST(Routing, RetriesStayUnderATenthOfFirstTries)
 {
     RetryBudget budget;
--- a/packages/scheduling/include/azurewell/scheduling/fair_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/fair_queue.h
@@ -38,7 +38,8 @@
 struct FairQueue
 {
     std::unordered_map<CustomerId, CustomerQueue> customers;
-    double virtualTime = 0; ///< `served` of the customer served last; a returning customer starts here.
+    double virtualTime
+            = 0; ///< `served` of the customer served last; a returning customer starts here.
     std::size_t size = 0;
 };
 
@@ -46,10 +47,11 @@
 /// for the time it sent nothing, which would let it take every slot until the credit is used up.
 void enqueue(FairQueue &queue, WaitingRequest request);
 
-/// Takes the next request that \a mayRun accepts, and charges its customer. The oldest request of each
-/// customer is tried, the least served customer first; then younger ones, so that one request whose
-/// adapter is not loaded does not hold up the others.
-std::optional<WaitingRequest> takeNext(FairQueue &queue, const std::function<bool(const WaitingRequest &)> &mayRun);
+/// Takes the next request that \a mayRun accepts, and charges its customer. The oldest request of
+/// each customer is tried, the least served customer first; then younger ones, so that one request
+/// whose adapter is not loaded does not hold up the others.
+std::optional<WaitingRequest> takeNext(FairQueue &queue,
+                                       const std::function<bool(const WaitingRequest &)> &mayRun);
 
 /// Removes \a request (its caller went away). False where it is not in the queue.
 bool remove(FairQueue &queue, const RequestId &request);
@@ -58,6 +60,7 @@
 std::vector<WaitingRequest> takeExpired(FairQueue &queue, Instant now);
 
 /// Corrects a customer's charge once the real count of tokens is known.
-void correctCharge(FairQueue &queue, const CustomerId &customer, double weight, Tokens charged, Tokens real);
+void correctCharge(FairQueue &queue, const CustomerId &customer, double weight, Tokens charged,
+                   Tokens real);
 
 } // namespace azurewell
--- a/packages/scheduling/src/fair_queue.cpp
+++ b/packages/scheduling/src/fair_queue.cpp
@@ -32,7 +32,8 @@
     ++queue.size;
 }
 
-std::optional<WaitingRequest> takeNext(FairQueue &queue, const std::function<bool(const WaitingRequest &)> &mayRun)
+std::optional<WaitingRequest> takeNext(FairQueue &queue,
+                                       const std::function<bool(const WaitingRequest &)> &mayRun)
 {
     for (CustomerQueue *customer : leastServedFirst(queue)) {
         const auto found = std::find_if(customer->waiting.begin(), customer->waiting.end(), mayRun);
@@ -51,8 +52,9 @@
 bool remove(FairQueue &queue, const RequestId &request)
 {
     for (auto &[id, customer] : queue.customers) {
-        const auto found = std::find_if(customer.waiting.begin(), customer.waiting.end(),
-                                        [&request](const WaitingRequest &entry) { return entry.request == request; });
+        const auto found = std::find_if(
+                customer.waiting.begin(), customer.waiting.end(),
+                [&request](const WaitingRequest &entry) { return entry.request == request; });
         if (found != customer.waiting.end()) {
             customer.waiting.erase(found);
             --queue.size;
@@ -66,8 +68,11 @@
 {
     std::vector<WaitingRequest> expired;
     for (auto &[id, customer] : queue.customers) {
-        const auto isLive = [now](const WaitingRequest &entry) { return entry.deadline > now; };
-        const auto firstExpired = std::stable_partition(customer.waiting.begin(), customer.waiting.end(), isLive);
+        const auto isLive = [now](const WaitingRequest &entry) {
+            return entry.deadline > now;
+        };
+        const auto firstExpired = std::stable_partition(customer.waiting.begin(),
+                                                        customer.waiting.end(), isLive);
         expired.insert(expired.end(), std::make_move_iterator(firstExpired),
                        std::make_move_iterator(customer.waiting.end()));
         customer.waiting.erase(firstExpired, customer.waiting.end());
@@ -76,7 +81,8 @@
     return expired;
 }
 
-void correctCharge(FairQueue &queue, const CustomerId &customer, double weight, Tokens charged, Tokens real)
+void correctCharge(FairQueue &queue, const CustomerId &customer, double weight, Tokens charged,
+                   Tokens real)
 {
     const auto found = queue.customers.find(customer);
     if (found != queue.customers.end())
--- a/packages/scheduling/tests/fair_queue_test.cpp
+++ b/packages/scheduling/tests/fair_queue_test.cpp
@@ -11,10 +11,10 @@
 WaitingRequest requestOf(const std::string &customer, int number, std::int64_t cost = 100)
 {
     WaitingRequest request;
-    request.request = RequestId { customer + std::to_string(number) };
-    request.customer = CustomerId { customer };
-    request.cost = Tokens { cost };
-    request.deadline = Instant { 1'000'000 };
+    request.request = RequestId{ customer + std::to_string(number) };
+    request.customer = CustomerId{ customer };
+    request.cost = Tokens{ cost };
+    request.deadline = Instant{ 1'000'000 };
     return request;
 }
 
@@ -25,8 +25,8 @@
 
 } // namespace
 
-// One customer sends a hundred requests before another sends its first. The second one's caller must
-// not wait for the hundred.
+// One customer sends a hundred requests before another sends its first. The second one's caller
+// must not wait for the hundred.
 TEST(FairQueue, AHotCustomerDoesNotDelayAnother)
 {
     FairQueue queue;
@@ -34,7 +34,7 @@
         enqueue(queue, requestOf("hot", number));
     takeNext(queue, anyMayRun);
     enqueue(queue, requestOf("quiet", 0));
-    EXPECT_EQ(takeNext(queue, anyMayRun)->customer, CustomerId { "quiet" });
+    EXPECT_EQ(takeNext(queue, anyMayRun)->customer, CustomerId{ "quiet" });
 }
 
 // Long jobs among short ones: the customer of long jobs gets as many tokens as the others, not as
@@ -65,7 +65,7 @@
         enqueue(queue, requestOf("returning", number));
     int returning = 0;
     for (int taken = 0; taken < 20; ++taken)
-        returning += takeNext(queue, anyMayRun)->customer == CustomerId { "returning" } ? 1 : 0;
+        returning += takeNext(queue, anyMayRun)->customer == CustomerId{ "returning" } ? 1 : 0;
     EXPECT_NEAR(returning, 10, 1);
 }
 
@@ -73,7 +73,7 @@
 {
     FairQueue queue;
     enqueue(queue, requestOf("a", 0));
-    EXPECT_TRUE(takeExpired(queue, Instant { 999'999 }).empty());
-    EXPECT_EQ(takeExpired(queue, Instant { 1'000'000 }).size(), 1U);
+    EXPECT_TRUE(takeExpired(queue, Instant{ 999'999 }).empty());
+    EXPECT_EQ(takeExpired(queue, Instant{ 1'000'000 }).size(), 1U);
     EXPECT_EQ(queue.size, 0U);
 }
--- /dev/null
+++ b/packages/shell/include/azurewell/shell/one_shot_device.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <QtCore/QByteArray>
+#include <QtCore/QIODevice>
+
+namespace azurewell {
+
+/// A request body that can be read once. QNetworkAccessManager sends a POST again, silently, when
+/// the server closes the connection without answering; a filing then runs twice with no line of
+/// ours at fault. It cannot rewind a sequential device, so with this body it fails instead.
+class OneShotDevice : public QIODevice
+{
+public:
+    explicit OneShotDevice(QByteArray content);
+
+    bool isSequential() const override;
+    qint64 bytesAvailable() const override;
+
+protected:
+    qint64 readData(char *to, qint64 most) override;
+    qint64 writeData(const char *from, qint64 count) override;
+
+private:
+    QByteArray content;
+    qint64 position = 0;
+};
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "azurewell/host/host_state.h"
+#include "azurewell/units/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace azurewell {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+/// IP and port. Names are not resolved: hosts talk by IP numbers.
+struct Endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/// What azurewelld reads at start; `azurewelld --print-default-settings` shows each key with its
+/// meaning.
+struct Settings
+{
+    HostIdentity self;     ///< Incarnation and seed are set by the program, not by the file.
+    Endpoint callers;      ///< Where callers connect.
+    Endpoint peers;        ///< Where other hosts connect.
+    Endpoint operations;   ///< /healthz, /readyz, /metrics, /show.
+    std::string platform;  ///< Base URL of the configuration service.
+    std::string keyPrefix; ///< Under which our values are published.
+    std::string chartsDirectory;
+    std::uint32_t trafficThreads = 2;
+    LogLevel logLevel = LogLevel::Info;
+
+    std::uint64_t mostBodyBytes = 0;
+    std::uint64_t mostHeadBytes = 0;
+    std::uint32_t mostConnections = 0;
+    Span senderPatience{};  ///< A request must have arrived whole within this.
+    Span keepAlive{};       ///< An idle caller connection is closed after this.
+    Span requestPatience{}; ///< The deadline of a request that names none.
+    Span upstreamIdle{};    ///< An upstream that sends nothing for this long is silent.
+};
+
+/// Reads settings from JSON with comments. Errors: SettingsInvalid with the line or key, what is
+/// wrong and what is allowed.
+Result<Settings> parseSettings(std::string_view text);
+
+/// parseSettings() on a file. Errors also: FileUnreadable.
+Result<Settings> loadSettings(const std::string &path);
+
+/// A settings file with every key at its default and a comment on each.
+std::string_view defaultSettingsText();
+
+/// Reads "ip:port". Errors: SettingsInvalid.
+Result<Endpoint> parseEndpoint(const std::string &text);
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/caller_guard.cpp
@@ -0,0 +1,212 @@
+#include "azurewell/shell/caller_guard.h"
+
+#include "azurewell/shell/http_text.h"
+
+#include <algorithm>
+
+namespace azurewell {
+
+namespace {
+
+constexpr const char *headEnd = "\r\n\r\n";
+
+/// The value of header \a name (lower case) in \a head; empty where it is missing.
+QByteArray headerValue(const QByteArray &head, const QByteArray &name)
+{
+    for (const QByteArray &line : head.split('\n')) {
+        const qsizetype colon = line.indexOf(':');
+        if (colon > 0 && line.left(colon).trimmed().toLower() == name)
+            return line.mid(colon + 1).trimmed();
+    }
+    return {};
+}
+
+bool hasBody(const QByteArray &head)
+{
+    return head.startsWith("POST") || head.startsWith("PUT") || head.startsWith("PATCH");
+}
+
+} // namespace
+
+CallerGuard::CallerGuard(QTcpSocket *callerSocket, const Settings &limits, Refused onRefused)
+    : QObject(callerSocket)
+    , socket(callerSocket)
+    , settings(limits)
+    , refused(std::move(onRefused))
+    , deadline(monotonicNow() + limits.senderPatience)
+{
+    // Connected before QHttpServer connects, so the guard sees each byte first.
+    QObject::connect(this->socket, &QTcpSocket::readyRead, this, [this] { this->readyRead(); });
+}
+
+void CallerGuard::readyRead()
+{
+    // QHttpServer has taken all earlier bytes, so what is available is new.
+    const QByteArray bytes = this->socket->peek(this->socket->bytesAvailable());
+    if (bytes.isEmpty())
+        return;
+    switch (this->phase) {
+    case Phase::Idle:
+        this->phase = Phase::Head;
+        this->deadline = monotonicNow() + this->settings.senderPatience;
+        [[fallthrough]];
+    case Phase::Head:
+        this->takeHeadBytes(bytes);
+        return;
+    case Phase::Body:
+        this->countBody(bytes.size());
+        return;
+    case Phase::Answering:
+        this->socket->readAll(); // a pipelined request: never begun
+        this->closesAfterAnswer = true;
+        return;
+    }
+}
+
+void CallerGuard::takeHeadBytes(const QByteArray &bytes)
+{
+    this->head += bytes;
+    const qsizetype end = this->head.indexOf(headEnd);
+    const qsizetype headBytes = end < 0 ? this->head.size() : end + 4;
+    if (headBytes > static_cast<qsizetype>(this->settings.mostHeadBytes)) {
+        this->refuse(ResultCode::HeadTooLarge);
+        return;
+    }
+    if (end >= 0)
+        this->beginBody(headBytes);
+}
+
+void CallerGuard::beginBody(qsizetype headBytes)
+{
+    const qsizetype bodyBytesHere = this->head.size() - headBytes;
+    const QByteArray headText = this->head.left(headBytes);
+    this->head.clear();
+    if (!headerValue(headText, "transfer-encoding").isEmpty()) {
+        this->refuse(ResultCode::LengthRequired);
+        return;
+    }
+    const QByteArray lengthText = headerValue(headText, "content-length");
+    bool isNumber = true;
+    const qint64 length = lengthText.isEmpty() ? 0 : lengthText.toLongLong(&isNumber);
+    if (!isNumber || length < 0) {
+        this->refuse(ResultCode::MalformedRequest);
+        return;
+    }
+    if (lengthText.isEmpty() && hasBody(headText)) {
+        this->refuse(ResultCode::LengthRequired);
+        return;
+    }
+    if (length > static_cast<qint64>(this->settings.mostBodyBytes)) {
+        this->refuse(ResultCode::BodyTooLarge);
+        return;
+    }
+    this->phase = Phase::Body;
+    this->bodyLeft = length;
+    this->countBody(bodyBytesHere);
+}
+
+void CallerGuard::countBody(qsizetype bytes)
+{
+    this->bodyLeft -= bytes;
+    if (this->bodyLeft < 0) {
+        // Two requests in one write: QHttpServer would answer them crossed, so neither is begun.
+        this->refuse(ResultCode::PipelinedRequest);
+        return;
+    }
+    if (this->bodyLeft == 0)
+        this->phase = Phase::Answering;
+}
+
+void CallerGuard::answerDone()
+{
+    if (this->phase != Phase::Answering)
+        return;
+    if (this->closesAfterAnswer) {
+        this->socket->disconnectFromHost();
+        return;
+    }
+    this->phase = Phase::Idle;
+    this->deadline = monotonicNow() + this->settings.keepAlive;
+}
+
+void CallerGuard::checkDeadline(Instant now)
+{
+    if (this->phase == Phase::Answering || now < this->deadline)
+        return;
+    if (this->phase == Phase::Idle)
+        this->socket->disconnectFromHost();
+    else
+        this->refuse(ResultCode::SenderTooSlow);
+}
+
+bool CallerGuard::hasUnsentBytes() const
+{
+    return this->socket->bytesToWrite() > 0;
+}
+
+void CallerGuard::refuse(ResultCode code)
+{
+    this->refused(code);
+    this->socket->readAll();
+    QObject::disconnect(this->socket, &QTcpSocket::readyRead, nullptr, nullptr);
+    this->socket->write(refusalAnswer(Refuse{ RequestId{}, code, RunState::NotRun, {}, {} }));
+    this->socket->disconnectFromHost();
+    this->phase = Phase::Answering;
+}
+
+GuardedTcpServer::GuardedTcpServer(const Settings &limits, CallerGuard::Refused onRefused,
+                                   QObject *parent)
+    : QTcpServer(parent)
+    , settings(limits)
+    , refused(std::move(onRefused))
+{
+}
+
+void GuardedTcpServer::incomingConnection(qintptr descriptor)
+{
+    QTcpSocket *socket = new QTcpSocket(this);
+    if (!socket->setSocketDescriptor(descriptor)) {
+        delete socket;
+        return;
+    }
+    const std::uint32_t mostHere = std::max(
+            1U, this->settings.mostConnections / this->settings.trafficThreads);
+    if (static_cast<std::uint32_t>(this->guards.size()) >= mostHere) {
+        this->refused(ResultCode::TooManyConnections);
+        QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        socket->write(refusalAnswer(
+                Refuse{ RequestId{}, ResultCode::TooManyConnections, RunState::NotRun, {}, {} }));
+        socket->disconnectFromHost();
+        return;
+    }
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    CallerGuard *guard = new CallerGuard(socket, this->settings, this->refused);
+    guard->setObjectName("guard");
+    this->guards.push_back(guard);
+    this->addPendingConnection(socket);
+}
+
+CallerGuard *GuardedTcpServer::guardOf(QTcpSocket *socket)
+{
+    return static_cast<CallerGuard *>(
+            socket->findChild<QObject *>("guard", Qt::FindDirectChildrenOnly));
+}
+
+bool GuardedTcpServer::hasUnsentBytes() const
+{
+    const auto isUnsent = [](const QPointer<CallerGuard> &guard) {
+        return guard && guard->hasUnsentBytes();
+    };
+    return std::any_of(this->guards.begin(), this->guards.end(), isUnsent);
+}
+
+void GuardedTcpServer::checkDeadlines(Instant now)
+{
+    this->guards.removeIf([](const QPointer<CallerGuard> &guard) { return guard.isNull(); });
+    for (const QPointer<CallerGuard> &guard : std::as_const(this->guards)) {
+        if (guard)
+            guard->checkDeadline(now);
+    }
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/control_loop.cpp
@@ -0,0 +1,251 @@
+#include "azurewell/shell/control_loop.h"
+
+#include "azurewell/shell/clock.h"
+#include "azurewell/shell/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurewell {
+
+/// Carries one action out.
+struct ControlLoop::Performer
+{
+    ControlLoop &loop;
+
+    void operator()(const Refuse &refusal) const
+    {
+        noteEnded(this->loop.metrics, refusal.request, monotonicNow());
+        this->loop.toWorker(refusal.request, refusal);
+        this->loop.workerOf.erase(refusal.request);
+    }
+    void operator()(const Dispatch &dispatch) const
+    {
+        if (dispatch.attempt == 1)
+            noteDispatched(this->loop.metrics, dispatch.request, monotonicNow());
+        this->loop.toWorker(dispatch.request, dispatch);
+    }
+    void operator()(const CancelAttempt &cancel) const
+    {
+        this->loop.toWorker(cancel.request, cancel);
+        this->loop.engines.cancel(cancel);
+    }
+    void operator()(const SendPeer &message) const
+    {
+        this->loop.peers.send(message.address, message.body);
+    }
+    void operator()(const OrderEngine &order) const
+    {
+        this->loop.engines.order(order);
+    }
+    void operator()(const AskLoad &question) const
+    {
+        this->loop.engines.askLoad(question);
+    }
+    void operator()(const TicketNoted &ticket) const
+    {
+        const LogLevel level = ticket.isInForce ? LogLevel::Info : LogLevel::Error;
+        writeLog(
+                level, ticket.isInForce ? "ticket_in_force" : "ticket_refused",
+                { { "ticket", std::to_string(ticket.number.value) }, { "detail", ticket.detail } });
+    }
+    void operator()(const LeaveProcess &) const
+    {
+        this->loop.finishWorkers();
+    }
+};
+
+ControlLoop::ControlLoop(Settings hostSettings, KnownCharts charts, std::function<void()> onLeave)
+    : settings(std::move(hostSettings))
+    , state(makeHost(this->settings.self, std::move(charts)))
+    , leave(std::move(onLeave))
+    , peers(this->settings.self,
+            [this](const PeerMessage &message) { this->give(PeerMessageReceived{ message }); })
+    , platform(
+              this->settings, [this] { return this->state.inForce.ticket; },
+              [this](const Event &event) { this->give(event); })
+    , engines([this](const Event &event) { this->give(event); })
+    , operations([this](const QString &path) { return this->answerOperator(path); })
+{
+    QObject::connect(&this->tick, &QTimer::timeout, this, [this] { this->give(Tick{}); });
+}
+
+ControlLoop::~ControlLoop()
+{
+    for (Worker &worker : this->workers) {
+        worker.thread->quit();
+        worker.thread->wait();
+    }
+}
+
+Result<std::uint16_t> ControlLoop::startWorker(std::uint32_t number)
+{
+    Worker worker;
+    worker.thread = std::make_unique<QThread>();
+    worker.traffic = new TrafficWorker(this->settings, number,
+                                       [this, number](TrafficReport message) {
+                                           QMetaObject::invokeMethod(
+                                                   this,
+                                                   [this, number, message = std::move(message)] {
+                                                       this->report(number, message);
+                                                   },
+                                                   Qt::QueuedConnection);
+                                       });
+    worker.traffic->moveToThread(worker.thread.get());
+    QObject::connect(worker.thread.get(), &QThread::finished, worker.traffic,
+                     &QObject::deleteLater);
+    worker.thread->start();
+    Result<std::uint16_t> port = Error{};
+    TrafficWorker *traffic = worker.traffic;
+    QMetaObject::invokeMethod(
+            traffic, [traffic, &port] { port = traffic->start(); }, Qt::BlockingQueuedConnection);
+    this->workers.push_back(std::move(worker));
+    return port;
+}
+
+Result<std::uint16_t> ControlLoop::start()
+{
+    Result<std::uint16_t> port = this->peers.listen(this->settings.peers);
+    if (port)
+        port = this->operations.start(this->settings.operations);
+    for (std::uint32_t number = 0; port && number < this->settings.trafficThreads; ++number)
+        port = this->startWorker(number);
+    if (!port)
+        return port;
+    this->platform.start();
+    this->tick.start(static_cast<int>(toSeconds(tickInterval) * 1000));
+    writeLog(LogLevel::Info, "started",
+             { { "zone", this->settings.self.zone.value },
+               { "incarnation", std::to_string(this->settings.self.incarnation.value) } });
+    return port;
+}
+
+void ControlLoop::stop()
+{
+    writeLog(LogLevel::Info, "stop_asked", {});
+    this->give(StopAsked{});
+}
+
+void ControlLoop::finishWorkers()
+{
+    this->unfinishedWorkers = this->workers.size();
+    for (const Worker &worker : this->workers) {
+        TrafficWorker *traffic = worker.traffic;
+        const auto finished = [this] {
+            QMetaObject::invokeMethod(
+                    this, [this] { this->workerFinished(); }, Qt::QueuedConnection);
+        };
+        QMetaObject::invokeMethod(
+                traffic, [traffic, finished] { traffic->finish(finished); }, Qt::QueuedConnection);
+    }
+}
+
+void ControlLoop::workerFinished()
+{
+    --this->unfinishedWorkers;
+    if (this->unfinishedWorkers == 0)
+        this->leave();
+}
+
+void ControlLoop::give(const Event &event)
+{
+    std::vector<Action> actions;
+    handle(this->state, event, monotonicNow(), actions);
+    this->carryOut(actions);
+}
+
+void ControlLoop::carryOut(const std::vector<Action> &actions)
+{
+    for (const Action &action : actions)
+        std::visit(Performer{ *this }, action);
+}
+
+void ControlLoop::report(std::uint32_t worker, const TrafficReport &report)
+{
+    if (const RefusedEarly *refused = std::get_if<RefusedEarly>(&report)) {
+        countRefusal(this->state.counters, refused->code);
+        return;
+    }
+    const Event &event = std::get<Event>(report);
+    if (const RequestArrived *arrived = std::get_if<RequestArrived>(&event)) {
+        this->workerOf[arrived->request] = worker;
+        noteArrived(this->metrics, arrived->request, monotonicNow());
+    }
+    this->give(event);
+    const AttemptEnded *ended = std::get_if<AttemptEnded>(&event);
+    if (ended && ended->outcome == AttemptOutcome::Done) {
+        noteEnded(this->metrics, ended->request, monotonicNow());
+        this->workerOf.erase(ended->request);
+    }
+    if (const CallerLeft *left = std::get_if<CallerLeft>(&event)) {
+        noteEnded(this->metrics, left->request, monotonicNow());
+        this->workerOf.erase(left->request);
+    }
+}
+
+void ControlLoop::toWorker(const RequestId &request, const TrafficOrder &order)
+{
+    const auto found = this->workerOf.find(request);
+    if (found == this->workerOf.end())
+        return;
+    TrafficWorker *traffic = this->workers[found->second].traffic;
+    QMetaObject::invokeMethod(
+            traffic, [traffic, order] { traffic->carryOut(order); }, Qt::QueuedConnection);
+}
+
+std::optional<OperationsAnswer> ControlLoop::answerOperator(const QString &path) const
+{
+    if (path == "/healthz")
+        return OperationsAnswer{ 200, "text/plain", "ok\n" };
+    if (path == "/readyz") {
+        const bool isReady = this->state.process == ProcessState::Serving;
+        const std::size_t index = static_cast<std::size_t>(this->state.process);
+        return OperationsAnswer{ isReady ? 200 : 503, "text/plain",
+                                 QByteArray::fromStdString(this->state.charts.process.states[index])
+                                         + "\n" };
+    }
+    if (path == "/metrics")
+        return OperationsAnswer{ 200, "text/plain; version=0.0.4",
+                                 QByteArray::fromStdString(
+                                         metricsText(this->state, this->metrics)) };
+    if (path == "/show")
+        return OperationsAnswer{ 200, "application/json", this->showText() };
+    return std::nullopt;
+}
+
+QByteArray ControlLoop::showText() const
+{
+    const StateInForce &inForce = this->state.inForce;
+    nlohmann::json json;
+    json["host"] = this->state.self.id.value;
+    json["zone"] = this->state.self.zone.value;
+    json["ticket"] = inForce.ticket.value;
+    json["customers"] = nlohmann::json::array();
+    for (const auto &[id, customer] : inForce.customers) {
+        json["customers"].push_back({ { "id", id.value },
+                                      { "rate", customer.rate.perSecond },
+                                      { "burst", customer.burst.count },
+                                      { "weight", customer.weight },
+                                      { "ticket", customer.ticket.value } });
+    }
+    json["upstreams"] = nlohmann::json::array();
+    for (const auto &[id, upstream] : inForce.upstreams)
+        json["upstreams"].push_back({ { "id", id.value },
+                                      { "address", upstream.address },
+                                      { "ticket", upstream.ticket.value } });
+    json["counts"] = { { "adapters", inForce.adapters.size() }, { "keys", inForce.keys.size() } };
+    json["history"] = nlohmann::json::array();
+    for (const TicketSummary &entry : inForce.history)
+        json["history"].push_back(
+                { { "ticket", entry.number.value }, { "by", entry.by }, { "why", entry.why } });
+    json["peers"] = nlohmann::json::array();
+    for (const auto &[id, peer] : this->state.membership.peers) {
+        const std::size_t index = static_cast<std::size_t>(peer.state);
+        json["peers"].push_back({ { "id", id.value },
+                                  { "zone", peer.zone.value },
+                                  { "state", peerStateNames[index] },
+                                  { "ticket", peer.ticket.value } });
+    }
+    return QByteArray::fromStdString(json.dump(2) + "\n");
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/engine_orders.cpp
@@ -0,0 +1,85 @@
+#include "azurewell/shell/engine_orders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurewell {
+
+namespace {
+
+/// A load takes a quarter second when the weight store is well and up to ten times that when it is
+/// not.
+constexpr int orderTimeoutMillis = 10'000;
+constexpr int reportTimeoutMillis = 1'000;
+
+QNetworkRequest requestTo(const std::string &address, const char *path, int timeoutMillis)
+{
+    QNetworkRequest request(QUrl("http://" + QString::fromStdString(address + path)));
+    request.setTransferTimeout(timeoutMillis);
+    request.setRawHeader("Content-Type", "application/json");
+    return request;
+}
+
+LoadReported parseReport(const UpstreamId &engine, const QByteArray &text)
+{
+    LoadReported report;
+    report.engine = engine;
+    const nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+    report.isReachable = json.is_object();
+    if (!report.isReachable)
+        return report;
+    report.running = json.value("running", 0U);
+    report.queued = json.value("queued", 0U);
+    report.engineStart = json.value("start", std::uint64_t{ 0 });
+    for (const std::string &name : json.value("adapters", std::vector<std::string>{}))
+        report.loaded.emplace_back(name);
+    return report;
+}
+
+} // namespace
+
+EngineOrders::EngineOrders(Answered onAnswered)
+    : answered(std::move(onAnswered))
+{
+}
+
+void EngineOrders::order(const OrderEngine &order)
+{
+    const char *path = order.isLoad ? "/v1/load_lora_adapter" : "/v1/unload_lora_adapter";
+    QNetworkRequest request = requestTo(order.address, path, orderTimeoutMillis);
+    request.setRawHeader("X-Fencing-Number",
+                         QByteArray::number(static_cast<quint64>(order.fencing.value)));
+    const std::string body = nlohmann::json{
+        { "lora_name", order.adapter.value }, { "lora_path", order.adapter.value }
+    }.dump();
+    QNetworkReply *reply = this->pool.send("POST", QByteArray::fromStdString(order.address),
+                                           request, QByteArray::fromStdString(body));
+    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, order] {
+        reply->deleteLater();
+        this->answered(OrderEnded{ order.engine, order.adapter, order.isLoad,
+                                   reply->error() == QNetworkReply::NoError });
+    });
+}
+
+void EngineOrders::askLoad(const AskLoad &question)
+{
+    const QNetworkRequest request = requestTo(question.address, "/load", reportTimeoutMillis);
+    QNetworkReply *reply = this->pool.send("GET", QByteArray::fromStdString(question.address),
+                                           request, {});
+    QObject::connect(
+            reply, &QNetworkReply::finished, this, [this, reply, engine = question.engine] {
+                reply->deleteLater();
+                const bool isAnswered = reply->error() == QNetworkReply::NoError;
+                this->answered(parseReport(engine, isAnswered ? reply->readAll() : QByteArray()));
+            });
+}
+
+void EngineOrders::cancel(const CancelAttempt &attempt)
+{
+    const std::string path = "/v1/requests/" + attempt.request.value + "/cancel";
+    const QNetworkRequest request = requestTo(attempt.address, path.c_str(), reportTimeoutMillis);
+    QNetworkReply *reply = this->pool.send("POST", QByteArray::fromStdString(attempt.address),
+                                           request, "{}");
+    QObject::connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/listen_socket.cpp
@@ -0,0 +1,52 @@
+#include "azurewell/shell/listen_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace azurewell {
+
+namespace {
+
+constexpr int backlog = 1024;
+
+Error failure(const Endpoint &endpoint, const char *what)
+{
+    return Error{ ResultCode::SettingsInvalid,
+                  endpoint.ip + ":" + std::to_string(endpoint.port) + ": " + what + ": "
+                          + std::strerror(errno) };
+}
+
+} // namespace
+
+UniqueFd::~UniqueFd()
+{
+    if (this->fd >= 0)
+        ::close(this->fd);
+}
+
+Result<UniqueFd> openListenSocket(const Endpoint &endpoint)
+{
+    UniqueFd socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    if (socket.get() < 0)
+        return failure(endpoint, "socket");
+    const int on = 1;
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (::inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr) != 1)
+        return failure(endpoint, "not an IPv4 number");
+    if (::bind(socket.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
+        return failure(endpoint, "bind");
+    if (::listen(socket.get(), backlog) != 0)
+        return failure(endpoint, "listen");
+    return socket;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/settings.cpp
@@ -0,0 +1,153 @@
+#include "azurewell/shell/settings.h"
+
+#include "azurewell/tickets/json_reader.h"
+
+#include <QtCore/QFile>
+#include <QtNetwork/QHostAddress>
+
+namespace azurewell {
+
+namespace {
+
+constexpr std::string_view defaultText = R"({
+  // The name of this host in the platform's host list.
+  "host": "h1",
+  // The availability zone this host is in, and the place in the zone that it fills (from 0). A host
+  // that replaces another one takes its place. No two hosts may fill the same place.
+  "zone": "centro",
+  "seat": 0,
+
+  // Where callers, other hosts and operators connect: IP and port.
+  "callers": "127.0.0.1:8080",
+  "peers": "127.0.0.1:7070",
+  "operations": "127.0.0.1:9090",
+
+  // The configuration service (read only), and the prefix of our keys in it.
+  "platform": "http://127.0.0.1:8500",
+  "key_prefix": "azurewell",
+
+  // Where the state charts are.
+  "charts": "charts",
+  // Threads that carry traffic, 1 to 64; one more holds control state.
+  "traffic_threads": 2,
+  // debug, info, warning or error.
+  "log_level": "info",
+
+  // Limits for callers: bytes, connections, seconds.
+  "most_body_bytes": 1048576,
+  "most_head_bytes": 16384,
+  "most_connections": 4096,
+  "sender_patience_s": 10,
+  "keep_alive_s": 60,
+  "request_patience_s": 120,
+  // An upstream that sends nothing for this many seconds is silent.
+  "upstream_idle_s": 15
+}
+)";
+
+constexpr double mostBytes = 1e9;
+constexpr double mostSeconds = 86400;
+
+Endpoint readEndpoint(JsonReader &reader, const char *key)
+{
+    const Result<Endpoint> endpoint = parseEndpoint(reader.text(key));
+    if (!endpoint) {
+        reader.complain(key, endpoint.error().detail);
+        return {};
+    }
+    return endpoint.value();
+}
+
+LogLevel readLevel(JsonReader &reader)
+{
+    const std::string level = reader.text("log_level", "info");
+    if (level == "debug")
+        return LogLevel::Debug;
+    if (level == "info")
+        return LogLevel::Info;
+    if (level == "warning")
+        return LogLevel::Warning;
+    if (level != "error")
+        reader.complain("log_level", "must be debug, info, warning or error");
+    return LogLevel::Error;
+}
+
+void readLimits(JsonReader &reader, Settings &settings)
+{
+    settings.mostBodyBytes = static_cast<std::uint64_t>(
+            reader.number("most_body_bytes", 1, mostBytes, 1 << 20));
+    settings.mostHeadBytes = static_cast<std::uint64_t>(
+            reader.number("most_head_bytes", 256, mostBytes, 16384));
+    settings.mostConnections = static_cast<std::uint32_t>(
+            reader.number("most_connections", 1, 1e6, 4096));
+    settings.senderPatience = fromSeconds(reader.number("sender_patience_s", 0.1, mostSeconds, 10));
+    settings.keepAlive = fromSeconds(reader.number("keep_alive_s", 0.1, mostSeconds, 60));
+    settings.requestPatience = fromSeconds(
+            reader.number("request_patience_s", 0.1, mostSeconds, 120));
+    settings.upstreamIdle = fromSeconds(reader.number("upstream_idle_s", 0.1, mostSeconds, 15));
+}
+
+} // namespace
+
+Result<Endpoint> parseEndpoint(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    bool isPort = false;
+    const int port = colon == std::string::npos
+            ? 0
+            : QString::fromStdString(text.substr(colon + 1)).toInt(&isPort);
+    const std::string ip = text.substr(0, colon == std::string::npos ? 0 : colon);
+    if (!isPort || port < 0 || port > 65535 || QHostAddress(QString::fromStdString(ip)).isNull())
+        return Error{ ResultCode::SettingsInvalid,
+                      "must be an IP number and a port, such as 10.0.0.1:8080" };
+    return Endpoint{ ip, static_cast<std::uint16_t>(port) };
+}
+
+Result<Settings> parseSettings(std::string_view text)
+{
+    const Result<nlohmann::json> json = parseJsonWithComments(text, ResultCode::SettingsInvalid);
+    if (!json)
+        return json.error();
+    std::string complaint;
+    JsonReader reader(json.value(), "", complaint);
+    reader.allowOnly({ "host", "zone", "seat", "callers", "peers", "operations", "platform",
+                       "key_prefix", "charts", "traffic_threads", "log_level", "most_body_bytes",
+                       "most_head_bytes", "most_connections", "sender_patience_s", "keep_alive_s",
+                       "request_patience_s", "upstream_idle_s" });
+    Settings settings;
+    settings.self.id = HostId{ reader.text("host") };
+    settings.self.zone = ZoneId{ reader.text("zone") };
+    settings.self.seat = SeatNumber{ static_cast<std::uint32_t>(reader.number("seat", 0, 1000)) };
+    settings.self.peerAddress = reader.text("peers");
+    settings.callers = readEndpoint(reader, "callers");
+    settings.peers = readEndpoint(reader, "peers");
+    settings.operations = readEndpoint(reader, "operations");
+    settings.platform = reader.text("platform");
+    settings.keyPrefix = reader.text("key_prefix", "azurewell");
+    settings.chartsDirectory = reader.text("charts");
+    settings.trafficThreads = static_cast<std::uint32_t>(
+            reader.number("traffic_threads", 1, 64, 2));
+    settings.logLevel = readLevel(reader);
+    readLimits(reader, settings);
+    if (!complaint.empty())
+        return Error{ ResultCode::SettingsInvalid, complaint };
+    return settings;
+}
+
+Result<Settings> loadSettings(const std::string &path)
+{
+    QFile file(QString::fromStdString(path));
+    if (!file.open(QIODevice::ReadOnly))
+        return Error{ ResultCode::FileUnreadable, path + ": " + file.errorString().toStdString() };
+    Result<Settings> settings = parseSettings(file.readAll().toStdString());
+    if (!settings)
+        return Error{ settings.error().code, path + ": " + settings.error().detail };
+    return settings;
+}
+
+std::string_view defaultSettingsText()
+{
+    return defaultText;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/traffic_worker.cpp
@@ -0,0 +1,247 @@
+#include "azurewell/shell/traffic_worker.h"
+
+#include "azurewell/shell/http_text.h"
+#include "azurewell/shell/listen_socket.h"
+#include "azurewell/shell/log.h"
+
+namespace azurewell {
+
+namespace {
+
+constexpr int deadlineCheckMillis = 100;
+/// How long a leaving process waits for callers that read their answers slowly.
+constexpr Span finishPatience = fromSeconds(30);
+
+} // namespace
+
+TrafficWorker::TrafficWorker(const Settings &hostSettings, std::uint32_t number, Report reportTo)
+    : settings(hostSettings)
+    , idPrefix(hostSettings.self.id.value + "-"
+               + std::to_string(hostSettings.self.incarnation.value) + "-" + std::to_string(number)
+               + "-")
+    , report(std::move(reportTo))
+    , deadlineTimer(this)
+{
+}
+
+TrafficWorker::~TrafficWorker() = default;
+
+Result<std::uint16_t> TrafficWorker::start()
+{
+    Result<UniqueFd> socket = openListenSocket(this->settings.callers);
+    if (!socket)
+        return socket.error();
+    this->server = new GuardedTcpServer(
+            this->settings, [this](ResultCode code) { this->report(RefusedEarly{ code }); }, this);
+    if (!this->server->setSocketDescriptor(socket.value().get()))
+        return Error{ ResultCode::SettingsInvalid,
+                      "callers: " + this->server->errorString().toStdString() };
+    socket.value().release();
+    this->bind(this->server);
+    QObject::connect(&this->deadlineTimer, &QTimer::timeout, this,
+                     [this] { this->checkDeadlines(); });
+    this->deadlineTimer.start(deadlineCheckMillis);
+    return this->server->serverPort();
+}
+
+void TrafficWorker::finish(std::function<void()> finished)
+{
+    this->server->close();
+    this->onFinished = std::move(finished);
+    this->finishDeadline = monotonicNow() + finishPatience;
+}
+
+/// Whether every answer has left this process: a socket destroyed with bytes in its buffer would
+/// cut the end off an answer.
+bool TrafficWorker::isFinished() const
+{
+    if (monotonicNow() >= this->finishDeadline)
+        return true;
+    return this->exchanges.empty() && !this->server->hasUnsentBytes();
+}
+
+bool TrafficWorker::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    const RequestId id{ this->idPrefix + std::to_string(this->nextSequence++) };
+    Result<CallerRequest> read = readCallerRequest(request, id,
+                                                   monotonicNow() + this->settings.requestPatience);
+    if (!read) {
+        this->refuseEarly(socket, read.error(), id);
+        return true;
+    }
+    Exchange &exchange = this->exchanges[id];
+    exchange.request = std::move(read.value());
+    exchange.socket = socket;
+    // The socket deletes itself when the caller goes; QPointer and this signal keep us from
+    // touching it.
+    QObject::connect(socket, &QTcpSocket::disconnected, this, [this, id] { this->callerLeft(id); });
+    this->report(Event{ exchange.request.arrived });
+    return true;
+}
+
+void TrafficWorker::missingHandler(const QHttpServerRequest &, QTcpSocket *socket)
+{
+    this->refuseEarly(socket, Error{ ResultCode::UnknownPath, {} }, RequestId{});
+}
+
+void TrafficWorker::refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id)
+{
+    this->report(RefusedEarly{ error.code });
+    socket->write(refusalAnswer(Refuse{ id, error.code, RunState::NotRun, {}, error.detail }));
+    if (CallerGuard *guard = GuardedTcpServer::guardOf(socket))
+        guard->answerDone();
+}
+
+void TrafficWorker::carryOut(const TrafficOrder &order)
+{
+    if (const Refuse *refusal = std::get_if<Refuse>(&order))
+        this->refuse(*refusal);
+    else if (const Dispatch *toSend = std::get_if<Dispatch>(&order))
+        this->dispatch(*toSend);
+    else if (const CancelAttempt *toCancel = std::get_if<CancelAttempt>(&order))
+        this->cancel(*toCancel);
+}
+
+void TrafficWorker::refuse(const Refuse &refusal)
+{
+    const auto found = this->exchanges.find(refusal.request);
+    if (found == this->exchanges.end())
+        return;
+    Exchange &exchange = found->second;
+    writeLog(LogLevel::Info, "request_refused",
+             { { "request", refusal.request.value },
+               { "code", std::string(infoOf(refusal.code).name) },
+               { "run_state", std::string(nameOf(refusal.runState)) } });
+    if (exchange.socket) {
+        const bool hasBegun = exchange.isHeadSent;
+        exchange.socket->write(hasBegun ? chunkOf(refusalEvent(refusal)) + chunkOf({})
+                                        : refusalAnswer(refusal));
+    }
+    this->endExchange(refusal.request);
+}
+
+void TrafficWorker::dispatch(const Dispatch &order)
+{
+    const auto found = this->exchanges.find(order.request);
+    if (found == this->exchanges.end())
+        return;
+    Exchange &exchange = found->second;
+    exchange.attemptNumber = order.attempt;
+    // Checked at the last moment: the order may have waited while this process was stopped.
+    if (monotonicNow() >= order.notAfter) {
+        this->report(Event{ AttemptEnded{ order.request, order.attempt, AttemptOutcome::NotSent,
+                                          exchange.delivered, exchange.isHeadSent } });
+        return;
+    }
+    const RequestId id = order.request;
+    AttemptSinks sinks;
+    sinks.streamed = [this, id](const QByteArray &events, Tokens made) {
+        this->passOn(id, events, made);
+    };
+    sinks.ended = [this, id](AttemptOutcome outcome) {
+        this->attemptEnded(id, outcome);
+    };
+    exchange.attempt = std::make_unique<UpstreamAttempt>(
+            this->pool, exchange.request, order, this->settings.upstreamIdle, std::move(sinks));
+}
+
+void TrafficWorker::cancel(const CancelAttempt &order)
+{
+    const auto found = this->exchanges.find(order.request);
+    if (found != this->exchanges.end())
+        found->second.attempt.reset();
+}
+
+void TrafficWorker::passOn(const RequestId &id, const QByteArray &events, Tokens made)
+{
+    Exchange &exchange = this->exchanges.at(id);
+    if (!exchange.socket)
+        return;
+    if (!exchange.isHeadSent)
+        exchange.socket->write(chunkedHead("text/event-stream", id));
+    exchange.isHeadSent = true;
+    exchange.socket->write(chunkOf(events));
+    exchange.delivered += made;
+    this->report(Event{ AttemptProgress{ id, exchange.attemptNumber, exchange.delivered } });
+}
+
+void TrafficWorker::attemptEnded(const RequestId &id, AttemptOutcome outcome)
+{
+    Exchange &exchange = this->exchanges.at(id);
+    const std::uint32_t number = exchange.attemptNumber;
+    if (outcome == AttemptOutcome::Done) {
+        const bool isStream = exchange.request.isStream && exchange.attempt->status == 200;
+        if (isStream)
+            this->endStream(exchange);
+        else
+            this->answerWhole(exchange);
+    }
+    this->report(
+            Event{ AttemptEnded{ id, number, outcome, exchange.delivered, exchange.isHeadSent } });
+    // The attempt is the caller of this function; it must not be deleted under itself.
+    exchange.attempt.release()->deleteLater();
+    if (outcome == AttemptOutcome::Done)
+        this->endExchange(id);
+}
+
+void TrafficWorker::endStream(Exchange &exchange)
+{
+    if (!exchange.socket)
+        return;
+    if (!exchange.isHeadSent)
+        exchange.socket->write(chunkedHead("text/event-stream", exchange.request.arrived.request));
+    exchange.socket->write(chunkOf("data: [DONE]\n\n") + chunkOf({}));
+}
+
+void TrafficWorker::answerWhole(Exchange &exchange)
+{
+    UpstreamAttempt &attempt = *exchange.attempt;
+    exchange.delivered = attempt.generated;
+    if (!exchange.socket)
+        return;
+    const QByteArray type = attempt.contentType.isEmpty() ? QByteArray("application/octet-stream")
+                                                          : attempt.contentType;
+    exchange.socket->write(
+            answerHead(attempt.status, type, attempt.body.size(), exchange.request.arrived.request)
+            + attempt.body);
+}
+
+void TrafficWorker::endExchange(const RequestId &id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    const QPointer<QTcpSocket> socket = found->second.socket;
+    this->exchanges.erase(found);
+    if (!socket)
+        return;
+    QObject::disconnect(socket, &QTcpSocket::disconnected, this, nullptr);
+    if (CallerGuard *guard = GuardedTcpServer::guardOf(socket))
+        guard->answerDone();
+}
+
+void TrafficWorker::callerLeft(const RequestId &id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    this->exchanges.erase(found); // drops the attempt; the engine sees its connection close
+    this->report(Event{ CallerLeft{ id } });
+}
+
+void TrafficWorker::checkDeadlines()
+{
+    const Instant now = monotonicNow();
+    this->server->checkDeadlines(now);
+    std::vector<UpstreamAttempt *> attempts;
+    for (auto &[id, exchange] : this->exchanges) {
+        if (exchange.attempt)
+            attempts.push_back(exchange.attempt.get());
+    }
+    for (UpstreamAttempt *attempt : attempts)
+        attempt->checkDeadline(now);
+    if (this->onFinished && this->isFinished())
+        std::exchange(this->onFinished, nullptr)();
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/src/upstream_pool.cpp
@@ -0,0 +1,46 @@
+#include "azurewell/shell/upstream_pool.h"
+
+#include "azurewell/shell/one_shot_device.h"
+
+namespace azurewell {
+
+namespace {
+
+constexpr int connectionsOfOneManager = 6; // QHttpNetworkConnection's own limit
+
+} // namespace
+
+UpstreamPool::Manager &UpstreamPool::managerFor(const QByteArray &address)
+{
+    for (const std::unique_ptr<Manager> &manager : this->managers) {
+        if (manager->open.value(address) < connectionsOfOneManager)
+            return *manager;
+    }
+    this->managers.push_back(std::make_unique<Manager>());
+    Manager &made = *this->managers.back();
+    made.access = std::make_unique<QNetworkAccessManager>();
+    made.access->setProxy(QNetworkProxy::NoProxy);
+    made.access->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
+    return made;
+}
+
+QNetworkReply *UpstreamPool::send(const QByteArray &method, const QByteArray &address,
+                                  QNetworkRequest request, const QByteArray &body)
+{
+    Manager *manager = &this->managerFor(address);
+    ++manager->open[address];
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+    OneShotDevice *device = nullptr;
+    if (!body.isEmpty()) {
+        request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
+        device = new OneShotDevice(body);
+    }
+    QNetworkReply *reply = manager->access->sendCustomRequest(request, method, device);
+    if (device)
+        device->setParent(reply);
+    QObject::connect(reply, &QObject::destroyed, manager->access.get(),
+                     [manager, address] { --manager->open[address]; });
+    return reply;
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/shell/tests/shell_test.cpp
@@ -0,0 +1,44 @@
+#include "azurewell/shell/http_text.h"
+#include "azurewell/shell/platform_watcher.h"
+#include "azurewell/shell/settings.h"
+
+#include <gtest/gtest.h>
+
+using namespace azurewell;
+
+TEST(Settings, TheDefaultSettingsAreValid)
+{
+    const Result<Settings> settings = parseSettings(defaultSettingsText());
+    ASSERT_TRUE(settings) << settings.error().detail;
+    EXPECT_EQ(settings.value().self.id, HostId{ "h1" });
+    EXPECT_EQ(settings.value().callers.port, 8080);
+}
+
+TEST(Settings, ErrorsNameTheKeyAndWhatIsAllowed)
+{
+    std::string text(defaultSettingsText());
+    text.replace(text.find("\"seat\": 0"), 9, "\"seat\": -1");
+    const Result<Settings> settings = parseSettings(text);
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().detail, "seat: must be a number from 0.0 to 1000.0");
+}
+
+TEST(HttpText, ARefusalStatesWhetherTheRequestRan)
+{
+    const QByteArray answer = refusalAnswer(Refuse{
+            RequestId{ "r" }, ResultCode::RateExceeded, RunState::NotRun, fromSeconds(1.2), {} });
+    EXPECT_TRUE(answer.startsWith("HTTP/1.1 429 "));
+    EXPECT_TRUE(answer.contains("X-Azurewell-Run-State: not_run\r\n"));
+    EXPECT_TRUE(answer.contains("Retry-After: 2\r\n"));
+    EXPECT_TRUE(answer.contains("\"code\":300"));
+}
+
+TEST(HostList, LeavingHostsAndUpstreamsAreRead)
+{
+    const Result<HostListRead> list = parseHostList(
+            R"({ "hosts": [ { "id": "h1", "zone": "z", "address": "127.0.0.1:1" } ],
+        "upstreams": [ { "id": "e1", "state": "leaving" } ] })");
+    ASSERT_TRUE(list) << list.error().detail;
+    EXPECT_FALSE(list.value().hosts[0].isLeaving);
+    EXPECT_TRUE(list.value().upstreams[0].isLeaving);
+}
--- a/packages/tickets/include/azurewell/tickets/json_reader.h
+++ b/packages/tickets/include/azurewell/tickets/json_reader.h
@@ -22,7 +22,8 @@
 public:
     JsonReader(const nlohmann::json &object, std::string path, std::string &complaint);
 
-    /// The string at \a key; a complaint where it is missing (unless \a fallback is given) or no string.
+    /// The string at \a key; a complaint where it is missing (unless \a fallback is given) or no
+    /// string.
     std::string text(const char *key);
     std::string text(const char *key, const std::string &fallback);
     /// A number in [\a least, \a most].
--- a/packages/tickets/include/azurewell/tickets/records.h
+++ b/packages/tickets/include/azurewell/tickets/records.h
@@ -13,11 +13,11 @@
 struct Customer
 {
     CustomerId id;
-    TokenRate rate; ///< Prompt and generated tokens per second, all hosts together.
-    Tokens burst; ///< Most tokens at one moment, all hosts together.
+    TokenRate rate;      ///< Prompt and generated tokens per second, all hosts together.
+    Tokens burst;        ///< Most tokens at one moment, all hosts together.
     double weight = 1.0; ///< Share of a full engine relative to other customers.
     std::vector<ServiceId> services; ///< Services the customer may call.
-    TicketNumber ticket; ///< The ticket that put this record in force.
+    TicketNumber ticket;             ///< The ticket that put this record in force.
 };
 
 enum class KeyState : std::uint8_t { Issued, Withdrawn };
@@ -48,12 +48,12 @@
     UpstreamId id;
     UpstreamKind kind = UpstreamKind::Engine;
     ZoneId zone;
-    std::string address; ///< IP and port.
-    std::string baseModel; ///< Engines only.
-    ServiceId service; ///< Service back ends only.
-    std::uint32_t batchSlots = 1; ///< Requests it runs at once.
+    std::string address;            ///< IP and port.
+    std::string baseModel;          ///< Engines only.
+    ServiceId service;              ///< Service back ends only.
+    std::uint32_t batchSlots = 1;   ///< Requests it runs at once.
     std::uint32_t adapterSlots = 1; ///< Adapters it holds at once; engines only.
-    bool checksFencing = false; ///< Whether it refuses orders with an old fencing number.
+    bool checksFencing = false;     ///< Whether it refuses orders with an old fencing number.
     bool isLeaving = false;
     TicketNumber ticket;
 };
--- a/packages/tickets/include/azurewell/tickets/state_in_force.h
+++ b/packages/tickets/include/azurewell/tickets/state_in_force.h
@@ -26,7 +26,8 @@
     std::unordered_map<UpstreamId, Upstream> upstreams;
     std::unordered_map<ServiceId, Service> services;
     std::unordered_map<ZoneId, Zone> zones;
-    std::vector<TicketSummary> history; ///< The newest last; the oldest are dropped beyond historyLimit.
+    std::vector<TicketSummary>
+            history; ///< The newest last; the oldest are dropped beyond historyLimit.
 
     static constexpr std::size_t historyLimit = 1000;
 };
@@ -40,10 +41,12 @@
 
 /// The adapter \a ref if it is \a customer's. Errors: AdapterUnknown, also for another customer's
 /// adapter, so that names cannot be probed.
-Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer, const AdapterRef &ref);
+Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer,
+                                   const AdapterRef &ref);
 
 /// The service \a id if \a customer may call it. Errors: ServiceUnknown, ServiceNotAllowed.
-Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer, const ServiceId &id);
+Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer,
+                                   const ServiceId &id);
 
 /// All host places of all zones; shares of a rate are counted against this number.
 std::uint32_t totalSeats(const StateInForce &state);
--- a/packages/tickets/include/azurewell/tickets/ticket.h
+++ b/packages/tickets/include/azurewell/tickets/ticket.h
@@ -13,7 +13,7 @@
 struct Ticket
 {
     TicketNumber number;
-    std::string by; ///< Who asked for the change.
+    std::string by;  ///< Who asked for the change.
     std::string why; ///< The reason, for whoever reads it later.
     std::vector<Customer> customers;
     std::vector<Key> keys;
--- a/packages/tickets/src/json_reader.cpp
+++ b/packages/tickets/src/json_reader.cpp
@@ -23,8 +23,9 @@
         return json::parse(text.begin(), text.end(), nullptr, true, true);
     } catch (const json::parse_error &error) {
         const std::size_t end = std::min(error.byte, text.size());
-        const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
-        return Error { code, "line " + std::to_string(line) + ": " + error.what() };
+        const auto line = 1
+                + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+        return Error{ code, "line " + std::to_string(line) + ": " + error.what() };
     }
 }
 
--- a/packages/tickets/src/state_in_force.cpp
+++ b/packages/tickets/src/state_in_force.cpp
@@ -8,18 +8,23 @@
 
 Error invalid(const std::string &what)
 {
-    return Error { ResultCode::TicketInvalid, what };
+    return Error{ ResultCode::TicketInvalid, what };
 }
 
 bool hasCustomer(const StateInForce &state, const Ticket &ticket, const CustomerId &id)
 {
-    const auto isIt = [&id](const Customer &customer) { return customer.id == id; };
-    return state.customers.contains(id) || std::any_of(ticket.customers.begin(), ticket.customers.end(), isIt);
+    const auto isIt = [&id](const Customer &customer) {
+        return customer.id == id;
+    };
+    return state.customers.contains(id)
+            || std::any_of(ticket.customers.begin(), ticket.customers.end(), isIt);
 }
 
 bool hasZone(const StateInForce &state, const Ticket &ticket, const ZoneId &id)
 {
-    const auto isIt = [&id](const Zone &zone) { return zone.id == id; };
+    const auto isIt = [&id](const Zone &zone) {
+        return zone.id == id;
+    };
     return state.zones.contains(id) || std::any_of(ticket.zones.begin(), ticket.zones.end(), isIt);
 }
 
@@ -27,12 +32,13 @@
 {
     for (const Key &key : ticket.keys) {
         if (!hasCustomer(state, ticket, key.customer))
-            return invalid("a key names customer '" + key.customer.value + "', which does not exist");
+            return invalid("a key names customer '" + key.customer.value
+                           + "', which does not exist");
     }
     for (const Adapter &adapter : ticket.adapters) {
         if (!hasCustomer(state, ticket, adapter.customer))
-            return invalid("adapter '" + adapter.ref.value + "' names customer '" + adapter.customer.value
-                           + "', which does not exist");
+            return invalid("adapter '" + adapter.ref.value + "' names customer '"
+                           + adapter.customer.value + "', which does not exist");
     }
     for (const Upstream &upstream : ticket.upstreams) {
         if (!hasZone(state, ticket, upstream.zone))
@@ -47,9 +53,9 @@
 Result<TicketNumber> applyTicket(StateInForce &state, const Ticket &ticket)
 {
     if (ticket.number.value != state.ticket.value + 1) {
-        return Error { ResultCode::TicketOutOfOrder,
-                       "ticket " + std::to_string(ticket.number.value) + " after ticket "
-                               + std::to_string(state.ticket.value) };
+        return Error{ ResultCode::TicketOutOfOrder,
+                      "ticket " + std::to_string(ticket.number.value) + " after ticket "
+                              + std::to_string(state.ticket.value) };
     }
     const Result<TicketNumber> checked = checkReferences(state, ticket);
     if (!checked)
@@ -75,7 +81,7 @@
         state.upstreams.erase(id);
 
     state.ticket = ticket.number;
-    state.history.push_back(TicketSummary { ticket.number, ticket.by, ticket.why });
+    state.history.push_back(TicketSummary{ ticket.number, ticket.by, ticket.why });
     if (state.history.size() > StateInForce::historyLimit)
         state.history.erase(state.history.begin());
     return ticket.number;
@@ -85,30 +91,33 @@
 {
     const auto found = state.keys.find(key);
     if (found == state.keys.end())
-        return Error { ResultCode::KeyUnknown, {} };
+        return Error{ ResultCode::KeyUnknown, {} };
     if (found->second.state == KeyState::Withdrawn)
-        return Error { ResultCode::KeyWithdrawn, {} };
+        return Error{ ResultCode::KeyWithdrawn, {} };
     const auto customer = state.customers.find(found->second.customer);
     if (customer == state.customers.end())
-        return Error { ResultCode::KeyUnknown, {} };
+        return Error{ ResultCode::KeyUnknown, {} };
     return &customer->second;
 }
 
-Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer, const AdapterRef &ref)
+Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer,
+                                   const AdapterRef &ref)
 {
     const auto found = state.adapters.find(ref);
     if (found == state.adapters.end() || found->second.customer != customer)
-        return Error { ResultCode::AdapterUnknown, ref.value };
+        return Error{ ResultCode::AdapterUnknown, ref.value };
     return &found->second;
 }
 
-Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer, const ServiceId &id)
+Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer,
+                                   const ServiceId &id)
 {
     const auto found = state.services.find(id);
     if (found == state.services.end())
-        return Error { ResultCode::ServiceUnknown, id.value };
-    if (std::find(customer.services.begin(), customer.services.end(), id) == customer.services.end())
-        return Error { ResultCode::ServiceNotAllowed, id.value };
+        return Error{ ResultCode::ServiceUnknown, id.value };
+    if (std::find(customer.services.begin(), customer.services.end(), id)
+        == customer.services.end())
+        return Error{ ResultCode::ServiceNotAllowed, id.value };
     return &found->second;
 }
 
--- a/packages/tickets/src/ticket_parser.cpp
+++ b/packages/tickets/src/ticket_parser.cpp
@@ -14,9 +14,9 @@
 {
     reader.allowOnly({ "id", "rate", "burst", "weight", "services" });
     Customer customer;
-    customer.id = CustomerId { reader.text("id") };
-    customer.rate = TokenRate { reader.number("rate", 0, mostTokens) };
-    customer.burst = Tokens { static_cast<std::int64_t>(reader.number("burst", 0, mostTokens)) };
+    customer.id = CustomerId{ reader.text("id") };
+    customer.rate = TokenRate{ reader.number("rate", 0, mostTokens) };
+    customer.burst = Tokens{ static_cast<std::int64_t>(reader.number("burst", 0, mostTokens)) };
     customer.weight = reader.number("weight", 0.01, 1000, 1.0);
     for (const std::string &service : reader.texts("services"))
         customer.services.emplace_back(service);
@@ -28,11 +28,11 @@
 {
     reader.allowOnly({ "sha256", "customer", "state" });
     Key key;
-    key.hash = KeyHash { reader.text("sha256") };
+    key.hash = KeyHash{ reader.text("sha256") };
     if (key.hash.value.size() != hashLength
         || key.hash.value.find_first_not_of("0123456789abcdef") != std::string::npos)
         reader.complain("sha256", "must be 64 lower-case hexadecimal digits, never the key itself");
-    key.customer = CustomerId { reader.text("customer") };
+    key.customer = CustomerId{ reader.text("customer") };
     const std::string state = reader.text("state");
     if (state != "issued" && state != "withdrawn")
         reader.complain("state", "must be \"issued\" or \"withdrawn\"");
@@ -45,11 +45,11 @@
 {
     reader.allowOnly({ "adapter", "customer", "base" });
     Adapter adapter;
-    adapter.ref = AdapterRef { reader.text("adapter") };
+    adapter.ref = AdapterRef{ reader.text("adapter") };
     const std::size_t at = adapter.ref.value.find('@');
     if (at == std::string::npos || at == 0 || at + 1 == adapter.ref.value.size())
         reader.complain("adapter", "must be written name@version");
-    adapter.customer = CustomerId { reader.text("customer") };
+    adapter.customer = CustomerId{ reader.text("customer") };
     adapter.baseModel = reader.text("base");
     adapter.ticket = ticket;
     return adapter;
@@ -57,21 +57,22 @@
 
 Upstream readUpstream(JsonReader &reader, TicketNumber ticket)
 {
-    reader.allowOnly({ "id", "kind", "zone", "address", "base", "service", "batch_slots", "adapter_slots",
-                       "checks_fencing", "leaving" });
+    reader.allowOnly({ "id", "kind", "zone", "address", "base", "service", "batch_slots",
+                       "adapter_slots", "checks_fencing", "leaving" });
     Upstream upstream;
-    upstream.id = UpstreamId { reader.text("id") };
+    upstream.id = UpstreamId{ reader.text("id") };
     const std::string kind = reader.text("kind");
     if (kind != "engine" && kind != "service")
         reader.complain("kind", "must be \"engine\" or \"service\"");
     upstream.kind = kind == "service" ? UpstreamKind::Service : UpstreamKind::Engine;
-    upstream.zone = ZoneId { reader.text("zone") };
+    upstream.zone = ZoneId{ reader.text("zone") };
     upstream.address = reader.text("address");
     if (upstream.kind == UpstreamKind::Engine) {
         upstream.baseModel = reader.text("base");
-        upstream.adapterSlots = static_cast<std::uint32_t>(reader.number("adapter_slots", 1, mostSlots));
+        upstream.adapterSlots = static_cast<std::uint32_t>(
+                reader.number("adapter_slots", 1, mostSlots));
     } else {
-        upstream.service = ServiceId { reader.text("service") };
+        upstream.service = ServiceId{ reader.text("service") };
     }
     upstream.batchSlots = static_cast<std::uint32_t>(reader.number("batch_slots", 1, mostSlots));
     upstream.checksFencing = reader.flag("checks_fencing", false);
@@ -83,14 +84,14 @@
 Service readService(JsonReader &reader, TicketNumber ticket)
 {
     reader.allowOnly({ "id", "idempotent" });
-    return Service { ServiceId { reader.text("id") }, reader.flag("idempotent", false), ticket };
+    return Service{ ServiceId{ reader.text("id") }, reader.flag("idempotent", false), ticket };
 }
 
 Zone readZone(JsonReader &reader, TicketNumber ticket)
 {
     reader.allowOnly({ "id", "seats" });
     Zone zone;
-    zone.id = ZoneId { reader.text("id") };
+    zone.id = ZoneId{ reader.text("id") };
     zone.seats = static_cast<std::uint32_t>(reader.number("seats", 1, 1000));
     zone.ticket = ticket;
     return zone;
@@ -136,7 +137,8 @@
     JsonReader reader(json.value(), "", complaint);
     reader.allowOnly({ "ticket", "by", "why", "set", "remove" });
     Ticket ticket;
-    ticket.number = TicketNumber { static_cast<std::uint64_t>(reader.number("ticket", 1, mostTicketNumber)) };
+    ticket.number = TicketNumber{ static_cast<std::uint64_t>(
+            reader.number("ticket", 1, mostTicketNumber)) };
     ticket.by = reader.text("by");
     ticket.why = reader.text("why");
     JsonReader sets = reader.object("set");
@@ -144,7 +146,7 @@
     JsonReader removals = reader.object("remove");
     readRemovals(removals, ticket);
     if (!complaint.empty())
-        return Error { ResultCode::TicketInvalid, complaint };
+        return Error{ ResultCode::TicketInvalid, complaint };
     return ticket;
 }
 
--- a/packages/tickets/tests/tickets_test.cpp
+++ b/packages/tickets/tests/tickets_test.cpp
@@ -17,7 +17,7 @@
     "services": [ { "id": "filings", "idempotent": false } ]
   } })";
 
-const KeyHash key { std::string(64, 'a') };
+const KeyHash key{ std::string(64, 'a') };
 
 StateInForce stateAfterFirst()
 {
@@ -33,22 +33,22 @@
     const StateInForce state = stateAfterFirst();
     const Result<const Customer *> customer = customerOf(state, key);
     ASSERT_TRUE(customer);
-    EXPECT_EQ(customer.value()->burst, Tokens { 4000 });
-    EXPECT_EQ(customer.value()->ticket, TicketNumber { 1 });
-    EXPECT_TRUE(adapterFor(state, CustomerId { "grua" }, AdapterRef { "routes@3" }));
-    EXPECT_FALSE(adapterFor(state, CustomerId { "other" }, AdapterRef { "routes@3" }));
+    EXPECT_EQ(customer.value()->burst, Tokens{ 4000 });
+    EXPECT_EQ(customer.value()->ticket, TicketNumber{ 1 });
+    EXPECT_TRUE(adapterFor(state, CustomerId{ "grua" }, AdapterRef{ "routes@3" }));
+    EXPECT_FALSE(adapterFor(state, CustomerId{ "other" }, AdapterRef{ "routes@3" }));
 }
 
-// An operator publishes ticket 3 before ticket 2, or the platform serves an old value again. Whoever
-// asks which tickets are in force must never see the number fall.
+// An operator publishes ticket 3 before ticket 2, or the platform serves an old value again.
+// Whoever asks which tickets are in force must never see the number fall.
 TEST(Tickets, NumbersNeitherSkipNorGoBack)
 {
     StateInForce state = stateAfterFirst();
     Ticket ticket = parseTicket(firstTicket).value();
     EXPECT_EQ(applyTicket(state, ticket).error().code, ResultCode::TicketOutOfOrder);
-    ticket.number = TicketNumber { 3 };
+    ticket.number = TicketNumber{ 3 };
     EXPECT_EQ(applyTicket(state, ticket).error().code, ResultCode::TicketOutOfOrder);
-    EXPECT_EQ(state.ticket, TicketNumber { 1 });
+    EXPECT_EQ(state.ticket, TicketNumber{ 1 });
 }
 
 // A ticket names a customer that nobody has created. Half of it in force would leave a key without
@@ -60,7 +60,7 @@
         "customers": [ { "id": "new", "rate": 1, "burst": 1 } ],
         "adapters": [ { "adapter": "x@1", "customer": "nobody", "base": "m" } ] } })";
     EXPECT_EQ(applyTicket(state, parseTicket(bad).value()).error().code, ResultCode::TicketInvalid);
-    EXPECT_FALSE(state.customers.contains(CustomerId { "new" }));
+    EXPECT_FALSE(state.customers.contains(CustomerId{ "new" }));
 }
 
 TEST(Tickets, ErrorsNameLineOrKey)
@@ -68,7 +68,8 @@
     const Result<Ticket> broken = parseTicket("{\n \"ticket\": 1,\n oops }");
     ASSERT_FALSE(broken);
     EXPECT_NE(broken.error().detail.find("line 3"), std::string::npos);
-    const Result<Ticket> misspelt = parseTicket(R"({ "ticket": 1, "by": "b", "why": "w", "set": { "custmers": [] } })");
+    const Result<Ticket> misspelt = parseTicket(
+            R"({ "ticket": 1, "by": "b", "why": "w", "set": { "custmers": [] } })");
     ASSERT_FALSE(misspelt);
     EXPECT_EQ(misspelt.error().detail, "set.custmers: is not a known key");
 }
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -74,16 +74,17 @@
 
 /// Whether the work of a refused request can have run at an upstream.
 enum class RunState : std::uint8_t {
-    NotRun, ///< It certainly did not run; sending it again is safe.
+    NotRun,  ///< It certainly did not run; sending it again is safe.
     Unknown, ///< It may have run.
-    Ran, ///< It ran.
+    Ran,     ///< It ran.
 };
 
 /// One row of the table of result codes.
 struct ResultCodeInfo
 {
     ResultCode code;
-    std::string_view name; ///< snake_case; the value of metric labels and of the body's `error.type`.
+    std::string_view
+            name;   ///< snake_case; the value of metric labels and of the body's `error.type`.
     int httpStatus; ///< The status a caller sees.
     std::string_view message; ///< One sentence for a caller.
 };
--- a/packages/units/include/azurewell/units/strong_id.h
+++ b/packages/units/include/azurewell/units/strong_id.h
@@ -9,12 +9,12 @@
 
 namespace azurewell {
 
-/// An identifier that cannot be mixed up with one of another kind. \a Tag is an empty type that names
-/// the kind; \a Value is the representation (a string for names, an integer for numbers).
+/// An identifier that cannot be mixed up with one of another kind. \a Tag is an empty type that
+/// names the kind; \a Value is the representation (a string for names, an integer for numbers).
 template <typename Tag, typename Value>
 struct StrongId
 {
-    Value value {};
+    Value value{};
 
     StrongId() = default;
     explicit StrongId(Value v)
@@ -32,6 +32,6 @@
 {
     std::size_t operator()(const azurewell::StrongId<Tag, Value> &id) const noexcept
     {
-        return std::hash<Value> {}(id.value);
+        return std::hash<Value>{}(id.value);
     }
 };
--- a/packages/units/include/azurewell/units/time.h
+++ b/packages/units/include/azurewell/units/time.h
@@ -11,7 +11,8 @@
 using Span = std::chrono::duration<std::int64_t, std::micro>;
 
 /// A point on the monotonic clock of one host, in microseconds from an arbitrary zero. Instants of
-/// different hosts must never be compared: a message carries spans, and each side counts from its own clock.
+/// different hosts must never be compared: a message carries spans, and each side counts from its
+/// own clock.
 struct Instant
 {
     std::int64_t micros = 0;
@@ -20,15 +21,15 @@
 
     friend constexpr Instant operator+(Instant at, Span span)
     {
-        return Instant { at.micros + span.count() };
+        return Instant{ at.micros + span.count() };
     }
     friend constexpr Instant operator-(Instant at, Span span)
     {
-        return Instant { at.micros - span.count() };
+        return Instant{ at.micros - span.count() };
     }
     friend constexpr Span operator-(Instant later, Instant earlier)
     {
-        return Span { later.micros - earlier.micros };
+        return Span{ later.micros - earlier.micros };
     }
 };
 
@@ -41,7 +42,7 @@
 /// \a seconds as a span, rounded towards zero to a microsecond.
 constexpr Span fromSeconds(double seconds)
 {
-    return Span { static_cast<std::int64_t>(seconds * 1e6) };
+    return Span{ static_cast<std::int64_t>(seconds * 1e6) };
 }
 
 } // namespace azurewell
--- a/packages/units/include/azurewell/units/tokens.h
+++ b/packages/units/include/azurewell/units/tokens.h
@@ -14,11 +14,11 @@
 
     friend Tokens operator+(Tokens a, Tokens b)
     {
-        return Tokens { a.count + b.count };
+        return Tokens{ a.count + b.count };
     }
     friend Tokens operator-(Tokens a, Tokens b)
     {
-        return Tokens { a.count - b.count };
+        return Tokens{ a.count - b.count };
     }
     Tokens &operator+=(Tokens other)
     {
--- a/packages/units/tests/units_test.cpp
+++ b/packages/units/tests/units_test.cpp
@@ -13,7 +13,7 @@
 {
     static_assert(!std::is_convertible_v<HostId, ZoneId>);
     static_assert(!std::is_constructible_v<CustomerId, HostId>);
-    EXPECT_EQ(HostId { "a" }, HostId { "a" });
+    EXPECT_EQ(HostId{ "a" }, HostId{ "a" });
 }
 
 TEST(Units, EveryResultCodeHasItsOwnNumberAndName)
@@ -28,15 +28,15 @@
 
 TEST(Units, DeadlinesAreInstants)
 {
-    const Instant start { 1'000'000 };
-    EXPECT_EQ(start + fromSeconds(0.5), Instant { 1'500'000 });
+    const Instant start{ 1'000'000 };
+    EXPECT_EQ(start + fromSeconds(0.5), Instant{ 1'500'000 });
     EXPECT_DOUBLE_EQ(toSeconds((start + fromSeconds(2)) - start), 2.0);
 }
 
 TEST(Units, ResultCarriesValueOrError)
 {
     const Result<int> good = 3;
-    const Result<int> bad = Error { ResultCode::TicketInvalid, "line 3" };
+    const Result<int> bad = Error{ ResultCode::TicketInvalid, "line 3" };
     ASSERT_TRUE(good);
     EXPECT_EQ(good.value(), 3);
     ASSERT_FALSE(bad);
--- /dev/null
+++ b/programs/azurewellctl/commands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+
+namespace azurewell::ctl {
+
+/// Each adds its subcommands to \a app. `exitCode` is what the program returns.
+void addTicketCommands(CLI::App &app, int &exitCode);
+void addShowCommand(CLI::App &app, int &exitCode);
+void addLoadCommand(CLI::App &app, int &exitCode);
+
+} // namespace azurewell::ctl
--- /dev/null
+++ b/programs/azurewellctl/load_command.cpp
@@ -0,0 +1,204 @@
+#include "azurewell/shell/clock.h"
+#include "azurewell/shell/upstream_pool.h"
+#include "commands.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <QtCore/QCoreApplication>
+#include <QtCore/QEventLoop>
+#include <QtCore/QTimer>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace azurewell::ctl {
+
+namespace {
+
+constexpr int requestTimeoutMillis = 120'000;
+
+struct LoadOptions
+{
+    std::string address = "127.0.0.1:8080";
+    std::string keyVariable = "AZUREWELL_KEY";
+    std::string model;
+    std::uint32_t requests = 100;
+    std::uint32_t concurrency = 10;
+    std::uint32_t maxTokens = 16;
+    bool isJson = false;
+    bool isQuiet = true;
+};
+
+struct LoadResults
+{
+    std::vector<double> firstTokenSeconds;
+    std::vector<double> wholeSeconds;
+    std::map<std::string, std::uint32_t> outcomes; ///< `whole`, or the refusal's type.
+    std::uint64_t tokens = 0;
+};
+
+/// Sends streamed requests, a fixed number at once, and measures what a caller sees.
+class LoadRun : public QObject
+{
+public:
+    LoadRun(const LoadOptions &loadOptions, QByteArray callerKey)
+        : options(loadOptions)
+        , key(std::move(callerKey))
+    {
+    }
+
+    LoadResults run()
+    {
+        for (std::uint32_t index = 0;
+             index < std::min(this->options.concurrency, this->options.requests); ++index)
+            this->sendNext();
+        if (this->open > 0)
+            this->loop.exec();
+        return this->results;
+    }
+
+private:
+    struct Open
+    {
+        Instant startedAt;
+        bool hasFirst = false;
+        QByteArray bytes;
+    };
+
+    void sendNext()
+    {
+        if (this->sent >= this->options.requests)
+            return;
+        ++this->sent;
+        ++this->open;
+        const nlohmann::json body{ { "model", this->options.model },
+                                   { "stream", true },
+                                   { "max_tokens", this->options.maxTokens },
+                                   { "prompt", "Draft a route justification." } };
+        QNetworkRequest request(QUrl("http://" + QString::fromStdString(this->options.address)
+                                     + "/v1/completions"));
+        request.setRawHeader("Content-Type", "application/json");
+        request.setRawHeader("X-Request-Id", "load-" + QByteArray::number(this->sent));
+        if (!this->key.isEmpty())
+            request.setRawHeader("Authorization", "Bearer " + this->key);
+        request.setTransferTimeout(requestTimeoutMillis);
+        const std::shared_ptr<Open> state = std::make_shared<Open>();
+        state->startedAt = monotonicNow();
+        QNetworkReply *reply = this->pool.send("POST",
+                                               QByteArray::fromStdString(this->options.address),
+                                               request, QByteArray::fromStdString(body.dump()));
+        QObject::connect(reply, &QNetworkReply::readyRead, this,
+                         [this, reply, state] { this->read(reply, *state); });
+        QObject::connect(reply, &QNetworkReply::finished, this,
+                         [this, reply, state] { this->finished(reply, *state); });
+    }
+
+    void read(QNetworkReply *reply, Open &state)
+    {
+        state.bytes += reply->readAll();
+        if (state.hasFirst || !state.bytes.startsWith("data: {"))
+            return;
+        state.hasFirst = true;
+        this->results.firstTokenSeconds.push_back(toSeconds(monotonicNow() - state.startedAt));
+    }
+
+    void finished(QNetworkReply *reply, Open &state)
+    {
+        this->read(reply, state);
+        reply->deleteLater();
+        this->results.wholeSeconds.push_back(toSeconds(monotonicNow() - state.startedAt));
+        const std::uint64_t tokens = static_cast<std::uint64_t>(state.bytes.count("\"delta\""));
+        this->results.tokens += tokens;
+        const bool isWhole = state.bytes.contains("data: [DONE]")
+                && tokens == this->options.maxTokens;
+        ++this->results.outcomes[isWhole ? "whole" : this->refusalIn(state.bytes)];
+        --this->open;
+        this->sendNext();
+        if (this->open == 0)
+            this->loop.quit();
+    }
+
+    std::string refusalIn(const QByteArray &bytes) const
+    {
+        const qsizetype at = bytes.indexOf("{\"error\"");
+        if (at < 0)
+            return "cut_off";
+        const QByteArray text = bytes.mid(at).split('\n').first();
+        const nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+        const nlohmann::json::json_pointer type("/error/type");
+        return json.is_object() && json.contains(type) ? json[type].get<std::string>() : "cut_off";
+    }
+
+    LoadOptions options;
+    QByteArray key;
+    UpstreamPool pool;
+    QEventLoop loop;
+    LoadResults results;
+    std::uint32_t sent = 0;
+    std::uint32_t open = 0;
+};
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const std::size_t index = static_cast<std::size_t>(part
+                                                       * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+void printReport(const LoadOptions &options, const LoadResults &results, double seconds)
+{
+    nlohmann::json json{ { "requests", options.requests },
+                         { "seconds", seconds },
+                         { "requests_per_second", options.requests / seconds },
+                         { "tokens_per_second", static_cast<double>(results.tokens) / seconds },
+                         { "outcomes", results.outcomes },
+                         { "first_token_p50_s", quantile(results.firstTokenSeconds, 0.5) },
+                         { "first_token_p95_s", quantile(results.firstTokenSeconds, 0.95) },
+                         { "first_token_p99_s", quantile(results.firstTokenSeconds, 0.99) },
+                         { "whole_p50_s", quantile(results.wholeSeconds, 0.5) },
+                         { "whole_p99_s", quantile(results.wholeSeconds, 0.99) } };
+    if (options.isJson) {
+        fmt::print("{}\n", json.dump());
+        return;
+    }
+    for (const auto &item : json.items())
+        fmt::print("{:<22} {}\n", item.key(), item.value().dump());
+}
+
+int load(const LoadOptions &options)
+{
+    const QByteArray key = qgetenv(options.keyVariable.c_str());
+    LoadRun run(options, key);
+    const Instant start = monotonicNow();
+    const LoadResults results = run.run();
+    printReport(options, results, toSeconds(monotonicNow() - start));
+    const auto whole = results.outcomes.find("whole");
+    return whole != results.outcomes.end() && whole->second == options.requests ? 0 : 1;
+}
+
+} // namespace
+
+void addLoadCommand(CLI::App &app, int &exitCode)
+{
+    CLI::App *command = app.add_subcommand("load",
+                                           "Send streamed requests and report what callers see");
+    const std::shared_ptr<LoadOptions> options = std::make_shared<LoadOptions>();
+    command->add_option("--address", options->address, "Where to send (IP:port)");
+    command->add_option("--key-variable", options->keyVariable,
+                        "Environment variable that holds the key");
+    command->add_option("--model", options->model, "adapter@version")->required();
+    command->add_option("--requests", options->requests, "How many, at most 1000000")
+            ->check(CLI::Range(1, 1000000));
+    command->add_option("--concurrency", options->concurrency, "How many at once, at most 2000")
+            ->check(CLI::Range(1, 2000));
+    command->add_option("--max-tokens", options->maxTokens, "Tokens of each answer");
+    command->add_flag("--json", options->isJson, "Report as one line of JSON");
+    command->callback([options, &exitCode] { exitCode = load(*options); });
+}
+
+} // namespace azurewell::ctl
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Builds, starts stand-ins and two hosts on this machine, sends a streamed request and a filing, shows
+# the answers, and stops everything it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+scripts/build.sh >/dev/null
+
+logs=$(mktemp -d)
+pids=()
+stop() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$logs"
+}
+trap stop EXIT
+
+wait_for() { # wait_for URL
+  for _ in $(seq 1 100); do
+    curl -sf -o /dev/null "$1" && return 0
+    sleep 0.1
+  done
+  echo "nothing answers at $1" >&2
+  cat "$logs"/*.log >&2
+  return 1
+}
+
+build/standins/azurewell-standins --settings examples/quickstart/standins.json >"$logs/standins.log" 2>&1 &
+pids+=($!)
+for host in h1 h2; do
+  build/programs/azurewelld/azurewelld --settings "examples/quickstart/$host.json" >"$logs/$host.log" 2>&1 &
+  pids+=($!)
+done
+wait_for http://127.0.0.1:19091/readyz
+wait_for http://127.0.0.1:19092/readyz
+sleep 2 # a new host's part of a rate starts empty
+
+key=quickstart-key
+echo "== a streamed request for routes@3 through host h1"
+answer=$(curl -sS -N http://127.0.0.1:18081/v1/completions -H "Authorization: Bearer $key" \
+  -H 'Content-Type: application/json' \
+  -d '{"model":"routes@3","stream":true,"max_tokens":5,"prompt":"Justify the route over the Alto de La Linea."}')
+echo "$answer"
+[ "$(grep -c '"model":"routes@3"' <<<"$answer")" -eq 5 ]
+grep -q 'data: \[DONE\]' <<<"$answer"
+
+echo "== a filing through host h2"
+answer=$(curl -sS -i http://127.0.0.1:18082/services/filings/notices -H "Authorization: Bearer $key" \
+  -H 'Content-Type: application/json' -d '{"notice":"transformer, 92 t"}')
+echo "$answer"
+grep -q '"run":1' <<<"$answer"
+
+echo "== what is in force on h2"
+build/programs/azurewellctl/azurewellctl show --host 127.0.0.1:19092 | head -20
+
+echo "== planned stop"
+for pid in "${pids[@]:1}"; do kill -TERM "$pid"; done
+for pid in "${pids[@]:1}"; do wait "$pid"; done
+echo "both hosts stopped with exit code 0"
--- /dev/null
+++ b/standins/include/azurewell/standins/engine.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "azurewell/standins/standin_server.h"
+#include "azurewell/standins/weight_store.h"
+
+#include <QtCore/QTimer>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace azurewell::standins {
+
+/// How an engine misbehaves; each field is one fault that a test can switch on.
+struct EngineFaults
+{
+    int closeAfterTokens = -1;   ///< Closes each stream after this many tokens.
+    int silentAfterTokens = -1;  ///< Stops sending after this many tokens, connection open.
+    bool crossesAnswers = false; ///< Answers carry the id of another request.
+    bool refuses = false;        ///< 503 to everything.
+    int failLoads = 0;           ///< This many loads fail.
+};
+
+struct EngineOptions
+{
+    std::uint32_t batchSlots = 8;
+    std::uint32_t adapterSlots = 4;
+    int tokenMillis = 5; ///< Between the tokens of a stream.
+    bool checksFencing = true;
+};
+
+/// Stand-in for a continuously batching engine with dynamic adapters: OpenAI-style streams, load
+/// and unload orders, a load report, cancel and resume. Each token's text names adapter, version
+/// and position, so that a test sees a wrong, doubled or missing one.
+class Engine : public StandinServer
+{
+public:
+    Engine(EngineOptions options, std::shared_ptr<WeightStore> store);
+
+    /// Loses everything, as a restarted engine does: streams end, nothing is loaded.
+    void restartCold();
+
+    EngineFaults faults;
+    std::uint64_t completed = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t tokensMade = 0;
+    std::uint64_t unloadedWhileServing
+            = 0;                    ///< Must stay 0: evictions of an adapter that was serving.
+    std::uint64_t wrongAdapter = 0; ///< Requests for an adapter that is not loaded.
+    std::uint64_t keysSeen = 0;     ///< Must stay 0: requests that carried a caller's key.
+    std::map<std::string, std::uint64_t> tokensByAdapter;
+
+protected:
+    void onRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
+
+private:
+    struct Sequence
+    {
+        QByteArray id;
+        std::string adapter;
+        QPointer<QTcpSocket> socket;
+        int made = 0;
+        int most = 0;
+        bool isStream = false;
+        bool isHeadSent = false;
+        QByteArray text;
+    };
+
+    void complete(const QHttpServerRequest &request, QTcpSocket *socket);
+    void loadAdapter(const QHttpServerRequest &request, QTcpSocket *socket);
+    void unloadAdapter(const QHttpServerRequest &request, QTcpSocket *socket);
+    void report(QTcpSocket *socket);
+    void cancel(const QByteArray &id);
+    void step();
+    bool stepSequence(Sequence &sequence);
+    bool isFenced(const QHttpServerRequest &request, QTcpSocket *socket);
+    bool isServing(const std::string &adapter) const;
+
+    EngineOptions options;
+    std::shared_ptr<WeightStore> store;
+    std::set<std::string> adapters;
+    std::uint32_t loading = 0;
+    std::vector<std::unique_ptr<Sequence>> running;
+    std::deque<std::unique_ptr<Sequence>> queued;
+    std::uint64_t highestFencing = 0;
+    std::uint64_t startNumber;
+    QTimer stepTimer;
+};
+
+} // namespace azurewell::standins
--- /dev/null
+++ b/standins/src/engine.cpp
@@ -0,0 +1,240 @@
+#include "azurewell/standins/engine.h"
+
+#include "azurewell/shell/clock.h"
+#include "azurewell/shell/http_text.h"
+
+#include <QtCore/QUrl>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace azurewell::standins {
+
+namespace {
+
+constexpr int defaultTokens = 16;
+
+nlohmann::json bodyOf(const QHttpServerRequest &request)
+{
+    const QByteArray body = request.body();
+    const nlohmann::json json = nlohmann::json::parse(body.begin(), body.end(), nullptr, false);
+    return json.is_object() ? json : nlohmann::json::object();
+}
+
+QByteArray eventOf(const QByteArray &id, const std::string &adapter, const std::string &text)
+{
+    const nlohmann::json delta{ { "id", id.toStdString() },
+                                { "model", adapter },
+                                { "choices",
+                                  { { { "index", 0 }, { "delta", { { "content", text } } } } } } };
+    return "data: " + QByteArray::fromStdString(delta.dump()) + "\n\n";
+}
+
+} // namespace
+
+Engine::Engine(EngineOptions engineOptions, std::shared_ptr<WeightStore> weights)
+    : options(engineOptions)
+    , store(std::move(weights))
+    , startNumber(wallMillis())
+{
+    QObject::connect(&this->stepTimer, &QTimer::timeout, this, [this] { this->step(); });
+    this->stepTimer.setTimerType(Qt::PreciseTimer);
+    this->stepTimer.start(this->options.tokenMillis);
+}
+
+void Engine::restartCold()
+{
+    for (const std::unique_ptr<Sequence> &sequence : this->running) {
+        if (sequence->socket)
+            sequence->socket->abort();
+    }
+    for (const std::unique_ptr<Sequence> &sequence : this->queued) {
+        if (sequence->socket)
+            sequence->socket->abort();
+    }
+    this->running.clear();
+    this->queued.clear();
+    this->adapters.clear();
+    ++this->startNumber;
+}
+
+void Engine::onRequest(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    const QString path = request.url().path();
+    if (!request.value("authorization").isEmpty())
+        ++this->keysSeen;
+    if (path == "/load")
+        this->report(socket);
+    else if (this->faults.refuses)
+        answer(socket, 503, "{}", request.value("x-request-id"));
+    else if (path == "/v1/chat/completions" || path == "/v1/completions")
+        this->complete(request, socket);
+    else if (path == "/v1/load_lora_adapter")
+        this->loadAdapter(request, socket);
+    else if (path == "/v1/unload_lora_adapter")
+        this->unloadAdapter(request, socket);
+    else if (path.startsWith("/v1/requests/") && path.endsWith("/cancel")) {
+        this->cancel(path.split('/').at(3).toUtf8());
+        answer(socket, 200, "{}");
+    } else {
+        answer(socket, 404, "{}");
+    }
+}
+
+void Engine::complete(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    const nlohmann::json body = bodyOf(request);
+    std::unique_ptr<Sequence> sequence = std::make_unique<Sequence>();
+    sequence->id = request.value("x-request-id");
+    if (this->faults.crossesAnswers)
+        sequence->id += "-other";
+    sequence->adapter = body.value("model", "");
+    sequence->socket = socket;
+    sequence->most = body.value("max_tokens", defaultTokens);
+    sequence->isStream = body.value("stream", false);
+    sequence->made = request.value("x-resume-from").toInt();
+    if (!this->adapters.contains(sequence->adapter)) {
+        ++this->wrongAdapter;
+        answer(socket, 404, R"({"error":"adapter not loaded"})", sequence->id);
+        return;
+    }
+    const QByteArray id = sequence->id;
+    QObject::connect(socket, &QTcpSocket::disconnected, this, [this, id] { this->cancel(id); });
+    this->queued.push_back(std::move(sequence));
+}
+
+void Engine::loadAdapter(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    if (this->isFenced(request, socket))
+        return;
+    const std::string name = bodyOf(request).value("lora_name", "");
+    if (this->faults.failLoads > 0) {
+        --this->faults.failLoads;
+        answer(socket, 500, R"({"error":"load failed"})");
+        return;
+    }
+    const bool isFull = this->adapters.size() + this->loading >= this->options.adapterSlots;
+    if (isFull && !this->adapters.contains(name)) {
+        answer(socket, 409, R"({"error":"no adapter slot"})");
+        return;
+    }
+    ++this->loading;
+    const Span takes = this->store->begin(monotonicNow());
+    const std::uint64_t start = this->startNumber;
+    QPointer<QTcpSocket> asker = socket;
+    QTimer::singleShot(static_cast<int>(toSeconds(takes) * 1000), this, [this, name, asker, start] {
+        this->store->end();
+        --this->loading;
+        const bool hasRestarted = start != this->startNumber;
+        if (!hasRestarted)
+            this->adapters.insert(name);
+        if (asker)
+            answer(asker, hasRestarted ? 500 : 200, "{}");
+    });
+}
+
+void Engine::unloadAdapter(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    if (this->isFenced(request, socket))
+        return;
+    const std::string name = bodyOf(request).value("lora_name", "");
+    if (this->isServing(name))
+        ++this->unloadedWhileServing;
+    this->adapters.erase(name);
+    answer(socket, 200, "{}");
+}
+
+bool Engine::isFenced(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    const std::uint64_t number = request.value("x-fencing-number").toULongLong();
+    if (this->options.checksFencing && number < this->highestFencing) {
+        answer(socket, 409, R"({"error":"old fencing number"})");
+        return true;
+    }
+    this->highestFencing = std::max(this->highestFencing, number);
+    return false;
+}
+
+bool Engine::isServing(const std::string &adapter) const
+{
+    const auto usesIt = [&adapter](const std::unique_ptr<Sequence> &sequence) {
+        return sequence->adapter == adapter;
+    };
+    return std::any_of(this->running.begin(), this->running.end(), usesIt)
+            || std::any_of(this->queued.begin(), this->queued.end(), usesIt);
+}
+
+void Engine::report(QTcpSocket *socket)
+{
+    const nlohmann::json json{ { "running", this->running.size() },
+                               { "queued", this->queued.size() },
+                               { "start", this->startNumber },
+                               { "adapters", this->adapters } };
+    answer(socket, 200, QByteArray::fromStdString(json.dump()));
+}
+
+void Engine::cancel(const QByteArray &id)
+{
+    const auto isIt = [&id](const std::unique_ptr<Sequence> &sequence) {
+        return sequence->id == id;
+    };
+    this->cancelled += std::erase_if(this->running, isIt) + std::erase_if(this->queued, isIt);
+}
+
+void Engine::step()
+{
+    while (this->running.size() < this->options.batchSlots && !this->queued.empty()) {
+        this->running.push_back(std::move(this->queued.front()));
+        this->queued.pop_front();
+    }
+    std::erase_if(this->running, [this](std::unique_ptr<Sequence> &sequence) {
+        return this->stepSequence(*sequence);
+    });
+}
+
+/// Makes the next token. True where the sequence has ended.
+bool Engine::stepSequence(Sequence &sequence)
+{
+    if (!sequence.socket)
+        return true;
+    if (this->faults.silentAfterTokens >= 0 && sequence.made >= this->faults.silentAfterTokens)
+        return false;
+    const RequestId id{ sequence.id.toStdString() };
+    if (this->faults.closeAfterTokens >= 0 && sequence.made >= this->faults.closeAfterTokens) {
+        QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
+        sequence.socket->disconnectFromHost();
+        return true;
+    }
+    ++this->tokensMade;
+    ++this->tokensByAdapter[sequence.adapter];
+    const std::string text = sequence.adapter + "#" + std::to_string(sequence.made++) + " ";
+    if (sequence.isStream) {
+        if (!sequence.isHeadSent)
+            sequence.socket->write(chunkedHead("text/event-stream", id));
+        sequence.isHeadSent = true;
+        sequence.socket->write(chunkOf(eventOf(sequence.id, sequence.adapter, text)));
+    } else {
+        sequence.text += QByteArray::fromStdString(text);
+    }
+    if (sequence.made < sequence.most)
+        return false;
+    ++this->completed;
+    QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
+    if (sequence.isStream) {
+        sequence.socket->write(chunkOf("data: [DONE]\n\n") + chunkOf({}));
+    } else {
+        const nlohmann::json json{
+            { "id", id.value },
+            { "model", sequence.adapter },
+            { "choices",
+              { { { "index", 0 },
+                  { "message", { { "content", sequence.text.toStdString() } } } } } },
+            { "usage", { { "completion_tokens", sequence.made } } }
+        };
+        answer(sequence.socket, 200, QByteArray::fromStdString(json.dump()), sequence.id);
+    }
+    return true;
+}
+
+} // namespace azurewell::standins
