Fix a use after free at the end of UpstreamPool; lint by file

Cause: the pool's count of open requests was destroyed before the access manager, whose replies count down as they go; valgrind showed the read in ~QNetworkAccessManager. Before: azurewellctl load aborted after its run.

--- a/packages/shell/include/azurewell/shell/upstream_pool.h
+++ b/packages/shell/include/azurewell/shell/upstream_pool.h
@@ -34,8 +34,8 @@
 private:
     struct Manager
     {
+        QHash<QByteArray, int> open; ///< Outlives `access`, whose replies count down when they go.
         std::unique_ptr<QNetworkAccessManager> access;
-        QHash<QByteArray, int> open;
     };
 
     Manager &managerFor(const QByteArray &address);
--- a/packages/shell/src/peer_links.cpp
+++ b/packages/shell/src/peer_links.cpp
@@ -50,7 +50,7 @@
             socket->abort();
             return;
         }
-        if (socket->bytesAvailable() < static_cast<qint64>(frameHeadBytes + length.value()))
+        if (socket->bytesAvailable() < static_cast<qint64>(frameHeadBytes) + length.value())
             return;
         socket->skip(frameHeadBytes);
         const QByteArray payload = socket->read(length.value());
--- a/packages/tickets/src/state_in_force.cpp
+++ b/packages/tickets/src/state_in_force.cpp
@@ -57,7 +57,7 @@
                       "ticket " + std::to_string(ticket.number.value) + " after ticket "
                               + std::to_string(state.ticket.value) };
     }
-    const Result<TicketNumber> checked = checkReferences(state, ticket);
+    Result<TicketNumber> checked = checkReferences(state, ticket);
     if (!checked)
         return checked;
 
--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Fails on any finding of clang-tidy. Needs the compile commands of a configured build/. A file whose
 # text, settings and included headers have not changed since it was found clean is not checked again.
+# With arguments: checks only those files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 stamps=${XDG_CACHE_HOME:-$HOME/.cache}/azurewell-lint
@@ -13,5 +14,10 @@
   clang-tidy -p build --quiet "$1" 2>/dev/null && touch "$stamp"
 }
 export -f lint_one
-git ls-files '*.cpp' | grep -v '/generated/' | grep -v '^fuzz/' | xargs -P "$(nproc)" -I{} bash -c "lint_one {} $stamps $headers"
+if [ $# -gt 0 ]; then
+  files=$(printf '%s\n' "$@")
+else
+  files=$(git ls-files '*.cpp' | grep -v '/generated/' | grep -v '^fuzz/')
+fi
+xargs -P "$(nproc)" -I{} bash -c "lint_one {} $stamps $headers" <<<"$files"
 echo "lint: clean"
