--- /dev/null
+++ b/benchmark/load_patterns/fakes.cpp
@@ -0,0 +1,28 @@
+#include "fakes.h"
+
+#include <algorithm>
+
+namespace azurewell::load {
+
+namespace {
+
+constexpr double loadSeconds = 0.25;
+constexpr double fullSpeedInFlight = 8;
+
+} // namespace
+
+Instant beginLoad(FakeWeightStore &store, Instant now)
+{
+    ++store.inFlight;
+    const Instant start = std::max(now, store.nextStart);
+    store.nextStart = start + fromSeconds(store.slowness / store.loadsPerSecond);
+    const double crowding = std::max(1.0, static_cast<double>(store.inFlight) / fullSpeedInFlight);
+    return start + fromSeconds(loadSeconds * crowding * store.slowness);
+}
+
+void endLoad(FakeWeightStore &store)
+{
+    --store.inFlight;
+}
+
+} // namespace azurewell::load
