--- a/cmake/AzurewellInstall.cmake
+++ b/cmake/AzurewellInstall.cmake
@@ -12,3 +12,18 @@
               ${CMAKE_CURRENT_BINARY_DIR}/azurewellConfigVersion.cmake
         DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/azurewell)
 install(DIRECTORY charts/ DESTINATION ${CMAKE_INSTALL_DATADIR}/azurewell/charts)
+install(DIRECTORY examples/quickstart examples/vigia-andina examples/cintrage-tubes
+        DESTINATION ${CMAKE_INSTALL_DATADIR}/azurewell/examples)
+install(FILES packaging/azurewellctl.1 DESTINATION ${CMAKE_INSTALL_MANDIR}/man1)
+install(FILES packaging/azurewelld.8 DESTINATION ${CMAKE_INSTALL_MANDIR}/man8)
+install(FILES packaging/azurewelld.service DESTINATION lib/systemd/system)
+
+# `cpack` in the build directory makes a Debian package.
+set(CPACK_GENERATOR DEB)
+set(CPACK_PACKAGE_NAME azurewell)
+set(CPACK_PACKAGE_CONTACT "azurewell maintainers <maintainers@users.noreply.azurewell.example>")
+set(CPACK_PACKAGE_DESCRIPTION_SUMMARY "Serving layer for very many LoRA adapters")
+set(CPACK_PACKAGING_INSTALL_PREFIX /usr)
+set(CPACK_DEBIAN_PACKAGE_SHLIBDEPS ON)
+set(CPACK_DEBIAN_FILE_NAME DEB-DEFAULT)
+include(CPack)
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs what the build needs on a fresh Debian 12 machine. Does nothing where all of it is there.
 set -euo pipefail
 packages=(build-essential cmake ninja-build ccache clang clang-format clang-tidy clang-tools
-  qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
+  qt6-base-dev qt6-httpserver-dev qt6-websockets-dev qt6-scxml-dev
   thrift-compiler libthrift-dev libcli11-dev libfmt-dev libboost-dev nlohmann-json3-dev
   libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev libclang-rt-14-dev curl)
 missing=()
--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -40,6 +40,11 @@
         return;
     }
     const QByteArray key = request.url().path().mid(keyPath.size()).toUtf8();
+    if (request.method() == QHttpServerRequest::Method::Put) {
+        this->publish(key, request.body()); // operators write; the system only reads
+        answer(socket, 200, "true");
+        return;
+    }
     const std::uint64_t known = request.query().queryItemValue("index").toULongLong();
     const auto value = this->values.find(key);
     const std::uint64_t current = value == this->values.end() ? 1 : value->second.index;
