--- a/benchmark/capacity/fleet_model.cpp
+++ b/benchmark/capacity/fleet_model.cpp
@@ -68,7 +68,7 @@
         identity.zone = ZoneId{ zoneName(index % this->options.zones) };
         identity.seat = SeatNumber{ index / this->options.zones };
         identity.peerAddress = fmt::format("10.0.{}.{}:7070", index / 250, index % 250);
-        identity.incarnation = Incarnation{ 1'796'254'609'541 + index };
+        identity.incarnation = Incarnation{ 1'796'254'609'541ULL + index };
         identity.randomSeed = index;
         this->indexOf[identity.id] = index;
         list.hosts.push_back(ListedHost{ identity.id, identity.zone, identity.peerAddress, false });
