--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -6,33 +6,10 @@
 scripts/install-packages.sh
 scripts/build.sh >/dev/null
 
+source scripts/quickstart-fleet.sh
 logs=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$logs"
-}
-trap stop EXIT
-
-wait_for() { # wait_for URL
-  for _ in $(seq 1 100); do
-    curl -sf -o /dev/null "$1" && return 0
-    sleep 0.1
-  done
-  echo "nothing answers at $1" >&2
-  cat "$logs"/*.log >&2
-  return 1
-}
-
-build/standins/azurewell-standins --settings examples/quickstart/standins.json >"$logs/standins.log" 2>&1 &
-pids+=($!)
-for host in h1 h2; do
-  build/programs/azurewelld/azurewelld --settings "examples/quickstart/$host.json" >"$logs/$host.log" 2>&1 &
-  pids+=($!)
-done
-wait_for http://127.0.0.1:19091/readyz
-wait_for http://127.0.0.1:19092/readyz
+trap 'stop_fleet; rm -rf "$logs"' EXIT
+start_fleet "$PWD/build" "$logs" || { cat "$logs"/*.log >&2; exit 1; }
 sleep 2 # a new host's part of a rate starts empty
 
 key=quickstart-key
@@ -54,6 +31,6 @@
 build/programs/azurewellctl/azurewellctl show --host 127.0.0.1:19092 | head -20
 
 echo "== planned stop"
-for pid in "${pids[@]:1}"; do kill -TERM "$pid"; done
-for pid in "${pids[@]:1}"; do wait "$pid"; done
+for pid in "${fleet_pids[@]:1}"; do kill -TERM "$pid"; done
+for pid in "${fleet_pids[@]:1}"; do wait "$pid"; done
 echo "both hosts stopped with exit code 0"
