Call numbers and permits: at most once across hosts

Cause: a filing was sent once by the host that got it, but a caller's repeat at another host, or after its connection broke, ran it again: no host knew of the other's call.

Hosts issue call numbers that name their own instance. Any host that gets a call asks that instance for the permit, sends the call itself before the permit's end and reports the outcome; a repeat hears done (with the held answer), in progress, not run or outcome unknown.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -82,6 +82,39 @@
   2: string text
 }
 
+struct PermitAsk {
+  1: string number
+  2: string customer
+  3: string request
+  4: i64 untilDeadline
+}
+
+struct HeldAnswer {
+  1: i32 status
+  2: string contentType
+  3: binary body
+}
+
+struct PermitReply {
+  1: string number
+  2: string request
+  3: i32 verdict
+  4: i64 length
+  5: HeldAnswer answer
+}
+
+struct OutcomeReport {
+  1: string number
+  2: string customer
+  3: string request
+  4: i32 outcome
+  5: HeldAnswer answer
+}
+
+struct OutcomeAck {
+  1: string request
+}
+
 union Body {
   1: Heartbeat heartbeat
   2: SlotAsk slotAsk
@@ -92,6 +125,10 @@
   7: TicketAsk ticketAsk
   8: TicketPush ticketPush
   9: SlotRenewed slotRenewed
+  40: PermitAsk permitAsk
+  41: PermitReply permitReply
+  42: OutcomeReport outcomeReport
+  43: OutcomeAck outcomeAck
 }
 
 struct Envelope {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/calls/call_ledger.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/result_code.h"
 #include "azurewell/units/time.h"
@@ -108,8 +109,23 @@
     std::string text;
 };
 
+/// The issuing instance's answer to a PermitAsk.
+struct PermitReply
+{
+    CallNumber number;
+    RequestId request;
+    PermitAnswer answer;
+};
+
+/// The issuing instance has noted the OutcomeReport of this request.
+struct OutcomeAck
+{
+    RequestId request;
+};
+
 using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
-                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed>;
+                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
+                              PermitAsk, PermitReply, OutcomeReport, OutcomeAck>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/fleet/codec.h"
 
-#include <peer_types.h>
+#include "codec_calls.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -139,6 +139,22 @@
         push.__set_text(in.text);
         this->out.__set_ticketPush(push);
     }
+    void operator()(const PermitAsk &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const PermitReply &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const OutcomeReport &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const OutcomeAck &in) const
+    {
+        writeBody(this->out, in);
+    }
 };
 
 Heartbeat fromWire(const wire::Heartbeat &in)
@@ -221,7 +237,7 @@
     if (in.__isset.ticketPush)
         return TicketPush{ TicketNumber{ static_cast<std::uint64_t>(in.ticketPush.number) },
                            in.ticketPush.text };
-    return std::monostate{};
+    return readCallBody(in);
 }
 
 } // namespace
--- a/packages/fleet/tests/codec_test.cpp
+++ b/packages/fleet/tests/codec_test.cpp
@@ -36,6 +36,38 @@
     EXPECT_EQ(got.untilDeadline, ask.untilDeadline);
 }
 
+TEST(Codec, MessagesAboutCallsComeBackWhole)
+{
+    const PermitReply reply{ CallNumber{ "h.1.2.0000000a" }, RequestId{ "r" },
+                             PermitAnswer{ PermitVerdict::Done, Span{ 7 },
+                                           HeldAnswer{ 201, "t", std::string("a\0b", 3) } } };
+    const PeerMessage replied = throughTheWire(PeerMessage{ HostId{ "h" }, {}, reply });
+    const PermitReply &gotReply = std::get<PermitReply>(replied.body);
+    EXPECT_EQ(gotReply.number, reply.number);
+    EXPECT_EQ(gotReply.answer.verdict, PermitVerdict::Done);
+    EXPECT_EQ(gotReply.answer.length, Span{ 7 });
+    EXPECT_EQ(gotReply.answer.answer.status, 201);
+    EXPECT_EQ(gotReply.answer.answer.body.size(), 3U);
+    const OutcomeReport report{
+        reply.number, CustomerId{ "c" }, RequestId{ "r" }, CallOutcome::NotRun, {}
+    };
+    const PeerMessage reported = throughTheWire(PeerMessage{ HostId{ "h" }, {}, report });
+    EXPECT_EQ(std::get<OutcomeReport>(reported.body).outcome, CallOutcome::NotRun);
+    EXPECT_EQ(std::get<OutcomeReport>(reported.body).customer, CustomerId{ "c" });
+}
+
+// A host of a newer version sends a verdict and an outcome that this one does not know. Taken for a
+// permit or for "not run" they would let a call run twice.
+TEST(Codec, AnUnknownVerdictIsNoPermit)
+{
+    const PermitReply reply{ {}, {}, PermitAnswer{ static_cast<PermitVerdict>(99), {}, {} } };
+    const PeerMessage replied = throughTheWire(PeerMessage{ HostId{ "h" }, {}, reply });
+    EXPECT_EQ(std::get<PermitReply>(replied.body).answer.verdict, PermitVerdict::Unknown);
+    const OutcomeReport report{ {}, {}, {}, static_cast<CallOutcome>(99), {} };
+    const PeerMessage reported = throughTheWire(PeerMessage{ HostId{ "h" }, {}, report });
+    EXPECT_EQ(std::get<OutcomeReport>(reported.body).outcome, CallOutcome::Unknown);
+}
+
 // Something else than a host connects to the peer port and sends bytes at random, or a frame that
 // claims two gigabytes. The host must neither stop nor allocate them.
 TEST(Codec, GarbageIsRefused)
--- a/packages/host/include/azurewell/host/actions.h
+++ b/packages/host/include/azurewell/host/actions.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace azurewell {
 
@@ -18,6 +19,20 @@
     std::string detail;
 };
 
+/// Answer a caller's repeat of a call that has run with the answer that the call got.
+struct AnswerHeld
+{
+    RequestId request;
+    HeldAnswer answer;
+};
+
+/// Answer a caller with numbers for its next calls.
+struct AnswerNumbers
+{
+    RequestId request;
+    std::vector<CallNumber> numbers;
+};
+
 /// Send a request to an upstream and pass its answer on.
 struct Dispatch
 {
@@ -76,6 +91,6 @@
 };
 
 using Action = std::variant<Refuse, Dispatch, CancelAttempt, SendPeer, OrderEngine, AskLoad,
-                            TicketNoted, LeaveProcess>;
+                            TicketNoted, LeaveProcess, AnswerHeld, AnswerNumbers>;
 
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -9,7 +9,11 @@
 
 namespace azurewell {
 
-enum class RequestKind : std::uint8_t { Completion, ServiceCall };
+enum class RequestKind : std::uint8_t {
+    Completion,
+    ServiceCall,
+    CallNumbers, ///< Asks for numbers for calls that must not be repeated.
+};
 
 /// A caller's request, head and body read; the shell keeps the body.
 struct RequestArrived
@@ -20,6 +24,8 @@
     AdapterRef adapter;        ///< Completions.
     ServiceId service;         ///< Service calls.
     bool isSafeMethod = false; ///< GET or HEAD: may be sent twice whatever the service is.
+    CallNumber callNumber;     ///< Service calls; empty where the caller gave none.
+    std::uint32_t numbers = 0; ///< How many call numbers are asked for.
     Tokens promptTokens;
     Tokens mostGenerated;
     Instant deadline;
@@ -56,6 +62,7 @@
     AttemptOutcome outcome = AttemptOutcome::Done;
     Tokens generated;            ///< Passed on to the caller, all attempts together.
     bool hasAnswerBegun = false; ///< The caller has seen the head of an answer.
+    HeldAnswer answer{};         ///< Of a numbered call, where it is short enough to be held.
 };
 
 struct PeerMessageReceived
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/charts/known_charts.h"
 #include "azurewell/fleet/membership.h"
+#include "azurewell/host/call_state.h"
 #include "azurewell/host/counters.h"
 #include "azurewell/host/events.h"
 #include "azurewell/limits/token_bucket.h"
@@ -46,6 +47,7 @@
     std::uint32_t attempt = 0;
     std::set<UpstreamId> failedAt; ///< Not tried again for this request.
     bool isIdempotent = true;
+    bool isCallerGone = false; ///< A numbered call that goes on for its outcome.
 };
 
 /// A slot that this host, as keeper, has granted.
@@ -103,6 +105,8 @@
     std::map<UpstreamId, KeptEngine> kept;
     RetryBudget retryBudget;
 
+    CallState calls;
+
     std::uint64_t nextSerial = 1;
     std::map<std::uint64_t, Instant> serialSentAt; ///< When each ask or renewal was sent.
     std::deque<PeerMessage> loopback;              ///< Messages of this host to itself.
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -11,7 +11,7 @@
 void stopIfDrained(Step &step)
 {
     HostState &state = step.state;
-    if (state.process != ProcessState::Draining || !state.requests.empty())
+    if (state.process != ProcessState::Draining || !state.requests.empty() || hasOpenCalls(step))
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
     step.actions.emplace_back(LeaveProcess{});
@@ -23,6 +23,7 @@
     expireRequests(step);
     admitWaiting(step);
     tendEngines(step);
+    tendCalls(step);
     sendHeartbeats(step);
     stopIfDrained(step);
 }
@@ -92,6 +93,9 @@
     HostState state;
     state.random.seed(identity.randomSeed);
     state.fencing = FencingNumber{ identity.incarnation.value };
+    state.calls.ledger.host = identity.id;
+    state.calls.ledger.incarnation = identity.incarnation;
+    state.calls.ledger.secret = state.random();
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -26,6 +26,34 @@
 /// Refuses requests whose key, customer or adapter is no longer in force.
 void enforceTickets(Step &step);
 
+/// Ends a request with a refusal; what it says of the run is corrected to what is known.
+void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState);
+/// Ends a request that was answered.
+void endRequest(Step &step, RequestRecord &record);
+/// Sends a service call to a back end.
+void callService(Step &step, RequestRecord &record);
+RequestRecord *recordOf(HostState &state, const RequestId &id);
+
+// calls.cpp: calls that must not be repeated.
+/// Whether \a record may run only under its call number's permit.
+bool needsPermit(const RequestRecord &record);
+void seekPermit(Step &step, RequestRecord &record);
+/// What a refusal may say of a numbered call that this host itself has not sent.
+RunState runStateUnsent(Step &step, const RequestRecord &record);
+/// Until when the call may be sent.
+Instant permitEnd(const Step &step, const RequestRecord &record);
+/// Tells the issuer what became of the call, once.
+void settleCall(Step &step, const RequestRecord &record, CallOutcome outcome,
+                const HeldAnswer &answer = {});
+void onPermitAsk(Step &step, const HostId &asker, const PermitAsk &ask);
+void onPermitReply(Step &step, const PeerMessage &message, const PermitReply &reply);
+void onOutcomeReport(Step &step, const HostId &holder, const OutcomeReport &report);
+void onOutcomeAck(Step &step, const OutcomeAck &ack);
+void issueNumbers(Step &step, const RequestArrived &event, const CustomerId &customer);
+void tendCalls(Step &step);
+/// Whether reports are still to be sent or awaited.
+bool hasOpenCalls(const Step &step);
+
 // slots.cpp: this host as keeper of engines.
 void onSlotAsk(Step &step, const HostId &asker, const SlotAsk &ask);
 void onSlotRenewal(Step &step, const HostId &asker, const SlotRenewal &renewal);
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -74,6 +74,22 @@
     {
         onTicketAsk(this->step, this->message.sender, ask);
     }
+    void operator()(const PermitAsk &ask) const
+    {
+        onPermitAsk(this->step, this->message.sender, ask);
+    }
+    void operator()(const PermitReply &reply) const
+    {
+        onPermitReply(this->step, this->message, reply);
+    }
+    void operator()(const OutcomeReport &report) const
+    {
+        onOutcomeReport(this->step, this->message.sender, report);
+    }
+    void operator()(const OutcomeAck &ack) const
+    {
+        onOutcomeAck(this->step, ack);
+    }
     void operator()(const TicketPush &push) const
     {
         onTicketRead(this->step, push.text);
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -20,12 +20,16 @@
 /// Tells callers when to come back where nothing better is known.
 constexpr Span defaultRetryAfter = fromSeconds(1);
 
+} // namespace
+
 RequestRecord *recordOf(HostState &state, const RequestId &id)
 {
     const auto found = state.requests.find(id);
     return found == state.requests.end() ? nullptr : &found->second;
 }
 
+namespace {
+
 Tokens costOf(const RequestArrived &asked)
 {
     return asked.promptTokens + asked.mostGenerated;
@@ -63,7 +67,8 @@
         sendTo(step, record.keeper, SlotRelease{ record.asked.request, record.upstream, used });
 }
 
-/// Ends a request: slot and tokens go back, the record goes.
+} // namespace
+
 void endRequest(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
@@ -71,6 +76,8 @@
         KnownUpstream &upstream = state.upstreams[record.upstream];
         upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
     }
+    if (needsPermit(record)) // where nothing was said before, only a call never sent is "not run"
+        settleCall(step, record, record.attempt == 0 ? CallOutcome::NotRun : CallOutcome::Unknown);
     releaseSlot(step, record, record.asked.promptTokens + record.generated);
     returnTokens(step, record);
     const RequestId id = record.asked.request; // a copy: the record holds the original
@@ -80,10 +87,16 @@
 
 void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState)
 {
+    if (needsPermit(record) && runState == RunState::NotRun)
+        runState = runStateUnsent(step, record);
+    else if (needsPermit(record))
+        settleCall(step, record, CallOutcome::Unknown);
     refuse(step, record.asked.request, code, runState, defaultRetryAfter);
     endRequest(step, record);
 }
 
+namespace {
+
 UpstreamView viewOf(const HostState &state, const RequestRecord &record, const Upstream &upstream)
 {
     UpstreamView view;
@@ -159,6 +172,8 @@
                                         record.isIdempotent, notAfter });
 }
 
+} // namespace
+
 void callService(Step &step, RequestRecord &record)
 {
     const std::optional<UpstreamId> backEnd = chooseBackEnd(viewsFor(step.state, record));
@@ -166,10 +181,18 @@
         endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
         return;
     }
+    const Instant sendBefore = needsPermit(record) ? permitEnd(step, record)
+                                                   : record.asked.deadline;
+    if (sendBefore <= step.now) {
+        endRefused(step, record, ResultCode::WaitedTooLong, RunState::NotRun);
+        return;
+    }
     record.upstream = *backEnd;
-    dispatch(step, record, record.asked.deadline);
+    dispatch(step, record, sendBefore);
 }
 
+namespace {
+
 void seekSlot(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
@@ -203,7 +226,9 @@
 void start(Step &step, RequestRecord &record)
 {
     countFirstTry(step.state.retryBudget);
-    if (record.asked.kind == RequestKind::ServiceCall)
+    if (needsPermit(record))
+        seekPermit(step, record);
+    else if (record.asked.kind == RequestKind::ServiceCall)
         callService(step, record);
     else
         seekSlot(step, record);
@@ -239,11 +264,20 @@
     if (earliest <= patience)
         return false;
     const Span wait = earliest == never ? defaultRetryAfter : earliest - step.now;
-    refuse(step, record.asked.request, ResultCode::RateExceeded, RunState::NotRun, wait);
+    const RunState runState = needsPermit(record) ? runStateUnsent(step, record) : RunState::NotRun;
+    refuse(step, record.asked.request, ResultCode::RateExceeded, runState, wait);
     endRequest(step, record);
     return true;
 }
 
+/// A call with a number may have run for an earlier request; "not run" would make its caller send
+/// it under a new number, and it would run twice.
+RunState runStateAtArrival(const RequestArrived &event)
+{
+    const bool isNumbered = !event.callNumber.value.empty() && !event.isSafeMethod;
+    return isNumbered ? RunState::Unknown : RunState::NotRun;
+}
+
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -313,7 +347,8 @@
         endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
         return;
     }
-    if (record.attempt >= mostAttempts || record.asked.deadline <= step.now) {
+    if (record.isCallerGone || record.attempt >= mostAttempts
+        || record.asked.deadline <= step.now) {
         endRefused(step, record, refusalOf(outcome), runState);
         return;
     }
@@ -336,16 +371,21 @@
 {
     HostState &state = step.state;
     ++state.counters.arrived;
+    const RunState unsent = runStateAtArrival(event);
     if (state.process != ProcessState::Serving) {
         const bool isStarting = state.process == ProcessState::Starting;
         refuse(step, event.request,
-               isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
+               isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, unsent,
                defaultRetryAfter);
         return;
     }
     const Result<const Customer *> customer = customerOf(state.inForce, event.key);
     if (!customer) {
-        refuse(step, event.request, customer.error().code, RunState::NotRun);
+        refuse(step, event.request, customer.error().code, unsent);
+        return;
+    }
+    if (event.kind == RequestKind::CallNumbers) {
+        issueNumbers(step, event, customer.value()->id);
         return;
     }
     RequestRecord record;
@@ -355,20 +395,20 @@
         const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer,
                                                            event.adapter);
         if (!adapter) {
-            refuse(step, event.request, adapter.error().code, RunState::NotRun);
+            refuse(step, event.request, adapter.error().code, unsent);
             return;
         }
     } else {
         const Result<const Service *> service = serviceFor(state.inForce, *customer.value(),
                                                            event.service);
         if (!service) {
-            refuse(step, event.request, service.error().code, RunState::NotRun);
+            refuse(step, event.request, service.error().code, unsent);
             return;
         }
         record.isIdempotent = event.isSafeMethod || service.value()->isIdempotent;
     }
     if (costOf(event) > customer.value()->burst) {
-        refuse(step, event.request, ResultCode::ExceedsBurst, RunState::NotRun);
+        refuse(step, event.request, ResultCode::ExceedsBurst, unsent);
         return;
     }
     RequestRecord &kept = state.requests[event.request] = std::move(record);
@@ -486,6 +526,10 @@
     RequestRecord *record = recordOf(step.state, event.request);
     if (!record)
         return;
+    if (record->phase == RequestPhase::Running && needsPermit(*record)) {
+        record->isCallerGone = true; // the call goes on: its outcome answers the caller's repeat
+        return;
+    }
     if (record->phase == RequestPhase::Running) {
         const auto upstream = step.state.inForce.upstreams.find(record->upstream);
         const std::string address = upstream == step.state.inForce.upstreams.end()
@@ -517,6 +561,8 @@
     noteUpstreamOutcome(step, record->upstream, event.outcome);
     if (event.outcome == AttemptOutcome::Done) {
         ++step.state.counters.completed;
+        if (needsPermit(*record))
+            settleCall(step, *record, CallOutcome::Done, event.answer);
         endRequest(step, *record);
         return;
     }
--- a/packages/shell/include/azurewell/shell/caller_request.h
+++ b/packages/shell/include/azurewell/shell/caller_request.h
@@ -16,6 +16,7 @@
     QByteArray path; ///< With the query, as the upstream gets it.
     QByteArray contentType;
     QByteArray body;
+    QByteArray callNumber; ///< From X-Call-Number; passed on to the service.
     bool isStream = false;
 };
 
--- a/packages/shell/include/azurewell/shell/traffic_worker.h
+++ b/packages/shell/include/azurewell/shell/traffic_worker.h
@@ -27,7 +27,7 @@
 /// What a traffic thread tells the control thread.
 using TrafficReport = std::variant<Event, RefusedEarly>;
 /// What the control thread tells a traffic thread.
-using TrafficOrder = std::variant<Refuse, Dispatch, CancelAttempt>;
+using TrafficOrder = std::variant<Refuse, Dispatch, CancelAttempt, AnswerHeld, AnswerNumbers>;
 
 /// One traffic thread's work: callers' connections and the attempts at upstreams. Lives in its
 /// thread; the control thread reaches it by carryOut() through a queued call only.
@@ -64,6 +64,9 @@
     void refuse(const Refuse &refusal);
     void dispatch(const Dispatch &order);
     void cancel(const CancelAttempt &order);
+    void answerHeld(const AnswerHeld &order);
+    void answerNumbers(const AnswerNumbers &order);
+    void answer(const RequestId &id, const QByteArray &bytes);
     void passOn(const RequestId &id, const QByteArray &events, Tokens made);
     void attemptEnded(const RequestId &id, AttemptOutcome outcome);
     void answerWhole(Exchange &exchange);
@@ -72,7 +75,8 @@
     void endExchange(const RequestId &id);
     void callerLeft(const RequestId &id);
     void checkDeadlines();
-    void refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id);
+    void refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id,
+                     RunState runState = RunState::NotRun);
 
     const Settings &settings;
     std::string idPrefix;
--- a/packages/shell/src/caller_request.cpp
+++ b/packages/shell/src/caller_request.cpp
@@ -92,11 +92,28 @@
         return Error{ ResultCode::UnknownPath, {} };
     read.arrived.kind = RequestKind::ServiceCall;
     read.arrived.service = ServiceId{ name.toStdString() };
+    read.arrived.callNumber = CallNumber{ read.callNumber.toStdString() };
     read.arrived.isSafeMethod = read.method == "GET" || read.method == "HEAD";
     read.path = slash < 0 ? QByteArray("/") : read.path.mid(read.path.indexOf(rest) + slash);
     return read;
 }
 
+/// `POST /v1/call-numbers` with an optional `{ "count": N }`.
+Result<CallerRequest> readNumbersAsk(CallerRequest read)
+{
+    nlohmann::json body = nlohmann::json::object();
+    if (!read.body.isEmpty())
+        body = nlohmann::json::parse(read.body.begin(), read.body.end(), nullptr, false);
+    if (!body.is_object())
+        return Error{ ResultCode::MalformedBody, "the body must be a JSON object" };
+    const Result<std::int64_t> count = readCount(body, "count", 1);
+    if (!count)
+        return count.error();
+    read.arrived.kind = RequestKind::CallNumbers;
+    read.arrived.numbers = static_cast<std::uint32_t>(count.value());
+    return read;
+}
+
 QByteArray methodOf(const QHttpServerRequest &request)
 {
     switch (request.method()) {
@@ -129,7 +146,8 @@
     read.path = query.isEmpty() ? path : path + '?' + query;
     const bool isCompletion = path == "/v1/chat/completions" || path == "/v1/completions";
     const bool isServiceCall = path.startsWith("/services/");
-    if (!isCompletion && !isServiceCall)
+    const bool isNumbersAsk = path == "/v1/call-numbers";
+    if (!isCompletion && !isServiceCall && !isNumbersAsk)
         return Error{ ResultCode::UnknownPath, {} };
     const Result<KeyHash> key = readKey(request);
     if (!key)
@@ -139,8 +157,11 @@
     read.arrived.deadline = deadline;
     read.contentType = request.value("content-type");
     read.body = request.body();
-    if (read.method.isEmpty() || (isCompletion && read.method != "POST"))
+    if (read.method.isEmpty() || (!isServiceCall && read.method != "POST"))
         return Error{ ResultCode::MalformedRequest, "the method does not fit the path" };
+    if (isNumbersAsk)
+        return readNumbersAsk(std::move(read));
+    read.callNumber = request.value("x-call-number");
     return isCompletion ? readCompletion(std::move(read)) : readServiceCall(std::move(read), path);
 }
 
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -29,6 +29,20 @@
         this->loop.toWorker(cancel.request, cancel);
         this->loop.engines.cancel(cancel);
     }
+    void operator()(const AnswerHeld &answer) const
+    {
+        this->answered(answer.request, answer);
+    }
+    void operator()(const AnswerNumbers &answer) const
+    {
+        this->answered(answer.request, answer);
+    }
+    void answered(const RequestId &request, const TrafficOrder &order) const
+    {
+        noteEnded(this->loop.metrics, request, monotonicNow());
+        this->loop.toWorker(request, order);
+        this->loop.workerOf.erase(request);
+    }
     void operator()(const SendPeer &message) const
     {
         this->loop.peers.send(message.address, message.body);
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -12,6 +12,15 @@
 /// How long a leaving process waits for callers that read their answers slowly.
 constexpr Span finishPatience = fromSeconds(30);
 
+/// The answer for repeats of the call, where it is short enough.
+HeldAnswer heldAnswerOf(const UpstreamAttempt &attempt)
+{
+    if (attempt.body.size() > static_cast<qsizetype>(longestHeldAnswer))
+        return {};
+    return HeldAnswer{ attempt.status, attempt.contentType.toStdString(),
+                       attempt.body.toStdString() };
+}
+
 } // namespace
 
 TrafficWorker::TrafficWorker(const Settings &hostSettings, std::uint32_t number, Report reportTo)
@@ -66,7 +75,10 @@
     Result<CallerRequest> read = readCallerRequest(request, id,
                                                    monotonicNow() + this->settings.requestPatience);
     if (!read) {
-        this->refuseEarly(socket, read.error(), id);
+        // An earlier request with this number may have run.
+        const bool isNumbered = !request.value("x-call-number").isEmpty();
+        this->refuseEarly(socket, read.error(), id,
+                          isNumbered ? RunState::Unknown : RunState::NotRun);
         return true;
     }
     Exchange &exchange = this->exchanges[id];
@@ -84,10 +96,11 @@
     this->refuseEarly(socket, Error{ ResultCode::UnknownPath, {} }, RequestId{});
 }
 
-void TrafficWorker::refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id)
+void TrafficWorker::refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id,
+                                RunState runState)
 {
     this->report(RefusedEarly{ error.code });
-    socket->write(refusalAnswer(Refuse{ id, error.code, RunState::NotRun, {}, error.detail }));
+    socket->write(refusalAnswer(Refuse{ id, error.code, runState, {}, error.detail }));
     if (CallerGuard *guard = GuardedTcpServer::guardOf(socket))
         guard->answerDone();
 }
@@ -100,6 +113,10 @@
         this->dispatch(*toSend);
     else if (const CancelAttempt *toCancel = std::get_if<CancelAttempt>(&order))
         this->cancel(*toCancel);
+    else if (const AnswerHeld *held = std::get_if<AnswerHeld>(&order))
+        this->answerHeld(*held);
+    else if (const AnswerNumbers *numbers = std::get_if<AnswerNumbers>(&order))
+        this->answerNumbers(*numbers);
 }
 
 void TrafficWorker::refuse(const Refuse &refusal)
@@ -123,14 +140,22 @@
 void TrafficWorker::dispatch(const Dispatch &order)
 {
     const auto found = this->exchanges.find(order.request);
-    if (found == this->exchanges.end())
+    if (found == this->exchanges.end()) {
+        // The caller left while the order was on its way. A numbered call still waits for its end.
+        this->report(Event{ AttemptEnded{
+                order.request, order.attempt, AttemptOutcome::NotSent, {}, false, {} } });
         return;
+    }
     Exchange &exchange = found->second;
     exchange.attemptNumber = order.attempt;
     // Checked at the last moment: the order may have waited while this process was stopped.
     if (monotonicNow() >= order.notAfter) {
-        this->report(Event{ AttemptEnded{ order.request, order.attempt, AttemptOutcome::NotSent,
-                                          exchange.delivered, exchange.isHeadSent } });
+        this->report(Event{ AttemptEnded{ order.request,
+                                          order.attempt,
+                                          AttemptOutcome::NotSent,
+                                          exchange.delivered,
+                                          exchange.isHeadSent,
+                                          {} } });
         return;
     }
     const RequestId id = order.request;
@@ -152,6 +177,36 @@
         found->second.attempt.reset();
 }
 
+void TrafficWorker::answer(const RequestId &id, const QByteArray &bytes)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    if (found->second.socket)
+        found->second.socket->write(bytes);
+    this->endExchange(id);
+}
+
+void TrafficWorker::answerHeld(const AnswerHeld &order)
+{
+    const HeldAnswer &held = order.answer;
+    const QByteArray body = QByteArray::fromStdString(held.body);
+    this->answer(order.request,
+                 answerHead(held.status, QByteArray::fromStdString(held.contentType), body.size(),
+                            order.request, "X-Azurewell-Repeated: true\r\n")
+                         + body);
+}
+
+void TrafficWorker::answerNumbers(const AnswerNumbers &order)
+{
+    QByteArray body;
+    for (const CallNumber &number : order.numbers)
+        body += (body.isEmpty() ? "\"" : ",\"") + QByteArray::fromStdString(number.value) + '"';
+    body = "{\"call_numbers\":[" + body + "]}\n";
+    this->answer(order.request,
+                 answerHead(200, "application/json", body.size(), order.request) + body);
+}
+
 void TrafficWorker::passOn(const RequestId &id, const QByteArray &events, Tokens made)
 {
     Exchange &exchange = this->exchanges.at(id);
@@ -176,8 +231,10 @@
         else
             this->answerWhole(exchange);
     }
-    this->report(
-            Event{ AttemptEnded{ id, number, outcome, exchange.delivered, exchange.isHeadSent } });
+    AttemptEnded ended{ id, number, outcome, exchange.delivered, exchange.isHeadSent, {} };
+    if (outcome == AttemptOutcome::Done && !exchange.request.callNumber.isEmpty())
+        ended.answer = heldAnswerOf(*exchange.attempt);
+    this->report(Event{ std::move(ended) });
     // The attempt is the caller of this function; it must not be deleted under itself.
     exchange.attempt.release()->deleteLater();
     if (outcome == AttemptOutcome::Done)
@@ -225,6 +282,11 @@
     const auto found = this->exchanges.find(id);
     if (found == this->exchanges.end())
         return;
+    // A numbered call that was sent goes on without its caller, whose repeat gets the outcome.
+    if (!found->second.request.callNumber.isEmpty() && found->second.attempt) {
+        found->second.socket = nullptr;
+        return;
+    }
     this->exchanges.erase(found); // drops the attempt; the engine sees its connection close
     this->report(Event{ CallerLeft{ id } });
 }
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -21,6 +21,8 @@
     if (!caller.contentType.isEmpty())
         request.setRawHeader("Content-Type", caller.contentType);
     request.setRawHeader("Accept", caller.isStream ? "text/event-stream" : "application/json");
+    if (!caller.callNumber.isEmpty())
+        request.setRawHeader("X-Call-Number", caller.callNumber);
     if (dispatch.resumeFrom.count > 0)
         request.setRawHeader("X-Resume-From",
                              QByteArray::number(static_cast<qint64>(dispatch.resumeFrom.count)));
--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -3,7 +3,7 @@
 # threads or a clock.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-order=(units charts tickets limits scheduling placement routing fleet host shell)
+order=(units charts tickets limits scheduling placement routing calls fleet host shell)
 bad=0
 for index in "${!order[@]}"; do
   for above in "${order[@]:index+1}"; do
@@ -13,7 +13,7 @@
     fi
   done
 done
-for package in "${order[@]:0:9}"; do
+for package in "${order[@]:0:10}"; do
   if grep -rnE '#include <(Qt(Network|HttpServer)/|thread>|mutex>|ctime>|sys/)|system_clock|steady_clock|random_device' \
       "packages/$package/include" "packages/$package/src"; then
     echo "the core package $package must have no network, thread or clock" >&2
