--- a/packages/shell/include/azurewell/shell/metrics.h
+++ b/packages/shell/include/azurewell/shell/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/host/host_state.h"
+#include "azurewell/shell/peer_links.h"
 
 #include <boost/histogram.hpp>
 
@@ -19,6 +20,7 @@
 
     LatencyHistogram admissionSeconds; ///< From a request's arrival to its first dispatch.
     LatencyHistogram requestSeconds;   ///< From arrival to the end of the answer.
+    PeerLinkCounters peerLinks;
     double admissionSum = 0;
     double requestSum = 0;
     std::unordered_map<RequestId, Instant> arrivedAt; ///< Requests that are still open.
--- a/packages/shell/include/azurewell/shell/settings.h
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -27,6 +27,7 @@
     Endpoint peers;        ///< Where other hosts connect.
     Endpoint operations;   ///< /healthz, /readyz, /metrics, /show.
     std::string platform;  ///< Base URL of the configuration service.
+    std::string peerKey;   ///< Shared by all hosts; seals the messages between them.
     std::string keyPrefix; ///< Under which our values are published.
     std::string chartsDirectory;
     std::uint32_t trafficThreads = 2;
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -31,7 +31,7 @@
     }
     void operator()(const SendPeer &message) const
     {
-        this->loop.peers.send(message.address, message.body);
+        this->loop.peers.send(message.to, message.address, message.body);
     }
     void operator()(const OrderEngine &order) const
     {
@@ -58,7 +58,7 @@
     : settings(std::move(hostSettings))
     , state(makeHost(this->settings.self, std::move(charts)))
     , leave(std::move(onLeave))
-    , peers(this->settings.self,
+    , peers(this->settings, this->metrics.peerLinks,
             [this](const PeerMessage &message) { this->give(PeerMessageReceived{ message }); })
     , platform(
               this->settings, [this] { return this->state.inForce.ticket; },
@@ -104,7 +104,7 @@
 
 Result<std::uint16_t> ControlLoop::start()
 {
-    Result<std::uint16_t> port = this->peers.listen(this->settings.peers);
+    Result<std::uint16_t> port = this->peers.listen();
     if (port)
         port = this->operations.start(this->settings.operations);
     for (std::uint32_t number = 0; port && number < this->settings.trafficThreads; ++number)
--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -127,6 +127,12 @@
                         counters.staleMessages);
     text += counterText("peer_messages_unknown_total", "Messages of an unknown kind.",
                         counters.unknownMessages);
+    text += counterText("peer_frames_refused_total", "Frames on the peer port that were refused.",
+                        metrics.peerLinks.framesRefused);
+    text += counterText("peer_links_reopened_total", "Links to hosts that went silent.",
+                        metrics.peerLinks.linksReopened);
+    text += counterText("peer_links_dropped_total", "Links to hosts that did not read.",
+                        metrics.peerLinks.messagesDropped);
     text += refusalsText(counters);
     text += retriesText(counters);
     text += gaugeText("ticket_in_force", "The newest ticket in force.",
--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -21,6 +21,9 @@
   "callers": "127.0.0.1:8080",
   "peers": "127.0.0.1:7070",
   "operations": "127.0.0.1:9090",
+  // The same secret text on all hosts, at least 16 characters: messages between hosts are sealed with
+  // it. Without it, whoever reaches the peer port can act as a host.
+  // "peer_key": "at least sixteen characters",
 
   // The configuration service (read only), and the prefix of our keys in it.
   "platform": "http://127.0.0.1:8500",
@@ -47,6 +50,7 @@
 }
 )";
 
+constexpr std::size_t shortestPeerKey = 16;
 constexpr double mostBytes = 1e9;
 constexpr double mostSeconds = 86400;
 
@@ -60,6 +64,17 @@
     return endpoint.value();
 }
 
+std::string readPeerKey(JsonReader &reader)
+{
+    constexpr const char *none = "(none)";
+    std::string key = reader.text("peer_key", none);
+    if (key == none)
+        return {};
+    if (key.size() < shortestPeerKey)
+        reader.complain("peer_key", "must have at least 16 characters");
+    return key;
+}
+
 LogLevel readLevel(JsonReader &reader)
 {
     const std::string level = reader.text("log_level", "info");
@@ -113,7 +128,7 @@
         return json.error();
     std::string complaint;
     JsonReader reader(json.value(), "", complaint);
-    reader.allowOnly({ "host", "zone", "seat", "callers", "peers", "operations", "platform",
+    reader.allowOnly({ "host", "zone", "seat", "callers", "peers", "operations", "peer_key", "platform",
                        "key_prefix", "charts", "traffic_threads", "log_level", "most_body_bytes",
                        "most_head_bytes", "most_connections", "sender_patience_s", "keep_alive_s",
                        "request_patience_s", "reader_patience_s", "upstream_idle_s" });
@@ -125,6 +140,7 @@
     settings.callers = readEndpoint(reader, "callers");
     settings.peers = readEndpoint(reader, "peers");
     settings.operations = readEndpoint(reader, "operations");
+    settings.peerKey = readPeerKey(reader);
     settings.platform = reader.text("platform");
     settings.keyPrefix = reader.text("key_prefix", "azurewell");
     settings.chartsDirectory = reader.text("charts");
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -198,17 +198,10 @@
     return AttemptOutcome::Done;
 }
 
-/// The library reports no error where a server closes after a part of the announced length.
 bool UpstreamAttempt::isWholeAnswer() const
 {
     const QNetworkReply::NetworkError error = this->reply->error();
-    if (this->status == 0 || (error != QNetworkReply::NoError && !isStatusError(error)))
-        return false;
-    const QVariant length = this->reply->header(QNetworkRequest::ContentLengthHeader);
-    const bool isPlain = this->reply->rawHeader("Content-Encoding").isEmpty();
-    const bool hasBody = this->reply->operation() != QNetworkAccessManager::HeadOperation
-            && this->reply->request().attribute(QNetworkRequest::CustomVerbAttribute) != "HEAD";
-    return !isPlain || !hasBody || !length.isValid() || length.toLongLong() == this->body.size();
+    return this->status != 0 && (error == QNetworkReply::NoError || isStatusError(error));
 }
 
 void UpstreamAttempt::finished()
--- a/tests/sockets/filings_test.cpp
+++ b/tests/sockets/filings_test.cpp
@@ -11,6 +11,18 @@
     const char *body;
 };
 
+std::string nameOf(const ::testing::TestParamInfo<CutFiling> &info)
+{
+    const std::string answer = info.param.isHalfAnswered ? "HalfAnswer" : "NoAnswer";
+    return answer + (*info.param.body == 0 ? "NoBody" : "WithBody");
+}
+
+/// Keeps the bytes of the parameter out of the test's name.
+void PrintTo(const CutFiling &filing, std::ostream *out) // NOLINT(readability-identifier-naming)
+{
+    *out << (filing.isHalfAnswered ? "half" : "no") << " answer to \"" << filing.body << '"';
+}
+
 class CutFilings : public HostFixture, public ::testing::WithParamInterface<CutFiling>
 {
 };
@@ -35,7 +47,26 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CutFilings,
                          ::testing::Values(CutFiling{ false, "{}" }, CutFiling{ true, "{}" },
-                                           CutFiling{ false, "" }, CutFiling{ true, "" }));
+                                           CutFiling{ false, "" }, CutFiling{ true, "" }), nameOf);
+
+// A call that may be repeated is, and then nobody is left to take it. The first try can have run; a
+// refusal that says "not run" because of the second would be untrue.
+TEST_F(Filings, NotRunIsNotSaidAfterATryThatCanHaveRun)
+{
+    this->addEngine();
+    this->startHost();
+    for (int index = 0; index < 30; ++index) { // earns the budget for a retry
+        Caller caller(this->port);
+        caller.post("/services/permits/list", "{}");
+        ASSERT_EQ(caller.answer().status, 200);
+    }
+    this->service.closesWithoutAnswer = true;
+    Caller caller(this->port);
+    caller.post("/services/permits/list", "{}");
+    const Answer answer = caller.answer();
+    EXPECT_EQ(answer.runState(), "outcome_unknown");
+    EXPECT_GE(this->metric("azurewell_retries_total{reason=\"upstream_failed\"}"), 1);
+}
 
 // No filing service listens. Nothing was sent, so the caller may send again, and is told so.
 TEST_F(Filings, AFilingThatNobodyTookWasNotRun)
