--- a/packages/shell/include/azurewell/shell/peer_frame.h
+++ b/packages/shell/include/azurewell/shell/peer_frame.h
@@ -26,8 +26,8 @@
 QByteArray sealFrame(const QByteArray &key, const HostId &receiver, std::uint64_t serial,
                      const PeerMessage &message);
 
-/// Checks the seal of \a content, a frame without its length. Errors: MessageInvalid. The comparison
-/// takes the same time wherever the first wrong byte is.
+/// Checks the seal of \a content, a frame without its length. Errors: MessageInvalid. The
+/// comparison takes the same time wherever the first wrong byte is.
 Result<OpenedFrame> openFrame(const QByteArray &key, const HostId &receiver,
                               const QByteArray &content);
 
--- a/packages/shell/include/azurewell/shell/peer_links.h
+++ b/packages/shell/include/azurewell/shell/peer_links.h
@@ -22,8 +22,8 @@
 /// What happened on the links between hosts; /metrics publishes it.
 struct PeerLinkCounters
 {
-    std::uint64_t framesRefused = 0; ///< Not valid, not sealed with our key, or sent before.
-    std::uint64_t linksReopened = 0; ///< Outgoing links that went silent.
+    std::uint64_t framesRefused = 0;   ///< Not valid, not sealed with our key, or sent before.
+    std::uint64_t linksReopened = 0;   ///< Outgoing links that went silent.
     std::uint64_t messagesDropped = 0; ///< A slow host's, with its link.
 };
 
@@ -39,6 +39,7 @@
     using Received = std::function<void(const PeerMessage &)>;
 
     PeerLinks(const Settings &settings, PeerLinkCounters &counters, Received received);
+    ~PeerLinks() override;
 
     /// Opens the peer port. Errors: SettingsInvalid.
     Result<std::uint16_t> listen();
--- a/packages/shell/src/peer_links.cpp
+++ b/packages/shell/src/peer_links.cpp
@@ -37,6 +37,17 @@
     this->silenceTimer.start(silenceCheckMillis);
 }
 
+/// Sockets tell of their end while they are destroyed, which is after the members they would reach.
+PeerLinks::~PeerLinks()
+{
+    for (auto entry = this->silentAt.cbegin(); entry != this->silentAt.cend(); ++entry)
+        entry.key()->disconnect(this);
+    for (const auto &[address, link] : this->links) {
+        if (link.socket)
+            link.socket->disconnect(this);
+    }
+}
+
 Result<std::uint16_t> PeerLinks::listen()
 {
     if (!this->server.listen(QHostAddress(QString::fromStdString(this->endpoint.ip)),
--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -128,10 +128,26 @@
         return json.error();
     std::string complaint;
     JsonReader reader(json.value(), "", complaint);
-    reader.allowOnly({ "host", "zone", "seat", "callers", "peers", "operations", "peer_key", "platform",
-                       "key_prefix", "charts", "traffic_threads", "log_level", "most_body_bytes",
-                       "most_head_bytes", "most_connections", "sender_patience_s", "keep_alive_s",
-                       "request_patience_s", "reader_patience_s", "upstream_idle_s" });
+    reader.allowOnly({ "host",
+                       "zone",
+                       "seat",
+                       "callers",
+                       "peers",
+                       "operations",
+                       "peer_key",
+                       "platform",
+                       "key_prefix",
+                       "charts",
+                       "traffic_threads",
+                       "log_level",
+                       "most_body_bytes",
+                       "most_head_bytes",
+                       "most_connections",
+                       "sender_patience_s",
+                       "keep_alive_s",
+                       "request_patience_s",
+                       "reader_patience_s",
+                       "upstream_idle_s" });
     Settings settings;
     settings.self.id = HostId{ reader.text("host") };
     settings.self.zone = ZoneId{ reader.text("zone") };
--- a/tests/sockets/filings_test.cpp
+++ b/tests/sockets/filings_test.cpp
@@ -47,7 +47,8 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CutFilings,
                          ::testing::Values(CutFiling{ false, "{}" }, CutFiling{ true, "{}" },
-                                           CutFiling{ false, "" }, CutFiling{ true, "" }), nameOf);
+                                           CutFiling{ false, "" }, CutFiling{ true, "" }),
+                         nameOf);
 
 // A call that may be repeated is, and then nobody is left to take it. The first try can have run; a
 // refusal that says "not run" because of the second would be untrue.
--- a/tests/sockets/peer_links_test.cpp
+++ b/tests/sockets/peer_links_test.cpp
@@ -100,8 +100,8 @@
     EXPECT_EQ(second.received.front().sender, HostId{ "h1" });
 }
 
-// Somebody who does not know the fleet's key reaches the peer port and speaks as one of the hosts: it
-// could put a ticket in force that issues it a key.
+// Somebody who does not know the fleet's key reaches the peer port and speaks as one of the hosts:
+// it could put a ticket in force that issues it a key.
 TEST(PeerLinks, MessagesWithoutTheKeyAreRefused)
 {
     Host stranger(settingsOf("h1", "another secret text"));
