--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -9,7 +9,11 @@
 
 namespace azurewell {
 
-enum class RequestKind : std::uint8_t { Completion, ServiceCall };
+enum class RequestKind : std::uint8_t {
+    Completion,
+    ServiceCall,
+    CallNumbers, ///< Asks for numbers for calls that must not be repeated.
+};
 
 /// A caller's request, head and body read; the shell keeps the body.
 struct RequestArrived
@@ -20,6 +24,8 @@
     AdapterRef adapter;        ///< Completions.
     ServiceId service;         ///< Service calls.
     bool isSafeMethod = false; ///< GET or HEAD: may be sent twice whatever the service is.
+    CallNumber callNumber;     ///< Service calls; empty where the caller gave none.
+    std::uint32_t numbers = 0; ///< How many call numbers are asked for.
     Tokens promptTokens;
     Tokens mostGenerated;
     Instant deadline;
@@ -41,12 +47,13 @@
 
 /// How an attempt at an upstream ended.
 enum class AttemptOutcome : std::uint8_t {
-    Done,     ///< The whole answer was passed on.
-    NotSent,  ///< No byte of the request can have reached the upstream.
-    Refused,  ///< The upstream answered that it did not take the request (503 or 429).
-    Failed,   ///< The connection ended, or the answer was not whole.
-    Silent,   ///< Nothing came within the idle deadline.
-    Mismatch, ///< The answer belonged to another request and was dropped.
+    Done,         ///< The whole answer was passed on.
+    NotSent,      ///< No byte of the request can have reached the upstream.
+    Refused,      ///< The upstream answered that it did not take the request (503 or 429).
+    Failed,       ///< The connection ended, or the answer was not whole.
+    Silent,       ///< Nothing came within the idle deadline.
+    Mismatch,     ///< The answer belonged to another request and was dropped.
+    NotResumable, ///< The upstream would begin a stream again that the caller has a part of.
 };
 
 struct AttemptEnded
@@ -56,6 +63,7 @@
     AttemptOutcome outcome = AttemptOutcome::Done;
     Tokens generated;            ///< Passed on to the caller, all attempts together.
     bool hasAnswerBegun = false; ///< The caller has seen the head of an answer.
+    HeldAnswer answer{};         ///< Of a numbered call, where it is short enough to be held.
 };
 
 struct PeerMessageReceived
--- a/packages/shell/include/azurewell/shell/traffic_worker.h
+++ b/packages/shell/include/azurewell/shell/traffic_worker.h
@@ -10,6 +10,7 @@
 #include <QtCore/QTimer>
 #include <QtHttpServer/QAbstractHttpServer>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -25,9 +26,9 @@
 };
 
 /// What a traffic thread tells the control thread.
-using TrafficReport = std::variant<Event, RefusedEarly>;
+using TrafficReport = std::variant<Event, RefusedEarly, std::vector<AttemptProgress>>;
 /// What the control thread tells a traffic thread.
-using TrafficOrder = std::variant<Refuse, Dispatch, CancelAttempt>;
+using TrafficOrder = std::variant<Refuse, Dispatch, CancelAttempt, AnswerHeld, AnswerNumbers>;
 
 /// One traffic thread's work: callers' connections and the attempts at upstreams. Lives in its
 /// thread; the control thread reaches it by carryOut() through a queued call only.
@@ -58,13 +59,22 @@
         std::unique_ptr<UpstreamAttempt> attempt;
         std::uint32_t attemptNumber = 0;
         Tokens delivered;
+        Tokens reported;        ///< Of those delivered, what the control thread has heard of.
+        Instant readerDeadline; ///< Of a caller that the attempt is paused for.
         bool isHeadSent = false;
+        std::array<QMetaObject::Connection, 2> connections; ///< To the socket.
     };
 
     void refuse(const Refuse &refusal);
     void dispatch(const Dispatch &order);
     void cancel(const CancelAttempt &order);
-    void passOn(const RequestId &id, const QByteArray &events, Tokens made);
+    void answerHeld(const AnswerHeld &order);
+    void answerNumbers(const AnswerNumbers &order);
+    void answer(const RequestId &id, const QByteArray &bytes);
+    void passOn(const RequestId &id, const WholeEvents &events);
+    void callerHasRead(const RequestId &id);
+    void reportProgress();
+    void dropSlowReaders(Instant now);
     void attemptEnded(const RequestId &id, AttemptOutcome outcome);
     void answerWhole(Exchange &exchange);
     void endStream(Exchange &exchange);
@@ -72,7 +82,8 @@
     void endExchange(const RequestId &id);
     void callerLeft(const RequestId &id);
     void checkDeadlines();
-    void refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id);
+    void refuseEarly(QTcpSocket *socket, const Error &error, const RequestId &id,
+                     RunState runState = RunState::NotRun);
 
     const Settings &settings;
     std::string idPrefix;
