--- a/benchmark/load_patterns/measures.h
+++ b/benchmark/load_patterns/measures.h
@@ -14,6 +14,8 @@
     std::string deployment;
     std::string policy;
     double worstCustomerShare = 0;
+    std::vector<double> customerShares; ///< In the order of the deployment's customers.
+    double worstOfServed = 0;           ///< The same against what this policy served altogether.
     std::uint64_t wrongfulRefusals = 0;
     std::uint64_t inRate = 0;
     double loadStallP95 = 0;
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -13,6 +13,8 @@
   2: i32 queued
   3: i32 running
   4: list<string> loaded
+  5: i32 openSlots
+  6: list<string> wanted
 }
 
 struct Heartbeat {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -19,6 +19,8 @@
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
     std::vector<AdapterRef> loaded;
+    std::uint32_t openSlots = 0;    ///< Adapter slots that a load could use now.
+    std::vector<AdapterRef> wanted; ///< Being loaded, or waited for.
 };
 
 /// "I am alive", sent to every other host once a heartbeat interval.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -35,6 +35,8 @@
     out.__set_queued(static_cast<std::int32_t>(summary.queued));
     out.__set_running(static_cast<std::int32_t>(summary.running));
     out.__set_loaded(namesOf(summary.loaded));
+    out.__set_openSlots(static_cast<std::int32_t>(summary.openSlots));
+    out.__set_wanted(namesOf(summary.wanted));
     return out;
 }
 
@@ -165,7 +167,8 @@
     for (const wire::EngineSummary &summary : in.engines) {
         beat.engines.push_back(EngineSummary{
                 UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
-                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded) });
+                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded),
+                static_cast<std::uint32_t>(summary.openSlots), idsOf<AdapterRef>(summary.wanted) });
     }
     beat.zone = ZoneId{ in.zone };
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -7,8 +7,10 @@
 #include "azurewell/host/events.h"
 #include "azurewell/limits/token_bucket.h"
 #include "azurewell/placement/engine_adapters.h"
+#include "azurewell/placement/load_pacer.h"
 #include "azurewell/routing/retry_budget.h"
-#include "azurewell/scheduling/fair_queue.h"
+#include "azurewell/routing/upstream_table.h"
+#include "azurewell/scheduling/shedding.h"
 #include "azurewell/tickets/state_in_force.h"
 
 #include <deque>
@@ -45,10 +47,15 @@
     HostId keeper;       ///< Who was asked for the slot.
     Instant leaseEnds;   ///< The slot is ours until then.
     std::uint32_t attempt = 0;
-    std::set<UpstreamId> failedAt; ///< Not tried again for this request.
+    std::vector<UpstreamId> failedAt; ///< Not tried again for this request.
+    std::uint32_t refusedAsks = 0;    ///< Keepers that could not serve it in time.
+    bool isRouted = false;            ///< Counted as under way to `upstream` in the table.
+    Instant dispatchedAt;
+    Tokens resumedFrom;      ///< Generated before the present attempt.
+    bool isPaceSeen = false; ///< The present attempt's speed was counted.
     bool isIdempotent = true;
     bool isCallerGone = false; ///< A numbered call that goes on for its outcome.
-    bool mayHaveRun = false; ///< An attempt ended that can have run: "not run" would be untrue.
+    bool mayHaveRun = false;   ///< An attempt ended that can have run: "not run" would be untrue.
 };
 
 /// A slot that this host, as keeper, has granted.
@@ -60,6 +67,7 @@
     Tokens charged;
     double weight = 1.0;
     Instant leaseEnds;
+    Instant since; ///< When it was granted; unset for one that a former keeper granted.
 };
 
 /// An engine that this host keeps.
@@ -67,19 +75,17 @@
 {
     FairQueue queue;
     EngineAdapters adapters;
+    ServiceRate rate;
     std::map<RequestId, GrantedSlot> granted;
     Instant nextLoadReport;
     std::uint64_t engineStart = 0;
     std::map<HostId, std::uint64_t> newestSerial; ///< Of each asker; basis of its leases.
 };
 
-/// What this host knows of an upstream when it routes.
+/// Whether an upstream answers; UpstreamTable has what the choice among them needs.
 struct KnownUpstream
 {
     UpstreamState state = UpstreamState::Unknown;
-    std::uint32_t reported = 0; ///< Queued and running, by the keeper's last word.
-    std::uint32_t inFlight = 0; ///< Sent by this host and not ended.
-    std::set<AdapterRef> loaded;
     Instant ejectedUntil;
     std::uint32_t failuresInARow = 0;
 };
@@ -103,6 +109,8 @@
     std::unordered_map<CustomerId, TokenBucket> buckets;
     std::deque<RequestId> waitingForTokens; ///< Oldest first.
     std::unordered_map<UpstreamId, KnownUpstream> upstreams;
+    UpstreamTable routing;
+    LoadPacer loadPacer;
     std::map<UpstreamId, KeptEngine> kept;
     RetryBudget retryBudget;
 
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -69,6 +69,17 @@
 void onHostList(Step &step, const HostListRead &event);
 void sendHeartbeats(Step &step);
 void sendTo(Step &step, const HostId &host, PeerBody body);
+
+// upstreams.cpp: where a request goes, and what is learned of upstreams.
+std::optional<UpstreamId> chooseFor(Step &step, const RequestRecord &record);
+/// Counts the request as under way to its upstream, once.
+void noteRouted(Step &step, RequestRecord &record);
+void noteUnrouted(Step &step, RequestRecord &record);
+/// Learns the speed of the request's upstream; \a isWhole at the end of the answer.
+void notePaceOf(Step &step, RequestRecord &record, bool isWhole);
+void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome);
+void setUpstreamState(Step &step, const UpstreamId &id, UpstreamEvent event);
+void endEjections(Step &step);
 void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries);
 
 } // namespace azurewell::internal
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -181,10 +181,9 @@
     HostState &state = step.state;
     applyHostList(state.membership, state.charts.peer, state.self.id, event.hosts);
     for (const ListedUpstream &listed : event.upstreams) {
-        KnownUpstream &upstream = state.upstreams[listed.id];
         const UpstreamEvent word = listed.isLeaving ? UpstreamEvent::ListedLeaving
                                                     : UpstreamEvent::ListedLive;
-        upstream.state = advance(state.charts.upstream, upstream.state, word);
+        setUpstreamState(step, listed.id, word);
     }
 }
 
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -1,5 +1,3 @@
-#include "azurewell/routing/choose_engine.h"
-#include "azurewell/routing/rendezvous.h"
 #include "internal.h"
 
 #include <algorithm>
@@ -13,10 +11,11 @@
 /// The asker's lease is cut by this share for clocks that run at different rates (200 ppm is the
 /// worst that quartz does; a hundred times that costs a tenth of a second of a ten-second lease).
 constexpr double leaseDriftMargin = 0.02;
-/// Failures in a row after which an upstream gets no work for a while.
-constexpr std::uint32_t failuresToEject = 3;
-constexpr Span ejection = fromSeconds(5);
 constexpr std::uint32_t mostAttempts = 4;
+/// Keepers that are asked for one request. One keeper's queue being too long says nothing of the
+/// others; at four times the capacity three asks keep the shares of customers whose adapters are on
+/// few engines (docs/DECISIONS.md).
+constexpr std::uint32_t mostAsks = 3;
 /// Tells callers when to come back where nothing better is known.
 constexpr Span defaultRetryAfter = fromSeconds(1);
 
@@ -72,10 +71,7 @@
 void endRequest(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
-    if (record.phase == RequestPhase::Running) {
-        KnownUpstream &upstream = state.upstreams[record.upstream];
-        upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
-    }
+    noteUnrouted(step, record);
     if (needsPermit(record)) // where nothing was said before, only a call never sent is "not run"
         settleCall(step, record, record.attempt == 0 ? CallOutcome::NotRun : CallOutcome::Unknown);
     releaseSlot(step, record, record.asked.promptTokens + record.generated);
@@ -99,40 +95,6 @@
 
 namespace {
 
-UpstreamView viewOf(const HostState &state, const RequestRecord &record, const Upstream &upstream)
-{
-    UpstreamView view;
-    view.id = upstream.id;
-    view.isOwnZone = upstream.zone == state.self.zone;
-    view.isLeaving = upstream.isLeaving || record.failedAt.contains(upstream.id);
-    view.affinity = rendezvousWeight(record.asked.adapter.value, upstream.id.value);
-    const auto known = state.upstreams.find(upstream.id);
-    if (known != state.upstreams.end()) {
-        view.state = known->second.state;
-        view.hasAdapter = known->second.loaded.contains(record.asked.adapter);
-        const double requests = std::max(known->second.reported, known->second.inFlight);
-        view.load = requests / static_cast<double>(upstream.batchSlots);
-    }
-    return view;
-}
-
-std::vector<UpstreamView> viewsFor(const HostState &state, const RequestRecord &record)
-{
-    std::vector<UpstreamView> views;
-    const bool isCompletion = record.asked.kind == RequestKind::Completion;
-    const auto adapter = state.inForce.adapters.find(record.asked.adapter);
-    for (const auto &[id, upstream] : state.inForce.upstreams) {
-        const bool isEngine = isCompletion && upstream.kind == UpstreamKind::Engine
-                && adapter != state.inForce.adapters.end()
-                && upstream.baseModel == adapter->second.baseModel;
-        const bool isBackEnd = !isCompletion && upstream.kind == UpstreamKind::Service
-                && upstream.service == record.asked.service;
-        if (isEngine || isBackEnd)
-            views.push_back(viewOf(state, record, upstream));
-    }
-    return views;
-}
-
 std::uint64_t nextSerial(Step &step)
 {
     HostState &state = step.state;
@@ -163,7 +125,9 @@
     }
     record.phase = RequestPhase::Running;
     ++record.attempt;
-    ++state.upstreams[record.upstream].inFlight;
+    record.dispatchedAt = step.now;
+    record.resumedFrom = record.generated;
+    record.isPaceSeen = false;
     ++state.counters.dispatched;
     if (record.generated.count > 0)
         ++state.counters.resumed;
@@ -178,7 +142,7 @@
 
 void callService(Step &step, RequestRecord &record)
 {
-    const std::optional<UpstreamId> backEnd = chooseBackEnd(viewsFor(step.state, record));
+    const std::optional<UpstreamId> backEnd = chooseFor(step, record);
     if (!backEnd) {
         endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
         return;
@@ -190,21 +154,23 @@
         return;
     }
     record.upstream = *backEnd;
+    noteRouted(step, record);
     dispatch(step, record, sendBefore);
 }
 
 namespace {
 
-void seekSlot(Step &step, RequestRecord &record)
+/// Asks a keeper for a slot; \a ifNone is the answer where no engine is left to ask.
+void seekSlot(Step &step, RequestRecord &record, ResultCode ifNone = ResultCode::NoUpstream)
 {
     HostState &state = step.state;
     record.phase = RequestPhase::WaitingForSlot;
-    const std::optional<UpstreamId> engine = chooseEngine(viewsFor(state, record));
+    const std::optional<UpstreamId> engine = chooseFor(step, record);
     const auto upstream = engine ? state.inForce.upstreams.find(*engine)
                                  : state.inForce.upstreams.end();
     if (upstream == state.inForce.upstreams.end()) {
         record.upstream = UpstreamId{};
-        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
+        endRefused(step, record, ifNone, RunState::NotRun);
         return;
     }
     const bool isLeaving = state.process != ProcessState::Serving;
@@ -212,6 +178,7 @@
                                                   isLeaving, *engine, upstream->second.zone);
     const auto customer = state.inForce.customers.find(record.customer);
     record.upstream = *engine;
+    noteRouted(step, record);
     record.keeper = keeper.value_or(state.self.id);
     SlotAsk ask;
     ask.request = record.asked.request;
@@ -324,25 +291,6 @@
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Refused;
 }
 
-void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome)
-{
-    KnownUpstream &upstream = step.state.upstreams[id];
-    const Chart &chart = step.state.charts.upstream;
-    if (outcome == AttemptOutcome::Done) {
-        upstream.failuresInARow = 0;
-        upstream.state = advance(chart, upstream.state, UpstreamEvent::Answered);
-        return;
-    }
-    if (outcome == AttemptOutcome::Mismatch)
-        ++step.state.counters.answerMismatches;
-    ++upstream.failuresInARow;
-    if (upstream.failuresInARow >= failuresToEject
-        && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
-        upstream.state = advance(chart, upstream.state, UpstreamEvent::Failed);
-        upstream.ejectedUntil = step.now + ejection;
-    }
-}
-
 /// Whether the upstream should get the request once more. A connection that went silent tells
 /// nothing of the engine: it has the stream still, and can go on with it on a new connection.
 bool mayTrySameAgain(const RequestRecord &record, AttemptOutcome outcome)
@@ -384,7 +332,8 @@
     }
     countRetry(step.state.counters, retryReasonOf(outcome));
     if (!mayTrySameAgain(record, outcome))
-        record.failedAt.insert(record.upstream);
+        record.failedAt.push_back(record.upstream);
+    noteUnrouted(step, record);
     releaseSlot(step, record, record.generated);
     if (record.asked.kind == RequestKind::ServiceCall)
         callService(step, record);
@@ -476,11 +425,7 @@
     }
     for (const RequestId &id : expired)
         endRefused(step, state.requests.at(id), ResultCode::WaitedTooLong, RunState::NotRun);
-    for (auto &[id, upstream] : state.upstreams) {
-        if (upstream.state == UpstreamState::Ejected && upstream.ejectedUntil <= step.now)
-            upstream.state = advance(state.charts.upstream, upstream.state,
-                                     UpstreamEvent::EjectionOver);
-    }
+    endEjections(step);
 }
 
 void onSlotGrant(Step &step, const SlotGrant &grant)
@@ -506,6 +451,7 @@
     if (ends <= step.now) {
         countRetry(step.state.counters, RetryReason::SlotLost);
         releaseSlot(step, *record, Tokens{});
+        noteUnrouted(step, *record);
         seekSlot(step, *record);
         return;
     }
@@ -519,7 +465,15 @@
     if (!record || record->phase != RequestPhase::WaitingForSlot
         || record->upstream != refusal.engine)
         return;
-    endRefused(step, *record, refusal.code, RunState::NotRun);
+    noteUnrouted(step, *record);
+    const bool isFull = refusal.code == ResultCode::QueueFull
+            || refusal.code == ResultCode::DeadlineUnreachable;
+    if (!isFull || ++record->refusedAsks >= mostAsks) {
+        endRefused(step, *record, refusal.code, RunState::NotRun);
+        return;
+    }
+    record->failedAt.push_back(refusal.engine);
+    seekSlot(step, *record, refusal.code);
 }
 
 void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed)
@@ -577,6 +531,7 @@
     step.state.counters.generatedTokens += static_cast<std::uint64_t>(
             (event.generated - record->generated).count);
     record->generated = event.generated;
+    notePaceOf(step, *record, false);
 }
 
 void onAttemptEnded(Step &step, const AttemptEnded &event)
@@ -588,13 +543,12 @@
     noteUpstreamOutcome(step, record->upstream, event.outcome);
     if (event.outcome == AttemptOutcome::Done) {
         ++step.state.counters.completed;
+        notePaceOf(step, *record, true);
         if (needsPermit(*record))
             settleCall(step, *record, CallOutcome::Done, event.answer);
         endRequest(step, *record);
         return;
     }
-    KnownUpstream &upstream = step.state.upstreams[record->upstream];
-    upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
     record->phase = RequestPhase::WaitingForSlot;
     retryOrRefuse(step, *record, event.outcome);
 }
@@ -602,6 +556,7 @@
 void enforceTickets(Step &step)
 {
     HostState &state = step.state;
+    setUpstreams(state.routing, state.inForce.upstreams, state.self.zone);
     std::vector<std::pair<RequestId, ResultCode>> ended;
     for (const auto &[id, record] : state.requests) {
         const Result<const Customer *> customer = customerOf(state.inForce, record.asked.key);
@@ -630,13 +585,4 @@
         shapeBucket(step, customer);
 }
 
-void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries)
-{
-    for (const EngineSummary &summary : summaries) {
-        KnownUpstream &upstream = step.state.upstreams[summary.engine];
-        upstream.reported = summary.queued + summary.running;
-        upstream.loaded = std::set<AdapterRef>(summary.loaded.begin(), summary.loaded.end());
-    }
-}
-
 } // namespace azurewell::internal
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -1,3 +1,4 @@
+#include "azurewell/placement/load_plan.h"
 #include "internal.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 constexpr Span loadReportInterval = fromSeconds(0.5);
 /// Requests that wait at one engine; more would wait longer than any caller's deadline.
 constexpr std::size_t mostQueued = 1024;
+/// Adapters a summary names as waited for; twice the slots of an engine.
+constexpr std::size_t mostWanted = 16;
 
 const Upstream *upstreamInForce(const HostState &state, const UpstreamId &id)
 {
@@ -52,6 +55,7 @@
     slot.charged = request.cost;
     slot.weight = request.weight;
     slot.leaseEnds = step.now + slotLease;
+    slot.since = step.now;
     kept.granted[request.request] = slot;
     pin(kept.adapters, request.adapter, step.now);
     sendTo(step, request.asker,
@@ -61,8 +65,8 @@
 /// Grants slots while the engine has room for requests whose adapter is loaded.
 void grantReady(Step &step, KeptEngine &kept, const Upstream &engine)
 {
-    const auto mayRun = [&kept](const WaitingRequest &request) {
-        return isLoaded(kept.adapters, request.adapter);
+    const auto mayRun = [&kept](const AdapterRef &adapter) {
+        return isLoaded(kept.adapters, adapter);
     };
     while (kept.granted.size() < engine.batchSlots) {
         const std::optional<WaitingRequest> request = takeNext(kept.queue, mayRun);
@@ -84,21 +88,38 @@
     ++(isLoad ? state.counters.loadsOrdered : state.counters.evictionsOrdered);
 }
 
-/// Orders loads for adapters that requests wait for.
+std::uint32_t loadsUnderWay(const HostState &state)
+{
+    std::uint32_t loads = 0;
+    for (const auto &[id, kept] : state.kept)
+        loads += azurewell::loadsUnderWay(kept.adapters);
+    return loads;
+}
+
+/// Orders loads for adapters that requests wait for, at the pace the weight store takes.
 void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine)
 {
-    std::set<AdapterRef> wanted;
-    for (const auto &[id, customer] : kept.queue.customers) {
-        for (const WaitingRequest &request : customer.waiting)
-            wanted.insert(request.adapter);
-    }
-    for (const AdapterRef &adapter : wanted) {
-        const PlacementStep placement = nextStep(kept.adapters, adapter, step.now);
-        if (placement.kind != PlacementStep::Kind::Nothing)
-            orderStep(step, kept, engine, placement);
+    while (true) {
+        const PlacementStep placement = nextOrder(kept.adapters, kept.queue, step.now);
+        const bool isHeld = placement.kind == PlacementStep::Kind::Load
+                && !mayLoad(step.state.loadPacer, loadsUnderWay(step.state), step.now);
+        if (placement.kind == PlacementStep::Kind::Nothing || isHeld)
+            return;
+        orderStep(step, kept, engine, placement);
     }
 }
 
+/// Whether \a request would have to begin after its latest start.
+bool isHopeless(const Step &step, const KeptEngine &kept, const Upstream &engine,
+                const WaitingRequest &request)
+{
+    const std::size_t used = kept.granted.size();
+    const std::size_t open = used < engine.batchSlots ? engine.batchSlots - used : 0;
+    const Span wait = expectedWait(kept.queue, kept.rate, request.customer, request.weight,
+                                   engine.batchSlots, static_cast<std::uint32_t>(open));
+    return step.now + wait > request.latestStart;
+}
+
 void tendEngine(Step &step, KeptEngine &kept, const Upstream &engine)
 {
     endBackOffs(kept.adapters, step.state.charts.adapter, step.now);
@@ -150,6 +171,12 @@
     request.cost = ask.cost;
     request.weight = ask.weight;
     request.deadline = step.now + ask.untilDeadline;
+    request.latestStart = latestStart(kept.rate, ask.cost, request.deadline);
+    request.since = step.now;
+    if (isHopeless(step, kept, *engine, request)) {
+        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::DeadlineUnreachable);
+        return;
+    }
     enqueue(kept.queue, std::move(request));
     grantReady(step, kept, *engine);
     orderLoads(step, kept, *engine);
@@ -185,10 +212,13 @@
     const Upstream *engine = upstreamInForce(step.state, release.engine);
     if (kept == step.state.kept.end() || !engine)
         return;
-    remove(kept->second.queue, release.request);
     const auto slot = kept->second.granted.find(release.request);
-    if (slot != kept->second.granted.end()) {
+    if (slot == kept->second.granted.end()) {
+        remove(kept->second.queue, release.request);
+    } else {
         const GrantedSlot &granted = slot->second;
+        if (release.used.count > 0 && granted.since > Instant{})
+            noteService(kept->second.rate, granted.charged, step.now - granted.since);
         correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
                       release.used);
         unpin(kept->second.adapters, granted.adapter);
@@ -232,6 +262,10 @@
         return;
     const Chart &chart = step.state.charts.adapter;
     EngineAdapters &adapters = kept->second.adapters;
+    const auto adapter = adapters.adapters.find(event.adapter);
+    if (event.isLoad && adapter != adapters.adapters.end()
+        && adapter->second.state == AdapterState::Loading)
+        noteLoadEnded(step.state.loadPacer, step.now - adapter->second.orderedAt, step.now);
     if (event.isLoad && !event.isDone) {
         ++step.state.counters.loadsFailed;
         applyEvent(adapters, chart, event.adapter, AdapterEvent::LoadFailed, step.now);
@@ -244,7 +278,11 @@
     applyEvent(adapters, chart, event.adapter, event.isLoad ? AdapterEvent::LoadDone : unloaded,
                step.now);
     grantReady(step, kept->second, *engine);
-    orderLoads(step, kept->second, *engine);
+    // A load has ended: the next may be for any of the engines kept here.
+    for (auto &[id, other] : step.state.kept) {
+        if (const Upstream *upstream = upstreamInForce(step.state, id))
+            orderLoads(step, other, *upstream);
+    }
 }
 
 void tendEngines(Step &step)
@@ -279,6 +317,11 @@
             if (adapter.state == AdapterState::Loaded)
                 summary.loaded.push_back(ref);
         }
+        summary.openSlots = openSlots(kept.adapters);
+        for (const auto &[ref, count] : kept.queue.waitingFor) {
+            if (!isLoaded(kept.adapters, ref) && summary.wanted.size() < mostWanted)
+                summary.wanted.push_back(ref);
+        }
         summaries.push_back(std::move(summary));
     }
     return summaries;
--- /dev/null
+++ b/packages/host/src/upstreams.cpp
@@ -0,0 +1,108 @@
+#include "azurewell/routing/rendezvous.h"
+#include "internal.h"
+
+namespace azurewell::internal {
+
+namespace {
+
+/// Failures in a row after which an upstream gets no work for a while.
+constexpr std::uint32_t failuresToEject = 3;
+constexpr Span ejection = fromSeconds(5);
+/// A stream's speed is known after this: some fifty tokens of a healthy engine, five of one that is
+/// ten times slower.
+constexpr Span paceKnownAfter = fromSeconds(2);
+
+const AdapterRef noAdapter;
+
+} // namespace
+
+std::optional<UpstreamId> chooseFor(Step &step, const RequestRecord &record)
+{
+    const HostState &state = step.state;
+    const std::uint64_t salt = stableHash(record.asked.request.value);
+    if (record.asked.kind == RequestKind::ServiceCall) {
+        const RouteAsk ask{ record.asked.service.value, noAdapter, salt, record.failedAt };
+        return chooseUpstream(state.routing, ask, step.now);
+    }
+    const auto adapter = state.inForce.adapters.find(record.asked.adapter);
+    if (adapter == state.inForce.adapters.end())
+        return std::nullopt;
+    const RouteAsk ask{ adapter->second.baseModel, record.asked.adapter, salt, record.failedAt };
+    return chooseUpstream(state.routing, ask, step.now);
+}
+
+void noteRouted(Step &step, RequestRecord &record)
+{
+    noteUnrouted(step, record);
+    const bool isCall = record.asked.kind == RequestKind::ServiceCall;
+    noteSent(step.state.routing, record.upstream, isCall ? noAdapter : record.asked.adapter,
+             step.now);
+    record.isRouted = true;
+}
+
+void noteUnrouted(Step &step, RequestRecord &record)
+{
+    if (record.isRouted)
+        noteEnded(step.state.routing, record.upstream);
+    record.isRouted = false;
+}
+
+void notePaceOf(Step &step, RequestRecord &record, bool isWhole)
+{
+    const Span took = step.now - record.dispatchedAt;
+    const bool isKnown = took >= paceKnownAfter && !record.isPaceSeen;
+    if (record.asked.kind != RequestKind::Completion || !(isWhole || isKnown))
+        return;
+    record.isPaceSeen = true;
+    const std::optional<Span> held = isWhole ? std::optional<Span>(took) : std::nullopt;
+    notePace(step.state.routing, record.upstream, record.generated - record.resumedFrom, took, held,
+             step.now);
+}
+
+void setUpstreamState(Step &step, const UpstreamId &id, UpstreamEvent event)
+{
+    KnownUpstream &upstream = step.state.upstreams[id];
+    upstream.state = advance(step.state.charts.upstream, upstream.state, event);
+    setState(step.state.routing, id, upstream.state);
+}
+
+void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome)
+{
+    KnownUpstream &upstream = step.state.upstreams[id];
+    if (outcome == AttemptOutcome::Done) {
+        upstream.failuresInARow = 0;
+        setUpstreamState(step, id, UpstreamEvent::Answered);
+        return;
+    }
+    if (outcome == AttemptOutcome::Mismatch)
+        ++step.state.counters.answerMismatches;
+    ++upstream.failuresInARow;
+    if (upstream.failuresInARow >= failuresToEject
+        && accepts(step.state.charts.upstream, upstream.state, UpstreamEvent::Failed)) {
+        setUpstreamState(step, id, UpstreamEvent::Failed);
+        upstream.ejectedUntil = step.now + ejection;
+    }
+}
+
+void endEjections(Step &step)
+{
+    for (const auto &[id, upstream] : step.state.upstreams) {
+        if (upstream.state == UpstreamState::Ejected && upstream.ejectedUntil <= step.now)
+            setUpstreamState(step, id, UpstreamEvent::EjectionOver);
+    }
+}
+
+void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries)
+{
+    for (const EngineSummary &summary : summaries) {
+        EngineReport report;
+        report.running = summary.running;
+        report.queued = summary.queued;
+        report.openSlots = summary.openSlots;
+        report.loaded = summary.loaded;
+        report.wanted = summary.wanted;
+        noteReport(step.state.routing, summary.engine, std::move(report), step.now);
+    }
+}
+
+} // namespace azurewell::internal
--- a/packages/placement/include/azurewell/placement/engine_adapters.h
+++ b/packages/placement/include/azurewell/placement/engine_adapters.h
@@ -4,7 +4,7 @@
 #include "azurewell/units/ids.h"
 #include "azurewell/units/time.h"
 
-#include <optional>
+#include <functional>
 #include <unordered_map>
 
 namespace azurewell {
@@ -16,7 +16,10 @@
     std::uint32_t pins = 0;     ///< Requests that run on it or hold a slot for it.
     std::uint32_t failures = 0; ///< Loads that failed in a row.
     Instant lastUsed;
-    Instant retryAfter; ///< No load is ordered before this.
+    Instant orderedAt;     ///< When its last load was ordered.
+    Instant retryAfter;    ///< No load is ordered before this.
+    double popularity = 0; ///< Requests begun, each counted half for every half-life since.
+    Instant countedAt;     ///< When `popularity` was last brought up to date.
 };
 
 /// The adapters of one engine as its keeper knows them.
@@ -41,10 +44,24 @@
 /// Adapters that occupy a slot: loading, loaded or unloading.
 std::uint32_t usedSlots(const EngineAdapters &engine);
 
+/// Adapters that are being loaded.
+std::uint32_t loadsUnderWay(const EngineAdapters &engine);
+
+/// Slots that a load could use now: empty ones, and those of loaded adapters that nothing pins.
+std::uint32_t openSlots(const EngineAdapters &engine);
+
 /// The next step towards having \a wanted loaded: a load where a slot is free; otherwise the
-/// eviction of the least recently used adapter that nothing pins; nothing while everything is
-/// pinned, while a load backs off, or while a former keeper's leases may still run.
-PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now);
+/// eviction of the least popular adapter that nothing pins and \a isKept does not name; nothing
+/// while everything is pinned, while a load backs off, or while a former keeper's leases may still
+/// run.
+///
+/// Load pattern: thousands of adapters of which a few are popular. By least recent use alone, a run
+/// of requests for rare adapters pushes out a popular one, which is loaded again a moment later.
+PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now,
+                       const std::function<bool(const AdapterRef &)> &isKept = {});
+
+/// The popularity of \a adapter at \a now.
+double popularityAt(const AdapterOnEngine &adapter, Instant now);
 
 /// Moves \a ref by the chart.
 void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref,
--- a/packages/placement/src/engine_adapters.cpp
+++ b/packages/placement/src/engine_adapters.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/placement/engine_adapters.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurewell {
 
@@ -10,6 +11,9 @@
 constexpr Span longestBackOff = fromSeconds(30);
 constexpr std::uint32_t mostDoublings = 6;
 
+/// Popularity halves in this time.
+constexpr double halfLifeSeconds = 60;
+
 bool takesSlot(const AdapterOnEngine &adapter)
 {
     return adapter.state == AdapterState::Loading || adapter.state == AdapterState::Loaded
@@ -36,7 +40,24 @@
     return static_cast<std::uint32_t>(count);
 }
 
-PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now)
+std::uint32_t loadsUnderWay(const EngineAdapters &engine)
+{
+    const auto count = std::count_if(
+            engine.adapters.begin(), engine.adapters.end(),
+            [](const auto &entry) { return entry.second.state == AdapterState::Loading; });
+    return static_cast<std::uint32_t>(count);
+}
+
+std::uint32_t openSlots(const EngineAdapters &engine)
+{
+    std::uint32_t closed = 0;
+    for (const auto &[ref, adapter] : engine.adapters)
+        closed += takesSlot(adapter) && !isEvictable(adapter) ? 1 : 0;
+    return closed >= engine.slots ? 0 : engine.slots - closed;
+}
+
+PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now,
+                       const std::function<bool(const AdapterRef &)> &isKept)
 {
     const auto known = engine.adapters.find(wanted);
     if (known != engine.adapters.end()) {
@@ -49,17 +70,30 @@
     if (now < engine.noEvictionBefore)
         return {};
 
-    const std::pair<const AdapterRef, AdapterOnEngine> *oldest = nullptr;
+    const std::pair<const AdapterRef, AdapterOnEngine> *victim = nullptr;
+    double least = 0;
     for (const auto &entry : engine.adapters) {
         if (entry.second.state == AdapterState::Unloading)
             return {}; // a slot is on its way already
-        if (isEvictable(entry.second)
-            && (!oldest || entry.second.lastUsed < oldest->second.lastUsed))
-            oldest = &entry;
+        if (!isEvictable(entry.second) || (isKept && isKept(entry.first)))
+            continue;
+        const double popularity = popularityAt(entry.second, now);
+        const bool isLess = !victim || popularity < least
+                || (popularity == least && entry.second.lastUsed < victim->second.lastUsed);
+        if (!isLess)
+            continue;
+        victim = &entry;
+        least = popularity;
     }
-    if (!oldest)
+    if (!victim)
         return {};
-    return PlacementStep{ PlacementStep::Kind::Evict, oldest->first };
+    return PlacementStep{ PlacementStep::Kind::Evict, victim->first };
+}
+
+double popularityAt(const AdapterOnEngine &adapter, Instant now)
+{
+    const double halves = toSeconds(now - adapter.countedAt) / halfLifeSeconds;
+    return adapter.popularity * std::exp2(-halves);
 }
 
 void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref,
@@ -67,6 +101,8 @@
 {
     AdapterOnEngine &adapter = engine.adapters[ref];
     adapter.state = advance(chart, adapter.state, event);
+    if (event == AdapterEvent::LoadOrdered)
+        adapter.orderedAt = now;
     if (event == AdapterEvent::LoadDone) {
         adapter.failures = 0;
         adapter.lastUsed = now;
@@ -95,6 +131,8 @@
 void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now)
 {
     AdapterOnEngine &adapter = engine.adapters[ref];
+    adapter.popularity = popularityAt(adapter, now) + 1;
+    adapter.countedAt = now;
     ++adapter.pins;
     adapter.lastUsed = now;
 }
--- a/packages/routing/include/azurewell/routing/rendezvous.h
+++ b/packages/routing/include/azurewell/routing/rendezvous.h
@@ -9,6 +9,9 @@
 /// the highest weight, and only the keys of a lost node move. Equal on every host and build.
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view node);
 
+/// rendezvousWeight() of a key and a node that are hashed already.
+std::uint64_t rendezvousMix(std::uint64_t keyHash, std::uint64_t nodeHash);
+
 /// A 64-bit hash that is equal on every host and build (std::hash is not).
 std::uint64_t stableHash(std::string_view text);
 
--- a/packages/routing/src/rendezvous.cpp
+++ b/packages/routing/src/rendezvous.cpp
@@ -29,7 +29,12 @@
 
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
 {
-    return mix(stableHash(key) ^ (stableHash(node) * 0x9e3779b97f4a7c15ULL));
+    return rendezvousMix(stableHash(key), stableHash(node));
+}
+
+std::uint64_t rendezvousMix(std::uint64_t keyHash, std::uint64_t nodeHash)
+{
+    return mix(keyHash ^ (nodeHash * 0x9e3779b97f4a7c15ULL));
 }
 
 } // namespace azurewell
--- a/packages/scheduling/src/fair_queue.cpp
+++ b/packages/scheduling/src/fair_queue.cpp
@@ -6,58 +6,113 @@
 
 namespace {
 
-std::vector<CustomerQueue *> leastServedFirst(FairQueue &queue)
+CustomerQueue &customerQueue(FairQueue &queue, const CustomerId &id)
 {
-    std::vector<CustomerQueue *> order;
-    for (auto &[id, customer] : queue.customers) {
-        if (!customer.waiting.empty())
-            order.push_back(&customer);
+    const auto [entry, isNew] = queue.indexOf.try_emplace(
+            id, static_cast<std::uint32_t>(queue.customers.size()));
+    if (isNew) {
+        queue.customers.emplace_back();
+        queue.customers.back().id = id;
     }
-    std::sort(order.begin(), order.end(), [](const CustomerQueue *a, const CustomerQueue *b) {
-        if (a->served != b->served)
-            return a->served < b->served;
-        return a->waiting.front().customer < b->waiting.front().customer;
-    });
-    return order;
+    return queue.customers[entry->second];
+}
+
+AdapterQueue &adapterQueue(CustomerQueue &customer, const AdapterRef &adapter)
+{
+    for (AdapterQueue &candidate : customer.adapters) {
+        if (candidate.adapter == adapter)
+            return candidate;
+    }
+    customer.adapters.emplace_back();
+    customer.adapters.back().adapter = adapter;
+    return customer.adapters.back();
+}
+
+/// Counts \a request as gone from the queue.
+void countOut(FairQueue &queue, CustomerQueue &customer, const WaitingRequest &request)
+{
+    --queue.size;
+    customer.waitCost -= static_cast<double>(request.cost.count);
+    const auto found = queue.waitingFor.find(request.adapter);
+    if (found != queue.waitingFor.end() && --found->second == 0)
+        queue.waitingFor.erase(found);
+}
+
+void dropIfEmpty(CustomerQueue &customer, std::size_t place)
+{
+    if (!customer.adapters[place].waiting.empty())
+        return;
+    if (place + 1 != customer.adapters.size())
+        customer.adapters[place] = std::move(customer.adapters.back());
+    customer.adapters.pop_back();
+}
+
+/// Where a customer that was idle starts: level with the least served one that waits.
+double startingPoint(const FairQueue &queue)
+{
+    const CustomerQueue *least = nullptr;
+    for (const CustomerQueue &customer : queue.customers) {
+        const bool isLess = !least || customer.served < least->served;
+        if (!customer.adapters.empty() && isLess)
+            least = &customer;
+    }
+    return least ? std::min(least->served, queue.virtualTime) : queue.virtualTime;
 }
 
 } // namespace
 
 void enqueue(FairQueue &queue, WaitingRequest request)
 {
-    CustomerQueue &customer = queue.customers[request.customer];
-    if (customer.waiting.empty())
-        customer.served = std::max(customer.served, queue.virtualTime);
-    customer.waiting.push_back(std::move(request));
+    CustomerQueue &customer = customerQueue(queue, request.customer);
+    if (customer.adapters.empty()) {
+        customer.served = std::max(customer.served, startingPoint(queue));
+        customer.waitCost = 0;
+    }
+    customer.weight = request.weight;
+    customer.waitCost += static_cast<double>(request.cost.count);
+    request.order = queue.nextOrder++;
+    ++queue.waitingFor[request.adapter];
     ++queue.size;
+    adapterQueue(customer, request.adapter).waiting.push_back(std::move(request));
 }
 
-std::optional<WaitingRequest> takeNext(FairQueue &queue,
-                                       const std::function<bool(const WaitingRequest &)> &mayRun)
+CustomerQueue *leastServed(FairQueue &queue)
 {
-    for (CustomerQueue *customer : leastServedFirst(queue)) {
-        const auto found = std::find_if(customer->waiting.begin(), customer->waiting.end(), mayRun);
-        if (found == customer->waiting.end())
+    CustomerQueue *least = nullptr;
+    for (CustomerQueue &customer : queue.customers) {
+        if (customer.adapters.empty() || customer.round == queue.round)
             continue;
-        WaitingRequest taken = std::move(*found);
-        customer->waiting.erase(found);
-        --queue.size;
-        queue.virtualTime = std::max(queue.virtualTime, customer->served);
-        customer->served += static_cast<double>(taken.cost.count) / taken.weight;
-        return taken;
+        if (!least || customer.served < least->served)
+            least = &customer;
     }
-    return std::nullopt;
+    return least;
+}
+
+WaitingRequest takeFrom(FairQueue &queue, CustomerQueue &customer, std::size_t place)
+{
+    std::deque<WaitingRequest> &waiting = customer.adapters[place].waiting;
+    WaitingRequest taken = std::move(waiting.front());
+    waiting.pop_front();
+    countOut(queue, customer, taken);
+    dropIfEmpty(customer, place);
+    queue.virtualTime = std::max(queue.virtualTime, customer.served);
+    customer.served += static_cast<double>(taken.cost.count) / taken.weight;
+    return taken;
 }
 
 bool remove(FairQueue &queue, const RequestId &request)
 {
-    for (auto &[id, customer] : queue.customers) {
-        const auto found = std::find_if(
-                customer.waiting.begin(), customer.waiting.end(),
-                [&request](const WaitingRequest &entry) { return entry.request == request; });
-        if (found != customer.waiting.end()) {
-            customer.waiting.erase(found);
-            --queue.size;
+    for (CustomerQueue &customer : queue.customers) {
+        for (std::size_t place = 0; place < customer.adapters.size(); ++place) {
+            std::deque<WaitingRequest> &waiting = customer.adapters[place].waiting;
+            const auto found = std::find_if(
+                    waiting.begin(), waiting.end(),
+                    [&request](const WaitingRequest &entry) { return entry.request == request; });
+            if (found == waiting.end())
+                continue;
+            countOut(queue, customer, *found);
+            waiting.erase(found);
+            dropIfEmpty(customer, place);
             return true;
         }
     }
@@ -67,26 +122,55 @@
 std::vector<WaitingRequest> takeExpired(FairQueue &queue, Instant now)
 {
     std::vector<WaitingRequest> expired;
-    for (auto &[id, customer] : queue.customers) {
-        const auto isLive = [now](const WaitingRequest &entry) {
-            return entry.deadline > now;
-        };
-        const auto firstExpired = std::stable_partition(customer.waiting.begin(),
-                                                        customer.waiting.end(), isLive);
-        expired.insert(expired.end(), std::make_move_iterator(firstExpired),
-                       std::make_move_iterator(customer.waiting.end()));
-        customer.waiting.erase(firstExpired, customer.waiting.end());
+    for (CustomerQueue &customer : queue.customers) {
+        for (std::size_t place = customer.adapters.size(); place-- > 0;) {
+            std::deque<WaitingRequest> &waiting = customer.adapters[place].waiting;
+            for (std::size_t index = waiting.size(); index-- > 0;) {
+                if (waiting[index].latestStart > now)
+                    continue;
+                countOut(queue, customer, waiting[index]);
+                expired.push_back(std::move(waiting[index]));
+                waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
+            }
+            dropIfEmpty(customer, place);
+        }
     }
-    queue.size -= expired.size();
     return expired;
 }
 
 void correctCharge(FairQueue &queue, const CustomerId &customer, double weight, Tokens charged,
                    Tokens real)
 {
-    const auto found = queue.customers.find(customer);
-    if (found != queue.customers.end())
-        found->second.served += static_cast<double>((real - charged).count) / weight;
+    const auto found = queue.indexOf.find(customer);
+    if (found != queue.indexOf.end())
+        queue.customers[found->second].served += static_cast<double>((real - charged).count)
+                / weight;
+}
+
+std::uint32_t waitingFor(const FairQueue &queue, const AdapterRef &adapter)
+{
+    const auto found = queue.waitingFor.find(adapter);
+    return found == queue.waitingFor.end() ? 0 : found->second;
+}
+
+double tokensAhead(const FairQueue &queue, const CustomerId &customer, double weight)
+{
+    double served = queue.virtualTime;
+    double own = 0;
+    const auto found = queue.indexOf.find(customer);
+    if (found != queue.indexOf.end()) {
+        const CustomerQueue &known = queue.customers[found->second];
+        own = known.adapters.empty() ? 0 : known.waitCost;
+        served = known.adapters.empty() ? std::max(served, known.served) : known.served;
+    }
+    const double begins = served + own / weight;
+    double ahead = own;
+    for (const CustomerQueue &other : queue.customers) {
+        if (other.id == customer || other.adapters.empty() || other.served >= begins)
+            continue;
+        ahead += std::min(other.waitCost, (begins - other.served) * other.weight);
+    }
+    return ahead;
 }
 
 } // namespace azurewell
--- /dev/null
+++ b/packages/scheduling/src/shedding.cpp
@@ -0,0 +1,46 @@
+#include "azurewell/scheduling/shedding.h"
+
+namespace azurewell {
+
+namespace {
+
+/// Weight of a new observation. Twenty requests are a little more than one full batch of sixteen
+/// slots, so a changed speed is known after about one service time.
+constexpr double newWeight = 0.05;
+
+void learn(double &mean, double value)
+{
+    mean = mean == 0 ? value : mean + (value - mean) * newWeight;
+}
+
+} // namespace
+
+void noteService(ServiceRate &rate, Tokens charged, Span held)
+{
+    if (charged.count <= 0 || held <= Span{})
+        return;
+    learn(rate.secondsPerToken, toSeconds(held) / static_cast<double>(charged.count));
+    learn(rate.holdSeconds, toSeconds(held));
+}
+
+Span expectedHold(const ServiceRate &rate, Tokens cost)
+{
+    return fromSeconds(rate.secondsPerToken * static_cast<double>(cost.count));
+}
+
+Span expectedWait(const FairQueue &queue, const ServiceRate &rate, const CustomerId &customer,
+                  double weight, std::uint32_t batchSlots, std::uint32_t freeSlots)
+{
+    if (freeSlots > 0)
+        return Span{};
+    const double turn = rate.holdSeconds; // the first slot to come free
+    const double ahead = tokensAhead(queue, customer, weight) * rate.secondsPerToken;
+    return fromSeconds((turn + ahead) / static_cast<double>(batchSlots));
+}
+
+Instant latestStart(const ServiceRate &rate, Tokens cost, Instant deadline)
+{
+    return deadline - expectedHold(rate, cost);
+}
+
+} // namespace azurewell
