--- a/benchmark/load_patterns/fleet_run.cpp
+++ b/benchmark/load_patterns/fleet_run.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t mostQueued = 1024;
 constexpr std::size_t mostAsks = 3;
 
+/// The most popular one of the second customer.
+const AdapterRef failingAdapter{ "adapter-1@1" };
+
 struct Granted
 {
     CustomerId customer;
@@ -444,6 +447,15 @@
     void orderDone(std::size_t index, const AdapterRef &adapter, bool isLoad)
     {
         Kept &kept = this->engines[index];
+        if (isLoad && adapter == failingAdapter && this->failures < this->pattern.failedLoads) {
+            ++this->failures;
+            applyEvent(kept.adapters, this->charts.adapter, adapter, AdapterEvent::LoadFailed,
+                       this->now);
+            std::uniform_real_distribution<double> jitter(0.0, 1.0);
+            backOff(kept.adapters, adapter, jitter(this->random), this->now);
+            this->serve(index);
+            return;
+        }
         applyEvent(kept.adapters, this->charts.adapter, adapter,
                    isLoad ? AdapterEvent::LoadDone : AdapterEvent::UnloadDone, this->now);
         if (isLoad)
@@ -495,6 +507,7 @@
         for (std::size_t index = 0; index < this->engines.size(); ++index) {
             Kept &kept = this->engines[index];
             endBackOffs(kept.adapters, this->charts.adapter, this->now);
+            forgetIdle(kept.queue);
             for (const WaitingRequest &expired : takeExpired(kept.queue, this->now)) {
                 const std::size_t number = std::stoul(expired.request.value);
                 this->noteStall(kept, number, this->now);
@@ -551,6 +564,7 @@
     std::vector<Instant> enqueuedAt;
     std::priority_queue<TimedStep, std::vector<TimedStep>, std::greater<>> steps;
     std::uint64_t stepsMade = 0;
+    std::uint32_t failures = 0;
     std::uint64_t epochs = 0;
     Instant now;
     RunResult result;
--- a/benchmark/load_patterns/workload.cpp
+++ b/benchmark/load_patterns/workload.cpp
@@ -150,6 +150,7 @@
     add("popularity_shift").hasShift = true;
     add("engine_restarts").restartEvery = 60.0;
     add("weight_store_tenth").storeSlowness = 10.0;
+    add("failing_loads").failedLoads = 5;
     add("balancer_skew").skew = 3.0;
     for (const auto &[name, load] : { std::pair{ "capacity", 1.0 }, std::pair{ "overload_2x", 2.0 },
                                       std::pair{ "overload_4x", 4.0 } }) {
--- a/benchmark/load_patterns/workload.h
+++ b/benchmark/load_patterns/workload.h
@@ -46,7 +46,8 @@
     bool hasShift = false;      ///< Popularity is dealt anew in the middle.
     double restartEvery = 0;    ///< Seconds between cold restarts of single engines; 0 is never.
     double storeSlowness = 1.0; ///< Of the weight store.
-    double skew = 1.0;          ///< The first host's arrivals over another's.
+    std::uint32_t failedLoads = 0; ///< Loads of customer 1's most popular adapter that fail.
+    double skew = 1.0;             ///< The first host's arrivals over another's.
 };
 
 /// One request of the workload.
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -123,6 +123,7 @@
 void tendEngine(Step &step, KeptEngine &kept, const Upstream &engine)
 {
     endBackOffs(kept.adapters, step.state.charts.adapter, step.now);
+    forgetIdle(kept.queue);
     for (const WaitingRequest &expired : takeExpired(kept.queue, step.now))
         refuseSlot(step, expired.asker, expired.request, engine.id, ResultCode::WaitedTooLong);
     for (auto slot = kept.granted.begin(); slot != kept.granted.end();) {
--- a/packages/placement/include/azurewell/placement/engine_adapters.h
+++ b/packages/placement/include/azurewell/placement/engine_adapters.h
@@ -60,6 +60,13 @@
 PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now,
                        const std::function<bool(const AdapterRef &)> &isKept = {});
 
+/// Whether a load of \a ref makes sense: it is neither there nor on its way, nor backing off.
+bool isOrderable(const EngineAdapters &engine, const AdapterRef &ref, Instant now);
+
+/// nextStep() without its adapter: a load where a slot is free, else an eviction, else nothing.
+PlacementStep makeRoom(const EngineAdapters &engine, Instant now,
+                       const std::function<bool(const AdapterRef &)> &isKept = {});
+
 /// The popularity of \a adapter at \a now.
 double popularityAt(const AdapterOnEngine &adapter, Instant now);
 
--- a/packages/placement/include/azurewell/placement/load_plan.h
+++ b/packages/placement/include/azurewell/placement/load_plan.h
@@ -14,6 +14,6 @@
 /// scarce then, and a customer that has requests ready to run needs none: the next batch slot is
 /// its own as soon as it is the least served. Its loads would take the slots and the weight store's
 /// time from customers that can run nothing at all.
-PlacementStep nextOrder(const EngineAdapters &adapters, FairQueue &queue, Instant now);
+PlacementStep nextOrder(const EngineAdapters &adapters, const FairQueue &queue, Instant now);
 
 } // namespace azurewell
--- a/packages/placement/src/engine_adapters.cpp
+++ b/packages/placement/src/engine_adapters.cpp
@@ -56,17 +56,30 @@
     return closed >= engine.slots ? 0 : engine.slots - closed;
 }
 
+bool isOrderable(const EngineAdapters &engine, const AdapterRef &ref, Instant now)
+{
+    const auto known = engine.adapters.find(ref);
+    if (known == engine.adapters.end())
+        return true;
+    return known->second.state == AdapterState::Absent && known->second.retryAfter <= now;
+}
+
 PlacementStep nextStep(const EngineAdapters &engine, const AdapterRef &wanted, Instant now,
                        const std::function<bool(const AdapterRef &)> &isKept)
 {
-    const auto known = engine.adapters.find(wanted);
-    if (known != engine.adapters.end()) {
-        const bool isUnderway = known->second.state != AdapterState::Absent;
-        if (isUnderway || known->second.retryAfter > now)
-            return {};
-    }
+    if (!isOrderable(engine, wanted, now))
+        return {};
+    PlacementStep step = makeRoom(engine, now, isKept);
+    if (step.kind == PlacementStep::Kind::Load)
+        step.adapter = wanted;
+    return step;
+}
+
+PlacementStep makeRoom(const EngineAdapters &engine, Instant now,
+                       const std::function<bool(const AdapterRef &)> &isKept)
+{
     if (usedSlots(engine) < engine.slots)
-        return PlacementStep{ PlacementStep::Kind::Load, wanted };
+        return PlacementStep{ PlacementStep::Kind::Load, {} };
     if (now < engine.noEvictionBefore)
         return {};
 
--- a/packages/placement/src/load_plan.cpp
+++ b/packages/placement/src/load_plan.cpp
@@ -23,33 +23,49 @@
                        });
 }
 
+/// The first adapter of \a customer to load, or null.
+const AdapterQueue *firstToLoad(const EngineAdapters &adapters, const CustomerQueue &customer,
+                                Instant now)
+{
+    const AdapterQueue *chosen = nullptr;
+    for (const AdapterQueue &candidate : customer.adapters) {
+        const bool isFirst = !chosen || goesBefore(candidate, *chosen);
+        if (isFirst && isOrderable(adapters, candidate.adapter, now))
+            chosen = &candidate;
+    }
+    return chosen;
+}
+
 } // namespace
 
-PlacementStep nextOrder(const EngineAdapters &adapters, FairQueue &queue, Instant now)
+PlacementStep nextOrder(const EngineAdapters &adapters, const FairQueue &queue, Instant now)
 {
     const auto isWaitedFor = [&queue](const AdapterRef &ref) {
         return waitingFor(queue, ref) > 0;
     };
-    ++queue.round;
-    while (CustomerQueue *customer = leastServed(queue)) {
-        customer->round = queue.round;
-        if (hasRunnable(adapters, *customer))
+    PlacementStep step;
+    if (queue.size > 0)
+        step = makeRoom(adapters, now, isWaitedFor);
+    if (step.kind == PlacementStep::Kind::Nothing)
+        return {};
+
+    const CustomerQueue *least = nullptr;
+    const AdapterQueue *chosen = nullptr;
+    for (const CustomerQueue &customer : queue.customers) {
+        const bool isLess = !least || customer.served < least->served;
+        if (customer.adapters.empty() || !isLess || hasRunnable(adapters, customer))
             continue;
-        PlacementStep best;
-        const AdapterQueue *chosen = nullptr;
-        for (const AdapterQueue &candidate : customer->adapters) {
-            if (chosen && !goesBefore(candidate, *chosen))
-                continue;
-            const PlacementStep step = nextStep(adapters, candidate.adapter, now, isWaitedFor);
-            if (step.kind == PlacementStep::Kind::Nothing)
-                continue;
-            best = step;
-            chosen = &candidate;
-        }
-        if (chosen)
-            return best;
+        const AdapterQueue *first = firstToLoad(adapters, customer, now);
+        if (!first)
+            continue;
+        least = &customer;
+        chosen = first;
     }
-    return {};
+    if (!chosen)
+        return {};
+    if (step.kind == PlacementStep::Kind::Load)
+        step.adapter = chosen->adapter;
+    return step;
 }
 
 } // namespace azurewell
--- a/packages/scheduling/include/azurewell/scheduling/fair_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/fair_queue.h
@@ -38,10 +38,9 @@
 struct CustomerQueue
 {
     CustomerId id;
-    double served = 0;       ///< Tokens served divided by the weight: the virtual token counter.
-    double waitCost = 0;     ///< Tokens of all that wait.
-    double weight = 1.0;     ///< Of the newest request.
-    std::uint64_t round = 0; ///< The call of takeNext() that has passed this customer over.
+    double served = 0;   ///< Tokens served divided by the weight: the virtual token counter.
+    double waitCost = 0; ///< Tokens of all that wait.
+    double weight = 1.0; ///< Of the newest request.
     std::vector<AdapterQueue> adapters; ///< Only those with waiting requests.
 };
 
@@ -57,7 +56,6 @@
     double virtualTime = 0; ///< `served` of the customer served last.
     std::size_t size = 0;
     std::uint64_t nextOrder = 1;
-    std::uint64_t round = 0;
 };
 
 /// Adds \a request. A customer that was idle starts level with the least served one that waits, or
@@ -65,41 +63,55 @@
 /// take every slot until the credit is used up.
 void enqueue(FairQueue &queue, WaitingRequest request);
 
-/// The least served customer that waits and that this round has not passed over; null for none.
-CustomerQueue *leastServed(FairQueue &queue);
-
 /// Removes the oldest request of \a place, an entry of \a customer, and charges the customer.
 WaitingRequest takeFrom(FairQueue &queue, CustomerQueue &customer, std::size_t place);
 
+/// The place of \a customer's oldest request whose adapter \a mayRun accepts; its number of
+/// adapters where there is none.
+template <typename MayRun>
+std::size_t oldestRunnable(const CustomerQueue &customer, const MayRun &mayRun)
+{
+    const std::size_t none = customer.adapters.size();
+    std::size_t best = none;
+    for (std::size_t place = 0; place < none; ++place) {
+        const AdapterQueue &candidate = customer.adapters[place];
+        const bool isOlder = best == none
+                || candidate.waiting.front().order < customer.adapters[best].waiting.front().order;
+        if (isOlder && mayRun(candidate.adapter))
+            best = place;
+    }
+    return best;
+}
+
 /// Takes the next request whose adapter \a mayRun accepts, and charges its customer: the least
 /// served customer first, its oldest runnable request first. One whose adapter is not loaded does
-/// not hold up the others. Costs one look at each waiting adapter of the customers passed over;
-/// nothing is allocated.
+/// not hold up the others. One pass over the customers, a look at the adapters of those that could
+/// be next; nothing is allocated.
 template <typename MayRun>
 std::optional<WaitingRequest> takeNext(FairQueue &queue, const MayRun &mayRun)
 {
-    ++queue.round;
-    while (CustomerQueue *customer = leastServed(queue)) {
-        const std::size_t none = customer->adapters.size();
-        std::size_t best = none;
-        for (std::size_t place = 0; place < none; ++place) {
-            const AdapterQueue &candidate = customer->adapters[place];
-            const bool isOlder = best == none
-                    || candidate.waiting.front().order
-                            < customer->adapters[best].waiting.front().order;
-            if (isOlder && mayRun(candidate.adapter))
-                best = place;
-        }
-        if (best != none)
-            return takeFrom(queue, *customer, best);
-        customer->round = queue.round;
+    CustomerQueue *least = nullptr;
+    std::size_t place = 0;
+    for (CustomerQueue &customer : queue.customers) {
+        if (customer.adapters.empty() || (least && customer.served >= least->served))
+            continue;
+        const std::size_t runnable = oldestRunnable(customer, mayRun);
+        if (runnable == customer.adapters.size())
+            continue;
+        least = &customer;
+        place = runnable;
     }
-    return std::nullopt;
+    if (!least)
+        return std::nullopt;
+    return takeFrom(queue, *least, place);
 }
 
 /// Removes \a request (its caller went away). False where it is not in the queue.
 bool remove(FairQueue &queue, const RequestId &request);
 
+/// Drops customers that wait for nothing and whose past makes no difference any more.
+void forgetIdle(FairQueue &queue);
+
 /// Removes and returns what can no longer be answered in time at \a now: its latest start is past.
 std::vector<WaitingRequest> takeExpired(FairQueue &queue, Instant now);
 
--- a/packages/scheduling/src/fair_queue.cpp
+++ b/packages/scheduling/src/fair_queue.cpp
@@ -76,18 +76,6 @@
     adapterQueue(customer, request.adapter).waiting.push_back(std::move(request));
 }
 
-CustomerQueue *leastServed(FairQueue &queue)
-{
-    CustomerQueue *least = nullptr;
-    for (CustomerQueue &customer : queue.customers) {
-        if (customer.adapters.empty() || customer.round == queue.round)
-            continue;
-        if (!least || customer.served < least->served)
-            least = &customer;
-    }
-    return least;
-}
-
 WaitingRequest takeFrom(FairQueue &queue, CustomerQueue &customer, std::size_t place)
 {
     std::deque<WaitingRequest> &waiting = customer.adapters[place].waiting;
@@ -119,6 +107,22 @@
     return false;
 }
 
+void forgetIdle(FairQueue &queue)
+{
+    const double start = startingPoint(queue);
+    for (std::size_t index = queue.customers.size(); index-- > 0;) {
+        const CustomerQueue &customer = queue.customers[index];
+        if (!customer.adapters.empty() || customer.served > start)
+            continue;
+        queue.indexOf.erase(customer.id);
+        if (index + 1 != queue.customers.size()) {
+            queue.customers[index] = std::move(queue.customers.back());
+            queue.indexOf[queue.customers[index].id] = static_cast<std::uint32_t>(index);
+        }
+        queue.customers.pop_back();
+    }
+}
+
 std::vector<WaitingRequest> takeExpired(FairQueue &queue, Instant now)
 {
     std::vector<WaitingRequest> expired;
