--- a/benchmark/load_patterns/load_patterns_test.cpp
+++ b/benchmark/load_patterns/load_patterns_test.cpp
@@ -11,8 +11,8 @@
 namespace azurewell::load {
 
 /// Names a deployment in test output.
-void PrintTo(const Deployment &deployment,
-             std::ostream *out) // NOLINT(readability-identifier-naming)
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest looks for
+void PrintTo(const Deployment &deployment, std::ostream *out)
 {
     *out << deployment.name;
 }
