--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -48,7 +48,7 @@
     std::set<UpstreamId> failedAt; ///< Not tried again for this request.
     bool isIdempotent = true;
     bool isCallerGone = false; ///< A numbered call that goes on for its outcome.
-    bool mayHaveRun = false; ///< An attempt ended that can have run: "not run" would be untrue.
+    bool mayHaveRun = false;   ///< An attempt ended that can have run: "not run" would be untrue.
 };
 
 /// A slot that this host, as keeper, has granted.
