--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -120,11 +120,10 @@
 {
     std::vector<UpstreamView> views;
     const bool isCompletion = record.asked.kind == RequestKind::Completion;
-    const auto adapter = state.inForce.adapters.find(record.asked.adapter);
+    const std::optional<AdapterView> adapter = state.inForce.adapters.find(record.asked.adapter);
     for (const auto &[id, upstream] : state.inForce.upstreams) {
-        const bool isEngine = isCompletion && upstream.kind == UpstreamKind::Engine
-                && adapter != state.inForce.adapters.end()
-                && upstream.baseModel == adapter->second.baseModel;
+        const bool isEngine = isCompletion && upstream.kind == UpstreamKind::Engine && adapter
+                && upstream.baseModel == *adapter->baseModel;
         const bool isBackEnd = !isCompletion && upstream.kind == UpstreamKind::Service
                 && upstream.service == record.asked.service;
         if (isEngine || isBackEnd)
@@ -419,8 +418,8 @@
     record.asked = event;
     record.customer = customer.value()->id;
     if (event.kind == RequestKind::Completion) {
-        const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer,
-                                                           event.adapter);
+        const Result<AdapterView> adapter = adapterFor(state.inForce, record.customer,
+                                                       event.adapter);
         if (!adapter) {
             refuse(step, event.request, adapter.error().code, unsent);
             return;
--- a/packages/tickets/include/azurewell/tickets/state_in_force.h
+++ b/packages/tickets/include/azurewell/tickets/state_in_force.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/tickets/adapter_table.h"
 #include "azurewell/tickets/ticket.h"
 
 #include <string>
@@ -22,7 +23,7 @@
     TicketNumber ticket;
     std::unordered_map<CustomerId, Customer> customers;
     std::unordered_map<KeyHash, Key> keys;
-    std::unordered_map<AdapterRef, Adapter> adapters;
+    AdapterTable adapters;
     std::unordered_map<UpstreamId, Upstream> upstreams;
     std::unordered_map<ServiceId, Service> services;
     std::unordered_map<ZoneId, Zone> zones;
@@ -41,8 +42,8 @@
 
 /// The adapter \a ref if it is \a customer's. Errors: AdapterUnknown, also for another customer's
 /// adapter, so that names cannot be probed.
-Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer,
-                                   const AdapterRef &ref);
+Result<AdapterView> adapterFor(const StateInForce &state, const CustomerId &customer,
+                               const AdapterRef &ref);
 
 /// The service \a id if \a customer may call it. Errors: ServiceUnknown, ServiceNotAllowed.
 Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer,
--- a/packages/tickets/src/state_in_force.cpp
+++ b/packages/tickets/src/state_in_force.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/tickets/state_in_force.h"
 
 #include <algorithm>
+#include <set>
 
 namespace azurewell {
 
@@ -40,6 +41,11 @@
             return invalid("adapter '" + adapter.ref.value + "' names customer '"
                            + adapter.customer.value + "', which does not exist");
     }
+    std::set<std::string> models;
+    for (const Adapter &adapter : ticket.adapters)
+        models.insert(adapter.baseModel);
+    if (state.adapters.baseModelCount() + models.size() > mostBaseModels)
+        return invalid("more than " + std::to_string(mostBaseModels) + " base models");
     for (const Upstream &upstream : ticket.upstreams) {
         if (!hasZone(state, ticket, upstream.zone))
             return invalid("upstream '" + upstream.id.value + "' names zone '" + upstream.zone.value
@@ -66,7 +72,7 @@
     for (const Key &key : ticket.keys)
         state.keys[key.hash] = key;
     for (const Adapter &adapter : ticket.adapters)
-        state.adapters[adapter.ref] = adapter;
+        state.adapters.set(adapter);
     for (const Upstream &upstream : ticket.upstreams)
         state.upstreams[upstream.id] = upstream;
     for (const Service &service : ticket.services)
@@ -100,13 +106,13 @@
     return &customer->second;
 }
 
-Result<const Adapter *> adapterFor(const StateInForce &state, const CustomerId &customer,
-                                   const AdapterRef &ref)
+Result<AdapterView> adapterFor(const StateInForce &state, const CustomerId &customer,
+                               const AdapterRef &ref)
 {
-    const auto found = state.adapters.find(ref);
-    if (found == state.adapters.end() || found->second.customer != customer)
+    const std::optional<AdapterView> found = state.adapters.find(ref);
+    if (!found || *found->customer != customer)
         return Error{ ResultCode::AdapterUnknown, ref.value };
-    return &found->second;
+    return *found;
 }
 
 Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer,
--- a/packages/tickets/src/ticket_parser.cpp
+++ b/packages/tickets/src/ticket_parser.cpp
@@ -1,3 +1,4 @@
+#include "azurewell/tickets/adapter_table.h"
 #include "azurewell/tickets/json_reader.h"
 #include "azurewell/tickets/ticket.h"
 
@@ -49,6 +50,8 @@
     const std::size_t at = adapter.ref.value.find('@');
     if (at == std::string::npos || at == 0 || at + 1 == adapter.ref.value.size())
         reader.complain("adapter", "must be written name@version");
+    if (adapter.ref.value.size() > longestAdapterRef)
+        reader.complain("adapter", "must have at most 200 characters");
     adapter.customer = CustomerId{ reader.text("customer") };
     adapter.baseModel = reader.text("base");
     adapter.ticket = ticket;
