--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -115,6 +115,17 @@
   1: string request
 }
 
+struct SnapshotAsk {
+  1: i64 ticket
+  2: i32 segment
+}
+
+struct SnapshotPart {
+  1: i64 ticket
+  2: i32 segment
+  3: binary text
+}
+
 union Body {
   1: Heartbeat heartbeat
   2: SlotAsk slotAsk
@@ -129,6 +140,8 @@
   41: PermitReply permitReply
   42: OutcomeReport outcomeReport
   43: OutcomeAck outcomeAck
+  44: SnapshotAsk snapshotAsk
+  45: SnapshotPart snapshotPart
 }
 
 struct Envelope {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -123,9 +123,26 @@
     RequestId request;
 };
 
-using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
-                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
-                              PermitAsk, PermitReply, OutcomeReport, OutcomeAck>;
+/// Asks for one segment of a snapshot: of the sender's newest where it asks for the first, else of
+/// the snapshot that the first one named.
+struct SnapshotAsk
+{
+    TicketNumber ticket;
+    std::uint32_t segment = 0;
+};
+
+/// One segment of the whole state in force at the sender.
+struct SnapshotPart
+{
+    TicketNumber ticket;
+    std::uint32_t segment = 0;
+    std::string text;
+};
+
+using PeerBody
+        = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal, SlotRenewal,
+                       SlotRelease, TicketAsk, TicketPush, SlotRenewed, PermitAsk, PermitReply,
+                       OutcomeReport, OutcomeAck, SnapshotAsk, SnapshotPart>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/fleet/codec.h"
 
 #include "codec_calls.h"
+#include "codec_snapshots.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -139,6 +140,14 @@
         push.__set_text(in.text);
         this->out.__set_ticketPush(push);
     }
+    void operator()(const SnapshotAsk &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const SnapshotPart &in) const
+    {
+        writeBody(this->out, in);
+    }
     void operator()(const PermitAsk &in) const
     {
         writeBody(this->out, in);
@@ -237,7 +246,8 @@
     if (in.__isset.ticketPush)
         return TicketPush{ TicketNumber{ static_cast<std::uint64_t>(in.ticketPush.number) },
                            in.ticketPush.text };
-    return readCallBody(in);
+    PeerBody body = readCallBody(in);
+    return std::holds_alternative<std::monostate>(body) ? readSnapshotBody(in) : body;
 }
 
 } // namespace
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -5,6 +5,7 @@
 #include "azurewell/host/call_state.h"
 #include "azurewell/host/counters.h"
 #include "azurewell/host/events.h"
+#include "azurewell/host/ticket_state.h"
 #include "azurewell/limits/token_bucket.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
@@ -93,8 +94,7 @@
 
     ProcessState process = ProcessState::Starting;
     StateInForce inForce;
-    std::map<TicketNumber, std::string> ticketTexts;  ///< For relay to other hosts.
-    std::map<TicketNumber, std::string> earlyTickets; ///< Read before the one they follow.
+    TicketState tickets;
     Membership membership;
     Instant nextHeartbeat;
     FencingNumber fencing; ///< The highest that was used or seen.
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -24,6 +24,7 @@
     admitWaiting(step);
     tendEngines(step);
     tendCalls(step);
+    tendTickets(step);
     sendHeartbeats(step);
     stopIfDrained(step);
 }
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -34,6 +34,18 @@
 void callService(Step &step, RequestRecord &record);
 RequestRecord *recordOf(HostState &state, const RequestId &id);
 
+// tickets.cpp: tickets from the platform and the peers.
+void onTicketRead(Step &step, const std::string &text);
+void onTicketPush(Step &step, const TicketPush &push);
+/// Asks \a peer for what it has and this host has not.
+void askForTickets(Step &step, const HostId &peer, TicketNumber peersTicket);
+void onTicketAsk(Step &step, const HostId &asker, const TicketAsk &ask);
+void onSnapshotAsk(Step &step, const HostId &asker, const SnapshotAsk &ask);
+void onSnapshotPart(Step &step, const HostId &sender, const SnapshotPart &part);
+void noteListRead(Step &step);
+/// Puts what was read in force once a fresh host may believe the platform.
+void tendTickets(Step &step);
+
 // calls.cpp: calls that must not be repeated.
 /// Whether \a record may run only under its call number's permit.
 bool needsPermit(const RequestRecord &record);
@@ -65,7 +77,6 @@
 
 // peers.cpp: messages, heartbeats, tickets.
 void onPeerMessage(Step &step, const PeerMessage &message);
-void onTicketRead(Step &step, const std::string &text);
 void onHostList(Step &step, const HostListRead &event);
 void sendHeartbeats(Step &step);
 void sendTo(Step &step, const HostId &host, PeerBody body);
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -5,9 +5,6 @@
 namespace {
 
 constexpr Span heartbeatInterval = fromSeconds(0.5);
-/// Tickets sent in answer to one ask; a host that is further behind asks again.
-constexpr std::size_t ticketsPerAnswer = 64;
-
 void onHeartbeat(Step &step, const PeerMessage &message, const Heartbeat &beat)
 {
     HostState &state = step.state;
@@ -18,19 +15,7 @@
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
     noteSummaries(step, beat.engines);
-    if (beat.ticket > state.inForce.ticket)
-        sendTo(step, message.sender, TicketAsk{ state.inForce.ticket });
-}
-
-void onTicketAsk(Step &step, const HostId &asker, const TicketAsk &ask)
-{
-    std::size_t sent = 0;
-    const auto &texts = step.state.ticketTexts;
-    for (auto entry = texts.upper_bound(ask.after); entry != texts.end() && sent < ticketsPerAnswer;
-         ++entry) {
-        sendTo(step, asker, TicketPush{ entry->first, entry->second });
-        ++sent;
-    }
+    askForTickets(step, message.sender, beat.ticket);
 }
 
 struct BodyHandler
@@ -90,43 +75,20 @@
     {
         onOutcomeAck(this->step, ack);
     }
+    void operator()(const SnapshotAsk &ask) const
+    {
+        onSnapshotAsk(this->step, this->message.sender, ask);
+    }
+    void operator()(const SnapshotPart &part) const
+    {
+        onSnapshotPart(this->step, this->message.sender, part);
+    }
     void operator()(const TicketPush &push) const
     {
-        onTicketRead(this->step, push.text);
+        onTicketPush(this->step, push);
     }
 };
 
-/// Puts \a ticket in force. False where it was refused.
-bool putInForce(Step &step, const Ticket &ticket, const std::string &text)
-{
-    HostState &state = step.state;
-    const Result<TicketNumber> applied = applyTicket(state.inForce, ticket);
-    if (!applied) {
-        ++state.counters.ticketsRefused;
-        step.actions.emplace_back(TicketNoted{ ticket.number, false, applied.error().detail });
-        return false;
-    }
-    state.ticketTexts[ticket.number] = text;
-    step.actions.emplace_back(TicketNoted{ ticket.number, true, {} });
-    return true;
-}
-
-/// Applies the tickets that were read early and whose turn has come.
-void applyEarlyTickets(Step &step)
-{
-    HostState &state = step.state;
-    while (true) {
-        const auto next = state.earlyTickets.find(TicketNumber{ state.inForce.ticket.value + 1 });
-        if (next == state.earlyTickets.end())
-            return;
-        const std::string text = next->second;
-        state.earlyTickets.erase(next);
-        const Result<Ticket> ticket = parseTicket(text);
-        if (!ticket || !putInForce(step, ticket.value(), text))
-            return;
-    }
-}
-
 } // namespace
 
 void sendTo(Step &step, const HostId &host, PeerBody body)
@@ -154,31 +116,10 @@
     std::visit(BodyHandler{ step, message }, message.body);
 }
 
-void onTicketRead(Step &step, const std::string &text)
-{
-    HostState &state = step.state;
-    const Result<Ticket> ticket = parseTicket(text);
-    if (!ticket) {
-        ++state.counters.ticketsRefused;
-        step.actions.emplace_back(TicketNoted{ TicketNumber{}, false, ticket.error().detail });
-        return;
-    }
-    if (ticket.value().number <= state.inForce.ticket)
-        return; // known already; an old value from a stale service changes nothing
-    state.earlyTickets[ticket.value().number] = text;
-    const TicketNumber before = state.inForce.ticket;
-    applyEarlyTickets(step);
-    if (state.inForce.ticket == before)
-        return;
-    state.process = advance(state.charts.process, state.process, ProcessEvent::StateInForce);
-    enforceTickets(step);
-    state.nextHeartbeat = step.now; // the others hear of the new ticket at once
-    sendHeartbeats(step);
-}
-
 void onHostList(Step &step, const HostListRead &event)
 {
     HostState &state = step.state;
+    noteListRead(step);
     applyHostList(state.membership, state.charts.peer, state.self.id, event.hosts);
     for (const ListedUpstream &listed : event.upstreams) {
         KnownUpstream &upstream = state.upstreams[listed.id];
--- a/packages/tickets/src/ticket_parser.cpp
+++ b/packages/tickets/src/ticket_parser.cpp
@@ -1,19 +1,27 @@
 #include "azurewell/tickets/adapter_table.h"
 #include "azurewell/tickets/json_reader.h"
 #include "azurewell/tickets/ticket.h"
+#include "record_reader.h"
 
 namespace azurewell {
 
 namespace {
 
-constexpr double mostTicketNumber = 9e15; // integers up to here are exact in a double
 constexpr double mostTokens = 1e12;
 constexpr double mostSlots = 4096;
 constexpr std::size_t hashLength = 64; // SHA-256 in hexadecimal
 
-Customer readCustomer(JsonReader &reader, TicketNumber ticket)
+TicketNumber readRecordTicket(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "id", "rate", "burst", "weight", "services" });
+    const double number = reader.number("ticket", 0, mostTicketNumber, 0.0);
+    if (!source.isSnapshot && number > 0)
+        reader.complain("ticket", "is not allowed here; a record's ticket is the one that sets it");
+    return source.isSnapshot ? TicketNumber{ static_cast<std::uint64_t>(number) } : source.ticket;
+}
+
+Customer readCustomer(JsonReader &reader, const RecordSource &source)
+{
+    reader.allowOnly({ "ticket", "id", "rate", "burst", "weight", "services" });
     Customer customer;
     customer.id = CustomerId{ reader.text("id") };
     customer.rate = TokenRate{ reader.number("rate", 0, mostTokens) };
@@ -21,13 +29,13 @@
     customer.weight = reader.number("weight", 0.01, 1000, 1.0);
     for (const std::string &service : reader.texts("services"))
         customer.services.emplace_back(service);
-    customer.ticket = ticket;
+    customer.ticket = readRecordTicket(reader, source);
     return customer;
 }
 
-Key readKey(JsonReader &reader, TicketNumber ticket)
+Key readKey(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "sha256", "customer", "state" });
+    reader.allowOnly({ "ticket", "sha256", "customer", "state" });
     Key key;
     key.hash = KeyHash{ reader.text("sha256") };
     if (key.hash.value.size() != hashLength
@@ -38,13 +46,13 @@
     if (state != "issued" && state != "withdrawn")
         reader.complain("state", "must be \"issued\" or \"withdrawn\"");
     key.state = state == "withdrawn" ? KeyState::Withdrawn : KeyState::Issued;
-    key.ticket = ticket;
+    key.ticket = readRecordTicket(reader, source);
     return key;
 }
 
-Adapter readAdapter(JsonReader &reader, TicketNumber ticket)
+Adapter readAdapter(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "adapter", "customer", "base" });
+    reader.allowOnly({ "ticket", "adapter", "customer", "base" });
     Adapter adapter;
     adapter.ref = AdapterRef{ reader.text("adapter") };
     const std::size_t at = adapter.ref.value.find('@');
@@ -54,13 +62,13 @@
         reader.complain("adapter", "must have at most 200 characters");
     adapter.customer = CustomerId{ reader.text("customer") };
     adapter.baseModel = reader.text("base");
-    adapter.ticket = ticket;
+    adapter.ticket = readRecordTicket(reader, source);
     return adapter;
 }
 
-Upstream readUpstream(JsonReader &reader, TicketNumber ticket)
+Upstream readUpstream(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "id", "kind", "zone", "address", "base", "service", "batch_slots",
+    reader.allowOnly({ "ticket", "id", "kind", "zone", "address", "base", "service", "batch_slots",
                        "adapter_slots", "checks_fencing", "leaving" });
     Upstream upstream;
     upstream.id = UpstreamId{ reader.text("id") };
@@ -80,43 +88,27 @@
     upstream.batchSlots = static_cast<std::uint32_t>(reader.number("batch_slots", 1, mostSlots));
     upstream.checksFencing = reader.flag("checks_fencing", false);
     upstream.isLeaving = reader.flag("leaving", false);
-    upstream.ticket = ticket;
+    upstream.ticket = readRecordTicket(reader, source);
     return upstream;
 }
 
-Service readService(JsonReader &reader, TicketNumber ticket)
+Service readService(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "id", "idempotent" });
-    return Service{ ServiceId{ reader.text("id") }, reader.flag("idempotent", false), ticket };
+    reader.allowOnly({ "ticket", "id", "idempotent" });
+    return Service{ ServiceId{ reader.text("id") }, reader.flag("idempotent", false),
+                    readRecordTicket(reader, source) };
 }
 
-Zone readZone(JsonReader &reader, TicketNumber ticket)
+Zone readZone(JsonReader &reader, const RecordSource &source)
 {
-    reader.allowOnly({ "id", "seats" });
+    reader.allowOnly({ "ticket", "id", "seats" });
     Zone zone;
     zone.id = ZoneId{ reader.text("id") };
     zone.seats = static_cast<std::uint32_t>(reader.number("seats", 1, 1000));
-    zone.ticket = ticket;
+    zone.ticket = readRecordTicket(reader, source);
     return zone;
 }
 
-void readSets(JsonReader &sets, Ticket &ticket)
-{
-    sets.allowOnly({ "customers", "keys", "adapters", "upstreams", "services", "zones" });
-    for (JsonReader &reader : sets.objects("customers"))
-        ticket.customers.push_back(readCustomer(reader, ticket.number));
-    for (JsonReader &reader : sets.objects("keys"))
-        ticket.keys.push_back(readKey(reader, ticket.number));
-    for (JsonReader &reader : sets.objects("adapters"))
-        ticket.adapters.push_back(readAdapter(reader, ticket.number));
-    for (JsonReader &reader : sets.objects("upstreams"))
-        ticket.upstreams.push_back(readUpstream(reader, ticket.number));
-    for (JsonReader &reader : sets.objects("services"))
-        ticket.services.push_back(readService(reader, ticket.number));
-    for (JsonReader &reader : sets.objects("zones"))
-        ticket.zones.push_back(readZone(reader, ticket.number));
-}
-
 void readRemovals(JsonReader &removals, Ticket &ticket)
 {
     removals.allowOnly({ "adapters", "customers", "upstreams" });
@@ -130,6 +122,23 @@
 
 } // namespace
 
+void readSets(JsonReader &sets, const RecordSource &source, Ticket &ticket)
+{
+    sets.allowOnly({ "customers", "keys", "adapters", "upstreams", "services", "zones" });
+    for (JsonReader &reader : sets.objects("customers"))
+        ticket.customers.push_back(readCustomer(reader, source));
+    for (JsonReader &reader : sets.objects("keys"))
+        ticket.keys.push_back(readKey(reader, source));
+    for (JsonReader &reader : sets.objects("adapters"))
+        ticket.adapters.push_back(readAdapter(reader, source));
+    for (JsonReader &reader : sets.objects("upstreams"))
+        ticket.upstreams.push_back(readUpstream(reader, source));
+    for (JsonReader &reader : sets.objects("services"))
+        ticket.services.push_back(readService(reader, source));
+    for (JsonReader &reader : sets.objects("zones"))
+        ticket.zones.push_back(readZone(reader, source));
+}
+
 Result<Ticket> parseTicket(std::string_view text)
 {
     const Result<nlohmann::json> json = parseJsonWithComments(text, ResultCode::TicketInvalid);
@@ -145,7 +154,7 @@
     ticket.by = reader.text("by");
     ticket.why = reader.text("why");
     JsonReader sets = reader.object("set");
-    readSets(sets, ticket);
+    readSets(sets, RecordSource{ ticket.number, false }, ticket);
     JsonReader removals = reader.object("remove");
     readRemovals(removals, ticket);
     if (!complaint.empty())
