--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -112,6 +112,7 @@
 /// The operator (or the platform) asks for a planned stop.
 struct StopAsked
 {
+    Span grace{}; ///< How long requests that still arrive are served: balancers notice late.
 };
 
 using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -90,6 +90,7 @@
     std::mt19937_64 random;
 
     ProcessState process = ProcessState::Starting;
+    Instant servesUntil; ///< While draining: requests that arrive later are refused.
     StateInForce inForce;
     std::map<TicketNumber, std::string> ticketTexts;  ///< For relay to other hosts.
     std::map<TicketNumber, std::string> earlyTickets; ///< Read before the one they follow.
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -11,7 +11,8 @@
 void stopIfDrained(Step &step)
 {
     HostState &state = step.state;
-    if (state.process != ProcessState::Draining || !state.requests.empty())
+    const bool isGraceOver = step.now >= state.servesUntil;
+    if (state.process != ProcessState::Draining || !isGraceOver || !state.requests.empty())
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
     step.actions.emplace_back(LeaveProcess{});
@@ -27,9 +28,12 @@
     stopIfDrained(step);
 }
 
-void onStopAsked(Step &step)
+void onStopAsked(Step &step, const StopAsked &event)
 {
     HostState &state = step.state;
+    // A host that knows nothing yet has nothing to serve, and a second signal means "now".
+    const bool isServing = state.process == ProcessState::Serving;
+    state.servesUntil = isServing ? step.now + event.grace : step.now;
     state.process = advance(state.charts.process, state.process, ProcessEvent::StopAsked);
     state.nextHeartbeat = step.now; // the others hear of it at once
     sendHeartbeats(step);
@@ -79,9 +83,9 @@
     {
         onTick(this->step);
     }
-    void operator()(const StopAsked &) const
+    void operator()(const StopAsked &event) const
     {
-        onStopAsked(this->step);
+        onStopAsked(this->step, event);
     }
 };
 
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -363,7 +363,8 @@
 {
     HostState &state = step.state;
     ++state.counters.arrived;
-    if (state.process != ProcessState::Serving) {
+    const bool isInGrace = state.process == ProcessState::Draining && step.now < state.servesUntil;
+    if (state.process != ProcessState::Serving && !isInGrace) {
         const bool isStarting = state.process == ProcessState::Starting;
         refuse(step, event.request,
                isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
--- a/packages/shell/include/azurewell/shell/http_text.h
+++ b/packages/shell/include/azurewell/shell/http_text.h
@@ -13,7 +13,8 @@
                       const RequestId &request, const QByteArray &moreHeaders = {});
 
 /// The head of a chunked answer.
-QByteArray chunkedHead(const QByteArray &contentType, const RequestId &request);
+QByteArray chunkedHead(const QByteArray &contentType, const RequestId &request,
+                       const QByteArray &moreHeaders = {});
 
 /// \a data as one chunk; the last chunk where \a data is empty.
 QByteArray chunkOf(const QByteArray &data);
--- a/packages/shell/include/azurewell/shell/settings.h
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -40,6 +40,7 @@
     Span keepAlive{};       ///< An idle caller connection is closed after this.
     Span requestPatience{}; ///< The deadline of a request that names none.
     Span readerPatience{};  ///< A caller must read a stream that waits for it within this.
+    Span drainGrace{};      ///< Requests are served for so long after a planned stop was asked for.
     Span upstreamIdle{};    ///< An upstream that sends nothing for this long is silent.
 };
 
--- a/packages/shell/include/azurewell/shell/traffic_worker.h
+++ b/packages/shell/include/azurewell/shell/traffic_worker.h
@@ -43,6 +43,8 @@
     /// Opens the callers' port. Errors: SettingsInvalid.
     Result<std::uint16_t> start();
     void carryOut(const TrafficOrder &order);
+    /// A planned stop has begun: each answer from here on tells its caller to leave the connection.
+    void drain();
     /// Closes the port; \a finished is called in this thread once every answer has been sent whole.
     void finish(std::function<void()> finished);
 
@@ -75,7 +77,8 @@
     void attemptEnded(const RequestId &id, AttemptOutcome outcome);
     void answerWhole(Exchange &exchange);
     void endStream(Exchange &exchange);
-    bool isFinished() const;
+    QByteArray connectionHeader() const;
+    bool isFinished(Instant now) const;
     void endExchange(const RequestId &id);
     void callerLeft(const RequestId &id);
     void checkDeadlines();
@@ -90,6 +93,10 @@
     std::unordered_map<RequestId, Exchange> exchanges;
     QTimer deadlineTimer;
     std::function<void()> onFinished;
+    Instant nextCheck;       ///< When checkDeadlines() is due.
+    Instant checksNotBefore; ///< Later than now after the process was stopped.
+    bool isDraining = false;
+    Instant finishNotBefore;
     Instant finishDeadline;
 };
 
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -122,7 +122,12 @@
 void ControlLoop::stop()
 {
     writeLog(LogLevel::Info, "stop_asked", {});
-    this->give(StopAsked{});
+    for (const Worker &worker : this->workers) {
+        TrafficWorker *traffic = worker.traffic;
+        QMetaObject::invokeMethod(
+                traffic, [traffic] { traffic->drain(); }, Qt::QueuedConnection);
+    }
+    this->give(StopAsked{ this->settings.drainGrace });
 }
 
 void ControlLoop::finishWorkers()
--- a/packages/shell/src/http_text.cpp
+++ b/packages/shell/src/http_text.cpp
@@ -72,12 +72,13 @@
     return head + moreHeaders + "\r\n";
 }
 
-QByteArray chunkedHead(const QByteArray &contentType, const RequestId &request)
+QByteArray chunkedHead(const QByteArray &contentType, const RequestId &request,
+                       const QByteArray &moreHeaders)
 {
     QByteArray head = "HTTP/1.1 200 OK\r\nContent-Type: " + contentType
             + "\r\nTransfer-Encoding: chunked\r\n";
     head += "Cache-Control: no-store\r\nX-Request-Id: " + QByteArray::fromStdString(request.value)
-            + "\r\n\r\n";
+            + "\r\n" + moreHeaders + "\r\n";
     return head;
 }
 
--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -45,6 +45,8 @@
   "request_patience_s": 120,
   // A caller that leaves this much of its stream unread for so long is dropped.
   "reader_patience_s": 10,
+  // After SIGTERM, requests are served for so long while /readyz says 503: two checks of the balancer.
+  "drain_grace_s": 4,
   // An upstream that sends nothing for this many seconds is silent.
   "upstream_idle_s": 15
 }
@@ -102,6 +104,7 @@
     settings.requestPatience = fromSeconds(
             reader.number("request_patience_s", 0.1, mostSeconds, 120));
     settings.readerPatience = fromSeconds(reader.number("reader_patience_s", 0.1, mostSeconds, 10));
+    settings.drainGrace = fromSeconds(reader.number("drain_grace_s", 0, mostSeconds, 4));
     settings.upstreamIdle = fromSeconds(reader.number("upstream_idle_s", 0.1, mostSeconds, 15));
 }
 
@@ -147,6 +150,7 @@
                        "keep_alive_s",
                        "request_patience_s",
                        "reader_patience_s",
+                       "drain_grace_s",
                        "upstream_idle_s" });
     Settings settings;
     settings.self.id = HostId{ reader.text("host") };
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -12,12 +12,18 @@
 /// token would cost the control thread 5,400 events a second on each of 390 hosts at 2.1 million
 /// tokens a second in all; a report in 50 ms is one for all streams of a thread.
 constexpr int checkMillis = 50;
+/// A check that comes this late means that the process was stopped. What came meanwhile is read
+/// before anybody is found silent: a filing's answer may wait in the kernel's buffer.
+constexpr Span lateWake = fromSeconds(0.5);
+constexpr Span wakePatience = fromSeconds(0.5);
 /// Bytes of a stream that may wait for its caller; more are left at the upstream.
 constexpr qint64 mostUnsentBytes = 256 << 10;
 /// Reading goes on when no more than this many wait.
 constexpr qint64 fewUnsentBytes = 64 << 10;
 /// How long a leaving process waits for callers that read their answers slowly.
 constexpr Span finishPatience = fromSeconds(30);
+/// Requests on connections that were accepted last are still read, and refused as not run.
+constexpr Span latecomerPatience = fromSeconds(0.2);
 
 } // namespace
 
@@ -47,24 +53,41 @@
     this->bind(this->server);
     QObject::connect(&this->deadlineTimer, &QTimer::timeout, this,
                      [this] { this->checkDeadlines(); });
+    this->nextCheck = monotonicNow();
     this->deadlineTimer.start(checkMillis);
     return this->server->serverPort();
 }
 
+void TrafficWorker::drain()
+{
+    this->isDraining = true;
+}
+
+/// A connection that is closed while its caller sends the next request loses that request without
+/// an answer; a caller that was told to leave sends it elsewhere.
+QByteArray TrafficWorker::connectionHeader() const
+{
+    return this->isDraining ? "Connection: close\r\n" : "";
+}
+
 void TrafficWorker::finish(std::function<void()> finished)
 {
+    // Callers that the kernel has accepted already would be reset with the port.
+    while (this->server->waitForNewConnection(0)) {}
     this->server->close();
     this->onFinished = std::move(finished);
+    this->finishNotBefore = monotonicNow() + latecomerPatience;
     this->finishDeadline = monotonicNow() + finishPatience;
 }
 
 /// Whether every answer has left this process: a socket destroyed with bytes in its buffer would
 /// cut the end off an answer.
-bool TrafficWorker::isFinished() const
+bool TrafficWorker::isFinished(Instant now) const
 {
-    if (monotonicNow() >= this->finishDeadline)
+    if (now >= this->finishDeadline)
         return true;
-    return this->exchanges.empty() && !this->server->hasUnsentBytes();
+    return now >= this->finishNotBefore && this->exchanges.empty()
+            && !this->server->hasUnsentBytes();
 }
 
 bool TrafficWorker::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
@@ -175,7 +198,7 @@
     if (!exchange.socket)
         return;
     if (!exchange.isHeadSent)
-        exchange.socket->write(chunkedHead("text/event-stream", id));
+        exchange.socket->write(chunkedHead("text/event-stream", id, this->connectionHeader()));
     exchange.isHeadSent = true;
     exchange.socket->write(chunkOf(events.bytes));
     exchange.delivered += events.tokens;
@@ -232,7 +255,8 @@
     if (!exchange.socket)
         return;
     if (!exchange.isHeadSent)
-        exchange.socket->write(chunkedHead("text/event-stream", exchange.request.arrived.request));
+        exchange.socket->write(chunkedHead("text/event-stream", exchange.request.arrived.request,
+                                           this->connectionHeader()));
     exchange.socket->write(chunkOf("data: [DONE]\n\n") + chunkOf({}));
 }
 
@@ -244,9 +268,9 @@
         return;
     const QByteArray type = attempt.contentType.isEmpty() ? QByteArray("application/octet-stream")
                                                           : attempt.contentType;
-    exchange.socket->write(
-            answerHead(attempt.status, type, attempt.body.size(), exchange.request.arrived.request)
-            + attempt.body);
+    exchange.socket->write(answerHead(attempt.status, type, attempt.body.size(),
+                                      exchange.request.arrived.request, this->connectionHeader())
+                           + attempt.body);
 }
 
 void TrafficWorker::endExchange(const RequestId &id)
@@ -260,7 +284,10 @@
     this->exchanges.erase(found);
     if (!socket)
         return;
-    if (CallerGuard *guard = GuardedTcpServer::guardOf(socket))
+    CallerGuard *guard = GuardedTcpServer::guardOf(socket);
+    if (guard && this->isDraining)
+        guard->closeWhenIdle();
+    if (guard)
         guard->answerDone();
 }
 
@@ -296,6 +323,11 @@
 void TrafficWorker::checkDeadlines()
 {
     const Instant now = monotonicNow();
+    if (now >= this->nextCheck + lateWake)
+        this->checksNotBefore = now + wakePatience;
+    this->nextCheck = now + Span{ std::chrono::milliseconds(checkMillis) };
+    if (now < this->checksNotBefore)
+        return;
     this->server->checkDeadlines(now);
     this->dropSlowReaders(now);
     std::vector<UpstreamAttempt *> attempts;
@@ -306,7 +338,10 @@
     for (UpstreamAttempt *attempt : attempts)
         attempt->checkDeadline(now);
     this->reportProgress();
-    if (this->onFinished && this->isFinished())
+    if (!this->onFinished || now < this->finishNotBefore)
+        return;
+    this->server->closeIdle();
+    if (this->isFinished(now))
         std::exchange(this->onFinished, nullptr)();
 }
 
--- a/standins/include/azurewell/standins/plain_service.h
+++ b/standins/include/azurewell/standins/plain_service.h
@@ -12,6 +12,7 @@
 public:
     bool closesWithoutAnswer = false; ///< Runs the call, then closes.
     bool closesAfterHalfAnswer = false;
+    int answerMillis = 0; ///< Between the run and the answer.
     std::uint64_t runs = 0;
     std::uint64_t keysSeen = 0;
     std::map<std::string, std::uint64_t>
--- a/standins/src/plain_service.cpp
+++ b/standins/src/plain_service.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/standins/plain_service.h"
 
+#include <QtCore/QTimer>
 #include <QtCore/QUrl>
 
 #include <nlohmann/json.hpp>
@@ -24,7 +25,16 @@
         socket->disconnectFromHost();
         return;
     }
-    answer(socket, 200, body, request.value("x-request-id"));
+    const QPointer<QTcpSocket> caller = socket;
+    const QByteArray id = request.value("x-request-id");
+    const bool closes = request.value("connection").toLower() == "close";
+    QTimer::singleShot(this->answerMillis, this, [caller, body, id, closes] {
+        if (!caller)
+            return;
+        answer(caller, 200, body, id);
+        if (closes)
+            caller->disconnectFromHost();
+    });
 }
 
 } // namespace azurewell::standins
--- a/tests/sockets/host_fixture.cpp
+++ b/tests/sockets/host_fixture.cpp
@@ -2,10 +2,11 @@
 
 #include "azurewell/shell/log.h"
 
-#include <nlohmann/json.hpp>
 #include <QtCore/QCryptographicHash>
 #include <QtNetwork/QTcpServer>
 
+#include <unistd.h>
+
 namespace azurewell::tests {
 
 namespace {
@@ -29,11 +30,20 @@
 
 } // namespace
 
+/// Below the ports that the kernel gives to connections, and apart for each process: tests run at the
+/// same time, and a port that was free a moment ago must still be free for the host.
 std::uint16_t freePort()
 {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost, 0);
-    return server.serverPort();
+    constexpr int first = 20'000;
+    constexpr int count = 12'000;
+    constexpr int ofOneProcess = 16;
+    static int next = static_cast<int>(::getpid()) * ofOneProcess;
+    while (true) {
+        const int port = first + next++ % count;
+        QTcpServer server;
+        if (server.listen(QHostAddress::LocalHost, static_cast<quint16>(port)))
+            return server.serverPort();
+    }
 }
 
 HostFixture::HostFixture()
@@ -99,14 +109,18 @@
     return QByteArray::fromStdString(ticket.dump());
 }
 
-void HostFixture::startHost()
+void HostFixture::publish(const nlohmann::json &hosts)
 {
-    nlohmann::json hosts;
-    hosts["hosts"] = {
-        { { "id", "h1" }, { "zone", "centro" }, { "address", this->settings.self.peerAddress } }
-    };
-    this->platform.publish("azurewell/hosts", QByteArray::fromStdString(hosts.dump()));
+    const nlohmann::json list{ { "hosts", hosts } };
+    this->platform.publish("azurewell/hosts", QByteArray::fromStdString(list.dump()));
     this->platform.publishTicket(1, this->ticketText());
+}
+
+void HostFixture::startHost()
+{
+    this->publish({ { { "id", "h1" },
+                      { "zone", "centro" },
+                      { "address", this->settings.self.peerAddress } } });
     setUpLog(this->settings.logLevel, "h1");
     this->host = std::make_unique<ControlLoop>(this->settings,
                                                loadKnownCharts(AZUREWELL_CHARTS_DIR).value(),
@@ -122,11 +136,7 @@
 {
     Caller operatorCaller(this->settings.operations.port);
     operatorCaller.write("GET /metrics HTTP/1.1\r\nHost: azurewell\r\n\r\n");
-    const QByteArray body = '\n' + operatorCaller.answer().body;
-    const qsizetype at = body.indexOf('\n' + sample + ' ');
-    if (at < 0)
-        return -1;
-    return body.mid(at + sample.size() + 2).split('\n').first().toDouble();
+    return sampleOf(operatorCaller.answer().body, sample);
 }
 
 bool HostFixture::isUnharmed()
--- a/tests/sockets/host_fixture.h
+++ b/tests/sockets/host_fixture.h
@@ -8,6 +8,7 @@
 #include "azurewell/standins/platform.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <memory>
 #include <vector>
@@ -24,6 +25,8 @@
 
     /// One more engine; before startHost().
     standins::Engine &addEngine(standins::EngineOptions options = {});
+    /// Publishes the ticket and the list of \a hosts.
+    void publish(const nlohmann::json &hosts);
     /// Publishes the ticket and the host list, starts the host and waits until it serves.
     void startHost();
     /// The value of a metric's sample, such as `azurewell_retries_total{reason="not_sent"}`.
@@ -46,6 +49,9 @@
     std::vector<standins::EngineOptions> engineOptions;
 };
 
+/// The value of \a sample in the text of /metrics; -1 where there is none.
+double sampleOf(const QByteArray &metrics, const QByteArray &sample);
+
 /// A port that nothing listens on.
 std::uint16_t freePort();
 
--- /dev/null
+++ b/tests/sockets/host_process.cpp
@@ -0,0 +1,120 @@
+#include "host_process.h"
+
+#include "caller.h"
+#include "host_fixture.h"
+
+#include <nlohmann/json.hpp>
+#include <QtCore/QFile>
+
+#include <csignal>
+#include <unistd.h>
+
+namespace azurewell::tests {
+
+namespace {
+
+std::string onLoopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+Answer get(std::uint16_t port, const QByteArray &path)
+{
+    Caller caller(port);
+    caller.write("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    return caller.answer();
+}
+
+} // namespace
+
+double sampleOf(const QByteArray &metrics, const QByteArray &sample)
+{
+    const QByteArray body = '\n' + metrics;
+    const qsizetype at = body.indexOf('\n' + sample + ' ');
+    return at < 0 ? -1 : body.mid(at + sample.size() + 2).split('\n').first().toDouble();
+}
+
+HostPlace makePlace(const std::string &id, const std::string &zone, const std::string &platform)
+{
+    return HostPlace{ id, zone, platform, freePort(), freePort(), freePort() };
+}
+
+HostProcess::HostProcess(HostPlace hostPlace)
+    : place(std::move(hostPlace))
+{
+}
+
+HostProcess::~HostProcess()
+{
+    if (this->isRunning())
+        this->signal(SIGKILL);
+    this->process.waitForFinished();
+}
+
+bool HostProcess::start()
+{
+    const nlohmann::json settings{ { "host", this->place.id },
+                                   { "zone", this->place.zone },
+                                   { "seat", 0 },
+                                   { "callers", onLoopback(this->place.callers) },
+                                   { "peers", onLoopback(this->place.peers) },
+                                   { "operations", onLoopback(this->place.operations) },
+                                   { "peer_key", "secret of the tests' fleet" },
+                                   { "platform", this->place.platform },
+                                   { "charts", AZUREWELL_CHARTS_DIR },
+                                   { "traffic_threads", 2 },
+                                   { "upstream_idle_s", 3 },
+                                   { "drain_grace_s", 1 } };
+    const QString path = this->directory.filePath("settings.json");
+    QFile file(path);
+    if (!file.open(QIODevice::WriteOnly))
+        return false;
+    file.write(QByteArray::fromStdString(settings.dump()));
+    file.close();
+    this->process.setStandardErrorFile(this->directory.filePath("log"), QIODevice::Append);
+    this->process.start(AZUREWELLD, { "--settings", path });
+    return waitUntil([this] { return this->readyStatus() == 200; });
+}
+
+void HostProcess::signal(int number) const
+{
+    ::kill(static_cast<pid_t>(this->process.processId()), number);
+}
+
+bool HostProcess::isRunning() const
+{
+    return this->process.state() == QProcess::Running;
+}
+
+int HostProcess::exitCode()
+{
+    const bool hasEnded = waitUntil([this] { return !this->isRunning(); });
+    const bool isExit = hasEnded && this->process.exitStatus() == QProcess::NormalExit;
+    return isExit ? this->process.exitCode() : -1;
+}
+
+QByteArray HostProcess::log()
+{
+    QFile file(this->directory.filePath("log"));
+    return file.open(QIODevice::ReadOnly) ? file.readAll() : QByteArray();
+}
+
+int HostProcess::readyStatus() const
+{
+    return get(this->place.operations, "/readyz").status;
+}
+
+double HostProcess::metric(const QByteArray &sample) const
+{
+    return sampleOf(get(this->place.operations, "/metrics").body, sample);
+}
+
+std::int64_t HostProcess::residentBytes() const
+{
+    QFile file(QString("/proc/%1/statm").arg(this->process.processId()));
+    if (!file.open(QIODevice::ReadOnly))
+        return 0;
+    return file.readAll().split(' ').value(1).toLongLong() * ::sysconf(_SC_PAGESIZE);
+}
+
+} // namespace azurewell::tests
