Planned stop: serve during a grace, cut off nothing; filings on connections of their own

After SIGTERM the host serves what still arrives for drain_grace_s while /readyz says 503, answers with Connection: close, then refuses with host_draining (not_run), accepts what the kernel has taken already, closes the port and leaves once all is written. Refused was considered and left: a balancer that checks every second or two would turn each stop into refusals inside customers' rates.

A process that wakes late (SIGSTOP) reads what has come before it finds anybody silent.

Found by Filings.ManyAtOnceRunOnceEach under load: 3 of 200 filings had an unknown outcome because the library reused a connection that the service was closing. A call that must not run twice has a connection of its own now.

Test ports are taken below the kernel's range: a test failed on a port taken meanwhile.

--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -12,7 +12,8 @@
 {
     HostState &state = step.state;
     const bool isGraceOver = step.now >= state.servesUntil;
-    if (state.process != ProcessState::Draining || !isGraceOver || !state.requests.empty())
+    const bool isIdle = state.requests.empty() && !hasOpenCalls(step);
+    if (state.process != ProcessState::Draining || !isGraceOver || !isIdle)
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
     step.actions.emplace_back(LeaveProcess{});
@@ -24,6 +25,7 @@
     expireRequests(step);
     admitWaiting(step);
     tendEngines(step);
+    tendCalls(step);
     sendHeartbeats(step);
     stopIfDrained(step);
 }
@@ -96,6 +98,9 @@
     HostState state;
     state.random.seed(identity.randomSeed);
     state.fencing = FencingNumber{ identity.incarnation.value };
+    state.calls.ledger.host = identity.id;
+    state.calls.ledger.incarnation = identity.incarnation;
+    state.calls.ledger.secret = state.random();
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
--- a/tests/sockets/host_fixture.cpp
+++ b/tests/sockets/host_fixture.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-/// Below the ports that the kernel gives to connections, and apart for each process: tests run at the
-/// same time, and a port that was free a moment ago must still be free for the host.
+/// Below the ports that the kernel gives to connections, and apart for each process: tests run at
+/// the same time, and a port that was free a moment ago must still be free for the host.
 std::uint16_t freePort()
 {
     constexpr int first = 20'000;
