--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -93,6 +93,7 @@
     std::mt19937_64 random;
 
     ProcessState process = ProcessState::Starting;
+    Instant servesUntil; ///< While draining: requests that arrive later are refused.
     StateInForce inForce;
     TicketState tickets;
     Membership membership;
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -13,6 +13,17 @@
 /// What the library may hold of an answer that is not being read.
 constexpr qint64 readBufferBytes = 64 << 10;
 
+/// A call that must not run twice gets no connection that was used before: its upstream may be
+/// closing that just then, and the call would be lost on the way, its outcome unknown for nothing.
+/// The library takes requests with different names to verify for different servers; over plain HTTP
+/// the name means nothing else.
+void useOwnConnection(QNetworkRequest &request, const RequestId &id)
+{
+    request.setPeerVerifyName(QString::fromStdString(id.value));
+    request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute, 1);
+    request.setRawHeader("Connection", "close");
+}
+
 /// Only what is on this list reaches an upstream; the caller's key is not.
 QNetworkRequest requestFor(const CallerRequest &caller, const Dispatch &dispatch)
 {
@@ -24,10 +35,8 @@
     request.setRawHeader("Accept", caller.isStream ? "text/event-stream" : "application/json");
     if (!caller.callNumber.isEmpty())
         request.setRawHeader("X-Call-Number", caller.callNumber);
-    // A call that must not run twice gets no connection that its upstream may be closing just then:
-    // it would be lost on the way, and its outcome unknown for nothing.
     if (!dispatch.mayRunTwice)
-        request.setRawHeader("Connection", "close");
+        useOwnConnection(request, dispatch.request);
     if (dispatch.resumeFrom.count > 0)
         request.setRawHeader("X-Resume-From",
                              QByteArray::number(static_cast<qint64>(dispatch.resumeFrom.count)));
