--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -122,10 +122,9 @@
     noteListRead(step);
     applyHostList(state.membership, state.charts.peer, state.self.id, event.hosts);
     for (const ListedUpstream &listed : event.upstreams) {
-        KnownUpstream &upstream = state.upstreams[listed.id];
         const UpstreamEvent word = listed.isLeaving ? UpstreamEvent::ListedLeaving
                                                     : UpstreamEvent::ListedLive;
-        upstream.state = advance(state.charts.upstream, upstream.state, word);
+        setUpstreamState(step, listed.id, word);
     }
 }
 
