--- a/packages/host/src/upstreams.cpp
+++ b/packages/host/src/upstreams.cpp
@@ -24,10 +24,10 @@
         const RouteAsk ask{ record.asked.service.value, noAdapter, salt, record.failedAt };
         return chooseUpstream(state.routing, ask, step.now);
     }
-    const auto adapter = state.inForce.adapters.find(record.asked.adapter);
-    if (adapter == state.inForce.adapters.end())
+    const std::optional<AdapterView> adapter = state.inForce.adapters.find(record.asked.adapter);
+    if (!adapter)
         return std::nullopt;
-    const RouteAsk ask{ adapter->second.baseModel, record.asked.adapter, salt, record.failedAt };
+    const RouteAsk ask{ *adapter->baseModel, record.asked.adapter, salt, record.failedAt };
     return chooseUpstream(state.routing, ask, step.now);
 }
 
