--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -348,7 +348,8 @@
     HostState &state = step.state;
     ++state.counters.arrived;
     const RunState unsent = runStateAtArrival(event);
-    if (state.process != ProcessState::Serving) {
+    const bool isInGrace = state.process == ProcessState::Draining && step.now < state.servesUntil;
+    if (state.process != ProcessState::Serving && !isInGrace) {
         const bool isStarting = state.process == ProcessState::Starting;
         refuse(step, event.request,
                isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, unsent,
@@ -368,8 +369,8 @@
     record.asked = event;
     record.customer = customer.value()->id;
     if (event.kind == RequestKind::Completion) {
-        const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer,
-                                                           event.adapter);
+        const Result<AdapterView> adapter = adapterFor(state.inForce, record.customer,
+                                                       event.adapter);
         if (!adapter) {
             refuse(step, event.request, adapter.error().code, unsent);
             return;
--- a/packages/shell/include/azurewell/shell/one_shot_device.h
+++ b/packages/shell/include/azurewell/shell/one_shot_device.h
@@ -15,6 +15,9 @@
 
     bool isSequential() const override;
     qint64 bytesAvailable() const override;
+    /// No, without the warning that the library prints for sequential devices.
+    bool seek(qint64 position) override;
+    bool reset() override;
 
 protected:
     qint64 readData(char *to, qint64 most) override;
--- a/packages/shell/src/one_shot_device.cpp
+++ b/packages/shell/src/one_shot_device.cpp
@@ -21,6 +21,16 @@
     return this->content.size() - this->position + QIODevice::bytesAvailable();
 }
 
+bool OneShotDevice::seek(qint64)
+{
+    return false;
+}
+
+bool OneShotDevice::reset()
+{
+    return false;
+}
+
 qint64 OneShotDevice::readData(char *to, qint64 most)
 {
     const qint64 count = std::min<qint64>(most, this->content.size() - this->position);
