Keys: a withdrawal scans only when it can end something; cut-off zones by a setting

Cause: every ticket looked at every open request; a retired adapter left its waiting requests in the queue; and a zone that was cut off served a withdrawn key for as long as the cut lasted, with nothing an operator could do.

Only tickets that touch a known key or adapter, or remove one, scan. A retired adapter ends what waits and lets running streams end.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -25,6 +25,7 @@
   5: i32 seat
   6: string address
   7: i64 highestFencing
+  20: i64 newsAge
 }
 
 struct SlotAsk {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -6,6 +6,7 @@
 #include "azurewell/units/time.h"
 #include "azurewell/units/tokens.h"
 
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +24,9 @@
     std::vector<AdapterRef> wanted; ///< Being loaded, or waited for.
 };
 
+/// The age of news that never came; also that of a neighbour whose version does not tell.
+inline constexpr Span noNews{ std::numeric_limits<std::int64_t>::max() };
+
 /// "I am alive", sent to every other host once a heartbeat interval.
 struct Heartbeat
 {
@@ -33,6 +37,7 @@
     SeatNumber seat;
     std::string address;          ///< Where the sender's peer port listens.
     FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
+    Span newsAge = noNews; ///< Since the newest word of the configuration service that it knows of.
 };
 
 /// Asks an engine's keeper for a slot.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -70,6 +70,7 @@
         beat.__set_seat(static_cast<std::int32_t>(in.seat.value));
         beat.__set_address(in.address);
         beat.__set_highestFencing(static_cast<std::int64_t>(in.highestFencing.value));
+        beat.__set_newsAge(in.newsAge.count());
         this->out.__set_heartbeat(beat);
     }
     void operator()(const SlotAsk &in) const
@@ -183,6 +184,8 @@
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
     beat.address = in.address;
     beat.highestFencing = FencingNumber{ static_cast<std::uint64_t>(in.highestFencing) };
+    if (in.__isset.newsAge && in.newsAge >= 0)
+        beat.newsAge = Span{ in.newsAge };
     return beat;
 }
 
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -111,6 +111,11 @@
     bool isDone = false;
 };
 
+/// The configuration service answered, be it that nothing has changed.
+struct PlatformHeard
+{
+};
+
 /// Time passed. The shell sends it every tickInterval.
 struct Tick
 {
@@ -124,6 +129,6 @@
 
 using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
                            PeerMessageReceived, TicketRead, HostListRead, LoadReported, OrderEnded,
-                           Tick, StopAsked>;
+                           PlatformHeard, Tick, StopAsked>;
 
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/host.h
+++ b/packages/host/include/azurewell/host/host.h
@@ -19,4 +19,8 @@
 /// same events give the same actions.
 void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions);
 
+/// Whether this host must serve nothing new because it has had no news of withdrawn keys for longer
+/// than the tickets allow.
+bool isWithoutNews(const HostState &state, Instant now);
+
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/ticket_state.h
+++ b/packages/host/include/azurewell/host/ticket_state.h
@@ -4,6 +4,7 @@
 #include "azurewell/units/time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace azurewell {
@@ -26,8 +27,10 @@
     SnapshotAssembly assembly;       ///< A snapshot on its way from `snapshotFrom`.
     std::uint32_t snapshotTries = 0; ///< For the segment that is awaited.
     bool isListRead = false;
-    Instant patienceEnds; ///< A fresh host waits for its peers until then.
-    TicketNumber refused; ///< The ticket that was refused last; its successors wait.
+    Instant patienceEnds;          ///< A fresh host waits for its peers until then.
+    std::optional<Instant> newsAt; ///< The newest word of the service, here or at a peer.
+    bool isScanDue = false; ///< The tickets of this step may end requests that are on their way.
+    TicketNumber refused;   ///< The ticket that was refused last; its successors wait.
     std::string refusedWhy;
     std::string refusedText;
     bool isBelievingAtOnce = false; ///< Deliberate fault: a fresh host asks no peer first.
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -82,6 +82,10 @@
     {
         onOrderEnded(this->step, event);
     }
+    void operator()(const PlatformHeard &) const
+    {
+        notePlatformHeard(this->step);
+    }
     void operator()(const Tick &) const
     {
         onTick(this->step);
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -43,6 +43,10 @@
 void onSnapshotAsk(Step &step, const HostId &asker, const SnapshotAsk &ask);
 void onSnapshotPart(Step &step, const HostId &sender, const SnapshotPart &part);
 void noteListRead(Step &step);
+void notePlatformHeard(Step &step);
+/// Takes over how old a peer's news is, if that is newer.
+void noteNews(Step &step, Span age);
+Span newsAge(const Step &step);
 /// Puts what was read in force once a fresh host may believe the platform.
 void tendTickets(Step &step);
 
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -15,6 +15,7 @@
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
     noteSummaries(step, beat.engines);
+    noteNews(step, beat.newsAge);
     askForTickets(step, message.sender, beat.ticket);
 }
 
@@ -144,6 +145,7 @@
     beat.seat = state.self.seat;
     beat.address = state.self.peerAddress;
     beat.highestFencing = state.fencing;
+    beat.newsAge = newsAge(step);
     for (const auto &[id, peer] : state.membership.peers) {
         if (peer.isListed || peer.state != PeerState::Gone)
             step.actions.emplace_back(SendPeer{ id, peer.address, beat });
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -356,6 +356,10 @@
                defaultRetryAfter);
         return;
     }
+    if (isWithoutNews(state, step.now)) {
+        refuse(step, event.request, ResultCode::HostWithoutNews, unsent, defaultRetryAfter);
+        return;
+    }
     const Result<const Customer *> customer = customerOf(state.inForce, event.key);
     if (!customer) {
         refuse(step, event.request, customer.error().code, unsent);
@@ -554,15 +558,39 @@
     retryOrRefuse(step, *record, event.outcome);
 }
 
+namespace {
+
+/// Ok, or why the tickets in force end the request. A retired adapter ends what waits for it; a
+/// stream that runs on it is its caller's to the end.
+ResultCode standingOf(const HostState &state, const RequestRecord &record)
+{
+    const Result<const Customer *> customer = customerOf(state.inForce, record.asked.key);
+    if (!customer)
+        return customer.error().code;
+    if (customer.value()->id != record.customer)
+        return ResultCode::KeyUnknown;
+    const bool isWaitingForEngine = record.asked.kind == RequestKind::Completion
+            && record.phase != RequestPhase::Running && record.generated.count == 0;
+    if (!isWaitingForEngine)
+        return ResultCode::Ok;
+    const Result<AdapterView> adapter = adapterFor(state.inForce, record.customer,
+                                                   record.asked.adapter);
+    return adapter ? ResultCode::Ok : adapter.error().code;
+}
+
+} // namespace
+
 void enforceTickets(Step &step)
 {
     HostState &state = step.state;
     setUpstreams(state.routing, state.inForce.upstreams, state.self.zone);
     std::vector<std::pair<RequestId, ResultCode>> ended;
-    for (const auto &[id, record] : state.requests) {
-        const Result<const Customer *> customer = customerOf(state.inForce, record.asked.key);
-        if (!customer)
-            ended.emplace_back(id, customer.error().code);
+    if (std::exchange(state.tickets.isScanDue, false)) {
+        for (const auto &[id, record] : state.requests) {
+            const ResultCode code = standingOf(state, record);
+            if (code != ResultCode::Ok)
+                ended.emplace_back(id, code);
+        }
     }
     for (const auto &[id, code] : ended) {
         RequestRecord &record = state.requests.at(id);
--- a/packages/host/src/tickets.cpp
+++ b/packages/host/src/tickets.cpp
@@ -69,15 +69,33 @@
     step.actions.emplace_back(TicketNoted{ number, false, why });
 }
 
+/// Whether requests that are on their way may have to end for \a ticket. Most tickets add keys and
+/// adapters, which ends nothing; to look at every open request for each of them would cost a host
+/// that is full. A key or adapter that is set again may be withdrawn, or another customer's now.
+bool mayEndRequests(const StateInForce &before, const Ticket &ticket)
+{
+    const auto isKnownKey = [&before](const Key &key) {
+        return before.keys.contains(key.hash);
+    };
+    const auto isKnownAdapter = [&before](const Adapter &adapter) {
+        return before.adapters.contains(adapter.ref);
+    };
+    return !ticket.removedCustomers.empty() || !ticket.removedAdapters.empty()
+            || std::any_of(ticket.keys.begin(), ticket.keys.end(), isKnownKey)
+            || std::any_of(ticket.adapters.begin(), ticket.adapters.end(), isKnownAdapter);
+}
+
 /// Puts \a ticket in force. False where it was refused.
 bool putInForce(Step &step, const Ticket &ticket, const std::string &text)
 {
     HostState &state = step.state;
+    const bool mayEnd = mayEndRequests(state.inForce, ticket);
     const Result<TicketNumber> applied = applyTicket(state.inForce, ticket);
     if (!applied) {
         noteRefused(step, ticket.number, applied.error().detail, text);
         return false;
     }
+    state.tickets.isScanDue = state.tickets.isScanDue || mayEnd;
     TicketLog &log = state.tickets.applied;
     addText(log, ticket.number, text);
     while (isOverBound(log))
@@ -223,10 +241,12 @@
     const std::uint32_t before = tickets.assembly.next;
     if (addSegment(tickets.assembly, segment.value())) {
         state.inForce = std::move(tickets.assembly.state);
+        tickets.isScanDue = true;
         tickets.assembly = SnapshotAssembly{};
         tickets.applied = TicketLog{}; // its tickets would not follow one another any more
-        std::erase_if(tickets.early.texts,
-                      [&state](const auto &entry) { return entry.first <= state.inForce.ticket; });
+        while (!tickets.early.texts.empty()
+               && tickets.early.texts.begin()->first <= state.inForce.ticket)
+            eraseText(tickets.early, tickets.early.texts.begin());
         step.actions.emplace_back(TicketNoted{ state.inForce.ticket, true, "by snapshot" });
         stateChanged(step);
         applyWhatMayBe(step);
@@ -250,6 +270,27 @@
     readTicket(step, push.text, true);
 }
 
+void notePlatformHeard(Step &step)
+{
+    step.state.tickets.newsAt = step.now;
+}
+
+void noteNews(Step &step, Span age)
+{
+    if (age == noNews)
+        return;
+    std::optional<Instant> &newsAt = step.state.tickets.newsAt;
+    const Instant heard = step.now - age;
+    if (!newsAt || heard > *newsAt)
+        newsAt = heard;
+}
+
+Span newsAge(const Step &step)
+{
+    const std::optional<Instant> &newsAt = step.state.tickets.newsAt;
+    return newsAt ? step.now - *newsAt : noNews;
+}
+
 void noteListRead(Step &step)
 {
     TicketState &tickets = step.state.tickets;
@@ -258,8 +299,24 @@
     tickets.isListRead = true;
 }
 
+/// Ends what waits here once the news is too old; what runs goes on to its end.
+void endWaitingWithoutNews(Step &step)
+{
+    HostState &state = step.state;
+    if (state.requests.empty() || !isWithoutNews(state, step.now))
+        return;
+    std::vector<RequestId> waiting;
+    for (const auto &[id, record] : state.requests) {
+        if (record.phase != RequestPhase::Running)
+            waiting.push_back(id);
+    }
+    for (const RequestId &id : waiting)
+        endRefused(step, state.requests.at(id), ResultCode::HostWithoutNews, RunState::NotRun);
+}
+
 void tendTickets(Step &step)
 {
+    endWaitingWithoutNews(step);
     const bool isWaiting = step.state.inForce.ticket.value == 0
             && !step.state.tickets.early.texts.empty();
     if (isWaiting && mayBelievePlatform(step))
@@ -267,3 +324,16 @@
 }
 
 } // namespace azurewell::internal
+
+namespace azurewell {
+
+bool isWithoutNews(const HostState &state, Instant now)
+{
+    const Span longest = state.inForce.fleet.longestWithoutNews;
+    if (longest <= Span{})
+        return false;
+    const std::optional<Instant> &newsAt = state.tickets.newsAt;
+    return !newsAt || now - *newsAt > longest;
+}
+
+} // namespace azurewell
--- a/packages/host/tests/host_test.cpp
+++ b/packages/host/tests/host_test.cpp
@@ -115,6 +115,40 @@
     EXPECT_EQ(fixture.last<Refuse>()->code, ResultCode::KeyWithdrawn);
 }
 
+// An adapter is retired while a stream runs on it and other requests wait for a slot. The stream
+// goes on to its end; what waits is refused as not run. A ticket that only adds an adapter ends
+// nothing.
+TEST(Host, ARetiredAdapterEndsWhatWaitsAndLetsRunningStreamsEnd)
+{
+    Fixture fixture;
+    fixture.begin();
+    for (const char *id : { "r1", "r2", "r3", "r4" }) // two run, two wait
+        fixture.give(fixture.request(id));
+    fixture.give(TicketRead{ R"({ "ticket": 2, "by": "ana", "why": "b", "set": { "adapters": [
+        { "adapter": "b@1", "customer": "c", "base": "m" } ] } })" });
+    EXPECT_EQ(fixture.state.requests.size(), 4U);
+    fixture.give(TicketRead{
+            R"({ "ticket": 3, "by": "ana", "why": "old", "remove": { "adapters": ["a@1"] } })" });
+    EXPECT_EQ(fixture.state.requests.size(), 2U);
+    EXPECT_EQ(fixture.state.counters.refusals[ResultCode::AdapterUnknown], 2U);
+    EXPECT_EQ(fixture.last<CancelAttempt>(), nullptr);
+    fixture.give(AttemptEnded{ RequestId{ "r1" }, 1, AttemptOutcome::Done, Tokens{ 20 }, true });
+    EXPECT_EQ(fixture.state.counters.completed, 1U);
+}
+
+// A customer is removed while its stream runs: the stream ends, and the engine is told.
+TEST(Host, ARemovedCustomersStreamsEnd)
+{
+    Fixture fixture;
+    fixture.begin();
+    fixture.give(fixture.request("r1"));
+    fixture.give(TicketRead{
+            R"({ "ticket": 2, "by": "ana", "why": "left", "remove": { "customers": ["c"] } })" });
+    EXPECT_TRUE(fixture.state.requests.empty());
+    EXPECT_NE(fixture.last<CancelAttempt>(), nullptr);
+    EXPECT_EQ(fixture.state.counters.refusals[ResultCode::KeyUnknown], 1U);
+}
+
 // A back end reads a filing and closes without answering. Whether it was filed is not known, so it
 // is not sent again, and the caller is told just that.
 TEST(Host, AFilingIsNeverSentTwice)
--- a/packages/host/tests/tickets_host_test.cpp
+++ b/packages/host/tests/tickets_host_test.cpp
@@ -302,3 +302,42 @@
     RecordProperty("milliseconds", std::to_string(steps * 10));
     RecordProperty("pushes", std::to_string(fleet.pushes));
 }
+
+// A zone is cut off, and a key is withdrawn on the other side. By default the zone goes on serving
+// what it can, the key included. Operators who fear the lost key more than the lost zone set how
+// long a host may serve without news; then the cut-off hosts refuse in time, and the others, one of
+// which alone hears the service, go on.
+TEST(TicketsOnHosts, ACutOffZoneStopsOnlyWhereTheTicketSaysSo)
+{
+    for (const bool isSet : { false, true }) {
+        Fleet fleet(4);
+        fleet.pass(1);
+        fleet.publish({ 0 }, firstTicket(1));
+        const std::string setting = R"("fleet": { "longest_without_news": 20 })";
+        fleet.publish({ 0 }, isSet ? ticket(2, setting) : newAdapter(2));
+        fleet.give(0, PlatformHeard{});
+        fleet.pass(1);
+        fleet.cutOff = { 2, 3 };
+        fleet.publish({ 0 }, withdrawal(3));
+        for (int second = 0; second < 30; ++second) {
+            fleet.give(0, PlatformHeard{});
+            fleet.pass(1);
+        }
+        EXPECT_FALSE(isWithoutNews(fleet.hosts[1], fleet.now)) << "it has its news from a peer";
+        EXPECT_EQ(fleet.ticketAt(1), 3U);
+        EXPECT_EQ(isWithoutNews(fleet.hosts[2], fleet.now), isSet);
+        RequestArrived request;
+        request.request = RequestId{ "r" };
+        request.key = key;
+        request.adapter = AdapterRef{ "a0@1" };
+        request.deadline = fleet.now + fromSeconds(5);
+        fleet.give(2, request);
+        EXPECT_EQ(fleet.hosts[2].counters.refusals[ResultCode::HostWithoutNews], isSet ? 1U : 0U);
+        fleet.give(1, request);
+        EXPECT_EQ(fleet.hosts[1].counters.refusals[ResultCode::KeyWithdrawn], 1U);
+        fleet.cutOff.clear();
+        fleet.pass(2);
+        EXPECT_FALSE(isWithoutNews(fleet.hosts[2], fleet.now));
+        EXPECT_EQ(fleet.ticketAt(2), 3U);
+    }
+}
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -221,7 +221,8 @@
     if (path == "/healthz")
         return OperationsAnswer{ 200, "text/plain", "ok\n" };
     if (path == "/readyz") {
-        const bool isReady = this->state.process == ProcessState::Serving;
+        const bool isReady = this->state.process == ProcessState::Serving
+                && !isWithoutNews(this->state, monotonicNow());
         const std::size_t index = static_cast<std::size_t>(this->state.process);
         return OperationsAnswer{ isReady ? 200 : 503, "text/plain",
                                  QByteArray::fromStdString(this->state.charts.process.states[index])
--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -81,6 +81,7 @@
                                [this, &watch] { this->watch(watch); });
             return;
         }
+        this->read(PlatformHeard{});
         const QByteArray index = reply->rawHeader("X-Consul-Index");
         const bool hasChanged = index != watch.index;
         watch.index = index.isEmpty() ? QByteArray("0") : index;
--- a/packages/tickets/include/azurewell/tickets/json_reader.h
+++ b/packages/tickets/include/azurewell/tickets/json_reader.h
@@ -36,6 +36,7 @@
     std::vector<JsonReader> objects(const char *key);
     /// The object at \a key; a null object where it is missing.
     JsonReader object(const char *key);
+    bool has(const char *key) const;
     /// Complains of any key that is not in \a known: a misspelt key must not pass silently.
     void allowOnly(std::initializer_list<std::string_view> known);
     void complain(const std::string &key, const std::string &what);
--- a/packages/tickets/include/azurewell/tickets/records.h
+++ b/packages/tickets/include/azurewell/tickets/records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/units/ids.h"
+#include "azurewell/units/time.h"
 #include "azurewell/units/tokens.h"
 
 #include <cstdint>
@@ -74,4 +75,14 @@
     TicketNumber ticket;
 };
 
+/// Settings of the whole fleet.
+struct FleetSettings
+{
+    /// A host that has had no word from the configuration service for so long, neither itself nor
+    /// through other hosts, serves nothing new: a key may have been withdrawn meanwhile. Zero: it
+    /// goes on.
+    Span longestWithoutNews{};
+    TicketNumber ticket;
+};
+
 } // namespace azurewell
--- a/packages/tickets/include/azurewell/tickets/state_in_force.h
+++ b/packages/tickets/include/azurewell/tickets/state_in_force.h
@@ -27,6 +27,7 @@
     std::unordered_map<UpstreamId, Upstream> upstreams;
     std::unordered_map<ServiceId, Service> services;
     std::unordered_map<ZoneId, Zone> zones;
+    FleetSettings fleet;
     std::vector<TicketSummary>
             history; ///< The newest last; the oldest are dropped beyond historyLimit.
 
--- a/packages/tickets/include/azurewell/tickets/ticket.h
+++ b/packages/tickets/include/azurewell/tickets/ticket.h
@@ -3,6 +3,7 @@
 #include "azurewell/tickets/records.h"
 #include "azurewell/units/result.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,7 @@
     std::vector<Upstream> upstreams;
     std::vector<Service> services;
     std::vector<Zone> zones;
+    std::optional<FleetSettings> fleet;
     std::vector<AdapterRef> removedAdapters;
     std::vector<CustomerId> removedCustomers;
     std::vector<UpstreamId> removedUpstreams;
--- a/packages/tickets/src/json_reader.cpp
+++ b/packages/tickets/src/json_reader.cpp
@@ -144,6 +144,11 @@
     return JsonReader(value ? *value : emptyObject, this->pathOf(key), *this->complaint);
 }
 
+bool JsonReader::has(const char *key) const
+{
+    return this->find(key) != nullptr;
+}
+
 void JsonReader::allowOnly(std::initializer_list<std::string_view> known)
 {
     if (!this->source->is_object())
--- a/packages/tickets/src/snapshot.cpp
+++ b/packages/tickets/src/snapshot.cpp
@@ -136,6 +136,8 @@
         state.keys[key.hash] = key;
     for (const Adapter &adapter : segment.records.adapters)
         state.adapters.set(adapter);
+    if (segment.records.fleet)
+        state.fleet = *segment.records.fleet;
     state.history.insert(state.history.end(), segment.history.begin(), segment.history.end());
 }
 
@@ -162,8 +164,12 @@
                   { "segment", number },
                   { "segments", segmentCount(state) },
                   { "set", std::move(writer.sets) } };
-    if (number == 0)
+    if (number == 0) {
         segment["history"] = historyOf(state);
+        segment["set"]["fleet"] = { { "longest_without_news",
+                                      toSeconds(state.fleet.longestWithoutNews) },
+                                    { "ticket", state.fleet.ticket.value } };
+    }
     return segment.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/packages/tickets/src/state_in_force.cpp
+++ b/packages/tickets/src/state_in_force.cpp
@@ -79,6 +79,8 @@
         state.services[service.id] = service;
     for (const Zone &zone : ticket.zones)
         state.zones[zone.id] = zone;
+    if (ticket.fleet)
+        state.fleet = *ticket.fleet;
     for (const AdapterRef &ref : ticket.removedAdapters)
         state.adapters.erase(ref);
     for (const CustomerId &id : ticket.removedCustomers)
--- a/packages/tickets/src/ticket_parser.cpp
+++ b/packages/tickets/src/ticket_parser.cpp
@@ -120,11 +120,27 @@
         ticket.removedUpstreams.emplace_back(name);
 }
 
+constexpr double mostSecondsWithoutNews = 7 * 24 * 3600;
+
+FleetSettings readFleet(JsonReader &reader, const RecordSource &source)
+{
+    reader.allowOnly({ "ticket", "longest_without_news" });
+    FleetSettings fleet;
+    fleet.longestWithoutNews = fromSeconds(
+            reader.number("longest_without_news", 0, mostSecondsWithoutNews));
+    fleet.ticket = readRecordTicket(reader, source);
+    return fleet;
+}
+
 } // namespace
 
 void readSets(JsonReader &sets, const RecordSource &source, Ticket &ticket)
 {
-    sets.allowOnly({ "customers", "keys", "adapters", "upstreams", "services", "zones" });
+    sets.allowOnly({ "customers", "keys", "adapters", "upstreams", "services", "zones", "fleet" });
+    if (sets.has("fleet")) {
+        JsonReader fleet = sets.object("fleet");
+        ticket.fleet = readFleet(fleet, source);
+    }
     for (JsonReader &reader : sets.objects("customers"))
         ticket.customers.push_back(readCustomer(reader, source));
     for (JsonReader &reader : sets.objects("keys"))
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -62,6 +62,7 @@
     HostDraining = 601,
     CallerGone = 602,
     InternalError = 603,
+    HostWithoutNews = 604,
 
     // 7xx: settings and tickets.
     SettingsInvalid = 700,
--- a/packages/units/src/result_code.cpp
+++ b/packages/units/src/result_code.cpp
@@ -80,6 +80,8 @@
                     "This host is stopping; another one will answer." },
     ResultCodeInfo{ CallerGone, "caller_gone", 499, "The caller went away." },
     ResultCodeInfo{ InternalError, "internal_error", 500, "This host failed." },
+    ResultCodeInfo{ HostWithoutNews, "host_without_news", 503,
+                    "This host is cut off and cannot tell whether the key is still valid." },
     ResultCodeInfo{ SettingsInvalid, "settings_invalid", 500, "The settings file is not valid." },
     ResultCodeInfo{ TicketInvalid, "ticket_invalid", 500, "The ticket is not valid." },
     ResultCodeInfo{ TicketOutOfOrder, "ticket_out_of_order", 500,
