--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -111,6 +111,12 @@
     bool isDone = false;
 };
 
+/// A segment of a snapshot, read from the platform.
+struct SnapshotRead
+{
+    std::string text;
+};
+
 /// The configuration service answered, be it that nothing has changed.
 struct PlatformHeard
 {
@@ -129,6 +135,6 @@
 
 using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
                            PeerMessageReceived, TicketRead, HostListRead, LoadReported, OrderEnded,
-                           PlatformHeard, Tick, StopAsked>;
+                           PlatformHeard, SnapshotRead, Tick, StopAsked>;
 
 } // namespace azurewell
--- a/packages/host/include/azurewell/host/host.h
+++ b/packages/host/include/azurewell/host/host.h
@@ -19,6 +19,16 @@
 /// same events give the same actions.
 void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions);
 
+/// Hosts of each zone that read a new ticket's value at once; the others get it from them.
+inline constexpr std::size_t readersInZone = 3;
+/// How long the others wait for it before they read it too.
+inline constexpr Span relayPatience = fromSeconds(1);
+
+/// How long this host waits before it reads ticket \a number from the platform. All hosts hear of
+/// a new number; if all read its value too, three changes in one second at 390 hosts would be more
+/// calls than the service allows.
+Span ticketReadDelay(const HostState &state, TicketNumber number);
+
 /// Whether this host must serve nothing new because it has had no news of withdrawn keys for longer
 /// than the tickets allow.
 bool isWithoutNews(const HostState &state, Instant now);
--- a/packages/host/include/azurewell/host/ticket_state.h
+++ b/packages/host/include/azurewell/host/ticket_state.h
@@ -25,6 +25,7 @@
     Instant nextAsk;   ///< One peer at a time is asked, not each that has something newer.
     HostId snapshotFrom;
     SnapshotAssembly assembly;       ///< A snapshot on its way from `snapshotFrom`.
+    SnapshotAssembly published;      ///< A snapshot of the platform, read whole or in part.
     std::uint32_t snapshotTries = 0; ///< For the segment that is awaited.
     bool isListRead = false;
     Instant patienceEnds;          ///< A fresh host waits for its peers until then.
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -82,6 +82,10 @@
     {
         onOrderEnded(this->step, event);
     }
+    void operator()(const SnapshotRead &event) const
+    {
+        onSnapshotRead(this->step, event.text);
+    }
     void operator()(const PlatformHeard &) const
     {
         notePlatformHeard(this->step);
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -42,6 +42,7 @@
 void onTicketAsk(Step &step, const HostId &asker, const TicketAsk &ask);
 void onSnapshotAsk(Step &step, const HostId &asker, const SnapshotAsk &ask);
 void onSnapshotPart(Step &step, const HostId &sender, const SnapshotPart &part);
+void onSnapshotRead(Step &step, const std::string &text);
 void noteListRead(Step &step);
 void notePlatformHeard(Step &step);
 /// Takes over how old a peer's news is, if that is newer.
--- a/packages/host/src/tickets.cpp
+++ b/packages/host/src/tickets.cpp
@@ -1,6 +1,8 @@
+#include "azurewell/routing/rendezvous.h"
 #include "internal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::internal {
 
@@ -160,6 +162,32 @@
         applyWhatMayBe(step);
 }
 
+/// Puts a whole snapshot in force.
+void installSnapshot(Step &step, SnapshotAssembly snapshot)
+{
+    HostState &state = step.state;
+    TicketState &tickets = state.tickets;
+    state.inForce = std::move(snapshot.state);
+    tickets.isScanDue = true;
+    tickets.published = SnapshotAssembly{};
+    tickets.applied = TicketLog{}; // its tickets would not follow one another any more
+    while (!tickets.early.texts.empty()
+           && tickets.early.texts.begin()->first <= state.inForce.ticket)
+        eraseText(tickets.early, tickets.early.texts.begin());
+    step.actions.emplace_back(TicketNoted{ state.inForce.ticket, true, "by snapshot" });
+    stateChanged(step);
+    applyWhatMayBe(step);
+}
+
+/// Puts the platform's snapshot in force once it is whole and may be believed.
+void installPublished(Step &step)
+{
+    SnapshotAssembly &published = step.state.tickets.published;
+    const bool isWhole = published.count > 0 && published.next == published.count;
+    if (isWhole && published.ticket > step.state.inForce.ticket && mayBelievePlatform(step))
+        installSnapshot(step, std::exchange(published, SnapshotAssembly{}));
+}
+
 bool isSnapshotUnderWay(const TicketState &tickets)
 {
     return tickets.assembly.next > 0 && tickets.assembly.next < tickets.assembly.count;
@@ -240,16 +268,7 @@
         return;
     const std::uint32_t before = tickets.assembly.next;
     if (addSegment(tickets.assembly, segment.value())) {
-        state.inForce = std::move(tickets.assembly.state);
-        tickets.isScanDue = true;
-        tickets.assembly = SnapshotAssembly{};
-        tickets.applied = TicketLog{}; // its tickets would not follow one another any more
-        while (!tickets.early.texts.empty()
-               && tickets.early.texts.begin()->first <= state.inForce.ticket)
-            eraseText(tickets.early, tickets.early.texts.begin());
-        step.actions.emplace_back(TicketNoted{ state.inForce.ticket, true, "by snapshot" });
-        stateChanged(step);
-        applyWhatMayBe(step);
+        installSnapshot(step, std::exchange(tickets.assembly, SnapshotAssembly{}));
         return;
     }
     const bool isNew = tickets.assembly.next != before || segment.value().number == 0;
@@ -260,6 +279,18 @@
     sendTo(step, sender, SnapshotAsk{ tickets.assembly.ticket, tickets.assembly.next });
 }
 
+void onSnapshotRead(Step &step, const std::string &text)
+{
+    const Result<SnapshotSegment> segment = parseSegment(text);
+    if (!segment) {
+        noteRefused(step, TicketNumber{ step.state.inForce.ticket.value + 1 },
+                    segment.error().detail, text);
+        return;
+    }
+    addSegment(step.state.tickets.published, segment.value());
+    installPublished(step);
+}
+
 void onTicketRead(Step &step, const std::string &text)
 {
     readTicket(step, text, false);
@@ -317,6 +348,7 @@
 void tendTickets(Step &step)
 {
     endWaitingWithoutNews(step);
+    installPublished(step);
     const bool isWaiting = step.state.inForce.ticket.value == 0
             && !step.state.tickets.early.texts.empty();
     if (isWaiting && mayBelievePlatform(step))
@@ -327,6 +359,19 @@
 
 namespace azurewell {
 
+Span ticketReadDelay(const HostState &state, TicketNumber number)
+{
+    const std::string text = std::to_string(number.value);
+    const std::uint64_t own = rendezvousWeight(text, state.self.id.value);
+    std::size_t before = 0;
+    for (const auto &[id, peer] : state.membership.peers) {
+        const bool isBefore = peer.zone == state.self.zone && isUsable(state.membership, id)
+                && rendezvousWeight(text, id.value) > own;
+        before += isBefore ? 1 : 0;
+    }
+    return before < readersInZone ? Span{} : relayPatience;
+}
+
 bool isWithoutNews(const HostState &state, Instant now)
 {
     const Span longest = state.inForce.fleet.longestWithoutNews;
--- a/packages/host/tests/tickets_host_test.cpp
+++ b/packages/host/tests/tickets_host_test.cpp
@@ -341,3 +341,54 @@
         EXPECT_EQ(fleet.ticketAt(2), 3U);
     }
 }
+
+// A host starts alone after a long history. It reads the published snapshot in segments and then
+// only the tickets that followed. A second host starts beside one that knows more than the
+// snapshot: that one's state is what comes up, and never the snapshot's.
+TEST(TicketsOnHosts, APublishedSnapshotReplacesTheHistory)
+{
+    StateInForce published;
+    applyTicket(published, parseTicket(firstTicket(2500)).value()).value();
+    published.ticket = TicketNumber{ 700 };
+    published.fleet.longestWithoutNews = fromSeconds(77);
+    Fleet alone(1);
+    for (std::uint32_t segment = 0; segment < segmentCount(published); ++segment) {
+        EXPECT_EQ(alone.hosts[0].process, ProcessState::Starting);
+        alone.give(0, SnapshotRead{ writeSegment(published, segment) });
+    }
+    alone.publish({ 0 }, newAdapter(701));
+    EXPECT_EQ(alone.ticketAt(0), 701U);
+    EXPECT_EQ(alone.hosts[0].inForce.adapters.size(), 2501U);
+    EXPECT_EQ(alone.hosts[0].inForce.fleet.longestWithoutNews, fromSeconds(77));
+    EXPECT_TRUE(customerOf(alone.hosts[0].inForce, key));
+
+    Fleet fleet(2);
+    for (std::uint32_t segment = 0; segment < segmentCount(published); ++segment)
+        fleet.give(0, SnapshotRead{ writeSegment(published, segment) });
+    fleet.pass(2);
+    fleet.publish({ 0 }, withdrawal(701));
+    fleet.begin(1, 2);
+    for (std::uint32_t segment = 0; segment < segmentCount(published); ++segment)
+        fleet.give(1, SnapshotRead{ writeSegment(published, segment) });
+    bool hasWorked = false;
+    for (int step = 0; step < 300; ++step) {
+        hasWorked = hasWorked || fleet.ticketAt(1) == 700;
+        fleet.pass(0.01);
+    }
+    EXPECT_FALSE(hasWorked);
+    EXPECT_EQ(fleet.ticketAt(1), 701U);
+}
+
+// All hosts hear of a new ticket at the same moment. Three of each zone read its value; the others
+// wait for those, and read it themselves only where none of the three has passed it on.
+TEST(TicketsOnHosts, AFewHostsOfAZoneReadANewTicket)
+{
+    Fleet fleet(20);
+    fleet.pass(1);
+    for (std::uint64_t number = 1; number <= 50; ++number) {
+        std::size_t readers = 0;
+        for (const HostState &host : fleet.hosts)
+            readers += ticketReadDelay(host, TicketNumber{ number }) == Span{} ? 1 : 0;
+        ASSERT_EQ(readers, readersInZone) << "ticket " << number;
+    }
+}
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -76,6 +76,7 @@
             [this](const PeerMessage &message) { this->give(PeerMessageReceived{ message }); })
     , platform(
               this->settings, [this] { return this->state.inForce.ticket; },
+              [this](TicketNumber number) { return ticketReadDelay(this->state, number); },
               [this](const Event &event) { this->give(event); })
     , engines([this](const Event &event) { this->give(event); })
     , operations([this](const QString &path) { return this->answerOperator(path); })
--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -2,6 +2,9 @@
 
 #include "azurewell/shell/log.h"
 #include "azurewell/tickets/json_reader.h"
+#include "azurewell/tickets/snapshot.h"
+
+#include <utility>
 
 namespace azurewell {
 
@@ -36,9 +39,10 @@
 }
 
 PlatformWatcher::PlatformWatcher(const Settings &hostSettings, TicketInForce ticketInForce,
-                                 Read onRead)
+                                 ReadDelay delay, Read onRead)
     : settings(hostSettings)
     , inForce(std::move(ticketInForce))
+    , readDelay(std::move(delay))
     , read(std::move(onRead))
 {
     this->access.setProxy(QNetworkProxy::NoProxy);
@@ -55,6 +59,14 @@
 void PlatformWatcher::start()
 {
     this->watch(this->hosts);
+}
+
+/// The tickets are read only once the host list is known: a host that starts has to ask the others
+/// before it believes a service that may be stale.
+void PlatformWatcher::hostsAnswered()
+{
+    if (std::exchange(this->isHeadWatched, true))
+        return;
     this->watch(this->head);
 }
 
@@ -95,7 +107,53 @@
 {
     // A service that goes back to an older index shows an older head; what is in force stays.
     this->newest = std::max<std::uint64_t>(this->newest, value.trimmed().toULongLong());
-    this->readNextTicket();
+    const bool isFresh = this->inForce().value == 0 && this->newest > 1;
+    if (isFresh && !std::exchange(this->isSnapshotTried, true)) {
+        this->readSnapshotIndex();
+        return;
+    }
+    const TicketNumber next{ this->inForce().value + 1 };
+    this->readNextTicketAfter(static_cast<int>(toSeconds(this->readDelay(next)) * 1000));
+}
+
+void PlatformWatcher::readSnapshotIndex()
+{
+    this->isReadingTicket = true;
+    QNetworkReply *reply = this->get("tickets/snapshot", {});
+    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply] {
+        reply->deleteLater();
+        this->isReadingTicket = false;
+        const bool isThere = reply->error() == QNetworkReply::NoError;
+        const Result<SnapshotIndex> index = parseSnapshotIndex(reply->readAll().toStdString());
+        if (isThere && index)
+            this->readSegment(index.value().ticket.value, 0, index.value().segments);
+        else // none is published: every ticket from the first is read
+            this->readNextTicket();
+    });
+}
+
+void PlatformWatcher::readSegment(std::uint64_t ticket, std::uint32_t segment, std::uint32_t count)
+{
+    if (segment >= count || this->inForce().value >= ticket) { // a peer may have been faster
+        this->readNextTicket();
+        return;
+    }
+    this->isReadingTicket = true;
+    QNetworkReply *reply = this->get(QString("tickets/segments/%1/%2").arg(ticket).arg(segment),
+                                     {});
+    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, ticket, segment, count] {
+        reply->deleteLater();
+        this->isReadingTicket = false;
+        const bool isRead = reply->error() == QNetworkReply::NoError;
+        if (isRead)
+            this->read(SnapshotRead{ reply->readAll().toStdString() });
+        this->readSegment(ticket, isRead ? segment + 1 : count, count);
+    });
+}
+
+void PlatformWatcher::readNextTicketAfter(int millis)
+{
+    QTimer::singleShot(millis, this, [this] { this->readNextTicket(); });
 }
 
 void PlatformWatcher::readNextTicket()
@@ -111,8 +169,7 @@
         if (reply->error() == QNetworkReply::NoError)
             this->read(TicketRead{ reply->readAll().toStdString() });
         const bool isApplied = this->inForce().value >= next;
-        QTimer::singleShot(isApplied ? 0 : pauseAfterFailureMillis, this,
-                           [this] { this->readNextTicket(); });
+        this->readNextTicketAfter(isApplied ? 0 : pauseAfterFailureMillis);
     });
 }
 
@@ -124,6 +181,7 @@
         return;
     }
     this->read(list.value());
+    this->hostsAnswered();
 }
 
 } // namespace azurewell
--- a/packages/tickets/include/azurewell/tickets/snapshot.h
+++ b/packages/tickets/include/azurewell/tickets/snapshot.h
@@ -35,6 +35,18 @@
 /// Reads a segment. Errors: TicketInvalid with what is wrong.
 Result<SnapshotSegment> parseSegment(std::string_view text);
 
+/// What the platform holds under `tickets/snapshot`: which snapshot its segments make.
+struct SnapshotIndex
+{
+    TicketNumber ticket;
+    std::uint32_t segments = 0;
+};
+
+std::string writeSnapshotIndex(const StateInForce &state);
+
+/// Errors: TicketInvalid.
+Result<SnapshotIndex> parseSnapshotIndex(std::string_view text);
+
 /// A snapshot on its way. Nothing of it is in force before the last segment is here.
 struct SnapshotAssembly
 {
--- a/packages/tickets/src/snapshot.cpp
+++ b/packages/tickets/src/snapshot.cpp
@@ -199,6 +199,28 @@
     return segment;
 }
 
+std::string writeSnapshotIndex(const StateInForce &state)
+{
+    return json{ { "snapshot", state.ticket.value }, { "segments", segmentCount(state) } }.dump();
+}
+
+Result<SnapshotIndex> parseSnapshotIndex(std::string_view text)
+{
+    const Result<json> parsed = parseJsonWithComments(text, ResultCode::TicketInvalid);
+    if (!parsed)
+        return parsed.error();
+    std::string complaint;
+    JsonReader reader(parsed.value(), "", complaint);
+    reader.allowOnly({ "snapshot", "segments" });
+    SnapshotIndex index;
+    index.ticket = TicketNumber{ static_cast<std::uint64_t>(
+            reader.number("snapshot", 1, mostTicketNumber)) };
+    index.segments = static_cast<std::uint32_t>(reader.number("segments", 1, mostSegments));
+    if (!complaint.empty())
+        return Error{ ResultCode::TicketInvalid, complaint };
+    return index;
+}
+
 bool addSegment(SnapshotAssembly &assembly, const SnapshotSegment &segment)
 {
     if (segment.number == 0) {
--- a/programs/azurewellctl/ticket_commands.cpp
+++ b/programs/azurewellctl/ticket_commands.cpp
@@ -61,6 +61,7 @@
     CLI::App *hash = ticket->add_subcommand(
             "hash-key", "Print the hash of the key on standard input, for a ticket");
     hash->callback([&exitCode] { exitCode = hashKey(); });
+    addTicketStateCommands(*ticket, exitCode);
 }
 
 } // namespace azurewell::ctl
