--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "azurewell/shell/clock.h"
 #include "azurewell/shell/log.h"
+#include "azurewell/shell/show_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -233,6 +234,12 @@
         return OperationsAnswer{ 200, "text/plain; version=0.0.4",
                                  QByteArray::fromStdString(
                                          metricsText(this->state, this->metrics)) };
+    if (path.startsWith("/show/")) {
+        const std::string record = path.mid(static_cast<qsizetype>(6)).toStdString();
+        const std::optional<std::string> text = showRecord(this->state.inForce, record);
+        if (text)
+            return OperationsAnswer{ 200, "application/json", QByteArray::fromStdString(*text) };
+    }
     if (path == "/show")
         return OperationsAnswer{ 200, "application/json", this->showText() };
     return std::nullopt;
@@ -245,6 +252,11 @@
     json["host"] = this->state.self.id.value;
     json["zone"] = this->state.self.zone.value;
     json["ticket"] = inForce.ticket.value;
+    const TicketState &tickets = this->state.tickets;
+    if (tickets.refused.value > 0) // the tickets after it wait
+        json["refused_ticket"] = { { "ticket", tickets.refused.value },
+                                   { "why", tickets.refusedWhy } };
+    json["longest_without_news"] = toSeconds(inForce.fleet.longestWithoutNews);
     json["customers"] = nlohmann::json::array();
     for (const auto &[id, customer] : inForce.customers) {
         json["customers"].push_back({ { "id", id.value },
--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -137,6 +137,15 @@
     text += retriesText(counters);
     text += gaugeText("ticket_in_force", "The newest ticket in force.",
                       static_cast<double>(state.inForce.ticket.value));
+    text += gaugeText("ticket_refused", "The ticket that is refused and awaited, or 0.",
+                      static_cast<double>(state.tickets.refused.value));
+    text += counterText("call_numbers_issued_total", "Call numbers issued.",
+                        state.calls.numbersIssued);
+    text += counterText("call_issuers_silent_total",
+                        "Calls whose number's issuer did not answer in time.",
+                        state.calls.unreachable);
+    text += gaugeText("call_records", "Calls that this instance remembers.",
+                      static_cast<double>(state.calls.ledger.records));
     text += gaugeText("open_requests", "Requests on their way.",
                       static_cast<double>(state.requests.size()));
     text += gaugeText("kept_engines", "Engines this host keeps.",
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/shell/http_text.h"
 #include "azurewell/shell/platform_watcher.h"
 #include "azurewell/shell/settings.h"
+#include "azurewell/shell/show_record.h"
 
 #include <gtest/gtest.h>
 
@@ -42,3 +43,20 @@
     EXPECT_FALSE(list.value().hosts[0].isLeaving);
     EXPECT_TRUE(list.value().upstreams[0].isLeaving);
 }
+
+TEST(ShowRecord, NamesTheTicketByWhomAndWhy)
+{
+    StateInForce state;
+    const Result<Ticket> ticket = parseTicket(R"({ "ticket": 1, "by": "ana", "why": "new routes",
+        "set": { "customers": [ { "id": "grua", "rate": 1, "burst": 1 } ],
+                 "adapters": [ { "adapter": "routes@3", "customer": "grua", "base": "m" } ] } })");
+    ASSERT_TRUE(ticket && applyTicket(state, ticket.value()));
+    const std::optional<std::string> shown = showRecord(state, "adapter/routes@3");
+    ASSERT_TRUE(shown);
+    for (const char *part : { "\"ticket\": 1", "ana", "new routes", "grua" })
+        EXPECT_NE(shown->find(part), std::string::npos) << part;
+    EXPECT_TRUE(showRecord(state, "customer/grua"));
+    EXPECT_FALSE(showRecord(state, "adapter/routes@4"));
+    EXPECT_FALSE(showRecord(state, "key/"));
+    EXPECT_FALSE(showRecord(state, "nothing"));
+}
--- a/programs/azurewellctl/show_command.cpp
+++ b/programs/azurewellctl/show_command.cpp
@@ -14,11 +14,11 @@
 
 constexpr int timeoutMillis = 5000;
 
-int show(const std::string &host)
+int show(const std::string &host, const std::string &record)
 {
     QNetworkAccessManager access;
     access.setProxy(QNetworkProxy::NoProxy);
-    QNetworkRequest request(QUrl("http://" + QString::fromStdString(host) + "/show"));
+    QNetworkRequest request(QUrl("http://" + QString::fromStdString(host + "/show" + record)));
     request.setTransferTimeout(timeoutMillis);
     QNetworkReply *reply = access.get(request);
     QEventLoop loop;
@@ -39,8 +39,14 @@
     CLI::App *command = app.add_subcommand(
             "show", "Show what is in force on a host, by which ticket and why");
     const std::shared_ptr<std::string> host = std::make_shared<std::string>("127.0.0.1:9090");
+    const std::shared_ptr<std::string> record = std::make_shared<std::string>();
     command->add_option("--host", *host, "The host's operations address (IP:port)");
-    command->callback([host, &exitCode] { exitCode = show(*host); });
+    command->add_option("RECORD", *record,
+                        "Only customer/NAME, key/SHA256 or adapter/NAME@VERSION: what is in force, "
+                        "by which ticket, by whom and why");
+    command->callback([host, record, &exitCode] {
+        exitCode = show(*host, record->empty() ? "" : "/" + *record);
+    });
 }
 
 } // namespace azurewell::ctl
