--- /dev/null
+++ b/tests/random_faults/platform.cpp
@@ -0,0 +1,188 @@
+#include "world.h"
+
+#include <fmt/format.h>
+
+namespace azurewell::faults {
+
+namespace {
+
+constexpr int customerCount = 3;
+constexpr int adaptersEach = 3;
+constexpr double ratePerSecond = 400;
+constexpr double burst = 1200;
+
+std::string keyName(int customer, int number)
+{
+    return fmt::format("{:064x}", customer * 1000 + number);
+}
+
+std::string ticketOf(std::size_t number, const std::string &set)
+{
+    return fmt::format(R"({{ "ticket": {}, "by": "ana", "why": "trial", "set": {{ {} }} }})",
+                       number, set);
+}
+
+std::string keyEntry(int customer, int number, bool isWithdrawn)
+{
+    return fmt::format(R"({{ "sha256": "{}", "customer": "c{}", "state": "{}" }})",
+                       keyName(customer, number), customer, isWithdrawn ? "withdrawn" : "issued");
+}
+
+void append(std::string &list, const std::string &entry)
+{
+    list += (list.empty() ? "" : ", ") + entry;
+}
+
+} // namespace
+
+void World::publish(const std::string &text)
+{
+    this->tickets.push_back(text);
+    this->publishedAt.push_back(this->now);
+}
+
+void World::publishFirst()
+{
+    std::string zones;
+    std::string customers;
+    std::string keyList;
+    std::string adapters;
+    std::string upstreams;
+    for (int zone = 0; zone < zoneCount; ++zone) {
+        const int seats = (this->options.hosts + zoneCount - 1 - zone) / zoneCount;
+        append(zones, fmt::format(R"({{ "id": "z{}", "seats": {} }})", zone, seats));
+        append(upstreams, fmt::format(R"({{ "id": "s{0}", "kind": "service", "zone": "z{0}",
+            "address": "s{0}", "service": "filings", "batch_slots": 8 }})", zone));
+    }
+    for (const Engine &engine : this->engines)
+        append(upstreams, fmt::format(R"({{ "id": "{0}", "kind": "engine", "zone": "{1}",
+            "address": "{0}", "base": "m", "batch_slots": {2}, "adapter_slots": {3} }})",
+                                      engine.id.value, engine.zone.value, engine.batchSlots,
+                                      engine.adapterSlots));
+    for (int customer = 0; customer < customerCount; ++customer) {
+        append(customers, fmt::format(R"({{ "id": "c{}", "rate": {}, "burst": {},
+            "services": ["filings"] }})", customer, ratePerSecond, burst));
+        for (int number = 0; number < 2; ++number) {
+            append(keyList, keyEntry(customer, number, false));
+            this->keys[KeyHash{ keyName(customer, number) }] = CustomerId{ fmt::format("c{}", customer) };
+        }
+        for (int number = 0; number < adaptersEach; ++number)
+            append(adapters, fmt::format(R"({{ "adapter": "c{0}-a{1}@1", "customer": "c{0}",
+                "base": "m" }})", customer, number));
+        this->checks.ledgers[CustomerId{ fmt::format("c{}", customer) }]
+                = Checks::Ledger{ ratePerSecond, burst, 0, this->now };
+    }
+    this->publish(ticketOf(1, fmt::format(
+            R"("zones": [{}], "customers": [{}], "keys": [{}], "adapters": [{}],
+               "services": [ {{ "id": "filings" }} ], "upstreams": [{}])",
+            zones, customers, keyList, adapters, upstreams)));
+}
+
+void World::publishChange()
+{
+    const int customer = static_cast<int>(this->pick(customerCount));
+    const int number = static_cast<int>(this->pick(4));
+    const KeyHash key{ keyName(customer, number) };
+    const bool isWithdrawn = this->chance(0.5);
+    if (isWithdrawn && !this->keys.contains(key))
+        return;
+    this->keys[key] = CustomerId{ fmt::format("c{}", customer) };
+    if (isWithdrawn)
+        this->withdrawnAt.emplace(key, this->now);
+    else
+        this->withdrawnAt.erase(key);
+    this->publish(ticketOf(this->tickets.size() + 1,
+                           "\"keys\": [" + keyEntry(customer, number, isWithdrawn) + "]"));
+}
+
+void World::readPlatform(SimHost &host)
+{
+    if (this->now < host.nextPlatformRead || this->isCut(host.zoneIndex, zoneCount))
+        return;
+    host.nextPlatformRead = this->now + this->between(0.3, 1.0);
+    std::size_t newest = this->tickets.size();
+    const bool isStale = this->stalePlatformUntil > this->now;
+    if (isStale)
+        newest = 1 + this->pick(newest); // an index may also go back
+    const std::size_t from = std::min<std::size_t>(host.state.inForce.ticket.value, newest - 1);
+    for (std::size_t index = from; index < newest; ++index)
+        this->give(host, TicketRead{ this->tickets[index] });
+    if (host.firstState.ticket.value == 0)
+        host.firstState = host.state.inForce;
+}
+
+void World::readList(SimHost &host)
+{
+    if (this->now < host.nextListRead || this->isCut(host.zoneIndex, zoneCount))
+        return;
+    host.nextListRead = this->now + this->between(0.5, 3);
+    HostListRead list;
+    for (const SimHost &other : this->hosts) {
+        const bool isHidden = other.id == host.hiddenFromList && host.hiddenUntil > this->now;
+        if (!isHidden)
+            list.hosts.push_back(ListedHost{ other.id, other.zone, other.id.value, false });
+    }
+    for (const Engine &engine : this->engines) {
+        const bool isLeaving = this->leavingUpstreams.contains(engine.id);
+        list.upstreams.push_back(ListedUpstream{ engine.id, isLeaving });
+        if (isLeaving)
+            host.leavingSince.emplace(engine.id, this->now);
+        else
+            host.leavingSince.erase(engine.id);
+    }
+    this->give(host, list);
+}
+
+void World::checkTickets(SimHost &host)
+{
+    const TicketNumber inForce = host.state.inForce.ticket;
+    if (inForce < host.highestSeen)
+        this->checks.fail(fmt::format("ticket: {} went back from {} to {}", host.id.value,
+                                      host.highestSeen.value, inForce.value));
+    host.highestSeen = std::max(host.highestSeen, inForce);
+    if (inForce.value >= this->tickets.size() || this->stalePlatformUntil + promptly > this->now)
+        return;
+    const Instant published = this->publishedAt[inForce.value];
+    if (this->now > std::max(published, host.connectedSince) + promptly)
+        this->checks.fail(fmt::format("ticket: {} lacks {} after seconds", host.id.value,
+                                      inForce.value + 1));
+}
+
+void World::sendRequests()
+{
+    for (SimHost &host : this->hosts) {
+        const bool isTaking = host.isUp && !this->isPaused(host);
+        if (!isTaking || !this->chance(0.15))
+            continue;
+        const int customer = static_cast<int>(this->pick(customerCount));
+        RequestArrived asked;
+        asked.request = RequestId{ fmt::format("{}-{}-{}", host.id.value,
+                                               host.state.self.incarnation.value, ++host.requests) };
+        asked.kind = this->chance(0.2) ? RequestKind::ServiceCall : RequestKind::Completion;
+        asked.key = KeyHash{ keyName(customer, static_cast<int>(this->pick(4))) };
+        const int adapterOwner = this->chance(0.05) ? (customer + 1) % customerCount : customer;
+        asked.adapter = AdapterRef{ fmt::format("c{}-a{}@1", adapterOwner, this->pick(adaptersEach)) };
+        asked.service = ServiceId{ "filings" };
+        asked.promptTokens = Tokens{ static_cast<std::int64_t>(1 + this->pick(50)) };
+        asked.mostGenerated = Tokens{ static_cast<std::int64_t>(5 + this->pick(80)) };
+        if (asked.kind == RequestKind::ServiceCall)
+            asked.mostGenerated = {};
+        asked.deadline = this->clockOf(host) + this->between(3, 20);
+        CallerView caller;
+        caller.host = host.id;
+        caller.asked = asked;
+        const auto owner = this->keys.find(asked.key);
+        caller.owner = owner == this->keys.end() ? CustomerId{} : owner->second;
+        this->checks.callers[asked.request] = caller;
+        this->give(host, asked);
+        if (this->chance(0.05))
+            this->later(this->between(0.1, 3), [this, request = asked.request, id = host.id,
+                                                life = host.state.self.incarnation] {
+                CallerView &left = this->checks.callers.at(request);
+                if (!std::exchange(left.isEnded, true))
+                    this->giveLife(id, life, CallerLeft{ request });
+            });
+    }
+}
+
+} // namespace azurewell::faults
