--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -13,6 +13,7 @@
   2: i32 queued
   3: i32 running
   4: list<string> loaded
+  5: bool partial
 }
 
 struct Heartbeat {
@@ -23,6 +24,11 @@
   5: i32 seat
   6: string address
   7: i64 highestFencing
+  8: i64 serial
+  9: i64 echo
+  10: i64 view
+  11: i32 viewEpoch
+  12: i64 nextWithin
 }
 
 struct SlotAsk {
@@ -34,6 +40,7 @@
   6: double weight
   7: i64 untilDeadline
   8: i64 serial
+  9: i32 round
 }
 
 struct SlotGrant {
@@ -41,18 +48,21 @@
   2: string engine
   3: i64 leaseLength
   4: i64 basis
+  5: i32 round
 }
 
 struct SlotRefusal {
   1: string request
   2: string engine
   3: i32 code
+  4: i32 round
 }
 
 struct RunningSlot {
   1: string request
   2: string adapter
   3: bool running
+  4: i32 round
 }
 
 struct SlotRenewal {
@@ -65,12 +75,14 @@
   1: string engine
   2: i64 basis
   3: i64 leaseLength
+  4: list<string> lost
 }
 
 struct SlotRelease {
   1: string request
   2: string engine
   3: i64 used
+  4: i32 round
 }
 
 struct TicketAsk {
--- a/packages/fleet/include/azurewell/fleet/membership.h
+++ b/packages/fleet/include/azurewell/fleet/membership.h
@@ -28,9 +28,12 @@
     Incarnation incarnation;
     PeerState state = PeerState::Unheard;
     TicketNumber ticket;
+    Span lateness{}; ///< Silence beyond which it is suspect; by its own word on its interval.
     Instant silentAfter; ///< Suspect when nothing is heard until then.
     Instant goneAfter;   ///< Gone when nothing is heard until then.
     bool isListed = false;
+    /// It said itself that it stops: it grants no slots any more in this incarnation.
+    bool hasAnnouncedLeave = false;
 };
 
 /// The other hosts: the platform's lagging list joined with what they say themselves. The list
@@ -59,6 +62,18 @@
 /// Moves silent peers to suspect and gone.
 void noteSilence(Membership &membership, const Chart &chart, Instant now);
 
+/// After this process was stopped: no peer counts as silent for the time in which nobody listened.
+void forgiveSilence(Membership &membership, Instant now);
+
+/// This host, unless \a isSelfLeaving, and the usable peers of \a zone, sorted: those that may keep
+/// the zone's engines.
+std::vector<HostId> usableHostsOf(const Membership &membership, const HostId &self,
+                                  bool isSelfLeaving, const ZoneId &zone);
+
+/// The peers of \a zone that can still be running and granting slots: listed or heard, also when
+/// silent, but for those that announced their leave.
+std::vector<HostId> possibleHostsOf(const Membership &membership, const ZoneId &zone);
+
 /// Whether work may be asked of \a id.
 bool isUsable(const Membership &membership, const HostId &id);
 
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -18,6 +18,7 @@
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
     std::vector<AdapterRef> loaded;
+    bool isPartial = false; ///< `loaded` is left out: it has not changed, or the receiver is far.
 };
 
 /// "I am alive", sent to every other host once a heartbeat interval.
@@ -30,6 +31,12 @@
     SeatNumber seat;
     std::string address;          ///< Where the sender's peer port listens.
     FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
+    std::uint64_t serial = 0;     ///< Rises with each heartbeat, ask and renewal of the sender.
+    std::uint64_t echo = 0;       ///< The newest `serial` that the sender has from the receiver.
+    std::uint64_t view = 0; ///< The hosts by which the sender lets engines be kept, promised until
+                            ///< promiseLength after the receiver sent `echo`; 0 promises nothing.
+    std::uint32_t viewEpoch = 0; ///< Counts the views of the sender's life.
+    Span nextWithin{};           ///< The sender's next heartbeat to the receiver is due within.
 };
 
 /// Asks an engine's keeper for a slot.
@@ -43,6 +50,7 @@
     double weight = 1.0;
     Span untilDeadline{};
     std::uint64_t serial = 0; ///< Rises with each ask and renewal of the sender.
+    std::uint32_t round = 0;  ///< Which seeking of a slot for this request it is.
 };
 
 /// The slot is the asker's for a lease. The keeper counts it from the grant. The asker counts it
@@ -54,13 +62,16 @@
     UpstreamId engine;
     Span leaseLength{};
     std::uint64_t basis = 0; ///< The `serial` the lease is counted from.
+    std::uint32_t round = 0; ///< Of the ask; a grant of an earlier one must not be used.
 };
 
+/// SlotLost as `code` means: this host does not keep the engine (any more), ask again.
 struct SlotRefusal
 {
     RequestId request;
     UpstreamId engine;
     ResultCode code = ResultCode::NoUpstream;
+    std::uint32_t round = 0;
 };
 
 /// One request of a SlotRenewal.
@@ -69,6 +80,7 @@
     RequestId request;
     AdapterRef adapter;
     bool isRunning = false; ///< False while it still waits for a slot.
+    std::uint32_t round = 0;
 };
 
 /// These requests still wait or run. Slots and pins of running ones last for another lease; a
@@ -86,6 +98,7 @@
     UpstreamId engine;
     std::uint64_t basis = 0;
     Span leaseLength{};
+    std::vector<RequestId> lost; ///< Listed but not renewed: their adapter is not theirs any more.
 };
 
 struct SlotRelease
@@ -93,6 +106,7 @@
     RequestId request;
     UpstreamId engine;
     Tokens used; ///< Prompt and generated tokens; corrects the fair queue's charge.
+    std::uint32_t round = 0; ///< A late release of an earlier round must not free a later slot.
 };
 
 /// Asks for the tickets after a number.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -35,6 +35,7 @@
     out.__set_queued(static_cast<std::int32_t>(summary.queued));
     out.__set_running(static_cast<std::int32_t>(summary.running));
     out.__set_loaded(namesOf(summary.loaded));
+    out.__set_partial(summary.isPartial);
     return out;
 }
 
@@ -44,6 +45,7 @@
     out.__set_request(slot.request.value);
     out.__set_adapter(slot.adapter.value);
     out.__set_running(slot.isRunning);
+    out.__set_round(static_cast<std::int32_t>(slot.round));
     return out;
 }
 
@@ -67,6 +69,11 @@
         beat.__set_seat(static_cast<std::int32_t>(in.seat.value));
         beat.__set_address(in.address);
         beat.__set_highestFencing(static_cast<std::int64_t>(in.highestFencing.value));
+        beat.__set_serial(static_cast<std::int64_t>(in.serial));
+        beat.__set_echo(static_cast<std::int64_t>(in.echo));
+        beat.__set_view(static_cast<std::int64_t>(in.view));
+        beat.__set_viewEpoch(static_cast<std::int32_t>(in.viewEpoch));
+        beat.__set_nextWithin(in.nextWithin.count());
         this->out.__set_heartbeat(beat);
     }
     void operator()(const SlotAsk &in) const
@@ -80,6 +87,7 @@
         ask.__set_weight(in.weight);
         ask.__set_untilDeadline(in.untilDeadline.count());
         ask.__set_serial(static_cast<std::int64_t>(in.serial));
+        ask.__set_round(static_cast<std::int32_t>(in.round));
         this->out.__set_slotAsk(ask);
     }
     void operator()(const SlotGrant &in) const
@@ -89,6 +97,7 @@
         grant.__set_engine(in.engine.value);
         grant.__set_leaseLength(in.leaseLength.count());
         grant.__set_basis(static_cast<std::int64_t>(in.basis));
+        grant.__set_round(static_cast<std::int32_t>(in.round));
         this->out.__set_slotGrant(grant);
     }
     void operator()(const SlotRefusal &in) const
@@ -97,6 +106,7 @@
         refusal.__set_request(in.request.value);
         refusal.__set_engine(in.engine.value);
         refusal.__set_code(static_cast<std::int32_t>(in.code));
+        refusal.__set_round(static_cast<std::int32_t>(in.round));
         this->out.__set_slotRefusal(refusal);
     }
     void operator()(const SlotRenewal &in) const
@@ -116,6 +126,7 @@
         renewed.__set_engine(in.engine.value);
         renewed.__set_basis(static_cast<std::int64_t>(in.basis));
         renewed.__set_leaseLength(in.leaseLength.count());
+        renewed.__set_lost(namesOf(in.lost));
         this->out.__set_slotRenewed(renewed);
     }
     void operator()(const SlotRelease &in) const
@@ -124,6 +135,7 @@
         release.__set_request(in.request.value);
         release.__set_engine(in.engine.value);
         release.__set_used(in.used.count);
+        release.__set_round(static_cast<std::int32_t>(in.round));
         this->out.__set_slotRelease(release);
     }
     void operator()(const TicketAsk &in) const
@@ -149,12 +161,18 @@
     for (const wire::EngineSummary &summary : in.engines) {
         beat.engines.push_back(EngineSummary{
                 UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
-                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded) });
+                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded),
+                summary.partial });
     }
     beat.zone = ZoneId{ in.zone };
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
     beat.address = in.address;
     beat.highestFencing = FencingNumber{ static_cast<std::uint64_t>(in.highestFencing) };
+    beat.serial = static_cast<std::uint64_t>(in.serial);
+    beat.echo = static_cast<std::uint64_t>(in.echo);
+    beat.view = static_cast<std::uint64_t>(in.view);
+    beat.viewEpoch = static_cast<std::uint32_t>(in.viewEpoch);
+    beat.nextWithin = Span{ in.nextWithin };
     return beat;
 }
 
@@ -163,7 +181,8 @@
     return SlotAsk{ RequestId{ in.request },  UpstreamId{ in.engine },
                     AdapterRef{ in.adapter }, CustomerId{ in.customer },
                     Tokens{ in.cost },        in.weight,
-                    Span{ in.untilDeadline }, static_cast<std::uint64_t>(in.serial) };
+                    Span{ in.untilDeadline }, static_cast<std::uint64_t>(in.serial),
+                    static_cast<std::uint32_t>(in.round) };
 }
 
 SlotRenewal fromWire(const wire::SlotRenewal &in)
@@ -173,7 +192,8 @@
     renewal.serial = static_cast<std::uint64_t>(in.serial);
     for (const wire::RunningSlot &slot : in.slots)
         renewal.slots.push_back(
-                RunningSlot{ RequestId{ slot.request }, AdapterRef{ slot.adapter }, slot.running });
+                RunningSlot{ RequestId{ slot.request }, AdapterRef{ slot.adapter }, slot.running,
+                             static_cast<std::uint32_t>(slot.round) });
     return renewal;
 }
 
@@ -197,24 +217,27 @@
     if (in.__isset.slotGrant) {
         const wire::SlotGrant &grant = in.slotGrant;
         return SlotGrant{ RequestId{ grant.request }, UpstreamId{ grant.engine },
-                          Span{ grant.leaseLength }, static_cast<std::uint64_t>(grant.basis) };
+                          Span{ grant.leaseLength }, static_cast<std::uint64_t>(grant.basis),
+                          static_cast<std::uint32_t>(grant.round) };
     }
     if (in.__isset.slotRefusal) {
         const wire::SlotRefusal &refusal = in.slotRefusal;
         return SlotRefusal{ RequestId{ refusal.request }, UpstreamId{ refusal.engine },
-                            codeOf(refusal.code) };
+                            codeOf(refusal.code),
+                            static_cast<std::uint32_t>(refusal.round) };
     }
     if (in.__isset.slotRenewal)
         return fromWire(in.slotRenewal);
     if (in.__isset.slotRenewed) {
         const wire::SlotRenewed &renewed = in.slotRenewed;
         return SlotRenewed{ UpstreamId{ renewed.engine }, static_cast<std::uint64_t>(renewed.basis),
-                            Span{ renewed.leaseLength } };
+                            Span{ renewed.leaseLength }, idsOf<RequestId>(renewed.lost) };
     }
     if (in.__isset.slotRelease) {
         const wire::SlotRelease &release = in.slotRelease;
         return SlotRelease{ RequestId{ release.request }, UpstreamId{ release.engine },
-                            Tokens{ release.used } };
+                            Tokens{ release.used },
+                            static_cast<std::uint32_t>(release.round) };
     }
     if (in.__isset.ticketAsk)
         return TicketAsk{ TicketNumber{ static_cast<std::uint64_t>(in.ticketAsk.after) } };
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -2,6 +2,8 @@
 
 #include "azurewell/routing/rendezvous.h"
 
+#include <algorithm>
+
 namespace azurewell {
 
 namespace {
@@ -47,8 +49,10 @@
     Peer &peer = membership.peers[sender];
     if (incarnation < peer.incarnation)
         return false;
-    if (incarnation > peer.incarnation && peer.state != PeerState::Unheard)
+    if (incarnation > peer.incarnation) {
         peer.state = PeerState::Unheard;
+        peer.hasAnnouncedLeave = false;
+    }
     peer.id = sender;
     peer.incarnation = incarnation;
     peer.zone = beat.zone;
@@ -56,8 +60,10 @@
     if (!beat.address.empty())
         peer.address = beat.address;
     peer.ticket = beat.ticket;
-    peer.silentAfter = now + suspectAfter;
-    peer.goneAfter = now + goneAfter;
+    peer.hasAnnouncedLeave = peer.hasAnnouncedLeave || beat.isLeaving;
+    peer.lateness = std::max<Span>(suspectAfter, 4 * beat.nextWithin);
+    peer.silentAfter = now + peer.lateness;
+    peer.goneAfter = now + peer.lateness + (goneAfter - suspectAfter);
     movePeer(peer, chart, beat.isLeaving ? PeerEvent::LeaveAnnounced : PeerEvent::Heartbeat);
     return true;
 }
@@ -74,6 +80,40 @@
     }
 }
 
+void forgiveSilence(Membership &membership, Instant now)
+{
+    for (auto &[id, peer] : membership.peers) {
+        const Span lateness = std::max<Span>(peer.lateness, suspectAfter);
+        peer.silentAfter = std::max(peer.silentAfter, now + lateness);
+        peer.goneAfter = std::max(peer.goneAfter, now + lateness + (goneAfter - suspectAfter));
+    }
+}
+
+std::vector<HostId> usableHostsOf(const Membership &membership, const HostId &self,
+                                  bool isSelfLeaving, const ZoneId &zone)
+{
+    std::vector<HostId> hosts;
+    if (!isSelfLeaving)
+        hosts.push_back(self);
+    for (const auto &[id, peer] : membership.peers) {
+        if (peer.zone == zone && isUsableState(peer.state))
+            hosts.push_back(id);
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
+std::vector<HostId> possibleHostsOf(const Membership &membership, const ZoneId &zone)
+{
+    std::vector<HostId> hosts;
+    for (const auto &[id, peer] : membership.peers) {
+        const bool isHeard = peer.state != PeerState::Unheard && peer.state != PeerState::Gone;
+        if (peer.zone == zone && !peer.hasAnnouncedLeave && (peer.isListed || isHeard))
+            hosts.push_back(id);
+    }
+    return hosts;
+}
+
 bool isUsable(const Membership &membership, const HostId &id)
 {
     const auto found = membership.peers.find(id);
--- a/packages/host/include/azurewell/host/actions.h
+++ b/packages/host/include/azurewell/host/actions.h
@@ -53,6 +53,7 @@
     bool isLoad = true;
     AdapterRef adapter;
     FencingNumber fencing;
+    Instant notAfter; ///< Carried out until then, or given up and its connection closed.
 };
 
 /// Ask an engine for its load.
@@ -60,6 +61,7 @@
 {
     UpstreamId engine;
     std::string address;
+    Instant askedAt; ///< Comes back in the report.
 };
 
 /// A ticket was put in force or refused; for the log.
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -47,6 +47,7 @@
     Failed,   ///< The connection ended, or the answer was not whole.
     Silent,   ///< Nothing came within the idle deadline.
     Mismatch, ///< The answer belonged to another request and was dropped.
+    Cancelled, ///< Ended by CancelAttempt.
 };
 
 struct AttemptEnded
@@ -92,6 +93,7 @@
     std::uint32_t queued = 0;
     std::vector<AdapterRef> loaded;
     std::uint64_t engineStart = 0; ///< Changes when the engine restarts.
+    Instant askedAt;               ///< Of the AskLoad that it answers.
 };
 
 /// A load or unload order was carried out or refused.
@@ -101,6 +103,9 @@
     AdapterRef adapter;
     bool isLoad = true;
     bool isDone = false;
+    FencingNumber fencing; ///< Of the order.
+    /// The engine refused with its own highest fencing number; 0 where it did not.
+    FencingNumber refusedBy;
 };
 
 /// Time passed. The shell sends it every tickInterval.
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -4,6 +4,7 @@
 #include "azurewell/fleet/membership.h"
 #include "azurewell/host/counters.h"
 #include "azurewell/host/events.h"
+#include "azurewell/host/keeper_state.h"
 #include "azurewell/limits/token_bucket.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
@@ -43,6 +44,11 @@
     UpstreamId upstream; ///< Where it waits or runs.
     HostId keeper;       ///< Who was asked for the slot.
     Instant leaseEnds;   ///< The slot is ours until then.
+    std::uint32_t round = 0; ///< Times that a slot was sought; grants of earlier rounds are void.
+    std::uint64_t renewalSerial = 0; ///< Of the newest renewal that listed it.
+    Instant askAgainAt;      ///< An ask or a grant may be lost, and a keeper may be gone.
+    bool isCancelled = false; ///< Its slot was lost while it ran; the attempt's end is awaited.
+    bool mayHaveRun = false;  ///< An upstream may have begun to run it.
     std::uint32_t attempt = 0;
     std::set<UpstreamId> failedAt; ///< Not tried again for this request.
     bool isIdempotent = true;
@@ -57,6 +63,9 @@
     Tokens charged;
     double weight = 1.0;
     Instant leaseEnds;
+    std::uint32_t round = 0;
+    Instant unpinAt;    ///< After the lease: the engine is told to cancel until then.
+    Instant nextCancel; ///< While the lease runs: never.
 };
 
 /// An engine that this host keeps.
@@ -67,7 +76,20 @@
     std::map<RequestId, GrantedSlot> granted;
     Instant nextLoadReport;
     std::uint64_t engineStart = 0;
-    std::map<HostId, std::uint64_t> newestSerial; ///< Of each asker; basis of its leases.
+    /// Of each asker; basis of its leases.
+    std::map<HostId, std::pair<Incarnation, std::uint64_t>> newestSerial;
+    std::unordered_map<RequestId, std::uint32_t> rounds; ///< Of the requests in the queue.
+
+    Instant madeAt;
+    Instant evictFrom = never; ///< Every lease that a former keeper can have given is over then.
+    bool isQuiet = false;      ///< Since evictFrom the engine was seen to run no more than is granted.
+    Instant newestReportAsked; ///< When the newest report that was used had been asked for.
+    /// Orders under way; one that ends without being here was ended by a restart of the engine.
+    std::unordered_map<AdapterRef, FencingNumber> orders;
+    /// When orders ended. A report that was asked for earlier says nothing of that adapter.
+    std::unordered_map<AdapterRef, Instant> orderEndedAt;
+    /// Unloads that were given up: until then the order can still arrive and be carried out.
+    std::unordered_map<AdapterRef, Instant> doubtfulUntil;
 };
 
 /// What this host knows of an upstream when it routes.
@@ -95,6 +117,7 @@
     Membership membership;
     Instant nextHeartbeat;
     FencingNumber fencing; ///< The highest that was used or seen.
+    KeeperState keepers;
 
     std::unordered_map<RequestId, RequestRecord> requests;
     std::unordered_map<CustomerId, TokenBucket> buckets;
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -19,8 +19,10 @@
 
 void onTick(Step &step)
 {
-    noteSilence(step.state.membership, step.state.charts.peer, step.now);
+    tendMembership(step);
     expireRequests(step);
+    endLostSlots(step);
+    askAgain(step);
     admitWaiting(step);
     tendEngines(step);
     sendHeartbeats(step);
@@ -92,6 +94,9 @@
     HostState state;
     state.random.seed(identity.randomSeed);
     state.fencing = FencingNumber{ identity.incarnation.value };
+    // Serials of two lives of a host must differ: an echo of the former life's would be taken for a
+    // promise to this one.
+    state.nextSerial = (identity.incarnation.value % 65536) << 24 | 1;
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
@@ -101,6 +106,7 @@
 void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions)
 {
     Step step{ state, now, actions };
+    noteWake(step);
     std::visit(Handler{ step }, event);
     while (!state.loopback.empty()) {
         const PeerMessage message = std::move(state.loopback.front());
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -17,22 +17,52 @@
 void onCallerLeft(Step &step, const CallerLeft &event);
 void onAttemptProgress(Step &step, const AttemptProgress &event);
 void onAttemptEnded(Step &step, const AttemptEnded &event);
-void onSlotGrant(Step &step, const SlotGrant &grant);
-void onSlotRefusal(Step &step, const SlotRefusal &refusal);
+void onSlotGrant(Step &step, const HostId &keeper, const SlotGrant &grant);
+void onSlotRefusal(Step &step, const HostId &keeper, const SlotRefusal &refusal);
 void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed);
 void admitWaiting(Step &step);
 void expireRequests(Step &step);
 void renewSlots(Step &step);
+/// Asks again for slots whose keeper has changed or has not answered.
+void askAgain(Step &step);
+/// Cancels what runs on a slot whose lease has ended.
+void endLostSlots(Step &step);
+std::uint64_t nextSerial(Step &step);
 /// Refuses requests whose key, customer or adapter is no longer in force.
 void enforceTickets(Step &step);
 
+// keepers.cpp: who keeps which engine, and what the keeper may do.
+/// To be called before anything else at each event: finds out that the process was stopped.
+void noteWake(Step &step);
+/// Silence of peers, the view by which engines are kept, and the promises about it.
+void tendMembership(Step &step);
+void noteKeeperPromise(Step &step, const HostId &sender, Incarnation incarnation,
+                       const Heartbeat &beat);
+void addKeeperPromise(Step &step, const HostId &receiver, Heartbeat &beat);
+/// The host to ask for a slot; none where the engine's zone has no usable host.
+std::optional<HostId> engineKeeper(HostState &state, const Upstream &engine);
+bool mayGrant(HostState &state, const Upstream &engine, Instant now);
+bool mayEvict(const HostState &state, const KeptEngine &kept, const Upstream &engine, Instant now);
+
+/// How long a slot is leased. Long enough that four lost renewals in a row do not end a stream; as
+/// short as that because a new keeper evicts nothing for one lease.
+inline constexpr Span slotLease = fromSeconds(10);
+
 // slots.cpp: this host as keeper of engines.
-void onSlotAsk(Step &step, const HostId &asker, const SlotAsk &ask);
-void onSlotRenewal(Step &step, const HostId &asker, const SlotRenewal &renewal);
-void onSlotRelease(Step &step, const SlotRelease &release);
+void onSlotAsk(Step &step, const HostId &asker, Incarnation life, const SlotAsk &ask);
+void onSlotRenewal(Step &step, const HostId &asker, Incarnation life, const SlotRenewal &renewal);
+void onSlotRelease(Step &step, const HostId &asker, const SlotRelease &release);
+void tendEngines(Step &step);
+void grantReady(Step &step, KeptEngine &kept, const Upstream &engine);
+void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine);
+const Upstream *upstreamInForce(const HostState &state, const UpstreamId &id);
+
+// engine_reports.cpp: what engines say of themselves.
 void onLoadReported(Step &step, const LoadReported &report);
 void onOrderEnded(Step &step, const OrderEnded &event);
-void tendEngines(Step &step);
+/// Returns adapters to use whose unload was given up long enough ago that it cannot arrive any
+/// more. Granting a slot earlier would let this host's own late order cut the request off.
+void endDoubts(Step &step, KeptEngine &kept);
 std::vector<EngineSummary> summarizeEngines(const HostState &state);
 
 // peers.cpp: messages, heartbeats, tickets.
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -17,6 +17,7 @@
         return;
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
+    noteKeeperPromise(step, message.sender, message.incarnation, beat);
     noteSummaries(step, beat.engines);
     if (beat.ticket > state.inForce.ticket)
         sendTo(step, message.sender, TicketAsk{ state.inForce.ticket });
@@ -48,19 +49,19 @@
     }
     void operator()(const SlotAsk &ask) const
     {
-        onSlotAsk(this->step, this->message.sender, ask);
+        onSlotAsk(this->step, this->message.sender, this->message.incarnation, ask);
     }
     void operator()(const SlotGrant &grant) const
     {
-        onSlotGrant(this->step, grant);
+        onSlotGrant(this->step, this->message.sender, grant);
     }
     void operator()(const SlotRefusal &refusal) const
     {
-        onSlotRefusal(this->step, refusal);
+        onSlotRefusal(this->step, this->message.sender, refusal);
     }
     void operator()(const SlotRenewal &renewal) const
     {
-        onSlotRenewal(this->step, this->message.sender, renewal);
+        onSlotRenewal(this->step, this->message.sender, this->message.incarnation, renewal);
     }
     void operator()(const SlotRenewed &renewed) const
     {
@@ -68,7 +69,7 @@
     }
     void operator()(const SlotRelease &release) const
     {
-        onSlotRelease(this->step, release);
+        onSlotRelease(this->step, this->message.sender, release);
     }
     void operator()(const TicketAsk &ask) const
     {
@@ -163,6 +164,7 @@
 void onHostList(Step &step, const HostListRead &event)
 {
     HostState &state = step.state;
+    state.keepers.isListRead = state.keepers.isListRead || !event.hosts.empty();
     applyHostList(state.membership, state.charts.peer, state.self.id, event.hosts);
     for (const ListedUpstream &listed : event.upstreams) {
         KnownUpstream &upstream = state.upstreams[listed.id];
@@ -188,9 +190,12 @@
     beat.seat = state.self.seat;
     beat.address = state.self.peerAddress;
     beat.highestFencing = state.fencing;
+    beat.serial = nextSerial(step);
     for (const auto &[id, peer] : state.membership.peers) {
-        if (peer.isListed || peer.state != PeerState::Gone)
-            step.actions.emplace_back(SendPeer{ id, peer.address, beat });
+        if (!peer.isListed && peer.state == PeerState::Gone)
+            continue;
+        addKeeperPromise(step, id, beat);
+        step.actions.emplace_back(SendPeer{ id, peer.address, beat });
     }
     noteSummaries(step, beat.engines);
     renewSlots(step);
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint32_t mostAttempts = 4;
 /// Tells callers when to come back where nothing better is known.
 constexpr Span defaultRetryAfter = fromSeconds(1);
+/// A waiting ask is repeated this often: it, or the grant, can have been lost.
+constexpr Span askInterval = fromSeconds(1);
+/// When a host that no longer keeps the engine said so; by then the views have moved on.
+constexpr Span askAgainSoon = fromSeconds(0.1);
 
 RequestRecord *recordOf(HostState &state, const RequestId &id)
 {
@@ -60,7 +64,8 @@
 void releaseSlot(Step &step, const RequestRecord &record, Tokens used)
 {
     if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
-        sendTo(step, record.keeper, SlotRelease{ record.asked.request, record.upstream, used });
+        sendTo(step, record.keeper,
+               SlotRelease{ record.asked.request, record.upstream, used, record.round });
 }
 
 /// Ends a request: slot and tokens go back, the record goes.
@@ -80,7 +85,10 @@
 
 void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState)
 {
-    refuse(step, record.asked.request, code, runState, defaultRetryAfter);
+    // An earlier attempt may have run although the last one did not.
+    const bool isNotRun = runState == RunState::NotRun && !record.mayHaveRun;
+    const RunState truth = runState == RunState::NotRun && !isNotRun ? RunState::Unknown : runState;
+    refuse(step, record.asked.request, code, truth, defaultRetryAfter);
     endRequest(step, record);
 }
 
@@ -118,17 +126,6 @@
     return views;
 }
 
-std::uint64_t nextSerial(Step &step)
-{
-    HostState &state = step.state;
-    const std::uint64_t serial = state.nextSerial++;
-    state.serialSentAt[serial] = step.now;
-    while (state.serialSentAt.size() > 1
-           && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
-        state.serialSentAt.erase(state.serialSentAt.begin());
-    return serial;
-}
-
 /// When a lease that the keeper counts from `basis` ends here.
 Instant leaseEnd(const HostState &state, std::uint64_t basis, Span length)
 {
@@ -170,36 +167,55 @@
     dispatch(step, record, record.asked.deadline);
 }
 
-void seekSlot(Step &step, RequestRecord &record)
+void sendAsk(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
-    record.phase = RequestPhase::WaitingForSlot;
-    const std::optional<UpstreamId> engine = chooseEngine(viewsFor(state, record));
-    const auto upstream = engine ? state.inForce.upstreams.find(*engine)
-                                 : state.inForce.upstreams.end();
-    if (upstream == state.inForce.upstreams.end()) {
-        record.upstream = UpstreamId{};
-        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
-        return;
-    }
-    const bool isLeaving = state.process != ProcessState::Serving;
-    const std::optional<HostId> keeper = keeperOf(state.membership, state.self.id, state.self.zone,
-                                                  isLeaving, *engine, upstream->second.zone);
     const auto customer = state.inForce.customers.find(record.customer);
-    record.upstream = *engine;
-    record.keeper = keeper.value_or(state.self.id);
+    record.askAgainAt = step.now + askInterval;
     SlotAsk ask;
     ask.request = record.asked.request;
-    ask.engine = *engine;
+    ask.engine = record.upstream;
     ask.adapter = record.asked.adapter;
     ask.customer = record.customer;
     ask.cost = costOf(record.asked);
     ask.weight = customer == state.inForce.customers.end() ? 1.0 : customer->second.weight;
     ask.untilDeadline = record.asked.deadline - step.now;
     ask.serial = nextSerial(step);
+    ask.round = record.round;
     sendTo(step, record.keeper, ask);
 }
 
+/// The best engine whose zone has a host to keep it, with that host.
+std::optional<std::pair<UpstreamId, HostId>> chooseKept(HostState &state,
+                                                        const RequestRecord &record)
+{
+    std::vector<UpstreamView> views = viewsFor(state, record);
+    while (const std::optional<UpstreamId> engine = chooseEngine(views)) {
+        const auto upstream = state.inForce.upstreams.find(*engine);
+        if (const std::optional<HostId> keeper = engineKeeper(state, upstream->second))
+            return std::pair(*engine, *keeper);
+        for (UpstreamView &view : views)
+            view.isLeaving = view.isLeaving || view.id == *engine;
+    }
+    return std::nullopt;
+}
+
+void seekSlot(Step &step, RequestRecord &record)
+{
+    record.phase = RequestPhase::WaitingForSlot;
+    record.isCancelled = false;
+    ++record.round;
+    const std::optional<std::pair<UpstreamId, HostId>> chosen = chooseKept(step.state, record);
+    if (!chosen) {
+        record.upstream = UpstreamId{};
+        endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
+        return;
+    }
+    record.upstream = chosen->first;
+    record.keeper = chosen->second;
+    sendAsk(step, record);
+}
+
 void start(Step &step, RequestRecord &record)
 {
     countFirstTry(step.state.retryBudget);
@@ -244,6 +260,19 @@
     return true;
 }
 
+/// Stops an attempt whose slot is lost. What the caller has stays; the rest is made elsewhere once
+/// the end of the attempt has told how far it came. Going on without the slot would be quicker, but
+/// the keeper no longer holds the adapter for it.
+void cancelLost(Step &step, RequestRecord &record)
+{
+    const auto upstream = step.state.inForce.upstreams.find(record.upstream);
+    const std::string address = upstream == step.state.inForce.upstreams.end()
+            ? ""
+            : upstream->second.address;
+    record.isCancelled = true;
+    step.actions.emplace_back(CancelAttempt{ record.asked.request, record.upstream, address });
+}
+
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -255,6 +284,8 @@
         return RetryReason::UpstreamSilent;
     case AttemptOutcome::Mismatch:
         return RetryReason::AnswerMismatch;
+    case AttemptOutcome::Cancelled:
+        return RetryReason::SlotLost;
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -273,6 +304,8 @@
         return ResultCode::UpstreamSilent;
     case AttemptOutcome::Mismatch:
         return ResultCode::AnswerMismatch;
+    case AttemptOutcome::Cancelled:
+        return ResultCode::SlotLost;
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -290,6 +323,8 @@
 {
     KnownUpstream &upstream = step.state.upstreams[id];
     const Chart &chart = step.state.charts.upstream;
+    if (outcome == AttemptOutcome::Cancelled)
+        return; // no word on the upstream
     if (outcome == AttemptOutcome::Done) {
         upstream.failuresInARow = 0;
         upstream.state = advance(chart, upstream.state, UpstreamEvent::Answered);
@@ -309,6 +344,7 @@
     const bool isNotRun = isCertainlyNotRun(outcome);
     const bool isSafe = isNotRun || record.isIdempotent;
     const RunState runState = isNotRun ? RunState::NotRun : RunState::Unknown;
+    record.mayHaveRun = record.mayHaveRun || !isNotRun;
     if (!isSafe) {
         endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
         return;
@@ -322,7 +358,8 @@
         return;
     }
     countRetry(step.state.counters, retryReasonOf(outcome));
-    record.failedAt.insert(record.upstream);
+    if (outcome != AttemptOutcome::Cancelled)
+        record.failedAt.insert(record.upstream);
     releaseSlot(step, record, record.generated);
     if (record.asked.kind == RequestKind::ServiceCall)
         callService(step, record);
@@ -416,69 +453,152 @@
     }
 }
 
-void onSlotGrant(Step &step, const SlotGrant &grant)
+std::uint64_t nextSerial(Step &step)
+{
+    HostState &state = step.state;
+    const std::uint64_t serial = state.nextSerial++;
+    state.serialSentAt[serial] = step.now;
+    while (state.serialSentAt.size() > 1
+           && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
+        state.serialSentAt.erase(state.serialSentAt.begin());
+    return serial;
+}
+
+/// Whether \a upstream may get new work now, by ticket and by the platform's list.
+namespace {
+
+bool isLeavingNow(const HostState &state, const UpstreamId &id)
+{
+    const auto upstream = state.inForce.upstreams.find(id);
+    const auto known = state.upstreams.find(id);
+    return upstream == state.inForce.upstreams.end() || upstream->second.isLeaving
+            || (known != state.upstreams.end() && known->second.state == UpstreamState::Leaving);
+}
+
+/// Gives the slot back, or leaves the queue, and looks for another.
+void seekAnew(Step &step, RequestRecord &record)
+{
+    releaseSlot(step, record, Tokens{});
+    seekSlot(step, record);
+}
+
+} // namespace
+
+void onSlotGrant(Step &step, const HostId &keeper, const SlotGrant &grant)
 {
     RequestRecord *record = recordOf(step.state, grant.request);
-    const bool isAwaited = record && record->phase == RequestPhase::WaitingForSlot
+    const bool isOurs = record && record->round == grant.round && record->keeper == keeper
             && record->upstream == grant.engine;
-    if (!isAwaited) {
-        // The caller has gone, or the grant came after a retry went elsewhere.
-        const auto engine = step.state.inForce.upstreams.find(grant.engine);
-        if (engine != step.state.inForce.upstreams.end()) {
-            const std::optional<HostId> keeper = keeperOf(step.state.membership, step.state.self.id,
-                                                          step.state.self.zone, false, grant.engine,
-                                                          engine->second.zone);
-            sendTo(step, keeper.value_or(step.state.self.id),
-                   SlotRelease{ grant.request, grant.engine, Tokens{} });
-        }
+    if (isOurs && record->phase == RequestPhase::Running)
+        return; // a doubled message; the slot is in use
+    if (!isOurs || record->phase != RequestPhase::WaitingForSlot) {
+        // The caller has gone, or the request went elsewhere: only its sender holds this slot.
+        sendTo(step, keeper, SlotRelease{ grant.request, grant.engine, Tokens{}, grant.round });
         return;
     }
     // Checked at the moment of dispatch: a process that was stopped since the grant must not use
-    // it.
+    // it, and the upstream may have been marked leaving while the request waited.
     const Instant ends = leaseEnd(step.state, grant.basis, grant.leaseLength);
-    if (ends <= step.now) {
+    const bool isLate = ends <= step.now;
+    if (isLate || isLeavingNow(step.state, record->upstream)) {
         countRetry(step.state.counters, RetryReason::SlotLost);
-        releaseSlot(step, *record, Tokens{});
-        seekSlot(step, *record);
+        seekAnew(step, *record);
         return;
     }
     record->leaseEnds = ends;
     dispatch(step, *record, ends);
 }
 
-void onSlotRefusal(Step &step, const SlotRefusal &refusal)
+void onSlotRefusal(Step &step, const HostId &keeper, const SlotRefusal &refusal)
 {
     RequestRecord *record = recordOf(step.state, refusal.request);
-    if (!record || record->phase != RequestPhase::WaitingForSlot
-        || record->upstream != refusal.engine)
+    if (!record || record->phase != RequestPhase::WaitingForSlot || record->round != refusal.round
+        || record->upstream != refusal.engine || record->keeper != keeper)
         return;
-    endRefused(step, *record, refusal.code, RunState::NotRun);
+    if (refusal.code == ResultCode::SlotLost)
+        record->askAgainAt = std::min(record->askAgainAt, step.now + askAgainSoon);
+    else
+        endRefused(step, *record, refusal.code, RunState::NotRun);
+}
+
+void askAgain(Step &step)
+{
+    HostState &state = step.state;
+    std::vector<RequestId> due;
+    for (const auto &[id, record] : state.requests) {
+        if (record.phase != RequestPhase::WaitingForSlot || record.isCancelled)
+            continue;
+        const auto engine = state.inForce.upstreams.find(record.upstream);
+        const bool hasMoved = engine == state.inForce.upstreams.end()
+                || engineKeeper(state, engine->second) != record.keeper;
+        if (hasMoved || record.askAgainAt <= step.now)
+            due.push_back(id);
+    }
+    for (const RequestId &id : due) {
+        RequestRecord &record = state.requests.at(id);
+        const auto engine = state.inForce.upstreams.find(record.upstream);
+        const std::optional<HostId> keeper = engine == state.inForce.upstreams.end()
+                ? std::nullopt
+                : engineKeeper(state, engine->second);
+        if (keeper == record.keeper && !isLeavingNow(state, record.upstream)) {
+            sendAsk(step, record);
+            continue;
+        }
+        countRetry(state.counters, RetryReason::SlotLost);
+        seekAnew(step, record);
+    }
+}
+
+void endLostSlots(Step &step)
+{
+    for (auto &[id, record] : step.state.requests) {
+        const bool isLost = record.phase == RequestPhase::Running && !record.isCancelled
+                && record.asked.kind == RequestKind::Completion && record.leaseEnds <= step.now;
+        if (isLost)
+            cancelLost(step, record);
+    }
 }
 
 void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed)
 {
     const Instant ends = leaseEnd(step.state, renewed.basis, renewed.leaseLength);
+    const std::set<RequestId> lost(renewed.lost.begin(), renewed.lost.end());
     for (auto &[id, record] : step.state.requests) {
-        if (record.phase == RequestPhase::Running && record.upstream == renewed.engine
-            && record.keeper == keeper)
+        const bool isMeant = record.phase == RequestPhase::Running && record.keeper == keeper
+                && record.upstream == renewed.engine && record.renewalSerial == renewed.basis;
+        if (isMeant && !lost.contains(id))
             record.leaseEnds = std::max(record.leaseEnds, ends);
+        else if (isMeant && !record.isCancelled)
+            cancelLost(step, record);
     }
 }
 
 void renewSlots(Step &step)
 {
     HostState &state = step.state;
-    std::map<std::pair<HostId, UpstreamId>, std::vector<RunningSlot>> byKeeper;
+    std::map<std::pair<HostId, UpstreamId>, std::vector<RequestRecord *>> byKeeper;
     for (auto &[id, record] : state.requests) {
-        if (record.asked.kind != RequestKind::Completion
-            || record.phase == RequestPhase::WaitingForTokens)
+        const bool isRunning = record.phase == RequestPhase::Running && !record.isCancelled;
+        if (record.asked.kind != RequestKind::Completion || !isRunning)
             continue;
-        const bool isRunning = record.phase == RequestPhase::Running;
-        byKeeper[{ record.keeper, record.upstream }].push_back(
-                RunningSlot{ id, record.asked.adapter, isRunning });
+        const auto engine = state.inForce.upstreams.find(record.upstream);
+        if (engine == state.inForce.upstreams.end())
+            continue;
+        // The keeper may have changed since the grant; the new one learns of the slot like this.
+        record.keeper = engineKeeper(state, engine->second).value_or(record.keeper);
+        byKeeper[{ record.keeper, record.upstream }].push_back(&record);
+    }
+    for (const auto &[where, records] : byKeeper) {
+        SlotRenewal renewal;
+        renewal.engine = where.second;
+        renewal.serial = nextSerial(step);
+        for (RequestRecord *record : records) {
+            record->renewalSerial = renewal.serial;
+            renewal.slots.push_back(RunningSlot{ record->asked.request, record->asked.adapter, true,
+                                                 record->round });
+        }
+        sendTo(step, where.first, std::move(renewal));
     }
-    for (auto &[where, slots] : byKeeper)
-        sendTo(step, where.first, SlotRenewal{ where.second, std::move(slots), nextSerial(step) });
 }
 
 void onCallerLeft(Step &step, const CallerLeft &event)
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -6,18 +6,18 @@
 
 namespace {
 
-/// How long a slot is leased. Long enough that four lost renewals in a row do not end a stream; as
-/// short as that because a new keeper evicts nothing for one lease.
-constexpr Span slotLease = fromSeconds(10);
 constexpr Span loadReportInterval = fromSeconds(0.5);
 /// Requests that wait at one engine; more would wait longer than any caller's deadline.
 constexpr std::size_t mostQueued = 1024;
-
-const Upstream *upstreamInForce(const HostState &state, const UpstreamId &id)
-{
-    const auto found = state.inForce.upstreams.find(id);
-    return found == state.inForce.upstreams.end() ? nullptr : &found->second;
-}
+/// A new keeper orders nothing before the engine's first report, which says what occupies its
+/// slots, or before this time where no report comes.
+constexpr Span reportPatience = fromSeconds(0.25);
+/// A load takes a quarter second when the weight store is well and up to ten times that when not.
+constexpr Span loadLifetime = fromSeconds(10);
+/// After a lease the engine is told to cancel for this long before the adapter is unpinned: the
+/// host that held the lease may be stopped, and its stream goes on at the engine.
+constexpr Span cancelTime = fromSeconds(2);
+constexpr Span cancelInterval = fromSeconds(0.5);
 
 /// The engine as this host keeps it; made on first use, evicting nothing until every lease of a
 /// former keeper has run out.
@@ -30,16 +30,27 @@
     }
     KeptEngine &kept = step.state.kept[engine.id];
     kept.adapters.slots = engine.adapterSlots;
-    kept.adapters.noEvictionBefore = step.now + slotLease;
-    step.actions.emplace_back(AskLoad{ engine.id, engine.address });
+    kept.adapters.noEvictionBefore = never;
+    kept.madeAt = step.now;
+    if (step.state.keepers.isComplete && mayGrant(step.state, engine, step.now))
+        kept.evictFrom = step.now + slotLease;
+    step.actions.emplace_back(AskLoad{ engine.id, engine.address, step.now });
     kept.nextLoadReport = step.now + loadReportInterval;
     return kept;
 }
 
 void refuseSlot(Step &step, const HostId &asker, const RequestId &request, const UpstreamId &engine,
-                ResultCode code)
+                ResultCode code, std::uint32_t round)
+{
+    sendTo(step, asker, SlotRefusal{ request, engine, code, round });
+}
+
+void sendGrant(Step &step, const KeptEngine &kept, const UpstreamId &engine,
+               const RequestId &request, const GrantedSlot &slot)
 {
-    sendTo(step, asker, SlotRefusal{ request, engine, code });
+    const auto newest = kept.newestSerial.find(slot.asker);
+    const std::uint64_t basis = newest == kept.newestSerial.end() ? 0 : newest->second.second;
+    sendTo(step, slot.asker, SlotGrant{ request, engine, slotLease, basis, slot.round });
 }
 
 void grantSlot(Step &step, KeptEngine &kept, const UpstreamId &engine,
@@ -52,24 +63,12 @@
     slot.charged = request.cost;
     slot.weight = request.weight;
     slot.leaseEnds = step.now + slotLease;
+    slot.round = kept.rounds[request.request];
+    slot.nextCancel = never;
+    kept.rounds.erase(request.request);
     kept.granted[request.request] = slot;
     pin(kept.adapters, request.adapter, step.now);
-    sendTo(step, request.asker,
-           SlotGrant{ request.request, engine, slotLease, kept.newestSerial[request.asker] });
-}
-
-/// Grants slots while the engine has room for requests whose adapter is loaded.
-void grantReady(Step &step, KeptEngine &kept, const Upstream &engine)
-{
-    const auto mayRun = [&kept](const WaitingRequest &request) {
-        return isLoaded(kept.adapters, request.adapter);
-    };
-    while (kept.granted.size() < engine.batchSlots) {
-        const std::optional<WaitingRequest> request = takeNext(kept.queue, mayRun);
-        if (!request)
-            return;
-        grantSlot(step, kept, engine.id, *request);
-    }
+    sendGrant(step, kept, engine, request.request, slot);
 }
 
 void orderStep(Step &step, KeptEngine &kept, const Upstream &engine, const PlacementStep &placement)
@@ -79,67 +78,169 @@
     const AdapterEvent event = isLoad ? AdapterEvent::LoadOrdered : AdapterEvent::UnloadOrdered;
     applyEvent(kept.adapters, state.charts.adapter, placement.adapter, event, step.now);
     state.fencing = FencingNumber{ state.fencing.value + 1 };
-    step.actions.emplace_back(
-            OrderEngine{ engine.id, engine.address, isLoad, placement.adapter, state.fencing });
+    kept.orders[placement.adapter] = state.fencing;
+    const Span lifetime = isLoad ? loadLifetime : unloadLifetime;
+    step.actions.emplace_back(OrderEngine{ engine.id, engine.address, isLoad, placement.adapter,
+                                           state.fencing, step.now + lifetime });
     ++(isLoad ? state.counters.loadsOrdered : state.counters.evictionsOrdered);
 }
 
-/// Orders loads for adapters that requests wait for.
-void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine)
+/// Ends leases. The host that held one stopped using it earlier by its own count, unless its
+/// process is stopped: then its stream still runs at the engine, and an eviction would cut it off.
+/// So the engine is told to cancel first, and the pin stays until it has had time to.
+void expireLeases(Step &step, KeptEngine &kept, const Upstream &engine)
 {
-    std::set<AdapterRef> wanted;
-    for (const auto &[id, customer] : kept.queue.customers) {
-        for (const WaitingRequest &request : customer.waiting)
-            wanted.insert(request.adapter);
-    }
-    for (const AdapterRef &adapter : wanted) {
-        const PlacementStep placement = nextStep(kept.adapters, adapter, step.now);
-        if (placement.kind != PlacementStep::Kind::Nothing)
-            orderStep(step, kept, engine, placement);
+    for (auto entry = kept.granted.begin(); entry != kept.granted.end();) {
+        GrantedSlot &slot = entry->second;
+        if (slot.leaseEnds <= step.now && slot.nextCancel == never) {
+            ++step.state.counters.leasesExpired;
+            slot.nextCancel = step.now;
+            slot.unpinAt = step.now + cancelTime;
+        }
+        if (slot.nextCancel <= step.now && !step.state.requests.contains(entry->first)) {
+            step.actions.emplace_back(CancelAttempt{ entry->first, engine.id, engine.address });
+            slot.nextCancel = step.now + cancelInterval;
+        }
+        const bool isOver = slot.nextCancel != never && slot.unpinAt <= step.now;
+        if (isOver)
+            unpin(kept.adapters, slot.adapter);
+        entry = isOver ? kept.granted.erase(entry) : std::next(entry);
     }
 }
 
 void tendEngine(Step &step, KeptEngine &kept, const Upstream &engine)
 {
     endBackOffs(kept.adapters, step.state.charts.adapter, step.now);
-    for (const WaitingRequest &expired : takeExpired(kept.queue, step.now))
-        refuseSlot(step, expired.asker, expired.request, engine.id, ResultCode::WaitedTooLong);
-    for (auto slot = kept.granted.begin(); slot != kept.granted.end();) {
-        const bool isOver = slot->second.leaseEnds <= step.now;
-        if (isOver)
-            unpin(kept.adapters, slot->second.adapter);
-        slot = isOver ? kept.granted.erase(slot) : std::next(slot);
+    endDoubts(step, kept);
+    for (const WaitingRequest &expired : takeExpired(kept.queue, step.now)) {
+        refuseSlot(step, expired.asker, expired.request, engine.id, ResultCode::WaitedTooLong,
+                   kept.rounds[expired.request]);
+        kept.rounds.erase(expired.request);
     }
+    expireLeases(step, kept, engine);
     grantReady(step, kept, engine);
     orderLoads(step, kept, engine);
     if (step.now >= kept.nextLoadReport) {
         kept.nextLoadReport = step.now + loadReportInterval;
-        step.actions.emplace_back(AskLoad{ engine.id, engine.address });
+        step.actions.emplace_back(AskLoad{ engine.id, engine.address, step.now });
     }
 }
 
-/// Engines that this host keeps by the present membership.
-bool isKeeper(const HostState &state, const Upstream &engine)
+void noteSerial(KeptEngine &kept, const HostId &asker, Incarnation life, std::uint64_t serial)
+{
+    auto &newest = kept.newestSerial[asker];
+    newest = std::max(newest, std::pair(life, serial));
+}
+
+/// Sends the requests that wait here to the engine's present keeper.
+void handOver(Step &step, KeptEngine &kept, const UpstreamId &engine)
 {
-    const bool isLeaving = state.process != ProcessState::Serving;
-    return keeperOf(state.membership, state.self.id, state.self.zone, isLeaving, engine.id,
-                    engine.zone)
-            == state.self.id;
+    for (auto &[id, customer] : kept.queue.customers) {
+        for (const WaitingRequest &request : customer.waiting)
+            refuseSlot(step, request.asker, request.request, engine, ResultCode::SlotLost,
+                       kept.rounds[request.request]);
+    }
+    kept.queue = FairQueue{};
+    kept.rounds.clear();
+}
+
+/// Takes up the engines that this host has come to keep. The upstreams are only looked through when
+/// what decides the keepers has changed: 3,900 of them at each tick cost more than all else.
+void takeUpEngines(Step &step)
+{
+    HostState &state = step.state;
+    const bool isServing = state.process == ProcessState::Serving;
+    const std::tuple from{ state.inForce.ticket.value, state.keepers.views.epoch,
+                           viewNumber(state.keepers.candidate), isServing };
+    if (from == state.keepers.keptFrom)
+        return;
+    state.keepers.keptFrom = from;
+    state.keepers.keepers.clear();
+    for (const auto &[id, upstream] : state.inForce.upstreams) {
+        const bool isEngine = upstream.kind == UpstreamKind::Engine;
+        if (isEngine && !state.kept.contains(id) && mayGrant(state, upstream, step.now))
+            keptEngine(step, upstream);
+    }
 }
 
 } // namespace
 
-void onSlotAsk(Step &step, const HostId &asker, const SlotAsk &ask)
+const Upstream *upstreamInForce(const HostState &state, const UpstreamId &id)
+{
+    const auto found = state.inForce.upstreams.find(id);
+    return found == state.inForce.upstreams.end() ? nullptr : &found->second;
+}
+
+void grantReady(Step &step, KeptEngine &kept, const Upstream &engine)
+{
+    if (kept.queue.size == 0 || !mayGrant(step.state, engine, step.now))
+        return;
+    const auto mayRun = [&kept](const WaitingRequest &request) {
+        return isLoaded(kept.adapters, request.adapter);
+    };
+    while (kept.granted.size() < engine.batchSlots) {
+        const std::optional<WaitingRequest> request = takeNext(kept.queue, mayRun);
+        if (!request)
+            return;
+        grantSlot(step, kept, engine.id, *request);
+    }
+}
+
+void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine)
+{
+    const bool isInformed = kept.engineStart != 0 || step.now >= kept.madeAt + reportPatience;
+    if (kept.queue.size == 0 || !isInformed || !mayGrant(step.state, engine, step.now))
+        return;
+    const bool isFree = mayEvict(step.state, kept, engine, step.now);
+    kept.adapters.noEvictionBefore = isFree ? Instant{} : never;
+    std::set<AdapterRef> wanted;
+    for (const auto &[id, customer] : kept.queue.customers) {
+        for (const WaitingRequest &request : customer.waiting)
+            wanted.insert(request.adapter);
+    }
+    for (const AdapterRef &adapter : wanted) {
+        const PlacementStep placement = nextStep(kept.adapters, adapter, step.now);
+        if (placement.kind != PlacementStep::Kind::Nothing)
+            orderStep(step, kept, engine, placement);
+    }
+}
+
+void onSlotAsk(Step &step, const HostId &asker, Incarnation life, const SlotAsk &ask)
 {
     const Upstream *engine = upstreamInForce(step.state, ask.engine);
+    // A host without tickets knows no engine, and one whose view differs may still be followed.
+    const bool isKeeper = engine && engineKeeper(step.state, *engine) == step.state.self.id;
+    if (step.state.process != ProcessState::Serving || (engine && !isKeeper)) {
+        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::SlotLost, ask.round);
+        return;
+    }
     if (!engine || engine->isLeaving) {
-        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::NoUpstream);
+        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::NoUpstream, ask.round);
         return;
     }
     KeptEngine &kept = keptEngine(step, *engine);
-    kept.newestSerial[asker] = std::max(kept.newestSerial[asker], ask.serial);
+    noteSerial(kept, asker, life, ask.serial);
+    const auto granted = kept.granted.find(ask.request);
+    if (granted != kept.granted.end() && granted->second.round >= ask.round) {
+        const bool isRepeat = granted->second.round == ask.round
+                && granted->second.nextCancel == never;
+        if (isRepeat) // the grant was lost on its way
+            granted->second.leaseEnds = step.now + slotLease;
+        if (isRepeat && mayGrant(step.state, *engine, step.now))
+            sendGrant(step, kept, engine->id, ask.request, granted->second);
+        return;
+    }
+    if (granted != kept.granted.end()) {
+        unpin(kept.adapters, granted->second.adapter);
+        kept.granted.erase(granted);
+    }
+    const auto known = kept.rounds.find(ask.request);
+    if (known != kept.rounds.end()) {
+        known->second = std::max(known->second, ask.round);
+        return; // asked again while it waits; it keeps its place
+    }
     if (kept.queue.size >= mostQueued) {
-        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::QueueFull);
+        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::QueueFull, ask.round);
         return;
     }
     WaitingRequest request;
@@ -150,44 +251,73 @@
     request.cost = ask.cost;
     request.weight = ask.weight;
     request.deadline = step.now + ask.untilDeadline;
+    kept.rounds[ask.request] = ask.round;
     enqueue(kept.queue, std::move(request));
     grantReady(step, kept, *engine);
     orderLoads(step, kept, *engine);
 }
 
-void onSlotRenewal(Step &step, const HostId &asker, const SlotRenewal &renewal)
+namespace {
+
+/// Renews \a slot of \a asker, or takes it over from a former keeper. False where its adapter is
+/// not to be relied on any more: it may be unloaded under the request.
+bool renewSlot(Step &step, KeptEngine &kept, const HostId &asker, const RunningSlot &slot)
+{
+    const auto found = kept.granted.find(slot.request);
+    if (found != kept.granted.end()) {
+        if (found->second.nextCancel != never || found->second.round != slot.round)
+            return false;
+        found->second.leaseEnds = step.now + slotLease;
+        return true;
+    }
+    const auto adapter = kept.adapters.adapters.find(slot.adapter);
+    const bool isKnown = adapter != kept.adapters.adapters.end();
+    const bool isUnloading = isKnown && adapter->second.state == AdapterState::Unloading;
+    const bool isAbsent = kept.engineStart != 0 && !isLoaded(kept.adapters, slot.adapter);
+    if (isUnloading || isAbsent)
+        return false;
+    GrantedSlot taken;
+    taken.asker = asker;
+    taken.adapter = slot.adapter;
+    taken.leaseEnds = step.now + slotLease;
+    taken.round = slot.round;
+    taken.nextCancel = never;
+    kept.granted[slot.request] = taken;
+    pin(kept.adapters, slot.adapter, step.now);
+    return true;
+}
+
+} // namespace
+
+void onSlotRenewal(Step &step, const HostId &asker, Incarnation life, const SlotRenewal &renewal)
 {
     const Upstream *engine = upstreamInForce(step.state, renewal.engine);
-    if (!engine)
-        return;
+    if (!engine || !mayGrant(step.state, *engine, step.now))
+        return; // the lease that it has runs on; the keeper may renew it in time
     KeptEngine &kept = keptEngine(step, *engine);
-    kept.newestSerial[asker] = std::max(kept.newestSerial[asker], renewal.serial);
+    noteSerial(kept, asker, life, renewal.serial);
+    SlotRenewed renewed{ renewal.engine, renewal.serial, slotLease, {} };
     for (const RunningSlot &slot : renewal.slots) {
-        const auto found = kept.granted.find(slot.request);
-        if (found != kept.granted.end()) {
-            found->second.leaseEnds = step.now + slotLease;
-        } else if (slot.isRunning) {
-            // Granted by a former keeper: pinned here from now on.
-            GrantedSlot taken;
-            taken.asker = asker;
-            taken.adapter = slot.adapter;
-            taken.leaseEnds = step.now + slotLease;
-            kept.granted[slot.request] = taken;
-            pin(kept.adapters, slot.adapter, step.now);
-        }
+        if (slot.isRunning && !renewSlot(step, kept, asker, slot))
+            renewed.lost.push_back(slot.request);
     }
-    sendTo(step, asker, SlotRenewed{ renewal.engine, renewal.serial, slotLease });
+    sendTo(step, asker, std::move(renewed));
 }
 
-void onSlotRelease(Step &step, const SlotRelease &release)
+void onSlotRelease(Step &step, const HostId &asker, const SlotRelease &release)
 {
     const auto kept = step.state.kept.find(release.engine);
     const Upstream *engine = upstreamInForce(step.state, release.engine);
     if (kept == step.state.kept.end() || !engine)
         return;
-    remove(kept->second.queue, release.request);
+    const auto waiting = kept->second.rounds.find(release.request);
+    if (waiting != kept->second.rounds.end() && waiting->second <= release.round) {
+        kept->second.rounds.erase(waiting);
+        remove(kept->second.queue, release.request);
+    }
     const auto slot = kept->second.granted.find(release.request);
-    if (slot != kept->second.granted.end()) {
+    if (slot != kept->second.granted.end() && slot->second.round <= release.round
+        && slot->second.asker == asker) {
         const GrantedSlot &granted = slot->second;
         correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
                       release.used);
@@ -198,90 +328,20 @@
     orderLoads(step, kept->second, *engine);
 }
 
-void onLoadReported(Step &step, const LoadReported &report)
-{
-    const auto found = step.state.kept.find(report.engine);
-    if (found == step.state.kept.end() || !report.isReachable)
-        return;
-    KeptEngine &kept = found->second;
-    const Chart &chart = step.state.charts.adapter;
-    const bool hasRestarted = kept.engineStart != 0 && kept.engineStart != report.engineStart;
-    kept.engineStart = report.engineStart;
-    if (hasRestarted) {
-        std::vector<AdapterRef> known;
-        for (const auto &[ref, adapter] : kept.adapters.adapters)
-            known.push_back(ref);
-        for (const AdapterRef &ref : known)
-            applyEvent(kept.adapters, chart, ref, AdapterEvent::EngineRestarted, step.now);
-    }
-    // What a former keeper had loaded serves at once.
-    for (const AdapterRef &ref : report.loaded) {
-        if (!kept.adapters.adapters.contains(ref))
-            applyEvent(kept.adapters, chart, ref, AdapterEvent::LoadDone, step.now);
-    }
-    const Upstream *engine = upstreamInForce(step.state, report.engine);
-    if (engine)
-        grantReady(step, kept, *engine);
-}
-
-void onOrderEnded(Step &step, const OrderEnded &event)
-{
-    const auto kept = step.state.kept.find(event.engine);
-    const Upstream *engine = upstreamInForce(step.state, event.engine);
-    if (kept == step.state.kept.end() || !engine)
-        return;
-    const Chart &chart = step.state.charts.adapter;
-    EngineAdapters &adapters = kept->second.adapters;
-    if (event.isLoad && !event.isDone) {
-        ++step.state.counters.loadsFailed;
-        applyEvent(adapters, chart, event.adapter, AdapterEvent::LoadFailed, step.now);
-        std::uniform_real_distribution<double> jitter(0.0, 1.0);
-        backOff(adapters, event.adapter, jitter(step.state.random), step.now);
-        return;
-    }
-    const AdapterEvent unloaded = event.isDone ? AdapterEvent::UnloadDone
-                                               : AdapterEvent::UnloadFailed;
-    applyEvent(adapters, chart, event.adapter, event.isLoad ? AdapterEvent::LoadDone : unloaded,
-               step.now);
-    grantReady(step, kept->second, *engine);
-    orderLoads(step, kept->second, *engine);
-}
-
 void tendEngines(Step &step)
 {
     HostState &state = step.state;
-    for (const auto &[id, upstream] : state.inForce.upstreams) {
-        if (upstream.kind != UpstreamKind::Engine)
-            continue;
-        const bool isKept = state.kept.contains(id);
-        if (!isKept && isKeeper(state, upstream))
-            keptEngine(step, upstream);
-    }
+    takeUpEngines(step);
     for (auto kept = state.kept.begin(); kept != state.kept.end();) {
         const Upstream *engine = upstreamInForce(state, kept->first);
+        const bool isKeeper = engine && engineKeeper(state, *engine) == state.self.id;
+        if (!isKeeper && kept->second.queue.size > 0)
+            handOver(step, kept->second, kept->first);
         if (engine)
             tendEngine(step, kept->second, *engine);
-        const bool isIdle = kept->second.granted.empty() && kept->second.queue.size == 0;
-        const bool isDropped = isIdle && (!engine || !isKeeper(state, *engine));
+        const bool isDropped = !isKeeper && kept->second.granted.empty();
         kept = isDropped ? state.kept.erase(kept) : std::next(kept);
     }
 }
 
-std::vector<EngineSummary> summarizeEngines(const HostState &state)
-{
-    std::vector<EngineSummary> summaries;
-    for (const auto &[id, kept] : state.kept) {
-        EngineSummary summary;
-        summary.engine = id;
-        summary.queued = static_cast<std::uint32_t>(kept.queue.size);
-        summary.running = static_cast<std::uint32_t>(kept.granted.size());
-        for (const auto &[ref, adapter] : kept.adapters.adapters) {
-            if (adapter.state == AdapterState::Loaded)
-                summary.loaded.push_back(ref);
-        }
-        summaries.push_back(std::move(summary));
-    }
-    return summaries;
-}
-
 } // namespace azurewell::internal
--- a/packages/shell/src/engine_orders.cpp
+++ b/packages/shell/src/engine_orders.cpp
@@ -1,14 +1,13 @@
 #include "azurewell/shell/engine_orders.h"
 
+#include "azurewell/shell/clock.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azurewell {
 
 namespace {
 
-/// A load takes a quarter second when the weight store is well and up to ten times that when it is
-/// not.
-constexpr int orderTimeoutMillis = 10'000;
 constexpr int reportTimeoutMillis = 1'000;
 
 QNetworkRequest requestTo(const std::string &address, const char *path, int timeoutMillis)
@@ -19,6 +18,12 @@
     return request;
 }
 
+/// The fencing number for which the engine refused an order; 0 where it did not.
+FencingNumber highestOf(const QNetworkReply *reply)
+{
+    return FencingNumber{ reply->rawHeader("X-Fencing-Number").toULongLong() };
+}
+
 LoadReported parseReport(const UpstreamId &engine, const QByteArray &text)
 {
     LoadReported report;
@@ -44,8 +49,16 @@
 
 void EngineOrders::order(const OrderEngine &order)
 {
+    const Instant now = monotonicNow();
+    if (now >= order.notAfter) {
+        // The process was stopped since it decided; another host may keep the engine by now.
+        this->answered(OrderEnded{ order.engine, order.adapter, order.isLoad, false, order.fencing,
+                                   {} });
+        return;
+    }
+    const int timeoutMillis = static_cast<int>(toSeconds(order.notAfter - now) * 1000);
     const char *path = order.isLoad ? "/v1/load_lora_adapter" : "/v1/unload_lora_adapter";
-    QNetworkRequest request = requestTo(order.address, path, orderTimeoutMillis);
+    QNetworkRequest request = requestTo(order.address, path, timeoutMillis);
     request.setRawHeader("X-Fencing-Number",
                          QByteArray::number(static_cast<quint64>(order.fencing.value)));
     const std::string body = nlohmann::json{
@@ -56,7 +69,8 @@
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, order] {
         reply->deleteLater();
         this->answered(OrderEnded{ order.engine, order.adapter, order.isLoad,
-                                   reply->error() == QNetworkReply::NoError });
+                                   reply->error() == QNetworkReply::NoError, order.fencing,
+                                   highestOf(reply) });
     });
 }
 
@@ -66,10 +80,13 @@
     QNetworkReply *reply = this->pool.send("GET", QByteArray::fromStdString(question.address),
                                            request, {});
     QObject::connect(
-            reply, &QNetworkReply::finished, this, [this, reply, engine = question.engine] {
+            reply, &QNetworkReply::finished, this, [this, reply, question] {
                 reply->deleteLater();
                 const bool isAnswered = reply->error() == QNetworkReply::NoError;
-                this->answered(parseReport(engine, isAnswered ? reply->readAll() : QByteArray()));
+                LoadReported report = parseReport(question.engine,
+                                                  isAnswered ? reply->readAll() : QByteArray());
+                report.askedAt = question.askedAt;
+                this->answered(report);
             });
 }
 
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -148,8 +148,13 @@
 void TrafficWorker::cancel(const CancelAttempt &order)
 {
     const auto found = this->exchanges.find(order.request);
-    if (found != this->exchanges.end())
-        found->second.attempt.reset();
+    if (found == this->exchanges.end() || !found->second.attempt)
+        return;
+    Exchange &exchange = found->second;
+    exchange.attempt.reset();
+    this->report(Event{ AttemptEnded{ order.request, exchange.attemptNumber,
+                                      AttemptOutcome::Cancelled, exchange.delivered,
+                                      exchange.isHeadSent } });
 }
 
 void TrafficWorker::passOn(const RequestId &id, const QByteArray &events, Tokens made)
--- a/tests/random_faults/checks.h
+++ b/tests/random_faults/checks.h
@@ -32,12 +32,15 @@
 struct CallerView
 {
     HostId host;
+    Incarnation life;
     RequestArrived asked;
     CustomerId owner;         ///< Of the key; empty where the key was never issued.
     std::int64_t tokens = 0;  ///< Passed on to the caller.
     std::uint32_t attempt = 0; ///< The newest that was dispatched.
+    bool isAttemptOpen = false; ///< The traffic thread holds a connection for it.
     int runs = 0;             ///< Times that an upstream began to run it.
     bool isEnded = false;
+    bool hasLeft = false; ///< Closed its connection.
     bool isNotRunClaimed = false;
 };
 
@@ -57,6 +60,7 @@
     std::optional<std::string> failure;
     std::uint64_t completed = 0;
     std::uint64_t refused = 0;
+    std::map<ResultCode, std::uint64_t> refusals;
     std::uint64_t runs = 0;
 
     void fail(const std::string &what);
--- a/tests/random_faults/main.cpp
+++ b/tests/random_faults/main.cpp
@@ -19,6 +19,7 @@
     app.add_option("--steps", options.steps, "Steps of 50 ms of virtual time");
     app.add_option("--sabotage", sabotage, "A fault of the harness itself (see checks.h)");
     app.add_flag("--go-on", goesOn, "Tries all seeds and lists every failure");
+    app.add_flag("--trace", options.isTraced, "Prints what the hosts do and what is done to them");
     CLI11_PARSE(app, argc, argv);
 
     options.sabotage = static_cast<Sabotage>(sabotage);
@@ -33,12 +34,15 @@
     std::uint64_t completed = 0;
     std::uint64_t refused = 0;
     std::uint64_t runs = 0;
+    std::map<azurewell::ResultCode, std::uint64_t> refusals;
     for (options.seed = first; options.seed <= last; ++options.seed) {
         World world(options);
         const std::optional<std::string> failure = world.run();
         completed += world.checks.completed;
         refused += world.checks.refused;
         runs += world.checks.runs;
+        for (const auto &[code, count] : world.checks.refusals)
+            refusals[code] += count;
         if (!failure)
             continue;
         ++failures;
@@ -49,5 +53,7 @@
     }
     fmt::print("seeds {}..{}: {} failed; {} requests answered, {} refused, {} runs at upstreams\n",
                first, last, failures, completed, refused, runs);
+    for (const auto &[code, count] : refusals)
+        fmt::print("  refused {}: {}\n", azurewell::infoOf(code).name, count);
     return failures == 0 ? 0 : 1;
 }
--- a/tests/random_faults/world.cpp
+++ b/tests/random_faults/world.cpp
@@ -1,5 +1,7 @@
 #include "world.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace azurewell::faults {
@@ -88,6 +90,7 @@
     self.peerAddress = host.id.value;
     self.incarnation = Incarnation{ 1000 * this->nextIncarnation++ };
     self.randomSeed = this->random();
+    this->trace(fmt::format("{} starts, life {}", host.id.value, self.incarnation.value));
     host.state = makeHost(self, this->charts);
     host.isUp = true;
     host.isStopping = false;
@@ -126,6 +129,12 @@
         this->give(host, event);
 }
 
+void World::trace(const std::string &text) const
+{
+    if (this->options.isTraced)
+        fmt::print("{:8.3f} step {}: {}\n", toSeconds(this->now - Instant{}) - 1000, this->step, text);
+}
+
 void World::runStep()
 {
     const Instant until = this->now + stepLength;
