Cancelled attempts keep their pin until the engine has ended them

A host gave a cancelled request's slot back at once, and the keeper could evict the adapter before the engine had the cancel.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -83,6 +83,7 @@
   2: string engine
   3: i64 used
   4: i32 round
+  5: bool cancelled
 }
 
 struct TicketAsk {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -105,8 +105,10 @@
 {
     RequestId request;
     UpstreamId engine;
-    Tokens used; ///< Prompt and generated tokens; corrects the fair queue's charge.
+    Tokens used;             ///< Prompt and generated tokens; corrects the fair queue's charge.
     std::uint32_t round = 0; ///< A late release of an earlier round must not free a later slot.
+    /// The attempt was cut short and may still run at the engine for a moment.
+    bool isCancelled = false;
 };
 
 /// Asks for the tickets after a number.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -136,6 +136,7 @@
         release.__set_engine(in.engine.value);
         release.__set_used(in.used.count);
         release.__set_round(static_cast<std::int32_t>(in.round));
+        release.__set_cancelled(in.isCancelled);
         this->out.__set_slotRelease(release);
     }
     void operator()(const TicketAsk &in) const
@@ -159,10 +160,10 @@
     beat.ticket = TicketNumber{ static_cast<std::uint64_t>(in.ticket) };
     beat.isLeaving = in.leaving;
     for (const wire::EngineSummary &summary : in.engines) {
-        beat.engines.push_back(EngineSummary{
-                UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
-                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded),
-                summary.partial });
+        beat.engines.push_back(EngineSummary{ UpstreamId{ summary.engine },
+                                              static_cast<std::uint32_t>(summary.queued),
+                                              static_cast<std::uint32_t>(summary.running),
+                                              idsOf<AdapterRef>(summary.loaded), summary.partial });
     }
     beat.zone = ZoneId{ in.zone };
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
@@ -178,10 +179,14 @@
 
 SlotAsk fromWire(const wire::SlotAsk &in)
 {
-    return SlotAsk{ RequestId{ in.request },  UpstreamId{ in.engine },
-                    AdapterRef{ in.adapter }, CustomerId{ in.customer },
-                    Tokens{ in.cost },        in.weight,
-                    Span{ in.untilDeadline }, static_cast<std::uint64_t>(in.serial),
+    return SlotAsk{ RequestId{ in.request },
+                    UpstreamId{ in.engine },
+                    AdapterRef{ in.adapter },
+                    CustomerId{ in.customer },
+                    Tokens{ in.cost },
+                    in.weight,
+                    Span{ in.untilDeadline },
+                    static_cast<std::uint64_t>(in.serial),
                     static_cast<std::uint32_t>(in.round) };
 }
 
@@ -191,9 +196,9 @@
     renewal.engine = UpstreamId{ in.engine };
     renewal.serial = static_cast<std::uint64_t>(in.serial);
     for (const wire::RunningSlot &slot : in.slots)
-        renewal.slots.push_back(
-                RunningSlot{ RequestId{ slot.request }, AdapterRef{ slot.adapter }, slot.running,
-                             static_cast<std::uint32_t>(slot.round) });
+        renewal.slots.push_back(RunningSlot{ RequestId{ slot.request }, AdapterRef{ slot.adapter },
+                                             slot.running,
+                                             static_cast<std::uint32_t>(slot.round) });
     return renewal;
 }
 
@@ -223,8 +228,7 @@
     if (in.__isset.slotRefusal) {
         const wire::SlotRefusal &refusal = in.slotRefusal;
         return SlotRefusal{ RequestId{ refusal.request }, UpstreamId{ refusal.engine },
-                            codeOf(refusal.code),
-                            static_cast<std::uint32_t>(refusal.round) };
+                            codeOf(refusal.code), static_cast<std::uint32_t>(refusal.round) };
     }
     if (in.__isset.slotRenewal)
         return fromWire(in.slotRenewal);
@@ -236,8 +240,8 @@
     if (in.__isset.slotRelease) {
         const wire::SlotRelease &release = in.slotRelease;
         return SlotRelease{ RequestId{ release.request }, UpstreamId{ release.engine },
-                            Tokens{ release.used },
-                            static_cast<std::uint32_t>(release.round) };
+                            Tokens{ release.used }, static_cast<std::uint32_t>(release.round),
+                            release.cancelled };
     }
     if (in.__isset.ticketAsk)
         return TicketAsk{ TicketNumber{ static_cast<std::uint64_t>(in.ticketAsk.after) } };
--- a/packages/host/include/azurewell/host/counters.h
+++ b/packages/host/include/azurewell/host/counters.h
@@ -37,9 +37,9 @@
     std::uint64_t loadsFailed = 0;
     std::uint64_t evictionsOrdered = 0;
     std::uint64_t generatedTokens = 0;
-    std::uint64_t lateWakes = 0;      ///< The process was stopped for a second or more.
-    std::uint64_t ordersRefused = 0;  ///< By an engine, for an old fencing number.
-    std::uint64_t leasesExpired = 0;  ///< Slots whose host did not renew them in time.
+    std::uint64_t lateWakes = 0;     ///< The process was stopped for a second or more.
+    std::uint64_t ordersRefused = 0; ///< By an engine, for an old fencing number.
+    std::uint64_t leasesExpired = 0; ///< Slots whose host did not renew them in time.
     std::map<ResultCode, std::uint64_t> refusals;
     std::array<std::uint64_t, retryReasonNames.size()> retries{};
 };
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -41,12 +41,12 @@
 
 /// How an attempt at an upstream ended.
 enum class AttemptOutcome : std::uint8_t {
-    Done,     ///< The whole answer was passed on.
-    NotSent,  ///< No byte of the request can have reached the upstream.
-    Refused,  ///< The upstream answered that it did not take the request (503 or 429).
-    Failed,   ///< The connection ended, or the answer was not whole.
-    Silent,   ///< Nothing came within the idle deadline.
-    Mismatch, ///< The answer belonged to another request and was dropped.
+    Done,      ///< The whole answer was passed on.
+    NotSent,   ///< No byte of the request can have reached the upstream.
+    Refused,   ///< The upstream answered that it did not take the request (503 or 429).
+    Failed,    ///< The connection ended, or the answer was not whole.
+    Silent,    ///< Nothing came within the idle deadline.
+    Mismatch,  ///< The answer belonged to another request and was dropped.
     Cancelled, ///< Ended by CancelAttempt.
 };
 
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -39,14 +39,14 @@
     RequestArrived asked;
     CustomerId customer;
     RequestPhase phase = RequestPhase::WaitingForTokens;
-    Tokens reserved;     ///< Still reserved in the customer's bucket.
-    Tokens generated;    ///< Passed on to the caller.
-    UpstreamId upstream; ///< Where it waits or runs.
-    HostId keeper;       ///< Who was asked for the slot.
-    Instant leaseEnds;   ///< The slot is ours until then.
+    Tokens reserved;         ///< Still reserved in the customer's bucket.
+    Tokens generated;        ///< Passed on to the caller.
+    UpstreamId upstream;     ///< Where it waits or runs.
+    HostId keeper;           ///< Who was asked for the slot.
+    Instant leaseEnds;       ///< The slot is ours until then.
     std::uint32_t round = 0; ///< Times that a slot was sought; grants of earlier rounds are void.
     std::uint64_t renewalSerial = 0; ///< Of the newest renewal that listed it.
-    Instant askAgainAt;      ///< An ask or a grant may be lost, and a keeper may be gone.
+    Instant askAgainAt;              ///< An ask or a grant may be lost, and a keeper may be gone.
     bool isCancelled = false; ///< Its slot was lost while it ran; the attempt's end is awaited.
     bool mayHaveRun = false;  ///< An upstream may have begun to run it.
     std::uint32_t attempt = 0;
@@ -82,7 +82,7 @@
 
     Instant madeAt;
     Instant evictFrom = never; ///< Every lease that a former keeper can have given is over then.
-    bool isQuiet = false;      ///< Since evictFrom the engine was seen to run no more than is granted.
+    bool isQuiet = false; ///< Since evictFrom the engine was seen to run no more than is granted.
     Instant newestReportAsked; ///< When the newest report that was used had been asked for.
     /// Orders under way; one that ends without being here was ended by a restart of the engine.
     std::unordered_map<AdapterRef, FencingNumber> orders;
--- a/packages/host/src/engine_reports.cpp
+++ b/packages/host/src/engine_reports.cpp
@@ -76,9 +76,8 @@
     if (kept.engineStart != 0 && kept.engineStart != report.engineStart)
         forgetAdapters(step, kept);
     kept.engineStart = report.engineStart;
-    std::erase_if(kept.orderEndedAt, [&step](const auto &entry) {
-        return step.now - entry.second > longestReport;
-    });
+    std::erase_if(kept.orderEndedAt,
+                  [&step](const auto &entry) { return step.now - entry.second > longestReport; });
     reconcile(step, kept, report);
     // Requests that nobody registered here can run on slots of a former keeper, their host stopped
     // or cut off. They show as more running than granted.
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -65,7 +65,8 @@
 {
     if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
         sendTo(step, record.keeper,
-               SlotRelease{ record.asked.request, record.upstream, used, record.round });
+               SlotRelease{ record.asked.request, record.upstream, used, record.round,
+                            record.isCancelled });
 }
 
 /// Ends a request: slot and tokens go back, the record goes.
@@ -345,6 +346,9 @@
     const bool isSafe = isNotRun || record.isIdempotent;
     const RunState runState = isNotRun ? RunState::NotRun : RunState::Unknown;
     record.mayHaveRun = record.mayHaveRun || !isNotRun;
+    // After silence or a broken answer the engine may go on with it; the keeper has to cancel it
+    // before it may evict the adapter.
+    record.isCancelled = record.isCancelled || !isNotRun;
     if (!isSafe) {
         endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
         return;
@@ -493,7 +497,8 @@
         return; // a doubled message; the slot is in use
     if (!isOurs || record->phase != RequestPhase::WaitingForSlot) {
         // The caller has gone, or the request went elsewhere: only its sender holds this slot.
-        sendTo(step, keeper, SlotRelease{ grant.request, grant.engine, Tokens{}, grant.round });
+        sendTo(step, keeper,
+               SlotRelease{ grant.request, grant.engine, Tokens{}, grant.round, false });
         return;
     }
     // Checked at the moment of dispatch: a process that was stopped since the grant must not use
@@ -612,6 +617,7 @@
                 ? ""
                 : upstream->second.address;
         step.actions.emplace_back(CancelAttempt{ event.request, record->upstream, address });
+        record->isCancelled = true;
     }
     countRefusal(step.state.counters, ResultCode::CallerGone);
     endRequest(step, *record);
@@ -667,6 +673,7 @@
                     ? ""
                     : upstream->second.address;
             step.actions.emplace_back(CancelAttempt{ id, record.upstream, address });
+            record.isCancelled = true;
         }
         endRefused(step, record, code, isRunning ? RunState::Ran : RunState::NotRun);
     }
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -18,6 +18,8 @@
 /// host that held the lease may be stopped, and its stream goes on at the engine.
 constexpr Span cancelTime = fromSeconds(2);
 constexpr Span cancelInterval = fromSeconds(0.5);
+/// The same after a host gave a cancelled request's slot back: it has closed the connection itself.
+constexpr Span settleTime = fromSeconds(0.5);
 
 /// The engine as this host keeps it; made on first use, evicting nothing until every lease of a
 /// former keeper has run out.
@@ -319,10 +321,18 @@
     if (slot != kept->second.granted.end() && slot->second.round <= release.round
         && slot->second.asker == asker) {
         const GrantedSlot &granted = slot->second;
-        correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
-                      release.used);
-        unpin(kept->second.adapters, granted.adapter);
-        kept->second.granted.erase(slot);
+        const bool isEnding = granted.nextCancel != never;
+        if (!isEnding)
+            correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
+                          release.used);
+        if (release.isCancelled && !isEnding) {
+            slot->second.leaseEnds = step.now;
+            slot->second.nextCancel = step.now;
+            slot->second.unpinAt = step.now + settleTime;
+        } else if (!release.isCancelled) {
+            unpin(kept->second.adapters, granted.adapter);
+            kept->second.granted.erase(slot);
+        }
     }
     grantReady(step, kept->second, *engine);
     orderLoads(step, kept->second, *engine);
--- a/tests/random_faults/checks.h
+++ b/tests/random_faults/checks.h
@@ -34,11 +34,11 @@
     HostId host;
     Incarnation life;
     RequestArrived asked;
-    CustomerId owner;         ///< Of the key; empty where the key was never issued.
-    std::int64_t tokens = 0;  ///< Passed on to the caller.
-    std::uint32_t attempt = 0; ///< The newest that was dispatched.
+    CustomerId owner;           ///< Of the key; empty where the key was never issued.
+    std::int64_t tokens = 0;    ///< Passed on to the caller.
+    std::uint32_t attempt = 0;  ///< The newest that was dispatched.
     bool isAttemptOpen = false; ///< The traffic thread holds a connection for it.
-    int runs = 0;             ///< Times that an upstream began to run it.
+    int runs = 0;               ///< Times that an upstream began to run it.
     bool isEnded = false;
     bool hasLeft = false; ///< Closed its connection.
     bool isNotRunClaimed = false;
--- a/tests/random_faults/disturb.cpp
+++ b/tests/random_faults/disturb.cpp
@@ -25,8 +25,8 @@
 };
 constexpr std::size_t faultCount = 13;
 constexpr std::array<const char *, faultCount> faultNames{
-    "pause",       "replace",   "cut zone",    "cut from platform", "restart engine",
-    "fail loads",  "messy",     "hide host",   "slow orders",       "stale platform",
+    "pause",        "replace",         "cut zone",  "cut from platform", "restart engine",
+    "fail loads",   "messy",           "hide host", "slow orders",       "stale platform",
     "planned stop", "upstream leaves", "ticket"
 };
 /// In each step; a trial of 600 steps meets about 20, most of them overlapping another.
--- a/tests/random_faults/world.h
+++ b/tests/random_faults/world.h
@@ -35,7 +35,7 @@
     double clockRate = 1;
     Instant clockZero; ///< World time at which its clock read zero.
     Instant pausedUntil;
-    Instant connectedSince; ///< No pause and no cut from the platform since then.
+    Instant connectedSince;  ///< No pause and no cut from the platform since then.
     std::deque<Event> inbox; ///< What came while it was paused.
     Instant nextPlatformRead;
     Instant nextListRead;
@@ -62,9 +62,9 @@
     std::vector<Instant> publishedAt;
     std::map<KeyHash, CustomerId> keys;
     std::map<KeyHash, Instant> withdrawnAt;
-    std::set<UpstreamId> leavingUpstreams; ///< By the platform's list.
+    std::set<UpstreamId> leavingUpstreams;           ///< By the platform's list.
     std::map<std::pair<int, int>, Instant> cutUntil; ///< Zones; index zoneCount is the platform.
-    Instant messyUntil;   ///< Messages are lost, doubled and reordered until then.
+    Instant messyUntil; ///< Messages are lost, doubled and reordered until then.
     Instant slowOrdersUntil;
     Instant stalePlatformUntil;
     std::uint64_t nextIncarnation = 1;
