--- a/packages/fleet/include/azurewell/fleet/keeper_views.h
+++ b/packages/fleet/include/azurewell/fleet/keeper_views.h
@@ -37,7 +37,8 @@
 ///
 /// Two hosts with two views would each evict what the other one's requests run on. Therefore a host
 /// grants slots only by the view that it has adopted, takes a new one only after every promise it
-/// gave about the old one has run out, and evicts only while all hosts of the zone promise its view.
+/// gave about the old one has run out, and evicts only while all hosts of the zone promise its
+/// view.
 struct KeeperViews
 {
     std::vector<HostId> adopted; ///< Sorted.
--- a/packages/fleet/include/azurewell/fleet/membership.h
+++ b/packages/fleet/include/azurewell/fleet/membership.h
@@ -28,7 +28,7 @@
     Incarnation incarnation;
     PeerState state = PeerState::Unheard;
     TicketNumber ticket;
-    Span lateness{}; ///< Silence beyond which it is suspect; by its own word on its interval.
+    Span lateness{};     ///< Silence beyond which it is suspect; by its own word on its interval.
     Instant silentAfter; ///< Suspect when nothing is heard until then.
     Instant goneAfter;   ///< Gone when nothing is heard until then.
     bool isListed = false;
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -11,7 +11,7 @@
 void stopIfDrained(Step &step)
 {
     HostState &state = step.state;
-    if (state.process != ProcessState::Draining || !state.requests.empty())
+    if (state.process != ProcessState::Draining || !state.requests.empty() || hasOpenCalls(step))
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
     step.actions.emplace_back(LeaveProcess{});
@@ -25,6 +25,7 @@
     askAgain(step);
     admitWaiting(step);
     tendEngines(step);
+    tendCalls(step);
     sendHeartbeats(step);
     stopIfDrained(step);
 }
@@ -97,6 +98,9 @@
     // Serials of two lives of a host must differ: an echo of the former life's would be taken for a
     // promise to this one.
     state.nextSerial = (identity.incarnation.value % 65536) << 24 | 1;
+    state.calls.ledger.host = identity.id;
+    state.calls.ledger.incarnation = identity.incarnation;
+    state.calls.ledger.secret = state.random();
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
--- a/packages/host/tests/host_test.cpp
+++ b/packages/host/tests/host_test.cpp
@@ -45,8 +45,13 @@
         for (const Action &action : taken) {
             if (const OrderEngine *order = std::get_if<OrderEngine>(&action))
                 handle(this->state,
-                       OrderEnded{ order->engine, order->adapter, order->isLoad, true, order->fencing, {} }, this->now,
-                       this->actions);
+                       OrderEnded{ order->engine,
+                                   order->adapter,
+                                   order->isLoad,
+                                   true,
+                                   order->fencing,
+                                   {} },
+                       this->now, this->actions);
         }
     }
     void pass(Span span)
--- a/packages/shell/src/engine_orders.cpp
+++ b/packages/shell/src/engine_orders.cpp
@@ -52,8 +52,8 @@
     const Instant now = monotonicNow();
     if (now >= order.notAfter) {
         // The process was stopped since it decided; another host may keep the engine by now.
-        this->answered(OrderEnded{ order.engine, order.adapter, order.isLoad, false, order.fencing,
-                                   {} });
+        this->answered(
+                OrderEnded{ order.engine, order.adapter, order.isLoad, false, order.fencing, {} });
         return;
     }
     const int timeoutMillis = static_cast<int>(toSeconds(order.notAfter - now) * 1000);
@@ -79,15 +79,14 @@
     const QNetworkRequest request = requestTo(question.address, "/load", reportTimeoutMillis);
     QNetworkReply *reply = this->pool.send("GET", QByteArray::fromStdString(question.address),
                                            request, {});
-    QObject::connect(
-            reply, &QNetworkReply::finished, this, [this, reply, question] {
-                reply->deleteLater();
-                const bool isAnswered = reply->error() == QNetworkReply::NoError;
-                LoadReported report = parseReport(question.engine,
-                                                  isAnswered ? reply->readAll() : QByteArray());
-                report.askedAt = question.askedAt;
-                this->answered(report);
-            });
+    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, question] {
+        reply->deleteLater();
+        const bool isAnswered = reply->error() == QNetworkReply::NoError;
+        LoadReported report = parseReport(question.engine,
+                                          isAnswered ? reply->readAll() : QByteArray());
+        report.askedAt = question.askedAt;
+        this->answered(report);
+    });
 }
 
 void EngineOrders::cancel(const CancelAttempt &attempt)
