--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -49,11 +49,11 @@
     std::uint64_t renewalSerial = 0; ///< Of the newest renewal that listed it.
     Instant askAgainAt;              ///< An ask or a grant may be lost, and a keeper may be gone.
     bool isCancelled = false; ///< Its slot was lost while it ran; the attempt's end is awaited.
-    bool mayHaveRun = false;  ///< An upstream may have begun to run it.
     std::uint32_t attempt = 0;
     std::set<UpstreamId> failedAt; ///< Not tried again for this request.
     bool isIdempotent = true;
     bool isCallerGone = false; ///< A numbered call that goes on for its outcome.
+    bool mayHaveRun = false;   ///< An attempt ended that can have run: "not run" would be untrue.
 };
 
 /// A slot that this host, as keeper, has granted.
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -97,10 +97,9 @@
         runState = runStateUnsent(step, record);
     else if (needsPermit(record))
         settleCall(step, record, CallOutcome::Unknown);
-    // An earlier attempt may have run although the last one did not.
-    if (runState == RunState::NotRun && record.mayHaveRun)
-        runState = RunState::Unknown;
-    refuse(step, record.asked.request, code, runState, defaultRetryAfter);
+    const bool isUntrue = runState == RunState::NotRun && record.mayHaveRun;
+    refuse(step, record.asked.request, code, isUntrue ? RunState::Unknown : runState,
+           defaultRetryAfter);
     endRequest(step, record);
 }
 
@@ -321,6 +320,7 @@
         return RetryReason::AnswerMismatch;
     case AttemptOutcome::Cancelled:
         return RetryReason::SlotLost;
+    case AttemptOutcome::NotResumable:
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -341,6 +341,7 @@
         return ResultCode::AnswerMismatch;
     case AttemptOutcome::Cancelled:
         return ResultCode::SlotLost;
+    case AttemptOutcome::NotResumable:
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -365,6 +366,8 @@
         upstream.state = advance(chart, upstream.state, UpstreamEvent::Answered);
         return;
     }
+    if (outcome == AttemptOutcome::Mismatch)
+        ++step.state.counters.answerMismatches;
     ++upstream.failuresInARow;
     if (upstream.failuresInARow >= failuresToEject
         && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
@@ -373,6 +376,21 @@
     }
 }
 
+/// Whether the upstream should get the request once more. A connection that went silent tells
+/// nothing of the engine: it has the stream still, and can go on with it on a new connection.
+bool mayTrySameAgain(const RequestRecord &record, AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Silent && record.generated.count > 0 && record.attempt == 1;
+}
+
+/// Whether a retry may be made. A stream that the caller has a part of is resumed outside the
+/// budget: resuming repeats no work, and no more than the open streams of a failed engine can ask
+/// for it at once, each at most mostAttempts times.
+bool mayRetry(Step &step, const RequestRecord &record)
+{
+    return record.generated.count > 0 || takeRetry(step.state.retryBudget);
+}
+
 /// Tries a failed request elsewhere where that is safe and the budget allows; otherwise refuses it.
 void retryOrRefuse(Step &step, RequestRecord &record, AttemptOutcome outcome)
 {
@@ -383,6 +401,10 @@
     // After silence or a broken answer the engine may go on with it; the keeper has to cancel it
     // before it may evict the adapter.
     record.isCancelled = record.isCancelled || !isNotRun;
+    if (outcome == AttemptOutcome::NotResumable) {
+        endRefused(step, record, ResultCode::UpstreamFailed, RunState::Unknown);
+        return;
+    }
     if (!isSafe) {
         endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
         return;
@@ -392,12 +414,12 @@
         endRefused(step, record, refusalOf(outcome), runState);
         return;
     }
-    if (!takeRetry(step.state.retryBudget)) {
+    if (!mayRetry(step, record)) {
         endRefused(step, record, ResultCode::RetryBudgetSpent, runState);
         return;
     }
     countRetry(step.state.counters, retryReasonOf(outcome));
-    if (outcome != AttemptOutcome::Cancelled)
+    if (outcome != AttemptOutcome::Cancelled && !mayTrySameAgain(record, outcome))
         record.failedAt.insert(record.upstream);
     releaseSlot(step, record, record.generated);
     if (record.asked.kind == RequestKind::ServiceCall)
--- a/packages/shell/include/azurewell/shell/settings.h
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -27,6 +27,7 @@
     Endpoint peers;        ///< Where other hosts connect.
     Endpoint operations;   ///< /healthz, /readyz, /metrics, /show.
     std::string platform;  ///< Base URL of the configuration service.
+    std::string peerKey;   ///< Shared by all hosts; seals the messages between them.
     std::string keyPrefix; ///< Under which our values are published.
     std::string chartsDirectory;
     std::uint32_t trafficThreads = 2;
@@ -38,6 +39,7 @@
     Span senderPatience{};  ///< A request must have arrived whole within this.
     Span keepAlive{};       ///< An idle caller connection is closed after this.
     Span requestPatience{}; ///< The deadline of a request that names none.
+    Span readerPatience{};  ///< A caller must read a stream that waits for it within this.
     Span upstreamIdle{};    ///< An upstream that sends nothing for this long is silent.
 };
 
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -45,7 +45,7 @@
     }
     void operator()(const SendPeer &message) const
     {
-        this->loop.peers.send(message.address, message.body);
+        this->loop.peers.send(message.to, message.address, message.body);
     }
     void operator()(const OrderEngine &order) const
     {
@@ -72,7 +72,7 @@
     : settings(std::move(hostSettings))
     , state(makeHost(this->settings.self, std::move(charts)))
     , leave(std::move(onLeave))
-    , peers(this->settings.self,
+    , peers(this->settings, this->metrics.peerLinks,
             [this](const PeerMessage &message) { this->give(PeerMessageReceived{ message }); })
     , platform(
               this->settings, [this] { return this->state.inForce.ticket; },
@@ -118,7 +118,7 @@
 
 Result<std::uint16_t> ControlLoop::start()
 {
-    Result<std::uint16_t> port = this->peers.listen(this->settings.peers);
+    Result<std::uint16_t> port = this->peers.listen();
     if (port)
         port = this->operations.start(this->settings.operations);
     for (std::uint32_t number = 0; port && number < this->settings.trafficThreads; ++number)
@@ -179,6 +179,11 @@
         countRefusal(this->state.counters, refused->code);
         return;
     }
+    if (const auto *made = std::get_if<std::vector<AttemptProgress>>(&report)) {
+        for (const AttemptProgress &progress : *made)
+            this->give(progress);
+        return;
+    }
     const Event &event = std::get<Event>(report);
     if (const RequestArrived *arrived = std::get_if<RequestArrived>(&event)) {
         this->workerOf[arrived->request] = worker;
--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -112,6 +112,8 @@
     text += counterText("dispatches_total", "Requests sent to an upstream, retries included.",
                         counters.dispatched);
     text += counterText("resumes_total", "Streams resumed after a failure.", counters.resumed);
+    text += counterText("answer_mismatches_total", "Answers that belonged to another request.",
+                        counters.answerMismatches);
     text += counterText("generated_tokens_total", "Tokens passed on to callers.",
                         counters.generatedTokens);
     text += counterText("adapter_loads_total", "Adapter loads ordered.", counters.loadsOrdered);
@@ -125,6 +127,12 @@
                         counters.staleMessages);
     text += counterText("peer_messages_unknown_total", "Messages of an unknown kind.",
                         counters.unknownMessages);
+    text += counterText("peer_frames_refused_total", "Frames on the peer port that were refused.",
+                        metrics.peerLinks.framesRefused);
+    text += counterText("peer_links_reopened_total", "Links to hosts that went silent.",
+                        metrics.peerLinks.linksReopened);
+    text += counterText("peer_links_dropped_total", "Links to hosts that did not read.",
+                        metrics.peerLinks.messagesDropped);
     text += refusalsText(counters);
     text += retriesText(counters);
     text += gaugeText("ticket_in_force", "The newest ticket in force.",
