--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/fleet/codec.h"
 
 #include "codec_calls.h"
+#include "codec_snapshots.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -35,6 +36,8 @@
     out.__set_queued(static_cast<std::int32_t>(summary.queued));
     out.__set_running(static_cast<std::int32_t>(summary.running));
     out.__set_loaded(namesOf(summary.loaded));
+    out.__set_openSlots(static_cast<std::int32_t>(summary.openSlots));
+    out.__set_wanted(namesOf(summary.wanted));
     out.__set_partial(summary.isPartial);
     return out;
 }
@@ -152,6 +155,14 @@
         push.__set_text(in.text);
         this->out.__set_ticketPush(push);
     }
+    void operator()(const SnapshotAsk &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const SnapshotPart &in) const
+    {
+        writeBody(this->out, in);
+    }
     void operator()(const PermitAsk &in) const
     {
         writeBody(this->out, in);
@@ -176,10 +187,11 @@
     beat.ticket = TicketNumber{ static_cast<std::uint64_t>(in.ticket) };
     beat.isLeaving = in.leaving;
     for (const wire::EngineSummary &summary : in.engines) {
-        beat.engines.push_back(EngineSummary{ UpstreamId{ summary.engine },
-                                              static_cast<std::uint32_t>(summary.queued),
-                                              static_cast<std::uint32_t>(summary.running),
-                                              idsOf<AdapterRef>(summary.loaded), summary.partial });
+        beat.engines.push_back(EngineSummary{
+                UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
+                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded),
+                static_cast<std::uint32_t>(summary.openSlots), idsOf<AdapterRef>(summary.wanted),
+                summary.partial });
     }
     beat.zone = ZoneId{ in.zone };
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
@@ -264,7 +276,8 @@
     if (in.__isset.ticketPush)
         return TicketPush{ TicketNumber{ static_cast<std::uint64_t>(in.ticketPush.number) },
                            in.ticketPush.text };
-    return readCallBody(in);
+    PeerBody body = readCallBody(in);
+    return std::holds_alternative<std::monostate>(body) ? readSnapshotBody(in) : body;
 }
 
 } // namespace
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -6,10 +6,13 @@
 #include "azurewell/host/counters.h"
 #include "azurewell/host/events.h"
 #include "azurewell/host/keeper_state.h"
+#include "azurewell/host/ticket_state.h"
 #include "azurewell/limits/token_bucket.h"
 #include "azurewell/placement/engine_adapters.h"
+#include "azurewell/placement/load_pacer.h"
 #include "azurewell/routing/retry_budget.h"
-#include "azurewell/scheduling/fair_queue.h"
+#include "azurewell/routing/upstream_table.h"
+#include "azurewell/scheduling/shedding.h"
 #include "azurewell/tickets/state_in_force.h"
 
 #include <deque>
@@ -50,7 +53,12 @@
     Instant askAgainAt;              ///< An ask or a grant may be lost, and a keeper may be gone.
     bool isCancelled = false; ///< Its slot was lost while it ran; the attempt's end is awaited.
     std::uint32_t attempt = 0;
-    std::set<UpstreamId> failedAt; ///< Not tried again for this request.
+    std::vector<UpstreamId> failedAt; ///< Not tried again for this request.
+    std::uint32_t refusedAsks = 0;    ///< Keepers that could not serve it in time.
+    bool isRouted = false;            ///< Counted as under way to `upstream` in the table.
+    Instant dispatchedAt;
+    Tokens resumedFrom;      ///< Generated before the present attempt.
+    bool isPaceSeen = false; ///< The present attempt's speed was counted.
     bool isIdempotent = true;
     bool isCallerGone = false; ///< A numbered call that goes on for its outcome.
     bool mayHaveRun = false;   ///< An attempt ended that can have run: "not run" would be untrue.
@@ -65,6 +73,7 @@
     Tokens charged;
     double weight = 1.0;
     Instant leaseEnds;
+    Instant since; ///< When it was granted; unset for one that a former keeper granted.
     std::uint32_t round = 0;
     Instant unpinAt;    ///< After the lease: the engine is told to cancel until then.
     Instant nextCancel; ///< While the lease runs: never.
@@ -75,6 +84,7 @@
 {
     FairQueue queue;
     EngineAdapters adapters;
+    ServiceRate rate;
     std::map<RequestId, GrantedSlot> granted;
     Instant nextLoadReport;
     std::uint64_t engineStart = 0;
@@ -94,13 +104,10 @@
     std::unordered_map<AdapterRef, Instant> doubtfulUntil;
 };
 
-/// What this host knows of an upstream when it routes.
+/// Whether an upstream answers; UpstreamTable has what the choice among them needs.
 struct KnownUpstream
 {
     UpstreamState state = UpstreamState::Unknown;
-    std::uint32_t reported = 0; ///< Queued and running, by the keeper's last word.
-    std::uint32_t inFlight = 0; ///< Sent by this host and not ended.
-    std::set<AdapterRef> loaded;
     Instant ejectedUntil;
     std::uint32_t failuresInARow = 0;
 };
@@ -113,9 +120,9 @@
     std::mt19937_64 random;
 
     ProcessState process = ProcessState::Starting;
+    Instant servesUntil; ///< While draining: requests that arrive later are refused.
     StateInForce inForce;
-    std::map<TicketNumber, std::string> ticketTexts;  ///< For relay to other hosts.
-    std::map<TicketNumber, std::string> earlyTickets; ///< Read before the one they follow.
+    TicketState tickets;
     Membership membership;
     Instant nextHeartbeat;
     FencingNumber fencing; ///< The highest that was used or seen.
@@ -125,6 +132,8 @@
     std::unordered_map<CustomerId, TokenBucket> buckets;
     std::deque<RequestId> waitingForTokens; ///< Oldest first.
     std::unordered_map<UpstreamId, KnownUpstream> upstreams;
+    UpstreamTable routing;
+    LoadPacer loadPacer;
     std::map<UpstreamId, KeptEngine> kept;
     RetryBudget retryBudget;
 
--- a/packages/host/src/engine_reports.cpp
+++ b/packages/host/src/engine_reports.cpp
@@ -8,6 +8,8 @@
 
 /// Ends of orders are remembered this long; no report that was asked for earlier is still to come.
 constexpr Span longestReport = fromSeconds(10);
+/// Adapters a summary names as waited for; twice the slots of an engine.
+constexpr std::size_t mostWanted = 16;
 
 void forgetAdapters(Step &step, KeptEngine &kept)
 {
@@ -110,6 +112,10 @@
     kept->second.orderEndedAt[event.adapter] = step.now;
     const Chart &chart = state.charts.adapter;
     EngineAdapters &adapters = kept->second.adapters;
+    const auto adapter = adapters.adapters.find(event.adapter);
+    if (event.isLoad && adapter != adapters.adapters.end()
+        && adapter->second.state == AdapterState::Loading)
+        noteLoadEnded(state.loadPacer, step.now - adapter->second.orderedAt, step.now);
     if (event.isLoad && !event.isDone) {
         ++state.counters.loadsFailed;
         applyEvent(adapters, chart, event.adapter, AdapterEvent::LoadFailed, step.now);
@@ -124,7 +130,11 @@
     applyEvent(adapters, chart, event.adapter,
                event.isLoad ? AdapterEvent::LoadDone : AdapterEvent::UnloadDone, step.now);
     grantReady(step, kept->second, *engine);
-    orderLoads(step, kept->second, *engine);
+    // A load has ended: the next may be for any of the engines kept here.
+    for (auto &[id, other] : state.kept) {
+        if (const Upstream *upstream = upstreamInForce(state, id))
+            orderLoads(step, other, *upstream);
+    }
 }
 
 std::vector<EngineSummary> summarizeEngines(const HostState &state)
@@ -139,6 +149,11 @@
             if (adapter.state == AdapterState::Loaded)
                 summary.loaded.push_back(ref);
         }
+        summary.openSlots = openSlots(kept.adapters);
+        for (const auto &[ref, count] : kept.queue.waitingFor) {
+            if (!isLoaded(kept.adapters, ref) && summary.wanted.size() < mostWanted)
+                summary.wanted.push_back(ref);
+        }
         summaries.push_back(std::move(summary));
     }
     return summaries;
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -11,7 +11,9 @@
 void stopIfDrained(Step &step)
 {
     HostState &state = step.state;
-    if (state.process != ProcessState::Draining || !state.requests.empty() || hasOpenCalls(step))
+    const bool isGraceOver = step.now >= state.servesUntil;
+    const bool isIdle = state.requests.empty() && !hasOpenCalls(step);
+    if (state.process != ProcessState::Draining || !isGraceOver || !isIdle)
         return;
     state.process = advance(state.charts.process, state.process, ProcessEvent::LastRequestDone);
     step.actions.emplace_back(LeaveProcess{});
@@ -26,13 +28,17 @@
     admitWaiting(step);
     tendEngines(step);
     tendCalls(step);
+    tendTickets(step);
     sendHeartbeats(step);
     stopIfDrained(step);
 }
 
-void onStopAsked(Step &step)
+void onStopAsked(Step &step, const StopAsked &event)
 {
     HostState &state = step.state;
+    // A host that knows nothing yet has nothing to serve, and a second signal means "now".
+    const bool isServing = state.process == ProcessState::Serving;
+    state.servesUntil = isServing ? step.now + event.grace : step.now;
     state.process = advance(state.charts.process, state.process, ProcessEvent::StopAsked);
     state.nextHeartbeat = step.now; // the others hear of it at once
     sendHeartbeats(step);
@@ -82,9 +88,9 @@
     {
         onTick(this->step);
     }
-    void operator()(const StopAsked &) const
+    void operator()(const StopAsked &event) const
     {
-        onStopAsked(this->step);
+        onStopAsked(this->step, event);
     }
 };
 
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -39,6 +39,18 @@
 void callService(Step &step, RequestRecord &record);
 RequestRecord *recordOf(HostState &state, const RequestId &id);
 
+// tickets.cpp: tickets from the platform and the peers.
+void onTicketRead(Step &step, const std::string &text);
+void onTicketPush(Step &step, const TicketPush &push);
+/// Asks \a peer for what it has and this host has not.
+void askForTickets(Step &step, const HostId &peer, TicketNumber peersTicket);
+void onTicketAsk(Step &step, const HostId &asker, const TicketAsk &ask);
+void onSnapshotAsk(Step &step, const HostId &asker, const SnapshotAsk &ask);
+void onSnapshotPart(Step &step, const HostId &sender, const SnapshotPart &part);
+void noteListRead(Step &step);
+/// Puts what was read in force once a fresh host may believe the platform.
+void tendTickets(Step &step);
+
 // calls.cpp: calls that must not be repeated.
 /// Whether \a record may run only under its call number's permit.
 bool needsPermit(const RequestRecord &record);
@@ -95,10 +107,20 @@
 
 // peers.cpp: messages, heartbeats, tickets.
 void onPeerMessage(Step &step, const PeerMessage &message);
-void onTicketRead(Step &step, const std::string &text);
 void onHostList(Step &step, const HostListRead &event);
 void sendHeartbeats(Step &step);
 void sendTo(Step &step, const HostId &host, PeerBody body);
+
+// upstreams.cpp: where a request goes, and what is learned of upstreams.
+std::optional<UpstreamId> chooseFor(Step &step, const RequestRecord &record);
+/// Counts the request as under way to its upstream, once.
+void noteRouted(Step &step, RequestRecord &record);
+void noteUnrouted(Step &step, RequestRecord &record);
+/// Learns the speed of the request's upstream; \a isWhole at the end of the answer.
+void notePaceOf(Step &step, RequestRecord &record, bool isWhole);
+void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome);
+void setUpstreamState(Step &step, const UpstreamId &id, UpstreamEvent event);
+void endEjections(Step &step);
 void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries);
 
 } // namespace azurewell::internal
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -1,3 +1,4 @@
+#include "azurewell/placement/load_plan.h"
 #include "internal.h"
 
 #include <algorithm>
@@ -68,6 +69,7 @@
     slot.round = kept.rounds[request.request];
     slot.nextCancel = never;
     kept.rounds.erase(request.request);
+    slot.since = step.now;
     kept.granted[request.request] = slot;
     pin(kept.adapters, request.adapter, step.now);
     sendGrant(step, kept, engine, request.request, slot);
@@ -87,6 +89,16 @@
     ++(isLoad ? state.counters.loadsOrdered : state.counters.evictionsOrdered);
 }
 
+/// Has the engine told to cancel, and keeps the pin for \a pause meanwhile.
+void beginEnding(GrantedSlot &slot, Instant now, Span pause)
+{
+    if (slot.nextCancel != never)
+        return;
+    slot.leaseEnds = now;
+    slot.nextCancel = now;
+    slot.unpinAt = now + pause;
+}
+
 /// Ends leases. The host that held one stopped using it earlier by its own count, unless its
 /// process is stopped: then its stream still runs at the engine, and an eviction would cut it off.
 /// So the engine is told to cancel first, and the pin stays until it has had time to.
@@ -96,8 +108,7 @@
         GrantedSlot &slot = entry->second;
         if (slot.leaseEnds <= step.now && slot.nextCancel == never) {
             ++step.state.counters.leasesExpired;
-            slot.nextCancel = step.now;
-            slot.unpinAt = step.now + cancelTime;
+            beginEnding(slot, step.now, cancelTime);
         }
         if (slot.nextCancel <= step.now && !step.state.requests.contains(entry->first)) {
             step.actions.emplace_back(CancelAttempt{ entry->first, engine.id, engine.address });
@@ -134,13 +145,34 @@
     newest = std::max(newest, std::pair(life, serial));
 }
 
+std::uint32_t loadsUnderWay(const HostState &state)
+{
+    std::uint32_t loads = 0;
+    for (const auto &[id, kept] : state.kept)
+        loads += azurewell::loadsUnderWay(kept.adapters);
+    return loads;
+}
+
+/// Whether \a request would have to begin after its latest start.
+bool isHopeless(const Step &step, const KeptEngine &kept, const Upstream &engine,
+                const WaitingRequest &request)
+{
+    const std::size_t used = kept.granted.size();
+    const std::size_t open = used < engine.batchSlots ? engine.batchSlots - used : 0;
+    const Span wait = expectedWait(kept.queue, kept.rate, request.customer, request.weight,
+                                   engine.batchSlots, static_cast<std::uint32_t>(open));
+    return step.now + wait > request.latestStart;
+}
+
 /// Sends the requests that wait here to the engine's present keeper.
 void handOver(Step &step, KeptEngine &kept, const UpstreamId &engine)
 {
-    for (auto &[id, customer] : kept.queue.customers) {
-        for (const WaitingRequest &request : customer.waiting)
-            refuseSlot(step, request.asker, request.request, engine, ResultCode::SlotLost,
-                       kept.rounds[request.request]);
+    for (const CustomerQueue &customer : kept.queue.customers) {
+        for (const AdapterQueue &adapter : customer.adapters) {
+            for (const WaitingRequest &request : adapter.waiting)
+                refuseSlot(step, request.asker, request.request, engine, ResultCode::SlotLost,
+                           kept.rounds[request.request]);
+        }
     }
     kept.queue = FairQueue{};
     kept.rounds.clear();
@@ -177,8 +209,8 @@
 {
     if (kept.queue.size == 0 || !mayGrant(step.state, engine, step.now))
         return;
-    const auto mayRun = [&kept](const WaitingRequest &request) {
-        return isLoaded(kept.adapters, request.adapter);
+    const auto mayRun = [&kept](const AdapterRef &adapter) {
+        return isLoaded(kept.adapters, adapter);
     };
     while (kept.granted.size() < engine.batchSlots) {
         const std::optional<WaitingRequest> request = takeNext(kept.queue, mayRun);
@@ -195,15 +227,13 @@
         return;
     const bool isFree = mayEvict(step.state, kept, engine, step.now);
     kept.adapters.noEvictionBefore = isFree ? Instant{} : never;
-    std::set<AdapterRef> wanted;
-    for (const auto &[id, customer] : kept.queue.customers) {
-        for (const WaitingRequest &request : customer.waiting)
-            wanted.insert(request.adapter);
-    }
-    for (const AdapterRef &adapter : wanted) {
-        const PlacementStep placement = nextStep(kept.adapters, adapter, step.now);
-        if (placement.kind != PlacementStep::Kind::Nothing)
-            orderStep(step, kept, engine, placement);
+    while (true) {
+        const PlacementStep placement = nextOrder(kept.adapters, kept.queue, step.now);
+        const bool isHeld = placement.kind == PlacementStep::Kind::Load
+                && !mayLoad(step.state.loadPacer, loadsUnderWay(step.state), step.now);
+        if (placement.kind == PlacementStep::Kind::Nothing || isHeld)
+            return;
+        orderStep(step, kept, engine, placement);
     }
 }
 
@@ -233,8 +263,9 @@
         return;
     }
     if (granted != kept.granted.end()) {
-        unpin(kept.adapters, granted->second.adapter);
-        kept.granted.erase(granted);
+        // An earlier attempt of the request may still run here; it is asked for again in a second.
+        beginEnding(granted->second, step.now, settleTime);
+        return;
     }
     const auto known = kept.rounds.find(ask.request);
     if (known != kept.rounds.end()) {
@@ -253,6 +284,13 @@
     request.cost = ask.cost;
     request.weight = ask.weight;
     request.deadline = step.now + ask.untilDeadline;
+    request.latestStart = latestStart(kept.rate, ask.cost, request.deadline);
+    request.since = step.now;
+    if (isHopeless(step, kept, *engine, request)) {
+        refuseSlot(step, asker, ask.request, ask.engine, ResultCode::DeadlineUnreachable,
+                   ask.round);
+        return;
+    }
     kept.rounds[ask.request] = ask.round;
     enqueue(kept.queue, std::move(request));
     grantReady(step, kept, *engine);
@@ -322,14 +360,14 @@
         && slot->second.asker == asker) {
         const GrantedSlot &granted = slot->second;
         const bool isEnding = granted.nextCancel != never;
+        if (!isEnding && release.used.count > 0 && granted.since > Instant{})
+            noteService(kept->second.rate, granted.charged, step.now - granted.since);
         if (!isEnding)
             correctCharge(kept->second.queue, granted.customer, granted.weight, granted.charged,
                           release.used);
-        if (release.isCancelled && !isEnding) {
-            slot->second.leaseEnds = step.now;
-            slot->second.nextCancel = step.now;
-            slot->second.unpinAt = step.now + settleTime;
-        } else if (!release.isCancelled) {
+        if (release.isCancelled) {
+            beginEnding(slot->second, step.now, settleTime);
+        } else {
             unpin(kept->second.adapters, granted.adapter);
             kept->second.granted.erase(slot);
         }
