--- a/benchmark/capacity/fleet_model.cpp
+++ b/benchmark/capacity/fleet_model.cpp
@@ -163,13 +163,16 @@
         std::erase(adapters, order->adapter);
         if (order->isLoad)
             adapters.push_back(order->adapter);
-        this->later(order->isLoad ? loadTakes : networkDelay, host,
-                    OrderEnded{ order->engine, order->adapter, order->isLoad, true });
+        this->later(
+                order->isLoad ? loadTakes : networkDelay, host,
+                OrderEnded{
+                        order->engine, order->adapter, order->isLoad, true, order->fencing, {} });
     } else if (const AskLoad *question = std::get_if<AskLoad>(&action)) {
         LoadReported report;
         report.engine = question->engine;
         report.loaded = this->loaded[question->engine];
         report.engineStart = 1;
+        report.askedAt = question->askedAt;
         this->later(networkDelay, host, report);
     } else if (const Dispatch *dispatch = std::get_if<Dispatch>(&action)) {
         this->total.requestsPerSecond += this->isMeasuring ? 1 : 0;
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -15,6 +15,7 @@
   4: list<string> loaded
   5: i32 openSlots
   6: list<string> wanted
+  7: bool partial
 }
 
 struct Heartbeat {
@@ -26,6 +27,11 @@
   6: string address
   7: i64 highestFencing
   20: i64 newsAge
+  8: i64 serial
+  9: i64 echo
+  10: i64 view
+  11: i32 viewEpoch
+  12: i64 nextWithin
 }
 
 struct SlotAsk {
@@ -37,6 +43,7 @@
   6: double weight
   7: i64 untilDeadline
   8: i64 serial
+  9: i32 round
 }
 
 struct SlotGrant {
@@ -44,18 +51,21 @@
   2: string engine
   3: i64 leaseLength
   4: i64 basis
+  5: i32 round
 }
 
 struct SlotRefusal {
   1: string request
   2: string engine
   3: i32 code
+  4: i32 round
 }
 
 struct RunningSlot {
   1: string request
   2: string adapter
   3: bool running
+  4: i32 round
 }
 
 struct SlotRenewal {
@@ -68,12 +78,15 @@
   1: string engine
   2: i64 basis
   3: i64 leaseLength
+  4: list<string> lost
 }
 
 struct SlotRelease {
   1: string request
   2: string engine
   3: i64 used
+  4: i32 round
+  5: bool cancelled
 }
 
 struct TicketAsk {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -22,6 +22,7 @@
     std::vector<AdapterRef> loaded;
     std::uint32_t openSlots = 0;    ///< Adapter slots that a load could use now.
     std::vector<AdapterRef> wanted; ///< Being loaded, or waited for.
+    bool isPartial = false; ///< `loaded` is left out: it has not changed, or the receiver is far.
 };
 
 /// The age of news that never came; also that of a neighbour whose version does not tell.
@@ -38,6 +39,12 @@
     std::string address;          ///< Where the sender's peer port listens.
     FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
     Span newsAge = noNews; ///< Since the newest word of the configuration service that it knows of.
+    std::uint64_t serial = 0;     ///< Rises with each heartbeat, ask and renewal of the sender.
+    std::uint64_t echo = 0;       ///< The newest `serial` that the sender has from the receiver.
+    std::uint64_t view = 0; ///< The hosts by which the sender lets engines be kept, promised until
+                            ///< promiseLength after the receiver sent `echo`; 0 promises nothing.
+    std::uint32_t viewEpoch = 0; ///< Counts the views of the sender's life.
+    Span nextWithin{};           ///< The sender's next heartbeat to the receiver is due within.
 };
 
 /// Asks an engine's keeper for a slot.
@@ -51,6 +58,7 @@
     double weight = 1.0;
     Span untilDeadline{};
     std::uint64_t serial = 0; ///< Rises with each ask and renewal of the sender.
+    std::uint32_t round = 0;  ///< Which seeking of a slot for this request it is.
 };
 
 /// The slot is the asker's for a lease. The keeper counts it from the grant. The asker counts it
@@ -62,13 +70,16 @@
     UpstreamId engine;
     Span leaseLength{};
     std::uint64_t basis = 0; ///< The `serial` the lease is counted from.
+    std::uint32_t round = 0; ///< Of the ask; a grant of an earlier one must not be used.
 };
 
+/// SlotLost as `code` means: this host does not keep the engine (any more), ask again.
 struct SlotRefusal
 {
     RequestId request;
     UpstreamId engine;
     ResultCode code = ResultCode::NoUpstream;
+    std::uint32_t round = 0;
 };
 
 /// One request of a SlotRenewal.
@@ -77,6 +88,7 @@
     RequestId request;
     AdapterRef adapter;
     bool isRunning = false; ///< False while it still waits for a slot.
+    std::uint32_t round = 0;
 };
 
 /// These requests still wait or run. Slots and pins of running ones last for another lease; a
@@ -94,13 +106,17 @@
     UpstreamId engine;
     std::uint64_t basis = 0;
     Span leaseLength{};
+    std::vector<RequestId> lost; ///< Listed but not renewed: their adapter is not theirs any more.
 };
 
 struct SlotRelease
 {
     RequestId request;
     UpstreamId engine;
-    Tokens used; ///< Prompt and generated tokens; corrects the fair queue's charge.
+    Tokens used;             ///< Prompt and generated tokens; corrects the fair queue's charge.
+    std::uint32_t round = 0; ///< A late release of an earlier round must not free a later slot.
+    /// The attempt was cut short and may still run at the engine for a moment.
+    bool isCancelled = false;
 };
 
 /// Asks for the tickets after a number.
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -54,6 +54,7 @@
     Silent,       ///< Nothing came within the idle deadline.
     Mismatch,     ///< The answer belonged to another request and was dropped.
     NotResumable, ///< The upstream would begin a stream again that the caller has a part of.
+    Cancelled,    ///< Ended by CancelAttempt.
 };
 
 struct AttemptEnded
@@ -100,6 +101,7 @@
     std::uint32_t queued = 0;
     std::vector<AdapterRef> loaded;
     std::uint64_t engineStart = 0; ///< Changes when the engine restarts.
+    Instant askedAt;               ///< Of the AskLoad that it answers.
 };
 
 /// A load or unload order was carried out or refused.
@@ -109,6 +111,9 @@
     AdapterRef adapter;
     bool isLoad = true;
     bool isDone = false;
+    FencingNumber fencing; ///< Of the order.
+    /// The engine refused with its own highest fencing number; 0 where it did not.
+    FencingNumber refusedBy;
 };
 
 /// A segment of a snapshot, read from the platform.
--- a/packages/host/src/upstreams.cpp
+++ b/packages/host/src/upstreams.cpp
@@ -69,6 +69,8 @@
 void noteUpstreamOutcome(Step &step, const UpstreamId &id, AttemptOutcome outcome)
 {
     KnownUpstream &upstream = step.state.upstreams[id];
+    if (outcome == AttemptOutcome::Cancelled)
+        return; // no word on the upstream
     if (outcome == AttemptOutcome::Done) {
         upstream.failuresInARow = 0;
         setUpstreamState(step, id, UpstreamEvent::Answered);
