A host that has gone unlisted may still run: evictions wait for its leases

A completeness after a loss now restarts the wait of one lease. The last host of a zone keeps its engines while it stops.

--- a/packages/fleet/include/azurewell/fleet/membership.h
+++ b/packages/fleet/include/azurewell/fleet/membership.h
@@ -66,7 +66,7 @@
 void forgiveSilence(Membership &membership, Instant now);
 
 /// This host, unless \a isSelfLeaving, and the usable peers of \a zone, sorted: those that may keep
-/// the zone's engines.
+/// the zone's engines. A leaving host that has no usable peer remains.
 std::vector<HostId> usableHostsOf(const Membership &membership, const HostId &self,
                                   bool isSelfLeaving, const ZoneId &zone);
 
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -99,6 +99,8 @@
         if (peer.zone == zone && isUsableState(peer.state))
             hosts.push_back(id);
     }
+    if (hosts.empty())
+        hosts.push_back(self); // the last host of a zone keeps its engines until it stops
     std::sort(hosts.begin(), hosts.end());
     return hosts;
 }
--- a/packages/host/include/azurewell/host/keeper_state.h
+++ b/packages/host/include/azurewell/host/keeper_state.h
@@ -18,7 +18,7 @@
     KeeperViews views;
     std::vector<HostId> candidate; ///< The zone's usable hosts by the present membership.
     bool isComplete = false;       ///< All possible hosts of the zone promise the adopted view.
-    std::uint64_t completions = 0; ///< Completions after which a former keeper's leases may run.
+    std::set<HostId> seen; ///< Hosts that were possible at any time since the last completeness.
 
     Instant startedAt;   ///< Of this life; the first event.
     Instant handledAt;   ///< The newest event; a gap shows that the process was stopped.
--- a/packages/host/src/keepers.cpp
+++ b/packages/host/src/keepers.cpp
@@ -84,6 +84,7 @@
     HostState &state = step.state;
     KeeperState &keepers = state.keepers;
     const std::vector<HostId> possible = possibleHostsOf(state.membership, state.self.zone);
+    keepers.seen.insert(possible.begin(), possible.end());
     const bool isSettled = keepers.candidate == keepers.views.adopted
             && step.now >= keepers.listenUntil;
     const bool isComplete = isSettled
@@ -94,7 +95,11 @@
     keepers.isComplete = isComplete;
     if (!hasBecome)
         return;
-    const bool isSteady = noteComplete(keepers.views, possible);
+    // A host that has gone meanwhile promised nothing at its end. It may be stopped or cut off, and
+    // what it granted by a view of its own runs on for a lease.
+    const bool hasLost = keepers.seen.size() > possible.size();
+    keepers.seen = { possible.begin(), possible.end() };
+    const bool isSteady = noteComplete(keepers.views, possible) && !hasLost;
     for (auto &[id, kept] : state.kept) {
         if (kept.evictFrom == never || !isSteady)
             kept.evictFrom = step.now + slotLease;
@@ -206,6 +211,10 @@
     const auto cached = state.keepers.keepers.find(engine.id);
     if (cached != state.keepers.keepers.end())
         return cached->second;
+    const bool isAlone = engine.zone == state.self.zone && state.keepers.candidate.size() == 1
+            && state.keepers.candidate.front() == state.self.id;
+    if (isAlone)
+        return state.self.id; // also while leaving: there is no other to serve what still comes
     std::optional<HostId> keeper = keeperOf(state.membership, state.self.id, state.self.zone,
                                             isSelfLeaving(state), engine.id, engine.zone);
     if (keeper && !isZoneWithoutHosts(state, engine.zone)) {
@@ -222,7 +231,7 @@
 
 bool mayGrant(HostState &state, const Upstream &engine, Instant now)
 {
-    if (state.process != ProcessState::Serving || now < state.keepers.listenUntil)
+    if (state.process == ProcessState::Starting || now < state.keepers.listenUntil)
         return false;
     if (engine.zone != state.self.zone)
         return isZoneWithoutHosts(state, engine.zone)
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -183,7 +183,7 @@
 void takeUpEngines(Step &step)
 {
     HostState &state = step.state;
-    const bool isServing = state.process == ProcessState::Serving;
+    const bool isServing = state.process != ProcessState::Starting;
     const std::tuple from{ state.inForce.ticket.value, state.keepers.views.epoch,
                            viewNumber(state.keepers.candidate), isServing };
     if (from == state.keepers.keptFrom)
@@ -242,7 +242,7 @@
     const Upstream *engine = upstreamInForce(step.state, ask.engine);
     // A host without tickets knows no engine, and one whose view differs may still be followed.
     const bool isKeeper = engine && engineKeeper(step.state, *engine) == step.state.self.id;
-    if (step.state.process != ProcessState::Serving || (engine && !isKeeper)) {
+    if (step.state.process == ProcessState::Starting || (engine && !isKeeper)) {
         refuseSlot(step, asker, ask.request, ask.engine, ResultCode::SlotLost, ask.round);
         return;
     }
