--- a/packages/host/tests/host_test.cpp
+++ b/packages/host/tests/host_test.cpp
@@ -180,3 +180,41 @@
     fixture.give(Tick{});
     EXPECT_NE(fixture.last<LeaveProcess>(), nullptr);
 }
+
+// A host that issued a call number is asked to stop while another host runs the call under its
+// permit. It goes on answering for the number, and leaves only when the outcome is reported: a
+// repeat that came in between would otherwise hear "outcome unknown" for no reason.
+TEST(Host, APlannedStopWaitsForTheCallsItPermitted)
+{
+    Fixture fixture;
+    const HostId other{ "h1" };
+    fixture.give(HostListRead{ { ListedHost{ other, ZoneId{ "z" }, "a", false } }, {} });
+    fixture.begin();
+    fixture.pass(fromSeconds(2)); // nobody else was heard
+    ASSERT_EQ(fixture.state.process, ProcessState::Serving);
+    fixture.give(fixture.request("n", RequestKind::CallNumbers));
+    ASSERT_NE(fixture.last<AnswerNumbers>(), nullptr);
+    const CallNumber number = fixture.last<AnswerNumbers>()->numbers.at(0);
+    const auto ask = [&](const char *request) {
+        fixture.give(PeerMessageReceived{ PeerMessage{
+                other, Incarnation{ 1 },
+                PermitAsk{ number, CustomerId{ "c" }, RequestId{ request }, fromSeconds(20) } } });
+        const SendPeer *sent = fixture.last<SendPeer>();
+        return std::get<PermitReply>(sent->body).answer.verdict;
+    };
+    EXPECT_EQ(ask("first"), PermitVerdict::Granted);
+    fixture.give(StopAsked{});
+    fixture.pass(fromSeconds(3));
+    EXPECT_EQ(fixture.last<LeaveProcess>(), nullptr);
+    EXPECT_EQ(ask("repeat"), PermitVerdict::InProgress);
+    fixture.give(
+            PeerMessageReceived{ PeerMessage{ other, Incarnation{ 1 },
+                                              OutcomeReport{ number,
+                                                             CustomerId{ "c" },
+                                                             RequestId{ "first" },
+                                                             CallOutcome::Done,
+                                                             { 201, "text/plain", "filed" } } } });
+    EXPECT_EQ(ask("repeat"), PermitVerdict::Done);
+    fixture.give(Tick{});
+    EXPECT_NE(fixture.last<LeaveProcess>(), nullptr);
+}
