--- a/packages/shell/src/upstream_pool.cpp
+++ b/packages/shell/src/upstream_pool.cpp
@@ -8,32 +8,38 @@
 
 namespace {
 
-constexpr int connectionsOfOneManager = 6; // QHttpNetworkConnection's own limit
+constexpr int connectionsOfOneGroup = 6; // QHttpNetworkConnection's own limit
 
 } // namespace
 
-UpstreamPool::Manager &UpstreamPool::managerFor(const QByteArray &address)
+std::shared_ptr<UpstreamPool::Group> UpstreamPool::groupFor(const QByteArray &address)
 {
-    for (const std::unique_ptr<Manager> &manager : this->managers) {
-        if (manager->open.value(address) < connectionsOfOneManager)
-            return *manager;
-    }
-    this->managers.push_back(std::make_unique<Manager>());
-    Manager &made = *this->managers.back();
-    made.access = std::make_unique<QNetworkAccessManager>();
-    made.access->setProxy(QNetworkProxy::NoProxy);
-    made.access->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
-    return made;
+    Groups &known = this->groups[address];
+    const auto hasRoom = [](const std::shared_ptr<Group> &group) {
+        return group->open < connectionsOfOneGroup;
+    };
+    const auto found = std::find_if(known.begin(), known.end(), hasRoom);
+    if (found != known.end())
+        return *found;
+    const QString name = "group-" + QString::number(this->nextName++);
+    known.push_back(std::make_shared<Group>(Group{ name, 0 }));
+    return known.back();
 }
 
 QNetworkReply *UpstreamPool::send(const QByteArray &method, const QByteArray &address,
                                   QNetworkRequest request, const QByteArray &body)
 {
-    std::erase_if(this->retired,
-                  [](const std::unique_ptr<Manager> &manager) { return manager->replies == 0; });
-    Manager *manager = &this->managerFor(address);
-    ++manager->open[address];
-    ++manager->replies;
+    if (!this->access) {
+        this->access = std::make_unique<QNetworkAccessManager>();
+        this->access->setProxy(QNetworkProxy::NoProxy);
+        this->access->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
+    }
+    std::shared_ptr<Group> group;
+    if (request.peerVerifyName().isEmpty()) {
+        group = this->groupFor(address);
+        ++group->open;
+        request.setPeerVerifyName(group->name);
+    }
     request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
     OneShotDevice *device = nullptr;
     // Also around an empty body: it is the device that keeps the library from sending again.
@@ -41,26 +47,20 @@
         request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
         device = new OneShotDevice(body);
     }
-    QNetworkReply *reply = manager->access->sendCustomRequest(request, method, device);
+    QNetworkReply *reply = this->access->sendCustomRequest(request, method, device);
     if (device)
         device->setParent(reply);
-    QObject::connect(reply, &QObject::destroyed, manager->access.get(), [manager, address] {
-        --manager->open[address];
-        --manager->replies;
-    });
+    if (group)
+        QObject::connect(reply, &QObject::destroyed, [group] { --group->open; });
     return reply;
 }
 
 void UpstreamPool::retire(const QNetworkReply *reply)
 {
-    const auto isIts = [reply](const std::unique_ptr<Manager> &manager) {
-        return manager->access.get() == reply->manager();
-    };
-    const auto found = std::find_if(this->managers.begin(), this->managers.end(), isIts);
-    if (found == this->managers.end())
-        return;
-    this->retired.push_back(std::move(*found));
-    this->managers.erase(found);
+    const QString name = reply->request().peerVerifyName();
+    for (Groups &known : this->groups)
+        std::erase_if(known,
+                      [&name](const std::shared_ptr<Group> &group) { return group->name == name; });
 }
 
 } // namespace azurewell
--- a/programs/azurewellctl/load_command.cpp
+++ b/programs/azurewellctl/load_command.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int requestTimeoutMillis = 120'000;
+constexpr std::uint32_t compareRounds = 5;
 
 struct LoadOptions
 {
@@ -27,8 +28,8 @@
     std::uint32_t requests = 100;
     std::uint32_t concurrency = 10;
     std::uint32_t maxTokens = 16;
+    std::string compareAddress; ///< An engine to send the same to, without the host; or empty.
     bool isJson = false;
-    bool isQuiet = true;
 };
 
 struct LoadResults
@@ -37,6 +38,7 @@
     std::vector<double> wholeSeconds;
     std::map<std::string, std::uint32_t> outcomes; ///< `whole`, or the refusal's type.
     std::uint64_t tokens = 0;
+    double seconds = 0;
 };
 
 /// Sends streamed requests, a fixed number at once, and measures what a caller sees.
@@ -150,35 +152,89 @@
     return values[index];
 }
 
-void printReport(const LoadOptions &options, const LoadResults &results, double seconds)
+nlohmann::json reportOf(const LoadResults &results)
 {
-    nlohmann::json json{ { "requests", options.requests },
-                         { "seconds", seconds },
-                         { "requests_per_second", options.requests / seconds },
-                         { "tokens_per_second", static_cast<double>(results.tokens) / seconds },
-                         { "outcomes", results.outcomes },
-                         { "first_token_p50_s", quantile(results.firstTokenSeconds, 0.5) },
-                         { "first_token_p95_s", quantile(results.firstTokenSeconds, 0.95) },
-                         { "first_token_p99_s", quantile(results.firstTokenSeconds, 0.99) },
-                         { "whole_p50_s", quantile(results.wholeSeconds, 0.5) },
-                         { "whole_p99_s", quantile(results.wholeSeconds, 0.99) } };
-    if (options.isJson) {
-        fmt::print("{}\n", json.dump());
+    return { { "requests", results.wholeSeconds.size() },
+             { "seconds", results.seconds },
+             { "requests_per_second",
+               static_cast<double>(results.wholeSeconds.size()) / results.seconds },
+             { "tokens_per_second", static_cast<double>(results.tokens) / results.seconds },
+             { "outcomes", results.outcomes },
+             { "first_token_p50_s", quantile(results.firstTokenSeconds, 0.5) },
+             { "first_token_p95_s", quantile(results.firstTokenSeconds, 0.95) },
+             { "first_token_p99_s", quantile(results.firstTokenSeconds, 0.99) },
+             { "whole_p50_s", quantile(results.wholeSeconds, 0.5) },
+             { "whole_p99_s", quantile(results.wholeSeconds, 0.99) } };
+}
+
+void print(const nlohmann::json &report, bool isJson)
+{
+    if (isJson) {
+        fmt::print("{}\n", report.dump());
         return;
     }
-    for (const auto &item : json.items())
-        fmt::print("{:<22} {}\n", item.key(), item.value().dump());
+    for (const auto &item : report.items())
+        fmt::print("{:<26} {}\n", item.key(), item.value().dump());
 }
 
-int load(const LoadOptions &options)
+LoadResults runOnce(const LoadOptions &options)
 {
-    const QByteArray key = qgetenv(options.keyVariable.c_str());
-    LoadRun run(options, key);
+    LoadRun run(options, qgetenv(options.keyVariable.c_str()));
     const Instant start = monotonicNow();
-    const LoadResults results = run.run();
-    printReport(options, results, toSeconds(monotonicNow() - start));
-    const auto whole = results.outcomes.find("whole");
-    return whole != results.outcomes.end() && whole->second == options.requests ? 0 : 1;
+    LoadResults results = run.run();
+    results.seconds = toSeconds(monotonicNow() - start);
+    return results;
+}
+
+void add(LoadResults &sum, const LoadResults &more)
+{
+    sum.firstTokenSeconds.insert(sum.firstTokenSeconds.end(), more.firstTokenSeconds.begin(),
+                                 more.firstTokenSeconds.end());
+    sum.wholeSeconds.insert(sum.wholeSeconds.end(), more.wholeSeconds.begin(),
+                            more.wholeSeconds.end());
+    for (const auto &[outcome, count] : more.outcomes)
+        sum.outcomes[outcome] += count;
+    sum.tokens += more.tokens;
+    sum.seconds += more.seconds;
+}
+
+bool isAllWhole(const LoadResults &results)
+{
+    return results.outcomes.size() == 1 && results.outcomes.contains("whole");
+}
+
+/// Both ways in turns, so that whatever else the machine does meets both alike.
+int compare(LoadOptions options)
+{
+    LoadResults through;
+    LoadResults direct;
+    LoadOptions without = options;
+    without.address = options.compareAddress;
+    without.keyVariable.clear(); // an engine gets no key
+    options.requests = without.requests = std::max(1U, options.requests / compareRounds);
+    runOnce(options); // the adapter is loaded from here on
+    for (std::uint32_t round = 0; round < compareRounds; ++round) {
+        add(direct, runOnce(without));
+        add(through, runOnce(options));
+    }
+    const auto added = [&](double part) {
+        return quantile(through.firstTokenSeconds, part) - quantile(direct.firstTokenSeconds, part);
+    };
+    print({ { "direct", reportOf(direct) },
+            { "through", reportOf(through) },
+            { "added_first_token_p50_s", added(0.5) },
+            { "added_first_token_p99_s", added(0.99) } },
+          options.isJson);
+    return isAllWhole(direct) && isAllWhole(through) ? 0 : 1;
+}
+
+int load(const LoadOptions &options)
+{
+    if (!options.compareAddress.empty())
+        return compare(options);
+    const LoadResults results = runOnce(options);
+    print(reportOf(results), options.isJson);
+    return isAllWhole(results) ? 0 : 1;
 }
 
 } // namespace
@@ -197,6 +253,10 @@
     command->add_option("--concurrency", options->concurrency, "How many at once, at most 2000")
             ->check(CLI::Range(1, 2000));
     command->add_option("--max-tokens", options->maxTokens, "Tokens of each answer");
+    command->add_option(
+            "--compare", options->compareAddress,
+            "An engine: send the same to it directly, in turns, and report what the host "
+            "adds");
     command->add_flag("--json", options->isJson, "Report as one line of JSON");
     command->callback([options, &exitCode] { exitCode = load(*options); });
 }
