--- a/tests/sockets/caller.cpp
+++ b/tests/sockets/caller.cpp
@@ -6,9 +6,12 @@
 #include <QtCore/QEventLoop>
 #include <QtCore/QRegularExpression>
 #include <QtNetwork/QNetworkProxy>
+#include <QtNetwork/QTcpServer>
 
 #include <algorithm>
 
+#include <unistd.h>
+
 namespace azurewell::tests {
 
 namespace {
@@ -158,4 +161,27 @@
             + ",\"max_tokens\":" + QByteArray::number(tokens) + ",\"prompt\":\"Permit?\"}";
 }
 
+double sampleOf(const QByteArray &metrics, const QByteArray &sample)
+{
+    const QByteArray body = '\n' + metrics;
+    const qsizetype at = body.indexOf('\n' + sample + ' ');
+    return at < 0 ? -1 : body.mid(at + sample.size() + 2).split('\n').first().toDouble();
+}
+
+/// Below the ports that the kernel gives to connections, and apart for each process: tests run at
+/// the same time, and a port that was free a moment ago must still be free for the host.
+std::uint16_t freePort()
+{
+    constexpr int first = 20'000;
+    constexpr int count = 12'000;
+    constexpr int ofOneProcess = 16;
+    static int next = static_cast<int>(::getpid()) * ofOneProcess;
+    while (true) {
+        const int port = first + next++ % count;
+        QTcpServer server;
+        if (server.listen(QHostAddress::LocalHost, static_cast<quint16>(port)))
+            return server.serverPort();
+    }
+}
+
 } // namespace azurewell::tests
--- a/tests/sockets/caller.h
+++ b/tests/sockets/caller.h
@@ -59,4 +59,10 @@
 /// A completion's body.
 QByteArray completion(const QByteArray &adapter, int tokens, bool isStream = true);
 
+/// The value of \a sample in the text of /metrics; -1 where there is none.
+double sampleOf(const QByteArray &metrics, const QByteArray &sample);
+
+/// A port that nothing listens on.
+std::uint16_t freePort();
+
 } // namespace azurewell::tests
--- a/tests/sockets/host_fixture.cpp
+++ b/tests/sockets/host_fixture.cpp
@@ -3,9 +3,6 @@
 #include "azurewell/shell/log.h"
 
 #include <QtCore/QCryptographicHash>
-#include <QtNetwork/QTcpServer>
-
-#include <unistd.h>
 
 namespace azurewell::tests {
 
@@ -30,22 +27,6 @@
 
 } // namespace
 
-/// Below the ports that the kernel gives to connections, and apart for each process: tests run at
-/// the same time, and a port that was free a moment ago must still be free for the host.
-std::uint16_t freePort()
-{
-    constexpr int first = 20'000;
-    constexpr int count = 12'000;
-    constexpr int ofOneProcess = 16;
-    static int next = static_cast<int>(::getpid()) * ofOneProcess;
-    while (true) {
-        const int port = first + next++ % count;
-        QTcpServer server;
-        if (server.listen(QHostAddress::LocalHost, static_cast<quint16>(port)))
-            return server.serverPort();
-    }
-}
-
 HostFixture::HostFixture()
     : settings(parseSettings(defaultSettingsText()).value())
     , store(std::make_shared<standins::WeightStore>(loadsPerSecond))
--- a/tests/sockets/host_fixture.h
+++ b/tests/sockets/host_fixture.h
@@ -49,10 +49,4 @@
     std::vector<standins::EngineOptions> engineOptions;
 };
 
-/// The value of \a sample in the text of /metrics; -1 where there is none.
-double sampleOf(const QByteArray &metrics, const QByteArray &sample);
-
-/// A port that nothing listens on.
-std::uint16_t freePort();
-
 } // namespace azurewell::tests
--- a/tests/sockets/host_process.cpp
+++ b/tests/sockets/host_process.cpp
@@ -1,7 +1,6 @@
 #include "host_process.h"
 
 #include "caller.h"
-#include "host_fixture.h"
 
 #include <nlohmann/json.hpp>
 #include <QtCore/QFile>
@@ -27,13 +26,6 @@
 
 } // namespace
 
-double sampleOf(const QByteArray &metrics, const QByteArray &sample)
-{
-    const QByteArray body = '\n' + metrics;
-    const qsizetype at = body.indexOf('\n' + sample + ' ');
-    return at < 0 ? -1 : body.mid(at + sample.size() + 2).split('\n').first().toDouble();
-}
-
 HostPlace makePlace(const std::string &id, const std::string &zone, const std::string &platform)
 {
     return HostPlace{ id, zone, platform, freePort(), freePort(), freePort() };
