--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -19,6 +19,8 @@
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
     std::vector<AdapterRef> loaded;
+    std::uint32_t openSlots = 0;    ///< Adapter slots that a load could use now.
+    std::vector<AdapterRef> wanted; ///< Being loaded, or waited for.
 };
 
 /// "I am alive", sent to every other host once a heartbeat interval.
@@ -123,9 +125,26 @@
     RequestId request;
 };
 
-using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
-                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
-                              PermitAsk, PermitReply, OutcomeReport, OutcomeAck>;
+/// Asks for one segment of a snapshot: of the sender's newest where it asks for the first, else of
+/// the snapshot that the first one named.
+struct SnapshotAsk
+{
+    TicketNumber ticket;
+    std::uint32_t segment = 0;
+};
+
+/// One segment of the whole state in force at the sender.
+struct SnapshotPart
+{
+    TicketNumber ticket;
+    std::uint32_t segment = 0;
+    std::string text;
+};
+
+using PeerBody
+        = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal, SlotRenewal,
+                       SlotRelease, TicketAsk, TicketPush, SlotRenewed, PermitAsk, PermitReply,
+                       OutcomeReport, OutcomeAck, SnapshotAsk, SnapshotPart>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
