--- a/benchmark/load_patterns/fleet_run.cpp
+++ b/benchmark/load_patterns/fleet_run.cpp
@@ -21,6 +21,8 @@
 
 constexpr Span heartbeatInterval = fromSeconds(0.5);
 constexpr Span tickInterval = fromSeconds(0.1);
+/// Callers of the last measured moment leave at runUntil, which the next tick notices.
+constexpr Span lastExpiry = fromSeconds(1);
 constexpr Span unloadTime = fromSeconds(0.02);
 constexpr std::size_t zones = 3;
 constexpr std::size_t mostQueued = 1024;
@@ -128,7 +130,7 @@
         while (!this->steps.empty()) {
             const TimedStep step = this->steps.top();
             this->steps.pop();
-            if (step.at >= runUntil)
+            if (step.at >= runUntil + lastExpiry)
                 break;
             this->countSlots(step.at);
             this->now = step.at;
@@ -431,12 +433,14 @@
         ++(isLoad ? this->result.loads : this->result.evictions);
         const Instant done = isLoad ? beginLoad(this->store, this->now) : this->now + unloadTime;
         const std::uint64_t start = kept.start;
+        this->result.mostLoadsInFlight = std::max(this->result.mostLoadsInFlight,
+                                                  this->store.inFlight);
         const Instant since = this->now;
         this->at(done, [this, index, step, isLoad, start, since] {
             LoadPacer &pacer = this->hosts[this->engines[index].keeper].pacer;
             if (isLoad) {
                 endLoad(this->store);
-                noteLoadEnded(pacer, this->now - since, this->now);
+                noteLoadEnded(pacer, this->hosts.size(), this->now - since, this->now);
             }
             if (this->engines[index].start == start)
                 this->orderDone(index, step.adapter, isLoad);
--- a/benchmark/load_patterns/fleet_run.h
+++ b/benchmark/load_patterns/fleet_run.h
@@ -36,6 +36,7 @@
     SlotUse slots;
     std::uint64_t loads = 0;
     std::uint64_t evictions = 0;
+    std::size_t mostLoadsInFlight = 0; ///< In the weight store, over all engines.
 };
 
 /// Drives the decision modules through \a jobs in simulated time.
--- a/benchmark/load_patterns/measures.cpp
+++ b/benchmark/load_patterns/measures.cpp
@@ -141,6 +141,7 @@
     measures.firstTokenP95 = percentile(firstTokens, 0.95);
     measures.firstTokenP50 = percentile(firstTokens, 0.50);
     measures.loads = result.loads;
+    measures.mostLoadsInFlight = result.mostLoadsInFlight;
     return measures;
 }
 
@@ -150,12 +151,12 @@
             R"({{"pattern":"{}","deployment":"{}","policy":"{}","worst_customer_share":{:.3f},)"
             R"("wrongful_refusals":{},"load_stall_p95_s":{:.2f},"batch_efficiency":{:.3f},)"
             R"("goodput":{:.0f},"ttft_p95_s":{:.2f},"ttft_p50_s":{:.2f},"in_rate":{},)"
-            R"("slot_use":{:.3f},"loads":{},"worst_share_of_served":{:.3f},)"
+            R"("slot_use":{:.3f},"loads":{},"most_loads_in_flight":{},"worst_share_of_served":{:.3f},)"
             R"("customer_shares":[{:.3f}]}})",
             measures.pattern, measures.deployment, measures.policy, measures.worstCustomerShare,
             measures.wrongfulRefusals, measures.loadStallP95, measures.batchEfficiency,
             measures.goodput, measures.firstTokenP95, measures.firstTokenP50, measures.inRate,
-            measures.slotUse, measures.loads, measures.worstOfServed,
+            measures.slotUse, measures.loads, measures.mostLoadsInFlight, measures.worstOfServed,
             fmt::join(measures.customerShares, ","));
 }
 
--- a/benchmark/load_patterns/measures.h
+++ b/benchmark/load_patterns/measures.h
@@ -25,6 +25,7 @@
     double firstTokenP95 = 0;
     double firstTokenP50 = 0;
     std::uint64_t loads = 0;
+    std::size_t mostLoadsInFlight = 0;
 };
 
 Measures measure(const Deployment &deployment, const std::vector<Job> &jobs,
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -96,13 +96,30 @@
     return loads;
 }
 
+/// Hosts that may keep engines, by the platform's list.
+std::size_t keepersOf(const HostState &state)
+{
+    const auto listed = std::count_if(state.membership.peers.begin(), state.membership.peers.end(),
+                                      [](const auto &entry) { return entry.second.isListed; });
+    return static_cast<std::size_t>(listed) + 1;
+}
+
+bool mayOrderLoad(Step &step)
+{
+    HostState &state = step.state;
+    if (!state.loadPacer.hasBegun) {
+        std::uniform_real_distribution<double> jitter(0.0, 1.0);
+        beginPacing(state.loadPacer, keepersOf(state), jitter(state.random), step.now);
+    }
+    return mayLoad(state.loadPacer, loadsUnderWay(state), step.now);
+}
+
 /// Orders loads for adapters that requests wait for, at the pace the weight store takes.
 void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine)
 {
     while (true) {
         const PlacementStep placement = nextOrder(kept.adapters, kept.queue, step.now);
-        const bool isHeld = placement.kind == PlacementStep::Kind::Load
-                && !mayLoad(step.state.loadPacer, loadsUnderWay(step.state), step.now);
+        const bool isHeld = placement.kind == PlacementStep::Kind::Load && !mayOrderLoad(step);
         if (placement.kind == PlacementStep::Kind::Nothing || isHeld)
             return;
         orderStep(step, kept, engine, placement);
@@ -266,7 +283,8 @@
     const auto adapter = adapters.adapters.find(event.adapter);
     if (event.isLoad && adapter != adapters.adapters.end()
         && adapter->second.state == AdapterState::Loading)
-        noteLoadEnded(step.state.loadPacer, step.now - adapter->second.orderedAt, step.now);
+        noteLoadEnded(step.state.loadPacer, keepersOf(step.state),
+                      step.now - adapter->second.orderedAt, step.now);
     if (event.isLoad && !event.isDone) {
         ++step.state.counters.loadsFailed;
         applyEvent(adapters, chart, event.adapter, AdapterEvent::LoadFailed, step.now);
