--- a/packages/host/src/engine_reports.cpp
+++ b/packages/host/src/engine_reports.cpp
@@ -115,7 +115,8 @@
     const auto adapter = adapters.adapters.find(event.adapter);
     if (event.isLoad && adapter != adapters.adapters.end()
         && adapter->second.state == AdapterState::Loading)
-        noteLoadEnded(state.loadPacer, step.now - adapter->second.orderedAt, step.now);
+        noteLoadEnded(state.loadPacer, listedHosts(state), step.now - adapter->second.orderedAt,
+                      step.now);
     if (event.isLoad && !event.isDone) {
         ++state.counters.loadsFailed;
         applyEvent(adapters, chart, event.adapter, AdapterEvent::LoadFailed, step.now);
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -100,6 +100,8 @@
 void tendEngines(Step &step);
 void grantReady(Step &step, KeptEngine &kept, const Upstream &engine);
 void orderLoads(Step &step, KeptEngine &kept, const Upstream &engine);
+/// Hosts that may keep engines, by the platform's list and this one.
+std::size_t listedHosts(const HostState &state);
 const Upstream *upstreamInForce(const HostState &state, const UpstreamId &id);
 
 // engine_reports.cpp: what engines say of themselves.
--- a/packages/host/src/keepers.cpp
+++ b/packages/host/src/keepers.cpp
@@ -247,4 +247,11 @@
     return state.keepers.isComplete && now >= kept.evictFrom && kept.isQuiet;
 }
 
+std::size_t listedHosts(const HostState &state)
+{
+    const auto listed = std::count_if(state.membership.peers.begin(), state.membership.peers.end(),
+                                      [](const auto &entry) { return entry.second.isListed; });
+    return static_cast<std::size_t>(listed) + 1;
+}
+
 } // namespace azurewell::internal
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -154,6 +154,16 @@
     return loads;
 }
 
+bool mayOrderLoad(Step &step)
+{
+    HostState &state = step.state;
+    if (!state.loadPacer.hasBegun) {
+        std::uniform_real_distribution<double> jitter(0.0, 1.0);
+        beginPacing(state.loadPacer, listedHosts(state), jitter(state.random), step.now);
+    }
+    return mayLoad(state.loadPacer, loadsUnderWay(state), step.now);
+}
+
 /// Whether \a request would have to begin after its latest start.
 bool isHopeless(const Step &step, const KeptEngine &kept, const Upstream &engine,
                 const WaitingRequest &request)
@@ -230,8 +240,7 @@
     kept.adapters.noEvictionBefore = isFree ? Instant{} : never;
     while (true) {
         const PlacementStep placement = nextOrder(kept.adapters, kept.queue, step.now);
-        const bool isHeld = placement.kind == PlacementStep::Kind::Load
-                && !mayLoad(step.state.loadPacer, loadsUnderWay(step.state), step.now);
+        const bool isHeld = placement.kind == PlacementStep::Kind::Load && !mayOrderLoad(step);
         if (placement.kind == PlacementStep::Kind::Nothing || isHeld)
             return;
         orderStep(step, kept, engine, placement);
