--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -31,6 +31,7 @@
   10: i64 view
   11: i32 viewEpoch
   12: i64 nextWithin
+  20: i64 newsAge
 }
 
 struct SlotAsk {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -6,6 +6,7 @@
 #include "azurewell/units/time.h"
 #include "azurewell/units/tokens.h"
 
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +25,9 @@
     bool isPartial = false; ///< `loaded` is left out: it has not changed, or the receiver is far.
 };
 
+/// The age of news that never came; also that of a neighbour whose version does not tell.
+inline constexpr Span noNews{ std::numeric_limits<std::int64_t>::max() };
+
 /// "I am alive", sent to every other host once a heartbeat interval.
 struct Heartbeat
 {
@@ -40,6 +44,7 @@
                             ///< promiseLength after the receiver sent `echo`; 0 promises nothing.
     std::uint32_t viewEpoch = 0; ///< Counts the views of the sender's life.
     Span nextWithin{};           ///< The sender's next heartbeat to the receiver is due within.
+    Span newsAge = noNews; ///< Since the newest word of the configuration service that it knows of.
 };
 
 /// Asks an engine's keeper for a slot.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -77,6 +77,7 @@
         beat.__set_view(static_cast<std::int64_t>(in.view));
         beat.__set_viewEpoch(static_cast<std::int32_t>(in.viewEpoch));
         beat.__set_nextWithin(in.nextWithin.count());
+        beat.__set_newsAge(in.newsAge.count());
         this->out.__set_heartbeat(beat);
     }
     void operator()(const SlotAsk &in) const
@@ -202,6 +203,8 @@
     beat.view = static_cast<std::uint64_t>(in.view);
     beat.viewEpoch = static_cast<std::uint32_t>(in.viewEpoch);
     beat.nextWithin = Span{ in.nextWithin };
+    if (in.__isset.newsAge && in.newsAge >= 0)
+        beat.newsAge = Span{ in.newsAge };
     return beat;
 }
 
--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -116,6 +116,17 @@
     FencingNumber refusedBy;
 };
 
+/// A segment of a snapshot, read from the platform.
+struct SnapshotRead
+{
+    std::string text;
+};
+
+/// The configuration service answered, be it that nothing has changed.
+struct PlatformHeard
+{
+};
+
 /// Time passed. The shell sends it every tickInterval.
 struct Tick
 {
@@ -129,6 +140,6 @@
 
 using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
                            PeerMessageReceived, TicketRead, HostListRead, LoadReported, OrderEnded,
-                           Tick, StopAsked>;
+                           PlatformHeard, SnapshotRead, Tick, StopAsked>;
 
 } // namespace azurewell
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -84,6 +84,14 @@
     {
         onOrderEnded(this->step, event);
     }
+    void operator()(const SnapshotRead &event) const
+    {
+        onSnapshotRead(this->step, event.text);
+    }
+    void operator()(const PlatformHeard &) const
+    {
+        notePlatformHeard(this->step);
+    }
     void operator()(const Tick &) const
     {
         onTick(this->step);
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -16,6 +16,7 @@
     state.fencing = std::max(state.fencing, beat.highestFencing);
     noteKeeperPromise(step, message.sender, message.incarnation, beat);
     noteSummaries(step, beat.engines);
+    noteNews(step, beat.newsAge);
     askForTickets(step, message.sender, beat.ticket);
 }
 
@@ -147,6 +148,7 @@
     beat.address = state.self.peerAddress;
     beat.highestFencing = state.fencing;
     beat.serial = nextSerial(step);
+    beat.newsAge = newsAge(step);
     for (const auto &[id, peer] : state.membership.peers) {
         if (!peer.isListed && peer.state == PeerState::Gone)
             continue;
--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -121,6 +121,12 @@
                         counters.loadsFailed);
     text += counterText("adapter_evictions_total", "Adapter evictions ordered.",
                         counters.evictionsOrdered);
+    text += counterText("late_wakes_total", "Stops of this process of a second or more.",
+                        counters.lateWakes);
+    text += counterText("leases_expired_total", "Slots that were not renewed in time.",
+                        counters.leasesExpired);
+    text += counterText("orders_refused_total", "Orders refused for an old fencing number.",
+                        counters.ordersRefused);
     text += counterText("tickets_refused_total", "Tickets that were not valid.",
                         counters.ticketsRefused);
     text += counterText("peer_messages_stale_total", "Messages of a host's earlier life.",
@@ -137,6 +143,15 @@
     text += retriesText(counters);
     text += gaugeText("ticket_in_force", "The newest ticket in force.",
                       static_cast<double>(state.inForce.ticket.value));
+    text += gaugeText("ticket_refused", "The ticket that is refused and awaited, or 0.",
+                      static_cast<double>(state.tickets.refused.value));
+    text += counterText("call_numbers_issued_total", "Call numbers issued.",
+                        state.calls.numbersIssued);
+    text += counterText("call_issuers_silent_total",
+                        "Calls whose number's issuer did not answer in time.",
+                        state.calls.unreachable);
+    text += gaugeText("call_records", "Calls that this instance remembers.",
+                      static_cast<double>(state.calls.ledger.records));
     text += gaugeText("open_requests", "Requests on their way.",
                       static_cast<double>(state.requests.size()));
     text += gaugeText("kept_engines", "Engines this host keeps.",
--- a/packages/tickets/src/snapshot.cpp
+++ b/packages/tickets/src/snapshot.cpp
@@ -136,6 +136,8 @@
         state.keys[key.hash] = key;
     for (const Adapter &adapter : segment.records.adapters)
         state.adapters.set(adapter);
+    if (segment.records.fleet)
+        state.fleet = *segment.records.fleet;
     state.history.insert(state.history.end(), segment.history.begin(), segment.history.end());
 }
 
@@ -162,8 +164,12 @@
                   { "segment", number },
                   { "segments", segmentCount(state) },
                   { "set", std::move(writer.sets) } };
-    if (number == 0)
+    if (number == 0) {
         segment["history"] = historyOf(state);
+        segment["set"]["fleet"] = { { "longest_without_news",
+                                      toSeconds(state.fleet.longestWithoutNews) },
+                                    { "ticket", state.fleet.ticket.value } };
+    }
     return segment.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -193,6 +199,28 @@
     return segment;
 }
 
+std::string writeSnapshotIndex(const StateInForce &state)
+{
+    return json{ { "snapshot", state.ticket.value }, { "segments", segmentCount(state) } }.dump();
+}
+
+Result<SnapshotIndex> parseSnapshotIndex(std::string_view text)
+{
+    const Result<json> parsed = parseJsonWithComments(text, ResultCode::TicketInvalid);
+    if (!parsed)
+        return parsed.error();
+    std::string complaint;
+    JsonReader reader(parsed.value(), "", complaint);
+    reader.allowOnly({ "snapshot", "segments" });
+    SnapshotIndex index;
+    index.ticket = TicketNumber{ static_cast<std::uint64_t>(
+            reader.number("snapshot", 1, mostTicketNumber)) };
+    index.segments = static_cast<std::uint32_t>(reader.number("segments", 1, mostSegments));
+    if (!complaint.empty())
+        return Error{ ResultCode::TicketInvalid, complaint };
+    return index;
+}
+
 bool addSegment(SnapshotAssembly &assembly, const SnapshotSegment &segment)
 {
     if (segment.number == 0) {
