--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -26,12 +26,12 @@
   5: i32 seat
   6: string address
   7: i64 highestFencing
-  20: i64 newsAge
   8: i64 serial
   9: i64 echo
   10: i64 view
   11: i32 viewEpoch
   12: i64 nextWithin
+  20: i64 newsAge
 }
 
 struct SlotAsk {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -38,13 +38,13 @@
     SeatNumber seat;
     std::string address;          ///< Where the sender's peer port listens.
     FencingNumber highestFencing; ///< The highest fencing number the sender has seen.
-    Span newsAge = noNews; ///< Since the newest word of the configuration service that it knows of.
     std::uint64_t serial = 0;     ///< Rises with each heartbeat, ask and renewal of the sender.
     std::uint64_t echo = 0;       ///< The newest `serial` that the sender has from the receiver.
     std::uint64_t view = 0; ///< The hosts by which the sender lets engines be kept, promised until
                             ///< promiseLength after the receiver sent `echo`; 0 promises nothing.
     std::uint32_t viewEpoch = 0; ///< Counts the views of the sender's life.
     Span nextWithin{};           ///< The sender's next heartbeat to the receiver is due within.
+    Span newsAge = noNews; ///< Since the newest word of the configuration service that it knows of.
 };
 
 /// Asks an engine's keeper for a slot.
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -72,12 +72,12 @@
         beat.__set_seat(static_cast<std::int32_t>(in.seat.value));
         beat.__set_address(in.address);
         beat.__set_highestFencing(static_cast<std::int64_t>(in.highestFencing.value));
-        beat.__set_newsAge(in.newsAge.count());
         beat.__set_serial(static_cast<std::int64_t>(in.serial));
         beat.__set_echo(static_cast<std::int64_t>(in.echo));
         beat.__set_view(static_cast<std::int64_t>(in.view));
         beat.__set_viewEpoch(static_cast<std::int32_t>(in.viewEpoch));
         beat.__set_nextWithin(in.nextWithin.count());
+        beat.__set_newsAge(in.newsAge.count());
         this->out.__set_heartbeat(beat);
     }
     void operator()(const SlotAsk &in) const
@@ -198,13 +198,13 @@
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
     beat.address = in.address;
     beat.highestFencing = FencingNumber{ static_cast<std::uint64_t>(in.highestFencing) };
-    if (in.__isset.newsAge && in.newsAge >= 0)
-        beat.newsAge = Span{ in.newsAge };
     beat.serial = static_cast<std::uint64_t>(in.serial);
     beat.echo = static_cast<std::uint64_t>(in.echo);
     beat.view = static_cast<std::uint64_t>(in.view);
     beat.viewEpoch = static_cast<std::uint32_t>(in.viewEpoch);
     beat.nextWithin = Span{ in.nextWithin };
+    if (in.__isset.newsAge && in.newsAge >= 0)
+        beat.newsAge = Span{ in.newsAge };
     return beat;
 }
 
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -147,8 +147,8 @@
     beat.seat = state.self.seat;
     beat.address = state.self.peerAddress;
     beat.highestFencing = state.fencing;
-    beat.newsAge = newsAge(step);
     beat.serial = nextSerial(step);
+    beat.newsAge = newsAge(step);
     for (const auto &[id, peer] : state.membership.peers) {
         if (!peer.isListed && peer.state == PeerState::Gone)
             continue;
--- a/packages/host/src/slots.cpp
+++ b/packages/host/src/slots.cpp
@@ -126,6 +126,7 @@
     endBackOffs(kept.adapters, step.state.charts.adapter, step.now);
     forgetIdle(kept.queue);
     endDoubts(step, kept);
+    forgetIdle(kept.queue);
     for (const WaitingRequest &expired : takeExpired(kept.queue, step.now)) {
         refuseSlot(step, expired.asker, expired.request, engine.id, ResultCode::WaitedTooLong,
                    kept.rounds[expired.request]);
--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -121,6 +121,12 @@
                         counters.loadsFailed);
     text += counterText("adapter_evictions_total", "Adapter evictions ordered.",
                         counters.evictionsOrdered);
+    text += counterText("late_wakes_total", "Stops of this process of a second or more.",
+                        counters.lateWakes);
+    text += counterText("leases_expired_total", "Slots that were not renewed in time.",
+                        counters.leasesExpired);
+    text += counterText("orders_refused_total", "Orders refused for an old fencing number.",
+                        counters.ordersRefused);
     text += counterText("tickets_refused_total", "Tickets that were not valid.",
                         counters.ticketsRefused);
     text += counterText("peer_messages_stale_total", "Messages of a host's earlier life.",
