--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr qsizetype logBytes = 600;
 constexpr int faultsAtOnce = 2;
 constexpr int shortestMillis = 500;
 constexpr int longestMillis = 3000;
@@ -137,9 +138,11 @@
     tests::HostProcess &host = *this->world.hosts[index];
     host.signal(SIGTERM);
     QTimer::singleShot(0, this, [this, &host] {
-        const bool hasLeft = host.exitCode() == 0;
-        const bool isBack = host.start();
-        this->hasHostFailed = this->hasHostFailed || !hasLeft || !isBack;
+        const int code = host.exitCode();
+        const bool isBack = code == 0 && host.start();
+        if (!isBack)
+            this->hostFailures.push_back(host.place.id + " left with " + std::to_string(code) + ": "
+                                         + host.log().right(logBytes).toStdString());
         this->isHostAway = false;
         --this->open;
     });
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace azurewell::soak {
 
@@ -25,7 +26,8 @@
     }
 
     std::map<std::string, std::uint64_t> begun; ///< By name.
-    bool hasHostFailed = false; ///< A host left with another code than 0 or did not come back.
+    /// Hosts that left with another code than 0 or did not come back, with the end of their log.
+    std::vector<std::string> hostFailures;
 
 private:
     void beginOne();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -61,7 +61,8 @@
     expect(results.doubled == 0, "an answer has a doubled or missing token");
     expect(results.crossed == 0, "an answer has another request's text");
     expect(results.whole > 0, "no request was answered");
-    expect(!faults.hasHostFailed, "a host did not stop with 0 or did not come back");
+    for (const std::string &failure : faults.hostFailures)
+        found.push_back(failure);
     for (const auto &[body, told] : results.filings) {
         const auto runs = world.service.runsByBody.find(body);
         const std::uint64_t count = runs == world.service.runsByBody.end() ? 0 : runs->second;
