Move a customer's rate between hosts by loans instead of fixed parts

Each host held rate / seats: with a customer's traffic at one host it refused requests inside the rate, and at 390 seats a part was smaller than a request. Now seats own conserved parts (at most three owners a zone, fixed by tickets) and lend tokens to the host that needs them; lent tokens keep their room at the lender until they are known to be made or returned.

--- /dev/null
+++ b/benchmark/rate_shares/rate_shares.cpp
@@ -0,0 +1,142 @@
+#include "share_simulation.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/core.h>
+
+using namespace azurewell;
+
+namespace {
+
+/// One customer sends five times its rate, the others stay at four fifths of theirs.
+std::vector<SimulatedCustomer> customersOf(const std::vector<double> &rates, double burstSeconds)
+{
+    std::vector<SimulatedCustomer> customers;
+    customers.reserve(rates.size());
+    for (const double rate : rates)
+        customers.push_back(SimulatedCustomer{ rate, rate * burstSeconds, 0.8 });
+    customers[1].offered = 5;
+    return customers;
+}
+
+ShareScenario vigia()
+{
+    ShareScenario scenario;
+    scenario.name = "vigia-7";
+    scenario.zoneSeats = { 3, 2, 2 };
+    scenario.customers = customersOf({ 24000, 8000, 8000, 4000, 4000 }, 4);
+    scenario.zoneDelay = fromSeconds(0.0015);
+    return scenario;
+}
+
+ShareScenario tunisia()
+{
+    ShareScenario scenario;
+    scenario.name = "tunisia-6";
+    scenario.zoneSeats = { 2, 2, 2 };
+    scenario.customers = customersOf({ 8000, 8000, 4000, 4000, 4000 }, 4);
+    scenario.zoneDelay = fromSeconds(0.0005);
+    return scenario;
+}
+
+/// \a hosts in nine zones with a load in proportion to the design size of 390.
+ShareScenario large(std::uint32_t hosts)
+{
+    ShareScenario scenario;
+    scenario.name = fmt::format("design-{}", hosts);
+    for (std::uint32_t zone = 0; zone < 9; ++zone)
+        scenario.zoneSeats.push_back(hosts / 9 + (zone < hosts % 9 ? 1 : 0));
+    constexpr int customers = 40;
+    std::vector<double> rates;
+    rates.reserve(customers);
+    for (int customer = 0; customer < customers; ++customer)
+        rates.push_back(hosts * 2000.0 / (customer + 4));
+    scenario.customers = customersOf(rates, 4);
+    scenario.zoneDelay = fromSeconds(0.005);
+    scenario.length = fromSeconds(20);
+    return scenario;
+}
+
+const char *nameOf(SharePolicy policy)
+{
+    switch (policy) {
+    case SharePolicy::Central:
+        return "central";
+    case SharePolicy::StaticSplit:
+        return "static";
+    case SharePolicy::OneOwner:
+        return "one-owner";
+    case SharePolicy::Lending:
+        break;
+    }
+    return "lending";
+}
+
+void report(const ShareScenario &scenario, const std::string &variant)
+{
+    const ShareOutcome outcome = simulate(scenario);
+    const double inside = static_cast<double>(std::max<std::uint64_t>(1, outcome.inside));
+    fmt::print("{:<11} {:<8} {:<20} {:>7} {:>7.3f}% {:>6.3f} {:>7.4f} {:>7.3f} {:>8.1f} {:>8.0f}\n",
+               scenario.name, scenario.pattern == BalancerPattern::Skewed ? "skew3:1" : "onehost",
+               std::string(nameOf(scenario.policy)) + variant, outcome.inside,
+               100.0 * static_cast<double>(outcome.refusedInside) / inside, outcome.usedOutside,
+               outcome.worstExcess, outcome.waitP99, outcome.messagesPerSecondPerNode,
+               outcome.bytesPerSecondPerNode);
+    std::fflush(stdout);
+}
+
+void comparePolicies(ShareScenario scenario)
+{
+    for (const BalancerPattern pattern : { BalancerPattern::Skewed, BalancerPattern::OneHost }) {
+        scenario.pattern = pattern;
+        for (const SharePolicy policy : { SharePolicy::Central, SharePolicy::StaticSplit,
+                                          SharePolicy::OneOwner, SharePolicy::Lending }) {
+            scenario.policy = policy;
+            report(scenario, "");
+        }
+    }
+}
+
+void compareSettings(ShareScenario scenario)
+{
+    scenario.policy = SharePolicy::Lending;
+    scenario.pattern = BalancerPattern::OneHost;
+    for (const double most : { 0.25, 0.5, 1.0 }) {
+        scenario.mostPerBorrower = most;
+        report(scenario, fmt::format("/borrower {}", most));
+    }
+    scenario.mostPerBorrower = ShareSettings{}.mostPerBorrower;
+    for (const double quantile : { 0.95, 0.8, 0.5 }) {
+        scenario.reservedQuantile = quantile;
+        report(scenario, fmt::format("/quantile {}", quantile));
+    }
+}
+
+} // namespace
+
+/// Wrongful refusals, the bound, and the cost in messages of ways to divide a customer's rate. All
+/// lines come from one seed.
+int main(int argc, char **argv)
+{
+    CLI::App app{ "Ways to divide a customer's rate and burst over the hosts" };
+    std::uint64_t seed = 1;
+    bool isLargeToo = false;
+    app.add_option("--seed", seed, "Seed of arrivals, lengths and delays");
+    app.add_flag("--large", isLargeToo, "Also 60 and 390 hosts (minutes)");
+    CLI11_PARSE(app, argc, argv);
+
+    fmt::print("{:<11} {:<8} {:<20} {:>7} {:>8} {:>6} {:>7} {:>7} {:>8} {:>8}\n", "fleet",
+               "balancer", "policy", "inside", "refused", "used5x", "excess", "wait99", "msg/s",
+               "bytes/s");
+    std::vector<ShareScenario> scenarios{ vigia(), tunisia() };
+    if (isLargeToo) {
+        scenarios.push_back(large(60));
+        scenarios.push_back(large(390));
+    }
+    for (ShareScenario &scenario : scenarios) {
+        scenario.seed = seed;
+        comparePolicies(scenario);
+    }
+    compareSettings(scenarios[0]);
+    compareSettings(scenarios[1]);
+    return 0;
+}
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -82,6 +82,52 @@
   2: string text
 }
 
+struct LoanReport {
+  1: i64 closed
+  2: i64 accepted
+  3: i64 spent
+  4: i64 returned
+}
+
+struct ShareAsk {
+  1: string customer
+  2: i64 serial
+  3: i64 wanted
+  4: i64 lender
+  5: LoanReport report
+}
+
+struct ShareGrant {
+  1: string customer
+  2: i64 serial
+  3: i64 amount
+  4: i64 borrower
+  5: i64 lease
+  6: i64 left
+}
+
+struct ShareQuery {
+  1: string zone
+  2: i32 seat
+  3: i64 serial
+}
+
+struct HeldLoan {
+  1: string customer
+  2: i64 amount
+}
+
+struct ShareStatement {
+  1: string zone
+  2: i32 seat
+  3: i64 serial
+  4: i64 asker
+  5: i64 newestOfAsker
+  6: bool trusted
+  7: i64 settled
+  8: list<HeldLoan> held
+}
+
 union Body {
   1: Heartbeat heartbeat
   2: SlotAsk slotAsk
@@ -92,6 +138,10 @@
   7: TicketAsk ticketAsk
   8: TicketPush ticketPush
   9: SlotRenewed slotRenewed
+  20: ShareAsk shareAsk
+  21: ShareGrant shareGrant
+  22: ShareQuery shareQuery
+  23: ShareStatement shareStatement
 }
 
 struct Envelope {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/limits/share_messages.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/result_code.h"
 #include "azurewell/units/time.h"
@@ -109,7 +110,8 @@
 };
 
 using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
-                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed>;
+                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
+                              ShareAsk, ShareGrant, ShareQuery, ShareStatement>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/fleet/codec.h"
 
+#include "codec_shares.h"
+
 #include <peer_types.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
@@ -139,6 +141,22 @@
         push.__set_text(in.text);
         this->out.__set_ticketPush(push);
     }
+    void operator()(const ShareAsk &in) const
+    {
+        this->out.__set_shareAsk(azurewell::toWire(in));
+    }
+    void operator()(const ShareGrant &in) const
+    {
+        this->out.__set_shareGrant(azurewell::toWire(in));
+    }
+    void operator()(const ShareQuery &in) const
+    {
+        this->out.__set_shareQuery(azurewell::toWire(in));
+    }
+    void operator()(const ShareStatement &in) const
+    {
+        this->out.__set_shareStatement(azurewell::toWire(in));
+    }
 };
 
 Heartbeat fromWire(const wire::Heartbeat &in)
@@ -221,6 +239,8 @@
     if (in.__isset.ticketPush)
         return TicketPush{ TicketNumber{ static_cast<std::uint64_t>(in.ticketPush.number) },
                            in.ticketPush.text };
+    if (const std::optional<ShareBody> share = shareBodyOf(in))
+        return std::visit([](const auto &body) { return PeerBody(body); }, *share);
     return std::monostate{};
 }
 
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -4,7 +4,7 @@
 #include "azurewell/fleet/membership.h"
 #include "azurewell/host/counters.h"
 #include "azurewell/host/events.h"
-#include "azurewell/limits/token_bucket.h"
+#include "azurewell/limits/share_holder.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
 #include "azurewell/scheduling/fair_queue.h"
@@ -38,7 +38,7 @@
     RequestArrived asked;
     CustomerId customer;
     RequestPhase phase = RequestPhase::WaitingForTokens;
-    Tokens reserved;     ///< Still reserved in the customer's bucket.
+    Instant tokensBy;    ///< Refused if the customer's rate has not admitted it by then.
     Tokens generated;    ///< Passed on to the caller.
     UpstreamId upstream; ///< Where it waits or runs.
     HostId keeper;       ///< Who was asked for the slot.
@@ -97,7 +97,7 @@
     FencingNumber fencing; ///< The highest that was used or seen.
 
     std::unordered_map<RequestId, RequestRecord> requests;
-    std::unordered_map<CustomerId, TokenBucket> buckets;
+    ShareHolder shares;                     ///< Of every customer's rate and burst.
     std::deque<RequestId> waitingForTokens; ///< Oldest first.
     std::unordered_map<UpstreamId, KnownUpstream> upstreams;
     std::map<UpstreamId, KeptEngine> kept;
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -21,6 +21,7 @@
 {
     noteSilence(step.state.membership, step.state.charts.peer, step.now);
     expireRequests(step);
+    tendHostShares(step);
     admitWaiting(step);
     tendEngines(step);
     sendHeartbeats(step);
@@ -92,6 +93,7 @@
     HostState state;
     state.random.seed(identity.randomSeed);
     state.fencing = FencingNumber{ identity.incarnation.value };
+    state.shares = makeShares(identity);
     state.self = std::move(identity);
     state.process = static_cast<ProcessState>(charts.process.initial);
     state.charts = std::move(charts);
@@ -101,6 +103,7 @@
 void handle(HostState &state, const Event &event, Instant now, std::vector<Action> &actions)
 {
     Step step{ state, now, actions };
+    noteTime(state.shares, now); // a host that was paused doubts its seat before anything else
     std::visit(Handler{ step }, event);
     while (!state.loopback.empty()) {
         const PeerMessage message = std::move(state.loopback.front());
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -17,6 +17,7 @@
         return;
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
+    onHostSeen(step, message.sender, message.incarnation, SeatId{ beat.zone, beat.seat });
     noteSummaries(step, beat.engines);
     if (beat.ticket > state.inForce.ticket)
         sendTo(step, message.sender, TicketAsk{ state.inForce.ticket });
@@ -78,6 +79,22 @@
     {
         onTicketRead(this->step, push.text);
     }
+    void operator()(const ShareAsk &ask) const
+    {
+        onShareBody(this->step, this->message, ask);
+    }
+    void operator()(const ShareGrant &grant) const
+    {
+        onShareBody(this->step, this->message, grant);
+    }
+    void operator()(const ShareQuery &query) const
+    {
+        onShareBody(this->step, this->message, query);
+    }
+    void operator()(const ShareStatement &statement) const
+    {
+        onShareBody(this->step, this->message, statement);
+    }
 };
 
 /// Puts \a ticket in force. False where it was refused.
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -38,31 +38,21 @@
     step.actions.emplace_back(Refuse{ request, code, runState, retryAfter, detail });
 }
 
-/// Returns what is still reserved to the customer's bucket.
-void returnTokens(Step &step, RequestRecord &record)
-{
-    const auto bucket = step.state.buckets.find(record.customer);
-    if (bucket != step.state.buckets.end())
-        giveBack(bucket->second, record.reserved, step.now);
-    record.reserved = Tokens{};
-}
-
-/// Counts \a amount of the reservation as made.
-void settleTokens(Step &step, RequestRecord &record, Tokens amount)
-{
-    const Tokens settled = std::min(amount, record.reserved);
-    const auto bucket = step.state.buckets.find(record.customer);
-    if (bucket != step.state.buckets.end())
-        settle(bucket->second, settled, step.now);
-    record.reserved -= settled;
-}
-
 void releaseSlot(Step &step, const RequestRecord &record, Tokens used)
 {
     if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
         sendTo(step, record.keeper, SlotRelease{ record.asked.request, record.upstream, used });
 }
 
+/// Closes the attempt's connection and tells the upstream to stop.
+void cancelAttempt(Step &step, const RequestRecord &record)
+{
+    const auto upstream = step.state.inForce.upstreams.find(record.upstream);
+    const bool isKnown = upstream != step.state.inForce.upstreams.end();
+    const std::string address = isKnown ? upstream->second.address : std::string{};
+    step.actions.emplace_back(CancelAttempt{ record.asked.request, record.upstream, address });
+}
+
 /// Ends a request: slot and tokens go back, the record goes.
 void endRequest(Step &step, RequestRecord &record)
 {
@@ -72,7 +62,7 @@
         upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
     }
     releaseSlot(step, record, record.asked.promptTokens + record.generated);
-    returnTokens(step, record);
+    release(state.shares, record.asked.request, step.now);
     const RequestId id = record.asked.request; // a copy: the record holds the original
     std::erase(state.waitingForTokens, id);
     state.requests.erase(id);
@@ -153,7 +143,7 @@
     if (record.generated.count > 0)
         ++state.counters.resumed;
     if (record.attempt == 1)
-        settleTokens(step, record, record.asked.promptTokens);
+        settle(state.shares, record.asked.request, record.asked.promptTokens, step.now);
     step.actions.emplace_back(Dispatch{ record.asked.request, record.attempt, record.upstream,
                                         upstream->second.address, record.generated,
                                         record.isIdempotent, notAfter });
@@ -209,41 +199,44 @@
         seekSlot(step, record);
 }
 
-/// Gives this host's part of the customer's rate and burst its present size. A bucket earns from
-/// the ticket on, not from the customer's first request.
-TokenBucket &shapeBucket(Step &step, const Customer &customer)
+void refuseOverRate(Step &step, RequestRecord &record, Instant expected)
 {
-    HostState &state = step.state;
-    const double part = 1.0 / std::max(1U, totalSeats(state.inForce));
-    const bool isNew = !state.buckets.contains(customer.id);
-    TokenBucket &bucket = state.buckets[customer.id];
-    if (isNew)
-        bucket.refilledAt = step.now;
-    reshape(bucket, customer.rate.perSecond * part,
-            static_cast<double>(customer.burst.count) * part, step.now);
-    return bucket;
+    const Span wait = expected == never ? defaultRetryAfter : expected - step.now;
+    refuse(step, record.asked.request, ResultCode::RateExceeded, RunState::NotRun,
+           std::max(wait, defaultRetryAfter));
+    endRequest(step, record);
 }
 
-/// Whether the request was admitted, or ended.
-bool tryAdmit(Step &step, RequestRecord &record, const Customer &customer)
+/// Starts the request if the customer's rate admits it now.
+bool tryAdmit(Step &step, RequestRecord &record)
 {
-    TokenBucket &bucket = step.state.buckets[customer.id];
-    const Tokens cost = costOf(record.asked);
-    if (tryReserve(bucket, cost, step.now)) {
-        record.reserved = cost;
-        start(step, record);
-        return true;
-    }
-    const Instant earliest = earliestFor(bucket, cost, step.now);
-    const Instant patience = std::min(step.now + longestTokenWait, record.asked.deadline);
-    if (earliest <= patience)
+    if (!reserve(step.state.shares, record.asked.request, record.customer, costOf(record.asked),
+                 step.now))
         return false;
-    const Span wait = earliest == never ? defaultRetryAfter : earliest - step.now;
-    refuse(step, record.asked.request, ResultCode::RateExceeded, RunState::NotRun, wait);
-    endRequest(step, record);
+    start(step, record);
     return true;
 }
 
+/// Starts the request, lets it wait for tokens that are to come soon, or refuses it.
+void admitOrWait(Step &step, RequestRecord &record)
+{
+    HostState &state = step.state;
+    const CustomerId customer = record.customer; // a copy: the record may end below
+    const Tokens ahead = waitingTokens(state, customer);
+    // In order within a customer: a small request must not overtake a large one for ever.
+    if (ahead.count == 0 && tryAdmit(step, record))
+        return;
+    const Tokens cost = costOf(record.asked);
+    const Instant expected = expectedAt(state.shares, customer, cost, step.now);
+    record.tokensBy = std::min(step.now + longestTokenWait, record.asked.deadline);
+    if (expected > record.tokensBy) {
+        refuseOverRate(step, record, expected);
+        return;
+    }
+    state.waitingForTokens.push_back(record.asked.request);
+    seekCustomerTokens(step, customer, ahead + cost);
+}
+
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -367,36 +360,53 @@
         }
         record.isIdempotent = event.isSafeMethod || service.value()->isIdempotent;
     }
-    if (costOf(event) > customer.value()->burst) {
+    if (costOf(event) > largestRequest(state.shares, record.customer)) {
         refuse(step, event.request, ResultCode::ExceedsBurst, RunState::NotRun);
         return;
     }
+    if (state.shares.isSuperseded) {
+        refuse(step, event.request, ResultCode::NoShare, RunState::NotRun, defaultRetryAfter);
+        return;
+    }
     RequestRecord &kept = state.requests[event.request] = std::move(record);
-    if (!tryAdmit(step, kept, *customer.value()))
-        state.waitingForTokens.push_back(event.request);
+    admitOrWait(step, kept);
 }
 
 void admitWaiting(Step &step)
 {
     HostState &state = step.state;
     const std::deque<RequestId> waiting = std::exchange(state.waitingForTokens, {});
-    std::set<CustomerId> stillWaiting;
+    std::map<CustomerId, Tokens> stillWaiting;
     for (const RequestId &id : waiting) {
         RequestRecord *record = recordOf(state, id);
         if (!record)
             continue;
-        const auto customer = state.inForce.customers.find(record->customer);
-        if (customer == state.inForce.customers.end()) {
-            endRefused(step, *record, ResultCode::KeyUnknown, RunState::NotRun);
+        const CustomerId customer = record->customer; // a copy: the record may end below
+        const bool isBehind = stillWaiting[customer].count > 0;
+        if (!isBehind && tryAdmit(step, *record))
+            continue;
+        if (record->tokensBy <= step.now) {
+            refuseOverRate(step, *record,
+                           expectedAt(state.shares, customer, costOf(record->asked), step.now));
             continue;
         }
-        // In order within a customer: a small request must not overtake a large one for ever.
-        const bool isBehind = stillWaiting.contains(record->customer);
-        if (isBehind || !tryAdmit(step, *record, customer->second)) {
-            stillWaiting.insert(customer->first);
-            state.waitingForTokens.push_back(id);
-        }
+        stillWaiting[customer] += costOf(record->asked);
+        state.waitingForTokens.push_back(id);
     }
+    for (const auto &[customer, tokens] : stillWaiting)
+        seekCustomerTokens(step, customer, tokens);
+}
+
+void endOverdue(Step &step, const RequestId &request)
+{
+    RequestRecord *record = recordOf(step.state, request);
+    if (!record)
+        return;
+    const bool isRunning = record->phase == RequestPhase::Running;
+    if (isRunning)
+        cancelAttempt(step, *record);
+    endRefused(step, *record, ResultCode::WaitedTooLong,
+               isRunning ? RunState::Ran : RunState::NotRun);
 }
 
 void expireRequests(Step &step)
@@ -486,13 +496,8 @@
     RequestRecord *record = recordOf(step.state, event.request);
     if (!record)
         return;
-    if (record->phase == RequestPhase::Running) {
-        const auto upstream = step.state.inForce.upstreams.find(record->upstream);
-        const std::string address = upstream == step.state.inForce.upstreams.end()
-                ? ""
-                : upstream->second.address;
-        step.actions.emplace_back(CancelAttempt{ event.request, record->upstream, address });
-    }
+    if (record->phase == RequestPhase::Running)
+        cancelAttempt(step, *record);
     countRefusal(step.state.counters, ResultCode::CallerGone);
     endRequest(step, *record);
 }
@@ -502,7 +507,7 @@
     RequestRecord *record = recordOf(step.state, event.request);
     if (!record || record->attempt != event.attempt || event.generated <= record->generated)
         return;
-    settleTokens(step, *record, event.generated - record->generated);
+    settle(step.state.shares, event.request, event.generated - record->generated, step.now);
     step.state.counters.generatedTokens += static_cast<std::uint64_t>(
             (event.generated - record->generated).count);
     record->generated = event.generated;
@@ -541,20 +546,11 @@
         if (isRunning && !record.isIdempotent)
             continue; // a filing that was sent cannot be taken back; its answer is still the
                       // caller's
-        if (isRunning) {
-            const auto upstream = state.inForce.upstreams.find(record.upstream);
-            const std::string address = upstream == state.inForce.upstreams.end()
-                    ? ""
-                    : upstream->second.address;
-            step.actions.emplace_back(CancelAttempt{ id, record.upstream, address });
-        }
+        if (isRunning)
+            cancelAttempt(step, record);
         endRefused(step, record, code, isRunning ? RunState::Ran : RunState::NotRun);
     }
-    std::erase_if(state.buckets, [&state](const auto &entry) {
-        return !state.inForce.customers.contains(entry.first);
-    });
-    for (const auto &[id, customer] : state.inForce.customers)
-        shapeBucket(step, customer);
+    applyShareTerms(step);
 }
 
 void noteSummaries(Step &step, const std::vector<EngineSummary> &summaries)
