--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -128,6 +128,39 @@
   8: list<HeldLoan> held
 }
 
+struct PermitAsk {
+  1: string number
+  2: string customer
+  3: string request
+  4: i64 untilDeadline
+}
+
+struct HeldAnswer {
+  1: i32 status
+  2: string contentType
+  3: binary body
+}
+
+struct PermitReply {
+  1: string number
+  2: string request
+  3: i32 verdict
+  4: i64 length
+  5: HeldAnswer answer
+}
+
+struct OutcomeReport {
+  1: string number
+  2: string customer
+  3: string request
+  4: i32 outcome
+  5: HeldAnswer answer
+}
+
+struct OutcomeAck {
+  1: string request
+}
+
 union Body {
   1: Heartbeat heartbeat
   2: SlotAsk slotAsk
@@ -142,6 +175,10 @@
   21: ShareGrant shareGrant
   22: ShareQuery shareQuery
   23: ShareStatement shareStatement
+  40: PermitAsk permitAsk
+  41: PermitReply permitReply
+  42: OutcomeReport outcomeReport
+  43: OutcomeAck outcomeAck
 }
 
 struct Envelope {
--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/calls/call_ledger.h"
 #include "azurewell/limits/share_messages.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/result_code.h"
@@ -109,9 +110,24 @@
     std::string text;
 };
 
+/// The issuing instance's answer to a PermitAsk.
+struct PermitReply
+{
+    CallNumber number;
+    RequestId request;
+    PermitAnswer answer;
+};
+
+/// The issuing instance has noted the OutcomeReport of this request.
+struct OutcomeAck
+{
+    RequestId request;
+};
+
 using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
                               SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
-                              ShareAsk, ShareGrant, ShareQuery, ShareStatement>;
+                              ShareAsk, ShareGrant, ShareQuery, ShareStatement,
+                              PermitAsk, PermitReply, OutcomeReport, OutcomeAck>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -1,9 +1,8 @@
 #include "azurewell/fleet/codec.h"
 
+#include "codec_calls.h"
 #include "codec_shares.h"
 
-#include <peer_types.h>
-
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -157,6 +156,22 @@
     {
         this->out.__set_shareStatement(azurewell::toWire(in));
     }
+    void operator()(const PermitAsk &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const PermitReply &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const OutcomeReport &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const OutcomeAck &in) const
+    {
+        writeBody(this->out, in);
+    }
 };
 
 Heartbeat fromWire(const wire::Heartbeat &in)
@@ -241,7 +256,7 @@
                            in.ticketPush.text };
     if (const std::optional<ShareBody> share = shareBodyOf(in))
         return std::visit([](const auto &body) { return PeerBody(body); }, *share);
-    return std::monostate{};
+    return readCallBody(in);
 }
 
 } // namespace
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -20,12 +20,16 @@
 /// Tells callers when to come back where nothing better is known.
 constexpr Span defaultRetryAfter = fromSeconds(1);
 
+} // namespace
+
 RequestRecord *recordOf(HostState &state, const RequestId &id)
 {
     const auto found = state.requests.find(id);
     return found == state.requests.end() ? nullptr : &found->second;
 }
 
+namespace {
+
 Tokens costOf(const RequestArrived &asked)
 {
     return asked.promptTokens + asked.mostGenerated;
@@ -53,7 +57,8 @@
     step.actions.emplace_back(CancelAttempt{ record.asked.request, record.upstream, address });
 }
 
-/// Ends a request: slot and tokens go back, the record goes.
+} // namespace
+
 void endRequest(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
@@ -61,6 +66,8 @@
         KnownUpstream &upstream = state.upstreams[record.upstream];
         upstream.inFlight -= upstream.inFlight > 0 ? 1 : 0;
     }
+    if (needsPermit(record)) // where nothing was said before, only a call never sent is "not run"
+        settleCall(step, record, record.attempt == 0 ? CallOutcome::NotRun : CallOutcome::Unknown);
     releaseSlot(step, record, record.asked.promptTokens + record.generated);
     release(state.shares, record.asked.request, step.now);
     const RequestId id = record.asked.request; // a copy: the record holds the original
@@ -70,10 +77,18 @@
 
 void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState)
 {
-    refuse(step, record.asked.request, code, runState, defaultRetryAfter);
+    if (needsPermit(record) && runState == RunState::NotRun)
+        runState = runStateUnsent(step, record);
+    else if (needsPermit(record))
+        settleCall(step, record, CallOutcome::Unknown);
+    const bool isUntrue = runState == RunState::NotRun && record.mayHaveRun;
+    refuse(step, record.asked.request, code, isUntrue ? RunState::Unknown : runState,
+           defaultRetryAfter);
     endRequest(step, record);
 }
 
+namespace {
+
 UpstreamView viewOf(const HostState &state, const RequestRecord &record, const Upstream &upstream)
 {
     UpstreamView view;
@@ -149,6 +164,8 @@
                                         record.isIdempotent, notAfter });
 }
 
+} // namespace
+
 void callService(Step &step, RequestRecord &record)
 {
     const std::optional<UpstreamId> backEnd = chooseBackEnd(viewsFor(step.state, record));
@@ -156,10 +173,18 @@
         endRefused(step, record, ResultCode::NoUpstream, RunState::NotRun);
         return;
     }
+    const Instant sendBefore = needsPermit(record) ? permitEnd(step, record)
+                                                   : record.asked.deadline;
+    if (sendBefore <= step.now) {
+        endRefused(step, record, ResultCode::WaitedTooLong, RunState::NotRun);
+        return;
+    }
     record.upstream = *backEnd;
-    dispatch(step, record, record.asked.deadline);
+    dispatch(step, record, sendBefore);
 }
 
+namespace {
+
 void seekSlot(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
@@ -193,7 +218,9 @@
 void start(Step &step, RequestRecord &record)
 {
     countFirstTry(step.state.retryBudget);
-    if (record.asked.kind == RequestKind::ServiceCall)
+    if (needsPermit(record))
+        seekPermit(step, record);
+    else if (record.asked.kind == RequestKind::ServiceCall)
         callService(step, record);
     else
         seekSlot(step, record);
@@ -202,7 +229,8 @@
 void refuseOverRate(Step &step, RequestRecord &record, Instant expected)
 {
     const Span wait = expected == never ? defaultRetryAfter : expected - step.now;
-    refuse(step, record.asked.request, ResultCode::RateExceeded, RunState::NotRun,
+    const RunState runState = needsPermit(record) ? runStateUnsent(step, record) : RunState::NotRun;
+    refuse(step, record.asked.request, ResultCode::RateExceeded, runState,
            std::max(wait, defaultRetryAfter));
     endRequest(step, record);
 }
@@ -237,6 +265,14 @@
     seekCustomerTokens(step, customer, ahead + cost);
 }
 
+/// A call with a number may have run for an earlier request; "not run" would make its caller send
+/// it under a new number, and it would run twice.
+RunState runStateAtArrival(const RequestArrived &event)
+{
+    const bool isNumbered = !event.callNumber.value.empty() && !event.isSafeMethod;
+    return isNumbered ? RunState::Unknown : RunState::NotRun;
+}
+
 RetryReason retryReasonOf(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -248,6 +284,7 @@
         return RetryReason::UpstreamSilent;
     case AttemptOutcome::Mismatch:
         return RetryReason::AnswerMismatch;
+    case AttemptOutcome::NotResumable:
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -266,6 +303,7 @@
         return ResultCode::UpstreamSilent;
     case AttemptOutcome::Mismatch:
         return ResultCode::AnswerMismatch;
+    case AttemptOutcome::NotResumable:
     case AttemptOutcome::Failed:
     case AttemptOutcome::Done:
         break;
@@ -288,6 +326,8 @@
         upstream.state = advance(chart, upstream.state, UpstreamEvent::Answered);
         return;
     }
+    if (outcome == AttemptOutcome::Mismatch)
+        ++step.state.counters.answerMismatches;
     ++upstream.failuresInARow;
     if (upstream.failuresInARow >= failuresToEject
         && accepts(chart, upstream.state, UpstreamEvent::Failed)) {
@@ -296,26 +336,48 @@
     }
 }
 
+/// Whether the upstream should get the request once more. A connection that went silent tells
+/// nothing of the engine: it has the stream still, and can go on with it on a new connection.
+bool mayTrySameAgain(const RequestRecord &record, AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Silent && record.generated.count > 0 && record.attempt == 1;
+}
+
+/// Whether a retry may be made. A stream that the caller has a part of is resumed outside the
+/// budget: resuming repeats no work, and no more than the open streams of a failed engine can ask
+/// for it at once, each at most mostAttempts times.
+bool mayRetry(Step &step, const RequestRecord &record)
+{
+    return record.generated.count > 0 || takeRetry(step.state.retryBudget);
+}
+
 /// Tries a failed request elsewhere where that is safe and the budget allows; otherwise refuses it.
 void retryOrRefuse(Step &step, RequestRecord &record, AttemptOutcome outcome)
 {
     const bool isNotRun = isCertainlyNotRun(outcome);
     const bool isSafe = isNotRun || record.isIdempotent;
     const RunState runState = isNotRun ? RunState::NotRun : RunState::Unknown;
+    record.mayHaveRun = record.mayHaveRun || !isNotRun;
+    if (outcome == AttemptOutcome::NotResumable) {
+        endRefused(step, record, ResultCode::UpstreamFailed, RunState::Unknown);
+        return;
+    }
     if (!isSafe) {
         endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
         return;
     }
-    if (record.attempt >= mostAttempts || record.asked.deadline <= step.now) {
+    if (record.isCallerGone || record.attempt >= mostAttempts
+        || record.asked.deadline <= step.now) {
         endRefused(step, record, refusalOf(outcome), runState);
         return;
     }
-    if (!takeRetry(step.state.retryBudget)) {
+    if (!mayRetry(step, record)) {
         endRefused(step, record, ResultCode::RetryBudgetSpent, runState);
         return;
     }
     countRetry(step.state.counters, retryReasonOf(outcome));
-    record.failedAt.insert(record.upstream);
+    if (!mayTrySameAgain(record, outcome))
+        record.failedAt.insert(record.upstream);
     releaseSlot(step, record, record.generated);
     if (record.asked.kind == RequestKind::ServiceCall)
         callService(step, record);
@@ -329,16 +391,21 @@
 {
     HostState &state = step.state;
     ++state.counters.arrived;
+    const RunState unsent = runStateAtArrival(event);
     if (state.process != ProcessState::Serving) {
         const bool isStarting = state.process == ProcessState::Starting;
         refuse(step, event.request,
-               isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, RunState::NotRun,
+               isStarting ? ResultCode::HostStarting : ResultCode::HostDraining, unsent,
                defaultRetryAfter);
         return;
     }
     const Result<const Customer *> customer = customerOf(state.inForce, event.key);
     if (!customer) {
-        refuse(step, event.request, customer.error().code, RunState::NotRun);
+        refuse(step, event.request, customer.error().code, unsent);
+        return;
+    }
+    if (event.kind == RequestKind::CallNumbers) {
+        issueNumbers(step, event, customer.value()->id);
         return;
     }
     RequestRecord record;
@@ -348,24 +415,24 @@
         const Result<const Adapter *> adapter = adapterFor(state.inForce, record.customer,
                                                            event.adapter);
         if (!adapter) {
-            refuse(step, event.request, adapter.error().code, RunState::NotRun);
+            refuse(step, event.request, adapter.error().code, unsent);
             return;
         }
     } else {
         const Result<const Service *> service = serviceFor(state.inForce, *customer.value(),
                                                            event.service);
         if (!service) {
-            refuse(step, event.request, service.error().code, RunState::NotRun);
+            refuse(step, event.request, service.error().code, unsent);
             return;
         }
         record.isIdempotent = event.isSafeMethod || service.value()->isIdempotent;
     }
     if (costOf(event) > largestRequest(state.shares, record.customer)) {
-        refuse(step, event.request, ResultCode::ExceedsBurst, RunState::NotRun);
+        refuse(step, event.request, ResultCode::ExceedsBurst, unsent);
         return;
     }
     if (state.shares.isSuperseded) {
-        refuse(step, event.request, ResultCode::NoShare, RunState::NotRun, defaultRetryAfter);
+        refuse(step, event.request, ResultCode::NoShare, unsent, defaultRetryAfter);
         return;
     }
     RequestRecord &kept = state.requests[event.request] = std::move(record);
@@ -403,6 +470,11 @@
     if (!record)
         return;
     const bool isRunning = record->phase == RequestPhase::Running;
+    if (isRunning && !record->isIdempotent) {
+        // A call that was sent can't be taken back; it makes no tokens beyond its prompt.
+        release(step.state.shares, request, step.now);
+        return;
+    }
     if (isRunning)
         cancelAttempt(step, *record);
     endRefused(step, *record, ResultCode::WaitedTooLong,
@@ -496,6 +568,10 @@
     RequestRecord *record = recordOf(step.state, event.request);
     if (!record)
         return;
+    if (record->phase == RequestPhase::Running && needsPermit(*record)) {
+        record->isCallerGone = true; // the call goes on: its outcome answers the caller's repeat
+        return;
+    }
     if (record->phase == RequestPhase::Running)
         cancelAttempt(step, *record);
     countRefusal(step.state.counters, ResultCode::CallerGone);
@@ -522,6 +598,8 @@
     noteUpstreamOutcome(step, record->upstream, event.outcome);
     if (event.outcome == AttemptOutcome::Done) {
         ++step.state.counters.completed;
+        if (needsPermit(*record))
+            settleCall(step, *record, CallOutcome::Done, event.answer);
         endRequest(step, *record);
         return;
     }
--- a/packages/limits/include/azurewell/limits/share_settings.h
+++ b/packages/limits/include/azurewell/limits/share_settings.h
@@ -35,6 +35,8 @@
     Span askTimeout = fromSeconds(0.3);
     /// A lender that gave too little is asked again after this.
     Span askPause = fromSeconds(0.1);
+    /// A lender that gave nothing is asked again after this.
+    Span emptyPause = fromSeconds(0.3);
     /// Demand of this long is borrowed ahead, so that one grant serves several requests.
     Span prefetch = fromSeconds(0.25);
     /// How fast the estimate of demand follows.
--- a/packages/limits/src/loan_wallet.cpp
+++ b/packages/limits/src/loan_wallet.cpp
@@ -47,7 +47,9 @@
     wallet.asked = Tokens{};
     wallet.left = grant.left;
     wallet.leftAt = now;
-    wallet.nextAsk = grant.amount < wanted ? now + settings.askPause : now;
+    // An empty lender earns little meanwhile; asking it at once again would cost messages only.
+    const Span pause = grant.amount.count == 0 ? settings.emptyPause : settings.askPause;
+    wallet.nextAsk = grant.amount < wanted ? now + pause : now;
     wallet.report.closed = wallet.askSerial;
     wallet.report.accepted += grant.amount;
     wallet.available += grant.amount;
