--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "codec_calls.h"
 #include "codec_shares.h"
+#include "codec_snapshots.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -36,6 +37,8 @@
     out.__set_queued(static_cast<std::int32_t>(summary.queued));
     out.__set_running(static_cast<std::int32_t>(summary.running));
     out.__set_loaded(namesOf(summary.loaded));
+    out.__set_openSlots(static_cast<std::int32_t>(summary.openSlots));
+    out.__set_wanted(namesOf(summary.wanted));
     return out;
 }
 
@@ -156,6 +159,14 @@
     {
         this->out.__set_shareStatement(azurewell::toWire(in));
     }
+    void operator()(const SnapshotAsk &in) const
+    {
+        writeBody(this->out, in);
+    }
+    void operator()(const SnapshotPart &in) const
+    {
+        writeBody(this->out, in);
+    }
     void operator()(const PermitAsk &in) const
     {
         writeBody(this->out, in);
@@ -182,7 +193,8 @@
     for (const wire::EngineSummary &summary : in.engines) {
         beat.engines.push_back(EngineSummary{
                 UpstreamId{ summary.engine }, static_cast<std::uint32_t>(summary.queued),
-                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded) });
+                static_cast<std::uint32_t>(summary.running), idsOf<AdapterRef>(summary.loaded),
+                static_cast<std::uint32_t>(summary.openSlots), idsOf<AdapterRef>(summary.wanted) });
     }
     beat.zone = ZoneId{ in.zone };
     beat.seat = SeatNumber{ static_cast<std::uint32_t>(in.seat) };
@@ -256,7 +268,8 @@
                            in.ticketPush.text };
     if (const std::optional<ShareBody> share = shareBodyOf(in))
         return std::visit([](const auto &body) { return PeerBody(body); }, *share);
-    return readCallBody(in);
+    PeerBody body = readCallBody(in);
+    return std::holds_alternative<std::monostate>(body) ? readSnapshotBody(in) : body;
 }
 
 } // namespace
--- a/packages/limits/include/azurewell/limits/share_holder.h
+++ b/packages/limits/include/azurewell/limits/share_holder.h
@@ -82,6 +82,9 @@
     HostLife self;
     ZoneSeats zones;
     TicketNumber ticket;
+    /// The first that this host had: one that starts from a snapshot does not know the sizes of
+    /// parts before it, and counts a seat as unheard until that seat has settled it.
+    std::optional<TicketNumber> firstTicket;
     TicketNumber settled; ///< All parts here have the size that this ticket gives them.
 
     std::optional<Instant> earnsFrom; ///< Set by the first event.
--- a/packages/limits/src/share_exchange.cpp
+++ b/packages/limits/src/share_exchange.cpp
@@ -20,13 +20,21 @@
             shares.terms.burst * fraction, now);
 }
 
+/// Whether \a seat has said what it holds, and left the tickets before this host's first behind.
+bool hasStated(const ShareHolder &holder, const SeatId &seat)
+{
+    const auto view = holder.seats.find(seat);
+    return view != holder.seats.end() && holder.statedLoans.contains(seat)
+            && view->second.settled >= holder.firstTicket.value_or(TicketNumber{});
+}
+
 void cutUnheardLoans(ShareHolder &holder, Instant now)
 {
     double unheard = 0;
     for (const auto &[zone, count] : holder.zones) {
         for (std::uint32_t number = 0; number < count; ++number) {
             const SeatId seat{ zone, SeatNumber{ number } };
-            unheard += seat != holder.seat && !holder.statedLoans.contains(seat) ? 1 : 0;
+            unheard += seat != holder.seat && !hasStated(holder, seat) ? 1 : 0;
         }
     }
     holder.hasAllStatements = unheard == 0 && !holder.zones.empty();
@@ -75,9 +83,8 @@
     const bool grows = std::any_of(holder.customers.begin(), holder.customers.end(), isGrowing);
     ++holder.querySerial;
     for (const auto &[seat, view] : holder.seats) {
-        const auto stated = holder.statedLoans.find(seat);
         // One that holds loans of a former life is asked again: they become fewer.
-        const bool isMissing = stated == holder.statedLoans.end() || !stated->second.empty();
+        const bool isMissing = !hasStated(holder, seat) || !holder.statedLoans.at(seat).empty();
         const bool isBehind = grows && view.settled < holder.ticket;
         if (isMissing || isBehind || !holder.isTrusted)
             out.push_back(
--- a/packages/limits/src/share_holder.cpp
+++ b/packages/limits/src/share_holder.cpp
@@ -99,6 +99,7 @@
     const bool isSameLayout = holder.zones == zones;
     holder.zones = zones;
     holder.ticket = ticket;
+    holder.firstTicket = holder.firstTicket.value_or(ticket);
     std::set<CustomerId> listed;
     for (const ShareTerms &entry : terms) {
         listed.insert(entry.customer);
