--- a/packages/limits/include/azurewell/limits/share_settings.h
+++ b/packages/limits/include/azurewell/limits/share_settings.h
@@ -28,8 +28,8 @@
     double clockDrift = 0.02;
     /// What one borrower may hold of a part at a time. A fresh lender blocks as much for each seat
     /// that it has not heard, so this is also what an unheard seat costs it. With all traffic at
-    /// one host the customer gets 0.80 of its rate at 0.5, 0.85 at 0.75 and 0.87 at 1 (benchmark
-    /// rate_shares, vigia-7, a customer at five times its rate).
+    /// one host a customer at five times its rate gets 0.82 of it at 0.5, 0.87 at 0.75 and 0.88 at
+    /// 1 (benchmark rate_shares, vigia-7).
     double mostPerBorrower = 0.75;
     /// An ask that is not answered by then is given up; its late grant is dropped.
     Span askTimeout = fromSeconds(0.3);
