--- a/packages/shell/src/metrics.cpp
+++ b/packages/shell/src/metrics.cpp
@@ -103,6 +103,23 @@
     metrics.arrivedAt.erase(arrived);
 }
 
+std::string shareText(const ShareCounters &counters)
+{
+    std::string text;
+    text += counterText("share_asks_total", "Asks for tokens of other hosts.", counters.asks);
+    text += counterText("share_empty_grants_total", "Asks that brought nothing.",
+                        counters.emptyGrants);
+    text += counterText("share_late_grants_total", "Grants dropped as late or doubled.",
+                        counters.lateGrants);
+    text += counterText("share_borrowed_tokens_total", "Tokens borrowed.", counters.borrowedTokens);
+    text += counterText("share_lent_tokens_total", "Tokens lent.", counters.lentTokens);
+    text += counterText("share_doubts_total", "Pauses after which this host doubted its seat.",
+                        counters.distrusted);
+    text += counterText("share_overdue_requests_total", "Requests ended with their lent tokens.",
+                        counters.overdueRuns);
+    return text;
+}
+
 std::string metricsText(const HostState &state, const Metrics &metrics)
 {
     const Counters &counters = state.counters;
@@ -129,6 +146,7 @@
                         counters.unknownMessages);
     text += counterText("peer_frames_refused_total", "Frames on the peer port that were refused.",
                         metrics.peerLinks.framesRefused);
+    text += shareText(state.shares.counters);
     text += counterText("peer_links_reopened_total", "Links to hosts that went silent.",
                         metrics.peerLinks.linksReopened);
     text += counterText("peer_links_dropped_total", "Links to hosts that did not read.",
