--- a/packages/fleet/include/azurewell/fleet/messages.h
+++ b/packages/fleet/include/azurewell/fleet/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/calls/call_ledger.h"
+#include "azurewell/limits/share_messages.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/result_code.h"
 #include "azurewell/units/time.h"
@@ -162,10 +163,10 @@
     std::string text;
 };
 
-using PeerBody
-        = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal, SlotRenewal,
-                       SlotRelease, TicketAsk, TicketPush, SlotRenewed, PermitAsk, PermitReply,
-                       OutcomeReport, OutcomeAck, SnapshotAsk, SnapshotPart>;
+using PeerBody = std::variant<std::monostate, Heartbeat, SlotAsk, SlotGrant, SlotRefusal,
+                              SlotRenewal, SlotRelease, TicketAsk, TicketPush, SlotRenewed,
+                              PermitAsk, PermitReply, OutcomeReport, OutcomeAck, SnapshotAsk,
+                              SnapshotPart, ShareAsk, ShareGrant, ShareQuery, ShareStatement>;
 
 /// A message with its sender. A body of a kind that this version does not know is std::monostate.
 struct PeerMessage
--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -7,7 +7,7 @@
 #include "azurewell/host/events.h"
 #include "azurewell/host/keeper_state.h"
 #include "azurewell/host/ticket_state.h"
-#include "azurewell/limits/token_bucket.h"
+#include "azurewell/limits/share_holder.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/placement/load_pacer.h"
 #include "azurewell/routing/retry_budget.h"
@@ -33,6 +33,9 @@
     std::string peerAddress;
     Incarnation incarnation; ///< Must be above that of any earlier life of the same host.
     std::uint64_t randomSeed = 0;
+    /// Whether a host that was paused and reaches no other goes on with its part of every rate, at
+    /// the risk that a successor uses the same part.
+    bool resumesUnconfirmed = false;
 };
 
 enum class RequestPhase : std::uint8_t { WaitingForTokens, WaitingForSlot, Running };
@@ -43,7 +46,7 @@
     RequestArrived asked;
     CustomerId customer;
     RequestPhase phase = RequestPhase::WaitingForTokens;
-    Tokens reserved;         ///< Still reserved in the customer's bucket.
+    Instant tokensBy;        ///< Refused if the customer's rate has not admitted it by then.
     Tokens generated;        ///< Passed on to the caller.
     UpstreamId upstream;     ///< Where it waits or runs.
     HostId keeper;           ///< Who was asked for the slot.
@@ -129,7 +132,7 @@
     KeeperState keepers;
 
     std::unordered_map<RequestId, RequestRecord> requests;
-    std::unordered_map<CustomerId, TokenBucket> buckets;
+    ShareHolder shares;                     ///< Of every customer's rate and burst.
     std::deque<RequestId> waitingForTokens; ///< Oldest first.
     std::unordered_map<UpstreamId, KnownUpstream> upstreams;
     UpstreamTable routing;
--- a/packages/host/src/host.cpp
+++ b/packages/host/src/host.cpp
@@ -25,6 +25,7 @@
     expireRequests(step);
     endLostSlots(step);
     askAgain(step);
+    tendHostShares(step);
     admitWaiting(step);
     tendEngines(step);
     tendCalls(step);
@@ -112,6 +113,7 @@
     // Serials of two lives of a host must differ: an echo of the former life's would be taken for a
     // promise to this one.
     state.nextSerial = (identity.incarnation.value % 65536) << 24 | 1;
+    state.shares = makeShares(identity);
     state.calls.ledger.host = identity.id;
     state.calls.ledger.incarnation = identity.incarnation;
     state.calls.ledger.secret = state.random();
@@ -125,6 +127,7 @@
 {
     Step step{ state, now, actions };
     noteWake(step);
+    noteTime(state.shares, now); // a host that was paused doubts its seat before anything else
     std::visit(Handler{ step }, event);
     while (!state.loopback.empty()) {
         const PeerMessage message = std::move(state.loopback.front());
--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -21,6 +21,8 @@
 void onSlotRefusal(Step &step, const HostId &keeper, const SlotRefusal &refusal);
 void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed);
 void admitWaiting(Step &step);
+/// Ends a running request whose lent tokens ran out of time.
+void endOverdue(Step &step, const RequestId &request);
 void expireRequests(Step &step);
 void renewSlots(Step &step);
 /// Asks again for slots whose keeper has changed or has not answered.
@@ -31,6 +33,18 @@
 /// Refuses requests whose key, customer or adapter is no longer in force.
 void enforceTickets(Step &step);
 
+// shares.cpp: this host's shares of the customers' rates.
+ShareHolder makeShares(const HostIdentity &self);
+/// Gives every customer's share the size of the ticket in force.
+void applyShareTerms(Step &step);
+void onHostSeen(Step &step, const HostId &host, Incarnation incarnation, const SeatId &seat);
+void onShareBody(Step &step, const PeerMessage &message, const ShareBody &body);
+/// Asks the owners of \a customer's parts for what its waiting requests lack.
+void seekCustomerTokens(Step &step, const CustomerId &customer, Tokens waiting);
+/// Cost of the requests of \a customer that wait here.
+Tokens waitingTokens(const HostState &state, const CustomerId &customer);
+void tendHostShares(Step &step);
+
 /// Ends a request with a refusal; what it says of the run is corrected to what is known.
 void endRefused(Step &step, RequestRecord &record, ResultCode code, RunState runState);
 /// Ends a request that was answered.
--- a/packages/host/src/peers.cpp
+++ b/packages/host/src/peers.cpp
@@ -15,6 +15,7 @@
     }
     state.fencing = std::max(state.fencing, beat.highestFencing);
     noteKeeperPromise(step, message.sender, message.incarnation, beat);
+    onHostSeen(step, message.sender, message.incarnation, SeatId{ beat.zone, beat.seat });
     noteSummaries(step, beat.engines);
     noteNews(step, beat.newsAge);
     askForTickets(step, message.sender, beat.ticket);
@@ -89,6 +90,22 @@
     {
         onTicketPush(this->step, push);
     }
+    void operator()(const ShareAsk &ask) const
+    {
+        onShareBody(this->step, this->message, ask);
+    }
+    void operator()(const ShareGrant &grant) const
+    {
+        onShareBody(this->step, this->message, grant);
+    }
+    void operator()(const ShareQuery &query) const
+    {
+        onShareBody(this->step, this->message, query);
+    }
+    void operator()(const ShareStatement &statement) const
+    {
+        onShareBody(this->step, this->message, statement);
+    }
 };
 
 } // namespace
--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -48,7 +48,12 @@
   // After SIGTERM, requests are served for so long while /readyz says 503: two checks of the balancer.
   "drain_grace_s": 4,
   // An upstream that sends nothing for this many seconds is silent.
-  "upstream_idle_s": 15
+  "upstream_idle_s": 15,
+
+  // A host that was paused and reaches no other does not know whether another one has taken its seat.
+  // false: it refuses requests until another host answers. true: it goes on after 10 s, at the risk
+  // that a customer gets this seat's part of its rate twice.
+  "resume_unconfirmed": false
 }
 )";
 
@@ -151,12 +156,14 @@
                        "request_patience_s",
                        "reader_patience_s",
                        "drain_grace_s",
-                       "upstream_idle_s" });
+                       "upstream_idle_s",
+                       "resume_unconfirmed" });
     Settings settings;
     settings.self.id = HostId{ reader.text("host") };
     settings.self.zone = ZoneId{ reader.text("zone") };
     settings.self.seat = SeatNumber{ static_cast<std::uint32_t>(reader.number("seat", 0, 1000)) };
     settings.self.peerAddress = reader.text("peers");
+    settings.self.resumesUnconfirmed = reader.flag("resume_unconfirmed", false);
     settings.callers = readEndpoint(reader, "callers");
     settings.peers = readEndpoint(reader, "peers");
     settings.operations = readEndpoint(reader, "operations");
--- a/tests/random_faults/disturb.cpp
+++ b/tests/random_faults/disturb.cpp
@@ -115,8 +115,8 @@
             key.state = KeyState::Issued;
         break;
     case Sabotage::FreeTokens:
-        for (auto &[id, bucket] : host.state.buckets)
-            bucket.level = bucket.burst;
+        for (auto &[id, shares] : host.state.shares.customers)
+            shares.part.bucket.level = shares.part.bucket.burst;
         break;
     case Sabotage::UseLeaving:
         for (auto &[id, upstream] : host.state.upstreams)
