--- a/packages/host/include/azurewell/host/host_state.h
+++ b/packages/host/include/azurewell/host/host_state.h
@@ -54,6 +54,7 @@
     Instant leaseEnds;       ///< The slot is ours until then.
     std::uint32_t round = 0; ///< Times that a slot was sought; grants of earlier rounds are void.
     std::uint64_t renewalSerial = 0; ///< Of the newest renewal that listed it.
+    std::uint32_t asks = 0;          ///< Sent in this round.
     Instant askAgainAt;              ///< An ask or a grant may be lost, and a keeper may be gone.
     bool isCancelled = false; ///< Its slot was lost while it ran; the attempt's end is awaited.
     std::uint32_t attempt = 0;
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -20,6 +20,9 @@
 constexpr Span defaultRetryAfter = fromSeconds(1);
 /// A waiting ask is repeated this often: it, or the grant, can have been lost.
 constexpr Span askInterval = fromSeconds(1);
+/// Up to four seconds between asks: one message a second for each waiting request was half of what
+/// a node sent while adapters were being loaded.
+constexpr std::uint32_t mostAskDoublings = 2;
 /// When a host that no longer keeps the engine said so; by then the views have moved on.
 constexpr Span askAgainSoon = fromSeconds(0.1);
 
@@ -153,7 +156,8 @@
 {
     HostState &state = step.state;
     const auto customer = state.inForce.customers.find(record.customer);
-    record.askAgainAt = step.now + askInterval;
+    record.askAgainAt = step.now + askInterval * (1LL << std::min(record.asks, mostAskDoublings));
+    ++record.asks;
     SlotAsk ask;
     ask.request = record.asked.request;
     ask.engine = record.upstream;
@@ -192,6 +196,7 @@
     record.phase = RequestPhase::WaitingForSlot;
     record.isCancelled = false;
     ++record.round;
+    record.asks = 0;
     const std::optional<std::pair<UpstreamId, HostId>> chosen = chooseKept(step, record);
     if (!chosen) {
         record.upstream = UpstreamId{};
