--- a/packages/host/src/internal.h
+++ b/packages/host/src/internal.h
@@ -12,24 +12,38 @@
     std::vector<Action> &actions;
 };
 
-// requests.cpp: a request from its arrival to its end.
-void onRequestArrived(Step &step, const RequestArrived &event);
-void onCallerLeft(Step &step, const CallerLeft &event);
+// attempts.cpp: how an attempt at an upstream went, and whether the request is tried again.
 void onAttemptProgress(Step &step, const AttemptProgress &event);
 void onAttemptEnded(Step &step, const AttemptEnded &event);
+
+// slot_requests.cpp: this host as asker: slots for its requests.
+/// Chooses an engine and asks its keeper; refuses with \a ifNone where no engine can be had.
+void seekSlot(Step &step, RequestRecord &record, ResultCode ifNone = ResultCode::NoUpstream);
 void onSlotGrant(Step &step, const HostId &keeper, const SlotGrant &grant);
 void onSlotRefusal(Step &step, const HostId &keeper, const SlotRefusal &refusal);
 void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed);
-void admitWaiting(Step &step);
-/// Ends a running request whose lent tokens ran out of time.
-void endOverdue(Step &step, const RequestId &request);
-void expireRequests(Step &step);
 void renewSlots(Step &step);
 /// Asks again for slots whose keeper has changed or has not answered.
 void askAgain(Step &step);
 /// Cancels what runs on a slot whose lease has ended.
 void endLostSlots(Step &step);
+/// The number of the next ask, renewal or heartbeat; leases are counted from when it was sent.
 std::uint64_t nextSerial(Step &step);
+
+// requests.cpp: a request from its arrival to its end.
+/// Prompt tokens and the most that may be generated.
+Tokens costOf(const RequestArrived &asked);
+/// Gives the request's slot back to its keeper.
+void releaseSlot(Step &step, const RequestRecord &record, Tokens used);
+void cancelAttempt(Step &step, RequestRecord &record);
+/// Sends the request to its upstream, at the latest at \a notAfter.
+void dispatch(Step &step, RequestRecord &record, Instant notAfter);
+void onRequestArrived(Step &step, const RequestArrived &event);
+void onCallerLeft(Step &step, const CallerLeft &event);
+void admitWaiting(Step &step);
+/// Ends a running request whose lent tokens ran out of time.
+void endOverdue(Step &step, const RequestId &request);
+void expireRequests(Step &step);
 /// Refuses requests whose key, customer or adapter is no longer in force.
 void enforceTickets(Step &step);
 
--- a/packages/host/src/requests.cpp
+++ b/packages/host/src/requests.cpp
@@ -8,23 +8,8 @@
 
 /// A request that its customer's rate can admit within this time waits instead of being refused.
 constexpr Span longestTokenWait = fromSeconds(2);
-/// The asker's lease is cut by this share for clocks that run at different rates (200 ppm is the
-/// worst that quartz does; a hundred times that costs a tenth of a second of a ten-second lease).
-constexpr double leaseDriftMargin = 0.02;
-constexpr std::uint32_t mostAttempts = 4;
-/// Keepers that are asked for one request. One keeper's queue being too long says nothing of the
-/// others; at four times the capacity three asks keep the shares of customers whose adapters are on
-/// few engines (docs/DECISIONS.md).
-constexpr std::uint32_t mostAsks = 3;
 /// Tells callers when to come back where nothing better is known.
 constexpr Span defaultRetryAfter = fromSeconds(1);
-/// A waiting ask is repeated this often: it, or the grant, can have been lost.
-constexpr Span askInterval = fromSeconds(1);
-/// Up to four seconds between asks: one message a second for each waiting request was half of what
-/// a node sent while adapters were being loaded.
-constexpr std::uint32_t mostAskDoublings = 2;
-/// When a host that no longer keeps the engine said so; by then the views have moved on.
-constexpr Span askAgainSoon = fromSeconds(0.1);
 
 } // namespace
 
@@ -34,13 +19,13 @@
     return found == state.requests.end() ? nullptr : &found->second;
 }
 
-namespace {
-
 Tokens costOf(const RequestArrived &asked)
 {
     return asked.promptTokens + asked.mostGenerated;
 }
 
+namespace {
+
 void refuse(Step &step, const RequestId &request, ResultCode code, RunState runState,
             std::optional<Span> retryAfter = {}, const std::string &detail = {})
 {
@@ -48,6 +33,8 @@
     step.actions.emplace_back(Refuse{ request, code, runState, retryAfter, detail });
 }
 
+} // namespace
+
 void releaseSlot(Step &step, const RequestRecord &record, Tokens used)
 {
     if (record.asked.kind == RequestKind::Completion && !record.upstream.value.empty())
@@ -69,8 +56,6 @@
     step.actions.emplace_back(CancelAttempt{ record.asked.request, record.upstream, address });
 }
 
-} // namespace
-
 void endRequest(Step &step, RequestRecord &record)
 {
     HostState &state = step.state;
@@ -96,17 +81,6 @@
     endRequest(step, record);
 }
 
-namespace {
-
-/// When a lease that the keeper counts from `basis` ends here.
-Instant leaseEnd(const HostState &state, std::uint64_t basis, Span length)
-{
-    const auto sent = state.serialSentAt.find(basis);
-    if (sent == state.serialSentAt.end())
-        return Instant{};
-    return sent->second + length - fromSeconds(toSeconds(length) * leaseDriftMargin);
-}
-
 void dispatch(Step &step, RequestRecord &record, Instant notAfter)
 {
     HostState &state = step.state;
@@ -130,8 +104,6 @@
                                         record.isIdempotent, notAfter });
 }
 
-} // namespace
-
 void callService(Step &step, RequestRecord &record)
 {
     const std::optional<UpstreamId> backEnd = chooseFor(step, record);
@@ -152,63 +124,6 @@
 
 namespace {
 
-void sendAsk(Step &step, RequestRecord &record)
-{
-    HostState &state = step.state;
-    const auto customer = state.inForce.customers.find(record.customer);
-    record.askAgainAt = step.now + askInterval * (1LL << std::min(record.asks, mostAskDoublings));
-    ++record.asks;
-    SlotAsk ask;
-    ask.request = record.asked.request;
-    ask.engine = record.upstream;
-    ask.adapter = record.asked.adapter;
-    ask.customer = record.customer;
-    ask.cost = costOf(record.asked);
-    ask.weight = customer == state.inForce.customers.end() ? 1.0 : customer->second.weight;
-    ask.untilDeadline = record.asked.deadline - step.now;
-    ask.serial = nextSerial(step);
-    ask.round = record.round;
-    sendTo(step, record.keeper, ask);
-}
-
-/// The best engine whose zone has a host to keep it, with that host.
-std::optional<std::pair<UpstreamId, HostId>> chooseKept(Step &step, RequestRecord &record)
-{
-    std::optional<std::pair<UpstreamId, HostId>> chosen;
-    const std::size_t failed = record.failedAt.size();
-    while (const std::optional<UpstreamId> engine = chooseFor(step, record)) {
-        const auto upstream = step.state.inForce.upstreams.find(*engine);
-        if (upstream == step.state.inForce.upstreams.end())
-            break;
-        if (const std::optional<HostId> keeper = engineKeeper(step.state, upstream->second)) {
-            chosen.emplace(*engine, *keeper);
-            break;
-        }
-        record.failedAt.push_back(*engine); // only for this choice: its zone may be back soon
-    }
-    record.failedAt.resize(failed);
-    return chosen;
-}
-
-/// Asks a keeper for a slot; \a ifNone is the answer where no engine is left to ask.
-void seekSlot(Step &step, RequestRecord &record, ResultCode ifNone = ResultCode::NoUpstream)
-{
-    record.phase = RequestPhase::WaitingForSlot;
-    record.isCancelled = false;
-    ++record.round;
-    record.asks = 0;
-    const std::optional<std::pair<UpstreamId, HostId>> chosen = chooseKept(step, record);
-    if (!chosen) {
-        record.upstream = UpstreamId{};
-        endRefused(step, record, ifNone, RunState::NotRun);
-        return;
-    }
-    record.upstream = chosen->first;
-    noteRouted(step, record);
-    record.keeper = chosen->second;
-    sendAsk(step, record);
-}
-
 void start(Step &step, RequestRecord &record)
 {
     countFirstTry(step.state.retryBudget);
@@ -267,107 +182,6 @@
     return isNumbered ? RunState::Unknown : RunState::NotRun;
 }
 
-RetryReason retryReasonOf(AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::NotSent:
-        return RetryReason::NotSent;
-    case AttemptOutcome::Refused:
-        return RetryReason::UpstreamRefused;
-    case AttemptOutcome::Silent:
-        return RetryReason::UpstreamSilent;
-    case AttemptOutcome::Mismatch:
-        return RetryReason::AnswerMismatch;
-    case AttemptOutcome::Cancelled:
-        return RetryReason::SlotLost;
-    case AttemptOutcome::NotResumable:
-    case AttemptOutcome::Failed:
-    case AttemptOutcome::Done:
-        break;
-    }
-    return RetryReason::UpstreamFailed;
-}
-
-ResultCode refusalOf(AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::NotSent:
-        return ResultCode::NoUpstream;
-    case AttemptOutcome::Refused:
-        return ResultCode::UpstreamRefused;
-    case AttemptOutcome::Silent:
-        return ResultCode::UpstreamSilent;
-    case AttemptOutcome::Mismatch:
-        return ResultCode::AnswerMismatch;
-    case AttemptOutcome::Cancelled:
-        return ResultCode::SlotLost;
-    case AttemptOutcome::NotResumable:
-    case AttemptOutcome::Failed:
-    case AttemptOutcome::Done:
-        break;
-    }
-    return ResultCode::UpstreamFailed;
-}
-
-/// Whether the upstream certainly did not run the request.
-bool isCertainlyNotRun(AttemptOutcome outcome)
-{
-    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Refused;
-}
-
-/// Whether the upstream should get the request once more. A connection that went silent tells
-/// nothing of the engine: it has the stream still, and can go on with it on a new connection.
-bool mayTrySameAgain(const RequestRecord &record, AttemptOutcome outcome)
-{
-    return outcome == AttemptOutcome::Silent && record.generated.count > 0 && record.attempt == 1;
-}
-
-/// Whether a retry may be made. A stream that the caller has a part of is resumed outside the
-/// budget: resuming repeats no work, and no more than the open streams of a failed engine can ask
-/// for it at once, each at most mostAttempts times.
-bool mayRetry(Step &step, const RequestRecord &record)
-{
-    return record.generated.count > 0 || takeRetry(step.state.retryBudget);
-}
-
-/// Tries a failed request elsewhere where that is safe and the budget allows; otherwise refuses it.
-void retryOrRefuse(Step &step, RequestRecord &record, AttemptOutcome outcome)
-{
-    const bool isNotRun = isCertainlyNotRun(outcome);
-    const bool isSafe = isNotRun || record.isIdempotent;
-    const RunState runState = isNotRun ? RunState::NotRun : RunState::Unknown;
-    record.mayHaveRun = record.mayHaveRun || !isNotRun;
-    // After silence or a broken answer the engine may go on with it; the keeper has to cancel it
-    // before it may evict the adapter.
-    record.isCancelled = record.isCancelled || !isNotRun;
-    if (outcome == AttemptOutcome::NotResumable) {
-        endRefused(step, record, ResultCode::UpstreamFailed, RunState::Unknown);
-        return;
-    }
-    if (!isSafe) {
-        endRefused(step, record, ResultCode::OutcomeUnknown, RunState::Unknown);
-        return;
-    }
-    if (record.isCallerGone || record.attempt >= mostAttempts
-        || record.asked.deadline <= step.now) {
-        endRefused(step, record, refusalOf(outcome), runState);
-        return;
-    }
-    if (!mayRetry(step, record)) {
-        endRefused(step, record, ResultCode::RetryBudgetSpent, runState);
-        return;
-    }
-    countRetry(step.state.counters, retryReasonOf(outcome));
-    if (outcome != AttemptOutcome::Cancelled && !mayTrySameAgain(record, outcome))
-        record.failedAt.push_back(record.upstream);
-    noteUnrouted(step, record);
-    releaseSlot(step, record, record.generated);
-    if (record.asked.kind == RequestKind::ServiceCall)
-        callService(step, record);
-    else
-        seekSlot(step, record);
-}
-
 } // namespace
 
 void onRequestArrived(Step &step, const RequestArrived &event)
@@ -482,165 +296,7 @@
     endEjections(step);
 }
 
-std::uint64_t nextSerial(Step &step)
-{
-    HostState &state = step.state;
-    const std::uint64_t serial = state.nextSerial++;
-    state.serialSentAt[serial] = step.now;
-    while (state.serialSentAt.size() > 1
-           && step.now - state.serialSentAt.begin()->second > fromSeconds(60))
-        state.serialSentAt.erase(state.serialSentAt.begin());
-    return serial;
-}
-
 /// Whether \a upstream may get new work now, by ticket and by the platform's list.
-namespace {
-
-bool isLeavingNow(const HostState &state, const UpstreamId &id)
-{
-    const auto upstream = state.inForce.upstreams.find(id);
-    const auto known = state.upstreams.find(id);
-    return upstream == state.inForce.upstreams.end() || upstream->second.isLeaving
-            || (known != state.upstreams.end() && known->second.state == UpstreamState::Leaving);
-}
-
-/// Gives the slot back, or leaves the queue, and looks for another.
-void seekAnew(Step &step, RequestRecord &record)
-{
-    releaseSlot(step, record, Tokens{});
-    noteUnrouted(step, record);
-    seekSlot(step, record);
-}
-
-} // namespace
-
-void onSlotGrant(Step &step, const HostId &keeper, const SlotGrant &grant)
-{
-    RequestRecord *record = recordOf(step.state, grant.request);
-    const bool isOurs = record && record->round == grant.round && record->keeper == keeper
-            && record->upstream == grant.engine;
-    if (isOurs && record->phase == RequestPhase::Running)
-        return; // a doubled message; the slot is in use
-    if (!isOurs || record->phase != RequestPhase::WaitingForSlot) {
-        // The caller has gone, or the request went elsewhere: only its sender holds this slot.
-        sendTo(step, keeper,
-               SlotRelease{ grant.request, grant.engine, Tokens{}, grant.round, false });
-        return;
-    }
-    // Checked at the moment of dispatch: a process that was stopped since the grant must not use
-    // it, and the upstream may have been marked leaving while the request waited.
-    const Instant ends = leaseEnd(step.state, grant.basis, grant.leaseLength);
-    const bool isLate = ends <= step.now;
-    if (isLate || isLeavingNow(step.state, record->upstream)) {
-        countRetry(step.state.counters, RetryReason::SlotLost);
-        seekAnew(step, *record);
-        return;
-    }
-    record->leaseEnds = ends;
-    dispatch(step, *record, ends);
-}
-
-void onSlotRefusal(Step &step, const HostId &keeper, const SlotRefusal &refusal)
-{
-    RequestRecord *record = recordOf(step.state, refusal.request);
-    if (!record || record->phase != RequestPhase::WaitingForSlot || record->round != refusal.round
-        || record->upstream != refusal.engine || record->keeper != keeper)
-        return;
-    if (refusal.code == ResultCode::SlotLost) {
-        record->askAgainAt = std::min(record->askAgainAt, step.now + askAgainSoon);
-        return;
-    }
-    noteUnrouted(step, *record);
-    const bool isFull = refusal.code == ResultCode::QueueFull
-            || refusal.code == ResultCode::DeadlineUnreachable;
-    if (!isFull || ++record->refusedAsks >= mostAsks) {
-        endRefused(step, *record, refusal.code, RunState::NotRun);
-        return;
-    }
-    record->failedAt.push_back(refusal.engine);
-    seekSlot(step, *record, refusal.code);
-}
-
-void askAgain(Step &step)
-{
-    HostState &state = step.state;
-    std::vector<RequestId> due;
-    for (const auto &[id, record] : state.requests) {
-        if (record.phase != RequestPhase::WaitingForSlot || record.isCancelled)
-            continue;
-        const auto engine = state.inForce.upstreams.find(record.upstream);
-        const bool hasMoved = engine == state.inForce.upstreams.end()
-                || engineKeeper(state, engine->second) != record.keeper;
-        if (hasMoved || record.askAgainAt <= step.now)
-            due.push_back(id);
-    }
-    for (const RequestId &id : due) {
-        RequestRecord &record = state.requests.at(id);
-        const auto engine = state.inForce.upstreams.find(record.upstream);
-        const std::optional<HostId> keeper = engine == state.inForce.upstreams.end()
-                ? std::nullopt
-                : engineKeeper(state, engine->second);
-        if (keeper == record.keeper && !isLeavingNow(state, record.upstream)) {
-            sendAsk(step, record);
-            continue;
-        }
-        countRetry(state.counters, RetryReason::SlotLost);
-        seekAnew(step, record);
-    }
-}
-
-void endLostSlots(Step &step)
-{
-    for (auto &[id, record] : step.state.requests) {
-        const bool isLost = record.phase == RequestPhase::Running && !record.isCancelled
-                && record.asked.kind == RequestKind::Completion && record.leaseEnds <= step.now;
-        if (isLost)
-            cancelAttempt(step, record);
-    }
-}
-
-void onSlotRenewed(Step &step, const HostId &keeper, const SlotRenewed &renewed)
-{
-    const Instant ends = leaseEnd(step.state, renewed.basis, renewed.leaseLength);
-    const std::set<RequestId> lost(renewed.lost.begin(), renewed.lost.end());
-    for (auto &[id, record] : step.state.requests) {
-        const bool isMeant = record.phase == RequestPhase::Running && record.keeper == keeper
-                && record.upstream == renewed.engine && record.renewalSerial == renewed.basis;
-        if (isMeant && !lost.contains(id))
-            record.leaseEnds = std::max(record.leaseEnds, ends);
-        else if (isMeant && !record.isCancelled)
-            cancelAttempt(step, record);
-    }
-}
-
-void renewSlots(Step &step)
-{
-    HostState &state = step.state;
-    std::map<std::pair<HostId, UpstreamId>, std::vector<RequestRecord *>> byKeeper;
-    for (auto &[id, record] : state.requests) {
-        const bool isRunning = record.phase == RequestPhase::Running && !record.isCancelled;
-        if (record.asked.kind != RequestKind::Completion || !isRunning)
-            continue;
-        const auto engine = state.inForce.upstreams.find(record.upstream);
-        if (engine == state.inForce.upstreams.end())
-            continue;
-        // The keeper may have changed since the grant; the new one learns of the slot like this.
-        record.keeper = engineKeeper(state, engine->second).value_or(record.keeper);
-        byKeeper[{ record.keeper, record.upstream }].push_back(&record);
-    }
-    for (const auto &[where, records] : byKeeper) {
-        SlotRenewal renewal;
-        renewal.engine = where.second;
-        renewal.serial = nextSerial(step);
-        for (RequestRecord *record : records) {
-            record->renewalSerial = renewal.serial;
-            renewal.slots.push_back(RunningSlot{ record->asked.request, record->asked.adapter, true,
-                                                 record->round });
-        }
-        sendTo(step, where.first, std::move(renewal));
-    }
-}
-
 void onCallerLeft(Step &step, const CallerLeft &event)
 {
     RequestRecord *record = recordOf(step.state, event.request);
@@ -656,37 +312,6 @@
     endRequest(step, *record);
 }
 
-void onAttemptProgress(Step &step, const AttemptProgress &event)
-{
-    RequestRecord *record = recordOf(step.state, event.request);
-    if (!record || record->attempt != event.attempt || event.generated <= record->generated)
-        return;
-    settle(step.state.shares, event.request, event.generated - record->generated, step.now);
-    step.state.counters.generatedTokens += static_cast<std::uint64_t>(
-            (event.generated - record->generated).count);
-    record->generated = event.generated;
-    notePaceOf(step, *record, false);
-}
-
-void onAttemptEnded(Step &step, const AttemptEnded &event)
-{
-    onAttemptProgress(step, AttemptProgress{ event.request, event.attempt, event.generated });
-    RequestRecord *record = recordOf(step.state, event.request);
-    if (!record || record->attempt != event.attempt || record->phase != RequestPhase::Running)
-        return;
-    noteUpstreamOutcome(step, record->upstream, event.outcome);
-    if (event.outcome == AttemptOutcome::Done) {
-        ++step.state.counters.completed;
-        notePaceOf(step, *record, true);
-        if (needsPermit(*record))
-            settleCall(step, *record, CallOutcome::Done, event.answer);
-        endRequest(step, *record);
-        return;
-    }
-    record->phase = RequestPhase::WaitingForSlot;
-    retryOrRefuse(step, *record, event.outcome);
-}
-
 namespace {
 
 /// Ok, or why the tickets in force end the request. A retired adapter ends what waits for it; a
