Remove what nothing calls; heartbeats keep no record of hosts they leave out

totalSeats() of the state in force lost its last caller when shares got their own layout. sendHeartbeats() made and kept a record for each host that has gone, and took its turn before it looked whether the host is beaten to at all; it now looks first and forgets.

--- a/packages/host/src/heartbeats.cpp
+++ b/packages/host/src/heartbeats.cpp
@@ -116,6 +116,10 @@
     noteLists(step, own);
     Heartbeat beat = beatOf(step);
     for (const auto &[id, peer] : state.membership.peers) {
+        if (!isBeatenTo(peer)) {
+            state.heartbeats.peers.erase(id);
+            continue;
+        }
         PeerBeats &beats = state.heartbeats.peers[id];
         if (beats.life != peer.incarnation)
             beats = PeerBeats{ peer.incarnation, {}, {}, {}, {} };
@@ -123,7 +127,7 @@
         const Span interval = isFar ? intervals.far : heartbeatInterval;
         // A leaving host tells everybody at once.
         const bool isDue = !isFar || takeTurn(beats.nextBeat, interval, step.now) || beat.isLeaving;
-        if (!isBeatenTo(peer) || !isDue)
+        if (!isDue)
             continue;
         const bool isUseful = !isFar || interval <= oldestSummary;
         const Span turn = isFar ? interval : intervals.summaries;
--- a/packages/tickets/include/azurewell/tickets/state_in_force.h
+++ b/packages/tickets/include/azurewell/tickets/state_in_force.h
@@ -50,7 +50,4 @@
 Result<const Service *> serviceFor(const StateInForce &state, const Customer &customer,
                                    const ServiceId &id);
 
-/// All host places of all zones; shares of a rate are counted against this number.
-std::uint32_t totalSeats(const StateInForce &state);
-
 } // namespace azurewell
--- a/packages/tickets/src/state_in_force.cpp
+++ b/packages/tickets/src/state_in_force.cpp
@@ -129,12 +129,4 @@
     return &found->second;
 }
 
-std::uint32_t totalSeats(const StateInForce &state)
-{
-    std::uint32_t seats = 0;
-    for (const auto &[id, zone] : state.zones)
-        seats += zone.seats;
-    return seats;
-}
-
 } // namespace azurewell
