--- /dev/null
+++ b/idl/gossip.thrift
@@ -0,0 +1,85 @@
+/**
+ * One datagram between hosts that serve through a platform.
+ *
+ * Compact protocol, one message a datagram. Versions of neighbours may differ by one during a rolling
+ * replacement: fields are only added, and every field is optional on the wire. Spans are microseconds
+ * and never points in time: clocks of two hosts are not comparable.
+ */
+namespace cpp azurewell.wire.gossip
+
+struct CustomerUse {
+  1: string customer
+  2: double admitted
+}
+
+struct LoadedAdapter {
+  1: string model
+  2: string adapter
+  3: i64 version
+}
+
+struct EngineNews {
+  1: string engine
+  2: i64 age
+  3: i64 start
+  4: i64 ordersTaken
+  5: bool orderUnderWay
+  6: list<string> models
+  7: list<LoadedAdapter> ready
+  8: list<LoadedAdapter> loading
+  9: i32 running
+  10: i32 waiting
+}
+
+struct AdapterUse {
+  1: string engine
+  2: string model
+  3: string adapter
+  4: i64 idleFor
+}
+
+struct AdapterAt {
+  1: string engine
+  2: string model
+  3: string adapter
+}
+
+struct Member {
+  1: string host
+  2: string zone
+  3: string ip
+  4: i32 port
+  5: i64 incarnation
+  6: i64 silentFor
+}
+
+struct Item {
+  1: string key
+  2: i64 revision
+  3: bool deleted
+  4: binary value
+}
+
+struct Changes {
+  1: i64 after
+  2: i64 upTo
+  3: list<Item> items
+}
+
+struct Message {
+  1: string sender
+  2: string zone
+  3: string ip
+  4: i32 port
+  5: i64 incarnation
+  6: bool leaving
+  7: i64 revision
+  8: i64 highestFencing
+  9: list<Member> members
+  10: list<CustomerUse> uses
+  11: list<EngineNews> engines
+  12: list<AdapterUse> adapterUses
+  13: list<AdapterAt> loadRequests
+  14: list<AdapterAt> loadRefusals
+  15: list<Changes> changes
+}
--- /dev/null
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "azurewell/gateway/configuration.h"
+#include "azurewell/gateway/upstreams.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace azurewell::gateway {
+
+/// Versions of adapters that were declared; an adapter that is not listed has its first version.
+using DeclaredVersions = std::map<ModelName, std::uint64_t>;
+
+/// What a request needs of an upstream.
+struct UpstreamNeed
+{
+    ServiceId service;
+    ModelName model;               ///< Empty for a plain service.
+    std::set<UpstreamId> excluded; ///< Refused or failed this request already.
+    Span duration{}; ///< How long the request may need: upstreams that end before are left out.
+    ZoneId zone;     ///< Of this host.
+};
+
+/// How long a request would wait at \a upstream before it starts, in units of one request's start.
+/// Counts what the upstream stated last and what this host has sent since.
+double expectedWait(const Upstream &upstream, Instant now);
+
+/// Whether \a upstream can begin a request for \a model: the model, and the adapter in its declared
+/// version, are in its memory.
+bool isReadyFor(const Upstream &upstream, const ModelName &model, const DeclaredVersions &versions);
+
+/// The usable upstream with the least wait; null where none can begin the request now. Those that
+/// failed lately are chosen only where there is no other. \a draw is uniform in [0, 1) and breaks
+/// ties, so that hosts with the same view do not all choose the same one.
+const Upstream *chooseUpstream(const UpstreamMap &upstreams, const UpstreamNeed &need,
+                               const DeclaredVersions &versions, double draw, Instant now);
+
+/// The usable engine at which the adapter should be loaded; null where none can load it.
+///
+/// Load pattern: thousands of adapters, a few of them popular, and a handful of places on each
+/// engine. An adapter that an engine held lately loads ten times as fast there, so an adapter comes
+/// back to the engine that ranks highest for it unless that one has much more to do than others.
+const Upstream *chooseEngineToLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
+                                   std::uint32_t adapterPlaces, Instant now);
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "azurewell/charts/known_charts.h"
+#include "azurewell/gateway/choose_upstream.h"
+#include "azurewell/gateway/customer_meter.h"
+#include "azurewell/gateway/events.h"
+#include "azurewell/gateway/order_rights.h"
+#include "azurewell/gateway/published.h"
+#include "azurewell/placement/engine_adapters.h"
+#include "azurewell/routing/retry_budget.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace azurewell::gateway {
+
+/// Who this host is, and what its process was told at its start.
+struct Identity
+{
+    HostId id;
+    ZoneId zone;
+    Endpoint address; ///< Of its messages to other hosts.
+    Incarnation incarnation;
+    bool isFirstStart = false; ///< The whole system starts for the first time.
+    std::uint64_t randomSeed = 0;
+    std::vector<Endpoint> seeds; ///< Hosts that may know others; may be stale.
+};
+
+enum class RequestPhase : std::uint8_t { WaitingForAdapter, AtUpstream };
+
+/// A caller's request on its way through this host.
+struct RequestRecord
+{
+    RequestArrived asked;
+    CustomerId customer;
+    ServiceId service;
+    RepeatPolicy repeat = RepeatPolicy::NonIdempotent;
+    bool isResumable = false;
+    std::uint32_t mostAttempts = 1;
+    Instant arrivedAt;
+    Instant inTimeUntil; ///< An answer that begins later is late.
+    Instant deadline;    ///< The caller has its final answer by then.
+    RequestPhase phase = RequestPhase::WaitingForAdapter;
+    Instant placedBy; ///< While waiting: given up then.
+    UpstreamId upstream;
+    std::uint32_t attempt = 0;
+    std::uint32_t mayHaveRun = 0; ///< Attempts after which the request can have run.
+    std::set<UpstreamId> excluded;
+    bool hasAnswerBegun = false;
+    bool isStarting = false; ///< Sent, and no byte of the answer has come.
+};
+
+/// A load that requests of this host wait for.
+struct AwaitedLoad
+{
+    UpstreamId engine;
+    Instant askAgainAt;    ///< The word may be lost.
+    Instant otherEngineAt; ///< Another engine is asked then.
+    std::set<UpstreamId> refusedBy;
+};
+
+/// An engine, as far as orders go.
+struct OrderedEngine
+{
+    OrderRights rights;
+    EngineAdapters adapters;                  ///< Kept while this host orders there.
+    std::int64_t start = 0;                   ///< Of the engine's life that `adapters` describe.
+    std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders not yet seen to be carried out.
+    std::map<AdapterRef, Instant>
+            usedUntil;            ///< Some host uses the adapter; not evicted until then.
+    std::deque<ModelName> wanted; ///< Loads to order, oldest first.
+    bool isOrderOnItsWay = false;
+    bool isReportOnItsWay = false;
+    Instant reportAskedAt;
+    Instant nextReportAt;
+    Instant baseOrderedAt; ///< The base model was ordered then.
+    bool isNews = false;   ///< The others have to be told.
+};
+
+/// Adapters that this host uses at an engine, and when it did last.
+using UsedAdapters = std::map<std::pair<UpstreamId, ModelName>, Instant>;
+
+/// How often each thing happened since the start; published as metrics.
+struct Counters
+{
+    std::map<ResultCode, std::uint64_t> refusals;
+    std::map<ResultCode, std::uint64_t> retries; ///< By what the attempt before ended with.
+    std::uint64_t requests = 0;
+    std::uint64_t dispatched = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t callersLeft = 0;
+    std::uint64_t loadsOrdered = 0;
+    std::uint64_t unloadsOrdered = 0;
+    std::uint64_t baseLoadsOrdered = 0;
+    std::uint64_t gossipSent = 0;
+    std::uint64_t gossipReceived = 0;
+};
+
+/// Everything that one host knows. Lost when the process ends, and safe when lost.
+struct GatewayState
+{
+    Identity self;
+    KnownCharts charts;
+    std::mt19937_64 random;
+    Instant startedAt;
+    bool isStopping = false;
+
+    Configuration configuration;
+    DeclaredVersions versions;
+    UpstreamMap upstreams;
+    PublishedState published;
+    std::vector<PublishedItem> undecoded; ///< From other hosts; the platform's adapter takes them.
+    Members members;
+    std::map<HostId, Instant> changesSentAt; ///< Published changes, to each member.
+    Instant platformFailedAt; ///< The platform did not answer then; zero: it always has.
+
+    std::map<CustomerId, CustomerMeter> meters;
+    std::map<ServiceId, RetryBudget> retryBudgets;
+
+    std::unordered_map<RequestNumber, RequestRecord> requests;
+    std::set<RequestNumber> waiting; ///< For an adapter.
+    std::map<ModelName, AwaitedLoad> awaitedLoads;
+    std::map<UpstreamId, OrderedEngine> engines;
+    UsedAdapters usedAdapters;
+
+    Instant nextHeartbeatAt;
+    Instant nextSeedsAt;
+    FencingNumber highestFencing;
+    Counters counters;
+};
+
+void start(GatewayState &state, const Identity &self, KnownCharts charts, Instant now);
+
+/// Each event of the shell. \a wallMillis is the wall clock in ms since 1970; it is used for
+/// fencing numbers alone, and a clock that steps does no harm there.
+void handle(GatewayState &state, const RequestArrived &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const CallerLeft &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const LoadStated &event, Instant now);
+void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions);
+void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
+
+/// What the platform publishes, decoded.
+void setConfiguration(GatewayState &state, Configuration configuration, Instant now);
+void listUpstream(GatewayState &state, const ListedUpstream &listed, Instant now);
+void removeUpstream(GatewayState &state, const UpstreamId &id, Instant now);
+void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version);
+void notePlatformFailure(GatewayState &state, Instant now);
+
+/// The process is asked to stop: the others are told, and orders end.
+void beginStop(GatewayState &state, Instant now, Actions &actions);
+
+/// Whether this host can serve: it knows a configuration and does not stop.
+bool isReady(const GatewayState &state);
+
+/// How often tick() is to be called. Short against the 250 ms of an adapter's load.
+inline constexpr Span tickInterval = std::chrono::milliseconds(20);
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "azurewell/gateway/members.h"
+#include "azurewell/gateway/upstreams.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace azurewell::gateway {
+
+/// What a customer used at the sender.
+struct CustomerUse
+{
+    CustomerId customer;
+    double admitted = 0; ///< Tokens since the sender's start.
+};
+
+/// What the sender knows of an engine at which it orders.
+struct EngineNews
+{
+    UpstreamId engine;
+    EngineState state; ///< `seenAt` is the receiver's time, from the age in the message.
+};
+
+/// Requests of the sender for an adapter at an engine: it must not be evicted there.
+struct AdapterUse
+{
+    UpstreamId engine;
+    ModelName adapter;
+    Span idleFor{}; ///< 0: in use now.
+};
+
+/// Asks the host that orders at an engine to load an adapter there.
+struct LoadRequest
+{
+    UpstreamId engine;
+    ModelName adapter;
+};
+
+/// The answer to a LoadRequest that is not carried out.
+struct LoadRefusal
+{
+    UpstreamId engine;
+    ModelName adapter;
+};
+
+/// A member that the sender knows of.
+struct MemberNews
+{
+    HostId id;
+    ZoneId zone;
+    Endpoint address;
+    Incarnation incarnation;
+    Span silentFor{};
+};
+
+/// A value that the platform publishes, as its bytes: hosts that are turned away by the platform
+/// get it from others.
+struct PublishedItem
+{
+    std::string key;
+    std::uint64_t revision = 0;
+    bool isDeleted = false;
+    std::string value;
+};
+
+/// Changes of published items in the order of their revisions. Complete from `after` to `upTo`.
+struct PublishedChanges
+{
+    std::uint64_t after = 0;
+    std::uint64_t upTo = 0;
+    std::vector<PublishedItem> items;
+};
+
+/// One message between hosts. Each part may be empty.
+struct Gossip
+{
+    HostId from;
+    ZoneId zone;
+    Endpoint address;
+    Incarnation incarnation;
+    bool isLeaving = false;
+    std::uint64_t revision = 0; ///< The sender knows all published changes up to this one.
+    FencingNumber highestFencing;
+    std::vector<MemberNews> members;
+    std::vector<CustomerUse> uses;
+    std::vector<EngineNews> engines;
+    std::vector<AdapterUse> adapterUses;
+    std::vector<LoadRequest> loadRequests;
+    std::vector<LoadRefusal> loadRefusals;
+    std::vector<PublishedChanges> changes; ///< At most one.
+};
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/include/azurewell/gateway/published.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "azurewell/gateway/gossip.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurewell::gateway {
+
+/// What the platform publishes, as bytes, with the revision of each change.
+///
+/// A host that the platform turns away goes on with this from the others; none of it is ever
+/// replaced by an older revision, so what is in force never goes back.
+struct PublishedState
+{
+    std::map<std::string, PublishedItem> items; ///< Deleted ones included.
+    std::uint64_t revision = 0; ///< Every change up to this one is known. 0: nothing is known.
+};
+
+/// Takes one change. False where it is known already or older than what is known.
+bool takeItem(PublishedState &state, const PublishedItem &item);
+
+/// Takes a full listing as of \a revision: what it lacks was deleted. Returns what has changed.
+std::vector<PublishedItem> takeListing(PublishedState &state,
+                                       const std::vector<PublishedItem> &items,
+                                       std::uint64_t revision);
+
+/// Takes changes from another host. Nothing is taken where some between are missing. Returns what
+/// has changed.
+std::vector<PublishedItem> takeChanges(PublishedState &state, const PublishedChanges &changes);
+
+/// The revision of the newest change.
+std::uint64_t newestChange(const PublishedState &state);
+
+/// What another host lacks that knows all up to \a revision, oldest first.
+PublishedChanges changesAfter(const PublishedState &state, std::uint64_t revision);
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "azurewell/units/endpoint.h"
+#include "azurewell/units/ids.h"
+#include "azurewell/units/time.h"
+#include "azurewell/units/tokens.h"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurewell::gateway {
+
+/// An adapter of a base model, or the base model itself where `adapter` is empty.
+struct ModelName
+{
+    std::string model;
+    std::string adapter;
+
+    auto operator<=>(const ModelName &) const = default;
+    bool isBase() const
+    {
+        return this->adapter.empty();
+    }
+};
+
+/// An adapter in the memory of an engine.
+struct LoadedAdapter
+{
+    ModelName name;
+    std::uint64_t version = 0;
+
+    auto operator<=>(const LoadedAdapter &) const = default;
+};
+
+/// What an engine holds and does, as it reported or as a host that orders there told.
+struct EngineState
+{
+    Instant seenAt;                ///< When it was so at the latest; zero: never seen.
+    std::int64_t start = 0;        ///< Changes with each start of the engine.
+    std::uint64_t ordersTaken = 0; ///< Since its start.
+    bool isOrderUnderWay = false;
+    std::vector<std::string> models;
+    std::vector<LoadedAdapter> ready;
+    std::vector<LoadedAdapter> loading;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+
+    bool isSeen() const
+    {
+        return this->seenAt.micros != 0;
+    }
+    bool hasModel(const std::string &model) const;
+    /// The adapter if it is ready; null otherwise.
+    const LoadedAdapter *findReady(const ModelName &name) const;
+    bool isLoading(const ModelName &name) const;
+};
+
+/// An upstream as the platform lists it.
+struct ListedUpstream
+{
+    UpstreamId id;
+    ServiceId service;
+    Endpoint address;
+    ZoneId zone;
+    std::uint32_t slots = 1;
+    bool isLeaving = false;
+    Span remaining{};   ///< Of one that leaves at short notice; 0: not stated.
+    EngineState engine; ///< As of its last entry; `seenAt` is set by the reader.
+};
+
+/// The load that an upstream states in its answers.
+struct StatedLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// An upstream and what this host knows of it.
+struct Upstream
+{
+    ListedUpstream listed;
+    Instant usableUntil; ///< Gone or leaving: nothing new is sent after this; `never` otherwise.
+    Instant killedAt;    ///< It is switched off then, whatever runs; `never` otherwise.
+    EngineState engine;
+
+    StatedLoad load;
+    Instant loadAt;
+    std::uint32_t underWay = 0; ///< Requests of this host that it has now.
+    std::uint32_t starting = 0; ///< Of these, without a first byte of the answer.
+    Tokens startingTokens;      ///< Prompt tokens of these.
+    std::uint32_t failuresInARow = 0;
+    Instant avoidedUntil;    ///< It failed: others are tried first until then.
+    double failureShare = 0; ///< Moving average of the share of requests that failed.
+};
+
+inline constexpr Instant never{ std::numeric_limits<std::int64_t>::max() };
+
+using UpstreamMap = std::map<UpstreamId, Upstream>;
+
+/// Whether new requests may be sent to \a upstream.
+bool isUsable(const Upstream &upstream, Instant now);
+
+/// How an exchange with an upstream ended, as far as its health is concerned.
+enum class UpstreamSign : std::uint8_t {
+    Answered, ///< A whole answer that shows no fault.
+    Failed,   ///< No answer, a broken one, or one that says that the upstream itself failed.
+    Unreachable,
+};
+
+void noteSign(Upstream &upstream, UpstreamSign sign, Instant now);
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/engines.cpp
@@ -0,0 +1,440 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// How often an engine is asked while nothing goes on there. Its load reaches the others with the
+/// news; the load that answers state is newer.
+constexpr Span quietReportInterval = std::chrono::milliseconds(500);
+
+/// How soon a load is looked for: engines answer as of 100 ms ago, an adapter that was held lately
+/// takes 25 ms and another one 250 ms.
+constexpr Span loadingReportInterval = std::chrono::milliseconds(70);
+constexpr Span firstLookAfterLoad = std::chrono::milliseconds(130);
+
+/// Where the host that orders at an engine is silent, others ask it for themselves this often.
+constexpr Span strangeReportInterval = std::chrono::milliseconds(1000);
+constexpr Span newsLapse = std::chrono::milliseconds(1600);
+
+/// A report may not show yet what was ordered so long before it was asked for.
+constexpr Span reportLag = std::chrono::milliseconds(250);
+
+/// A report or an order that got no answer for so long is given up.
+constexpr Span answerPatience = std::chrono::milliseconds(1500);
+
+/// An order that waits for a connection longer than this is not sent: the right may have lapsed.
+constexpr Span orderValidity = std::chrono::milliseconds(500);
+
+/// A load that does not show up in reports within this time has failed.
+constexpr Span longestLoad = std::chrono::seconds(6);
+
+/// A base model that was ordered and is not there is ordered again after this time: longer than a
+/// few loads that share the weight store.
+constexpr Span baseLoadPatience = std::chrono::seconds(12);
+
+/// Transfers of adapters to one engine at a time.
+constexpr std::uint32_t mostLoadsUnderWay = 4;
+
+/// Requests for an adapter count half after this time: demand moves within seconds.
+constexpr Span popularityHalfLife = std::chrono::seconds(5);
+
+/// A use that another host told of protects an adapter until its next word, which may be lost.
+constexpr Span usedFor = std::chrono::milliseconds(700);
+
+/// Wanted loads beyond this at one engine are refused, so that another engine is asked: five
+/// places and 250 ms a load make 20 loads a second.
+constexpr std::size_t mostWanted = 6;
+
+const EngineLimits *limitsOf(const GatewayState &state, const Upstream &upstream)
+{
+    const Service *service = findService(state.configuration, upstream.listed.service);
+    return service && service->engine ? &*service->engine : nullptr;
+}
+
+ModelName nameOf(const AdapterRef &ref)
+{
+    const std::size_t slash = ref.value.find('/');
+    return { ref.value.substr(0, slash), ref.value.substr(slash + 1) };
+}
+
+AdapterState stateOf(const OrderedEngine &engine, const AdapterRef &ref)
+{
+    const auto found = engine.adapters.adapters.find(ref);
+    return found == engine.adapters.adapters.end() ? AdapterState::Absent : found->second.state;
+}
+
+void move(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
+          AdapterEvent event, Instant now)
+{
+    applyEvent(engine.adapters, state.charts.adapter, ref, event, now);
+}
+
+/// An adapter that a report shows as ready.
+void noteReady(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
+               Instant askedAt, Instant now)
+{
+    const auto unloaded = engine.unloadedAt.find(ref);
+    if (unloaded != engine.unloadedAt.end() && askedAt < unloaded->second + reportLag)
+        return; // as of before the unload
+    if (stateOf(engine, ref) == AdapterState::Absent)
+        move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+    if (stateOf(engine, ref) == AdapterState::Loading)
+        move(state, engine, ref, AdapterEvent::LoadDone, now);
+}
+
+/// Adapters that a report does not show any more.
+void noteMissing(const GatewayState &state, OrderedEngine &engine, const EngineState &report,
+                 Instant askedAt, Instant now)
+{
+    std::vector<AdapterRef> missing;
+    for (const auto &[ref, adapter] : engine.adapters.adapters) {
+        const ModelName name = nameOf(ref);
+        const bool isSeen = report.findReady(name) || report.isLoading(name);
+        const bool isDue = askedAt >= adapter.orderedAt + reportLag;
+        if (!isSeen && isDue)
+            missing.push_back(ref);
+    }
+    for (const AdapterRef &ref : missing) {
+        const AdapterState was = stateOf(engine, ref);
+        if (was == AdapterState::Unloading) {
+            const auto unloaded = engine.unloadedAt.find(ref);
+            if (unloaded != engine.unloadedAt.end() && askedAt < unloaded->second + reportLag)
+                continue;
+            move(state, engine, ref, AdapterEvent::UnloadDone, now);
+            engine.unloadedAt.erase(ref);
+        } else if (was == AdapterState::Loading) {
+            move(state, engine, ref, AdapterEvent::LoadFailed, now);
+            backOff(engine.adapters, ref, 0.5, now);
+        } else if (was == AdapterState::Loaded) {
+            move(state, engine, ref, AdapterEvent::UnloadOrdered, now);
+            move(state, engine, ref, AdapterEvent::UnloadDone, now);
+        }
+    }
+}
+
+/// Brings what this host keeps of an engine's places in line with a report.
+void takeReport(const GatewayState &state, OrderedEngine &engine, const EngineState &report,
+                Instant askedAt, Instant now)
+{
+    if (report.start != engine.start) {
+        engine.adapters.adapters.clear();
+        engine.unloadedAt.clear();
+        engine.start = report.start;
+        engine.baseOrderedAt = Instant{};
+    }
+    for (const LoadedAdapter &adapter : report.loading) {
+        const AdapterRef ref = refOf(adapter.name);
+        if (stateOf(engine, ref) == AdapterState::Absent)
+            move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+    }
+    for (const LoadedAdapter &adapter : report.ready)
+        noteReady(state, engine, refOf(adapter.name), askedAt, now);
+    noteMissing(state, engine, report, askedAt, now);
+    endBackOffs(engine.adapters, state.charts.adapter, now);
+}
+
+/// What requests may be sent to: what the report shows, less what was ordered to go since.
+void updateView(Upstream &upstream, const OrderedEngine &engine, const EngineState &report,
+                Instant askedAt)
+{
+    EngineState view = report;
+    view.seenAt = askedAt;
+    std::erase_if(view.ready, [&](const LoadedAdapter &adapter) {
+        return engine.unloadedAt.contains(refOf(adapter.name));
+    });
+    upstream.engine = std::move(view);
+}
+
+bool isUsed(const GatewayState &state, const OrderedEngine &engine, const UpstreamId &id,
+            const AdapterRef &ref, Instant now)
+{
+    const auto used = engine.usedUntil.find(ref);
+    if (used != engine.usedUntil.end() && now < used->second)
+        return true;
+    const auto own = state.usedAdapters.find({ id, nameOf(ref) });
+    return own != state.usedAdapters.end() && now < own->second + usedFor;
+}
+
+FencingNumber nextFencing(const GatewayState &state, std::uint64_t wallMillis)
+{
+    // The low part keeps the numbers of two hosts apart that begin in the same millisecond.
+    constexpr std::uint64_t hostsApart = 1024;
+    const std::uint64_t highest = state.highestFencing.value / hostsApart + 1;
+    const std::uint64_t host = std::hash<std::string>{}(state.self.id.value) % hostsApart;
+    return FencingNumber{ std::max(wallMillis, highest) * hostsApart + host };
+}
+
+void order(GatewayState &state, Upstream &upstream, OrderedEngine &engine, const ModelName &model,
+           bool isLoad, Instant now, Actions &actions)
+{
+    engine.isOrderOnItsWay = true;
+    state.highestFencing = std::max(state.highestFencing, engine.rights.fencing);
+    const auto declared = state.versions.find(model);
+    const std::uint64_t version = isLoad && declared != state.versions.end() ? declared->second : 0;
+    actions.orders.push_back({ upstream.listed.id, upstream.listed.address, isLoad, model, version,
+                               engine.rights.fencing, now + orderValidity });
+}
+
+/// Orders the base model of an engine that has started empty. True where an order was given.
+bool orderBase(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+               const EngineLimits &limits, Instant now, Actions &actions)
+{
+    if (!upstream.engine.models.empty() || limits.models.empty() || upstream.engine.isOrderUnderWay)
+        return false;
+    const bool isOrdered = engine.baseOrderedAt.micros != 0
+            && now < engine.baseOrderedAt + baseLoadPatience;
+    if (isOrdered)
+        return false;
+    engine.baseOrderedAt = now;
+    ++state.counters.baseLoadsOrdered;
+    order(state, upstream, engine, { limits.models.front().name, {} }, true, now, actions);
+    return true;
+}
+
+/// An adapter in an older version than the declared one: it is loaded anew.
+bool orderReplacement(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
+                      Actions &actions)
+{
+    for (const LoadedAdapter &adapter : upstream.engine.ready) {
+        const auto declared = state.versions.find(adapter.name);
+        const AdapterRef ref = refOf(adapter.name);
+        if (declared == state.versions.end() || adapter.version >= declared->second
+            || stateOf(engine, ref) != AdapterState::Loaded)
+            continue;
+        AdapterOnEngine &known = engine.adapters.adapters[ref];
+        if (now < known.retryAfter)
+            continue;
+        known.retryAfter = now + longestLoad;
+        ++state.counters.loadsOrdered;
+        order(state, upstream, engine, adapter.name, true, now, actions);
+        return true;
+    }
+    return false;
+}
+
+/// Carries out the oldest wanted load: evicts where there is no place, loads where there is one.
+void orderWanted(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+                 const EngineLimits &limits, Instant now, Actions &actions)
+{
+    engine.adapters.slots = limits.adapterPlaces;
+    while (!engine.wanted.empty()) {
+        const ModelName wanted = engine.wanted.front();
+        const AdapterRef ref = refOf(wanted);
+        if (!isOrderable(engine.adapters, ref, now)) {
+            engine.wanted.pop_front();
+            continue;
+        }
+        if (loadsUnderWay(engine.adapters) >= mostLoadsUnderWay)
+            return;
+        const UpstreamId &id = upstream.listed.id;
+        const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
+            return isUsed(state, engine, id, held, now);
+        });
+        if (step.kind == PlacementStep::Kind::Load) {
+            move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+            ++state.counters.loadsOrdered;
+            order(state, upstream, engine, wanted, true, now, actions);
+        } else if (step.kind == PlacementStep::Kind::Evict) {
+            const ModelName victim = nameOf(step.adapter);
+            move(state, engine, step.adapter, AdapterEvent::UnloadOrdered, now);
+            engine.unloadedAt[step.adapter] = now;
+            std::erase_if(upstream.engine.ready,
+                          [&](const LoadedAdapter &adapter) { return adapter.name == victim; });
+            engine.isNews = true;
+            ++state.counters.unloadsOrdered;
+            order(state, upstream, engine, victim, false, now, actions);
+        }
+        return;
+    }
+}
+
+void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+                std::uint64_t wallMillis, Instant now, Actions &actions)
+{
+    const EngineLimits *limits = limitsOf(state, upstream);
+    if (!limits || state.isStopping || engine.isOrderOnItsWay)
+        return;
+    const OrderStart start{ state.self.isFirstStart, state.startedAt };
+    const bool isWanted = !engine.wanted.empty() || upstream.engine.models.empty();
+    const bool wasHolding = engine.rights.isHolding;
+    if (!mayOrder(engine.rights, upstream, state.members, start, nextFencing(state, wallMillis),
+                  now))
+        return;
+    if (!wasHolding) {
+        actions.notes.push_back({ "orders_begin",
+                                  { { "engine", upstream.listed.id.value },
+                                    { "fencing", std::to_string(engine.rights.fencing.value) } } });
+    }
+    if (isWanted && orderBase(state, upstream, engine, *limits, now, actions))
+        return;
+    if (orderReplacement(state, upstream, engine, now, actions))
+        return;
+    orderWanted(state, upstream, engine, *limits, now, actions);
+}
+
+Instant nextReport(const OrderedEngine &engine, bool isOwn, Instant now)
+{
+    if (!isOwn)
+        return now + strangeReportInterval;
+    const auto &adapters = engine.adapters.adapters;
+    const bool isMoving = std::any_of(adapters.begin(), adapters.end(), [](const auto &entry) {
+        return entry.second.state == AdapterState::Loading
+                || entry.second.state == AdapterState::Unloading;
+    });
+    return now + (isMoving ? loadingReportInterval : quietReportInterval);
+}
+
+void askReport(Upstream &upstream, OrderedEngine &engine, bool isOwn, Instant now, Actions &actions)
+{
+    if (engine.isReportOnItsWay && now < engine.reportAskedAt + answerPatience)
+        return;
+    const bool isNeeded = isOwn || now - upstream.engine.seenAt > newsLapse;
+    if (!isNeeded || now < engine.nextReportAt)
+        return;
+    engine.isReportOnItsWay = true;
+    engine.reportAskedAt = now;
+    engine.nextReportAt = nextReport(engine, isOwn, now);
+    actions.reports.push_back({ upstream.listed.id, upstream.listed.address });
+}
+
+void refuseWanted(GatewayState &state, const LoadRequest &request, const Endpoint *asker,
+                  Actions &actions)
+{
+    if (!asker) {
+        const auto awaited = state.awaitedLoads.find(request.adapter);
+        if (awaited != state.awaitedLoads.end())
+            awaited->second.refusedBy.insert(request.engine);
+        return;
+    }
+    SendGossip reply;
+    reply.to = *asker;
+    reply.message.loadRefusals.push_back({ request.engine, request.adapter });
+    actions.gossip.push_back(std::move(reply));
+}
+
+} // namespace
+
+AdapterRef refOf(const ModelName &name)
+{
+    return AdapterRef{ name.model + "/" + name.adapter };
+}
+
+void noteUse(GatewayState &state, const UpstreamId &engine, const ModelName &adapter, Instant now)
+{
+    state.usedAdapters[{ engine, adapter }] = now;
+    OrderedEngine &ordered = state.engines[engine];
+    const AdapterRef ref = refOf(adapter);
+    if (stateOf(ordered, ref) != AdapterState::Loaded)
+        return;
+    pin(ordered.adapters, ref, now);
+    unpin(ordered.adapters, ref);
+}
+
+void wantLoad(GatewayState &state, const LoadRequest &request, const Endpoint *asker, Instant now,
+              Actions &actions)
+{
+    const auto upstream = state.upstreams.find(request.engine);
+    OrderedEngine &engine = state.engines[request.engine];
+    const bool isOwn = upstream != state.upstreams.end()
+            && presumedHolder(upstream->second, state.members, now) == state.self.id;
+    const AdapterRef ref = refOf(request.adapter);
+    const AdapterState known = stateOf(engine, ref);
+    if (isOwn && (known == AdapterState::Loading || known == AdapterState::Loaded)) {
+        engine.isNews = true;
+        return;
+    }
+    const bool isListed = std::find(engine.wanted.begin(), engine.wanted.end(), request.adapter)
+            != engine.wanted.end();
+    if (isListed)
+        return;
+    if (!isOwn || !engine.rights.isHolding || engine.wanted.size() >= mostWanted) {
+        refuseWanted(state, request, asker, actions);
+        return;
+    }
+    engine.wanted.push_back(request.adapter);
+}
+
+void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions)
+{
+    const auto found = state.upstreams.find(event.engine);
+    if (found == state.upstreams.end())
+        return;
+    OrderedEngine &engine = state.engines[event.engine];
+    engine.isReportOnItsWay = false;
+    if (!event.state)
+        return;
+    Upstream &upstream = found->second;
+    noteReport(engine.rights, *event.state, event.askedAt, now);
+    takeReport(state, engine, *event.state, event.askedAt, now);
+    const EngineState before = upstream.engine;
+    updateView(upstream, engine, *event.state, event.askedAt);
+    upstream.load = { event.state->running, event.state->waiting, upstream.listed.slots };
+    upstream.loadAt = event.askedAt;
+    const bool isChanged = before.ready != upstream.engine.ready
+            || before.models != upstream.engine.models || before.start != upstream.engine.start;
+    engine.isNews = engine.isNews || isChanged;
+    if (isChanged)
+        placeWaiting(state, now, actions);
+}
+
+void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions)
+{
+    OrderedEngine &engine = state.engines[event.engine];
+    engine.isOrderOnItsWay = false;
+    const auto upstream = state.upstreams.find(event.engine);
+    if (event.outcome == OrderOutcome::Taken
+        || (event.outcome == OrderOutcome::HeldAlready && !event.isLoad))
+        noteOrderTaken(engine.rights, event.sentAt);
+    if (event.model.isBase())
+        return;
+    const AdapterRef ref = refOf(event.model);
+    const AdapterState was = stateOf(engine, ref);
+    const bool isDone = event.outcome == OrderOutcome::HeldAlready;
+    if (event.isLoad) {
+        if (event.outcome == OrderOutcome::Refused && was == AdapterState::Loading) {
+            move(state, engine, ref, AdapterEvent::LoadFailed, now);
+            backOff(engine.adapters, ref, draw(state), now);
+        }
+        engine.nextReportAt = std::min(engine.nextReportAt, now + firstLookAfterLoad);
+    } else if (isDone && was == AdapterState::Unloading) {
+        move(state, engine, ref, AdapterEvent::UnloadDone, now);
+    } else if (event.outcome == OrderOutcome::Refused && was == AdapterState::Unloading) {
+        move(state, engine, ref, AdapterEvent::UnloadFailed, now);
+        engine.unloadedAt.erase(ref);
+    }
+    if (event.outcome == OrderOutcome::Refused || event.outcome == OrderOutcome::Unknown) {
+        actions.notes.push_back({ "order_not_taken",
+                                  { { "engine", event.engine.value },
+                                    { "model", ref.value },
+                                    { "load", event.isLoad ? "true" : "false" } } });
+    }
+    if (upstream != state.upstreams.end() && engine.rights.isHolding && isDone)
+        giveOrders(state, upstream->second, engine, 0, now, actions);
+}
+
+void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
+{
+    for (auto &[id, upstream] : state.upstreams) {
+        if (!limitsOf(state, upstream) || now >= upstream.usableUntil)
+            continue;
+        OrderedEngine &engine = state.engines[id];
+        engine.adapters.popularityHalfLife = popularityHalfLife;
+        std::erase_if(engine.unloadedAt, [&](const auto &entry) {
+            const bool isGone = stateOf(engine, entry.first) != AdapterState::Unloading;
+            return now >= entry.second + (isGone ? reportLag : longestLoad);
+        });
+        const bool isOwn = presumedHolder(upstream, state.members, now) == state.self.id;
+        askReport(upstream, engine, isOwn, now, actions);
+        if (isOwn)
+            giveOrders(state, upstream, engine, wallMillis, now, actions);
+        else
+            engine.wanted.clear();
+    }
+    std::erase_if(state.engines,
+                  [&](const auto &entry) { return !state.upstreams.contains(entry.first); });
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,132 @@
+#include "internal.h"
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// An upstream whose entry goes away without notice serves on for 2 s; for half of that it is still
+/// used, since entries may go away for a moment.
+constexpr Span usedAfterRemoval = std::chrono::milliseconds(800);
+
+/// While the platform was out of reach, entries lapse of upstreams that live, and come back within
+/// about 2 s of its return.
+constexpr Span usedAfterLapse = std::chrono::milliseconds(2500);
+constexpr Span lapsesFor = std::chrono::seconds(4);
+
+/// Loads that nobody waits for any more are forgotten.
+void dropAwaited(GatewayState &state)
+{
+    std::set<ModelName> wanted;
+    for (const RequestNumber &request : state.waiting)
+        wanted.insert(state.requests.at(request).asked.model);
+    std::erase_if(state.awaitedLoads, [&](const auto &entry) {
+        const auto engine = state.upstreams.find(entry.second.engine);
+        const bool isDone = engine == state.upstreams.end()
+                || engine->second.engine.findReady(entry.first) != nullptr;
+        return isDone && !wanted.contains(entry.first);
+    });
+}
+
+} // namespace
+
+double draw(GatewayState &state)
+{
+    return std::uniform_real_distribution<double>(0, 1)(state.random);
+}
+
+void start(GatewayState &state, const Identity &self, KnownCharts charts, Instant now)
+{
+    state.self = self;
+    state.charts = std::move(charts);
+    state.random.seed(self.randomSeed);
+    state.startedAt = now;
+    state.members.self = self.id;
+    state.members.zone = self.zone;
+}
+
+void setConfiguration(GatewayState &state, Configuration configuration, Instant now)
+{
+    if (configuration.version <= state.configuration.version)
+        return;
+    indexKeys(configuration);
+    for (const Customer &customer : configuration.customers) {
+        CustomerMeter &meter = state.meters[customer.id];
+        if (meter.refilledAt.micros == 0)
+            startMeter(meter, customer, state.self.isFirstStart, now);
+        else
+            refill(meter, customer, 0, now);
+    }
+    state.configuration = std::move(configuration);
+}
+
+void listUpstream(GatewayState &state, const ListedUpstream &listed, Instant now)
+{
+    Upstream &upstream = state.upstreams[listed.id];
+    const bool isRestarted = listed.engine.start != upstream.listed.engine.start;
+    const bool isMoved = listed.address != upstream.listed.address;
+    upstream.listed = listed;
+    upstream.usableUntil = listed.isLeaving ? now : never;
+    upstream.killedAt = listed.remaining > Span{} ? now + listed.remaining : never;
+    if (isRestarted || isMoved) {
+        upstream.avoidedUntil = Instant{};
+        upstream.failuresInARow = 0;
+        upstream.failureShare = 0;
+    }
+    if (!upstream.engine.isSeen() || isRestarted) {
+        upstream.engine = listed.engine;
+        upstream.engine.seenAt = now;
+    }
+}
+
+void removeUpstream(GatewayState &state, const UpstreamId &id, Instant now)
+{
+    const auto found = state.upstreams.find(id);
+    if (found == state.upstreams.end())
+        return;
+    Upstream &upstream = found->second;
+    const bool isLapse = state.platformFailedAt.micros != 0
+            && now - state.platformFailedAt < lapsesFor;
+    if (upstream.usableUntil == never)
+        upstream.usableUntil = now + (isLapse ? usedAfterLapse : usedAfterRemoval);
+}
+
+void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version)
+{
+    std::uint64_t &known = state.versions[adapter];
+    known = std::max(known, version);
+}
+
+void notePlatformFailure(GatewayState &state, Instant now)
+{
+    state.platformFailedAt = now;
+}
+
+bool isReady(const GatewayState &state)
+{
+    return state.configuration.version != 0 && !state.isStopping;
+}
+
+void beginStop(GatewayState &state, Instant now, Actions &actions)
+{
+    state.isStopping = true;
+    state.nextHeartbeatAt = now;
+    runGossip(state, now, actions);
+}
+
+void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
+{
+    /// An upstream that is gone is forgotten when nothing can run there any more.
+    constexpr Span rememberedFor = std::chrono::seconds(10);
+    std::erase_if(state.upstreams, [now](const auto &entry) {
+        const Upstream &upstream = entry.second;
+        return upstream.usableUntil != never && now >= upstream.usableUntil + rememberedFor
+                && upstream.underWay == 0;
+    });
+    placeWaiting(state, now, actions);
+    endOverdue(state, now, actions);
+    dropAwaited(state);
+    runEngines(state, wallMillis, now, actions);
+    runGossip(state, now, actions);
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -0,0 +1,238 @@
+#include "azurewell/gateway/gossip_codec.h"
+
+#include <gossip_types.h>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <limits>
+#include <memory>
+
+namespace azurewell::gateway {
+
+namespace {
+
+namespace wire = azurewell::wire::gossip;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+/// An age from the wire; negative ones would place what was seen in the future.
+Span ageOf(std::int64_t micros)
+{
+    return Span{ std::max<std::int64_t>(micros, 0) };
+}
+
+std::vector<wire::LoadedAdapter> toWire(const std::vector<LoadedAdapter> &adapters)
+{
+    std::vector<wire::LoadedAdapter> out;
+    for (const LoadedAdapter &adapter : adapters) {
+        wire::LoadedAdapter &to = out.emplace_back();
+        to.model = adapter.name.model;
+        to.adapter = adapter.name.adapter;
+        to.version = static_cast<std::int64_t>(adapter.version);
+    }
+    return out;
+}
+
+std::vector<LoadedAdapter> fromWire(const std::vector<wire::LoadedAdapter> &adapters)
+{
+    std::vector<LoadedAdapter> out;
+    for (const wire::LoadedAdapter &adapter : adapters) {
+        out.push_back({ { adapter.model, adapter.adapter },
+                        static_cast<std::uint64_t>(adapter.version) });
+    }
+    return out;
+}
+
+wire::EngineNews toWire(const EngineNews &news, Instant now)
+{
+    wire::EngineNews out;
+    out.engine = news.engine.value;
+    out.age = (now - news.state.seenAt).count();
+    out.start = news.state.start;
+    out.ordersTaken = static_cast<std::int64_t>(news.state.ordersTaken);
+    out.orderUnderWay = news.state.isOrderUnderWay;
+    out.models = news.state.models;
+    out.ready = toWire(news.state.ready);
+    out.loading = toWire(news.state.loading);
+    out.running = static_cast<std::int32_t>(news.state.running);
+    out.waiting = static_cast<std::int32_t>(news.state.waiting);
+    return out;
+}
+
+EngineNews fromWire(const wire::EngineNews &news, Instant now)
+{
+    EngineNews out;
+    out.engine.value = news.engine;
+    out.state.seenAt = now - ageOf(news.age);
+    out.state.start = news.start;
+    out.state.ordersTaken = static_cast<std::uint64_t>(news.ordersTaken);
+    out.state.isOrderUnderWay = news.orderUnderWay;
+    out.state.models = news.models;
+    out.state.ready = fromWire(news.ready);
+    out.state.loading = fromWire(news.loading);
+    out.state.running = static_cast<std::uint32_t>(news.running);
+    out.state.waiting = static_cast<std::uint32_t>(news.waiting);
+    return out;
+}
+
+template <typename Place>
+wire::AdapterAt toWire(const Place &place)
+{
+    wire::AdapterAt out;
+    out.engine = place.engine.value;
+    out.model = place.adapter.model;
+    out.adapter = place.adapter.adapter;
+    return out;
+}
+
+template <typename Place>
+std::vector<Place> placesOf(const std::vector<wire::AdapterAt> &places)
+{
+    std::vector<Place> out;
+    for (const wire::AdapterAt &place : places)
+        out.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
+    return out;
+}
+
+wire::Member toWire(const MemberNews &member)
+{
+    wire::Member out;
+    out.host = member.id.value;
+    out.zone = member.zone.value;
+    out.ip = member.address.ip;
+    out.port = member.address.port;
+    out.incarnation = static_cast<std::int64_t>(member.incarnation.value);
+    out.silentFor = member.silentFor.count();
+    return out;
+}
+
+MemberNews fromWire(const wire::Member &member)
+{
+    return { HostId{ member.host },
+             ZoneId{ member.zone },
+             { member.ip, static_cast<std::uint16_t>(member.port) },
+             Incarnation{ static_cast<std::uint64_t>(member.incarnation) },
+             ageOf(member.silentFor) };
+}
+
+wire::Changes toWire(const PublishedChanges &changes)
+{
+    wire::Changes out;
+    out.after = static_cast<std::int64_t>(changes.after);
+    out.upTo = static_cast<std::int64_t>(changes.upTo);
+    for (const PublishedItem &item : changes.items) {
+        wire::Item &to = out.items.emplace_back();
+        to.key = item.key;
+        to.revision = static_cast<std::int64_t>(item.revision);
+        to.deleted = item.isDeleted;
+        to.value = item.value;
+    }
+    return out;
+}
+
+PublishedChanges fromWire(const wire::Changes &changes)
+{
+    PublishedChanges out{ static_cast<std::uint64_t>(changes.after),
+                          static_cast<std::uint64_t>(changes.upTo),
+                          {} };
+    for (const wire::Item &item : changes.items) {
+        out.items.push_back(
+                { item.key, static_cast<std::uint64_t>(item.revision), item.deleted, item.value });
+    }
+    return out;
+}
+
+wire::Message toWire(const Gossip &message, Instant now)
+{
+    wire::Message out;
+    out.sender = message.from.value;
+    out.zone = message.zone.value;
+    out.ip = message.address.ip;
+    out.port = message.address.port;
+    out.incarnation = static_cast<std::int64_t>(message.incarnation.value);
+    out.leaving = message.isLeaving;
+    out.revision = static_cast<std::int64_t>(message.revision);
+    out.highestFencing = static_cast<std::int64_t>(message.highestFencing.value);
+    for (const MemberNews &member : message.members)
+        out.members.push_back(toWire(member));
+    for (const CustomerUse &use : message.uses) {
+        wire::CustomerUse &to = out.uses.emplace_back();
+        to.customer = use.customer.value;
+        to.admitted = use.admitted;
+    }
+    for (const EngineNews &news : message.engines)
+        out.engines.push_back(toWire(news, now));
+    for (const AdapterUse &use : message.adapterUses) {
+        wire::AdapterUse &to = out.adapterUses.emplace_back();
+        to.engine = use.engine.value;
+        to.model = use.adapter.model;
+        to.adapter = use.adapter.adapter;
+        to.idleFor = use.idleFor.count();
+    }
+    for (const LoadRequest &request : message.loadRequests)
+        out.loadRequests.push_back(toWire(request));
+    for (const LoadRefusal &refusal : message.loadRefusals)
+        out.loadRefusals.push_back(toWire(refusal));
+    for (const PublishedChanges &changes : message.changes)
+        out.changes.push_back(toWire(changes));
+    return out;
+}
+
+Gossip fromWire(const wire::Message &message, Instant now)
+{
+    Gossip out;
+    out.from.value = message.sender;
+    out.zone.value = message.zone;
+    out.address = { message.ip, static_cast<std::uint16_t>(message.port) };
+    out.incarnation.value = static_cast<std::uint64_t>(message.incarnation);
+    out.isLeaving = message.leaving;
+    out.revision = static_cast<std::uint64_t>(message.revision);
+    out.highestFencing.value = static_cast<std::uint64_t>(message.highestFencing);
+    for (const wire::Member &member : message.members)
+        out.members.push_back(fromWire(member));
+    for (const wire::CustomerUse &use : message.uses)
+        out.uses.push_back({ CustomerId{ use.customer }, use.admitted });
+    for (const wire::EngineNews &news : message.engines)
+        out.engines.push_back(fromWire(news, now));
+    for (const wire::AdapterUse &use : message.adapterUses) {
+        out.adapterUses.push_back(
+                { UpstreamId{ use.engine }, { use.model, use.adapter }, ageOf(use.idleFor) });
+    }
+    out.loadRequests = placesOf<LoadRequest>(message.loadRequests);
+    out.loadRefusals = placesOf<LoadRefusal>(message.loadRefusals);
+    for (const wire::Changes &changes : message.changes)
+        out.changes.push_back(fromWire(changes));
+    return out;
+}
+
+} // namespace
+
+std::string encodeGossip(const Gossip &message, Instant now)
+{
+    const std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    toWire(message, now).write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+Result<Gossip> decodeGossip(std::string_view bytes, Instant now)
+{
+    if (bytes.empty() || bytes.size() > std::numeric_limits<std::uint16_t>::max())
+        return Error{ ResultCode::MessageInvalid, "the datagram is empty or too large" };
+    // Thrift takes bytes to observe as mutable; it does not write to them.
+    std::string copy(bytes);
+    try {
+        const std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>(
+                reinterpret_cast<std::uint8_t *>(copy.data()),
+                static_cast<std::uint32_t>(copy.size()));
+        TCompactProtocol protocol(buffer);
+        wire::Message message;
+        message.read(&protocol);
+        return fromWire(message, now);
+    } catch (const std::exception &failure) {
+        return Error{ ResultCode::MessageInvalid, failure.what() };
+    }
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -0,0 +1,324 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// Between heartbeats to one host. Four are missed before a host counts as silent.
+constexpr Span shortestHeartbeat = std::chrono::milliseconds(250);
+
+/// Messages a host sends as heartbeats in a second at the most: with more hosts than this allows at
+/// the shortest interval, heartbeats come less often.
+constexpr double mostHeartbeatsPerSecond = 48;
+
+/// Seeds are written to again while fewer hosts are known than the seeds name; later rarely, since
+/// they may name hosts that are not there yet.
+constexpr Span eagerSeedInterval = std::chrono::milliseconds(300);
+constexpr Span calmSeedInterval = std::chrono::seconds(3);
+
+/// Another host gets published changes from this one again no sooner: it may just read them itself.
+constexpr Span changesInterval = std::chrono::milliseconds(200);
+
+/// A use older than this is told no more.
+constexpr Span useTold = std::chrono::milliseconds(400);
+
+/// Items in one message are kept under this, in bytes: the rest follows with the next heartbeat.
+constexpr std::size_t mostChangeBytes = 40 * 1024;
+
+Gossip blank(const GatewayState &state)
+{
+    Gossip message;
+    message.from = state.self.id;
+    message.zone = state.self.zone;
+    message.address = state.self.address;
+    message.incarnation = state.self.incarnation;
+    message.isLeaving = state.isStopping;
+    message.revision = state.published.revision;
+    message.highestFencing = state.highestFencing;
+    return message;
+}
+
+void addMembers(const GatewayState &state, Gossip &message, Instant now)
+{
+    for (const auto &[id, member] : state.members.others) {
+        if (!member.isLeaving && isHeard(member, now))
+            message.members.push_back(
+                    { id, member.zone, member.address, member.incarnation, now - member.heardAt });
+    }
+}
+
+void addUses(const GatewayState &state, Gossip &message)
+{
+    for (const auto &[customer, meter] : state.meters) {
+        if (meter.admittedHere > 0)
+            message.uses.push_back({ customer, meter.admittedHere });
+    }
+}
+
+EngineNews newsOf(const Upstream &upstream)
+{
+    return { upstream.listed.id, upstream.engine };
+}
+
+/// All engines at which this host orders; only those with something new where \a isBrief.
+std::vector<EngineNews> ownNews(const GatewayState &state, bool isBrief, Instant now)
+{
+    std::vector<EngineNews> news;
+    for (const auto &[id, engine] : state.engines) {
+        const auto upstream = state.upstreams.find(id);
+        if (upstream == state.upstreams.end() || !upstream->second.engine.isSeen())
+            continue;
+        const bool isOwn = presumedHolder(upstream->second, state.members, now) == state.self.id;
+        if (isOwn && (engine.isNews || !isBrief))
+            news.push_back(newsOf(upstream->second));
+    }
+    return news;
+}
+
+/// The adapters in use here at engines where \a holder orders.
+std::vector<AdapterUse> usesFor(const GatewayState &state, const HostId &holder, Instant now)
+{
+    std::vector<AdapterUse> uses;
+    for (const auto &[place, usedAt] : state.usedAdapters) {
+        const auto upstream = state.upstreams.find(place.first);
+        if (upstream == state.upstreams.end()
+            || presumedHolder(upstream->second, state.members, now) != holder)
+            continue;
+        uses.push_back({ place.first, place.second, now - usedAt });
+    }
+    return uses;
+}
+
+/// Requests that run keep their adapter in use.
+void refreshUses(GatewayState &state, Instant now)
+{
+    for (const auto &[request, record] : state.requests) {
+        if (record.phase == RequestPhase::AtUpstream && !record.asked.model.isBase())
+            state.usedAdapters[{ record.upstream, record.asked.model }] = now;
+    }
+    std::erase_if(state.usedAdapters,
+                  [now](const auto &entry) { return now - entry.second >= useTold; });
+}
+
+Span heartbeatInterval(const GatewayState &state)
+{
+    const double others = static_cast<double>(state.members.others.size());
+    return std::max(shortestHeartbeat, fromSeconds(others / mostHeartbeatsPerSecond));
+}
+
+void sendHeartbeats(GatewayState &state, Instant now, Actions &actions)
+{
+    refreshUses(state, now);
+    Gossip common = blank(state);
+    addMembers(state, common, now);
+    addUses(state, common);
+    common.engines = ownNews(state, false, now);
+    for (const auto &[id, member] : state.members.others) {
+        Gossip message = common;
+        message.adapterUses = usesFor(state, id, now);
+        actions.gossip.push_back({ member.address, std::move(message) });
+    }
+    for (auto &[id, engine] : state.engines)
+        engine.isNews = false;
+}
+
+void sendNews(GatewayState &state, Instant now, Actions &actions)
+{
+    const bool isAny = std::any_of(state.engines.begin(), state.engines.end(),
+                                   [](const auto &entry) { return entry.second.isNews; });
+    if (!isAny)
+        return;
+    Gossip message = blank(state);
+    message.engines = ownNews(state, true, now);
+    for (auto &[id, engine] : state.engines)
+        engine.isNews = false;
+    if (message.engines.empty())
+        return;
+    for (const auto &[id, member] : state.members.others) {
+        if (isHeard(member, now))
+            actions.gossip.push_back({ member.address, message });
+    }
+}
+
+void writeToSeeds(GatewayState &state, Instant now, Actions &actions)
+{
+    if (now < state.nextSeedsAt)
+        return;
+    const bool isAlone = countHeard(state.members, now) < state.self.seeds.size();
+    state.nextSeedsAt = now + (isAlone ? eagerSeedInterval : calmSeedInterval);
+    for (const Endpoint &seed : state.self.seeds) {
+        const auto &others = state.members.others;
+        const bool isHeardOf = std::any_of(others.begin(), others.end(), [&](const auto &entry) {
+            return entry.second.address == seed && isHeard(entry.second, now);
+        });
+        if (seed == state.self.address || isHeardOf)
+            continue;
+        Gossip message = blank(state);
+        addMembers(state, message, now);
+        actions.gossip.push_back({ seed, std::move(message) });
+    }
+}
+
+/// Sends published changes to a host that lacks them.
+void sendChanges(GatewayState &state, const Gossip &to, Instant now, Actions &actions)
+{
+    if (to.revision >= newestChange(state.published))
+        return;
+    Instant &sentAt = state.changesSentAt[to.from];
+    if (now - sentAt < changesInterval)
+        return;
+    sentAt = now;
+    PublishedChanges changes = changesAfter(state.published, to.revision);
+    std::size_t bytes = 0;
+    std::size_t kept = 0;
+    while (kept < changes.items.size()) {
+        bytes += changes.items[kept].value.size() + changes.items[kept].key.size();
+        if (kept > 0 && bytes > mostChangeBytes)
+            break;
+        ++kept;
+    }
+    if (kept < changes.items.size()) {
+        changes.items.resize(kept);
+        changes.upTo = changes.items.back().revision;
+    }
+    Gossip message = blank(state);
+    message.changes.push_back(std::move(changes));
+    actions.gossip.push_back({ to.address, std::move(message) });
+}
+
+/// Takes the news of the host that orders at an engine. News of what was seen earlier than what is
+/// known here is dropped.
+void takeNews(GatewayState &state, const EngineNews &news, Instant now)
+{
+    const auto found = state.upstreams.find(news.engine);
+    if (found == state.upstreams.end())
+        return;
+    Upstream &upstream = found->second;
+    noteNews(state.engines[news.engine].rights, news.state, now);
+    if (news.state.seenAt < upstream.engine.seenAt)
+        return;
+    upstream.engine = news.state;
+    if (news.state.seenAt > upstream.loadAt) {
+        upstream.load = { news.state.running, news.state.waiting, upstream.listed.slots };
+        upstream.loadAt = news.state.seenAt;
+    }
+}
+
+void takeUses(GatewayState &state, const std::vector<AdapterUse> &uses, Instant now)
+{
+    constexpr Span protection = std::chrono::milliseconds(800);
+    for (const AdapterUse &use : uses) {
+        OrderedEngine &engine = state.engines[use.engine];
+        const AdapterRef ref = refOf(use.adapter);
+        Instant &until = engine.usedUntil[ref];
+        until = std::max(until, now - use.idleFor + protection);
+        const auto known = engine.adapters.adapters.find(ref);
+        if (known == engine.adapters.adapters.end())
+            continue;
+        pin(engine.adapters, ref, now);
+        unpin(engine.adapters, ref);
+    }
+}
+
+} // namespace
+
+void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
+{
+    ++state.counters.gossipReceived;
+    const bool isNew = !state.members.others.contains(message.from);
+    if (!noteMember(state.members,
+                    { message.from, message.zone, message.address, message.incarnation, now,
+                      message.isLeaving }))
+        return;
+    if (isNew) {
+        actions.notes.push_back({ "peer_found", { { "peer", message.from.value } } });
+        state.nextHeartbeatAt = std::min(state.nextHeartbeatAt, now);
+    }
+    state.highestFencing = std::max(state.highestFencing, message.highestFencing);
+    for (const MemberNews &member : message.members) {
+        noteRumour(state.members,
+                   { member.id, member.zone, member.address, member.incarnation,
+                     now - member.silentFor, false });
+    }
+    for (const CustomerUse &use : message.uses)
+        noteAdmittedElsewhere(state.meters[use.customer], message.from, message.incarnation,
+                              use.admitted);
+    for (const EngineNews &news : message.engines)
+        takeNews(state, news, now);
+    takeUses(state, message.adapterUses, now);
+    for (const LoadRequest &request : message.loadRequests)
+        wantLoad(state, request, &message.address, now, actions);
+    for (const LoadRefusal &refusal : message.loadRefusals) {
+        const auto awaited = state.awaitedLoads.find(refusal.adapter);
+        if (awaited == state.awaitedLoads.end() || awaited->second.engine != refusal.engine)
+            continue;
+        awaited->second.refusedBy.insert(refusal.engine);
+        awaited->second.otherEngineAt = now;
+    }
+    for (const PublishedChanges &changes : message.changes) {
+        const std::vector<PublishedItem> items = takeChanges(state.published, changes);
+        state.undecoded.insert(state.undecoded.end(), items.begin(), items.end());
+    }
+    if (!message.engines.empty() || !message.loadRefusals.empty())
+        placeWaiting(state, now, actions);
+    sendChanges(state, message, now, actions);
+}
+
+bool awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need, Instant now,
+               Actions &actions)
+{
+    /// A word to another host is repeated after this time: it may be lost.
+    constexpr Span askAgain = std::chrono::milliseconds(150);
+    /// Another engine is asked when the load has not come by then.
+    constexpr Span otherEngineAfter = std::chrono::milliseconds(600);
+
+    AwaitedLoad &awaited = state.awaitedLoads[adapter];
+    const auto present = state.upstreams.find(awaited.engine);
+    const bool isGone = present == state.upstreams.end() || !isUsable(present->second, now);
+    if (isGone || now >= awaited.otherEngineAt) {
+        UpstreamNeed other = need;
+        other.excluded.insert(awaited.refusedBy.begin(), awaited.refusedBy.end());
+        const Service *service = findService(state.configuration, need.service);
+        const Upstream *engine = chooseEngineToLoad(
+                state.upstreams, other, service->engine ? service->engine->adapterPlaces : 0, now);
+        if (!engine) {
+            state.awaitedLoads.erase(adapter);
+            return false;
+        }
+        awaited.engine = engine->listed.id;
+        awaited.otherEngineAt = now + otherEngineAfter;
+        awaited.askAgainAt = now;
+    }
+    if (now < awaited.askAgainAt)
+        return true;
+    awaited.askAgainAt = now + askAgain;
+    const Upstream &engine = state.upstreams.at(awaited.engine);
+    if (engine.engine.isLoading(adapter))
+        return true;
+    const LoadRequest request{ awaited.engine, adapter };
+    const HostId holder = presumedHolder(engine, state.members, now);
+    if (holder == state.self.id) {
+        wantLoad(state, request, nullptr, now, actions);
+        return true;
+    }
+    Gossip message = blank(state);
+    message.loadRequests.push_back(request);
+    actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
+    return true;
+}
+
+void runGossip(GatewayState &state, Instant now, Actions &actions)
+{
+    writeToSeeds(state, now, actions);
+    forgetSilent(state.members, now);
+    if (now >= state.nextHeartbeatAt) {
+        state.nextHeartbeatAt = now + heartbeatInterval(state);
+        sendHeartbeats(state, now, actions);
+    } else {
+        sendNews(state, now, actions);
+    }
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/internal.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "azurewell/gateway/gateway.h"
+
+namespace azurewell::gateway {
+
+/// Finds an upstream for a request that is not at one: sends it, has its adapter loaded, or
+/// refuses.
+void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
+
+/// Places the waiting requests whose adapter is ready, and refuses those that waited for too long.
+void placeWaiting(GatewayState &state, Instant now, Actions &actions);
+
+/// Requests that reached their deadline get their final answer.
+void endOverdue(GatewayState &state, Instant now, Actions &actions);
+
+/// Asks for \a adapter to be loaded, at this host's own engines or by the host that orders there.
+/// False where no engine can load it.
+bool awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need, Instant now,
+               Actions &actions);
+
+/// Another host, or this one, wants \a adapter at \a engine.
+void wantLoad(GatewayState &state, const LoadRequest &request, const Endpoint *asker, Instant now,
+              Actions &actions);
+
+/// Reports and orders that are due.
+void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
+
+/// Heartbeats and news that are due.
+void runGossip(GatewayState &state, Instant now, Actions &actions);
+
+/// This host has begun to use an adapter at an engine, or still does.
+void noteUse(GatewayState &state, const UpstreamId &engine, const ModelName &adapter, Instant now);
+
+/// How \a name is called among the adapters of an engine.
+AdapterRef refOf(const ModelName &name);
+
+/// A uniform number in [0, 1).
+double draw(GatewayState &state);
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/published.cpp
@@ -0,0 +1,72 @@
+#include "azurewell/gateway/published.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+bool takeItem(PublishedState &state, const PublishedItem &item)
+{
+    PublishedItem &known = state.items[item.key];
+    if (item.revision <= known.revision)
+        return false;
+    known = item;
+    state.revision = std::max(state.revision, item.revision);
+    return true;
+}
+
+std::vector<PublishedItem> takeListing(PublishedState &state,
+                                       const std::vector<PublishedItem> &items,
+                                       std::uint64_t revision)
+{
+    std::vector<PublishedItem> changed;
+    std::map<std::string, bool> isListed;
+    for (const PublishedItem &item : items) {
+        isListed[item.key] = true;
+        if (takeItem(state, item))
+            changed.push_back(item);
+    }
+    for (auto &[key, item] : state.items) {
+        if (isListed.contains(key) || item.isDeleted || item.revision >= revision)
+            continue;
+        item = { key, revision, true, {} };
+        changed.push_back(item);
+    }
+    state.revision = std::max(state.revision, revision);
+    return changed;
+}
+
+std::vector<PublishedItem> takeChanges(PublishedState &state, const PublishedChanges &changes)
+{
+    if (changes.after > state.revision)
+        return {};
+    std::vector<PublishedItem> changed;
+    for (const PublishedItem &item : changes.items) {
+        if (takeItem(state, item))
+            changed.push_back(item);
+    }
+    state.revision = std::max(state.revision, changes.upTo);
+    return changed;
+}
+
+std::uint64_t newestChange(const PublishedState &state)
+{
+    std::uint64_t newest = 0;
+    for (const auto &[key, item] : state.items)
+        newest = std::max(newest, item.revision);
+    return newest;
+}
+
+PublishedChanges changesAfter(const PublishedState &state, std::uint64_t revision)
+{
+    PublishedChanges changes{ revision, newestChange(state), {} };
+    for (const auto &[key, item] : state.items) {
+        if (item.revision > revision)
+            changes.items.push_back(item);
+    }
+    std::sort(
+            changes.items.begin(), changes.items.end(),
+            [](const PublishedItem &a, const PublishedItem &b) { return a.revision < b.revision; });
+    return changes;
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/requests.cpp
@@ -0,0 +1,405 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// A request without a deadline of its caller and its route.
+constexpr Span longestRequest = std::chrono::seconds(30);
+
+/// A request that waits for an adapter is given up after this part of its objective, in hundredths:
+/// the rest is needed to read its prompt, and an answer after the objective is worth a third.
+constexpr int waitPercent = 75;
+
+/// Callers are sent away for so long when something passes by itself soon. A crashed engine or a
+/// full one has room again within about a second; callers wait at the most a third of the time
+/// that they have left.
+constexpr Span soon = std::chrono::milliseconds(400);
+
+/// A load that was ordered is done by then: callers that come back find the adapter.
+constexpr Span loadDoneAfter = std::chrono::milliseconds(350);
+
+/// Saved retries of one host. The fleet may make about 50 more than its part of the requests.
+constexpr double savedRetriesOfFleet = 40;
+
+/// Retries earned by one request. The fleet may make a fifth.
+constexpr double retriesEarned = 0.15;
+
+/// An answer takes about this long for each prompt token and from its start on; used only to keep
+/// requests away from an upstream that is about to be switched off.
+constexpr Span likelyDuration = std::chrono::milliseconds(1200);
+
+void refuse(GatewayState &state, const RequestRecord &record, ResultCode code, Span retryAfter,
+            Actions &actions)
+{
+    const bool isNotRun = record.mayHaveRun == 0;
+    ++state.counters.refusals[code];
+    actions.refusals.push_back({ record.asked.request, code, isNotRun, retryAfter });
+}
+
+/// Forgets that \a record is at its upstream.
+void leaveUpstream(GatewayState &state, RequestRecord &record)
+{
+    const auto found = state.upstreams.find(record.upstream);
+    if (record.phase != RequestPhase::AtUpstream || found == state.upstreams.end())
+        return;
+    Upstream &upstream = found->second;
+    upstream.underWay -= std::min(upstream.underWay, 1U);
+    if (!record.isStarting)
+        return;
+    record.isStarting = false;
+    upstream.starting -= std::min(upstream.starting, 1U);
+    upstream.startingTokens -= std::min(upstream.startingTokens, record.asked.promptTokens);
+}
+
+void forget(GatewayState &state, RequestNumber request)
+{
+    state.waiting.erase(request);
+    state.requests.erase(request);
+}
+
+void refuseAndForget(GatewayState &state, RequestRecord &record, ResultCode code, Span retryAfter,
+                     Actions &actions)
+{
+    leaveUpstream(state, record);
+    refuse(state, record, code, retryAfter, actions);
+    forget(state, record.asked.request);
+}
+
+UpstreamNeed needOf(const GatewayState &state, const RequestRecord &record)
+{
+    UpstreamNeed need;
+    need.service = record.service;
+    const Service *service = findService(state.configuration, record.service);
+    if (service && service->engine)
+        need.model = record.asked.model;
+    need.excluded = record.excluded;
+    need.duration = likelyDuration;
+    need.zone = state.self.zone;
+    return need;
+}
+
+void dispatch(GatewayState &state, RequestRecord &record, const UpstreamId &id,
+              const ModelName &model, Instant now, Actions &actions)
+{
+    Upstream &upstream = state.upstreams.at(id);
+    ++upstream.underWay;
+    ++upstream.starting;
+    upstream.startingTokens += record.asked.promptTokens;
+    record.phase = RequestPhase::AtUpstream;
+    record.upstream = id;
+    record.isStarting = true;
+    ++record.attempt;
+    state.waiting.erase(record.asked.request);
+    if (!model.isBase())
+        noteUse(state, id, model, now);
+    const auto declared = state.versions.find(model);
+    ++state.counters.dispatched;
+    actions.dispatches.push_back(
+            { record.asked.request, record.attempt, id, upstream.listed.address, record.customer,
+              declared == state.versions.end() ? 0 : declared->second, record.deadline - now,
+              record.repeat == RepeatPolicy::Stream, record.repeat != RepeatPolicy::Stream });
+}
+
+RetryBudget &budgetOf(GatewayState &state, const ServiceId &service)
+{
+    RetryBudget &budget = state.retryBudgets[service];
+    const double hosts = static_cast<double>(countKnown(state.members) + 1);
+    budget.mostSaved = std::max(savedRetriesOfFleet / hosts, 1.0);
+    budget.earned = retriesEarned;
+    return budget;
+}
+
+/// Whether a request may be sent to another upstream after \a outcome.
+bool mayRepeat(const RequestRecord &record, AttemptOutcome outcome)
+{
+    if (outcome != AttemptOutcome::Failed)
+        return true;
+    const bool isRepeatable = record.repeat == RepeatPolicy::Idempotent
+            || (record.repeat == RepeatPolicy::Stream && record.isResumable);
+    return isRepeatable && !record.hasAnswerBegun && record.mayHaveRun < record.mostAttempts;
+}
+
+UpstreamSign signOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::FaultStated:
+        return UpstreamSign::Failed;
+    case AttemptOutcome::NotSent:
+        return UpstreamSign::Unreachable;
+    case AttemptOutcome::Done:
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::NotThere:
+        break;
+    }
+    return UpstreamSign::Answered;
+}
+
+ResultCode codeOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::NotSent:
+        return ResultCode::NoUpstream;
+    case AttemptOutcome::NotRun:
+        return ResultCode::UpstreamRefused;
+    case AttemptOutcome::NotThere:
+        return ResultCode::AdapterLoadFailed;
+    case AttemptOutcome::Done:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::FaultStated:
+        break;
+    }
+    return ResultCode::OutcomeUnknown;
+}
+
+/// Another upstream has the address now; the platform's list will say so within this time.
+constexpr Span strangerAvoidance = std::chrono::seconds(1);
+
+/// The upstream did not have what this host thought it had.
+void noteNotThere(GatewayState &state, const RequestRecord &record, Instant now)
+{
+    const auto found = state.upstreams.find(record.upstream);
+    if (found == state.upstreams.end())
+        return;
+    EngineState &engine = found->second.engine;
+    if (engine.models.empty() || record.asked.model.model.empty()) {
+        found->second.avoidedUntil = now + strangerAvoidance;
+        return;
+    }
+    if (record.asked.model.isBase()) {
+        std::erase(engine.models, record.asked.model.model);
+        return;
+    }
+    std::erase_if(engine.ready,
+                  [&](const LoadedAdapter &adapter) { return adapter.name == record.asked.model; });
+}
+
+/// A popular adapter is loaded at a second engine when those that have it are this much behind, in
+/// starts of requests: as long as a load takes, and half of a common objective of a second is left.
+constexpr double waitForAnotherCopy = 3.5;
+
+void spreadIfCrowded(GatewayState &state, const Upstream &chosen, const UpstreamNeed &need,
+                     Instant now, Actions &actions)
+{
+    if (need.model.isBase() || expectedWait(chosen, now) < waitForAnotherCopy
+        || state.awaitedLoads.contains(need.model))
+        return;
+    UpstreamNeed other = need;
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (upstream.engine.findReady(need.model) || upstream.engine.isLoading(need.model))
+            other.excluded.insert(id);
+    }
+    awaitLoad(state, need.model, other, now, actions);
+}
+
+/// Sends an idempotent request to another upstream after one that stated a fault of its own. Where
+/// that cannot be done, the caller gets the fault as it was stated.
+bool repeatAfterFault(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    ++record.mayHaveRun;
+    if (record.repeat != RepeatPolicy::Idempotent || record.mayHaveRun >= record.mostAttempts
+        || now >= record.deadline)
+        return false;
+    record.excluded.insert(record.upstream);
+    const UpstreamNeed need = needOf(state, record);
+    const Upstream *other = chooseUpstream(state.upstreams, need, state.versions, draw(state), now);
+    if (!other || !takeRetry(budgetOf(state, record.service)))
+        return false;
+    ++state.counters.retries[ResultCode::UpstreamFailed];
+    const UpstreamId id = other->listed.id;
+    dispatch(state, record, id, need.model, now, actions);
+    return true;
+}
+
+} // namespace
+
+void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    const UpstreamNeed need = needOf(state, record);
+    const Upstream *chosen = chooseUpstream(state.upstreams, need, state.versions, draw(state),
+                                            now);
+    if (chosen) {
+        const UpstreamId id = chosen->listed.id;
+        spreadIfCrowded(state, *chosen, need, now, actions);
+        dispatch(state, record, id, need.model, now, actions);
+        return;
+    }
+    if (now < record.placedBy && !need.model.model.empty() && !need.model.isBase()
+        && awaitLoad(state, need.model, need, now, actions)) {
+        record.phase = RequestPhase::WaitingForAdapter;
+        state.waiting.insert(record.asked.request);
+        return;
+    }
+    refuseAndForget(state, record,
+                    need.model.model.empty() ? ResultCode::NoUpstream
+                                             : ResultCode::AdapterLoadFailed,
+                    soon, actions);
+}
+
+void handle(GatewayState &state, const RequestArrived &event, Instant now, Actions &actions)
+{
+    ++state.counters.requests;
+    RequestRecord &record = state.requests[event.request];
+    record.asked = event;
+    record.arrivedAt = now;
+    const Configuration &configuration = state.configuration;
+    if (configuration.version == 0) {
+        refuseAndForget(state, record, ResultCode::HostStarting, soon, actions);
+        return;
+    }
+    const Route *route = findRoute(configuration, event.host, event.path);
+    if (!route) {
+        refuseAndForget(state, record, ResultCode::UnknownPath, Span{}, actions);
+        return;
+    }
+    const Customer *customer = event.key ? findCustomer(configuration, *event.key) : nullptr;
+    if (!customer && !route->isPublic && !configuration.customers.empty()) {
+        refuseAndForget(state, record, event.key ? ResultCode::KeyUnknown : ResultCode::KeyMissing,
+                        Span{}, actions);
+        return;
+    }
+    const ServiceId *service = pickService(*route, draw(state));
+    if (!service) {
+        refuseAndForget(state, record, ResultCode::NoUpstream, soon, actions);
+        return;
+    }
+    record.service = *service;
+    record.repeat = route->repeat;
+    record.isResumable = route->isResumable;
+    record.mostAttempts = std::max(route->mostAttempts, 1U);
+    const Span routeLimit = route->timeout > Span{} ? route->timeout : longestRequest;
+    record.deadline = now
+            + (event.allowed > Span{} ? std::min(event.allowed, routeLimit) : routeLimit);
+    record.inTimeUntil = now + route->objective;
+    record.placedBy = std::min(record.deadline, now + route->objective * waitPercent / 100);
+    countFirstTry(budgetOf(state, record.service));
+    if (customer) {
+        record.customer = customer->id;
+        const double part = usablePart(countHeard(state.members, now), countKnown(state.members));
+        const std::optional<Span> wait = admit(state.meters[customer->id], *customer,
+                                               costOf(*customer, event.totalTokens), part, now);
+        if (wait) {
+            refuseAndForget(state, record, ResultCode::RateExceeded, std::max(*wait, soon),
+                            actions);
+            return;
+        }
+    }
+    place(state, record, now, actions);
+}
+
+void handle(GatewayState &state, const CallerLeft &event, Instant, Actions &actions)
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end())
+        return;
+    ++state.counters.callersLeft;
+    if (found->second.phase == RequestPhase::AtUpstream)
+        actions.cancels.push_back({ event.request });
+    leaveUpstream(state, found->second);
+    forget(state, event.request);
+}
+
+void handle(GatewayState &state, const AnswerBegan &event, Instant, Actions &)
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end() || found->second.attempt != event.attempt)
+        return;
+    RequestRecord &record = found->second;
+    record.hasAnswerBegun = true;
+    const auto upstream = state.upstreams.find(record.upstream);
+    if (!record.isStarting || upstream == state.upstreams.end())
+        return;
+    record.isStarting = false;
+    upstream->second.starting -= std::min(upstream->second.starting, 1U);
+    upstream->second.startingTokens -= std::min(upstream->second.startingTokens,
+                                                record.asked.promptTokens);
+}
+
+void handle(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions)
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end() || found->second.attempt != event.attempt)
+        return;
+    RequestRecord &record = found->second;
+    leaveUpstream(state, record);
+    const auto upstream = state.upstreams.find(record.upstream);
+    if (upstream != state.upstreams.end())
+        noteSign(upstream->second, signOf(event.outcome), now);
+    if (event.outcome == AttemptOutcome::FaultStated
+        && repeatAfterFault(state, record, now, actions))
+        return;
+    if (event.outcome == AttemptOutcome::Done || event.outcome == AttemptOutcome::FaultStated) {
+        ++state.counters.answered;
+        forget(state, event.request);
+        return;
+    }
+    record.hasAnswerBegun = record.hasAnswerBegun || event.hasAnswerBegun;
+    record.excluded.insert(record.upstream);
+    if (event.outcome == AttemptOutcome::Failed)
+        ++record.mayHaveRun;
+    if (event.outcome == AttemptOutcome::NotThere)
+        noteNotThere(state, record, now);
+    const ResultCode cause = codeOf(event.outcome);
+    // An attempt that reached no upstream is no load on any, so it costs no retry.
+    const bool isFree = event.outcome == AttemptOutcome::NotSent;
+    if (!mayRepeat(record, event.outcome) || now >= record.deadline) {
+        refuseAndForget(state, record, cause, soon, actions);
+        return;
+    }
+    if (!isFree && !takeRetry(budgetOf(state, record.service))) {
+        refuseAndForget(state, record, record.mayHaveRun > 0 ? cause : ResultCode::RetryBudgetSpent,
+                        soon, actions);
+        return;
+    }
+    ++state.counters.retries[cause];
+    place(state, record, now, actions);
+}
+
+void handle(GatewayState &state, const LoadStated &event, Instant now)
+{
+    const auto found = state.upstreams.find(event.upstream);
+    if (found == state.upstreams.end())
+        return;
+    found->second.load = event.load;
+    found->second.loadAt = now;
+}
+
+void placeWaiting(GatewayState &state, Instant now, Actions &actions)
+{
+    const std::set<RequestNumber> waiting = state.waiting;
+    for (const RequestNumber &request : waiting) {
+        RequestRecord &record = state.requests.at(request);
+        if (now >= record.placedBy)
+            refuseAndForget(state, record, ResultCode::AdapterLoadFailed, loadDoneAfter, actions);
+        else
+            place(state, record, now, actions);
+    }
+}
+
+void endOverdue(GatewayState &state, Instant now, Actions &actions)
+{
+    std::vector<RequestNumber> overdue;
+    for (const auto &[request, record] : state.requests) {
+        if (now >= record.deadline)
+            overdue.push_back(request);
+    }
+    for (const RequestNumber &request : overdue) {
+        RequestRecord &record = state.requests.at(request);
+        if (record.phase == RequestPhase::AtUpstream) {
+            ++record.mayHaveRun;
+            actions.cancels.push_back({ request });
+            const auto upstream = state.upstreams.find(record.upstream);
+            if (upstream != state.upstreams.end() && record.isStarting)
+                noteSign(upstream->second, UpstreamSign::Failed, now);
+        }
+        refuseAndForget(state, record,
+                        record.mayHaveRun > 0 ? ResultCode::UpstreamSilent
+                                              : ResultCode::DeadlineUnreachable,
+                        soon, actions);
+    }
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/upstreams.cpp
@@ -0,0 +1,59 @@
+#include "azurewell/gateway/upstreams.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// Weight of the newest request in the average of failures: the last ten or so count.
+constexpr double failureWeight = 0.12;
+
+/// An upstream that failed is avoided for this long, doubled with each failure in a row. A crashed
+/// server comes back within seconds.
+constexpr Span firstAvoidance = std::chrono::milliseconds(150);
+constexpr std::uint32_t mostDoublings = 4;
+
+} // namespace
+
+bool EngineState::hasModel(const std::string &model) const
+{
+    return std::find(this->models.begin(), this->models.end(), model) != this->models.end();
+}
+
+const LoadedAdapter *EngineState::findReady(const ModelName &name) const
+{
+    for (const LoadedAdapter &loaded : this->ready) {
+        if (loaded.name == name)
+            return &loaded;
+    }
+    return nullptr;
+}
+
+bool EngineState::isLoading(const ModelName &name) const
+{
+    return std::any_of(this->loading.begin(), this->loading.end(),
+                       [&](const LoadedAdapter &adapter) { return adapter.name == name; });
+}
+
+bool isUsable(const Upstream &upstream, Instant now)
+{
+    return now < upstream.usableUntil && now < upstream.killedAt;
+}
+
+void noteSign(Upstream &upstream, UpstreamSign sign, Instant now)
+{
+    const double failed = sign == UpstreamSign::Answered ? 0 : 1;
+    upstream.failureShare += (failed - upstream.failureShare) * failureWeight;
+    if (sign == UpstreamSign::Answered) {
+        upstream.failuresInARow = 0;
+        upstream.avoidedUntil = Instant{};
+        return;
+    }
+    const std::uint32_t doublings = std::min(upstream.failuresInARow, mostDoublings);
+    ++upstream.failuresInARow;
+    if (sign == UpstreamSign::Unreachable || upstream.failuresInARow > 1)
+        upstream.avoidedUntil = now + firstAvoidance * (1LL << doublings);
+}
+
+} // namespace azurewell::gateway
--- a/packages/shell/include/azurewell/shell/clock.h
+++ b/packages/http/include/azurewell/http/clock.h
@@ -3,15 +3,21 @@
 #include "azurewell/units/time.h"
 
 #include <chrono>
+#include <cstdint>
+#include <ctime>
 
 namespace azurewell {
 
-/// The monotonic clock of this host. It goes on while the process is stopped, so a process that
-/// wakes late sees that its leases have ended.
+/// The monotonic clock of this host. It goes on while the process is stopped and while the machine
+/// is suspended (CLOCK_MONOTONIC, std::chrono's steady clock, does not), so a process that wakes
+/// late sees that its leases have ended.
 inline Instant monotonicNow()
 {
-    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant{ std::chrono::duration_cast<std::chrono::microseconds>(sinceBoot).count() };
+    timespec sinceBoot{};
+    ::clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    constexpr std::int64_t microsInSecond = 1'000'000;
+    constexpr std::int64_t nanosInMicro = 1'000;
+    return Instant{ sinceBoot.tv_sec * microsInSecond + sinceBoot.tv_nsec / nanosInMicro };
 }
 
 /// Milliseconds of wall time since 1970: an incarnation that rises with each start of a host.
--- a/packages/shell/include/azurewell/shell/listen_socket.h
+++ b/packages/http/include/azurewell/http/listen_socket.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "azurewell/shell/settings.h"
+#include "azurewell/units/endpoint.h"
+#include "azurewell/units/result.h"
 
 #include <utility>
 
--- /dev/null
+++ b/packages/http/include/azurewell/http/upstream_connections.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "azurewell/http/upstream_connection.h"
+
+#include <list>
+#include <map>
+#include <memory>
+
+namespace azurewell {
+
+/// The connections of this host to all upstreams. A connection that has become idle is used again.
+class UpstreamConnections
+{
+public:
+    /// The handle of an exchange under way.
+    using Exchange = std::uint64_t;
+
+    /// Sends \a request to \a to on an idle connection or a new one. Handlers are never called from
+    /// within start().
+    Exchange start(const Endpoint &to, std::string request, bool isHeadOnly,
+                   ExchangeHandlers handlers, Instant now);
+
+    /// Ends an exchange with its connection, so that the upstream notices that nobody waits.
+    void cancel(Exchange exchange);
+
+    void pauseReading(Exchange exchange, bool paused);
+
+    /// Closes connections that have been idle for so long that the upstream may close them just as
+    /// the next request is sent: that request's outcome would be unknown.
+    void closeIdle(Instant now);
+
+    /// Closes the idle connections to \a to. What runs on the others goes on.
+    void forget(const Endpoint &to);
+
+    std::size_t count() const
+    {
+        return this->connections.size();
+    }
+
+private:
+    struct Entry
+    {
+        Endpoint to;
+        std::unique_ptr<UpstreamConnection> connection;
+        Instant idleUntil;
+        Exchange exchange = 0;
+    };
+
+    Entry &open(const Endpoint &to);
+    void becameIdle(std::uint64_t id);
+    void remove(std::uint64_t id);
+
+    std::map<std::uint64_t, Entry> connections;
+    std::map<Endpoint, std::list<std::uint64_t>> idle; ///< Most recently used first.
+    std::map<Exchange, std::uint64_t> exchanges;
+    std::list<std::unique_ptr<UpstreamConnection>> closed; ///< Destroyed outside their own calls.
+    std::uint64_t nextId = 1;
+    Instant latest; ///< Of the calls that brought the time.
+};
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/http/src/caller_connection.cpp
@@ -0,0 +1,147 @@
+#include "azurewell/http/caller_connection.h"
+
+namespace azurewell {
+
+namespace {
+
+/// After the last answer the caller closes. Closing first with bytes unread would reset the
+/// connection and could take the answer away from the caller.
+constexpr Span lingers = std::chrono::milliseconds(1500);
+
+} // namespace
+
+CallerConnection::CallerConnection(UniqueFd descriptor, const RequestLimits &requestLimits,
+                                   Handlers next, Instant now)
+    : limits(requestLimits)
+    , handlers(std::move(next))
+    , reader(requestLimits)
+    , quietSince(now)
+{
+    const std::function<void(StreamEnd)> onEnded = [this](StreamEnd) {
+        this->isLeft = true;
+        this->handlers.onLeft();
+    };
+    this->stream = TcpStream::adopt(std::move(descriptor),
+                                    { {},
+                                      [this] { this->receive(); },
+                                      onEnded,
+                                      [this] {
+                                          this->drained();
+                                      } });
+}
+
+void CallerConnection::drained()
+{
+    if (this->isClosing && !this->isInRequest)
+        this->stream->shutdownWriting();
+    this->handlers.onDrained();
+}
+
+void CallerConnection::receive()
+{
+    if (this->isInRequest)
+        return; // The next request waits in the buffer until this one is answered.
+    if (this->isClosing) {
+        this->stream->received().clear();
+        return;
+    }
+    const Result<bool> isWhole = this->reader.read(this->stream->received());
+    if (!isWhole) {
+        this->isInRequest = true;
+        this->isClosing = true;
+        this->handlers.onBadRequest(isWhole.error());
+        return;
+    }
+    if (isWhole.value()) {
+        this->isInRequest = true;
+        this->handlers.onRequest();
+        return;
+    }
+    if (this->reader.isHeadRead() && this->reader.head().expectsContinue && !this->isContinueSent) {
+        this->isContinueSent = true;
+        this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+bool CallerConnection::keepsConnection() const
+{
+    return !this->isClosing && this->reader.isHeadRead() && this->reader.head().keepsConnection;
+}
+
+void CallerConnection::answer(int status, std::string_view reason,
+                              const std::vector<HttpHeader> &headers, std::string_view body,
+                              Instant now)
+{
+    this->isClosing = !this->keepsConnection();
+    const bool isHeadOnly = this->reader.isHeadRead() && this->reader.head().method == "HEAD";
+    std::string bytes = responseHeadBytes(status, reason, headers,
+                                          static_cast<std::int64_t>(body.size()), !this->isClosing);
+    if (!isHeadOnly)
+        bytes += body;
+    this->stream->write(bytes);
+    this->next(now);
+}
+
+void CallerConnection::beginChunks(int status, std::string_view reason,
+                                   const std::vector<HttpHeader> &headers)
+{
+    this->isClosing = !this->keepsConnection();
+    this->stream->write(responseHeadBytes(status, reason, headers, -1, !this->isClosing));
+}
+
+void CallerConnection::sendChunk(std::string_view data)
+{
+    this->stream->write(chunkBytes(data));
+}
+
+void CallerConnection::complete(Instant now)
+{
+    this->stream->write(lastChunk);
+    this->next(now);
+}
+
+void CallerConnection::breakOff()
+{
+    this->isClosing = true;
+    this->isInRequest = false;
+    this->isLeft = true;
+    this->stream->abort();
+}
+
+void CallerConnection::next(Instant now)
+{
+    this->isInRequest = false;
+    this->isContinueSent = false;
+    this->quietSince = now;
+    if (this->isClosing) {
+        if (this->stream->unsentBytes() == 0)
+            this->stream->shutdownWriting();
+        return;
+    }
+    this->reader = RequestReader(this->limits);
+    if (!this->stream->received().empty())
+        this->receive();
+}
+
+void CallerConnection::close(bool isNow)
+{
+    this->isClosing = this->isClosing || this->isInRequest || isNow || !this->hasBegun();
+    if (isNow && !this->isInRequest)
+        this->stream->shutdownWriting();
+}
+
+bool CallerConnection::isLate(const CallerPatience &patience, Instant now) const
+{
+    if (this->isInRequest || this->isClosing)
+        return false;
+    return now >= this->quietSince + (this->hasBegun() ? patience.head : patience.idle);
+}
+
+bool CallerConnection::isFinished(Instant now) const
+{
+    if (this->isLeft)
+        return true;
+    return this->isClosing && !this->isInRequest && now >= this->quietSince + lingers;
+}
+
+} // namespace azurewell
--- a/packages/shell/src/listen_socket.cpp
+++ b/packages/http/src/listen_socket.cpp
@@ -1,4 +1,4 @@
-#include "azurewell/shell/listen_socket.h"
+#include "azurewell/http/listen_socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- /dev/null
+++ b/packages/http/src/readers.cpp
@@ -0,0 +1,232 @@
+#include "azurewell/http/readers.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace azurewell {
+
+namespace {
+
+namespace beast = boost::beast;
+
+/// A response's body is never held whole by the parser, so only its head needs a limit. Heads of
+/// the upstreams met so far are under 1 KiB.
+constexpr std::uint32_t responseHeadLimit = 64 * 1024;
+
+std::string toString(beast::string_view text)
+{
+    return std::string(text.data(), text.size());
+}
+
+template <typename Fields>
+std::vector<HttpHeader> headersOf(const Fields &fields)
+{
+    std::vector<HttpHeader> headers;
+    for (const auto &field : fields)
+        headers.push_back({ toString(field.name_string()), toString(field.value()) });
+    return headers;
+}
+
+bool isDigits(std::string_view text)
+{
+    return !text.empty()
+            && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+/// Whether the body's length can be read in one way only.
+bool isFramedPlainly(const std::vector<HttpHeader> &headers)
+{
+    const std::size_t lengths = headerCount(headers, "Content-Length");
+    const std::size_t codings = headerCount(headers, "Transfer-Encoding");
+    if (lengths + codings > 1)
+        return false;
+    if (lengths == 1)
+        return isDigits(headerValue(headers, "Content-Length"));
+    return codings == 0 || isSameHeaderName(headerValue(headers, "Transfer-Encoding"), "chunked");
+}
+
+/// Whether the head at the front of \a buffer has a line that continues the one before it.
+bool hasFoldedLine(std::string_view buffer)
+{
+    const std::size_t end = buffer.find("\r\n\r\n");
+    const std::string_view head = buffer.substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos
+            || head.find("\r\n\t") != std::string_view::npos;
+}
+
+ResultCode codeOf(const beast::error_code &error)
+{
+    if (error == beast::http::error::header_limit)
+        return ResultCode::HeadTooLarge;
+    if (error == beast::http::error::body_limit)
+        return ResultCode::BodyTooLarge;
+    return ResultCode::MalformedRequest;
+}
+
+/// Feeds \a buffer to \a parser until it needs more or is done, and removes what was taken.
+template <typename Parser>
+beast::error_code feed(Parser &parser, std::string &buffer)
+{
+    std::size_t taken = 0;
+    beast::error_code error;
+    while (taken < buffer.size() && !parser.is_done()) {
+        const std::size_t used = parser.put(
+                boost::asio::buffer(buffer.data() + taken, buffer.size() - taken), error);
+        taken += used;
+        if (error == beast::http::error::need_more)
+            error = {};
+        if (error || used == 0)
+            break;
+    }
+    buffer.erase(0, taken);
+    return error;
+}
+
+} // namespace
+
+struct RequestReader::Impl
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+    std::optional<RequestLine> head;
+    std::uint32_t headBytes;
+    bool hasBegun = false;
+};
+
+RequestReader::RequestReader(const RequestLimits &limits)
+    : impl(std::make_unique<Impl>())
+{
+    this->impl->headBytes = limits.headBytes;
+    this->impl->parser.eager(true);
+    this->impl->parser.header_limit(limits.headBytes);
+    this->impl->parser.body_limit(limits.bodyBytes);
+}
+
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader &&) noexcept = default;
+RequestReader &RequestReader::operator=(RequestReader &&) noexcept = default;
+
+Result<bool> RequestReader::read(std::string &buffer)
+{
+    Impl &self = *this->impl;
+    if (!self.head) {
+        self.hasBegun = self.hasBegun || !buffer.empty();
+        // The parser keeps the bytes of an unfinished head in our buffer: it takes whole lines.
+        if (buffer.find("\r\n\r\n") == std::string::npos) {
+            if (buffer.size() > self.headBytes)
+                return Error{ ResultCode::HeadTooLarge, "no end of the head within the limit" };
+            return false;
+        }
+        if (hasFoldedLine(buffer))
+            return Error{ ResultCode::MalformedRequest, "a header line is folded" };
+    }
+    const beast::error_code error = feed(self.parser, buffer);
+    if (error)
+        return Error{ codeOf(error), error.message() };
+    if (!self.head && self.parser.is_header_done()) {
+        const auto &message = self.parser.get();
+        RequestLine line;
+        line.method = toString(message.method_string());
+        line.target = toString(message.target());
+        line.headers = headersOf(message);
+        line.keepsConnection = message.keep_alive();
+        line.expectsContinue = isSameHeaderName(headerValue(line.headers, "Expect"),
+                                                "100-continue");
+        line.hasBody = headerCount(line.headers, "Content-Length") != 0
+                || headerCount(line.headers, "Transfer-Encoding") != 0;
+        if (!isFramedPlainly(line.headers))
+            return Error{ ResultCode::MalformedRequest, "the length of the body is ambiguous" };
+        self.head = std::move(line);
+    }
+    return self.parser.is_done();
+}
+
+bool RequestReader::isHeadRead() const
+{
+    return this->impl->head.has_value();
+}
+
+bool RequestReader::hasBegun() const
+{
+    return this->impl->hasBegun;
+}
+
+const RequestLine &RequestReader::head() const
+{
+    return *this->impl->head;
+}
+
+std::string &RequestReader::body()
+{
+    return this->impl->parser.get().body();
+}
+
+struct ResponseReader::Impl
+{
+    beast::http::response_parser<beast::http::string_body> parser;
+    std::optional<ResponseHead> head;
+};
+
+ResponseReader::ResponseReader(bool isHeadOnly)
+    : impl(std::make_unique<Impl>())
+{
+    this->impl->parser.eager(true);
+    this->impl->parser.header_limit(responseHeadLimit);
+    this->impl->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    this->impl->parser.skip(isHeadOnly);
+}
+
+ResponseReader::~ResponseReader() = default;
+ResponseReader::ResponseReader(ResponseReader &&) noexcept = default;
+ResponseReader &ResponseReader::operator=(ResponseReader &&) noexcept = default;
+
+Result<bool> ResponseReader::read(std::string &buffer)
+{
+    Impl &self = *this->impl;
+    const beast::error_code error = feed(self.parser, buffer);
+    if (error)
+        return Error{ ResultCode::UpstreamFailed, error.message() };
+    if (!self.head && self.parser.is_header_done()) {
+        const auto &message = self.parser.get();
+        ResponseHead head;
+        head.status = static_cast<int>(message.result_int());
+        head.reason = toString(message.reason());
+        head.headers = headersOf(message);
+        head.keepsConnection = message.keep_alive();
+        head.endsWithConnection = message.need_eof() && !self.parser.is_done();
+        if (!isFramedPlainly(head.headers))
+            return Error{ ResultCode::UpstreamFailed, "the length of the body is ambiguous" };
+        self.head = std::move(head);
+    }
+    return self.parser.is_done();
+}
+
+bool ResponseReader::finish()
+{
+    beast::error_code error;
+    if (this->impl->head)
+        this->impl->parser.put_eof(error);
+    return this->impl->head && !error && this->impl->parser.is_done();
+}
+
+bool ResponseReader::isHeadRead() const
+{
+    return this->impl->head.has_value();
+}
+
+const ResponseHead &ResponseReader::head() const
+{
+    return *this->impl->head;
+}
+
+std::string ResponseReader::takeBody()
+{
+    return std::exchange(this->impl->parser.get().body(), {});
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/http/src/tcp_stream.cpp
@@ -0,0 +1,241 @@
+#include "azurewell/http/tcp_stream.h"
+
+#include <QtCore/QCoreApplication>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace azurewell {
+
+namespace {
+
+/// Read at once. A whole request of the sizes seen (5 KB) fits.
+constexpr std::size_t readBytes = 16 * 1024;
+
+/// Accepted before other events get a turn, so that a flood of connections cannot starve answers.
+constexpr int mostAcceptsInARow = 32;
+
+/// Unacknowledged data ends the connection after this time, in milliseconds. A host that is cut off
+/// sends no reset: without this a write to it would hang until the request's deadline.
+constexpr int userTimeoutMillis = 2500;
+
+void setUp(int fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const int timeout = userTimeoutMillis;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+bool isTransient(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+void TcpStream::NotifierDeleter::operator()(QSocketNotifier *notifier) const
+{
+    notifier->setEnabled(false);
+    notifier->disconnect();
+    notifier->deleteLater();
+}
+
+std::unique_ptr<TcpStream> TcpStream::open(const Endpoint &to, Handlers handlers)
+{
+    std::unique_ptr<TcpStream> stream(new TcpStream);
+    stream->handlers = std::move(handlers);
+    stream->descriptor = UniqueFd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int fd = stream->descriptor.get();
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    const bool isAddress = inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr) == 1;
+    bool isStarted = fd >= 0 && isAddress;
+    if (isStarted) {
+        setUp(fd);
+        const int result = ::connect(fd, reinterpret_cast<const sockaddr *>(&address),
+                                     sizeof address);
+        isStarted = result == 0 || errno == EINPROGRESS;
+    }
+    stream->isConnecting = true;
+    if (isStarted) {
+        stream->watch();
+        return stream;
+    }
+    stream->descriptor = UniqueFd();
+    TcpStream *raw = stream.get();
+    QMetaObject::invokeMethod(
+            QCoreApplication::instance(),
+            [raw, gone = stream->isGone] {
+                if (!*gone)
+                    raw->end(StreamEnd::NotOpened);
+            },
+            Qt::QueuedConnection);
+    return stream;
+}
+
+std::unique_ptr<TcpStream> TcpStream::adopt(UniqueFd descriptor, Handlers handlers)
+{
+    std::unique_ptr<TcpStream> stream(new TcpStream);
+    stream->descriptor = std::move(descriptor);
+    stream->handlers = std::move(handlers);
+    setUp(stream->descriptor.get());
+    stream->watch();
+    return stream;
+}
+
+TcpStream::~TcpStream()
+{
+    *this->isGone = true;
+}
+
+void TcpStream::setHandlers(Handlers next)
+{
+    this->handlers = std::move(next);
+}
+
+void TcpStream::watch()
+{
+    const int fd = this->descriptor.get();
+    this->readNotifier = decltype(this->readNotifier)(
+            new QSocketNotifier(fd, QSocketNotifier::Read));
+    this->writeNotifier = decltype(this->writeNotifier)(
+            new QSocketNotifier(fd, QSocketNotifier::Write));
+    QObject::connect(this->readNotifier.get(), &QSocketNotifier::activated,
+                     [this] { this->readable(); });
+    QObject::connect(this->writeNotifier.get(), &QSocketNotifier::activated,
+                     [this] { this->writable(); });
+    this->readNotifier->setEnabled(!this->isConnecting);
+    this->writeNotifier->setEnabled(this->isConnecting);
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (this->isEnded)
+        return;
+    this->output += bytes;
+    if (!this->isConnecting)
+        this->flush();
+}
+
+void TcpStream::flush()
+{
+    std::size_t sent = 0;
+    while (sent < this->output.size()) {
+        const ssize_t count = ::send(this->descriptor.get(), this->output.data() + sent,
+                                     this->output.size() - sent, MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            break; // A broken connection is seen by the reader, which also gets what came before.
+        this->isSentFrom = true;
+        sent += static_cast<std::size_t>(count);
+    }
+    this->output.erase(0, sent);
+    this->writeNotifier->setEnabled(!this->output.empty());
+}
+
+void TcpStream::writable()
+{
+    if (this->isConnecting) {
+        int error = 0;
+        socklen_t length = sizeof error;
+        getsockopt(this->descriptor.get(), SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            this->end(StreamEnd::NotOpened);
+            return;
+        }
+        this->isConnecting = false;
+        this->readNotifier->setEnabled(true);
+        const std::shared_ptr<bool> gone = this->isGone;
+        if (this->handlers.onOpened)
+            this->handlers.onOpened();
+        if (*gone || this->isEnded)
+            return;
+    }
+    const bool wasWaiting = !this->output.empty();
+    this->flush();
+    if (wasWaiting && this->output.empty() && this->handlers.onDrained)
+        this->handlers.onDrained();
+}
+
+void TcpStream::readable()
+{
+    std::array<char, readBytes> block;
+    const ssize_t count = ::recv(this->descriptor.get(), block.data(), block.size(), 0);
+    if (count > 0) {
+        this->input.append(block.data(), static_cast<std::size_t>(count));
+        if (this->handlers.onBytes)
+            this->handlers.onBytes();
+        return;
+    }
+    if (count < 0 && isTransient(errno))
+        return;
+    this->end(count == 0 ? StreamEnd::Finished : StreamEnd::Broken);
+}
+
+void TcpStream::end(StreamEnd how)
+{
+    if (this->isEnded)
+        return;
+    this->isEnded = true;
+    if (this->readNotifier)
+        this->readNotifier->setEnabled(false);
+    if (this->writeNotifier)
+        this->writeNotifier->setEnabled(false);
+    const std::function<void(StreamEnd)> ended = this->handlers.onEnded;
+    if (ended)
+        ended(how);
+}
+
+void TcpStream::pauseReading(bool paused)
+{
+    if (!this->isEnded && !this->isConnecting)
+        this->readNotifier->setEnabled(!paused);
+}
+
+void TcpStream::shutdownWriting()
+{
+    if (!this->isEnded && !this->isConnecting)
+        ::shutdown(this->descriptor.get(), SHUT_WR);
+}
+
+void TcpStream::abort()
+{
+    this->isEnded = true;
+    this->readNotifier.reset();
+    this->writeNotifier.reset();
+    if (this->descriptor.get() < 0)
+        return;
+    const linger reset{ 1, 0 };
+    setsockopt(this->descriptor.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    this->descriptor = UniqueFd();
+}
+
+TcpAcceptor::TcpAcceptor(UniqueFd listening, std::function<void(UniqueFd)> onAccepted)
+    : descriptor(std::move(listening))
+    , accepted(std::move(onAccepted))
+    , notifier(this->descriptor.get(), QSocketNotifier::Read)
+{
+    QObject::connect(&this->notifier, &QSocketNotifier::activated,
+                     [this] { this->acceptWaiting(); });
+}
+
+void TcpAcceptor::acceptWaiting()
+{
+    for (int i = 0; i < mostAcceptsInARow; ++i) {
+        const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        this->accepted(UniqueFd(fd));
+    }
+}
+
+} // namespace azurewell
--- a/packages/placement/include/azurewell/placement/engine_adapters.h
+++ b/packages/placement/include/azurewell/placement/engine_adapters.h
@@ -28,6 +28,7 @@
     std::uint32_t slots = 1; ///< Adapters the engine holds at once.
     std::unordered_map<AdapterRef, AdapterOnEngine> adapters;
     Instant noEvictionBefore; ///< Until then a former keeper's slot leases can still be running.
+    Span popularityHalfLife = std::chrono::seconds(60); ///< Popularity halves in this time.
 };
 
 /// What the keeper has to order so that \a wanted gets onto the engine.
@@ -68,7 +69,7 @@
                        const std::function<bool(const AdapterRef &)> &isKept = {});
 
 /// The popularity of \a adapter at \a now.
-double popularityAt(const AdapterOnEngine &adapter, Instant now);
+double popularityAt(const AdapterOnEngine &adapter, Span halfLife, Instant now);
 
 /// Moves \a ref by the chart.
 void applyEvent(EngineAdapters &engine, const Chart &chart, const AdapterRef &ref,
--- a/packages/placement/src/engine_adapters.cpp
+++ b/packages/placement/src/engine_adapters.cpp
@@ -11,9 +11,6 @@
 constexpr Span longestBackOff = fromSeconds(30);
 constexpr std::uint32_t mostDoublings = 6;
 
-/// Popularity halves in this time.
-constexpr double halfLifeSeconds = 60;
-
 bool takesSlot(const AdapterOnEngine &adapter)
 {
     return adapter.state == AdapterState::Loading || adapter.state == AdapterState::Loaded
@@ -90,7 +87,7 @@
             return {}; // a slot is on its way already
         if (!isEvictable(entry.second) || (isKept && isKept(entry.first)))
             continue;
-        const double popularity = popularityAt(entry.second, now);
+        const double popularity = popularityAt(entry.second, engine.popularityHalfLife, now);
         const bool isLess = !victim || popularity < least
                 || (popularity == least && entry.second.lastUsed < victim->second.lastUsed);
         if (!isLess)
@@ -103,9 +100,9 @@
     return PlacementStep{ PlacementStep::Kind::Evict, victim->first };
 }
 
-double popularityAt(const AdapterOnEngine &adapter, Instant now)
+double popularityAt(const AdapterOnEngine &adapter, Span halfLife, Instant now)
 {
-    const double halves = toSeconds(now - adapter.countedAt) / halfLifeSeconds;
+    const double halves = toSeconds(now - adapter.countedAt) / toSeconds(halfLife);
     return adapter.popularity * std::exp2(-halves);
 }
 
@@ -144,7 +141,7 @@
 void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now)
 {
     AdapterOnEngine &adapter = engine.adapters[ref];
-    adapter.popularity = popularityAt(adapter, now) + 1;
+    adapter.popularity = popularityAt(adapter, engine.popularityHalfLife, now) + 1;
     adapter.countedAt = now;
     ++adapter.pins;
     adapter.lastUsed = now;
--- /dev/null
+++ b/packages/proxy/src/gossip_socket.cpp
@@ -0,0 +1,90 @@
+#include "azurewell/proxy/gossip_socket.h"
+
+#include "azurewell/gateway/gossip_codec.h"
+#include "azurewell/http/clock.h"
+#include "azurewell/logging/log.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace azurewell {
+
+namespace {
+
+/// The largest datagram of UDP over IPv4.
+constexpr std::size_t mostDatagramBytes = 65507;
+
+/// Datagrams read before other events get a turn.
+constexpr int mostReadsInARow = 64;
+
+bool fillAddress(sockaddr_in &address, const Endpoint &endpoint)
+{
+    address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    return ::inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr) == 1;
+}
+
+} // namespace
+
+Result<std::unique_ptr<GossipSocket>> GossipSocket::open(
+        const Endpoint &own, std::function<void(const gateway::Gossip &)> onMessage)
+{
+    UniqueFd socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    sockaddr_in address{};
+    const bool isAddress = fillAddress(address, own);
+    if (socket.get() < 0 || !isAddress
+        || ::bind(socket.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                != 0) {
+        return Error{ ResultCode::SettingsInvalid,
+                      own.ip + ":" + std::to_string(own.port) + ": cannot be bound for UDP" };
+    }
+    return std::unique_ptr<GossipSocket>(new GossipSocket(std::move(socket), std::move(onMessage)));
+}
+
+GossipSocket::GossipSocket(UniqueFd socket, std::function<void(const gateway::Gossip &)> onMessage)
+    : descriptor(std::move(socket))
+    , handler(std::move(onMessage))
+    , notifier(this->descriptor.get(), QSocketNotifier::Read)
+{
+    QObject::connect(&this->notifier, &QSocketNotifier::activated, [this] { this->receive(); });
+}
+
+void GossipSocket::send(const gateway::SendGossip &gossip, Instant now)
+{
+    sockaddr_in address{};
+    if (!fillAddress(address, gossip.to)) {
+        ++this->dropped;
+        return;
+    }
+    const std::string bytes = gateway::encodeGossip(gossip.message, now);
+    const ssize_t sent = ::sendto(this->descriptor.get(), bytes.data(), bytes.size(), 0,
+                                  reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    // A lost message is made good by the next one; the counter shows a link that takes none.
+    if (sent < 0)
+        ++this->dropped;
+}
+
+void GossipSocket::receive()
+{
+    static std::array<char, mostDatagramBytes> block;
+    for (int i = 0; i < mostReadsInARow; ++i) {
+        const ssize_t count = ::recv(this->descriptor.get(), block.data(), block.size(), 0);
+        if (count < 0)
+            return;
+        const Result<gateway::Gossip> message = gateway::decodeGossip(
+                std::string_view(block.data(), static_cast<std::size_t>(count)), monotonicNow());
+        if (!message) {
+            ++this->dropped;
+            writeLog(LogLevel::Warning, "peer_message_dropped",
+                     { { "reason", message.error().detail } });
+            continue;
+        }
+        this->handler(message.value());
+    }
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/proxy/src/http_call.cpp
@@ -0,0 +1,54 @@
+#include "azurewell/proxy/http_call.h"
+
+namespace azurewell {
+
+void HttpCalls::start(const Endpoint &to, std::string request, Instant deadline, Handler handler,
+                      Instant now)
+{
+    const auto call = this->calls.emplace(this->calls.end());
+    call->deadline = deadline;
+    call->handler = std::move(handler);
+    ExchangeHandlers handlers;
+    handlers.onHead = [call](const ResponseHead &head) {
+        call->answer.head = head;
+    };
+    handlers.onBody = [call](const std::string &body) {
+        call->answer.body += body;
+    };
+    handlers.onComplete = [this, call] {
+        this->finish(call, true);
+    };
+    handlers.onFailure = [this, call](ExchangeFailure) {
+        this->finish(call, false);
+    };
+    handlers.isOwn = [](const ResponseHead &) {
+        return true;
+    };
+    call->exchange = this->connections.start(to, std::move(request), false, std::move(handlers),
+                                             now);
+}
+
+void HttpCalls::finish(std::list<Call>::iterator call, bool isWhole)
+{
+    const Handler handler = std::move(call->handler);
+    CallAnswer answer = std::move(call->answer);
+    this->calls.erase(call);
+    if (isWhole)
+        handler(std::move(answer));
+    else
+        handler(std::nullopt);
+}
+
+void HttpCalls::endOverdue(Instant now)
+{
+    for (auto call = this->calls.begin(); call != this->calls.end();) {
+        const auto next = std::next(call);
+        if (now >= call->deadline) {
+            this->connections.cancel(call->exchange);
+            this->finish(call, false);
+        }
+        call = next;
+    }
+}
+
+} // namespace azurewell
--- /dev/null
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -0,0 +1,109 @@
+#include "azurewell/proxy/proxy_metrics.h"
+
+#include "azurewell/logging/log.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace azurewell {
+
+namespace {
+
+/// From a request on a warm connection to the longest deadline of a caller, in seconds.
+const std::vector<double> bucketEdges{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32
+};
+
+void addCounter(std::string &out, std::string_view name, std::uint64_t value)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {0} counter\n{0} {1}\n", name, value);
+}
+
+void addGauge(std::string &out, std::string_view name, double value)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {0} gauge\n{0} {1}\n", name, value);
+}
+
+void addByCode(std::string &out, std::string_view name,
+               const std::map<ResultCode, std::uint64_t> &counts)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {} counter\n", name);
+    for (const auto &[code, count] : counts)
+        fmt::format_to(std::back_inserter(out), "{}{{reason=\"{}\"}} {}\n", name, infoOf(code).name,
+                       count);
+}
+
+void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
+    double total = 0;
+    for (int i = -1; i < histogram.buckets.axis().size(); ++i) {
+        total += histogram.buckets.at(i);
+        fmt::format_to(std::back_inserter(out), "{}_bucket{{le=\"{}\"}} {}\n", name,
+                       bucketEdges[static_cast<std::size_t>(i + 1)], total);
+    }
+    fmt::format_to(std::back_inserter(out),
+                   "{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n{0}_count {1}\n", name,
+                   histogram.count, histogram.sum);
+}
+
+} // namespace
+
+TimeHistogram::TimeHistogram()
+    : buckets(
+            boost::histogram::make_histogram(boost::histogram::axis::variable<double>(bucketEdges)))
+{
+}
+
+void TimeHistogram::add(Span span)
+{
+    const double seconds = toSeconds(span);
+    this->buckets(seconds);
+    this->sum += seconds;
+    ++this->count;
+}
+
+std::string metricsText(const gateway::GatewayState &state, const ProxyMetrics &metrics,
+                        std::size_t upstreamConnections, std::size_t callers, Instant now)
+{
+    const gateway::Counters &counters = state.counters;
+    std::string out;
+    addCounter(out, "azurewell_requests_total", counters.requests);
+    addCounter(out, "azurewell_dispatches_total", counters.dispatched);
+    addCounter(out, "azurewell_answers_total", counters.answered);
+    addCounter(out, "azurewell_callers_left_total", counters.callersLeft);
+    addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
+    addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
+    addByCode(out, "azurewell_refusals_total", counters.refusals);
+    addByCode(out, "azurewell_retries_total", counters.retries);
+    addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
+    addCounter(out, "azurewell_adapter_unloads_total", counters.unloadsOrdered);
+    addCounter(out, "azurewell_base_loads_total", counters.baseLoadsOrdered);
+    addCounter(out, "azurewell_log_lines_left_out_total", linesLeftOut());
+    addHistogram(out, "azurewell_first_byte_seconds", metrics.toFirstByte);
+    addHistogram(out, "azurewell_request_seconds", metrics.whole);
+    addHistogram(out, "azurewell_placing_seconds", metrics.placing);
+    addHistogram(out, "azurewell_report_seconds", metrics.reports);
+    addGauge(out, "azurewell_configuration_version",
+             static_cast<double>(state.configuration.version));
+    addGauge(out, "azurewell_hosts_heard",
+             static_cast<double>(gateway::countHeard(state.members, now)));
+    addGauge(out, "azurewell_hosts_known", static_cast<double>(gateway::countKnown(state.members)));
+    addGauge(out, "azurewell_requests_open", static_cast<double>(state.requests.size()));
+    addGauge(out, "azurewell_requests_waiting", static_cast<double>(state.waiting.size()));
+    addGauge(out, "azurewell_upstream_connections", static_cast<double>(upstreamConnections));
+    addGauge(out, "azurewell_caller_connections", static_cast<double>(callers));
+    double held = 0;
+    for (const auto &[id, engine] : state.engines)
+        held += engine.rights.isHolding ? 1 : 0;
+    addGauge(out, "azurewell_engines_ordered", held);
+    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_customer_tokens_left gauge\n");
+    for (const auto &[customer, meter] : state.meters)
+        fmt::format_to(std::back_inserter(out),
+                       "azurewell_customer_tokens_left{{customer=\"{}\"}} {}\n", customer.value,
+                       meter.level);
+    return out;
+}
+
+} // namespace azurewell
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -6,7 +6,7 @@
 
 void countFirstTry(RetryBudget &budget)
 {
-    budget.tokens = std::min(budget.tokens + earnedByFirstTry, mostSavedRetries);
+    budget.tokens = std::min(budget.tokens + budget.earned, budget.mostSaved);
 }
 
 bool takeRetry(RetryBudget &budget)
--- a/packages/shell/include/azurewell/shell/caller_guard.h
+++ b/packages/shell/include/azurewell/shell/caller_guard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 #include "azurewell/shell/settings.h"
 
 #include <QtCore/QByteArray>
--- a/packages/shell/include/azurewell/shell/peer_links.h
+++ b/packages/shell/include/azurewell/shell/peer_links.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "azurewell/fleet/codec.h"
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 #include "azurewell/shell/settings.h"
 
 #include <QtCore/QByteArray>
--- a/packages/shell/include/azurewell/shell/platform_watcher.h
+++ b/packages/shell/include/azurewell/shell/platform_watcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "azurewell/host/events.h"
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 #include "azurewell/shell/settings.h"
 
 #include <QtCore/QObject>
--- a/packages/shell/include/azurewell/shell/settings.h
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "azurewell/host/host_state.h"
+#include "azurewell/logging/log.h"
+#include "azurewell/units/endpoint.h"
 #include "azurewell/units/result.h"
 
 #include <cstdint>
@@ -9,15 +11,6 @@
 
 namespace azurewell {
 
-enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
-
-/// IP and port. Names are not resolved: hosts talk by IP numbers.
-struct Endpoint
-{
-    std::string ip;
-    std::uint16_t port = 0;
-};
-
 /// What azurewelld reads at start; `azurewelld --print-default-settings` shows each key with its
 /// meaning.
 struct Settings
--- a/packages/shell/src/control_loop.cpp
+++ b/packages/shell/src/control_loop.cpp
@@ -1,7 +1,7 @@
 #include "azurewell/shell/control_loop.h"
 
-#include "azurewell/shell/clock.h"
-#include "azurewell/shell/log.h"
+#include "azurewell/http/clock.h"
+#include "azurewell/logging/log.h"
 #include "azurewell/shell/show_record.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/shell/src/engine_orders.cpp
+++ b/packages/shell/src/engine_orders.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/shell/engine_orders.h"
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/shell/src/peer_links.cpp
+++ b/packages/shell/src/peer_links.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/shell/peer_links.h"
 
-#include "azurewell/shell/log.h"
+#include "azurewell/logging/log.h"
 #include "azurewell/shell/peer_frame.h"
 
 #include <QtNetwork/QHostAddress>
--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/shell/platform_watcher.h"
 
-#include "azurewell/shell/log.h"
+#include "azurewell/logging/log.h"
 #include "azurewell/tickets/json_reader.h"
 #include "azurewell/tickets/snapshot.h"
 
--- a/packages/shell/src/run_host.cpp
+++ b/packages/shell/src/run_host.cpp
@@ -1,8 +1,8 @@
 #include "azurewell/shell/run_host.h"
 
+#include "azurewell/http/listen_socket.h"
+#include "azurewell/logging/log.h"
 #include "azurewell/shell/control_loop.h"
-#include "azurewell/shell/listen_socket.h"
-#include "azurewell/shell/log.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QSocketNotifier>
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -1,8 +1,8 @@
 #include "azurewell/shell/traffic_worker.h"
 
+#include "azurewell/http/listen_socket.h"
+#include "azurewell/logging/log.h"
 #include "azurewell/shell/http_text.h"
-#include "azurewell/shell/listen_socket.h"
-#include "azurewell/shell/log.h"
 
 namespace azurewell {
 
--- a/programs/azurewellctl/load_command.cpp
+++ b/programs/azurewellctl/load_command.cpp
@@ -1,4 +1,4 @@
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 #include "azurewell/shell/upstream_pool.h"
 #include "commands.h"
 
--- a/programs/azurewelld/main.cpp
+++ b/programs/azurewelld/main.cpp
@@ -1,4 +1,5 @@
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
+#include "azurewell/platform/run_node.h"
 #include "azurewell/shell/run_host.h"
 
 #include <CLI/CLI.hpp>
@@ -6,6 +7,25 @@
 
 #include <random>
 
+namespace {
+
+int runOnPlatform(int argc, char **argv, const std::string &path, bool isCheck)
+{
+    const azurewell::Result<azurewell::platform::NodeSettings> settings
+            = azurewell::platform::loadNodeSettings(path);
+    if (!settings) {
+        fmt::print(stderr, "{}: {}\n", path, settings.error().detail);
+        return 2;
+    }
+    if (isCheck) {
+        fmt::print("{}: valid\n", path);
+        return 0;
+    }
+    return azurewell::platform::runNode(argc, argv, settings.value(), path);
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     CLI::App options("One entry host of azurewell: serves callers and acts with the other hosts.");
@@ -16,8 +36,16 @@
     options.add_flag("--check", isCheck, "Check the settings file and leave");
     options.add_flag("--print-default-settings", isPrintDefaults,
                      "Print a settings file with every key and leave");
+    CLI::App *node = options.add_subcommand(
+            "node", "Serve on the users' platform; the settings file is the platform's");
+    std::string nodePath = azurewell::platform::nodeSettingsPath();
+    node->add_option("--settings", nodePath, "Settings file, lines of the form a.b=value");
+    node->add_flag("--check", isCheck, "Check the settings file and leave");
     CLI11_PARSE(options, argc, argv);
 
+    if (node->parsed())
+        return runOnPlatform(argc, argv, nodePath, isCheck);
+
     if (isPrintDefaults) {
         fmt::print("{}", azurewell::defaultSettingsText());
         return 0;
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/standins/engine.h"
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 #include "azurewell/shell/http_text.h"
 
 #include <QtCore/QUrl>
--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -1,6 +1,6 @@
 #include "azurewell/standins/platform.h"
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 
 #include <QtCore/QUrl>
 #include <QtCore/QUrlQuery>
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,7 @@
 #include "faults.h"
 #include "soak_caller.h"
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -1,6 +1,6 @@
 #include "soak_caller.h"
 
-#include "azurewell/shell/clock.h"
+#include "azurewell/http/clock.h"
 
 #include <QtCore/QTimer>
 
--- a/tests/sockets/bad_input_test.cpp
+++ b/tests/sockets/bad_input_test.cpp
@@ -89,7 +89,7 @@
 {
     this->settings.logLevel = LogLevel::Debug;
     standins::Engine &engine = this->addEngine();
-    testing::internal::CaptureStderr();
+    testing::internal::CaptureStdout();
     this->startHost();
     for (const BadInput &bad : badInputs()) {
         Caller caller(this->port);
@@ -100,7 +100,7 @@
     filing.post("/services/filings/notices", R"({"notice":1})", "Cookie: k=" + callerKey + "\r\n");
     EXPECT_EQ(filing.answer().status, 200);
     EXPECT_TRUE(this->isUnharmed());
-    const std::string log = testing::internal::GetCapturedStderr();
+    const std::string log = testing::internal::GetCapturedStdout();
     EXPECT_NE(log.find("request_refused"), std::string::npos);
     EXPECT_EQ(log.find(callerKey.toStdString()), std::string::npos);
     EXPECT_EQ(engine.keysSeen, 0U);
--- a/tests/sockets/host_fixture.cpp
+++ b/tests/sockets/host_fixture.cpp
@@ -1,6 +1,6 @@
 #include "host_fixture.h"
 
-#include "azurewell/shell/log.h"
+#include "azurewell/logging/log.h"
 
 #include <QtCore/QCryptographicHash>
 
--- a/tests/sockets/host_process.cpp
+++ b/tests/sockets/host_process.cpp
@@ -63,7 +63,7 @@
         return false;
     file.write(QByteArray::fromStdString(settings.dump()));
     file.close();
-    this->process.setStandardErrorFile(this->directory.filePath("log"), QIODevice::Append);
+    this->process.setStandardOutputFile(this->directory.filePath("log"), QIODevice::Append);
     this->process.start(AZUREWELLD, { "--settings", path });
     return waitUntil([this] { return this->readyStatus() == 200; });
 }
