Pace adapter loads over all engines; count limits in a sliding window

Ruled out: too few places (25 of 100 loads were evicted within 0.9 s, in favour of loads that came too late themselves); engines at their limit (27 of 100 of their time goes to prompts).

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -10,6 +10,7 @@
 struct CustomerUse {
   1: string customer
   2: double admitted
+  3: double inWindow
 }
 
 struct LoadedAdapter {
@@ -42,6 +43,7 @@
   1: string engine
   2: string model
   3: string adapter
+  4: bool storeBusy
 }
 
 struct Member {
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -26,6 +26,8 @@
     Incarnation incarnation;
     bool isFirstStart = false; ///< The whole system starts for the first time.
     std::uint64_t randomSeed = 0;
+    MeterLimits meterLimits;
+    Span stopGrace{};            ///< The process is killed so long after it was asked to stop.
     std::vector<Endpoint> seeds; ///< Hosts that may know others; may be stale.
 };
 
@@ -70,8 +72,9 @@
     std::int64_t start = 0;                   ///< Of the engine's life that `adapters` describe.
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders not yet seen to be carried out.
     std::map<AdapterRef, Instant>
-            usedUntil;            ///< Some host uses the adapter; not evicted until then.
-    std::deque<ModelName> wanted; ///< Loads to order, oldest first.
+            usedUntil;                 ///< Some host uses the adapter; not evicted until then.
+    std::deque<ModelName> wanted;      ///< Loads to order, oldest first.
+    std::deque<AdapterRef> heldLately; ///< Newest first; the engine loads these quickly.
     bool isOrderOnItsWay = false;
     bool isReportOnItsWay = false;
     Instant reportAskedAt;
@@ -106,7 +109,7 @@
     KnownCharts charts;
     std::mt19937_64 random;
     Instant startedAt;
-    bool isStopping = false;
+    Instant stopAskedAt; ///< Zero: not asked.
 
     Configuration configuration;
     DeclaredVersions versions;
@@ -147,7 +150,7 @@
 void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
 
 /// What the platform publishes, decoded.
-void setConfiguration(GatewayState &state, Configuration configuration, Instant now);
+void setConfiguration(GatewayState &state, Configuration configuration);
 void listUpstream(GatewayState &state, const ListedUpstream &listed, Instant now);
 void removeUpstream(GatewayState &state, const UpstreamId &id, Instant now);
 void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version);
@@ -156,6 +159,8 @@
 /// The process is asked to stop: the others are told, and orders end.
 void beginStop(GatewayState &state, Instant now, Actions &actions);
 
+bool isStopping(const GatewayState &state);
+
 /// Whether this host can serve: it knows a configuration and does not stop.
 bool isReady(const GatewayState &state);
 
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -14,6 +14,7 @@
 {
     CustomerId customer;
     double admitted = 0; ///< Tokens since the sender's start.
+    double inWindow = 0; ///< Of these, the ones within the window of the limits.
 };
 
 /// What the sender knows of an engine at which it orders.
@@ -43,6 +44,7 @@
 {
     UpstreamId engine;
     ModelName adapter;
+    bool isStoreBusy = false; ///< Loads wait for the weight store: no other engine can do better.
 };
 
 /// A member that the sender knows of.
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -29,8 +29,8 @@
 constexpr double failureCost = 25;
 
 /// An engine whose wait is above the least one by more than this many starts loads no adapter, even
-/// where it held the adapter lately: 4 starts are about the time of a load.
-constexpr double mostExtraWait = 3;
+/// where it held the adapter lately: 5 starts are the time of a load and a half.
+constexpr double mostExtraWait = 5;
 
 double cost(const Upstream &upstream, const ZoneId &own, Instant now)
 {
--- a/packages/gateway/src/customer_meter.cpp
+++ b/packages/gateway/src/customer_meter.cpp
@@ -6,63 +6,122 @@
 
 namespace {
 
-/// Debt beyond this many seconds of the rate is forgotten: a host that returns from a cut may tell
-/// of so much at once that a customer would be refused long after the use has left any window.
-constexpr double mostDebtSeconds = 4;
+/// Kept free for what the others admitted since their last word, and for the uneven edges of the
+/// window's parts.
+constexpr double unheardPart = 0.05;
 
-/// A host alone among many known ones still uses this much more than its even part: the room that
-/// an uneven balancer needs. Both sides of a cut together stay within a fifth above the rate.
-constexpr double unevenness = 1.2;
+/// After a restart nothing is known of what was admitted before. What is admitted since may use
+/// this part of the room at once and the rest in step with the window. A window that begins 1.5 s
+/// before the restart and was full holds 0.81 of the room, less with each second: the sum stays
+/// below 1.
+constexpr double usableAtRestart = 0.15;
 
-} // namespace
+/// The room over all hosts, in tokens for each window.
+double roomOf(const Customer &customer, const MeterLimits &limits)
+{
+    const double burst = static_cast<double>(customer.burst.count);
+    const double plain = customer.rate.perSecond * toSeconds(limits.window) + burst;
+    return (plain * (1 + limits.overshoot) + limits.slack) * (1 - unheardPart);
+}
+
+/// Whether \a used since the start leaves what an earlier process may have used before it.
+bool isInRestartRoom(double used, double room, const MeterLimits &limits, const MeterStart &start,
+                     Instant now)
+{
+    const double since = toSeconds(now - start.startedAt) / toSeconds(limits.window);
+    if (start.isFirst || since >= 1)
+        return true;
+    return used <= room * (usableAtRestart + (1 - usableAtRestart) * since);
+}
 
-double usablePart(std::size_t heard, std::size_t known)
+struct Used
 {
-    const double part = static_cast<double>(heard + 1) / static_cast<double>(known + 1);
-    return std::min(1.0, part * unevenness);
+    double byAll = 0;
+    double byHeard = 0; ///< This host and those that are heard.
+};
+
+Used usedIn(CustomerMeter &meter, const Members &members, Span window, Instant now)
+{
+    slide(meter.own.window, window, now);
+    Used used{ meter.own.window.sum, meter.own.window.sum };
+    for (auto &[id, use] : meter.others) {
+        slide(use.window, window, now);
+        used.byAll += use.window.sum;
+        if (isAlive(members, id, now))
+            used.byHeard += use.window.sum;
+    }
+    return used;
 }
 
-void startMeter(CustomerMeter &meter, const Customer &customer, bool isFull, Instant now)
+} // namespace
+
+void slide(WindowSum &window, Span length, Instant now)
 {
-    meter.level = isFull ? static_cast<double>(customer.burst.count) : 0;
-    meter.refilledAt = now;
+    const Span part = length / WindowSum::parts;
+    if (now - window.newestEnds >= length) {
+        window = {};
+        window.newestEnds = now + part;
+        return;
+    }
+    while (now >= window.newestEnds) {
+        window.newest = (window.newest + 1) % window.used.size();
+        window.sum -= window.used[window.newest];
+        window.used[window.newest] = 0;
+        window.newestEnds = window.newestEnds + part;
+    }
 }
 
-void refill(CustomerMeter &meter, const Customer &customer, double part, Instant now)
+void addTo(WindowSum &window, double tokens, Span length, Instant now)
 {
-    const double gained = customer.rate.perSecond * part * toSeconds(now - meter.refilledAt);
-    meter.refilledAt = now;
-    meter.level = std::clamp(meter.level + gained, -customer.rate.perSecond * mostDebtSeconds,
-                             static_cast<double>(customer.burst.count));
+    slide(window, length, now);
+    window.used[window.newest] += tokens;
+    window.sum += tokens;
 }
 
-std::optional<Span> admit(CustomerMeter &meter, const Customer &customer, double cost, double part,
-                          Instant now)
+std::optional<Span> admit(CustomerMeter &meter, const Customer &customer, double cost,
+                          const MeterLimits &limits, const MeterStart &start,
+                          const Members &members, Instant now)
 {
     if (customer.rate.perSecond <= 0)
         return std::nullopt;
-    refill(meter, customer, part, now);
-    // A request larger than the burst is admitted by a full bucket, and paid back.
-    const double needed = std::min(cost, static_cast<double>(customer.burst.count));
-    if (meter.level < needed)
-        return fromSeconds((needed - meter.level) / (customer.rate.perSecond * part));
-    meter.level -= cost;
-    meter.admittedHere += cost;
+    const double room = roomOf(customer, limits);
+    const double heard = static_cast<double>(countHeard(members, now) + 1);
+    const double known = static_cast<double>(countKnown(members) + 1);
+    const Used used = usedIn(meter, members, limits.window, now);
+    const bool isInRoom = used.byAll + cost <= room && used.byHeard + cost <= room * heard / known
+            && isInRestartRoom(meter.sinceStart + cost, room, limits, start, now);
+    if (!isInRoom) {
+        // Room comes back as the window slides, on average at the rate.
+        return fromSeconds(cost / customer.rate.perSecond);
+    }
+    addTo(meter.own.window, cost, limits.window, now);
+    meter.own.admitted += cost;
+    meter.sinceStart += cost;
     return std::nullopt;
 }
 
 void noteAdmittedElsewhere(CustomerMeter &meter, const HostId &host, Incarnation incarnation,
-                           double admitted)
+                           double admitted, double inWindow, const MeterLimits &limits, Instant now)
 {
-    CustomerMeter::Heard &heard = meter.others[host];
-    if (incarnation < heard.incarnation)
+    const auto [known, isNew] = meter.others.try_emplace(host);
+    HostUse &use = known->second;
+    if (incarnation < use.incarnation)
+        return;
+    if (incarnation > use.incarnation) {
+        // What its earlier life admitted stays in the window. Of this life, all that is in the
+        // window counts as just admitted, since its age is not known.
+        use.incarnation = incarnation;
+        use.admitted = admitted;
+        addTo(use.window, inWindow, limits.window, now);
+        if (!isNew)
+            meter.sinceStart += inWindow;
         return;
-    if (incarnation > heard.incarnation)
-        heard = { incarnation, 0 };
-    if (admitted <= heard.admitted)
+    }
+    if (admitted <= use.admitted)
         return;
-    meter.level -= admitted - heard.admitted;
-    heard.admitted = admitted;
+    addTo(use.window, admitted - use.admitted, limits.window, now);
+    meter.sinceStart += admitted - use.admitted;
+    use.admitted = admitted;
 }
 
 double costOf(const Customer &customer, std::optional<Tokens> stated)
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -41,12 +41,25 @@
 /// Requests for an adapter count half after this time: demand moves within seconds.
 constexpr Span popularityHalfLife = std::chrono::seconds(5);
 
-/// A use that another host told of protects an adapter until its next word, which may be lost.
-constexpr Span usedFor = std::chrono::milliseconds(700);
+/// A use protects an adapter until the next look at what is in use.
+constexpr Span usedFor = std::chrono::milliseconds(300);
 
-/// Wanted loads beyond this at one engine are refused, so that another engine is asked: five
-/// places and 250 ms a load make 20 loads a second.
-constexpr std::size_t mostWanted = 6;
+/// Loads that the weight store brings at full speed at once: half an engine's worth each, at least
+/// 8 (8 for 9 and for 18 engines, 48 for 90, as deployments state it). With more on their way each
+/// takes longer in proportion, so that none would come in time.
+constexpr std::size_t fewestLoadsAtOnce = 8;
+constexpr std::size_t enginesOfOneLoad = 2;
+
+/// How long a load takes at full speed.
+constexpr Span loadTime = std::chrono::milliseconds(250);
+
+/// A load that would begin later than this is refused: with the load itself and the prompt after it
+/// the answer would begin after a second.
+constexpr Span longestLoadQueue = std::chrono::milliseconds(450);
+
+/// Adapters that an engine keeps in its host's memory after they were unloaded; 30 as deployments
+/// state it, less some for loads that were ordered by others.
+constexpr std::size_t mostHeldLately = 24;
 
 const EngineLimits *limitsOf(const GatewayState &state, const Upstream &upstream)
 {
@@ -145,9 +158,64 @@
     std::erase_if(view.ready, [&](const LoadedAdapter &adapter) {
         return engine.unloadedAt.contains(refOf(adapter.name));
     });
+    for (const auto &[ref, adapter] : engine.adapters.adapters) {
+        const ModelName name = nameOf(ref);
+        if (adapter.state == AdapterState::Loading && !view.isLoading(name))
+            view.loading.push_back({ name, 0 });
+    }
     upstream.engine = std::move(view);
 }
 
+std::size_t loadsAtOnce(const GatewayState &state)
+{
+    std::size_t engines = 0;
+    for (const auto &[id, upstream] : state.upstreams)
+        engines += upstream.engine.models.empty() ? 0 : 1;
+    return std::max(fewestLoadsAtOnce, engines / enginesOfOneLoad);
+}
+
+/// Loads on their way over all engines, as far as known.
+std::size_t loadsOnTheirWay(const GatewayState &state)
+{
+    std::size_t loads = 0;
+    for (const auto &[id, upstream] : state.upstreams)
+        loads += upstream.engine.loading.size();
+    return loads;
+}
+
+bool isHeldLately(const OrderedEngine &engine, const AdapterRef &ref)
+{
+    return std::find(engine.heldLately.begin(), engine.heldLately.end(), ref)
+            != engine.heldLately.end();
+}
+
+void noteHeld(OrderedEngine &engine, const AdapterRef &ref)
+{
+    std::erase(engine.heldLately, ref);
+    engine.heldLately.push_front(ref);
+    if (engine.heldLately.size() > mostHeldLately)
+        engine.heldLately.pop_back();
+}
+
+/// Loads that this host may have waiting so that the last of them begins in time: its part of what
+/// the weight store brings within that time.
+std::size_t mostQueued(const GatewayState &state)
+{
+    const double perSecond = static_cast<double>(loadsAtOnce(state)) / toSeconds(loadTime);
+    const double hosts = static_cast<double>(countKnown(state.members) + 1);
+    const double queued = perSecond * toSeconds(longestLoadQueue) / hosts;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(queued));
+}
+
+/// Loads that wait at this host for the weight store.
+std::size_t queuedLoads(const GatewayState &state)
+{
+    std::size_t queued = 0;
+    for (const auto &[id, engine] : state.engines)
+        queued += engine.wanted.size();
+    return queued;
+}
+
 bool isUsed(const GatewayState &state, const OrderedEngine &engine, const UpstreamId &id,
             const AdapterRef &ref, Instant now)
 {
@@ -220,21 +288,25 @@
                  const EngineLimits &limits, Instant now, Actions &actions)
 {
     engine.adapters.slots = limits.adapterPlaces;
-    while (!engine.wanted.empty()) {
-        const ModelName wanted = engine.wanted.front();
+    std::erase_if(engine.wanted, [&](const ModelName &wanted) {
+        return !isOrderable(engine.adapters, refOf(wanted), now);
+    });
+    if (loadsUnderWay(engine.adapters) >= mostLoadsUnderWay)
+        return;
+    const bool isStoreFull = loadsOnTheirWay(state) >= loadsAtOnce(state);
+    const UpstreamId &id = upstream.listed.id;
+    for (const ModelName &wanted : engine.wanted) {
         const AdapterRef ref = refOf(wanted);
-        if (!isOrderable(engine.adapters, ref, now)) {
-            engine.wanted.pop_front();
+        if (isStoreFull && !isHeldLately(engine, ref))
             continue;
-        }
-        if (loadsUnderWay(engine.adapters) >= mostLoadsUnderWay)
-            return;
-        const UpstreamId &id = upstream.listed.id;
         const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
             return isUsed(state, engine, id, held, now);
         });
         if (step.kind == PlacementStep::Kind::Load) {
             move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+            noteHeld(engine, ref);
+            upstream.engine.loading.push_back({ wanted, 0 });
+            engine.isNews = true;
             ++state.counters.loadsOrdered;
             order(state, upstream, engine, wanted, true, now, actions);
         } else if (step.kind == PlacementStep::Kind::Evict) {
@@ -255,7 +327,7 @@
                 std::uint64_t wallMillis, Instant now, Actions &actions)
 {
     const EngineLimits *limits = limitsOf(state, upstream);
-    if (!limits || state.isStopping || engine.isOrderOnItsWay)
+    if (!limits || isStopping(state) || engine.isOrderOnItsWay)
         return;
     const OrderStart start{ state.self.isFirstStart, state.startedAt };
     const bool isWanted = !engine.wanted.empty() || upstream.engine.models.empty();
@@ -300,21 +372,6 @@
     actions.reports.push_back({ upstream.listed.id, upstream.listed.address });
 }
 
-void refuseWanted(GatewayState &state, const LoadRequest &request, const Endpoint *asker,
-                  Actions &actions)
-{
-    if (!asker) {
-        const auto awaited = state.awaitedLoads.find(request.adapter);
-        if (awaited != state.awaitedLoads.end())
-            awaited->second.refusedBy.insert(request.engine);
-        return;
-    }
-    SendGossip reply;
-    reply.to = *asker;
-    reply.message.loadRefusals.push_back({ request.engine, request.adapter });
-    actions.gossip.push_back(std::move(reply));
-}
-
 } // namespace
 
 AdapterRef refOf(const ModelName &name)
@@ -333,8 +390,7 @@
     unpin(ordered.adapters, ref);
 }
 
-void wantLoad(GatewayState &state, const LoadRequest &request, const Endpoint *asker, Instant now,
-              Actions &actions)
+LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now)
 {
     const auto upstream = state.upstreams.find(request.engine);
     OrderedEngine &engine = state.engines[request.engine];
@@ -344,17 +400,26 @@
     const AdapterState known = stateOf(engine, ref);
     if (isOwn && (known == AdapterState::Loading || known == AdapterState::Loaded)) {
         engine.isNews = true;
-        return;
+        return LoadProspect::Coming;
     }
     const bool isListed = std::find(engine.wanted.begin(), engine.wanted.end(), request.adapter)
             != engine.wanted.end();
     if (isListed)
-        return;
-    if (!isOwn || !engine.rights.isHolding || engine.wanted.size() >= mostWanted) {
-        refuseWanted(state, request, asker, actions);
-        return;
-    }
+        return LoadProspect::Coming;
+    if (!isOwn || !engine.rights.isHolding)
+        return LoadProspect::NotHere;
+    const bool isQuick = isHeldLately(engine, ref);
+    const bool isStoreBusy = !isQuick && queuedLoads(state) >= mostQueued(state);
+    const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
+        return isUsed(state, engine, request.engine, held, now);
+    });
+    const bool hasRoom = engine.adapters.slots > 1 && step.kind != PlacementStep::Kind::Nothing;
+    if (!hasRoom)
+        return LoadProspect::NotHere;
+    if (isStoreBusy)
+        return LoadProspect::StoreBusy;
     engine.wanted.push_back(request.adapter);
+    return LoadProspect::Coming;
 }
 
 void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions)
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -44,18 +44,11 @@
     state.members.zone = self.zone;
 }
 
-void setConfiguration(GatewayState &state, Configuration configuration, Instant now)
+void setConfiguration(GatewayState &state, Configuration configuration)
 {
     if (configuration.version <= state.configuration.version)
         return;
     indexKeys(configuration);
-    for (const Customer &customer : configuration.customers) {
-        CustomerMeter &meter = state.meters[customer.id];
-        if (meter.refilledAt.micros == 0)
-            startMeter(meter, customer, state.self.isFirstStart, now);
-        else
-            refill(meter, customer, 0, now);
-    }
     state.configuration = std::move(configuration);
 }
 
@@ -101,14 +94,19 @@
     state.platformFailedAt = now;
 }
 
+bool isStopping(const GatewayState &state)
+{
+    return state.stopAskedAt.micros != 0;
+}
+
 bool isReady(const GatewayState &state)
 {
-    return state.configuration.version != 0 && !state.isStopping;
+    return state.configuration.version != 0 && !isStopping(state);
 }
 
 void beginStop(GatewayState &state, Instant now, Actions &actions)
 {
-    state.isStopping = true;
+    state.stopAskedAt = now;
     state.nextHeartbeatAt = now;
     runGossip(state, now, actions);
 }
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -86,15 +86,6 @@
     return out;
 }
 
-template <typename Place>
-std::vector<Place> placesOf(const std::vector<wire::AdapterAt> &places)
-{
-    std::vector<Place> out;
-    for (const wire::AdapterAt &place : places)
-        out.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
-    return out;
-}
-
 wire::Member toWire(const MemberNews &member)
 {
     wire::Member out;
@@ -160,6 +151,7 @@
         wire::CustomerUse &to = out.uses.emplace_back();
         to.customer = use.customer.value;
         to.admitted = use.admitted;
+        to.inWindow = use.inWindow;
     }
     for (const EngineNews &news : message.engines)
         out.engines.push_back(toWire(news, now));
@@ -172,8 +164,10 @@
     }
     for (const LoadRequest &request : message.loadRequests)
         out.loadRequests.push_back(toWire(request));
-    for (const LoadRefusal &refusal : message.loadRefusals)
+    for (const LoadRefusal &refusal : message.loadRefusals) {
         out.loadRefusals.push_back(toWire(refusal));
+        out.loadRefusals.back().storeBusy = refusal.isStoreBusy;
+    }
     for (const PublishedChanges &changes : message.changes)
         out.changes.push_back(toWire(changes));
     return out;
@@ -192,15 +186,19 @@
     for (const wire::Member &member : message.members)
         out.members.push_back(fromWire(member));
     for (const wire::CustomerUse &use : message.uses)
-        out.uses.push_back({ CustomerId{ use.customer }, use.admitted });
+        out.uses.push_back({ CustomerId{ use.customer }, use.admitted, use.inWindow });
     for (const wire::EngineNews &news : message.engines)
         out.engines.push_back(fromWire(news, now));
     for (const wire::AdapterUse &use : message.adapterUses) {
         out.adapterUses.push_back(
                 { UpstreamId{ use.engine }, { use.model, use.adapter }, ageOf(use.idleFor) });
     }
-    out.loadRequests = placesOf<LoadRequest>(message.loadRequests);
-    out.loadRefusals = placesOf<LoadRefusal>(message.loadRefusals);
+    for (const wire::AdapterAt &place : message.loadRequests)
+        out.loadRequests.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
+    for (const wire::AdapterAt &place : message.loadRefusals) {
+        out.loadRefusals.push_back(
+                { UpstreamId{ place.engine }, { place.model, place.adapter }, place.storeBusy });
+    }
     for (const wire::Changes &changes : message.changes)
         out.changes.push_back(fromWire(changes));
     return out;
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -34,7 +34,7 @@
     message.zone = state.self.zone;
     message.address = state.self.address;
     message.incarnation = state.self.incarnation;
-    message.isLeaving = state.isStopping;
+    message.isLeaving = isStopping(state);
     message.revision = state.published.revision;
     message.highestFencing = state.highestFencing;
     return message;
@@ -52,8 +52,8 @@
 void addUses(const GatewayState &state, Gossip &message)
 {
     for (const auto &[customer, meter] : state.meters) {
-        if (meter.admittedHere > 0)
-            message.uses.push_back({ customer, meter.admittedHere });
+        if (meter.own.admitted > 0)
+            message.uses.push_back({ customer, meter.own.admitted, meter.own.window.sum });
     }
 }
 
@@ -208,12 +208,13 @@
 
 void takeUses(GatewayState &state, const std::vector<AdapterUse> &uses, Instant now)
 {
-    constexpr Span protection = std::chrono::milliseconds(800);
+    /// Until the next heartbeat, and the one after if that is lost.
+    constexpr Span protection = std::chrono::milliseconds(550);
     for (const AdapterUse &use : uses) {
         OrderedEngine &engine = state.engines[use.engine];
         const AdapterRef ref = refOf(use.adapter);
         Instant &until = engine.usedUntil[ref];
-        until = std::max(until, now - use.idleFor + protection);
+        until = use.idleFor > Span{} ? std::max(until, now) : now + protection;
         const auto known = engine.adapters.adapters.find(ref);
         if (known == engine.adapters.adapters.end())
             continue;
@@ -224,6 +225,34 @@
 
 } // namespace
 
+namespace {
+
+void answerLoadRequest(GatewayState &state, const LoadRequest &request, const Endpoint &asker,
+                       Instant now, Actions &actions)
+{
+    const LoadProspect prospect = wantLoad(state, request, now);
+    if (prospect == LoadProspect::Coming)
+        return;
+    const bool isStoreBusy = prospect == LoadProspect::StoreBusy;
+    SendGossip reply{ asker, blank(state) };
+    reply.message.loadRefusals.push_back({ request.engine, request.adapter, isStoreBusy });
+    actions.gossip.push_back(std::move(reply));
+}
+
+/// A load that was asked for is not carried out.
+void takeRefusal(GatewayState &state, const LoadRefusal &refusal, Instant now, Actions &actions)
+{
+    const auto awaited = state.awaitedLoads.find(refusal.adapter);
+    if (awaited == state.awaitedLoads.end() || awaited->second.engine != refusal.engine)
+        return;
+    awaited->second.refusedBy.insert(refusal.engine);
+    awaited->second.otherEngineAt = now;
+    if (refusal.isStoreBusy)
+        refuseWaiting(state, refusal.adapter, actions);
+}
+
+} // namespace
+
 void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
     ++state.counters.gossipReceived;
@@ -244,19 +273,14 @@
     }
     for (const CustomerUse &use : message.uses)
         noteAdmittedElsewhere(state.meters[use.customer], message.from, message.incarnation,
-                              use.admitted);
+                              use.admitted, use.inWindow, state.self.meterLimits, now);
     for (const EngineNews &news : message.engines)
         takeNews(state, news, now);
     takeUses(state, message.adapterUses, now);
     for (const LoadRequest &request : message.loadRequests)
-        wantLoad(state, request, &message.address, now, actions);
-    for (const LoadRefusal &refusal : message.loadRefusals) {
-        const auto awaited = state.awaitedLoads.find(refusal.adapter);
-        if (awaited == state.awaitedLoads.end() || awaited->second.engine != refusal.engine)
-            continue;
-        awaited->second.refusedBy.insert(refusal.engine);
-        awaited->second.otherEngineAt = now;
-    }
+        answerLoadRequest(state, request, message.address, now, actions);
+    for (const LoadRefusal &refusal : message.loadRefusals)
+        takeRefusal(state, refusal, now, actions);
     for (const PublishedChanges &changes : message.changes) {
         const std::vector<PublishedItem> items = takeChanges(state.published, changes);
         state.undecoded.insert(state.undecoded.end(), items.begin(), items.end());
@@ -266,8 +290,8 @@
     sendChanges(state, message, now, actions);
 }
 
-bool awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need, Instant now,
-               Actions &actions)
+LoadProspect awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need,
+                       Instant now, Actions &actions)
 {
     /// A word to another host is repeated after this time: it may be lost.
     constexpr Span askAgain = std::chrono::milliseconds(150);
@@ -285,28 +309,35 @@
                 state.upstreams, other, service->engine ? service->engine->adapterPlaces : 0, now);
         if (!engine) {
             state.awaitedLoads.erase(adapter);
-            return false;
+            return LoadProspect::NotHere;
         }
         awaited.engine = engine->listed.id;
         awaited.otherEngineAt = now + otherEngineAfter;
         awaited.askAgainAt = now;
     }
     if (now < awaited.askAgainAt)
-        return true;
+        return LoadProspect::Coming;
     awaited.askAgainAt = now + askAgain;
     const Upstream &engine = state.upstreams.at(awaited.engine);
     if (engine.engine.isLoading(adapter))
-        return true;
+        return LoadProspect::Coming;
     const LoadRequest request{ awaited.engine, adapter };
     const HostId holder = presumedHolder(engine, state.members, now);
     if (holder == state.self.id) {
-        wantLoad(state, request, nullptr, now, actions);
-        return true;
+        const LoadProspect prospect = wantLoad(state, request, now);
+        if (prospect == LoadProspect::NotHere) {
+            awaited.refusedBy.insert(awaited.engine);
+            awaited.otherEngineAt = now;
+            return LoadProspect::Coming;
+        }
+        if (prospect == LoadProspect::StoreBusy)
+            state.awaitedLoads.erase(adapter);
+        return prospect;
     }
     Gossip message = blank(state);
     message.loadRequests.push_back(request);
     actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
-    return true;
+    return LoadProspect::Coming;
 }
 
 void runGossip(GatewayState &state, Instant now, Actions &actions)
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -14,14 +14,22 @@
 /// Requests that reached their deadline get their final answer.
 void endOverdue(GatewayState &state, Instant now, Actions &actions);
 
+/// What becomes of a load that is asked for.
+enum class LoadProspect : std::uint8_t {
+    Coming,    ///< It is on its way, or will be in time.
+    StoreBusy, ///< The weight store cannot bring it in time, to whichever engine.
+    NotHere,   ///< This host does not order there, or the engine has no place for it.
+};
+
 /// Asks for \a adapter to be loaded, at this host's own engines or by the host that orders there.
-/// False where no engine can load it.
-bool awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need, Instant now,
-               Actions &actions);
+LoadProspect awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need,
+                       Instant now, Actions &actions);
+
+/// Another host, or this one, wants an adapter at an engine.
+LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now);
 
-/// Another host, or this one, wants \a adapter at \a engine.
-void wantLoad(GatewayState &state, const LoadRequest &request, const Endpoint *asker, Instant now,
-              Actions &actions);
+/// The platform's weight store cannot bring an adapter in time: what waits for it is refused.
+void refuseWaiting(GatewayState &state, const ModelName &adapter, Actions &actions);
 
 /// Reports and orders that are due.
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -18,9 +18,25 @@
 /// that they have left.
 constexpr Span soon = std::chrono::milliseconds(400);
 
+/// Callers that are refused for a busy weight store come back spread over this time.
+constexpr Span returnSpread = std::chrono::milliseconds(600);
+
+/// A request whose load is on its way waits for so much longer: a late answer is worth more to its
+/// caller than none, and the load is paid for.
+constexpr Span extraWait = std::chrono::milliseconds(900);
+
 /// A load that was ordered is done by then: callers that come back find the adapter.
 constexpr Span loadDoneAfter = std::chrono::milliseconds(350);
 
+/// After a stop was asked for, the balancer still sends requests of all kinds for so long.
+constexpr Span servesAllAfterStop = std::chrono::milliseconds(2500);
+
+/// The process leaves so long before the end of its grace.
+constexpr Span stopMargin = std::chrono::milliseconds(500);
+
+/// A caller that is sent away by a host that stops finds another one at once.
+constexpr Span otherHostAnswers = std::chrono::milliseconds(50);
+
 /// Saved retries of one host. The fleet may make about 50 more than its part of the requests.
 constexpr double savedRetriesOfFleet = 40;
 
@@ -39,6 +55,11 @@
     actions.refusals.push_back({ record.asked.request, code, isNotRun, retryAfter });
 }
 
+Span spreadReturn(GatewayState &state)
+{
+    return soon + std::chrono::duration_cast<Span>(returnSpread * draw(state));
+}
+
 /// Forgets that \a record is at its upstream.
 void leaveUpstream(GatewayState &state, RequestRecord &record)
 {
@@ -103,6 +124,15 @@
               record.repeat == RepeatPolicy::Stream, record.repeat != RepeatPolicy::Stream });
 }
 
+/// While this host stops, a request that arrives late and may last longer than the process would be
+/// cut off. Another host can serve it whole.
+bool endsTooLate(const GatewayState &state, const RequestRecord &record, Instant now)
+{
+    if (!isStopping(state) || now < state.stopAskedAt + servesAllAfterStop)
+        return false;
+    return record.deadline > state.stopAskedAt + state.self.stopGrace - stopMargin;
+}
+
 RetryBudget &budgetOf(GatewayState &state, const ServiceId &service)
 {
     RetryBudget &budget = state.retryBudgets[service];
@@ -227,16 +257,22 @@
         dispatch(state, record, id, need.model, now, actions);
         return;
     }
-    if (now < record.placedBy && !need.model.model.empty() && !need.model.isBase()
-        && awaitLoad(state, need.model, need, now, actions)) {
+    if (need.model.model.empty() || need.model.isBase()) {
+        refuseAndForget(state, record, ResultCode::NoUpstream, soon, actions);
+        return;
+    }
+    switch (awaitLoad(state, need.model, need, now, actions)) {
+    case LoadProspect::Coming:
         record.phase = RequestPhase::WaitingForAdapter;
         state.waiting.insert(record.asked.request);
-        return;
+        break;
+    case LoadProspect::StoreBusy:
+        refuseAndForget(state, record, ResultCode::QueueFull, spreadReturn(state), actions);
+        break;
+    case LoadProspect::NotHere:
+        refuseAndForget(state, record, ResultCode::AdapterLoadFailed, soon, actions);
+        break;
     }
-    refuseAndForget(state, record,
-                    need.model.model.empty() ? ResultCode::NoUpstream
-                                             : ResultCode::AdapterLoadFailed,
-                    soon, actions);
 }
 
 void handle(GatewayState &state, const RequestArrived &event, Instant now, Actions &actions)
@@ -275,12 +311,17 @@
             + (event.allowed > Span{} ? std::min(event.allowed, routeLimit) : routeLimit);
     record.inTimeUntil = now + route->objective;
     record.placedBy = std::min(record.deadline, now + route->objective * waitPercent / 100);
+    if (endsTooLate(state, record, now)) {
+        refuseAndForget(state, record, ResultCode::HostDraining, otherHostAnswers, actions);
+        return;
+    }
     countFirstTry(budgetOf(state, record.service));
     if (customer) {
         record.customer = customer->id;
-        const double part = usablePart(countHeard(state.members, now), countKnown(state.members));
+        const MeterStart start{ state.self.isFirstStart, state.startedAt };
         const std::optional<Span> wait = admit(state.meters[customer->id], *customer,
-                                               costOf(*customer, event.totalTokens), part, now);
+                                               costOf(*customer, event.totalTokens),
+                                               state.self.meterLimits, start, state.members, now);
         if (wait) {
             refuseAndForget(state, record, ResultCode::RateExceeded, std::max(*wait, soon),
                             actions);
@@ -367,12 +408,35 @@
     found->second.loadAt = now;
 }
 
+void refuseWaiting(GatewayState &state, const ModelName &adapter, Actions &actions)
+{
+    const std::set<RequestNumber> waiting = state.waiting;
+    for (const RequestNumber &request : waiting) {
+        RequestRecord &record = state.requests.at(request);
+        if (record.asked.model != adapter)
+            continue;
+        refuseAndForget(state, record, ResultCode::QueueFull, spreadReturn(state), actions);
+    }
+    state.awaitedLoads.erase(adapter);
+}
+
+/// Whether the load that \a record waits for is on its way: giving up now would waste it.
+bool isLoadUnderWay(const GatewayState &state, const RequestRecord &record)
+{
+    const auto awaited = state.awaitedLoads.find(record.asked.model);
+    if (awaited == state.awaitedLoads.end())
+        return false;
+    const auto engine = state.upstreams.find(awaited->second.engine);
+    return engine != state.upstreams.end() && engine->second.engine.isLoading(record.asked.model);
+}
+
 void placeWaiting(GatewayState &state, Instant now, Actions &actions)
 {
     const std::set<RequestNumber> waiting = state.waiting;
     for (const RequestNumber &request : waiting) {
         RequestRecord &record = state.requests.at(request);
-        if (now >= record.placedBy)
+        const Span late = isLoadUnderWay(state, record) ? extraWait : Span{};
+        if (now >= std::min(record.placedBy + late, record.deadline))
             refuseAndForget(state, record, ResultCode::AdapterLoadFailed, loadDoneAfter, actions);
         else
             place(state, record, now, actions);
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -23,7 +23,6 @@
     Endpoint readiness;
     Endpoint metrics;
     std::string chartsDirectory;
-    Span stopGrace{}; ///< The process is killed so long after it was asked to stop.
 };
 
 /// The sockets of one host round the gateway core: callers, upstreams, other hosts.
@@ -111,7 +110,6 @@
     QTimer ticker;
     SessionId nextSession = 1;
     std::uint64_t nextRequest = 1;
-    Instant stopAskedAt; ///< Zero: not asked.
 };
 
 } // namespace azurewell
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -26,8 +26,8 @@
 /// connections still come until then and are served.
 constexpr Span balancerNotices = std::chrono::milliseconds(3500);
 
-/// What is left of the grace at the end, in parts of eight, is for the process to leave by itself.
-constexpr int graceParts = 8;
+/// Before the end of the grace the process leaves by itself.
+constexpr Span leavesBefore = std::chrono::milliseconds(250);
 
 /// The status that a caller sees. A status that promises that the request has not run is given
 /// only where that is true.
@@ -165,7 +165,7 @@
     OpenRequest &request = this->open[number];
     request.session = id;
     request.arrivedAt = now;
-    if (this->stopAskedAt.micros != 0)
+    if (isStopping(this->core))
         session.close(false);
     Actions actions;
     handle(this->core, facts.value(), now, actions);
@@ -476,7 +476,7 @@
     this->connections.closeIdle(now);
     this->closeLateCallers(now);
     flushLog();
-    if (this->stopAskedAt.micros != 0)
+    if (isStopping(this->core))
         this->endStopping(now);
 }
 
@@ -494,24 +494,23 @@
 
 void Proxy::stop()
 {
-    if (this->stopAskedAt.micros != 0)
+    if (isStopping(this->core))
         return;
-    this->stopAskedAt = monotonicNow();
     writeLog(LogLevel::Info, "stop_asked",
              { { "open_requests", std::to_string(this->open.size()) } });
     Actions actions;
-    beginStop(this->core, this->stopAskedAt, actions);
+    beginStop(this->core, monotonicNow(), actions);
     this->run(actions);
 }
 
 void Proxy::endStopping(Instant now)
 {
-    const Span waited = now - this->stopAskedAt;
+    const Span waited = now - this->core.stopAskedAt;
     if (waited < balancerNotices)
         return;
     for (const auto &[id, session] : this->sessions)
         session->close(!session->hasBegun());
-    const bool isLast = waited >= this->settings.stopGrace * (graceParts - 1) / graceParts;
+    const bool isLast = waited >= this->settings.self.stopGrace - leavesBefore;
     const bool isSettled = this->open.empty() && waited >= balancerNotices + balancerNotices / 3;
     if (!isLast && !isSettled)
         return;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -98,11 +98,11 @@
     for (const auto &[id, engine] : state.engines)
         held += engine.rights.isHolding ? 1 : 0;
     addGauge(out, "azurewell_engines_ordered", held);
-    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_customer_tokens_left gauge\n");
+    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_customer_tokens_in_window gauge\n");
     for (const auto &[customer, meter] : state.meters)
         fmt::format_to(std::back_inserter(out),
-                       "azurewell_customer_tokens_left{{customer=\"{}\"}} {}\n", customer.value,
-                       meter.level);
+                       "azurewell_customer_tokens_in_window{{customer=\"{}\"}} {}\n",
+                       customer.value, meter.own.window.sum);
     return out;
 }
 
