--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -67,8 +67,9 @@
     ZoneId zone;
     std::uint32_t slots = 1;
     bool isLeaving = false;
-    Span remaining{};   ///< Of one that leaves at short notice; 0: not stated.
-    EngineState engine; ///< As of its last entry; `seenAt` is set by the reader.
+    Span remaining{};         ///< Of one that leaves at short notice; 0: not stated.
+    std::uint64_t serial = 0; ///< Rises with each entry that it writes in one life.
+    EngineState engine;       ///< As of its last entry; `seenAt` is set by the reader.
 };
 
 /// The load that an upstream states in its answers.
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -262,9 +262,25 @@
     return true;
 }
 
-/// An adapter in an older version than the declared one: it is loaded anew.
-bool orderReplacement(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
-                      Actions &actions)
+/// Unloads an adapter; from here on no request is sent to it.
+void orderUnload(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+                 const ModelName &adapter, Instant now, Actions &actions)
+{
+    const AdapterRef ref = refOf(adapter);
+    move(state, engine, ref, AdapterEvent::UnloadOrdered, now);
+    engine.unloadedAt[ref] = now;
+    std::erase_if(upstream.engine.ready,
+                  [&](const LoadedAdapter &loaded) { return loaded.name == adapter; });
+    engine.isNews = true;
+    ++state.counters.unloadsOrdered;
+    order(state, upstream, engine, adapter, false, now, actions);
+}
+
+/// An adapter in an older version than the declared one is unloaded; requests that come for it have
+/// it loaded anew. A load in its place would need a second place while the old version still runs,
+/// and an engine that is ordered to hold more than it can crashes.
+bool orderOutdatedGone(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
+                       Actions &actions)
 {
     for (const LoadedAdapter &adapter : upstream.engine.ready) {
         const auto declared = state.versions.find(adapter.name);
@@ -272,22 +288,17 @@
         if (declared == state.versions.end() || adapter.version >= declared->second
             || stateOf(engine, ref) != AdapterState::Loaded)
             continue;
-        AdapterOnEngine &known = engine.adapters.adapters[ref];
-        if (now < known.retryAfter)
-            continue;
-        known.retryAfter = now + longestLoad;
-        ++state.counters.loadsOrdered;
-        order(state, upstream, engine, adapter.name, true, now, actions);
+        const ModelName outdated = adapter.name;
+        orderUnload(state, upstream, engine, outdated, now, actions);
         return true;
     }
     return false;
 }
 
 /// Carries out the oldest wanted load: evicts where there is no place, loads where there is one.
-void orderWanted(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
-                 const EngineLimits &limits, Instant now, Actions &actions)
+void orderWanted(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
+                 Actions &actions)
 {
-    engine.adapters.slots = limits.adapterPlaces;
     std::erase_if(engine.wanted, [&](const ModelName &wanted) {
         return !isOrderable(engine.adapters, refOf(wanted), now);
     });
@@ -310,14 +321,7 @@
             ++state.counters.loadsOrdered;
             order(state, upstream, engine, wanted, true, now, actions);
         } else if (step.kind == PlacementStep::Kind::Evict) {
-            const ModelName victim = nameOf(step.adapter);
-            move(state, engine, step.adapter, AdapterEvent::UnloadOrdered, now);
-            engine.unloadedAt[step.adapter] = now;
-            std::erase_if(upstream.engine.ready,
-                          [&](const LoadedAdapter &adapter) { return adapter.name == victim; });
-            engine.isNews = true;
-            ++state.counters.unloadsOrdered;
-            order(state, upstream, engine, victim, false, now, actions);
+            orderUnload(state, upstream, engine, nameOf(step.adapter), now, actions);
         }
         return;
     }
@@ -342,9 +346,9 @@
     }
     if (isWanted && orderBase(state, upstream, engine, *limits, now, actions))
         return;
-    if (orderReplacement(state, upstream, engine, now, actions))
+    if (orderOutdatedGone(state, upstream, engine, now, actions))
         return;
-    orderWanted(state, upstream, engine, *limits, now, actions);
+    orderWanted(state, upstream, engine, now, actions);
 }
 
 Instant nextReport(const OrderedEngine &engine, bool isOwn, Instant now)
@@ -413,7 +417,7 @@
     const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
         return isUsed(state, engine, request.engine, held, now);
     });
-    const bool hasRoom = engine.adapters.slots > 1 && step.kind != PlacementStep::Kind::Nothing;
+    const bool hasRoom = step.kind != PlacementStep::Kind::Nothing;
     if (!hasRoom)
         return LoadProspect::NotHere;
     if (isStoreBusy)
@@ -483,9 +487,11 @@
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
 {
     for (auto &[id, upstream] : state.upstreams) {
-        if (!limitsOf(state, upstream) || now >= upstream.usableUntil)
+        const EngineLimits *limits = limitsOf(state, upstream);
+        if (!limits || now >= upstream.usableUntil)
             continue;
         OrderedEngine &engine = state.engines[id];
+        engine.adapters.slots = limits->adapterPlaces;
         engine.adapters.popularityHalfLife = popularityHalfLife;
         std::erase_if(engine.unloadedAt, [&](const auto &entry) {
             const bool isGone = stateOf(engine, entry.first) != AdapterState::Unloading;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -13,6 +13,15 @@
 constexpr Span usedAfterLapse = std::chrono::milliseconds(2500);
 constexpr Span lapsesFor = std::chrono::seconds(4);
 
+/// Whether \a entry was written before \a known. An entry can be held up on its way and arrive
+/// after a later one: an upstream that has said that it leaves would get new requests again.
+bool isOutdated(const ListedUpstream &known, const ListedUpstream &entry)
+{
+    if (entry.engine.start != known.engine.start)
+        return entry.engine.start < known.engine.start;
+    return entry.serial < known.serial || (known.isLeaving && !entry.isLeaving);
+}
+
 /// Loads that nobody waits for any more are forgotten.
 void dropAwaited(GatewayState &state)
 {
@@ -55,10 +64,12 @@
 void listUpstream(GatewayState &state, const ListedUpstream &listed, Instant now)
 {
     Upstream &upstream = state.upstreams[listed.id];
+    if (isOutdated(upstream.listed, listed))
+        return;
     const bool isRestarted = listed.engine.start != upstream.listed.engine.start;
     const bool isMoved = listed.address != upstream.listed.address;
     upstream.listed = listed;
-    upstream.usableUntil = listed.isLeaving ? now : never;
+    upstream.usableUntil = listed.isLeaving ? std::min(now, upstream.usableUntil) : never;
     upstream.killedAt = listed.remaining > Span{} ? now + listed.remaining : never;
     if (isRestarted || isMoved) {
         upstream.avoidedUntil = Instant{};
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -116,11 +116,12 @@
     state.waiting.erase(record.asked.request);
     if (!model.isBase())
         noteUse(state, id, model, now);
-    const auto declared = state.versions.find(model);
+    const LoadedAdapter *loaded = upstream.engine.findReady(model);
+    const bool isVersioned = loaded && state.versions.contains(model);
     ++state.counters.dispatched;
     actions.dispatches.push_back(
             { record.asked.request, record.attempt, id, upstream.listed.address, record.customer,
-              declared == state.versions.end() ? 0 : declared->second, record.deadline - now,
+              isVersioned ? loaded->version : 0, record.deadline - now,
               record.repeat == RepeatPolicy::Stream, record.repeat != RepeatPolicy::Stream });
 }
 
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -68,6 +68,9 @@
         UpstreamId upstream;
         Instant arrivedAt;
         Instant sentAt;
+        Instant firstByteAt; ///< Of a stream.
+        Instant lastPieceAt; ///< Of a stream: when its last piece came.
+        Span longestPause{}; ///< Between two pieces of a stream.
     };
 
     void accept(UniqueFd descriptor);
@@ -83,6 +86,7 @@
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
     void endAttempt(gateway::RequestNumber request, gateway::AttemptOutcome outcome);
     void answerWhole(OpenRequest &open);
+    void noteAnswered(gateway::RequestNumber number, const OpenRequest &request);
 
     void refuse(const gateway::Refuse &refusal);
     void order(const gateway::OrderEngine &order);
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -25,10 +25,11 @@
 /// What the sockets measure beside the core's counters.
 struct ProxyMetrics
 {
-    TimeHistogram toFirstByte; ///< From a request's arrival to the first byte of its answer.
-    TimeHistogram whole;       ///< From arrival to the end of the answer.
-    TimeHistogram placing;     ///< From arrival to being sent to an upstream.
-    TimeHistogram reports;     ///< Of engines: from asking to the answer.
+    TimeHistogram toFirstByte;   ///< From a request's arrival to the first byte of its answer.
+    TimeHistogram whole;         ///< From arrival to the end of the answer.
+    TimeHistogram betweenPieces; ///< Of a stream.
+    TimeHistogram placing;       ///< From arrival to being sent to an upstream.
+    TimeHistogram reports;       ///< Of engines: from asking to the answer.
     std::uint64_t callersAccepted = 0;
     std::uint64_t badRequests = 0;
 };
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -75,6 +75,11 @@
                        nameOf(isNotRun ? RunState::NotRun : RunState::Unknown));
 }
 
+std::string inMillis(Span span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 bool isSuccess(const ResponseHead &head)
 {
     return head.status >= 200 && head.status < 300;
@@ -307,9 +312,16 @@
         return;
     }
     CallerConnection &session = *this->sessions.at(request.session);
+    const Instant now = monotonicNow();
+    if (request.hasBegun) {
+        const Span pause = now - request.lastPieceAt;
+        request.longestPause = std::max(request.longestPause, pause);
+        this->metrics.betweenPieces.add(pause);
+    }
+    request.lastPieceAt = now;
     if (!request.hasBegun) {
         request.hasBegun = true;
-        const Instant now = monotonicNow();
+        request.firstByteAt = now;
         this->metrics.toFirstByte.add(now - request.arrivedAt);
         Actions actions;
         handle(this->core, AnswerBegan{ number, request.attempt }, now, actions);
@@ -331,6 +343,22 @@
                    request.body, now);
 }
 
+void Proxy::noteAnswered(RequestNumber number, const OpenRequest &request)
+{
+    const Instant now = monotonicNow();
+    this->metrics.whole.add(now - request.arrivedAt);
+    const Instant first = request.hasBegun ? request.firstByteAt : now;
+    writeLog(LogLevel::Info, "request_answered",
+             { { "request", this->core.requests.at(number).asked.callerId },
+               { "status", std::to_string(request.head.status) },
+               { "upstream", request.upstream.value },
+               { "attempts", std::to_string(request.attempt) },
+               { "sent_ms", inMillis(request.sentAt - request.arrivedAt) },
+               { "first_ms", inMillis(first - request.arrivedAt) },
+               { "pause_ms", inMillis(request.longestPause) },
+               { "whole_ms", inMillis(now - request.arrivedAt) } });
+}
+
 void Proxy::complete(RequestNumber number)
 {
     const auto found = this->open.find(number);
@@ -349,7 +377,7 @@
         this->endAttempt(number, AttemptOutcome::Failed);
         return;
     }
-    this->metrics.whole.add(monotonicNow() - request.arrivedAt);
+    this->noteAnswered(number, request);
     const AttemptOutcome outcome = request.facts.isFault ? AttemptOutcome::FaultStated
                                                          : AttemptOutcome::Done;
     const SessionId session = request.session;
@@ -388,8 +416,7 @@
                    { "upstream", request.upstream.value },
                    { "outcome", std::to_string(static_cast<int>(outcome)) },
                    { "status", std::to_string(request.head.status) },
-                   { "after_ms",
-                     std::to_string((monotonicNow() - request.sentAt).count() / 1000) } });
+                   { "after_ms", inMillis(monotonicNow() - request.sentAt) } });
     }
     Actions actions;
     handle(this->core, AttemptEnded{ number, request.attempt, outcome, request.hasBegun },
@@ -415,8 +442,7 @@
                { "upstream", request.upstream.value },
                { "attempts", std::to_string(request.attempt) },
                { "configuration", std::to_string(this->core.configuration.version) },
-               { "after_ms",
-                 std::to_string((monotonicNow() - request.arrivedAt).count() / 1000) } });
+               { "after_ms", inMillis(monotonicNow() - request.arrivedAt) } });
     if (request.hasBegun) {
         session.breakOff();
         return;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -83,6 +83,7 @@
     addCounter(out, "azurewell_log_lines_left_out_total", linesLeftOut());
     addHistogram(out, "azurewell_first_byte_seconds", metrics.toFirstByte);
     addHistogram(out, "azurewell_request_seconds", metrics.whole);
+    addHistogram(out, "azurewell_between_pieces_seconds", metrics.betweenPieces);
     addHistogram(out, "azurewell_placing_seconds", metrics.placing);
     addHistogram(out, "azurewell_report_seconds", metrics.reports);
     addGauge(out, "azurewell_configuration_version",
