--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -36,7 +36,8 @@
   1: string engine
   2: string model
   3: string adapter
-  4: i64 idleFor
+  4: bool running
+  5: i32 begun
 }
 
 struct AdapterAt {
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/charts/known_charts.h"
+#include "azurewell/gateway/adapter_uses.h"
 #include "azurewell/gateway/choose_upstream.h"
 #include "azurewell/gateway/customer_meter.h"
 #include "azurewell/gateway/events.h"
@@ -70,9 +71,8 @@
     EngineAdapters adapters;                  ///< Kept while this host orders there.
     std::int64_t start = 0;                   ///< Of the engine's life that `adapters` describe.
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders not yet seen to be carried out.
-    std::map<AdapterRef, Instant>
-            usedUntil;                 ///< Some host uses the adapter; not evicted until then.
-    std::deque<ModelName> wanted;      ///< Loads to order, oldest first.
+    OtherUses otherUses;          ///< Adapters that other hosts use here; they are not evicted.
+    std::deque<ModelName> wanted; ///< Loads to order, oldest first.
     std::deque<AdapterRef> heldLately; ///< Newest first; the engine loads these quickly.
     bool isOrderOnItsWay = false;
     bool isReportOnItsWay = false;
@@ -85,9 +85,6 @@
 /// Demand for an adapter counts down to a third in this time: it moves on within seconds.
 inline constexpr Span demandLife = std::chrono::milliseconds(2000);
 
-/// Adapters that this host uses at an engine, and when it did last.
-using UsedAdapters = std::map<std::pair<UpstreamId, ModelName>, Instant>;
-
 /// How often each thing happened since the start; published as metrics.
 struct Counters
 {
@@ -130,7 +127,7 @@
     std::set<RequestNumber> waiting; ///< For an adapter.
     std::map<ModelName, AwaitedLoad> awaitedLoads;
     std::map<UpstreamId, OrderedEngine> engines;
-    UsedAdapters usedAdapters;
+    OwnUses ownUses; ///< Adapters that this host's requests use.
     std::map<ModelName, DecayedSum>
             adapterDemand; ///< Prompt tokens that callers of this host sent.
 
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -24,12 +24,13 @@
     EngineState state; ///< `seenAt` is the receiver's time, from the age in the message.
 };
 
-/// Requests of the sender for an adapter at an engine: it must not be evicted there.
+/// Requests of the sender for an adapter at an engine.
 struct AdapterUse
 {
     UpstreamId engine;
     ModelName adapter;
-    Span idleFor{}; ///< 0: in use now.
+    bool isRunning = false;  ///< It must not be evicted there.
+    std::uint32_t begun = 0; ///< Requests since the last word.
 };
 
 /// Prompt tokens that the sender sent to an engine lately (see promptLife).
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -31,13 +31,12 @@
 };
 
 /// How long an engine's count must stand still before another host begins. Orders of two hosts
-/// within 3 s of each other count as a conflict; a holder stops after `holdingLapse` without an
-/// order, and reports are up to 0.4 s old.
-inline constexpr Span takeoverWait = std::chrono::milliseconds(4500);
+/// within 3 s of each other count as a conflict; a report is some 100 ms old.
+inline constexpr Span takeoverWait = std::chrono::milliseconds(3350);
 
 /// A holder whose last order is older than this confirms its right like a new one if some host is
-/// silent.
-inline constexpr Span holdingLapse = std::chrono::milliseconds(2000);
+/// silent: that one may be about to begin, and sees an order here only after some 400 ms.
+inline constexpr Span holdingLapse = std::chrono::milliseconds(1500);
 
 /// A report older than this confirms nothing.
 inline constexpr Span reportValidity = std::chrono::milliseconds(900);
--- /dev/null
+++ b/packages/gateway/src/adapter_uses.cpp
@@ -0,0 +1,61 @@
+#include "azurewell/gateway/adapter_uses.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// A word of another host holds until its next heartbeat, and the one after if that is lost.
+constexpr Span wordHolds = std::chrono::milliseconds(550);
+
+} // namespace
+
+void beginUse(OwnUses &uses, const AdapterPlace &place)
+{
+    OwnUse &use = uses[place];
+    ++use.running;
+    ++use.begun;
+}
+
+void endUse(OwnUses &uses, const AdapterPlace &place)
+{
+    const auto found = uses.find(place);
+    if (found != uses.end() && found->second.running > 0)
+        --found->second.running;
+}
+
+std::vector<AdapterUse> takeUntold(OwnUses &uses, const UpstreamId &engine)
+{
+    std::vector<AdapterUse> told;
+    for (auto place = uses.lower_bound({ engine, {} });
+         place != uses.end() && place->first.first == engine;) {
+        OwnUse &use = place->second;
+        const bool isRunning = use.running > 0;
+        if (isRunning || use.begun > 0 || use.isTold)
+            told.push_back({ engine, place->first.second, isRunning, use.begun });
+        use.begun = 0;
+        use.isTold = isRunning;
+        place = isRunning ? std::next(place) : uses.erase(place);
+    }
+    return told;
+}
+
+void noteOtherUse(OtherUses &uses, const AdapterRef &adapter, const HostId &host, bool isRunning,
+                  Instant now)
+{
+    if (isRunning)
+        uses[adapter][host] = now + wordHolds;
+    else if (const auto found = uses.find(adapter); found != uses.end())
+        found->second.erase(host);
+}
+
+bool isUsedElsewhere(const OtherUses &uses, const AdapterRef &adapter, Instant now)
+{
+    const auto found = uses.find(adapter);
+    return found != uses.end()
+            && std::any_of(found->second.begin(), found->second.end(),
+                           [now](const auto &use) { return now < use.second; });
+}
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -25,10 +25,9 @@
 /// A share of failures counts as so many waiting requests.
 constexpr double failureCost = 25;
 
-/// An engine whose wait is above the least one by more than this many starts loads no adapter, even
-/// where it held the adapter lately. An engine reads 8,800 prompt tokens in 400 ms, 4.9 starts;
-/// from about half of that on the streams that it has make pauses that their callers notice.
-constexpr double mostExtraWait = 2;
+/// An engine whose wait is above this many starts loads no adapter, even where it held the adapter
+/// lately, while another one's is below. An engine reads 8,800 prompt tokens in 400 ms, 4.9 starts.
+constexpr double mostWaitToLoad = 3;
 
 double cost(const Upstream &upstream, const ZoneId &own, Instant now)
 {
@@ -116,7 +115,7 @@
     const Upstream *best = nullptr;
     std::uint64_t highest = 0;
     for (const Upstream *upstream : able) {
-        if (expectedWait(*upstream, now) > least + mostExtraWait)
+        if (expectedWait(*upstream, now) > std::max(least + 2.5, mostWaitToLoad))
             continue;
         const std::uint64_t weight = rendezvousWeight(name, upstream->listed.id.value);
         if (best && weight <= highest)
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -41,9 +41,6 @@
 /// Requests for an adapter count half after this time: demand moves within seconds.
 constexpr Span popularityHalfLife = std::chrono::seconds(5);
 
-/// A use protects an adapter until the next look at what is in use.
-constexpr Span usedFor = std::chrono::milliseconds(300);
-
 /// Loads that the weight store brings at full speed at once: half an engine's worth each, at least
 /// 8 (8 for 9 and for 18 engines, 48 for 90, as deployments state it). With more on their way each
 /// takes longer in proportion, so that none would come in time.
@@ -57,6 +54,10 @@
 /// the answer would begin after a second.
 constexpr Span longestLoadQueue = std::chrono::milliseconds(350);
 
+/// Loads that wait at one engine until an adapter there is idle; requests run for 0.3 s and more,
+/// so that one place or another is free within a moment.
+constexpr std::size_t mostWaitingForPlace = 2;
+
 /// Adapters that an engine keeps in its host's memory after they were unloaded; 30 as deployments
 /// state it, less some for loads that were ordered by others.
 constexpr std::size_t mostHeldLately = 24;
@@ -223,11 +224,9 @@
 bool isUsed(const GatewayState &state, const OrderedEngine &engine, const UpstreamId &id,
             const AdapterRef &ref, Instant now)
 {
-    const auto used = engine.usedUntil.find(ref);
-    if (used != engine.usedUntil.end() && now < used->second)
-        return true;
-    const auto own = state.usedAdapters.find({ id, nameOf(ref) });
-    return own != state.usedAdapters.end() && now < own->second + usedFor;
+    const auto own = state.ownUses.find({ id, nameOf(ref) });
+    const bool isUsedHere = own != state.ownUses.end() && own->second.running > 0;
+    return isUsedHere || isUsedElsewhere(engine.otherUses, ref, now);
 }
 
 FencingNumber nextFencing(const GatewayState &state, std::uint64_t wallMillis)
@@ -390,13 +389,11 @@
 
 void noteUse(GatewayState &state, const UpstreamId &engine, const ModelName &adapter, Instant now)
 {
-    state.usedAdapters[{ engine, adapter }] = now;
+    beginUse(state.ownUses, { engine, adapter });
     OrderedEngine &ordered = state.engines[engine];
     const AdapterRef ref = refOf(adapter);
-    if (stateOf(ordered, ref) != AdapterState::Loaded)
-        return;
-    pin(ordered.adapters, ref, now);
-    unpin(ordered.adapters, ref);
+    if (stateOf(ordered, ref) == AdapterState::Loaded)
+        noteUses(ordered.adapters, ref, 1, now);
 }
 
 LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now)
@@ -424,7 +421,7 @@
         return isUsed(state, engine, request.engine, held, now);
     });
     const bool hasRoom = step.kind != PlacementStep::Kind::Nothing;
-    if (!hasRoom)
+    if (!hasRoom && engine.wanted.size() >= mostWaitingForPlace)
         return LoadProspect::NotHere;
     if (isStoreBusy)
         return LoadProspect::StoreBusy;
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -160,7 +160,8 @@
         to.engine = use.engine.value;
         to.model = use.adapter.model;
         to.adapter = use.adapter.adapter;
-        to.idleFor = use.idleFor.count();
+        to.running = use.isRunning;
+        to.begun = static_cast<std::int32_t>(use.begun);
     }
     for (const PromptWork &work : message.promptWork) {
         wire::PromptWork &to = out.promptWork.emplace_back();
@@ -195,8 +196,10 @@
     for (const wire::EngineNews &news : message.engines)
         out.engines.push_back(fromWire(news, now));
     for (const wire::AdapterUse &use : message.adapterUses) {
-        out.adapterUses.push_back(
-                { UpstreamId{ use.engine }, { use.model, use.adapter }, ageOf(use.idleFor) });
+        out.adapterUses.push_back({ UpstreamId{ use.engine },
+                                    { use.model, use.adapter },
+                                    use.running,
+                                    static_cast<std::uint32_t>(std::max(use.begun, 0)) });
     }
     for (const wire::PromptWork &work : message.promptWork) {
         out.promptWork.push_back(
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -25,9 +25,6 @@
 /// larger fleet send fewer each, and learn of it with the heartbeats.
 constexpr std::size_t mostToldOfWork = 12;
 
-/// A use older than this is told no more.
-constexpr Span useTold = std::chrono::milliseconds(400);
-
 /// Items in one message are kept under this, in bytes: the rest follows with the next heartbeat.
 constexpr std::size_t mostChangeBytes = 40 * 1024;
 
@@ -95,30 +92,25 @@
 }
 
 /// The adapters in use here at engines where \a holder orders.
-std::vector<AdapterUse> usesFor(const GatewayState &state, const HostId &holder, Instant now)
+std::vector<AdapterUse> usesFor(GatewayState &state, const HostId &holder, Instant now)
 {
     std::vector<AdapterUse> uses;
-    for (const auto &[place, usedAt] : state.usedAdapters) {
-        const auto upstream = state.upstreams.find(place.first);
-        if (upstream == state.upstreams.end()
-            || presumedHolder(upstream->second, state.members, now) != holder)
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (presumedHolder(upstream, state.members, now) != holder)
             continue;
-        uses.push_back({ place.first, place.second, now - usedAt });
+        const std::vector<AdapterUse> here = takeUntold(state.ownUses, id);
+        uses.insert(uses.end(), here.begin(), here.end());
     }
     return uses;
 }
 
-/// Requests that run keep their adapter in use.
-void refreshUses(GatewayState &state, Instant now)
+/// Adapters that nobody asks for any more are forgotten, and so are uses at this host's own
+/// engines, which nobody has to be told of.
+void dropOldUses(GatewayState &state, Instant now)
 {
-    for (const auto &[request, record] : state.requests) {
-        if (record.phase == RequestPhase::AtUpstream && !record.asked.model.isBase())
-            state.usedAdapters[{ record.upstream, record.asked.model }] = now;
-    }
     std::erase_if(state.adapterDemand,
                   [now](const auto &entry) { return valueAt(entry.second, demandLife, now) < 1; });
-    std::erase_if(state.usedAdapters,
-                  [now](const auto &entry) { return now - entry.second >= useTold; });
+    usesFor(state, state.self.id, now);
 }
 
 std::vector<PromptWork> newWorkOf(const GatewayState &state, Instant now)
@@ -136,7 +128,7 @@
 
 void sendHeartbeats(GatewayState &state, Instant now, Actions &actions)
 {
-    refreshUses(state, now);
+    dropOldUses(state, now);
     Gossip common = blank(state);
     addMembers(state, common, now);
     addUses(state, common);
@@ -237,20 +229,14 @@
     }
 }
 
-void takeUses(GatewayState &state, const std::vector<AdapterUse> &uses, Instant now)
+void takeUses(GatewayState &state, const Gossip &message, Instant now)
 {
-    /// Until the next heartbeat, and the one after if that is lost.
-    constexpr Span protection = std::chrono::milliseconds(550);
-    for (const AdapterUse &use : uses) {
+    for (const AdapterUse &use : message.adapterUses) {
         OrderedEngine &engine = state.engines[use.engine];
         const AdapterRef ref = refOf(use.adapter);
-        Instant &until = engine.usedUntil[ref];
-        until = use.idleFor > Span{} ? std::max(until, now) : now + protection;
-        const auto known = engine.adapters.adapters.find(ref);
-        if (known == engine.adapters.adapters.end())
-            continue;
-        pin(engine.adapters, ref, now);
-        unpin(engine.adapters, ref);
+        noteOtherUse(engine.otherUses, ref, message.from, use.isRunning, now);
+        if (use.begun > 0 && engine.adapters.adapters.contains(ref))
+            noteUses(engine.adapters, ref, use.begun, now);
     }
 }
 
@@ -307,7 +293,7 @@
                               use.admitted, use.inWindow, state.self.meterLimits, now);
     for (const EngineNews &news : message.engines)
         takeNews(state, news, now);
-    takeUses(state, message.adapterUses, now);
+    takeUses(state, message, now);
     for (const PromptWork &work : message.promptWork) {
         const auto upstream = state.upstreams.find(work.engine);
         if (upstream != state.upstreams.end())
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -68,6 +68,7 @@
         return;
     Upstream &upstream = found->second;
     upstream.underWay -= std::min(upstream.underWay, 1U);
+    endUse(state.ownUses, { record.upstream, record.asked.model });
 }
 
 void forget(GatewayState &state, RequestNumber request)
--- a/packages/placement/include/azurewell/placement/engine_adapters.h
+++ b/packages/placement/include/azurewell/placement/engine_adapters.h
@@ -82,6 +82,9 @@
 /// Returns adapters whose back-off is over to absent.
 void endBackOffs(EngineAdapters &engine, const Chart &chart, Instant now);
 
+/// Counts \a count requests that began to use \a ref.
+void noteUses(EngineAdapters &engine, const AdapterRef &ref, double count, Instant now);
+
 void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now);
 void unpin(EngineAdapters &engine, const AdapterRef &ref);
 
--- a/packages/placement/src/engine_adapters.cpp
+++ b/packages/placement/src/engine_adapters.cpp
@@ -138,15 +138,20 @@
     }
 }
 
-void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now)
+void noteUses(EngineAdapters &engine, const AdapterRef &ref, double count, Instant now)
 {
     AdapterOnEngine &adapter = engine.adapters[ref];
-    adapter.popularity = popularityAt(adapter, engine.popularityHalfLife, now) + 1;
+    adapter.popularity = popularityAt(adapter, engine.popularityHalfLife, now) + count;
     adapter.countedAt = now;
-    ++adapter.pins;
     adapter.lastUsed = now;
 }
 
+void pin(EngineAdapters &engine, const AdapterRef &ref, Instant now)
+{
+    noteUses(engine, ref, 1, now);
+    ++engine.adapters[ref].pins;
+}
+
 void unpin(EngineAdapters &engine, const AdapterRef &ref)
 {
     const auto found = engine.adapters.find(ref);
