--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -143,8 +143,29 @@
         engine.isNews = false;
 }
 
+/// The hosts that order at the engines that this host has just begun to use have to know at once:
+/// they would evict the adapter under the request.
+void sendUses(GatewayState &state, const std::set<UpstreamId> &used, Instant now, Actions &actions)
+{
+    std::map<HostId, Gossip> messages;
+    for (const UpstreamId &id : used) {
+        const auto upstream = state.upstreams.find(id);
+        if (upstream == state.upstreams.end())
+            continue;
+        const HostId holder = presumedHolder(upstream->second, state.members, now);
+        if (holder == state.self.id)
+            continue;
+        const std::vector<AdapterUse> uses = takeUntold(state.ownUses, id);
+        Gossip &message = messages.try_emplace(holder, blank(state)).first->second;
+        message.adapterUses.insert(message.adapterUses.end(), uses.begin(), uses.end());
+    }
+    for (auto &[holder, message] : messages)
+        actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
+}
+
 void sendNews(GatewayState &state, Instant now, Actions &actions)
 {
+    sendUses(state, state.newWork, now, actions);
     const bool isAny = std::any_of(state.engines.begin(), state.engines.end(),
                                    [](const auto &entry) { return entry.second.isNews; });
     const bool isWork = !state.newWork.empty() && state.members.others.size() <= mostToldOfWork;
--- /dev/null
+++ b/tests/gateway_world/world.cpp
@@ -0,0 +1,411 @@
+#include "world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace azurewell::gateway {
+
+namespace {
+
+constexpr Span hop = std::chrono::milliseconds(2);
+constexpr Span reportLag = std::chrono::milliseconds(100);
+
+/// Orders of two hosts to one engine within this time are a conflict.
+constexpr Span leaseLength = std::chrono::milliseconds(3000);
+
+/// What is left of a request's time at an engine after its first token, in the shortest case.
+constexpr Span shortestRun = std::chrono::milliseconds(150);
+
+const std::string baseName = "base";
+
+Configuration configurationOf(const WorldSettings &settings)
+{
+    Configuration configuration;
+    configuration.version = 1;
+    Route route;
+    route.name = "stream";
+    route.host = "h";
+    route.prefix = "/s/";
+    route.repeat = RepeatPolicy::Stream;
+    route.timeout = std::chrono::seconds(4);
+    route.objective = std::chrono::seconds(1);
+    route.services = { { ServiceId{ "engines" }, 1.0 } };
+    configuration.routes.push_back(route);
+    Service service;
+    service.id.value = "engines";
+    service.engine = EngineLimits{};
+    service.engine->batchSlots = 64;
+    service.engine->adapterPlaces = static_cast<std::uint32_t>(settings.places);
+    service.engine->models.push_back({ baseName, 70000, std::chrono::seconds(2) });
+    configuration.services.push_back(service);
+    Customer customer;
+    customer.id.value = "c";
+    customer.keys = { KeyHash{ "key" } };
+    customer.countsTokens = true;
+    customer.rate.perSecond = settings.tokenRate;
+    customer.burst.count = static_cast<std::int64_t>(settings.tokenRate);
+    configuration.customers.push_back(customer);
+    return configuration;
+}
+
+Endpoint addressOf(std::size_t host)
+{
+    return { "host-" + std::to_string(host), 1 };
+}
+
+} // namespace
+
+World::World(const WorldSettings &worldSettings)
+    : settings(worldSettings)
+    , random(worldSettings.seed)
+{
+    for (std::size_t rank = 1; rank <= this->settings.adapters; ++rank)
+        this->adapterWeights.push_back(std::pow(static_cast<double>(rank), -this->settings.zipf));
+    for (std::size_t index = 0; index < this->settings.zones * this->settings.enginesPerZone;
+         ++index) {
+        FakeEngine engine;
+        engine.id.value = "e" + std::to_string(index);
+        engine.zone.value = "z" + std::to_string(index % this->settings.zones);
+        this->engines.push_back(engine);
+    }
+    this->hosts.resize(this->settings.zones * this->settings.hostsPerZone);
+    this->isCutOff.resize(this->hosts.size());
+    for (FakeEngine &engine : this->engines)
+        this->remember(engine);
+    for (std::size_t index = 0; index < this->hosts.size(); ++index)
+        this->startHost(index, true);
+    this->at(this->now + std::chrono::seconds(4), [this] { this->arrive(); });
+}
+
+void World::at(Instant when, std::function<void()> act)
+{
+    this->due.push_back({ when, this->nextSerial++, std::move(act) });
+    std::push_heap(this->due.begin(), this->due.end(), std::greater<>());
+}
+
+void World::runFor(Span span)
+{
+    const Instant end = this->now + span;
+    while (!this->due.empty() && this->due.front().at <= end) {
+        std::pop_heap(this->due.begin(), this->due.end(), std::greater<>());
+        const Due next = std::move(this->due.back());
+        this->due.pop_back();
+        this->now = std::max(this->now, next.at);
+        next.act();
+    }
+    this->now = end;
+}
+
+void World::violate(const std::string &what)
+{
+    this->violations.push_back({ this->now, what });
+}
+
+bool World::acts(std::size_t index, std::uint64_t life) const
+{
+    return this->hosts[index].isUp && this->hosts[index].incarnation == life;
+}
+
+void World::startHost(std::size_t index, bool isFirst)
+{
+    FakeHost &host = this->hosts[index];
+    host.state = GatewayState{};
+    host.isUp = true;
+    ++host.incarnation;
+    Identity self;
+    self.id.value = "h" + std::to_string(index);
+    self.zone.value = "z" + std::to_string(index % this->settings.zones);
+    self.address = addressOf(index);
+    self.incarnation.value = host.incarnation;
+    self.isFirstStart = isFirst;
+    self.randomSeed = this->random();
+    for (std::size_t seed = 0; seed < std::min<std::size_t>(3, this->hosts.size()); ++seed)
+        self.seeds.push_back(addressOf(seed));
+    start(host.state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
+    setConfiguration(host.state, configurationOf(this->settings));
+    for (const FakeEngine &engine : this->engines) {
+        ListedUpstream listed;
+        listed.id = engine.id;
+        listed.service.value = "engines";
+        listed.address = { engine.id.value, 1 };
+        listed.zone = engine.zone;
+        listed.slots = 64;
+        listed.engine.start = engine.start;
+        listUpstream(host.state, listed, this->now);
+    }
+    this->tickHost(index);
+}
+
+void World::killHost(std::size_t index)
+{
+    this->hosts[index].isUp = false;
+}
+
+void World::pauseHost(std::size_t index, Span span)
+{
+    this->hosts[index].pausedUntil = this->now + span;
+}
+
+void World::cutHost(std::size_t index, bool isCut)
+{
+    this->isCutOff[index] = isCut;
+}
+
+void World::restartEngine(std::size_t index)
+{
+    FakeEngine &engine = this->engines[index];
+    engine.readyAt.clear();
+    engine.leaving.clear();
+    engine.running.clear();
+    engine.hasBase = false;
+    engine.ordersTaken = 0;
+    ++engine.start;
+    engine.past.clear();
+    this->remember(engine);
+}
+
+void World::tickHost(std::size_t index)
+{
+    const std::uint64_t life = this->hosts[index].incarnation;
+    const Instant wake = std::max(this->now, this->hosts[index].pausedUntil);
+    this->at(wake + tickInterval, [this, index, life] {
+        if (!this->acts(index, life))
+            return;
+        if (this->now >= this->hosts[index].pausedUntil) {
+            Actions actions;
+            tick(this->hosts[index].state, static_cast<std::uint64_t>(this->now.micros / 1000),
+                 this->now, actions);
+            this->run(index, actions);
+        }
+        this->tickHost(index);
+    });
+}
+
+void World::arrive()
+{
+    std::exponential_distribution<double> gap(this->settings.requestsPerSecond);
+    this->at(this->now + fromSeconds(gap(this->random)), [this] { this->arrive(); });
+    std::discrete_distribution<std::size_t> pick(this->adapterWeights.begin(),
+                                                 this->adapterWeights.end());
+    const std::size_t index = this->random() % this->hosts.size();
+    FakeHost &host = this->hosts[index];
+    if (!host.isUp || this->now < host.pausedUntil)
+        return;
+    RequestArrived request;
+    request.request.value = this->nextRequest++;
+    request.host = "h";
+    request.path = "/s/x";
+    request.key = KeyHash{ "key" };
+    request.model = { baseName, "a" + std::to_string(pick(this->random)) };
+    request.promptTokens.count = 1800;
+    request.totalTokens = Tokens{ 2000 };
+    request.allowed = std::chrono::seconds(4);
+    ++this->asked;
+    this->asks[{ index, request.request.value }] = { request.model, this->now };
+    Actions actions;
+    handle(host.state, request, this->now, actions);
+    this->run(index, actions);
+}
+
+void World::run(std::size_t index, Actions &actions)
+{
+    this->refused += actions.refusals.size();
+    for (const Dispatch &toSend : actions.dispatches)
+        this->dispatch(index, toSend);
+    for (const OrderEngine &toGive : actions.orders)
+        this->order(index, toGive);
+    for (const AskReport &ask : actions.reports)
+        this->answerReport(index, ask);
+    for (const SendGossip &gossip : actions.gossip)
+        this->deliver(index, gossip);
+}
+
+void World::deliver(std::size_t from, const SendGossip &gossip)
+{
+    const bool isLost = std::uniform_real_distribution<double>(0, 1)(this->random)
+            < this->settings.lostMessages;
+    for (std::size_t to = 0; to < this->hosts.size(); ++to) {
+        if (addressOf(to) != gossip.to || this->isCutOff[from] || this->isCutOff[to] || isLost)
+            continue;
+        this->at(this->now + hop, [this, to, message = gossip.message] {
+            FakeHost &host = this->hosts[to];
+            if (!host.isUp || this->now < host.pausedUntil)
+                return;
+            Actions actions;
+            handle(host.state, message, this->now, actions);
+            this->run(to, actions);
+        });
+    }
+}
+
+FakeEngine *World::engineOf(const UpstreamId &id)
+{
+    const auto found = std::find_if(this->engines.begin(), this->engines.end(),
+                                    [&](const FakeEngine &engine) { return engine.id == id; });
+    return found == this->engines.end() ? nullptr : &*found;
+}
+
+void World::dispatch(std::size_t index, const Dispatch &toSend)
+{
+    const std::uint64_t life = this->hosts[index].incarnation;
+    const auto ask = this->asks[{ index, toSend.request.value }];
+    this->at(this->now + hop, [this, index, life, toSend, ask] {
+        FakeEngine &engine = *this->engineOf(toSend.upstream);
+        const auto loaded = engine.readyAt.find(ask.first);
+        const bool isThere = engine.hasBase && loaded != engine.readyAt.end();
+        const bool isReady = isThere && loaded->second <= this->now
+                && !engine.leaving.contains(ask.first);
+        if (isReady) {
+            ++engine.running[ask.first];
+            this->startSeconds.push_back(toSeconds(this->now - ask.second));
+            this->admittedTokens[this->now] += 2000;
+        }
+        const Span takes = isReady
+                ? shortestRun + fromSeconds(std::exponential_distribution<double>(2)(this->random))
+                : Span{};
+        const std::size_t at = static_cast<std::size_t>(&engine - this->engines.data());
+        const std::int64_t engineLife = engine.start;
+        this->at(this->now + takes + hop,
+                 [this, index, life, toSend, at, isReady, isThere, ask, engineLife] {
+                     if (isReady) {
+                         if (this->engines[at].start == engineLife)
+                             this->finish(index, life, toSend, at, ask.first);
+                         return;
+                     }
+                     if (!this->acts(index, life))
+                         return;
+                     const AttemptOutcome outcome = isThere ? AttemptOutcome::NotRun
+                                                            : AttemptOutcome::NotThere;
+                     Actions actions;
+                     handle(this->hosts[index].state,
+                            AttemptEnded{ toSend.request, toSend.attempt, outcome, false },
+                            this->now, actions);
+                     this->run(index, actions);
+                 });
+    });
+}
+
+void World::finish(std::size_t index, std::uint64_t life, const Dispatch &sent, std::size_t engine,
+                   const ModelName &model)
+{
+    FakeEngine &at = this->engines[engine];
+    if (--at.running[model] == 0 && at.leaving.erase(model) > 0)
+        at.readyAt.erase(model);
+    if (!this->acts(index, life))
+        return;
+    ++this->answered;
+    Actions actions;
+    handle(this->hosts[index].state,
+           AttemptEnded{ sent.request, sent.attempt, AttemptOutcome::Done, true }, this->now,
+           actions);
+    this->run(index, actions);
+}
+
+void World::checkHolder(std::size_t index, FakeEngine &engine, const OrderEngine &toGive)
+{
+    const HostId self = this->hosts[index].state.self.id;
+    const bool isOther = !engine.lastOrderedBy.value.empty() && engine.lastOrderedBy != self;
+    if (isOther && this->now - engine.lastOrderAt < leaseLength) {
+        this->violate(engine.id.value + ": " + self.value + " orders "
+                      + std::to_string((this->now - engine.lastOrderAt).count() / 1000)
+                      + " ms after " + engine.lastOrderedBy.value);
+    }
+    if (toGive.fencing.value < engine.highestFencing)
+        this->violate(engine.id.value + ": a lower fencing number after a higher one");
+    engine.highestFencing = std::max(engine.highestFencing, toGive.fencing.value);
+    engine.lastOrderedBy = self;
+    engine.lastOrderAt = this->now;
+}
+
+void World::takeOrder(std::size_t index, const OrderEngine &toGive, FakeEngine &engine,
+                      OrderEnded &ended)
+{
+    this->checkHolder(index, engine, toGive);
+    ended.outcome = OrderOutcome::Taken;
+    if (toGive.model.isBase()) {
+        engine.hasBase = true;
+    } else if (toGive.isLoad && engine.readyAt.contains(toGive.model)) {
+        ended.outcome = OrderOutcome::HeldAlready;
+        return;
+    } else if (toGive.isLoad) {
+        if (engine.readyAt.size() >= this->settings.places)
+            this->violate(engine.id.value + ": ordered to hold more than it has places for");
+        engine.readyAt[toGive.model] = this->now + this->settings.loadTime;
+        ++this->loads;
+    } else {
+        ++this->unloads;
+        if (engine.running[toGive.model] > 0) {
+            ++this->unloadsInUse;
+            engine.leaving.insert(toGive.model);
+        } else {
+            engine.readyAt.erase(toGive.model);
+            ended.outcome = OrderOutcome::HeldAlready;
+        }
+    }
+    ++engine.ordersTaken;
+    this->remember(engine);
+}
+
+void World::order(std::size_t index, const OrderEngine &toGive)
+{
+    const std::uint64_t life = this->hosts[index].incarnation;
+    const Instant sentAt = this->now;
+    this->at(this->now + hop, [this, index, life, toGive, sentAt] {
+        FakeEngine &engine = *this->engineOf(toGive.engine);
+        OrderEnded ended{ toGive.engine,  toGive.model, toGive.isLoad,
+                          toGive.version, sentAt,       OrderOutcome::Refused };
+        this->takeOrder(index, toGive, engine, ended);
+        this->at(this->now + hop, [this, index, life, ended] {
+            if (!this->acts(index, life))
+                return;
+            Actions actions;
+            handle(this->hosts[index].state, ended, this->now, actions);
+            this->run(index, actions);
+        });
+    });
+}
+
+EngineState World::stateOf(const FakeEngine &engine) const
+{
+    EngineState state;
+    state.start = engine.start;
+    state.ordersTaken = engine.ordersTaken;
+    if (engine.hasBase)
+        state.models.push_back(baseName);
+    for (const auto &[name, readyAt] : engine.readyAt) {
+        if (readyAt <= this->now)
+            state.ready.push_back({ name, 1 });
+        else
+            state.loading.push_back({ name, 1 });
+    }
+    return state;
+}
+
+void World::remember(FakeEngine &engine)
+{
+    engine.past.emplace_back(this->now, this->stateOf(engine));
+}
+
+void World::answerReport(std::size_t index, const AskReport &ask)
+{
+    const std::uint64_t life = this->hosts[index].incarnation;
+    const Instant askedAt = this->now;
+    this->at(this->now + hop, [this, index, life, ask, askedAt] {
+        FakeEngine &engine = *this->engineOf(ask.engine);
+        this->remember(engine);
+        while (engine.past.size() > 1 && engine.past[1].first <= this->now - reportLag)
+            engine.past.erase(engine.past.begin());
+        const EngineState late = engine.past.front().second;
+        this->at(this->now + hop, [this, index, life, ask, askedAt, late] {
+            if (!this->acts(index, life) || this->now < this->hosts[index].pausedUntil)
+                return;
+            Actions actions;
+            handle(this->hosts[index].state, ReportRead{ ask.engine, askedAt, late }, this->now,
+                   actions);
+            this->run(index, actions);
+        });
+    });
+}
+
+} // namespace azurewell::gateway
--- /dev/null
+++ b/tests/gateway_world/world.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "azurewell/gateway/gateway.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurewell::gateway {
+
+/// What went against a promise of the system.
+struct Violation
+{
+    Instant at;
+    std::string what;
+};
+
+/// An engine as hosts meet it: places for adapters, loads that take time, reports that are late, no
+/// check of fencing numbers.
+struct FakeEngine
+{
+    UpstreamId id;
+    ZoneId zone;
+    bool isUp = true;
+    std::int64_t start = 1;
+    std::uint64_t ordersTaken = 0;
+    bool hasBase = true;
+    Instant baseReadyAt;
+    std::map<ModelName, Instant> readyAt; ///< Adapters that take a place; in the future: loading.
+    std::map<ModelName, std::uint32_t> running;
+    std::set<ModelName> leaving; ///< Unloaded when their last request has ended.
+    HostId lastOrderedBy;
+    Instant lastOrderAt;
+    std::uint64_t highestFencing = 0;
+    std::vector<std::pair<Instant, EngineState>> past; ///< What reports will say later.
+};
+
+/// A host and what its callers sent.
+struct FakeHost
+{
+    GatewayState state;
+    bool isUp = true;
+    Instant pausedUntil;
+    std::uint64_t incarnation = 1;
+};
+
+struct WorldSettings
+{
+    std::uint64_t seed = 1;
+    std::size_t hostsPerZone = 2;
+    std::size_t enginesPerZone = 3;
+    std::size_t zones = 3;
+    double requestsPerSecond = 60;
+    double zipf = 1.2;
+    std::size_t adapters = 300;
+    double tokenRate = 0; ///< Of the one customer; 0: no limit.
+    std::size_t places = 5;
+    Span loadTime = std::chrono::milliseconds(250);
+    double lostMessages = 0.01;
+};
+
+/// Hosts, engines and callers in one process, on a clock of its own. Repeatable from its seed.
+class World
+{
+public:
+    explicit World(const WorldSettings &worldSettings);
+
+    void runFor(Span span);
+
+    void killHost(std::size_t index);
+    void startHost(std::size_t index, bool isFirst);
+    /// The host does nothing for \a span, and then goes on with what it believed.
+    void pauseHost(std::size_t index, Span span);
+    /// Host \a index hears no other host and is heard by none.
+    void cutHost(std::size_t index, bool isCut);
+    void restartEngine(std::size_t index);
+
+    std::size_t hostCount() const
+    {
+        return this->hosts.size();
+    }
+    std::size_t engineCount() const
+    {
+        return this->engines.size();
+    }
+
+    std::vector<Violation> violations;
+    std::uint64_t asked = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t unloads = 0;
+    std::uint64_t unloadsInUse = 0;   ///< Their places stay taken, and requests are sent away.
+    std::vector<double> startSeconds; ///< From a request's arrival to its start, of those answered.
+    std::map<Instant, double> admittedTokens;
+    Instant now{ 1'000'000'000 };
+
+private:
+    struct Due
+    {
+        Instant at;
+        std::uint64_t serial;
+        std::function<void()> act;
+        bool operator>(const Due &other) const
+        {
+            return at != other.at ? at > other.at : serial > other.serial;
+        }
+    };
+
+    void at(Instant when, std::function<void()> act);
+    void tickHost(std::size_t index);
+    void arrive();
+    void run(std::size_t index, Actions &actions);
+    void deliver(std::size_t from, const SendGossip &gossip);
+    void dispatch(std::size_t index, const Dispatch &toSend);
+    void finish(std::size_t index, std::uint64_t life, const Dispatch &sent, std::size_t engine,
+                const ModelName &model);
+    void order(std::size_t index, const OrderEngine &toGive);
+    void takeOrder(std::size_t index, const OrderEngine &toGive, FakeEngine &engine,
+                   OrderEnded &ended);
+    void answerReport(std::size_t index, const AskReport &ask);
+    void checkHolder(std::size_t index, FakeEngine &engine, const OrderEngine &toGive);
+    EngineState stateOf(const FakeEngine &engine) const;
+    void remember(FakeEngine &engine);
+    FakeEngine *engineOf(const UpstreamId &id);
+    bool acts(std::size_t index, std::uint64_t life) const;
+    void violate(const std::string &what);
+
+    WorldSettings settings;
+    std::mt19937_64 random;
+    std::vector<FakeHost> hosts;
+    std::vector<bool> isCutOff;
+    std::vector<FakeEngine> engines;
+    std::vector<double> adapterWeights;
+    std::vector<Due> due; ///< A heap, the earliest first.
+    std::map<std::pair<std::size_t, std::uint64_t>, std::pair<ModelName, Instant>> asks;
+    std::uint64_t nextSerial = 1;
+    std::uint64_t nextRequest = 1;
+};
+
+} // namespace azurewell::gateway
