--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -45,6 +45,9 @@
     /// Ends the exchange and the connection; no handler is called any more.
     void abandon();
 
+    /// The connection could not be opened in time: the request was not sent.
+    void giveUpOpening();
+
     /// Stops reading while the receiver of the response is slower than the upstream.
     void pauseReading(bool paused)
     {
--- a/packages/http/include/azurewell/http/upstream_connections.h
+++ b/packages/http/include/azurewell/http/upstream_connections.h
@@ -26,8 +26,10 @@
     void pauseReading(Exchange exchange, bool paused);
 
     /// Closes connections that have been idle for so long that the upstream may close them just as
-    /// the next request is sent: that request's outcome would be unknown.
-    void closeIdle(Instant now);
+    /// the next request is sent: that request's outcome would be unknown. Gives up those that do
+    /// not open: an upstream that is switched off answers nothing, and the request can go
+    /// elsewhere.
+    void closeLate(Instant now);
 
     /// Closes the idle connections to \a to. What runs on the others goes on.
     void forget(const Endpoint &to);
@@ -43,10 +45,11 @@
         Endpoint to;
         std::unique_ptr<UpstreamConnection> connection;
         Instant idleUntil;
+        Instant openBy;
         Exchange exchange = 0;
     };
 
-    Entry &open(const Endpoint &to);
+    Entry &open(const Endpoint &to, Instant now);
     void becameIdle(std::uint64_t id);
     void remove(std::uint64_t id);
 
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -53,6 +53,14 @@
         this->closed();
 }
 
+void UpstreamConnection::giveUpOpening()
+{
+    if (this->exchange)
+        this->fail(ExchangeFailure::NotSent);
+    else
+        this->abandon();
+}
+
 void UpstreamConnection::receive()
 {
     if (!this->exchange) {
--- a/packages/http/src/upstream_connections.cpp
+++ b/packages/http/src/upstream_connections.cpp
@@ -9,17 +9,22 @@
 /// Where the upstream states no limit. Half of the shortest seen (5 s).
 constexpr Span idleWithoutWord = std::chrono::milliseconds(2500);
 
+/// Connections within a region open in a few ms. One that takes longer than this leads to nobody,
+/// or its first packet was lost, which is sent again only after a second.
+constexpr Span openingPatience = std::chrono::milliseconds(400);
+
 /// Of the limit that the upstream states, in parts of a hundred: the last part is left for requests
 /// that cross the upstream's close on the way.
 constexpr int usedPercent = 60;
 
 } // namespace
 
-UpstreamConnections::Entry &UpstreamConnections::open(const Endpoint &to)
+UpstreamConnections::Entry &UpstreamConnections::open(const Endpoint &to, Instant now)
 {
     const std::uint64_t id = this->nextId++;
     Entry &entry = this->connections[id];
     entry.to = to;
+    entry.openBy = now + openingPatience;
     entry.connection = std::make_unique<UpstreamConnection>(
             to, [this, id] { this->becameIdle(id); }, [this, id] { this->remove(id); });
     entry.exchange = id;
@@ -44,7 +49,7 @@
             this->remove(candidate);
     }
     if (id == 0)
-        id = this->open(to).exchange;
+        id = this->open(to, now).exchange;
     const Exchange exchange = this->nextId++;
     this->connections.at(id).exchange = exchange;
     this->exchanges[exchange] = id;
@@ -92,7 +97,7 @@
     this->connections.erase(found);
 }
 
-void UpstreamConnections::closeIdle(Instant now)
+void UpstreamConnections::closeLate(Instant now)
 {
     this->latest = now;
     this->closed.clear();
@@ -103,6 +108,16 @@
     }
     for (const std::uint64_t id : late)
         this->remove(id);
+    std::vector<std::uint64_t> unopened;
+    for (const auto &[id, entry] : this->connections) {
+        if (!entry.connection->isOpen() && now >= entry.openBy)
+            unopened.push_back(id);
+    }
+    for (const std::uint64_t id : unopened) {
+        const auto found = this->connections.find(id);
+        if (found != this->connections.end())
+            found->second.connection->giveUpOpening();
+    }
 }
 
 void UpstreamConnections::forget(const Endpoint &to)
--- /dev/null
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -0,0 +1,209 @@
+#include "azurewell/http/clock.h"
+#include "azurewell/http/listen_socket.h"
+#include "azurewell/http/upstream_connections.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QElapsedTimer>
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <optional>
+
+namespace azurewell {
+namespace {
+
+/// A server on loopback whose side of each connection the test plays by hand.
+class HandServer
+{
+public:
+    HandServer()
+    {
+        this->listening = std::move(openListenSocket({ "127.0.0.1", 0 }).value());
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        ::getsockname(this->listening.get(), reinterpret_cast<sockaddr *>(&address), &length);
+        this->endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+    }
+
+    /// Waits for a connection and reads what comes until \a bytes are there.
+    std::string acceptAndRead(std::size_t bytes)
+    {
+        this->spin([this] {
+            if (this->peer.get() < 0)
+                this->peer = UniqueFd(::accept(this->listening.get(), nullptr, nullptr));
+            return this->peer.get() >= 0;
+        });
+        std::string text;
+        this->spin([&] {
+            char block[4096];
+            const ssize_t count = ::recv(this->peer.get(), block, sizeof block, MSG_DONTWAIT);
+            if (count > 0)
+                text.append(block, static_cast<std::size_t>(count));
+            return text.size() >= bytes;
+        });
+        return text;
+    }
+
+    void send(const std::string &text)
+    {
+        ::send(this->peer.get(), text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+    void close()
+    {
+        this->peer = UniqueFd();
+    }
+
+    void reset()
+    {
+        const linger now{ 1, 0 };
+        ::setsockopt(this->peer.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        this->peer = UniqueFd();
+    }
+
+    template <typename Condition>
+    void spin(Condition condition)
+    {
+        QElapsedTimer timer;
+        timer.start();
+        while (!condition() && timer.elapsed() < 3000)
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+    }
+
+    UniqueFd listening;
+    UniqueFd peer;
+    Endpoint endpoint;
+};
+
+/// What became of one exchange.
+struct Outcome
+{
+    std::string body;
+    int status = 0;
+    bool isComplete = false;
+    std::optional<ExchangeFailure> failure;
+
+    bool isOver() const
+    {
+        return this->isComplete || this->failure;
+    }
+};
+
+ExchangeHandlers handlersFor(Outcome &outcome, const std::string &id)
+{
+    ExchangeHandlers handlers;
+    handlers.onHead = [&outcome](const ResponseHead &head) {
+        outcome.status = head.status;
+    };
+    handlers.onBody = [&outcome](const std::string &body) {
+        outcome.body += body;
+    };
+    handlers.onComplete = [&outcome] {
+        outcome.isComplete = true;
+    };
+    handlers.onFailure = [&outcome](ExchangeFailure failure) {
+        outcome.failure = failure;
+    };
+    handlers.isOwn = [id](const ResponseHead &head) {
+        return headerValue(head.headers, "Id") == id;
+    };
+    return handlers;
+}
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST(UpstreamConnections, AResetIsNoEndOfAnAnswerWithoutLength)
+{
+    // An upstream answers without a length, so that the end of its connection ends the answer, and
+    // is reset halfway. Taken for an orderly end, the caller would get half an answer as whole.
+    HandServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    server.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
+    server.spin([&] { return outcome.body == "half"; });
+    server.reset();
+    server.spin([&] { return outcome.isOver(); });
+    EXPECT_FALSE(outcome.isComplete);
+    ASSERT_TRUE(outcome.failure);
+    EXPECT_EQ(*outcome.failure, ExchangeFailure::Broken);
+}
+
+TEST(UpstreamConnections, AnOrderlyEndCompletesAnAnswerWithoutLength)
+{
+    HandServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    server.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall");
+    server.close();
+    server.spin([&] { return outcome.isOver(); });
+    EXPECT_TRUE(outcome.isComplete);
+    EXPECT_EQ(outcome.body, "all");
+}
+
+TEST(UpstreamConnections, AnAnswerToAnEarlierRequestIsDropped)
+{
+    // An upstream sends the answer to the first request twice, and the copy comes in front of the
+    // answer to the second. Without a look at its id the second caller would get the first one's.
+    HandServer server;
+    UpstreamConnections connections;
+    Outcome first;
+    connections.start(server.endpoint, request, false, handlersFor(first, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none";
+    server.send(answer);
+    server.spin([&] { return first.isOver(); });
+    Outcome second;
+    connections.start(server.endpoint, request, false, handlersFor(second, "2"), monotonicNow());
+    server.acceptAndRead(request.size());
+    server.send(answer + "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\ntwo");
+    server.spin([&] { return second.isOver(); });
+    EXPECT_EQ(first.body, "one");
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST(UpstreamConnections, AConnectionWithBytesThatNobodyAskedForIsNotUsedAgain)
+{
+    // Bytes come after a whole answer. They belong to no request; on a connection that is used
+    // again they would be read as the beginning of the next answer.
+    HandServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    server.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nokEXTRA");
+    server.spin([&] { return outcome.isOver(); });
+    EXPECT_TRUE(outcome.isComplete);
+    EXPECT_EQ(outcome.body, "ok");
+    EXPECT_EQ(connections.count(), 0U);
+}
+
+TEST(UpstreamConnections, ARequestToAClosedPortWasNotSent)
+{
+    HandServer server;
+    const Endpoint nobody = server.endpoint;
+    server.listening = UniqueFd();
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(nobody, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.spin([&] { return outcome.isOver(); });
+    ASSERT_TRUE(outcome.failure);
+    EXPECT_EQ(*outcome.failure, ExchangeFailure::NotSent);
+}
+
+} // namespace
+} // namespace azurewell
+
+int main(int argc, char **argv)
+{
+    QCoreApplication application(argc, argv);
+    testing::InitGoogleTest(&argc, argv);
+    return RUN_ALL_TESTS();
+}
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -499,7 +499,7 @@
     gateway::tick(this->core, wallMillis(), now, actions);
     this->run(actions);
     this->httpCalls.endOverdue(now);
-    this->connections.closeIdle(now);
+    this->connections.closeLate(now);
     this->closeLateCallers(now);
     flushLog();
     if (isStopping(this->core))
