--- /dev/null
+++ b/packages/gateway/tests/published_test.cpp
@@ -0,0 +1,156 @@
+#include "azurewell/gateway/adapter_uses.h"
+#include "azurewell/gateway/gossip_codec.h"
+#include "azurewell/gateway/published.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace azurewell::gateway {
+namespace {
+
+constexpr Instant now{ 5'000'000'000 };
+
+PublishedItem item(const std::string &key, std::uint64_t revision, const std::string &value)
+{
+    return { key, revision, false, value };
+}
+
+TEST(PublishedState, NeverGoesBackToAnOlderRevision)
+{
+    // A host hears of a change from another host and then reads a stale answer of the platform. A
+    // key that was withdrawn would work again.
+    PublishedState state;
+    takeChanges(state, { 0, 9, { item("k", 9, "new") } });
+    EXPECT_TRUE(takeChanges(state, { 0, 9, { item("k", 7, "old") } }).empty());
+    EXPECT_EQ(state.items["k"].value, "new");
+}
+
+TEST(PublishedState, IsCompleteOnlyUpToTheFirstPageOfAListing)
+{
+    // A listing comes in pages, and a change falls between two of them. Taken for complete up to
+    // the newest item, the watch would begin after the change and never tell of it.
+    PublishedState state;
+    takeListing(state, { item("a", 3, "1"), item("z", 12, "2") }, 10);
+    EXPECT_EQ(state.revision, 10U);
+}
+
+TEST(PublishedState, AListingDeletesWhatItLacks)
+{
+    PublishedState state;
+    takeListing(state, { item("a", 3, "1"), item("b", 4, "2") }, 5);
+    const std::vector<PublishedItem> changed = takeListing(state, { item("a", 3, "1") }, 9);
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed.front().key, "b");
+    EXPECT_TRUE(changed.front().isDeleted);
+}
+
+TEST(PublishedState, PassesOnWhatAnotherHostLacks)
+{
+    PublishedState state;
+    takeListing(state, { item("a", 3, "1"), item("b", 8, "2") }, 10);
+    const PublishedChanges changes = changesAfter(state, 5);
+    ASSERT_EQ(changes.items.size(), 1U);
+    PublishedState other;
+    takeListing(other, { item("a", 3, "1") }, 5);
+    EXPECT_EQ(takeChanges(other, changes).size(), 1U);
+    EXPECT_EQ(other.revision, 10U);
+}
+
+TEST(PublishedState, TakesNoChangesWithAGapBeforeThem)
+{
+    PublishedState state;
+    EXPECT_TRUE(takeChanges(state, { 5, 9, { item("k", 9, "v") } }).empty());
+    EXPECT_EQ(state.revision, 0U);
+}
+
+TEST(AdapterUses, AreToldUntilTheyHaveEnded)
+{
+    OwnUses uses;
+    const AdapterPlace place{ UpstreamId{ "e" }, { "m", "a" } };
+    beginUse(uses, place);
+    beginUse(uses, place);
+    std::vector<AdapterUse> told = takeUntold(uses, place.first);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_TRUE(told.front().isRunning);
+    EXPECT_EQ(told.front().begun, 2U);
+    endUse(uses, place);
+    endUse(uses, place);
+    told = takeUntold(uses, place.first);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_FALSE(told.front().isRunning);
+    EXPECT_TRUE(takeUntold(uses, place.first).empty());
+}
+
+TEST(AdapterUses, OfAHostThatFellSilentEnd)
+{
+    // A host that used an adapter dies. Its use must not keep the place for ever.
+    OtherUses uses;
+    const AdapterRef adapter{ "m/a" };
+    noteOtherUse(uses, adapter, HostId{ "h1" }, true, now);
+    EXPECT_TRUE(isUsedElsewhere(uses, adapter, now + std::chrono::milliseconds(400)));
+    EXPECT_FALSE(isUsedElsewhere(uses, adapter, now + std::chrono::milliseconds(900)));
+}
+
+Gossip fullMessage()
+{
+    Gossip message;
+    message.from.value = "h1";
+    message.zone.value = "z";
+    message.address = { "10.0.0.1", 7600 };
+    message.incarnation.value = 5;
+    message.revision = 77;
+    message.highestFencing.value = 1234567890123;
+    message.members.push_back({ HostId{ "h2" },
+                                ZoneId{ "z" },
+                                { "10.0.0.2", 7600 },
+                                Incarnation{ 3 },
+                                std::chrono::milliseconds(40) });
+    message.uses.push_back({ CustomerId{ "c" }, 1000.5, 200 });
+    EngineNews news;
+    news.engine.value = "e";
+    news.state.seenAt = now - std::chrono::milliseconds(100);
+    news.state.ordersTaken = 9;
+    news.state.models = { "m" };
+    news.state.ready = { { { "m", "a" }, 2 } };
+    message.engines.push_back(news);
+    message.adapterUses.push_back({ UpstreamId{ "e" }, { "m", "a" }, true, 3 });
+    message.promptWork.push_back({ UpstreamId{ "e" }, 1800 });
+    message.loadRequests.push_back({ UpstreamId{ "e" }, { "m", "b" } });
+    message.loadRefusals.push_back({ UpstreamId{ "e" }, { "m", "b" }, true });
+    message.changes.push_back({ 70, 77, { item("k", 77, "v") } });
+    return message;
+}
+
+TEST(GossipCodec, BringsBackWhatWasSent)
+{
+    const Result<Gossip> read = decodeGossip(encodeGossip(fullMessage(), now), now);
+    ASSERT_TRUE(read);
+    const Gossip &message = read.value();
+    EXPECT_EQ(message.from, HostId{ "h1" });
+    EXPECT_EQ(message.highestFencing, FencingNumber{ 1234567890123 });
+    EXPECT_EQ(message.members.front().silentFor, std::chrono::milliseconds(40));
+    EXPECT_DOUBLE_EQ(message.uses.front().inWindow, 200);
+    EXPECT_EQ(message.engines.front().state.seenAt, now - std::chrono::milliseconds(100));
+    EXPECT_EQ(message.engines.front().state.findReady({ "m", "a" })->version, 2U);
+    EXPECT_TRUE(message.adapterUses.front().isRunning);
+    EXPECT_TRUE(message.loadRefusals.front().isStoreBusy);
+    EXPECT_EQ(message.changes.front().items.front().value, "v");
+}
+
+TEST(GossipCodec, SurvivesGarbage)
+{
+    // Anybody can send bytes to the port. A decoder that trusts a length in them takes all memory.
+    std::mt19937 random(7);
+    const std::string good = encodeGossip(fullMessage(), now);
+    for (int round = 0; round < 20'000; ++round) {
+        std::string bytes = good;
+        for (int change = 0; change < 1 + round % 5; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        decodeGossip(bytes, now);
+    }
+}
+
+} // namespace
+} // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/tests/requests_test.cpp
@@ -0,0 +1,224 @@
+#include "azurewell/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+namespace azurewell::gateway {
+namespace {
+
+/// One host before two plain upstreams and two engines, with a filing, a look-up and a stream.
+class RequestsTest : public testing::Test
+{
+protected:
+    RequestsTest()
+    {
+        Identity self;
+        self.id.value = "h";
+        self.zone.value = "z";
+        self.stopGrace = std::chrono::seconds(8);
+        gateway::start(this->state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
+        Configuration configuration;
+        configuration.version = 3;
+        configuration.routes = { routeOf("/file/", RepeatPolicy::NonIdempotent, "desk"),
+                                 routeOf("/look/", RepeatPolicy::Idempotent, "desk"),
+                                 routeOf("/look/deep/", RepeatPolicy::Idempotent, "nobody"),
+                                 routeOf("/draft/", RepeatPolicy::Stream, "llm") };
+        Service llm;
+        llm.id.value = "llm";
+        llm.engine = EngineLimits{};
+        llm.engine->adapterPlaces = 5;
+        configuration.services = { { ServiceId{ "desk" }, {}, 0, {} }, llm };
+        Customer customer;
+        customer.id.value = "c";
+        customer.keys = { KeyHash{ "key" } };
+        configuration.customers = { customer };
+        setConfiguration(this->state, configuration);
+        this->list("d1", "desk");
+        this->list("d2", "desk");
+    }
+
+    static Route routeOf(const std::string &prefix, RepeatPolicy repeat, const std::string &service)
+    {
+        Route route;
+        route.host = "h";
+        route.prefix = prefix;
+        route.repeat = repeat;
+        route.timeout = std::chrono::seconds(2);
+        route.objective = std::chrono::milliseconds(300);
+        route.mostAttempts = 2;
+        route.services = { { ServiceId{ service }, 1.0 } };
+        return route;
+    }
+
+    void list(const std::string &id, const std::string &service, const std::string &adapter = {})
+    {
+        ListedUpstream listed;
+        listed.id.value = id;
+        listed.service.value = service;
+        listed.zone.value = "z";
+        listed.slots = 6;
+        if (!adapter.empty()) {
+            listed.engine.models = { "m" };
+            listed.engine.ready = { { { "m", adapter }, 1 } };
+        }
+        listUpstream(this->state, listed, this->now);
+    }
+
+    Actions ask(const std::string &path, const std::string &key = "key")
+    {
+        RequestArrived request;
+        request.request.value = ++this->lastRequest;
+        request.host = "h";
+        request.path = path;
+        if (!key.empty())
+            request.key = KeyHash{ key };
+        request.model = { "m", "a1" };
+        request.allowed = std::chrono::seconds(4);
+        Actions actions;
+        handle(this->state, request, this->now, actions);
+        return actions;
+    }
+
+    Actions end(const Dispatch &sent, AttemptOutcome outcome, bool hasBegun = false)
+    {
+        Actions actions;
+        handle(this->state, AttemptEnded{ sent.request, sent.attempt, outcome, hasBegun },
+               this->now, actions);
+        return actions;
+    }
+
+    GatewayState state;
+    Instant now{ 1'000'000'000 };
+    std::uint64_t lastRequest = 0;
+};
+
+TEST_F(RequestsTest, AFilingIsNeverSentAgainAfterItMayHaveRun)
+{
+    // The upstream reads a filing and closes without an answer. Sent again, it would be filed
+    // twice; refused as not run, the caller would file it again.
+    const Actions asked = this->ask("/file/x");
+    ASSERT_EQ(asked.dispatches.size(), 1U);
+    const Actions ended = this->end(asked.dispatches.front(), AttemptOutcome::Failed);
+    EXPECT_TRUE(ended.dispatches.empty());
+    ASSERT_EQ(ended.refusals.size(), 1U);
+    EXPECT_FALSE(ended.refusals.front().isNotRun);
+    EXPECT_EQ(ended.refusals.front().code, ResultCode::OutcomeUnknown);
+}
+
+TEST_F(RequestsTest, AFilingThatReachedNobodyGoesToAnotherUpstream)
+{
+    const Actions asked = this->ask("/file/x");
+    const Actions ended = this->end(asked.dispatches.front(), AttemptOutcome::NotSent);
+    ASSERT_EQ(ended.dispatches.size(), 1U);
+    EXPECT_NE(ended.dispatches.front().upstream, asked.dispatches.front().upstream);
+}
+
+TEST_F(RequestsTest, ALookUpIsRepeatedOnceAtAnotherUpstream)
+{
+    for (int earned = 0; earned < 20; ++earned)
+        this->end(this->ask("/look/x").dispatches.front(), AttemptOutcome::Done);
+    const Actions asked = this->ask("/look/x");
+    const Actions again = this->end(asked.dispatches.front(), AttemptOutcome::FaultStated);
+    ASSERT_EQ(again.dispatches.size(), 1U);
+    const Actions last = this->end(again.dispatches.front(), AttemptOutcome::Failed);
+    EXPECT_TRUE(last.dispatches.empty());
+    EXPECT_EQ(last.refusals.size(), 1U);
+}
+
+TEST_F(RequestsTest, RetriesEndWhenTheBudgetIsSpent)
+{
+    // Every upstream fails every request. A retry for each would double the load just when they are
+    // weakest.
+    std::size_t repeated = 0;
+    for (int request = 0; request < 400; ++request) {
+        const Actions asked = this->ask("/look/x");
+        if (asked.dispatches.empty())
+            continue;
+        const Actions ended = this->end(asked.dispatches.front(), AttemptOutcome::Failed);
+        repeated += ended.dispatches.size();
+        if (!ended.dispatches.empty())
+            this->end(ended.dispatches.front(), AttemptOutcome::Failed);
+    }
+    EXPECT_LE(repeated, 400 * 0.15 + 40);
+}
+
+TEST_F(RequestsTest, UnknownKeysAndPathsAreRefusedAtOnce)
+{
+    EXPECT_EQ(this->ask("/file/x", "other").refusals.front().code, ResultCode::KeyUnknown);
+    EXPECT_EQ(this->ask("/file/x", "").refusals.front().code, ResultCode::KeyMissing);
+    EXPECT_EQ(this->ask("/nowhere/x").refusals.front().code, ResultCode::UnknownPath);
+}
+
+TEST_F(RequestsTest, AHostWithoutAConfigurationSaysThatItHasNotRun)
+{
+    // A fresh host that cannot reach the platform knows no key and no route. A 401 or 404 would
+    // tell the caller that its key or its path is wrong for good.
+    this->state.configuration = {};
+    const Actions asked = this->ask("/file/x");
+    EXPECT_EQ(asked.refusals.front().code, ResultCode::HostStarting);
+    EXPECT_TRUE(asked.refusals.front().isNotRun);
+}
+
+TEST_F(RequestsTest, TheLongestPrefixDecides)
+{
+    EXPECT_EQ(this->ask("/look/deep/x").refusals.front().code, ResultCode::NoUpstream);
+    EXPECT_EQ(this->ask("/look/x").dispatches.size(), 1U);
+}
+
+TEST_F(RequestsTest, ALeavingUpstreamGetsNothingNew)
+{
+    ListedUpstream leaving = this->state.upstreams.at(UpstreamId{ "d1" }).listed;
+    leaving.isLeaving = true;
+    listUpstream(this->state, leaving, this->now);
+    // A held-up entry from before says that it is ready.
+    leaving.isLeaving = false;
+    listUpstream(this->state, leaving, this->now);
+    for (int request = 0; request < 20; ++request)
+        EXPECT_EQ(this->ask("/look/x").dispatches.front().upstream.value, "d2");
+}
+
+TEST_F(RequestsTest, ARequestGetsItsFinalAnswerAtItsDeadline)
+{
+    const Actions asked = this->ask("/file/x");
+    this->now = this->now + std::chrono::milliseconds(2000);
+    Actions late;
+    tick(this->state, 0, this->now, late);
+    ASSERT_EQ(late.refusals.size(), 1U);
+    EXPECT_FALSE(late.refusals.front().isNotRun);
+    EXPECT_EQ(late.cancels.size(), 1U);
+}
+
+TEST_F(RequestsTest, ACallerThatLeavesEndsItsRequestAtTheUpstream)
+{
+    const Actions asked = this->ask("/draft/x");
+    this->list("e1", "llm", "a1");
+    const Actions sent = this->ask("/draft/x");
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    Actions left;
+    handle(this->state, CallerLeft{ sent.dispatches.front().request }, this->now, left);
+    EXPECT_EQ(left.cancels.size(), 1U);
+    EXPECT_EQ(this->state.upstreams.at(UpstreamId{ "e1" }).underWay, 0U);
+}
+
+TEST_F(RequestsTest, AnAdapterInAnOlderVersionIsNotUsed)
+{
+    this->list("e1", "llm", "a1");
+    declareVersion(this->state, { "m", "a1" }, 2);
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+}
+
+TEST_F(RequestsTest, AStoppingHostRefusesWhatItCouldNotFinish)
+{
+    Actions actions;
+    beginStop(this->state, this->now, actions);
+    EXPECT_FALSE(isReady(this->state));
+    this->now = this->now + std::chrono::milliseconds(1000);
+    EXPECT_EQ(this->ask("/file/x").dispatches.size(), 1U);
+    this->now = this->now + std::chrono::milliseconds(5000);
+    const Actions late = this->ask("/file/x");
+    ASSERT_EQ(late.refusals.size(), 1U);
+    EXPECT_EQ(late.refusals.front().code, ResultCode::HostDraining);
+    EXPECT_TRUE(late.refusals.front().isNotRun);
+}
+
+} // namespace
+} // namespace azurewell::gateway
