--- a/packages/gateway/include/azurewell/gateway/configuration.h
+++ b/packages/gateway/include/azurewell/gateway/configuration.h
@@ -84,7 +84,7 @@
 struct CallerLimits
 {
     std::uint32_t headBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::uint64_t bodyBytes = 4ULL * 1024 * 1024;
     Span headPatience = std::chrono::seconds(3);
     Span idlePatience = std::chrono::seconds(15);
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// An upstream that is gone is forgotten when nothing can run there any more.
+constexpr Span rememberedFor = std::chrono::seconds(10);
+
 /// An upstream whose entry goes away without notice serves on for 2 s; for half of that it is still
 /// used, since entries may go away for a moment.
 constexpr Span usedAfterRemoval = std::chrono::milliseconds(800);
@@ -126,8 +129,6 @@
 
 void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
 {
-    /// An upstream that is gone is forgotten when nothing can run there any more.
-    constexpr Span rememberedFor = std::chrono::seconds(10);
     std::erase_if(state.upstreams, [now](const auto &entry) {
         const Upstream &upstream = entry.second;
         return upstream.usableUntil != never && now >= upstream.usableUntil + rememberedFor
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -37,6 +37,7 @@
 std::vector<LoadedAdapter> fromWire(const std::vector<wire::LoadedAdapter> &adapters)
 {
     std::vector<LoadedAdapter> out;
+    out.reserve(adapters.size());
     for (const wire::LoadedAdapter &adapter : adapters) {
         out.push_back({ { adapter.model, adapter.adapter },
                         static_cast<std::uint64_t>(adapter.version) });
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t mostToldAtOnce = 12;
 
 /// Items in one message are kept under this, in bytes: the rest follows with the next heartbeat.
-constexpr std::size_t mostChangeBytes = 40 * 1024;
+constexpr std::size_t mostChangeBytes = 40ULL * 1024;
 
 Gossip blank(const GatewayState &state)
 {
--- a/packages/http/include/azurewell/http/readers.h
+++ b/packages/http/include/azurewell/http/readers.h
@@ -13,7 +13,7 @@
 struct RequestLimits
 {
     std::uint32_t headBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::uint64_t bodyBytes = 4ULL * 1024 * 1024;
 };
 
 /// Reads one request from bytes that arrive in pieces.
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -40,7 +40,7 @@
                        std::function<void()> onClosed);
 
     /// Sends \a request. \a isHeadOnly: it is a HEAD request.
-    void begin(std::string request, bool isHeadOnly, ExchangeHandlers handlers);
+    void begin(const std::string &request, bool isHeadOnly, ExchangeHandlers handlers);
 
     /// Ends the exchange and the connection; no handler is called any more.
     void abandon();
--- a/packages/http/include/azurewell/http/upstream_connections.h
+++ b/packages/http/include/azurewell/http/upstream_connections.h
@@ -17,7 +17,7 @@
 
     /// Sends \a request to \a to on an idle connection or a new one. Handlers are never called from
     /// within start().
-    Exchange start(const Endpoint &to, std::string request, bool isHeadOnly,
+    Exchange start(const Endpoint &to, const std::string &request, bool isHeadOnly,
                    ExchangeHandlers handlers, Instant now);
 
     /// Ends an exchange with its connection, so that the upstream notices that nobody waits.
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Read at once. A whole request of the sizes seen (5 KB) fits.
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = 16ULL * 1024;
 
 /// Accepted before other events get a turn, so that a flood of connections cannot starve answers.
 constexpr int mostAcceptsInARow = 32;
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -36,7 +36,8 @@
             { {}, [this] { this->receive(); }, [this](StreamEnd how) { this->ended(how); }, {} });
 }
 
-void UpstreamConnection::begin(std::string request, bool isHeadOnly, ExchangeHandlers handlers)
+void UpstreamConnection::begin(const std::string &request, bool isHeadOnly,
+                               ExchangeHandlers handlers)
 {
     this->exchange = std::make_unique<Exchange>();
     this->exchange->handlers = std::move(handlers);
--- a/packages/http/src/upstream_connections.cpp
+++ b/packages/http/src/upstream_connections.cpp
@@ -31,7 +31,8 @@
     return entry;
 }
 
-UpstreamConnections::Exchange UpstreamConnections::start(const Endpoint &to, std::string request,
+UpstreamConnections::Exchange UpstreamConnections::start(const Endpoint &to,
+                                                         const std::string &request,
                                                          bool isHeadOnly, ExchangeHandlers handlers,
                                                          Instant now)
 {
@@ -53,7 +54,7 @@
     const Exchange exchange = this->nextId++;
     this->connections.at(id).exchange = exchange;
     this->exchanges[exchange] = id;
-    this->connections.at(id).connection->begin(std::move(request), isHeadOnly, std::move(handlers));
+    this->connections.at(id).connection->begin(request, isHeadOnly, std::move(handlers));
     return exchange;
 }
 
--- a/packages/logging/include/azurewell/logging/log_buffer.h
+++ b/packages/logging/include/azurewell/logging/log_buffer.h
@@ -24,7 +24,7 @@
 };
 
 /// Bytes held at the most: 20 s of the budget.
-inline constexpr std::size_t mostHeldBytes = 256 * 1024;
+inline constexpr std::size_t mostHeldBytes = 256ULL * 1024;
 
 /// Bytes a second and host over a longer time: at 12 lines a second of 150 bytes for the requests
 /// of a busy host, with room for as many refusals again.
--- a/packages/proxy/include/azurewell/proxy/http_call.h
+++ b/packages/proxy/include/azurewell/proxy/http_call.h
@@ -29,7 +29,7 @@
     }
 
     /// Sends \a request. The handler is called by \a deadline at the latest.
-    void start(const Endpoint &to, std::string request, Instant deadline, Handler handler,
+    void start(const Endpoint &to, const std::string &request, Instant deadline, Handler handler,
                Instant now);
 
     /// Ends calls whose deadline has passed, with their connections: one that went silent for good
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -81,7 +81,7 @@
 
     void dispatch(const gateway::Dispatch &dispatch);
     void takeHead(gateway::RequestNumber request, const ResponseHead &head);
-    void takeBody(gateway::RequestNumber request, std::string body);
+    void takeBody(gateway::RequestNumber request, const std::string &body);
     void complete(gateway::RequestNumber request);
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
     void endAttempt(gateway::RequestNumber request, gateway::AttemptOutcome outcome);
--- a/packages/proxy/src/http_call.cpp
+++ b/packages/proxy/src/http_call.cpp
@@ -2,8 +2,8 @@
 
 namespace azurewell {
 
-void HttpCalls::start(const Endpoint &to, std::string request, Instant deadline, Handler handler,
-                      Instant now)
+void HttpCalls::start(const Endpoint &to, const std::string &request, Instant deadline,
+                      Handler handler, Instant now)
 {
     const auto call = this->calls.emplace(this->calls.end());
     call->deadline = deadline;
@@ -24,8 +24,7 @@
     handlers.isOwn = [](const ResponseHead &) {
         return true;
     };
-    call->exchange = this->connections.start(to, std::move(request), false, std::move(handlers),
-                                             now);
+    call->exchange = this->connections.start(to, request, false, std::move(handlers), now);
 }
 
 void HttpCalls::finish(std::list<Call>::iterator call, bool isWhole)
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -16,7 +16,7 @@
 using namespace gateway;
 
 /// Bytes that a slow caller may leave unread before its upstream is slowed down as well.
-constexpr std::size_t mostUnsentBytes = 128 * 1024;
+constexpr std::size_t mostUnsentBytes = 128ULL * 1024;
 
 /// Answers to reports and orders are waited for so long: they come within milliseconds, and
 /// one that takes longer is a connection that went silent.
@@ -266,8 +266,8 @@
     handlers.onHead = [this, number](const ResponseHead &head) {
         this->takeHead(number, head);
     };
-    handlers.onBody = [this, number](std::string body) {
-        this->takeBody(number, std::move(body));
+    handlers.onBody = [this, number](const std::string &body) {
+        this->takeBody(number, body);
     };
     handlers.onComplete = [this, number] {
         this->complete(number);
@@ -278,11 +278,11 @@
     handlers.isOwn = [this, callerId](const ResponseHead &head) {
         return this->format.isAnswerTo(head, callerId);
     };
-    std::string bytes = requestBytes(line.method, line.target,
-                                     this->format.upstreamHeaders(line, toSend), session.body(),
-                                     line.hasBody);
-    request.exchange = this->connections.start(toSend.address, std::move(bytes),
-                                               line.method == "HEAD", std::move(handlers), now);
+    const std::string bytes = requestBytes(line.method, line.target,
+                                           this->format.upstreamHeaders(line, toSend),
+                                           session.body(), line.hasBody);
+    request.exchange = this->connections.start(toSend.address, bytes, line.method == "HEAD",
+                                               std::move(handlers), now);
 }
 
 void Proxy::takeHead(RequestNumber number, const ResponseHead &head)
@@ -301,7 +301,7 @@
         request.isHeldBack = true;
 }
 
-void Proxy::takeBody(RequestNumber number, std::string body)
+void Proxy::takeBody(RequestNumber number, const std::string &body)
 {
     const auto found = this->open.find(number);
     if (found == this->open.end())
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -41,7 +41,7 @@
     for (int i = -1; i < histogram.buckets.axis().size(); ++i) {
         total += histogram.buckets.at(i);
         fmt::format_to(std::back_inserter(out), "{}_bucket{{le=\"{}\"}} {}\n", name,
-                       bucketEdges[static_cast<std::size_t>(i + 1)], total);
+                       bucketEdges[static_cast<std::size_t>(i) + 1], total);
     }
     fmt::format_to(std::back_inserter(out),
                    "{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n{0}_count {1}\n", name,
