--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -32,7 +32,10 @@
     std::vector<Endpoint> seeds; ///< Hosts that may know others; may be stale.
 };
 
-enum class RequestPhase : std::uint8_t { WaitingForAdapter, AtUpstream };
+enum class RequestPhase : std::uint8_t {
+    Waiting, ///< For an adapter, or for an engine to be less crowded.
+    AtUpstream,
+};
 
 /// A caller's request on its way through this host.
 struct RequestRecord
@@ -46,7 +49,7 @@
     Instant arrivedAt;
     Instant inTimeUntil; ///< An answer that begins later is late.
     Instant deadline;    ///< The caller has its final answer by then.
-    RequestPhase phase = RequestPhase::WaitingForAdapter;
+    RequestPhase phase = RequestPhase::Waiting;
     Instant placedBy; ///< While waiting: given up then.
     UpstreamId upstream;
     std::uint32_t attempt = 0;
@@ -124,7 +127,7 @@
     std::map<ServiceId, RetryBudget> retryBudgets;
 
     std::unordered_map<RequestNumber, RequestRecord> requests;
-    std::set<RequestNumber> waiting; ///< For an adapter.
+    std::set<RequestNumber> waiting; ///< Those that are in RequestPhase::Waiting.
     std::map<ModelName, AwaitedLoad> awaitedLoads;
     std::map<UpstreamId, OrderedEngine> engines;
     OwnUses ownUses; ///< Adapters that this host's requests use.
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -291,7 +291,7 @@
     const Upstream *chosen = chooseUpstream(state.upstreams, need, state.versions, draw(state),
                                             now);
     if (chosen && isBetterHeld(record, *chosen, need, now)) {
-        record.phase = RequestPhase::WaitingForAdapter;
+        record.phase = RequestPhase::Waiting;
         state.waiting.insert(record.asked.request);
         return;
     }
@@ -307,7 +307,7 @@
     }
     switch (awaitLoad(state, need.model, need, now, actions)) {
     case LoadProspect::Coming:
-        record.phase = RequestPhase::WaitingForAdapter;
+        record.phase = RequestPhase::Waiting;
         state.waiting.insert(record.asked.request);
         break;
     case LoadProspect::StoreBusy:
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -75,6 +75,25 @@
                        nameOf(isNotRun ? RunState::NotRun : RunState::Unknown));
 }
 
+std::string_view nameOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Done:
+        return "done";
+    case AttemptOutcome::NotSent:
+        return "not_sent";
+    case AttemptOutcome::NotRun:
+        return "not_run";
+    case AttemptOutcome::NotThere:
+        return "not_there";
+    case AttemptOutcome::Failed:
+        return "failed";
+    case AttemptOutcome::FaultStated:
+        break;
+    }
+    return "fault_stated";
+}
+
 std::string inMillis(Span span)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -414,7 +433,7 @@
                  { { "request", this->core.requests.at(number).asked.callerId },
                    { "attempt", std::to_string(request.attempt) },
                    { "upstream", request.upstream.value },
-                   { "outcome", std::to_string(static_cast<int>(outcome)) },
+                   { "outcome", std::string(nameOf(outcome)) },
                    { "status", std::to_string(request.head.status) },
                    { "after_ms", inMillis(monotonicNow() - request.sentAt) } });
     }
