--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -35,7 +35,9 @@
     const bool hasMoved = engine.ordersTaken > rights.expectedOrders;
     // A report is late by up to reportValidity, so a count below the expected one is an old view,
     // unless the engine has started anew.
-    if (isUnwatched || hasMoved || (isOtherLife && engine.ordersTaken != 0)) {
+    // A restart takes the count back to 0 and hides the last orders before it.
+    const bool isHidden = isOtherLife && (!rights.isHolding || engine.ordersTaken != 0);
+    if (isUnwatched || hasMoved || isHidden) {
         rights.stillSince = now;
         rights.isHolding = false;
         rights.expectedOrders = engine.ordersTaken;
