--- a/cmake/AzurewellPackage.cmake
+++ b/cmake/AzurewellPackage.cmake
@@ -3,6 +3,8 @@
 #   azurewell_package(<name> SOURCES <file>... USES <target>...)
 #   azurewell_package_tests(<name> SOURCES <file>... [USES <target>...])
 
+#   azurewell_wire(<name> SOURCES <file>...)     committed Thrift code in generated/
+
 # Qt's lower-case macros (slots, signals, emit) would clash with ordinary names.
 add_compile_definitions(QT_NO_KEYWORDS)
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow)
@@ -36,3 +38,16 @@
     AZUREWELL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   gtest_discover_tests(${target} TEST_PREFIX "${name}." DISCOVERY_TIMEOUT 60)
 endfunction()
+
+function(azurewell_wire name)
+  cmake_parse_arguments(ARG "" "" "SOURCES" ${ARGN})
+  set(target azurewell_${name})
+  add_library(${target} STATIC ${ARG_SOURCES})
+  add_library(azurewell::${name} ALIAS ${target})
+  set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
+  target_include_directories(${target} SYSTEM PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/generated>)
+  target_compile_options(${target} PRIVATE -w)
+  target_link_libraries(${target} PUBLIC ${THRIFT_LIBRARY} Boost::headers)
+  install(TARGETS ${target} EXPORT azurewellTargets ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+endfunction()
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -112,7 +112,6 @@
     CustomerId customer;              ///< Empty on a public route.
     std::uint64_t adapterVersion = 0; ///< The version it must run on; 0: any.
     Span allowed{};
-    bool isStream = false;
     /// A broken answer that the caller has nothing of may be replaced: the whole is read first.
     bool isHeldBack = false;
 };
@@ -132,7 +131,6 @@
     ModelName model;
     std::uint64_t version = 0; ///< 0: the newest.
     FencingNumber fencing;
-    Instant notAfter; ///< Not sent later than this.
 };
 
 /// Ask an engine what it holds and does.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -47,8 +47,7 @@
     bool isResumable = false;
     std::uint32_t mostAttempts = 1;
     Instant arrivedAt;
-    Instant inTimeUntil; ///< An answer that begins later is late.
-    Instant deadline;    ///< The caller has its final answer by then.
+    Instant deadline; ///< The caller has its final answer by then.
     RequestPhase phase = RequestPhase::Waiting;
     Instant placedBy; ///< While waiting: given up then.
     UpstreamId upstream;
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -49,8 +49,9 @@
 /// known.
 bool noteMember(Members &members, const Member &member);
 
-/// Notes that somebody else knows \a member, heard then at `heardAt`. It is believed only where
-/// nothing is known: the member is written to and counts when it answers.
+/// Notes that somebody else heard \a member at `heardAt`. One that is not known here is written to
+/// and counts when it answers; of one that is known it tells that it lives, though it may not be
+/// heard here.
 void noteRumour(Members &members, const Member &member);
 
 /// To be called at each tick: notes who is heard no more, and forgets who has been silent for long.
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -25,9 +25,6 @@
 /// A report or an order that got no answer for so long is given up.
 constexpr Span answerPatience = std::chrono::milliseconds(1500);
 
-/// An order that waits for a connection longer than this is not sent: the right may have lapsed.
-constexpr Span orderValidity = std::chrono::milliseconds(500);
-
 /// A load that does not show up in reports within this time has failed.
 constexpr Span longestLoad = std::chrono::seconds(6);
 
@@ -239,14 +236,14 @@
 }
 
 void order(GatewayState &state, Upstream &upstream, OrderedEngine &engine, const ModelName &model,
-           bool isLoad, Instant now, Actions &actions)
+           bool isLoad, Actions &actions)
 {
     engine.isOrderOnItsWay = true;
     state.highestFencing = std::max(state.highestFencing, engine.rights.fencing);
     const auto declared = state.versions.find(model);
     const std::uint64_t version = isLoad && declared != state.versions.end() ? declared->second : 0;
     actions.orders.push_back({ upstream.listed.id, upstream.listed.address, isLoad, model, version,
-                               engine.rights.fencing, now + orderValidity });
+                               engine.rights.fencing });
 }
 
 /// Orders the base model of an engine that has started empty. True where an order was given.
@@ -261,7 +258,7 @@
         return false;
     engine.baseOrderedAt = now;
     ++state.counters.baseLoadsOrdered;
-    order(state, upstream, engine, { limits.models.front().name, {} }, true, now, actions);
+    order(state, upstream, engine, { limits.models.front().name, {} }, true, actions);
     return true;
 }
 
@@ -276,7 +273,7 @@
                   [&](const LoadedAdapter &loaded) { return loaded.name == adapter; });
     engine.isNews = true;
     ++state.counters.unloadsOrdered;
-    order(state, upstream, engine, adapter, false, now, actions);
+    order(state, upstream, engine, adapter, false, actions);
 }
 
 /// An adapter in an older version than the declared one is unloaded; requests that come for it have
@@ -323,7 +320,7 @@
             upstream.loadingSince[wanted] = now;
             engine.isNews = true;
             ++state.counters.loadsOrdered;
-            order(state, upstream, engine, wanted, true, now, actions);
+            order(state, upstream, engine, wanted, true, actions);
         } else if (step.kind == PlacementStep::Kind::Evict) {
             orderUnload(state, upstream, engine, nameOf(step.adapter), now, actions);
         }
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -263,10 +263,6 @@
     }
 }
 
-} // namespace
-
-namespace {
-
 void answerLoadRequest(GatewayState &state, const LoadRequest &request, const Endpoint &asker,
                        Instant now, Actions &actions)
 {
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -120,10 +120,10 @@
     const LoadedAdapter *loaded = upstream.engine.findReady(model);
     const bool isVersioned = loaded && state.versions.contains(model);
     ++state.counters.dispatched;
-    actions.dispatches.push_back(
-            { record.asked.request, record.attempt, id, upstream.listed.address, record.customer,
-              isVersioned ? loaded->version : 0, record.deadline - now,
-              record.repeat == RepeatPolicy::Stream, record.repeat != RepeatPolicy::Stream });
+    actions.dispatches.push_back({ record.asked.request, record.attempt, id,
+                                   upstream.listed.address, record.customer,
+                                   isVersioned ? loaded->version : 0, record.deadline - now,
+                                   record.repeat != RepeatPolicy::Stream });
 }
 
 /// While this host stops, a request that arrives late and may last longer than the process would be
@@ -353,7 +353,6 @@
     const Span routeLimit = route->timeout > Span{} ? route->timeout : longestRequest;
     record.deadline = now
             + (event.allowed > Span{} ? std::min(event.allowed, routeLimit) : routeLimit);
-    record.inTimeUntil = now + route->objective;
     record.placedBy = std::min(record.deadline, now + route->objective * waitPercent / 100);
     if (endsTooLate(state, record, now)) {
         refuseAndForget(state, record, ResultCode::HostDraining, otherHostAnswers, actions);
--- a/packages/gateway/tests/published_test.cpp
+++ b/packages/gateway/tests/published_test.cpp
@@ -148,7 +148,10 @@
         for (int change = 0; change < 1 + round % 5; ++change)
             bytes[random() % bytes.size()] = static_cast<char>(random());
         bytes.resize(random() % (bytes.size() + 1));
-        decodeGossip(bytes, now);
+        const Result<Gossip> read = decodeGossip(bytes, now);
+        if (!read) {
+            EXPECT_EQ(read.error().code, ResultCode::MessageInvalid);
+        }
     }
 }
 
--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -48,6 +48,9 @@
 /// are the length and coding of the body, which each side states for itself.
 std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &all);
 
+/// What a status means, in the words of RFC 9110.
+const char *reasonPhrase(int status);
+
 /// A whole request with a body of known length. The length is left out where \a hasBody is false.
 std::string requestBytes(std::string_view method, std::string_view target,
                          const std::vector<HttpHeader> &headers, std::string_view body,
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -92,6 +92,42 @@
     return kept;
 }
 
+const char *reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 409:
+        return "Conflict";
+    case 411:
+        return "Length Required";
+    case 413:
+        return "Payload Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
 std::string requestBytes(std::string_view method, std::string_view target,
                          const std::vector<HttpHeader> &headers, std::string_view body,
                          bool hasBody)
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -56,6 +56,7 @@
     struct OpenRequest
     {
         SessionId session = 0;
+        std::string callerId; ///< As the caller names it; for the log.
         std::uint32_t attempt = 0;
         UpstreamConnections::Exchange exchange = 0;
         bool isAtUpstream = false;
@@ -86,7 +87,7 @@
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
     void endAttempt(gateway::RequestNumber request, gateway::AttemptOutcome outcome);
     void answerWhole(OpenRequest &open);
-    void noteAnswered(gateway::RequestNumber number, const OpenRequest &request);
+    void noteAnswered(const OpenRequest &request);
 
     void refuse(const gateway::Refuse &refusal);
     void order(const gateway::OrderEngine &order);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -39,34 +39,6 @@
     return (stated >= 400 && stated < 500) ? stated : 503;
 }
 
-std::string_view reasonOf(int status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Error";
-    }
-}
-
 std::string refusalBody(ResultCode code, bool isNotRun)
 {
     const ResultCodeInfo &info = infoOf(code);
@@ -188,6 +160,7 @@
     this->requestOf[id] = number;
     OpenRequest &request = this->open[number];
     request.session = id;
+    request.callerId = facts.value().callerId;
     request.arrivedAt = now;
     if (isStopping(this->core))
         session.close(false);
@@ -204,7 +177,7 @@
              { { "reason", std::string(infoOf(error.code).name) }, { "detail", error.detail } });
     CallerConnection &session = *this->sessions.at(id);
     session.close(false);
-    session.answer(status, reasonOf(status), { { "Content-Type", "application/json" } },
+    session.answer(status, reasonPhrase(status), { { "Content-Type", "application/json" } },
                    refusalBody(error.code, true), monotonicNow());
 }
 
@@ -280,7 +253,6 @@
     if (toSend.attempt == 1)
         this->metrics.placing.add(now - request.arrivedAt);
     const RequestNumber number = toSend.request;
-    const std::string callerId = this->core.requests.at(number).asked.callerId;
     ExchangeHandlers handlers;
     handlers.onHead = [this, number](const ResponseHead &head) {
         this->takeHead(number, head);
@@ -294,7 +266,7 @@
     handlers.onFailure = [this, number](ExchangeFailure failure) {
         this->fail(number, failure);
     };
-    handlers.isOwn = [this, callerId](const ResponseHead &head) {
+    handlers.isOwn = [this, callerId = request.callerId](const ResponseHead &head) {
         return this->format.isAnswerTo(head, callerId);
     };
     const std::string bytes = requestBytes(line.method, line.target,
@@ -362,13 +334,13 @@
                    request.body, now);
 }
 
-void Proxy::noteAnswered(RequestNumber number, const OpenRequest &request)
+void Proxy::noteAnswered(const OpenRequest &request)
 {
     const Instant now = monotonicNow();
     this->metrics.whole.add(now - request.arrivedAt);
     const Instant first = request.hasBegun ? request.firstByteAt : now;
     writeLog(LogLevel::Info, "request_answered",
-             { { "request", this->core.requests.at(number).asked.callerId },
+             { { "request", request.callerId },
                { "status", std::to_string(request.head.status) },
                { "upstream", request.upstream.value },
                { "attempts", std::to_string(request.attempt) },
@@ -396,7 +368,7 @@
         this->endAttempt(number, AttemptOutcome::Failed);
         return;
     }
-    this->noteAnswered(number, request);
+    this->noteAnswered(request);
     const AttemptOutcome outcome = request.facts.isFault ? AttemptOutcome::FaultStated
                                                          : AttemptOutcome::Done;
     const SessionId session = request.session;
@@ -430,7 +402,7 @@
     const OpenRequest &request = this->open.at(number);
     if (outcome != AttemptOutcome::Done) {
         writeLog(LogLevel::Info, "attempt_ended",
-                 { { "request", this->core.requests.at(number).asked.callerId },
+                 { { "request", request.callerId },
                    { "attempt", std::to_string(request.attempt) },
                    { "upstream", request.upstream.value },
                    { "outcome", std::string(nameOf(outcome)) },
@@ -454,7 +426,7 @@
     CallerConnection &session = *this->sessions.at(request.session);
     const int status = statusOf(refusal);
     writeLog(LogLevel::Warning, "request_refused",
-             { { "request", this->format.readRequest(session.request()).value().callerId },
+             { { "request", request.callerId },
                { "code", std::string(infoOf(refusal.code).name) },
                { "status", request.hasBegun ? "broken_off" : std::to_string(status) },
                { "not_run", refusal.isNotRun ? "true" : "false" },
@@ -469,8 +441,8 @@
     std::vector<HttpHeader> headers{ { "Content-Type", "application/json" } };
     if (refusal.retryAfter > Span{})
         headers.push_back({ "Retry-After", fmt::format("{:.3f}", toSeconds(refusal.retryAfter)) });
-    session.answer(status, reasonOf(status), headers, refusalBody(refusal.code, refusal.isNotRun),
-                   monotonicNow());
+    session.answer(status, reasonPhrase(status), headers,
+                   refusalBody(refusal.code, refusal.isNotRun), monotonicNow());
 }
 
 void Proxy::order(const OrderEngine &toGive)
@@ -573,7 +545,7 @@
     };
     handlers.onBadRequest = [this, id](const Error &error) {
         const int status = infoOf(error.code).httpStatus;
-        this->operations.at(id)->answer(status, reasonOf(status), {}, {}, monotonicNow());
+        this->operations.at(id)->answer(status, reasonPhrase(status), {}, {}, monotonicNow());
     };
     handlers.onLeft = [] {
     };
--- a/packages/shell/src/http_text.cpp
+++ b/packages/shell/src/http_text.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/shell/http_text.h"
 
+#include "azurewell/http/message.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -8,42 +10,6 @@
 
 namespace {
 
-const char *reasonOf(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 409:
-        return "Conflict";
-    case 411:
-        return "Length Required";
-    case 413:
-        return "Payload Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 std::string refusalJson(const Refuse &refusal)
 {
     const ResultCodeInfo &info = infoOf(refusal.code);
@@ -64,7 +30,8 @@
 QByteArray answerHead(int status, const QByteArray &contentType, qsizetype bodyBytes,
                       const RequestId &request, const QByteArray &moreHeaders)
 {
-    QByteArray head = "HTTP/1.1 " + QByteArray::number(status) + ' ' + reasonOf(status) + "\r\n";
+    QByteArray head = "HTTP/1.1 " + QByteArray::number(status) + ' ' + reasonPhrase(status)
+            + "\r\n";
     head += "Content-Type: " + contentType + "\r\n";
     head += "Content-Length: " + QByteArray::number(bodyBytes) + "\r\n";
     if (!request.value.empty())
