Pace prompts at the host that orders; pass on only what changes; limits hold when all start anew

A host now asks the one that orders at the engine when its prompt may leave; the same one says when an adapter is worth a second copy. Hosts' own estimates of demand, from one request in ninety, are used in small fleets only.

Entries that say nothing new are not passed on, three hosts of a zone read, and other zones are asked after 0.4 s.

After the start each believed that nobody had admitted anything, and told of uses only near the full limit. Uses are now urgent near the room of the restart, and a large fleet in which most have started anew uses less of it. Ruled out: the sudden rise alone keeps the limit.

A request that waits for its turn is not refused because a copy does not come.

--- /dev/null
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -0,0 +1,57 @@
+#include "world.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <ctime>
+
+namespace {
+
+using namespace azurewell;
+using namespace azurewell::gateway;
+
+double processSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+} // namespace
+
+/// What hosts before a platform spend on each other, at a given size of the fleet. The core of every
+/// host runs in one process; messages are encoded as on the wire. The fakes' own time is in the
+/// processor time, sockets are not.
+int main(int argc, char **argv)
+{
+    WorldSettings settings;
+    settings.countsBytes = true;
+    double requestsPerHost = 5;
+    int warmUpSeconds = 10;
+    int seconds = 5;
+    CLI::App app("Messages and processor time of a simulated fleet");
+    app.add_option("--hosts-per-zone", settings.hostsPerZone, "hosts in each availability zone");
+    app.add_option("--zones", settings.zones, "availability zones");
+    app.add_option("--engines-per-zone", settings.enginesPerZone, "engines in each zone");
+    app.add_option("--adapters", settings.adapters, "adapters that are asked for, Zipf 1.2");
+    app.add_option("--requests", requestsPerHost, "requests a second at each host");
+    app.add_option("--warm-up", warmUpSeconds, "seconds before the measurement");
+    app.add_option("--seconds", seconds, "seconds that are measured");
+    CLI11_PARSE(app, argc, argv);
+    const std::size_t hosts = settings.zones * settings.hostsPerZone;
+    settings.requestsPerSecond = requestsPerHost * static_cast<double>(hosts);
+
+    World world{ settings };
+    world.runFor(std::chrono::seconds(warmUpSeconds));
+    const std::uint64_t messages = world.messages;
+    const std::uint64_t bytes = world.messageBytes;
+    const std::uint64_t loads = world.loads;
+    const double began = processSeconds();
+    world.runFor(std::chrono::seconds(seconds));
+    const double hostSeconds = static_cast<double>(hosts) * seconds;
+    fmt::print("{} hosts: {:.0f} messages/s, {:.0f} bytes/s, {:.2f} % of a core a host; "
+               "{:.1f} loads/s over all; {} of {} requests answered\n",
+               hosts, static_cast<double>(world.messages - messages) / hostSeconds,
+               static_cast<double>(world.messageBytes - bytes) / hostSeconds,
+               100 * (processSeconds() - began) / hostSeconds,
+               static_cast<double>(world.loads - loads) / seconds, world.answered, world.asked);
+    return world.violations.empty() ? 0 : 1;
+}
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -14,6 +14,7 @@
 }
 
 struct LoadedAdapter {
+  /** Empty: the first of the engine's models. */
   1: string model
   2: string adapter
   3: i64 version
@@ -52,6 +53,20 @@
   2: i32 tokens
 }
 
+struct PromptAsk {
+  1: string engine
+  2: string model
+  3: string adapter
+  4: i64 request
+  5: i32 tokens
+}
+
+struct PromptAnswer {
+  1: i64 request
+  2: i32 waitMillis
+  3: bool copyWanted
+}
+
 struct Member {
   1: string host
   2: string zone
@@ -95,4 +110,7 @@
   18: bool wantsChanges
   /** 0: the sender does not read what the platform publishes; 1: it does; 2: the platform does not answer it. */
   19: i32 platform
+  20: list<PromptAsk> promptAsks
+  21: list<PromptAnswer> promptAnswers
+  22: i64 runningFor
 }
--- a/packages/gateway/include/azurewell/gateway/customer_meter.h
+++ b/packages/gateway/include/azurewell/gateway/customer_meter.h
@@ -66,10 +66,14 @@
 {
     bool isFirst = false; ///< The whole system starts for the first time: nobody has.
     Instant startedAt;
+    bool isUseUnknown = false; ///< Most hosts of a large fleet have started anew as well.
 };
 
-/// Whether more than half of the room is used, so that the others have to know at once.
-bool isNearLimit(const CustomerMeter &meter, const Customer &customer, const MeterLimits &limits);
+/// Whether more than half of the room is used, so that the others have to know at once. After a
+/// restart that is half of what may be used by then: all hosts may have started anew, and each
+/// would use that room for itself.
+bool isNearLimit(const CustomerMeter &meter, const Customer &customer, const MeterLimits &limits,
+                 const MeterStart &start, Instant now);
 
 /// Takes \a cost if there is room. Otherwise returns the time after which there is likely room.
 ///
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "azurewell/gateway/customer_meter.h"
 #include "azurewell/gateway/events.h"
 #include "azurewell/gateway/order_rights.h"
+#include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
@@ -38,6 +39,9 @@
     AtUpstream,
 };
 
+/// Whether the host that orders at an engine was asked when a prompt may leave for it.
+enum class PromptTurnState : std::uint8_t { NotAsked, Asked, Known };
+
 /// A caller's request on its way through this host.
 struct RequestRecord
 {
@@ -56,6 +60,9 @@
     std::uint32_t mayHaveRun = 0; ///< Attempts after which the request can have run.
     std::set<UpstreamId> excluded;
     bool hasAnswerBegun = false;
+    PromptTurnState turn = PromptTurnState::NotAsked;
+    Instant turnAt; ///< When its prompt may leave; while it is asked: when no answer is awaited any
+                    ///< more.
 };
 
 /// A load that requests of this host wait for.
@@ -74,6 +81,7 @@
     EngineAdapters adapters;                  ///< Kept while this host orders there.
     std::int64_t start = 0;                   ///< Of the engine's life that `adapters` describe.
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders not yet seen to be carried out.
+    PromptPacer pacer;
     OtherUses otherUses;          ///< Adapters that other hosts use here; they are not evicted.
     std::deque<ModelName> wanted; ///< Loads to order, oldest first.
     std::deque<AdapterRef> heldLately;      ///< Newest first; the engine loads these quickly.
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -40,6 +40,22 @@
     double tokens = 0;
 };
 
+/// Asks the host that orders at an engine when a prompt may leave for it (see prompt_pacing.h).
+struct PromptAsk
+{
+    UpstreamId engine;
+    ModelName adapter;
+    std::uint64_t request = 0; ///< Of the asking host.
+    double tokens = 0;
+};
+
+struct PromptAnswer
+{
+    std::uint64_t request = 0;
+    Span wait{};
+    bool isCopyWanted = false;
+};
+
 /// Asks the host that orders at an engine to load an adapter there.
 struct LoadRequest
 {
@@ -90,6 +106,7 @@
     ZoneId zone;
     Endpoint address;
     Incarnation incarnation;
+    Span runningFor{}; ///< Since the start of the process.
     bool isLeaving = false;
     PlatformView platform = PlatformView::NotRead;
     std::uint64_t revision = 0;     ///< The sender knows all published changes up to this one.
@@ -101,6 +118,8 @@
     std::vector<EngineNews> engines;
     std::vector<AdapterUse> adapterUses;
     std::vector<PromptWork> promptWork;
+    std::vector<PromptAsk> promptAsks;
+    std::vector<PromptAnswer> promptAnswers;
     std::vector<LoadRequest> loadRequests;
     std::vector<LoadRefusal> loadRefusals;
     std::vector<PublishedChanges> changes; ///< At most one.
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -30,6 +30,7 @@
     bool isLeaving = false; ///< It said that it stops.
     bool wasHeard = false;  ///< At the last look; see Members::changedAt.
     PlatformView platform = PlatformView::NotRead;
+    Instant startedAt;     ///< Of its process, as it tells.
     bool wasAlive = false; ///< The same for isAlive(); see Members::generation.
     std::uint64_t idHash = 0;
     Instant firstHeardAt;    ///< In its present life, or heard of.
@@ -95,6 +96,9 @@
 /// Others that are heard and do not leave.
 std::size_t countHeard(const Members &members, Instant now);
 
+/// Whether most of the others that are heard have been running since \a then.
+bool haveMostRunSince(const Members &members, Instant then, Instant now);
+
 /// Others that may be alive: heard, or silent without having said that they leave.
 std::size_t countKnown(const Members &members);
 
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -72,6 +72,10 @@
     EngineState engine;       ///< As of its last entry; `seenAt` is set by the reader.
 };
 
+/// Whether two entries of an upstream say the same, but for the state of its engine, which the host
+/// that orders there tells sooner, and for their count.
+bool saysTheSame(const ListedUpstream &a, const ListedUpstream &b);
+
 /// The load that an upstream states in its answers.
 struct StatedLoad
 {
--- a/packages/gateway/src/customer_meter.cpp
+++ b/packages/gateway/src/customer_meter.cpp
@@ -13,11 +13,26 @@
 /// A customer sends in clumps: between two words more can go through than on average.
 constexpr double clumping = 1.5;
 
-/// After a restart nothing is known of what was admitted before. What is admitted since may use
-/// this part of the room at once and the rest in step with the window. A window that begins 1.5 s
-/// before the restart and was full holds 0.81 of the room, less with each second: the sum stays
-/// below 1.
-constexpr double usableAtRestart = 0.15;
+/// After a restart nothing is known of what was admitted before. What is admitted since may use a
+/// part of the room at once, and more in step with the window.
+struct RestartRoom
+{
+    double atOnce;
+    double inWindow;
+};
+
+/// Where most hosts went on they know what was admitted, and only the part of the hosts that
+/// restarted is missing. A small fleet takes this room also where all hosts start anew, as if the
+/// window before had been used evenly: one that begins 1.5 s before and was full holds 0.81 of the
+/// room. A customer that used all of its room in the last moments can get up to 1.4 times as much.
+constexpr RestartRoom whereUseWasEven{ 0.15, 0.85 };
+
+/// Where most hosts of a large fleet started anew the whole room may have been used just before. A
+/// customer that uses half of its rate needs 0.46 of the room in a window and is not refused. One
+/// that sent six times its rate has used its room within 2.7 s; with a second between, another
+/// 0.02 + 0.46 x 4.3 s / 8 s comes into the same window, which the part that is kept free in a
+/// large fleet has room for.
+constexpr RestartRoom whereUseIsUnknown{ 0.02, 0.46 };
 
 /// The room over all hosts, in tokens for each window.
 double roomOf(const Customer &customer, const MeterLimits &limits)
@@ -28,14 +43,23 @@
     return (plain * (1 + limits.overshoot) + limits.slack) * (1 - edgePart - unheard);
 }
 
+/// The part of the room that may be used of all that was admitted since the start: what is left by
+/// an earlier process that may have used the room before it.
+double restartPart(const MeterLimits &limits, const MeterStart &start, Instant now)
+{
+    const double since = toSeconds(now - start.startedAt) / toSeconds(limits.window);
+    if (start.isFirst || since >= 1)
+        return 1;
+    const RestartRoom &part = start.isUseUnknown ? whereUseIsUnknown : whereUseWasEven;
+    return part.atOnce + part.inWindow * since;
+}
+
 /// Whether \a used since the start leaves what an earlier process may have used before it.
 bool isInRestartRoom(double used, double room, const MeterLimits &limits, const MeterStart &start,
                      Instant now)
 {
-    const double since = toSeconds(now - start.startedAt) / toSeconds(limits.window);
-    if (start.isFirst || since >= 1)
-        return true;
-    return used <= room * (usableAtRestart + (1 - usableAtRestart) * since);
+    const double part = restartPart(limits, start, now);
+    return part >= 1 || used <= room * part;
 }
 
 struct Used
@@ -104,12 +128,14 @@
     return std::nullopt;
 }
 
-bool isNearLimit(const CustomerMeter &meter, const Customer &customer, const MeterLimits &limits)
+bool isNearLimit(const CustomerMeter &meter, const Customer &customer, const MeterLimits &limits,
+                 const MeterStart &start, Instant now)
 {
     double used = meter.own.window.sum;
     for (const auto &[id, use] : meter.others)
         used += use.window.sum;
-    return customer.rate.perSecond > 0 && used > roomOf(customer, limits) / 2;
+    const double room = roomOf(customer, limits) * restartPart(limits, start, now);
+    return customer.rate.perSecond > 0 && used > room / 2;
 }
 
 void noteAdmittedElsewhere(CustomerMeter &meter, const HostId &host, Incarnation incarnation,
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -23,9 +23,9 @@
 constexpr Span usedAfterLapse = std::chrono::milliseconds(1200);
 constexpr Span lapsesFor = std::chrono::seconds(4);
 
-/// Hosts of a zone that read what the platform publishes: one may be lost, and nobody have noticed
-/// yet.
-constexpr std::size_t readersOfZone = 2;
+/// Hosts of a zone that read what the platform publishes: two may be lost or cut off, and nobody
+/// have noticed yet.
+constexpr std::size_t readersOfZone = 3;
 constexpr std::string_view readersKey = "readers of the platform";
 
 /// Whether \a entry was written before \a known. An entry can be held up on its way and arrive
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -16,6 +16,8 @@
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
+constexpr Span millisecond = std::chrono::milliseconds(1);
+
 /// An age from the wire; negative ones would place what was seen in the future.
 Span ageOf(std::int64_t micros)
 {
@@ -28,24 +30,33 @@
     return isKnown ? static_cast<PlatformView>(number) : PlatformView::NotRead;
 }
 
-std::vector<wire::LoadedAdapter> toWire(const std::vector<LoadedAdapter> &adapters)
+/// The model that adapters without a name of their own belong to. Nearly all engines hold one
+/// model, whose name would be half of what is told of their adapters.
+std::string usualModel(const std::vector<std::string> &models)
+{
+    return models.empty() ? std::string() : models.front();
+}
+
+std::vector<wire::LoadedAdapter> toWire(const std::vector<LoadedAdapter> &adapters,
+                                        const std::string &usual)
 {
     std::vector<wire::LoadedAdapter> out;
     for (const LoadedAdapter &adapter : adapters) {
         wire::LoadedAdapter &to = out.emplace_back();
-        to.model = adapter.name.model;
+        to.model = adapter.name.model == usual ? std::string() : adapter.name.model;
         to.adapter = adapter.name.adapter;
         to.version = static_cast<std::int64_t>(adapter.version);
     }
     return out;
 }
 
-std::vector<LoadedAdapter> fromWire(const std::vector<wire::LoadedAdapter> &adapters)
+std::vector<LoadedAdapter> fromWire(const std::vector<wire::LoadedAdapter> &adapters,
+                                    const std::string &usual)
 {
     std::vector<LoadedAdapter> out;
     out.reserve(adapters.size());
     for (const wire::LoadedAdapter &adapter : adapters) {
-        out.push_back({ { adapter.model, adapter.adapter },
+        out.push_back({ { adapter.model.empty() ? usual : adapter.model, adapter.adapter },
                         static_cast<std::uint64_t>(adapter.version) });
     }
     return out;
@@ -60,8 +71,8 @@
     out.ordersTaken = static_cast<std::int64_t>(news.state.ordersTaken);
     out.orderUnderWay = news.state.isOrderUnderWay;
     out.models = news.state.models;
-    out.ready = toWire(news.state.ready);
-    out.loading = toWire(news.state.loading);
+    out.ready = toWire(news.state.ready, usualModel(news.state.models));
+    out.loading = toWire(news.state.loading, usualModel(news.state.models));
     out.running = static_cast<std::int32_t>(news.state.running);
     out.waiting = static_cast<std::int32_t>(news.state.waiting);
     return out;
@@ -76,8 +87,8 @@
     out.state.ordersTaken = static_cast<std::uint64_t>(news.ordersTaken);
     out.state.isOrderUnderWay = news.orderUnderWay;
     out.state.models = news.models;
-    out.state.ready = fromWire(news.ready);
-    out.state.loading = fromWire(news.loading);
+    out.state.ready = fromWire(news.ready, usualModel(news.models));
+    out.state.loading = fromWire(news.loading, usualModel(news.models));
     out.state.running = static_cast<std::uint32_t>(news.running);
     out.state.waiting = static_cast<std::uint32_t>(news.waiting);
     return out;
@@ -154,6 +165,7 @@
     out.newestChange = static_cast<std::int64_t>(message.newestChange);
     out.wantsChanges = message.wantsChanges;
     out.platform = static_cast<std::int32_t>(message.platform);
+    out.runningFor = message.runningFor.count();
     out.highestFencing = static_cast<std::int64_t>(message.highestFencing.value);
     for (const MemberNews &member : message.members)
         out.members.push_back(toWire(member));
@@ -178,6 +190,20 @@
         to.engine = work.engine.value;
         to.tokens = static_cast<std::int32_t>(work.tokens);
     }
+    for (const PromptAsk &ask : message.promptAsks) {
+        wire::PromptAsk &to = out.promptAsks.emplace_back();
+        to.engine = ask.engine.value;
+        to.model = ask.adapter.model;
+        to.adapter = ask.adapter.adapter;
+        to.request = static_cast<std::int64_t>(ask.request);
+        to.tokens = static_cast<std::int32_t>(ask.tokens);
+    }
+    for (const PromptAnswer &answer : message.promptAnswers) {
+        wire::PromptAnswer &to = out.promptAnswers.emplace_back();
+        to.request = static_cast<std::int64_t>(answer.request);
+        to.waitMillis = static_cast<std::int32_t>(answer.wait / millisecond);
+        to.copyWanted = answer.isCopyWanted;
+    }
     for (const LoadRequest &request : message.loadRequests)
         out.loadRequests.push_back(toWire(request));
     for (const LoadRefusal &refusal : message.loadRefusals) {
@@ -201,6 +227,7 @@
     out.newestChange = static_cast<std::uint64_t>(message.newestChange);
     out.wantsChanges = message.wantsChanges;
     out.platform = platformView(message.platform);
+    out.runningFor = ageOf(message.runningFor);
     out.highestFencing.value = static_cast<std::uint64_t>(message.highestFencing);
     for (const wire::Member &member : message.members)
         out.members.push_back(fromWire(member));
@@ -218,6 +245,17 @@
         out.promptWork.push_back(
                 { UpstreamId{ work.engine }, static_cast<double>(std::max(work.tokens, 0)) });
     }
+    for (const wire::PromptAsk &ask : message.promptAsks) {
+        out.promptAsks.push_back({ UpstreamId{ ask.engine },
+                                   { ask.model, ask.adapter },
+                                   static_cast<std::uint64_t>(ask.request),
+                                   static_cast<double>(std::max(ask.tokens, 0)) });
+    }
+    for (const wire::PromptAnswer &answer : message.promptAnswers) {
+        out.promptAnswers.push_back({ static_cast<std::uint64_t>(answer.request),
+                                      millisecond * std::max(answer.waitMillis, 0),
+                                      answer.copyWanted });
+    }
     for (const wire::AdapterAt &place : message.loadRequests)
         out.loadRequests.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
     for (const wire::AdapterAt &place : message.loadRefusals) {
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -11,7 +11,7 @@
 constexpr Span changesInterval = std::chrono::milliseconds(200);
 
 /// Other zones are asked for changes that the own zone has not told within this time.
-constexpr Span zoneTellsWithin = std::chrono::milliseconds(600);
+constexpr Span zoneTellsWithin = std::chrono::milliseconds(400);
 
 /// Items in one message are kept under this, in bytes: the rest is asked for next.
 constexpr std::size_t mostChangeBytes = 40ULL * 1024;
@@ -31,13 +31,13 @@
     if (!isDue || now < state.nextAskForChangesAt)
         return;
     state.nextAskForChangesAt = now + changesInterval;
-    SendGossip ask{ message.address, blankGossip(state) };
+    SendGossip ask{ message.address, blankGossip(state, now) };
     ask.message.wantsChanges = true;
     actions.gossip.push_back(std::move(ask));
 }
 
 /// Sends published changes to a host that asks for them.
-void sendChanges(const GatewayState &state, const Gossip &to, Actions &actions)
+void sendChanges(const GatewayState &state, const Gossip &to, Instant now, Actions &actions)
 {
     if (!to.wantsChanges || to.revision >= state.published.newestChange)
         return;
@@ -54,7 +54,7 @@
         changes.items.resize(kept);
         changes.upTo = changes.items.back().revision;
     }
-    Gossip message = blankGossip(state);
+    Gossip message = blankGossip(state, now);
     message.changes.push_back(std::move(changes));
     actions.gossip.push_back({ to.address, std::move(message) });
 }
@@ -98,7 +98,7 @@
     if (prospect == LoadProspect::Coming)
         return;
     const bool isStoreBusy = prospect == LoadProspect::StoreBusy;
-    SendGossip reply{ asker, blankGossip(state) };
+    SendGossip reply{ asker, blankGossip(state, now) };
     reply.message.loadRefusals.push_back({ request.engine, request.adapter, isStoreBusy });
     actions.gossip.push_back(std::move(reply));
 }
@@ -112,7 +112,34 @@
     awaited->second.refusedBy.insert(refusal.engine);
     awaited->second.otherEngineAt = now;
     if (refusal.isStoreBusy)
-        refuseWaiting(state, refusal.adapter, actions);
+        refuseWaiting(state, refusal.adapter, now, actions);
+}
+
+/// Says when a prompt may leave for an engine at which this host orders. Until it comes there, its
+/// adapter counts as in use.
+void answerPrompt(GatewayState &state, const Gossip &from, const PromptAsk &ask, Instant now,
+                  Actions &actions)
+{
+    if (!state.upstreams.contains(ask.engine))
+        return;
+    OrderedEngine &engine = state.engines[ask.engine];
+    const Span toldEvery = heartbeatInterval(state.members, state.members.others.at(from.from));
+    noteOtherUse(engine.otherUses, refOf(ask.adapter), from.from, true, toldEvery, now);
+    const PromptTurn turn = takeTurn(engine.pacer, ask.adapter, ask.tokens, now);
+    SendGossip reply{ from.address, blankGossip(state, now) };
+    reply.message.promptAnswers.push_back({ ask.request, turn.wait, turn.isCopyWanted });
+    actions.gossip.push_back(std::move(reply));
+}
+
+void takeAnswer(GatewayState &state, const PromptAnswer &answer, Instant now, Actions &actions)
+{
+    const auto found = state.requests.find(RequestNumber{ answer.request });
+    if (found == state.requests.end() || found->second.phase != RequestPhase::Waiting
+        || found->second.turn != PromptTurnState::Asked)
+        return;
+    takeTurnOf(state, found->second, { answer.wait, answer.isCopyWanted }, now, actions);
+    if (answer.wait == Span{})
+        place(state, found->second, now, actions);
 }
 
 } // namespace
@@ -123,7 +150,7 @@
     const bool isNew = !state.members.others.contains(message.from);
     if (!noteMember(state.members,
                     { message.from, message.zone, message.address, message.incarnation, now, now,
-                      message.isLeaving, false, message.platform }))
+                      message.isLeaving, false, message.platform, now - message.runningFor }))
         return;
     if (isNew) {
         actions.notes.push_back({ "peer_found", { { "peer", message.from.value } } });
@@ -148,6 +175,10 @@
         if (upstream != state.upstreams.end())
             upstream->second.otherPrompts[message.from] = { work.tokens, now };
     }
+    for (const PromptAsk &ask : message.promptAsks)
+        answerPrompt(state, message, ask, now, actions);
+    for (const PromptAnswer &answer : message.promptAnswers)
+        takeAnswer(state, answer, now, actions);
     for (const LoadRequest &request : message.loadRequests)
         answerLoadRequest(state, request, message.address, now, actions);
     for (const LoadRefusal &refusal : message.loadRefusals)
@@ -159,7 +190,7 @@
     if (!message.engines.empty() || !message.loadRefusals.empty())
         placeWaiting(state, now, actions);
     askForChanges(state, message, now, actions);
-    sendChanges(state, message, actions);
+    sendChanges(state, message, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -16,6 +16,10 @@
 /// In a larger fleet, uses of customers near their limit are told after this time at the latest.
 constexpr Span usesToldEvery = std::chrono::milliseconds(200);
 
+/// What such customers use is known everywhere after this time: it has first to be noticed that
+/// they are near their limit, by hosts that each see a small part of their requests.
+constexpr Span usesKnownWithin = std::chrono::milliseconds(600);
+
 /// Members named in one heartbeat to a host that is new here, which has to learn of all soon, and
 /// to one that is known.
 constexpr std::size_t mostMembersToNew = 12;
@@ -116,13 +120,15 @@
 }
 
 /// Uses of customers that have used much of their room.
-std::vector<CustomerUse> urgentUses(const GatewayState &state)
+std::vector<CustomerUse> urgentUses(const GatewayState &state, Instant now)
 {
     std::vector<CustomerUse> uses;
     const MeterLimits limits = currentLimits(state);
+    const MeterStart start = meterStart(state, now);
     for (const Customer &customer : state.configuration.customers) {
         const auto meter = state.meters.find(customer.id);
-        if (meter == state.meters.end() || !isNearLimit(meter->second, customer, limits))
+        if (meter == state.meters.end()
+            || !isNearLimit(meter->second, customer, limits, start, now))
             continue;
         const HostUse &own = meter->second.own;
         uses.push_back({ customer.id, own.admitted, own.window.sum });
@@ -140,7 +146,7 @@
     }
     if (due.empty())
         return;
-    Gossip common = blankGossip(state);
+    Gossip common = blankGossip(state, now);
     addUses(state, common);
     common.engines = ownNews(state, false, now);
     common.promptWork = workOf(state, now);
@@ -161,10 +167,10 @@
         return;
     if (isSmallFleet(state)) {
         message.promptWork = newWorkOf(state, now);
-        message.uses = urgentUses(state);
+        message.uses = urgentUses(state, now);
         state.newWork.clear();
     } else if (now >= state.nextUsesAt) {
-        message.uses = urgentUses(state);
+        message.uses = urgentUses(state, now);
         state.nextUsesAt = now + usesToldEvery;
         state.newWork.clear();
     }
@@ -176,7 +182,7 @@
                                    [](const auto &entry) { return entry.second.isNews; });
     if (!isAny && state.newWork.empty())
         return;
-    Gossip message = blankGossip(state);
+    Gossip message = blankGossip(state, now);
     message.engines = ownNews(state, true, now);
     addUrgent(state, message, now);
     for (auto &[id, engine] : state.engines)
@@ -202,7 +208,7 @@
         });
         if (seed == state.self.address || isHeardOf)
             continue;
-        Gossip message = blankGossip(state);
+        Gossip message = blankGossip(state, now);
         addMembers(state, message, mostMembersToNew, now);
         actions.gossip.push_back({ seed, std::move(message) });
     }
@@ -221,6 +227,8 @@
     std::erase_if(state.ownUses, [&](const auto &entry) {
         return entry.second.running == 0 && !state.upstreams.contains(entry.first.first);
     });
+    for (auto &[id, engine] : state.engines)
+        tidy(engine.pacer, now);
     for (auto &[customer, meter] : state.meters)
         slide(meter.own.window, state.self.meterLimits.window, now);
 }
@@ -232,7 +240,7 @@
     return state.members.others.size() <= mostOthersOfSmallFleet;
 }
 
-Gossip blankGossip(const GatewayState &state)
+Gossip blankGossip(const GatewayState &state, Instant now)
 {
     Gossip message;
     message.from = state.self.id;
@@ -240,6 +248,7 @@
     message.address = state.self.address;
     message.incarnation = state.self.incarnation;
     message.isLeaving = isStopping(state);
+    message.runningFor = now - state.startedAt;
     message.platform = state.platform;
     message.revision = state.published.revision;
     message.newestChange = state.published.newestChange;
@@ -247,10 +256,17 @@
     return message;
 }
 
+MeterStart meterStart(const GatewayState &state, Instant now)
+{
+    const Instant windowAgo = now - state.self.meterLimits.window;
+    return { state.self.isFirstStart, state.startedAt,
+             !isSmallFleet(state) && !haveMostRunSince(state.members, windowAgo, now) };
+}
+
 MeterLimits currentLimits(const GatewayState &state)
 {
     MeterLimits limits = state.self.meterLimits;
-    limits.toldEvery = isSmallFleet(state) ? tickInterval : usesToldEvery;
+    limits.toldEvery = isSmallFleet(state) ? tickInterval : usesKnownWithin;
     return limits;
 }
 
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -8,6 +8,10 @@
 /// refuses.
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
 
+/// Takes what the host that paces an engine's prompts said of \a record.
+void takeTurnOf(GatewayState &state, RequestRecord &record, const PromptTurn &turn, Instant now,
+                Actions &actions);
+
 /// Places the waiting requests whose adapter is ready, and refuses those that waited for too long.
 void placeWaiting(GatewayState &state, Instant now, Actions &actions);
 
@@ -29,13 +33,13 @@
 LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now);
 
 /// The platform's weight store cannot bring an adapter in time: what waits for it is refused.
-void refuseWaiting(GatewayState &state, const ModelName &adapter, Actions &actions);
+void refuseWaiting(GatewayState &state, const ModelName &adapter, Instant now, Actions &actions);
 
 /// Reports and orders that are due.
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
 
 /// A message of this host that tells nothing but who it is and how far it knows published changes.
-Gossip blankGossip(const GatewayState &state);
+Gossip blankGossip(const GatewayState &state, Instant now);
 
 /// Whether each host learns at the next tick of prompts sent to engines, of loads, and of what
 /// customers near their limit used. In a larger fleet that would be too many messages, and each
@@ -52,6 +56,9 @@
 /// adapter under a request that it does not know of.
 void tellUse(GatewayState &state, const Upstream &engine, Instant now, Actions &actions);
 
+/// What is known of uses before this process started.
+MeterStart meterStart(const GatewayState &state, Instant now);
+
 /// How a customer's limit is read here, with the others as often heard as they are.
 MeterLimits currentLimits(const GatewayState &state);
 
--- a/packages/gateway/src/loads.cpp
+++ b/packages/gateway/src/loads.cpp
@@ -54,7 +54,7 @@
             state.awaitedLoads.erase(adapter);
         return prospect;
     }
-    Gossip message = blankGossip(state);
+    Gossip message = blankGossip(state, now);
     message.loadRequests.push_back(request);
     actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
     return LoadProspect::Coming;
@@ -65,7 +65,7 @@
     const HostId holder = askedHolder(state, engine, now);
     if (holder == state.self.id)
         return;
-    Gossip message = blankGossip(state);
+    Gossip message = blankGossip(state, now);
     message.adapterUses = takeUntold(state.ownUses, engine.listed.id);
     actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
 }
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -158,6 +158,15 @@
             }));
 }
 
+bool haveMostRunSince(const Members &members, Instant then, Instant now)
+{
+    const auto older = std::count_if(
+            members.others.begin(), members.others.end(), [&](const auto &entry) {
+                return isHeard(members, entry.second, now) && entry.second.startedAt <= then;
+            });
+    return 2 * static_cast<std::size_t>(older) > countHeard(members, now);
+}
+
 std::size_t countKnown(const Members &members)
 {
     return static_cast<std::size_t>(
--- /dev/null
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -0,0 +1,55 @@
+#include "azurewell/gateway/prompt_pacing.h"
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// Tokens that an engine reads in a second beside its batch: six tenths of the 22,100 that it reads
+/// with nothing else to do, so that a step still comes every 20 ms.
+constexpr double readPerSecond = 14000;
+
+/// Tokens that may be on their way at once: with them the four steps of an event take 350 ms, and
+/// callers expect one every 400 ms.
+constexpr double mostAtOnce = 6000;
+
+/// A prompt waits no longer than this: with an objective of a second for the first event there is
+/// time to read it and what is before it.
+constexpr Span longestTurn = std::chrono::milliseconds(350);
+
+/// Tokens of one adapter that one engine is meant to read in a second: four tenths of what it can,
+/// since it has other adapters as well.
+constexpr double tokensOfOneCopy = 8800;
+
+/// A wait from which on another copy is worth its load.
+constexpr Span waitForCopy = std::chrono::milliseconds(60);
+
+constexpr Span demandLife = std::chrono::milliseconds(2000);
+
+} // namespace
+
+PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens, Instant now)
+{
+    const double read = readPerSecond * toSeconds(now - pacer.at);
+    pacer.backlog = std::max(0.0, pacer.backlog - read);
+    pacer.at = now;
+    const double allowedBefore = std::max(0.0, mostAtOnce - tokens);
+    const double tooMuch = std::max(0.0, pacer.backlog - allowedBefore);
+    pacer.backlog += tokens;
+    add(pacer.demand[adapter], tokens, demandLife, now);
+
+    PromptTurn turn;
+    turn.wait = std::min<Span>(longestTurn, fromSeconds(tooMuch / readPerSecond));
+    const double perSecond = pacer.demand[adapter].value / toSeconds(demandLife);
+    turn.isCopyWanted = turn.wait >= waitForCopy && perSecond > tokensOfOneCopy;
+    return turn;
+}
+
+void tidy(PromptPacer &pacer, Instant now)
+{
+    std::erase_if(pacer.demand,
+                  [now](const auto &entry) { return valueAt(entry.second, demandLife, now) < 1; });
+}
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -250,6 +250,47 @@
     awaitLoad(state, need.model, other, now, actions);
 }
 
+/// Has one more engine load the adapter of \a need.
+void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions)
+{
+    if (state.awaitedLoads.contains(need.model))
+        return;
+    UpstreamNeed other = need;
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (upstream.engine.findReady(need.model) || upstream.engine.isLoading(need.model))
+            other.excluded.insert(id);
+    }
+    awaitLoad(state, need.model, other, now, actions);
+}
+
+/// The answer of the host that orders at an engine is awaited for so long: messages take 2 to 4 ms,
+/// and a small host may be busy for some time.
+constexpr Span turnAnsweredWithin = std::chrono::milliseconds(30);
+
+/// Whether the prompt of \a record may leave for \a engine now. Asks the host that paces the
+/// prompts of that engine; where it does not answer, the prompt goes.
+bool hasTurn(GatewayState &state, RequestRecord &record, const Upstream &engine,
+             const UpstreamNeed &need, Instant now, Actions &actions)
+{
+    if (record.turn != PromptTurnState::NotAsked)
+        return now >= record.turnAt;
+    const double tokens = static_cast<double>(record.asked.promptTokens.count);
+    const HostId holder = askedHolder(state, engine, now);
+    if (holder == state.self.id) {
+        PromptPacer &pacer = state.engines[engine.listed.id].pacer;
+        const PromptTurn turn = takeTurn(pacer, need.model, tokens, now);
+        takeTurnOf(state, record, turn, now, actions);
+        return now >= record.turnAt;
+    }
+    record.turn = PromptTurnState::Asked;
+    record.turnAt = now + turnAnsweredWithin;
+    SendGossip ask{ state.members.others.at(holder).address, blankGossip(state, now) };
+    ask.message.promptAsks.push_back(
+            { engine.listed.id, need.model, record.asked.request.value, tokens });
+    actions.gossip.push_back(std::move(ask));
+    return false;
+}
+
 /// Load pattern: callers send in clumps, and several hosts send theirs to one engine in the same
 /// half second. The engine reads all the prompts before it makes the next steps of its batch, and
 /// each stream that it has pauses for longer than its callers take for fluent: of 1,700 streams of
@@ -285,6 +326,15 @@
 
 } // namespace
 
+void takeTurnOf(GatewayState &state, RequestRecord &record, const PromptTurn &turn, Instant now,
+                Actions &actions)
+{
+    record.turn = PromptTurnState::Known;
+    record.turnAt = now + turn.wait;
+    if (turn.isCopyWanted)
+        loadCopy(state, needOf(state, record), now, actions);
+}
+
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
     const UpstreamNeed need = needOf(state, record);
@@ -295,9 +345,16 @@
         state.waiting.insert(record.asked.request);
         return;
     }
+    if (chosen && !isSmallFleet(state) && !need.model.isBase()
+        && !hasTurn(state, record, *chosen, need, now, actions)) {
+        record.phase = RequestPhase::Waiting;
+        state.waiting.insert(record.asked.request);
+        return;
+    }
     if (chosen) {
         const UpstreamId id = chosen->listed.id;
-        spreadIfCrowded(state, *chosen, need, now, actions);
+        if (isSmallFleet(state))
+            spreadIfCrowded(state, *chosen, need, now, actions);
         dispatch(state, record, id, need.model, now, actions);
         return;
     }
@@ -361,7 +418,7 @@
     countFirstTry(budgetOf(state, record.service));
     if (customer) {
         record.customer = customer->id;
-        const MeterStart start{ state.self.isFirstStart, state.startedAt };
+        const MeterStart start = meterStart(state, now);
         const std::optional<Span> wait = admit(state.meters[customer->id], *customer,
                                                costOf(*customer, event.totalTokens),
                                                currentLimits(state), start, state.members, now);
@@ -443,12 +500,19 @@
     found->second.loadAt = now;
 }
 
-void refuseWaiting(GatewayState &state, const ModelName &adapter, Actions &actions)
+bool isReadySomewhere(const GatewayState &state, const RequestRecord &record, Instant now)
+{
+    return now < record.deadline
+            && chooseUpstream(state.upstreams, needOf(state, record), state.versions, 0, now);
+}
+
+void refuseWaiting(GatewayState &state, const ModelName &adapter, Instant now, Actions &actions)
 {
     const std::set<RequestNumber> waiting = state.waiting;
     for (const RequestNumber &request : waiting) {
         RequestRecord &record = state.requests.at(request);
-        if (record.asked.model != adapter)
+        // Some wait for their turn at an engine that has it: just another copy does not come.
+        if (record.asked.model != adapter || isReadySomewhere(state, record, now))
             continue;
         refuseAndForget(state, record, ResultCode::QueueFull, spreadReturn(state), actions);
     }
@@ -465,17 +529,13 @@
     return engine != state.upstreams.end() && engine->second.engine.isLoading(record.asked.model);
 }
 
-bool isReadySomewhere(const GatewayState &state, const RequestRecord &record, Instant now)
-{
-    return now < record.deadline
-            && chooseUpstream(state.upstreams, needOf(state, record), state.versions, 0, now);
-}
-
 void placeWaiting(GatewayState &state, Instant now, Actions &actions)
 {
     const std::set<RequestNumber> waiting = state.waiting;
     for (const RequestNumber &request : waiting) {
         RequestRecord &record = state.requests.at(request);
+        if (record.turn != PromptTurnState::NotAsked && now < record.turnAt)
+            continue;
         const Span late = isLoadUnderWay(state, record) ? extraWait : Span{};
         const bool isOver = now >= std::min(record.placedBy + late, record.deadline);
         // The load may just have ended, later than hoped for: what it was ordered for still goes.
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -48,6 +48,13 @@
     sum.at = now;
 }
 
+bool saysTheSame(const ListedUpstream &a, const ListedUpstream &b)
+{
+    return a.id == b.id && a.service == b.service && a.address == b.address && a.zone == b.zone
+            && a.slots == b.slots && a.isLeaving == b.isLeaving && a.remaining == b.remaining
+            && a.engine.start == b.engine.start;
+}
+
 void setEngine(Upstream &upstream, EngineState state, Instant now)
 {
     upstream.engine = std::move(state);
--- /dev/null
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -0,0 +1,192 @@
+#include "azurewell/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace azurewell::gateway {
+namespace {
+
+/// One host of a large fleet: thirty hosts in each of three zones.
+class FleetExchangeTest : public testing::Test
+{
+protected:
+    FleetExchangeTest()
+    {
+        Identity self;
+        self.id.value = "h0";
+        self.zone.value = "z0";
+        self.address = { "h0", 1 };
+        gateway::start(this->state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
+        for (int host = 1; host < hosts; ++host)
+            this->hear(host);
+    }
+
+    Gossip messageOf(int host) const
+    {
+        Gossip message;
+        message.from.value = "h" + std::to_string(host);
+        message.zone.value = "z" + std::to_string(host % 3);
+        message.address = { message.from.value, 1 };
+        message.incarnation.value = 1;
+        return message;
+    }
+
+    Actions take(const Gossip &message)
+    {
+        Actions actions;
+        handle(this->state, message, this->now, actions);
+        return actions;
+    }
+
+    Actions hear(int host)
+    {
+        return this->take(this->messageOf(host));
+    }
+
+    /// Time passes in ticks in which all hosts but \a silent are heard; the messages that this host
+    /// sends.
+    std::vector<SendGossip> pass(Span span, int silent = 0)
+    {
+        std::vector<SendGossip> sent;
+        const Instant end = this->now + span;
+        while (this->now < end) {
+            this->now = this->now + tickInterval;
+            Actions actions;
+            tick(this->state, 0, this->now, actions);
+            sent.insert(sent.end(), actions.gossip.begin(), actions.gossip.end());
+            for (int host = 1; host < hosts; ++host) {
+                if (host != silent && this->now.micros / tickInterval.count() % 20 == host % 20)
+                    this->hear(host);
+            }
+        }
+        return sent;
+    }
+
+    static std::size_t countTo(const std::vector<SendGossip> &sent, const std::string &host)
+    {
+        return static_cast<std::size_t>(
+                std::count_if(sent.begin(), sent.end(),
+                              [&](const SendGossip &message) { return message.to.ip == host; }));
+    }
+
+    static bool asksForChanges(const Actions &actions)
+    {
+        return std::any_of(actions.gossip.begin(), actions.gossip.end(),
+                           [](const SendGossip &sent) { return sent.message.wantsChanges; });
+    }
+
+    static constexpr int hosts = 90;
+    GatewayState state;
+    Instant now{ 1'000'000'000 };
+};
+
+TEST_F(FleetExchangeTest, HostsOfTheOwnZoneAreWrittenToMoreOften)
+{
+    // Every host that writes to 89 others each quarter of a second spends its processor time on
+    // heartbeats. Those that take over each other's engines have to notice a loss soonest.
+    this->pass(std::chrono::seconds(4));
+    const std::vector<SendGossip> sent = this->pass(std::chrono::seconds(10));
+    EXPECT_LT(sent.size(), 10 * 80U);
+    EXPECT_GE(countTo(sent, "h3"), 12U);
+    EXPECT_GE(countTo(sent, "h1"), 4U);
+    EXPECT_GT(countTo(sent, "h3"), 2 * countTo(sent, "h1"));
+    EXPECT_EQ(countHeard(this->state.members, this->now), hosts - 1U);
+}
+
+TEST_F(FleetExchangeTest, ASilentHostOfTheZoneIsNoticedWithinAFewHeartbeats)
+{
+    // A host dies. Until the others of its zone notice, nobody orders at its engines.
+    this->pass(std::chrono::seconds(2));
+    this->pass(std::chrono::milliseconds(4000), 3);
+    EXPECT_FALSE(isAlive(this->state.members, HostId{ "h3" }, this->now));
+    EXPECT_EQ(countHeard(this->state.members, this->now), hosts - 2U);
+}
+
+TEST_F(FleetExchangeTest, ChangesAreAskedForInTheOwnZoneFirst)
+{
+    // A change of the configuration is known in another zone. If all hosts of a zone fetched it
+    // from there, each change would cross between the zones thirty times.
+    Configuration configuration;
+    configuration.version = 1;
+    setConfiguration(this->state, configuration);
+    Gossip elsewhere = this->messageOf(1);
+    elsewhere.newestChange = 7;
+    EXPECT_FALSE(asksForChanges(this->take(elsewhere)));
+    Gossip inZone = this->messageOf(3);
+    inZone.newestChange = 7;
+    EXPECT_TRUE(asksForChanges(this->take(inZone)));
+}
+
+TEST_F(FleetExchangeTest, ChangesAreAskedForElsewhereWhenTheOwnZoneDoesNotKnowThem)
+{
+    // The platform turns away all readers of a zone and serves the other zones. A key that was
+    // withdrawn has to stop working here as well.
+    Configuration configuration;
+    configuration.version = 1;
+    setConfiguration(this->state, configuration);
+    Gossip elsewhere = this->messageOf(1);
+    elsewhere.newestChange = 7;
+    this->take(elsewhere);
+    this->pass(std::chrono::milliseconds(700));
+    EXPECT_TRUE(asksForChanges(this->take(elsewhere)));
+}
+
+TEST_F(FleetExchangeTest, AHostThatAsksGetsTheChangesThatItLacks)
+{
+    takeListing(this->state.published, { { "k", 7, false, "v" } }, 9);
+    Gossip ask = this->messageOf(3);
+    ask.revision = 5;
+    EXPECT_TRUE(this->take(ask).gossip.empty());
+    ask.wantsChanges = true;
+    const Actions answer = this->take(ask);
+    ASSERT_EQ(answer.gossip.size(), 1U);
+    ASSERT_EQ(answer.gossip.front().message.changes.size(), 1U);
+    EXPECT_EQ(answer.gossip.front().message.changes.front().items.size(), 1U);
+}
+
+TEST_F(FleetExchangeTest, AFewHostsOfAZoneReadThePlatformAndOthersWhenItFailsThem)
+{
+    // If every host watched the platform, reads would grow with the fleet. If the ones that do were
+    // fixed, a platform that turns just these away would leave their zone without news.
+    Configuration configuration;
+    configuration.version = 1;
+    setConfiguration(this->state, configuration);
+    for (int host = 3; host < hosts; host += 3) {
+        Gossip message = this->messageOf(host);
+        message.platform = PlatformView::NotRead;
+        this->take(message);
+    }
+    const bool readsFirst = readsPlatform(this->state, this->now);
+    for (int host = 3; host < hosts; host += 3) {
+        Gossip message = this->messageOf(host);
+        message.platform = PlatformView::Failing;
+        this->take(message);
+    }
+    EXPECT_FALSE(readsFirst);
+    EXPECT_TRUE(readsPlatform(this->state, this->now));
+}
+
+TEST_F(FleetExchangeTest, AnEntryThatTellsOnlyOfLoadedAdaptersSaysNothingNew)
+{
+    ListedUpstream before;
+    before.id.value = "e";
+    before.serial = 4;
+    ListedUpstream after = before;
+    after.serial = 5;
+    after.engine.ready = { { { "m", "a" }, 1 } };
+    EXPECT_TRUE(saysTheSame(before, after));
+    after.isLeaving = true;
+    EXPECT_FALSE(saysTheSame(before, after));
+    after = before;
+    after.engine.start = 9;
+    EXPECT_FALSE(saysTheSame(before, after));
+}
+
+TEST_F(FleetExchangeTest, AHostWithoutConfigurationReadsThePlatform)
+{
+    EXPECT_TRUE(readsPlatform(this->state, this->now));
+}
+
+} // namespace
+} // namespace azurewell::gateway
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -134,6 +134,18 @@
     EXPECT_FALSE(this->may());
 }
 
+TEST_F(OrderRightsTest, AreNotUsedBeforeTheFirstLookAfterAPause)
+{
+    // A process is paused for half a second, and the first thing that it handles when it wakes is
+    // an answer of its engine. It still believes what it believed about the others before.
+    this->pass(std::chrono::seconds(5), true, 5);
+    ASSERT_TRUE(this->may());
+    this->now = this->now + std::chrono::milliseconds(500);
+    EXPECT_FALSE(this->may());
+    this->pass(std::chrono::milliseconds(1000), true, 5);
+    EXPECT_TRUE(this->may());
+}
+
 TEST_F(OrderRightsTest, BeginAtOnceWhenTheWholeSystemStartsForTheFirstTime)
 {
     this->start = { true, this->now };
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace azurewell::gateway {
 namespace {
 
@@ -206,6 +208,65 @@
     EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
 }
 
+TEST_F(RequestsTest, APromptWaitsForItsTurnAtACrowdedEngine)
+{
+    // In a large fleet each host sees one prompt in ninety. Ten of them sent to one engine in the
+    // same moment stop all its streams; the host that orders there tells each when to send.
+    this->list("e1", "llm", "a1");
+    for (int host = 0; host < 20; ++host) {
+        const std::string name = "peer" + std::to_string(host);
+        noteMember(this->state.members,
+                   { HostId{ name },
+                     ZoneId{ "z" },
+                     { name, 1 },
+                     Incarnation{ 1 },
+                     this->now,
+                     this->now });
+    }
+    const Actions asked = this->ask("/draft/x");
+    EXPECT_TRUE(asked.dispatches.empty());
+    const auto ask = std::find_if(
+            asked.gossip.begin(), asked.gossip.end(),
+            [](const SendGossip &sent) { return !sent.message.promptAsks.empty(); });
+    ASSERT_NE(ask, asked.gossip.end());
+    Gossip answer;
+    answer.from.value = ask->to.ip;
+    answer.zone.value = "z";
+    answer.address = ask->to;
+    answer.incarnation.value = 1;
+    const std::uint64_t number = ask->message.promptAsks.front().request;
+    answer.promptAnswers.push_back({ number, std::chrono::milliseconds(100), false });
+    Actions answered;
+    handle(this->state, answer, this->now, answered);
+    EXPECT_TRUE(answered.dispatches.empty());
+    this->now = this->now + std::chrono::milliseconds(100);
+    Actions due;
+    tick(this->state, 0, this->now, due);
+    EXPECT_EQ(due.dispatches.size(), 1U);
+}
+
+TEST_F(RequestsTest, APromptGoesWhereNobodyTellsItsTurn)
+{
+    // The host that paces the prompts of an engine has just died. Requests for it must not wait
+    // until that is noticed.
+    this->list("e1", "llm", "a1");
+    for (int host = 0; host < 20; ++host) {
+        const std::string name = "peer" + std::to_string(host);
+        noteMember(this->state.members,
+                   { HostId{ name },
+                     ZoneId{ "z" },
+                     { name, 1 },
+                     Incarnation{ 1 },
+                     this->now,
+                     this->now });
+    }
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    this->now = this->now + std::chrono::milliseconds(40);
+    Actions due;
+    tick(this->state, 0, this->now, due);
+    EXPECT_EQ(due.dispatches.size(), 1U);
+}
+
 TEST_F(RequestsTest, AStoppingHostRefusesWhatItCouldNotFinish)
 {
     Actions actions;
--- a/packages/http/tests/upstream_connections_test.cpp
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -185,6 +185,22 @@
     EXPECT_EQ(connections.count(), 0U);
 }
 
+TEST(UpstreamConnections, NothingIsSentOnAConnectionThatOpensLate)
+{
+    // A process is paused while a connection opens, and wakes after another host has taken over.
+    // The request that waited for the connection is an order whose right has lapsed; sent now, it
+    // would evict an adapter that the other host has just loaded.
+    HandServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    const Instant decidedAt = monotonicNow() - std::chrono::seconds(1);
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), decidedAt,
+                      std::chrono::milliseconds(200));
+    server.spin([&] { return outcome.failure.has_value(); });
+    EXPECT_EQ(outcome.failure, ExchangeFailure::NotSent);
+    EXPECT_EQ(connections.count(), 0U);
+}
+
 TEST(UpstreamConnections, ARequestToAClosedPortWasNotSent)
 {
     HandServer server;
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -72,6 +72,11 @@
 
     void runFor(Span span);
 
+    void setRequestRate(double perSecond)
+    {
+        this->settings.requestsPerSecond = perSecond;
+    }
+
     void killHost(std::size_t index);
     void startHost(std::size_t index, bool isFirst);
     /// The host does nothing for \a span, and then goes on with what it believed.
