A small fleet asks whoever is ahead for published changes, at once

The host had just been restarted. Since changes are pulled, it waits 0.4 s for its own zone, here one other host that read a second late itself; with the 0.8 s that an upstream whose entry goes away is still used, more than 2 s pass. Before, any host that was ahead pushed them. Ruled out: the outage of the store, over 3 s before. In a small fleet bytes between zones weigh little; whoever is ahead is asked at once. The test failed before.

--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -26,8 +26,9 @@
     if (state.behind.upTo <= state.published.revision)
         state.behind.since = now;
     state.behind.upTo = std::max(state.behind.upTo, message.newestChange);
-    const bool isDue = message.zone == state.self.zone || state.platform == PlatformView::Failing
-            || state.configuration.version == 0 || now - state.behind.since >= zoneTellsWithin;
+    const bool isDue = isSmallFleet(state) || message.zone == state.self.zone
+            || state.platform == PlatformView::Failing || state.configuration.version == 0
+            || now - state.behind.since >= zoneTellsWithin;
     if (!isDue || now < state.nextAskForChangesAt)
         return;
     state.nextAskForChangesAt = now + changesInterval;
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -118,6 +118,23 @@
     EXPECT_TRUE(asksForChanges(this->take(inZone)));
 }
 
+TEST_F(FleetExchangeTest, ASmallFleetAsksWhoeverIsAhead)
+{
+    // An upstream leaves, and the only other host of this zone does not know it yet. Waiting for it
+    // half a second long, this host sent requests there after the time that the upstream serves on.
+    GatewayState small;
+    gateway::start(small, this->state.self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(),
+                   this->now);
+    Configuration configuration;
+    configuration.version = 1;
+    setConfiguration(small, configuration);
+    Gossip elsewhere = this->messageOf(1);
+    elsewhere.newestChange = 7;
+    Actions actions;
+    handle(small, elsewhere, this->now, actions);
+    EXPECT_TRUE(asksForChanges(actions));
+}
+
 TEST_F(FleetExchangeTest, ChangesAreAskedForElsewhereWhenTheOwnZoneDoesNotKnowThem)
 {
     // The platform turns away all readers of a zone and serves the other zones. A key that was
--- a/packages/gateway/tests/prompt_pacing_test.cpp
+++ b/packages/gateway/tests/prompt_pacing_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 namespace azurewell::gateway {
 namespace {
 
@@ -23,9 +25,9 @@
     // Eight hosts send a prompt to one engine in the same moment. Read in one go they would stop
     // all streams of that engine for 650 ms.
     PromptPacer pacer;
-    std::vector<Span> waits;
-    for (int i = 0; i < 6; ++i)
-        waits.push_back(takeTurn(pacer, adapter, prompt, start).wait);
+    std::array<Span, 6> waits{};
+    for (Span &wait : waits)
+        wait = takeTurn(pacer, adapter, prompt, start).wait;
     EXPECT_EQ(waits[0], Span{});
     EXPECT_EQ(waits[2], Span{});
     EXPECT_GT(waits[4], waits[3]);
