Split the way of a request: placing apart from arrivals and attempts

Where a request goes, whether it is held back and who waits for an adapter now stand in placing.cpp; arrivals, attempts and deadlines stay. Lines are moved, none is changed.

--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -4,6 +4,24 @@
 
 namespace azurewell::gateway {
 
+/// Callers are sent away for so long when something passes by itself soon. A crashed engine or a
+/// full one has room again within about a second; callers wait at the most a third of the time
+/// that they have left.
+inline constexpr Span soon = std::chrono::milliseconds(400);
+
+/// Answers a caller with a refusal; \a record is gone afterwards.
+void refuseAndForget(GatewayState &state, RequestRecord &record, ResultCode code, Span retryAfter,
+                     Actions &actions);
+
+/// Forgets that \a record is at its upstream.
+void leaveUpstream(GatewayState &state, RequestRecord &record);
+
+UpstreamNeed needOf(const GatewayState &state, const RequestRecord &record);
+
+/// Sends a request to an upstream.
+void dispatch(GatewayState &state, RequestRecord &record, const UpstreamId &id,
+              const ModelName &model, Instant now, Actions &actions);
+
 /// Finds an upstream for a request that is not at one: sends it, has its adapter loaded, or
 /// refuses.
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
