--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -106,9 +106,6 @@
     std::map<UpstreamId, Entry> entries;
 };
 
-/// Demand for an adapter counts down to a third in this time: it moves on within seconds.
-inline constexpr Span demandLife = std::chrono::milliseconds(2000);
-
 /// Published changes that others know and this host does not.
 struct Behind
 {
--- a/packages/gateway/include/azurewell/gateway/prompt_pacing.h
+++ b/packages/gateway/include/azurewell/gateway/prompt_pacing.h
@@ -6,6 +6,13 @@
 
 namespace azurewell::gateway {
 
+/// Demand for an adapter counts down to a third in this time: it moves on within seconds.
+inline constexpr Span demandLife = std::chrono::milliseconds(2000);
+
+/// Prompt tokens that one copy of an adapter is meant to get in a second: 4 parts in 10 of the
+/// 22,100 that an engine reads, since it has other adapters as well.
+inline constexpr double tokensOfOneCopy = 8800;
+
 /// Paces the prompts that all hosts send to one engine.
 ///
 /// Load pattern: callers come in clumps, and many hosts, each of which sees a small part of them,
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -31,10 +31,6 @@
 /// every 600 ms, where callers expect one every 400 ms.
 constexpr double waitForAnotherCopy = 1.2;
 
-/// Prompt tokens that one copy of an adapter is meant to get in a second: 4 parts in 10 of the
-/// 22,100 that an engine reads, since it has other adapters as well.
-constexpr double tokensOfOneCopy = 8800;
-
 /// How many engines should have \a adapter, from what this host's callers send: the balancer gives
 /// it its part of them.
 std::size_t wantedCopies(const GatewayState &state, const ModelName &adapter, Instant now)
--- a/packages/gateway/src/prompt_pacing.cpp
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -18,15 +18,9 @@
 /// time to read it and what is before it.
 constexpr Span longestTurn = std::chrono::milliseconds(350);
 
-/// Tokens of one adapter that one engine is meant to read in a second: four tenths of what it can,
-/// since it has other adapters as well.
-constexpr double tokensOfOneCopy = 8800;
-
 /// A wait from which on another copy is worth its load.
 constexpr Span waitForCopy = std::chrono::milliseconds(60);
 
-constexpr Span demandLife = std::chrono::milliseconds(2000);
-
 } // namespace
 
 PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens, Instant now)
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -88,6 +88,21 @@
         return actions;
     }
 
+    /// Twenty other hosts are heard.
+    void joinLargeFleet()
+    {
+        for (int host = 0; host < 20; ++host) {
+            const std::string name = "peer" + std::to_string(host);
+            noteMember(this->state.members,
+                       { HostId{ name },
+                         ZoneId{ "z" },
+                         { name, 1 },
+                         Incarnation{ 1 },
+                         this->now,
+                         this->now });
+        }
+    }
+
     GatewayState state;
     Instant now{ 1'000'000'000 };
     std::uint64_t lastRequest = 0;
@@ -213,16 +228,7 @@
     // In a large fleet each host sees one prompt in ninety. Ten of them sent to one engine in the
     // same moment stop all its streams; the host that orders there tells each when to send.
     this->list("e1", "llm", "a1");
-    for (int host = 0; host < 20; ++host) {
-        const std::string name = "peer" + std::to_string(host);
-        noteMember(this->state.members,
-                   { HostId{ name },
-                     ZoneId{ "z" },
-                     { name, 1 },
-                     Incarnation{ 1 },
-                     this->now,
-                     this->now });
-    }
+    this->joinLargeFleet();
     const Actions asked = this->ask("/draft/x");
     EXPECT_TRUE(asked.dispatches.empty());
     const auto ask = std::find_if(
@@ -250,16 +256,7 @@
     // The host that paces the prompts of an engine has just died. Requests for it must not wait
     // until that is noticed.
     this->list("e1", "llm", "a1");
-    for (int host = 0; host < 20; ++host) {
-        const std::string name = "peer" + std::to_string(host);
-        noteMember(this->state.members,
-                   { HostId{ name },
-                     ZoneId{ "z" },
-                     { name, 1 },
-                     Incarnation{ 1 },
-                     this->now,
-                     this->now });
-    }
+    this->joinLargeFleet();
     EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
     this->now = this->now + std::chrono::milliseconds(40);
     Actions due;
