A host that the others cannot tell of a change reads it for itself

Read from the code: since three hosts of a zone read for all, the others get items in one datagram, which holds 64 KB; a larger item was encoded, refused by the socket and counted as dropped. A host that stays behind for 0.6 s now reads the platform itself, and what does not fit is not sent.

A host that the platform turns away still cannot get such an item from others.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -28,6 +28,15 @@
 constexpr std::size_t readersOfZone = 3;
 constexpr std::string_view readersKey = "readers of the platform";
 
+/// A host that the others have not told what they know within this time reads for itself: a large
+/// configuration does not fit into one message between hosts.
+constexpr Span toldWithin = std::chrono::milliseconds(600);
+
+bool isLeftBehind(const GatewayState &state, Instant now)
+{
+    return state.behind.upTo > state.published.revision && now - state.behind.since >= toldWithin;
+}
+
 /// Whether \a entry was written before \a known. An entry can be held up on its way and arrive
 /// after a later one: an upstream that has said that it leaves would get new requests again.
 bool isOutdated(const ListedUpstream &known, const ListedUpstream &entry)
@@ -143,7 +152,8 @@
         const bool isBefore = rendezvousMix(stableHash(readersKey), member.idHash) > ownRank;
         readers += isReader && isBefore ? 1 : 0;
     }
-    const bool isNeeded = state.configuration.version == 0 || readers < readersOfZone;
+    const bool isNeeded = state.configuration.version == 0 || readers < readersOfZone
+            || isLeftBehind(state, now);
     if (!isNeeded)
         state.platform = PlatformView::NotRead;
     return isNeeded;
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -16,6 +16,9 @@
 /// Items in one message are kept under this, in bytes: the rest is asked for next.
 constexpr std::size_t mostChangeBytes = 40ULL * 1024;
 
+/// A datagram holds 65,507 bytes, of which other parts of the message need some hundred.
+constexpr std::size_t mostDatagramBytes = 64'000;
+
 /// Asks the sender of \a message for published changes that this host lacks. Hosts of its own zone
 /// have them a moment later, too, and bytes between zones are paid for; but where the platform
 /// turns the whole zone away, the others are the only ones to ask.
@@ -55,6 +58,9 @@
         changes.items.resize(kept);
         changes.upTo = changes.items.back().revision;
     }
+    // A first item that is too large alone is left to the host to read for itself.
+    if (changes.items.empty() || changes.items.front().value.size() > mostDatagramBytes)
+        return;
     Gossip message = blankGossip(state, now);
     message.changes.push_back(std::move(changes));
     actions.gossip.push_back({ to.address, std::move(message) });
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -184,6 +184,34 @@
     EXPECT_TRUE(readsPlatform(this->state, this->now));
 }
 
+TEST_F(FleetExchangeTest, AHostThatTheOthersCannotTellReadsForItself)
+{
+    // A configuration with many routes does not fit into a message between hosts. A host that left
+    // reading to others never learnt of it, and answered 404 on every new route.
+    Configuration configuration;
+    configuration.version = 1;
+    setConfiguration(this->state, configuration);
+    takeListing(this->state.published, {}, 5);
+    Gossip ahead = this->messageOf(3);
+    ahead.newestChange = 7;
+    this->take(ahead);
+    EXPECT_FALSE(readsPlatform(this->state, this->now));
+    this->pass(std::chrono::milliseconds(700));
+    EXPECT_TRUE(readsPlatform(this->state, this->now));
+    takeListing(this->state.published, {}, 7);
+    EXPECT_FALSE(readsPlatform(this->state, this->now));
+}
+
+TEST_F(FleetExchangeTest, AnItemThatIsTooLargeForAMessageIsNotSent)
+{
+    const std::string large(70'000, 'x');
+    takeListing(this->state.published, { { "k", 7, false, large } }, 9);
+    Gossip ask = this->messageOf(3);
+    ask.revision = 5;
+    ask.wantsChanges = true;
+    EXPECT_TRUE(this->take(ask).gossip.empty());
+}
+
 TEST_F(FleetExchangeTest, AnEntryThatTellsOnlyOfLoadedAdaptersSaysNothingNew)
 {
     ListedUpstream before;
