--- a/benchmark/gateway_fleet/gateway_fleet.cpp
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-/// What hosts before a platform spend on each other, at a given size of the fleet. The core of every
-/// host runs in one process; messages are encoded as on the wire. The fakes' own time is in the
-/// processor time, sockets are not.
+/// What hosts before a platform spend on each other, at a given size of the fleet. The core of
+/// every host runs in one process; messages are encoded as on the wire. The fakes' own time is in
+/// the processor time, sockets are not.
 int main(int argc, char **argv)
 {
     WorldSettings settings;
