A host of another zone orders only where no host of the engine's zone may live

A host of another zone now begins only when no host of the engine's zone is known. Until they are forgotten, after 45 s, a zone that is lost whole gets no loads; what is loaded there serves. The test failed before.

--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -8,8 +8,9 @@
 
 /// Whether this host hears enough others to begin to order at \a engine while some are silent. Of
 /// hosts that cannot hear each other at most one does: more than half of the engine's zone are with
-/// it, or just half and more than half of all hosts. A host of another zone needs more than half of
-/// all.
+/// it, or just half and more than half of all hosts. A host of another zone begins only where no
+/// host of the engine's zone may be alive: behind the cut of a zone they hear each other and go on,
+/// and the engine may be reached from both sides.
 bool hearsEnough(const Upstream &engine, const Members &members, Instant now)
 {
     const ZoneId &zone = engine.listed.zone;
@@ -22,7 +23,7 @@
     }
     const bool isMostOfAll = 2 * (countHeard(members, now) + 1) > countKnown(members) + 1;
     if (members.zone != zone)
-        return isMostOfAll;
+        return zoneKnown == 0 && isMostOfAll;
     return 2 * zoneHeard > zoneKnown || (2 * zoneHeard == zoneKnown && isMostOfAll);
 }
 
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -97,6 +97,31 @@
     EXPECT_FALSE(this->may());
 }
 
+TEST_F(OrderRightsTest, AreNotBegunInAnotherZoneWhoseHostsAreSilent)
+{
+    // A zone is cut off whose engines are still reached from outside. Its hosts hear each other and
+    // go on with their orders; a host of another zone that hears most of the fleet must not begin.
+    const auto hearZone = [this](Members &to) {
+        for (const std::string &name : { "k", "l", "m", "n" }) {
+            Member member = this->memberCalled(name);
+            member.zone.value = "y";
+            noteMember(to, member);
+        }
+    };
+    Members zone;
+    zone.zone.value = "y";
+    hearZone(zone);
+    zone.self.value = "k";
+    this->members.zone.value = "y";
+    this->members.self = firstAlive(zone, ZoneId{ "z" }, "e", this->now);
+    for (int step = 0; step < 80; ++step) {
+        hearZone(this->members);
+        this->pass(std::chrono::milliseconds(100), false, 5);
+    }
+    EXPECT_EQ(presumedHolder(this->engine, this->members, this->now), this->members.self);
+    EXPECT_FALSE(this->may());
+}
+
 TEST_F(OrderRightsTest, GoOnBehindACutWhileOrdersFollowEachOther)
 {
     // A zone is cut off and its callers go on asking. A host that orders all the while is seen by
