--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -130,6 +130,17 @@
     return settings;
 }
 
+/// 72 hosts before a customer that uses 1 / 1.8 of its rate.
+WorldSettings limitedFleet()
+{
+    WorldSettings settings = largeFleet();
+    settings.hostsPerZone = 24;
+    settings.adapters = 40;
+    settings.tokenRate = 150000;
+    settings.requestsPerSecond = settings.tokenRate / 2000 / 1.8;
+    return settings;
+}
+
 TEST(GatewayWorld, ALargeFleetTalksLittle)
 {
     // Hosts of a large fleet that write to each other as often as those of a small one, or that
@@ -166,15 +177,10 @@
     // A customer that uses half of its rate sends six times as much from one moment to the next,
     // through 72 hosts of which each sees a small part. Each believes for a while that there is
     // room, and together they admit more than the customer may have.
-    WorldSettings settings = largeFleet();
-    settings.hostsPerZone = 24;
-    settings.adapters = 40;
-    settings.tokenRate = 150000;
-    const double calm = settings.tokenRate / 2000 / 1.8;
-    settings.requestsPerSecond = calm;
+    const WorldSettings settings = limitedFleet();
     World world{ settings };
     world.runFor(std::chrono::seconds(14));
-    world.setRequestRate(calm * 6);
+    world.setRequestRate(settings.requestsPerSecond * 6);
     world.runFor(std::chrono::seconds(9));
     EXPECT_EQ(firstOf(world), "");
     const double room = settings.tokenRate * 9;
@@ -187,15 +193,10 @@
     // All hosts are killed while a customer sends five times its rate, and start again a second
     // later without any memory of what was admitted. Until they have told each other, each of them
     // believes that nobody has admitted anything since.
-    WorldSettings settings = largeFleet();
-    settings.hostsPerZone = 24;
-    settings.adapters = 40;
-    settings.tokenRate = 150000;
-    const double calm = settings.tokenRate / 2000 / 1.8;
-    settings.requestsPerSecond = calm;
+    const WorldSettings settings = limitedFleet();
     World world{ settings };
     world.runFor(std::chrono::seconds(14));
-    world.setRequestRate(calm * 5);
+    world.setRequestRate(settings.requestsPerSecond * 5);
     world.runFor(std::chrono::seconds(4));
     for (std::size_t host = 0; host < world.hostCount(); ++host)
         world.killHost(host);
