Send requests when their load should be over, not when a report shows it

Change: hosts learn how long loads take (from the store, and of what an engine held lately) from requests that are sent when one should be over and are turned away unrun where it is not; the news of a load tell its age.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -18,6 +18,10 @@
   1: string model
   2: string adapter
   3: i64 version
+  /** Of a load under way: since its order. */
+  4: optional i32 loadingForMillis
+  /** Of a load under way: the engine has the adapter in its host's memory. */
+  5: optional bool heldLately
 }
 
 struct EngineNews {
--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/gateway/configuration.h"
+#include "azurewell/gateway/load_times.h"
 #include "azurewell/gateway/upstreams.h"
 
 #include <cstdint>
@@ -36,6 +37,11 @@
 const Upstream *chooseUpstream(const UpstreamMap &upstreams, const UpstreamNeed &need,
                                const DeclaredVersions &versions, double draw, Instant now);
 
+/// The engine whose load of the adapter should be over, though no report shows it; null where there
+/// is none.
+const Upstream *chooseFinishedLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
+                                   const LoadTimes &times, Instant now);
+
 /// The usable engine at which the adapter should be loaded; null where none can load it.
 ///
 /// Load pattern: thousands of adapters, a few of them popular, and a handful of places on each
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "azurewell/gateway/choose_upstream.h"
 #include "azurewell/gateway/customer_meter.h"
 #include "azurewell/gateway/events.h"
+#include "azurewell/gateway/load_times.h"
 #include "azurewell/gateway/order_rights.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
@@ -60,6 +61,7 @@
     std::uint32_t mayHaveRun = 0; ///< Attempts after which the request can have run.
     std::set<UpstreamId> excluded;
     bool hasAnswerBegun = false;
+    bool isTry = false; ///< Sent before a report shows its adapter.
     PromptTurnState turn = PromptTurnState::NotAsked;
     Instant turnAt; ///< When its prompt may leave; while it is asked: when no answer is awaited any
                     ///< more.
@@ -157,6 +159,7 @@
     std::unordered_map<RequestNumber, RequestRecord> requests;
     std::set<RequestNumber> waiting; ///< Those that are in RequestPhase::Waiting.
     std::map<ModelName, AwaitedLoad> awaitedLoads;
+    std::map<std::string, LoadTimes> loadTimes; ///< Of the adapters of each base model.
     std::map<UpstreamId, OrderedEngine> engines;
     OwnUses ownUses; ///< Adapters that this host's requests use.
     std::map<ModelName, DecayedSum>
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -35,6 +35,14 @@
     auto operator<=>(const LoadedAdapter &) const = default;
 };
 
+/// An adapter that an engine loads.
+struct LoadingAdapter
+{
+    ModelName name;
+    Instant since;             ///< When it was ordered; zero: not known.
+    bool isHeldLately = false; ///< The engine has it in its host's memory.
+};
+
 /// What an engine holds and does, as it reported or as a host that orders there told.
 struct EngineState
 {
@@ -44,7 +52,7 @@
     bool isOrderUnderWay = false;
     std::vector<std::string> models;
     std::vector<LoadedAdapter> ready;
-    std::vector<LoadedAdapter> loading;
+    std::vector<LoadingAdapter> loading;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
 
@@ -84,6 +92,18 @@
     std::uint32_t slots = 0;
 };
 
+/// A load as this host follows it.
+struct LoadUnderWay
+{
+    Instant since; ///< When it was ordered, or was first known here.
+    bool isHeldLately = false;
+    std::uint32_t tries = 0; ///< Requests that were sent for it before a report shows it.
+    Instant triedAt;         ///< The last of them; zero: the engine has turned it away.
+    Instant nextTryAt;
+    bool isDone = false; ///< The engine took such a request.
+    std::uint64_t version = 0;
+};
+
 /// A sum whose parts count less and less as they grow old.
 struct DecayedSum
 {
@@ -107,7 +127,7 @@
     Instant usableUntil; ///< Gone or leaving: nothing new is sent after this; `never` otherwise.
     Instant killedAt;    ///< It is switched off then, whatever runs; `never` otherwise.
     EngineState engine;
-    std::map<ModelName, Instant> loadingSince; ///< When each load was first known here.
+    std::map<ModelName, LoadUnderWay> loads;
     HostId toldBy; ///< The host whose news of it came last: it orders there, as far as it knows.
     Instant toldAt;
 
@@ -125,9 +145,13 @@
 
 using UpstreamMap = std::map<UpstreamId, Upstream>;
 
-/// Takes over \a state, and notes since when its loads are known.
+/// Takes over \a state. Reports are some 200 ms old, so that they show as loading what has taken
+/// requests since; that stays ready.
 void setEngine(Upstream &upstream, EngineState state, Instant now);
 
+/// The engine has taken a request for an adapter that it loaded: all that wait for it may go.
+void noteLoadDone(Upstream &upstream, const ModelName &adapter);
+
 /// Whether new requests may be sent to \a upstream.
 bool isUsable(const Upstream &upstream, Instant now);
 
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -96,6 +96,18 @@
     return best;
 }
 
+const Upstream *chooseFinishedLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
+                                   const LoadTimes &times, Instant now)
+{
+    for (const auto &[id, upstream] : upstreams) {
+        const auto load = upstream.loads.find(need.model);
+        if (load != upstream.loads.end() && isTryDue(times, load->second, now)
+            && fits(upstream, need, now) && now >= upstream.avoidedUntil)
+            return &upstream;
+    }
+    return nullptr;
+}
+
 const Upstream *chooseEngineToLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
                                    std::uint32_t adapterPlaces, Instant now)
 {
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -46,9 +46,6 @@
 constexpr std::size_t fewestLoadsAtOnce = 8;
 constexpr std::size_t enginesOfOneLoad = 2;
 
-/// How long a load takes at full speed.
-constexpr Span loadTime = std::chrono::milliseconds(250);
-
 /// A load that would begin later than this is refused: with the load itself and the prompt after it
 /// the answer would begin after a second.
 constexpr Span longestLoadQueue = std::chrono::milliseconds(350);
@@ -150,7 +147,7 @@
         engine.start = report.start;
         engine.baseOrderedAt = Instant{};
     }
-    for (const LoadedAdapter &adapter : report.loading) {
+    for (const LoadingAdapter &adapter : report.loading) {
         const AdapterRef ref = refOf(adapter.name);
         if (stateOf(engine, ref) == AdapterState::Absent)
             move(state, engine, ref, AdapterEvent::LoadOrdered, now);
@@ -161,23 +158,45 @@
     endBackOffs(engine.adapters, state.charts.adapter, now);
 }
 
+std::uint64_t versionOf(const Upstream &upstream, const ModelName &adapter)
+{
+    const LoadedAdapter *loaded = upstream.engine.findReady(adapter);
+    return loaded ? loaded->version : 0;
+}
+
 /// What requests may be sent to: what the report shows, less what was ordered to go since.
 void updateView(Upstream &upstream, const OrderedEngine &engine, const EngineState &report,
                 Instant askedAt, Instant now)
 {
     EngineState view = report;
     view.seenAt = askedAt;
-    std::erase_if(view.ready, [&](const LoadedAdapter &adapter) {
+    const auto isUnloaded = [&](const auto &adapter) {
         return engine.unloadedAt.contains(refOf(adapter.name));
-    });
+    };
+    std::erase_if(view.ready, isUnloaded);
+    std::erase_if(view.loading, isUnloaded);
     for (const auto &[ref, adapter] : engine.adapters.adapters) {
         const ModelName name = nameOf(ref);
         if (adapter.state == AdapterState::Loading && !view.isLoading(name))
-            view.loading.push_back({ name, 0 });
+            view.loading.push_back({ name, {}, false });
+        // A request found it loaded, and the report is as of before its order.
+        const bool isNewer = adapter.state == AdapterState::Loaded && !view.isLoading(name)
+                && !view.findReady(name) && !showsOrder(engine, ref, adapter, askedAt);
+        if (isNewer)
+            view.ready.push_back({ name, versionOf(upstream, name) });
     }
+    std::sort(view.ready.begin(), view.ready.end());
     setEngine(upstream, std::move(view), now);
 }
 
+/// How long loads of the adapters of \a model take from the weight store, as learnt.
+Span loadTimeOf(const GatewayState &state, const std::string &model)
+{
+    const auto found = state.loadTimes.find(model);
+    return found == state.loadTimes.end() ? LoadTimes{}.fromStore.expected
+                                          : found->second.fromStore.expected;
+}
+
 std::size_t loadsAtOnce(const GatewayState &state)
 {
     std::size_t engines = 0;
@@ -187,14 +206,17 @@
 }
 
 /// Loads on their way over all engines, as far as known. Reports tell of a load's end only some 150
-/// ms later, so one counts for as long as it takes at full speed. Where loads take longer than
-/// that, as many begin as the weight store brings, and none more.
+/// ms later, so one counts for as long as loads take of late. Where they take longer, fewer begin:
+/// with a fixed time, loads that share a crowded weight store were taken for done while they were
+/// not, more began, and none came in time.
 std::size_t loadsOnTheirWay(const GatewayState &state, Instant now)
 {
     std::size_t loads = 0;
     for (const auto &[id, upstream] : state.upstreams) {
-        for (const auto &[adapter, since] : upstream.loadingSince)
-            loads += now - since < loadTime ? 1 : 0;
+        for (const auto &[adapter, load] : upstream.loads) {
+            const bool isFetched = !load.isHeldLately && !load.isDone;
+            loads += isFetched && now - load.since < loadTimeOf(state, adapter.model) ? 1 : 0;
+        }
     }
     return loads;
 }
@@ -215,9 +237,10 @@
 
 /// Loads that this host may have waiting so that the last of them begins in time: its part of what
 /// the weight store brings within that time.
-std::size_t mostQueued(const GatewayState &state)
+std::size_t mostQueued(const GatewayState &state, const std::string &model)
 {
-    const double perSecond = static_cast<double>(loadsAtOnce(state)) / toSeconds(loadTime);
+    const double perSecond = static_cast<double>(loadsAtOnce(state))
+            / toSeconds(loadTimeOf(state, model));
     const double hosts = static_cast<double>(countKnown(state.members) + 1);
     const double queued = perSecond * toSeconds(longestLoadQueue) / hosts;
     return std::max<std::size_t>(1, static_cast<std::size_t>(queued));
@@ -285,6 +308,7 @@
     engine.unloadedAt[ref] = now;
     std::erase_if(upstream.engine.ready,
                   [&](const LoadedAdapter &loaded) { return loaded.name == adapter; });
+    upstream.loads.erase(adapter);
     engine.isNews = true;
     ++state.counters.unloadsOrdered;
     order(state, upstream, engine, adapter, false, actions);
@@ -329,9 +353,10 @@
         });
         if (step.kind == PlacementStep::Kind::Load) {
             move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+            const bool isQuick = isHeldLately(engine, ref);
             noteHeld(engine, ref);
-            upstream.engine.loading.push_back({ wanted, 0 });
-            upstream.loadingSince[wanted] = now;
+            upstream.engine.loading.push_back({ wanted, now, isQuick });
+            upstream.loads[wanted] = { now, isQuick };
             // In a large fleet that a load began is told with what comes next: its end matters
             // more.
             engine.isNews = engine.isNews || isSmallFleet(state);
@@ -427,6 +452,19 @@
         noteUses(ordered.adapters, ref, 1, now);
 }
 
+void noteLoadedAtOwn(GatewayState &state, const UpstreamId &engine, const ModelName &adapter,
+                     Instant now)
+{
+    const auto ordered = state.engines.find(engine);
+    if (ordered == state.engines.end())
+        return;
+    const AdapterRef ref = refOf(adapter);
+    if (stateOf(ordered->second, ref) != AdapterState::Loading)
+        return;
+    move(state, ordered->second, ref, AdapterEvent::LoadDone, now);
+    ordered->second.isNews = true;
+}
+
 LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now)
 {
     const auto upstream = state.upstreams.find(request.engine);
@@ -447,7 +485,8 @@
         return LoadProspect::NotHere;
     const bool isQuick = isHeldLately(engine, ref);
     const bool isStoreFull = loadsOnTheirWay(state, now) >= loadsAtOnce(state);
-    const bool isStoreBusy = !isQuick && isStoreFull && queuedLoads(state) >= mostQueued(state);
+    const bool isStoreBusy = !isQuick && isStoreFull
+            && queuedLoads(state) >= mostQueued(state, request.adapter.model);
     const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
         return isUsed(state, engine, request.engine, held, now);
     });
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -185,6 +185,7 @@
                 && upstream.underWay == 0;
     });
     updateMembers(state.members, now);
+    endTries(state, now);
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
     dropAwaited(state);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -62,6 +62,34 @@
     return out;
 }
 
+std::vector<wire::LoadedAdapter> toWire(const std::vector<LoadingAdapter> &adapters,
+                                        const std::string &usual, Instant now)
+{
+    std::vector<wire::LoadedAdapter> out;
+    for (const LoadingAdapter &adapter : adapters) {
+        wire::LoadedAdapter &to = out.emplace_back();
+        if (adapter.name.model != usual)
+            to.model = adapter.name.model;
+        to.adapter = adapter.name.adapter;
+        to.__set_loadingForMillis(static_cast<std::int32_t>((now - adapter.since) / millisecond));
+        if (adapter.isHeldLately)
+            to.__set_heldLately(true);
+    }
+    return out;
+}
+
+std::vector<LoadingAdapter> loadingFromWire(const std::vector<wire::LoadedAdapter> &adapters,
+                                            const std::string &usual, Instant now)
+{
+    std::vector<LoadingAdapter> out;
+    for (const wire::LoadedAdapter &adapter : adapters) {
+        out.push_back({ { adapter.model.empty() ? usual : adapter.model, adapter.adapter },
+                        now - millisecond * std::max(adapter.loadingForMillis, 0),
+                        adapter.heldLately });
+    }
+    return out;
+}
+
 wire::EngineNews toWire(const EngineNews &news, Instant now)
 {
     wire::EngineNews out;
@@ -72,7 +100,7 @@
     out.orderUnderWay = news.state.isOrderUnderWay;
     out.models = news.state.models;
     out.ready = toWire(news.state.ready, usualModel(news.state.models));
-    out.loading = toWire(news.state.loading, usualModel(news.state.models));
+    out.loading = toWire(news.state.loading, usualModel(news.state.models), now);
     out.running = static_cast<std::int32_t>(news.state.running);
     out.waiting = static_cast<std::int32_t>(news.state.waiting);
     return out;
@@ -88,7 +116,7 @@
     out.state.isOrderUnderWay = news.orderUnderWay;
     out.state.models = news.models;
     out.state.ready = fromWire(news.ready, usualModel(news.models));
-    out.state.loading = fromWire(news.loading, usualModel(news.models));
+    out.state.loading = loadingFromWire(news.loading, usualModel(news.models), now);
     out.state.running = static_cast<std::uint32_t>(news.running);
     out.state.waiting = static_cast<std::uint32_t>(news.waiting);
     return out;
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -16,6 +16,20 @@
 /// Forgets that \a record is at its upstream.
 void leaveUpstream(GatewayState &state, RequestRecord &record);
 
+/// The retry budget of \a service, with this host's part of what the fleet may make.
+RetryBudget &budgetOf(GatewayState &state, const ServiceId &service);
+
+/// Requests that were sent before a report shows their adapter and were not turned away: the others
+/// that wait for it may go.
+void endTries(GatewayState &state, Instant now);
+
+/// The request of \a record was turned away by an engine that still loads its adapter.
+void noteTryMissed(GatewayState &state, RequestRecord &record, Instant now);
+
+/// An engine at which this host orders holds \a adapter, as requests show sooner than reports.
+void noteLoadedAtOwn(GatewayState &state, const UpstreamId &engine, const ModelName &adapter,
+                     Instant now);
+
 UpstreamNeed needOf(const GatewayState &state, const RequestRecord &record);
 
 /// Sends a request to an upstream.
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -117,6 +117,27 @@
             && expectedWait(chosen, now) > crowdedEngine;
 }
 
+/// Sends the request of \a record to an engine whose load should be over. False where there is
+/// none, or no retry is left for the case that it is not.
+bool tryFinishedLoad(GatewayState &state, RequestRecord &record, const UpstreamNeed &need,
+                     Instant now, Actions &actions)
+{
+    if (need.model.isBase())
+        return false;
+    const Upstream *engine = chooseFinishedLoad(state.upstreams, need,
+                                                state.loadTimes[need.model.model], now);
+    if (!engine || !takeRetry(budgetOf(state, record.service)))
+        return false;
+    const UpstreamId id = engine->listed.id;
+    LoadUnderWay &load = state.upstreams.at(id).loads.at(need.model);
+    beginTry(load, now);
+    const auto declared = state.versions.find(need.model);
+    load.version = declared == state.versions.end() ? 0 : declared->second;
+    record.isTry = true;
+    dispatch(state, record, id, need.model, now, actions);
+    return true;
+}
+
 bool isReadySomewhere(const GatewayState &state, const RequestRecord &record, Instant now)
 {
     return now < record.deadline
@@ -168,11 +189,13 @@
         tellUse(state, upstream, now, actions);
     }
     const LoadedAdapter *loaded = upstream.engine.findReady(model);
-    const bool isVersioned = loaded && state.versions.contains(model);
+    const auto declared = state.versions.find(model);
+    const bool isVersioned = declared != state.versions.end();
+    const std::uint64_t version = loaded ? loaded->version : isVersioned ? declared->second : 0;
     ++state.counters.dispatched;
     actions.dispatches.push_back({ record.asked.request, record.attempt, id,
                                    upstream.listed.address, record.customer,
-                                   isVersioned ? loaded->version : 0, record.deadline - now,
+                                   isVersioned ? version : 0, record.deadline - now,
                                    record.repeat != RepeatPolicy::Stream });
 }
 
@@ -185,6 +208,36 @@
         loadCopy(state, needOf(state, record), now, actions);
 }
 
+void noteTryMissed(GatewayState &state, RequestRecord &record, Instant now)
+{
+    const auto engine = state.upstreams.find(record.upstream);
+    if (engine == state.upstreams.end())
+        return;
+    const auto load = engine->second.loads.find(record.asked.model);
+    if (load == engine->second.loads.end() || load->second.triedAt.micros == 0)
+        return;
+    noteMissed(timeOf(state.loadTimes[record.asked.model.model], load->second),
+               load->second.triedAt - load->second.since);
+    endTry(load->second, now);
+}
+
+void endTries(GatewayState &state, Instant now)
+{
+    for (auto &[id, upstream] : state.upstreams) {
+        std::vector<ModelName> done;
+        for (const auto &[adapter, load] : upstream.loads) {
+            if (!load.isDone && isTryTaken(load, now))
+                done.push_back(adapter);
+        }
+        for (const ModelName &adapter : done) {
+            const LoadUnderWay &load = upstream.loads.at(adapter);
+            noteTaken(timeOf(state.loadTimes[adapter.model], load), load.triedAt - load.since);
+            noteLoadDone(upstream, adapter);
+            noteLoadedAtOwn(state, id, adapter, now);
+        }
+    }
+}
+
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
     const UpstreamNeed need = needOf(state, record);
@@ -208,6 +261,8 @@
         dispatch(state, record, id, need.model, now, actions);
         return;
     }
+    if (tryFinishedLoad(state, record, need, now, actions))
+        return;
     if (need.model.model.empty() || need.model.isBase()) {
         refuseAndForget(state, record, ResultCode::NoUpstream, soon, actions);
         return;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -51,15 +52,6 @@
     return record.deadline > state.stopAskedAt + state.self.stopGrace - stopMargin;
 }
 
-RetryBudget &budgetOf(GatewayState &state, const ServiceId &service)
-{
-    RetryBudget &budget = state.retryBudgets[service];
-    const double hosts = static_cast<double>(countKnown(state.members) + 1);
-    budget.mostSaved = std::max(savedRetriesOfFleet / hosts, 1.0);
-    budget.earned = retriesEarned;
-    return budget;
-}
-
 /// Whether a request may be sent to another upstream after \a outcome.
 bool mayRepeat(const RequestRecord &record, AttemptOutcome outcome)
 {
@@ -144,8 +136,27 @@
     return true;
 }
 
+/// Goes on with a request that an engine turned away since it still loads the adapter. Its retry
+/// was taken when it was sent.
+void placeAfterTry(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    noteTryMissed(state, record, now);
+    record.isTry = false;
+    ++state.counters.retries[ResultCode::AdapterLoadFailed];
+    place(state, record, now, actions);
+}
+
 } // namespace
 
+RetryBudget &budgetOf(GatewayState &state, const ServiceId &service)
+{
+    RetryBudget &budget = state.retryBudgets[service];
+    const double hosts = static_cast<double>(countKnown(state.members) + 1);
+    budget.mostSaved = std::max(savedRetriesOfFleet / hosts, 1.0);
+    budget.earned = retriesEarned;
+    return budget;
+}
+
 /// Forgets that \a record is at its upstream.
 void leaveUpstream(GatewayState &state, RequestRecord &record)
 {
@@ -250,6 +261,14 @@
     const auto upstream = state.upstreams.find(record.upstream);
     if (upstream != state.upstreams.end())
         noteSign(upstream->second, signOf(event.outcome), now);
+    const bool isTurnedAway = event.outcome == AttemptOutcome::NotRun
+            || event.outcome == AttemptOutcome::NotThere;
+    if (record.isTry && isTurnedAway && now < record.deadline) {
+        placeAfterTry(state, record, now, actions);
+        return;
+    }
+    if (std::exchange(record.isTry, false))
+        giveBackRetry(budgetOf(state, record.service));
     if (event.outcome == AttemptOutcome::FaultStated
         && repeatAfterFault(state, record, now, actions))
         return;
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -15,6 +15,29 @@
 constexpr Span firstAvoidance = std::chrono::milliseconds(150);
 constexpr std::uint32_t mostDoublings = 4;
 
+/// Keeps what is known of a load over the next view of its engine, and adds it to that view.
+void followLoad(Upstream &upstream, LoadingAdapter &adapter, Instant now)
+{
+    const bool isSinceKnown = adapter.since.micros != 0;
+    const auto [entry, isNew] = upstream.loads.try_emplace(adapter.name);
+    LoadUnderWay &load = entry->second;
+    if (isNew || isSinceKnown)
+        load.since = isSinceKnown ? adapter.since : now;
+    load.isHeldLately = load.isHeldLately || adapter.isHeldLately;
+    adapter.since = load.since;
+    adapter.isHeldLately = load.isHeldLately;
+}
+
+void showReady(EngineState &engine, const LoadedAdapter &adapter)
+{
+    std::erase_if(engine.loading,
+                  [&](const LoadingAdapter &loading) { return loading.name == adapter.name; });
+    if (engine.findReady(adapter.name))
+        return;
+    engine.ready.push_back(adapter);
+    std::sort(engine.ready.begin(), engine.ready.end());
+}
+
 } // namespace
 
 bool EngineState::hasModel(const std::string &model) const
@@ -34,7 +57,7 @@
 bool EngineState::isLoading(const ModelName &name) const
 {
     return std::any_of(this->loading.begin(), this->loading.end(),
-                       [&](const LoadedAdapter &adapter) { return adapter.name == name; });
+                       [&](const LoadingAdapter &adapter) { return adapter.name == name; });
 }
 
 double valueAt(const DecayedSum &sum, Span life, Instant now)
@@ -57,11 +80,26 @@
 
 void setEngine(Upstream &upstream, EngineState state, Instant now)
 {
+    if (state.start != upstream.engine.start)
+        upstream.loads.clear();
     upstream.engine = std::move(state);
-    for (const LoadedAdapter &adapter : upstream.engine.loading)
-        upstream.loadingSince.try_emplace(adapter.name, now);
-    std::erase_if(upstream.loadingSince,
+    std::erase_if(upstream.loads,
                   [&](const auto &entry) { return !upstream.engine.isLoading(entry.first); });
+    for (LoadingAdapter &adapter : upstream.engine.loading)
+        followLoad(upstream, adapter, now);
+    for (const auto &[name, load] : upstream.loads) {
+        if (load.isDone)
+            showReady(upstream.engine, { name, load.version });
+    }
+}
+
+void noteLoadDone(Upstream &upstream, const ModelName &adapter)
+{
+    const auto load = upstream.loads.find(adapter);
+    if (load == upstream.loads.end())
+        return;
+    load->second.isDone = true;
+    showReady(upstream.engine, { adapter, load->second.version });
 }
 
 bool isUsable(const Upstream &upstream, Instant now)
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -88,6 +88,25 @@
         return actions;
     }
 
+    /// Engine \a id loads the adapter that ask() names since now.
+    void load(const std::string &id)
+    {
+        this->list(id, "llm");
+        EngineState engine;
+        engine.seenAt = this->now;
+        engine.models = { "m" };
+        engine.loading = { { { "m", "a1" }, this->now, false } };
+        setEngine(this->state.upstreams.at(UpstreamId{ id }), engine, this->now);
+    }
+
+    std::vector<Dispatch> tickAfter(Span span)
+    {
+        this->now = this->now + span;
+        Actions actions;
+        tick(this->state, 0, this->now, actions);
+        return actions.dispatches;
+    }
+
     /// Twenty other hosts are heard.
     void joinLargeFleet()
     {
@@ -264,6 +283,49 @@
     EXPECT_EQ(due.dispatches.size(), 1U);
 }
 
+TEST_F(RequestsTest, ARequestGoesWhenItsLoadShouldBeOver)
+{
+    // No report shows the adapter yet, which would take another 300 ms. Once the engine has taken
+    // one request, the others that wait for the adapter go as well.
+    this->load("e1");
+    for (int earned = 0; earned < 20; ++earned)
+        this->end(this->ask("/look/x").dispatches.front(), AttemptOutcome::Done);
+    countFirstTry(this->state.retryBudgets[ServiceId{ "llm" }]);
+    this->state.retryBudgets[ServiceId{ "llm" }].tokens = 3;
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    EXPECT_TRUE(this->tickAfter(std::chrono::milliseconds(100)).empty());
+    EXPECT_EQ(this->tickAfter(std::chrono::milliseconds(200)).size(), 1U);
+    EXPECT_EQ(this->tickAfter(std::chrono::milliseconds(20)).size(), 1U);
+    EXPECT_EQ(this->ask("/draft/x").dispatches.size(), 1U);
+}
+
+TEST_F(RequestsTest, ARequestThatCameBeforeItsLoadWasOverGoesAgain)
+{
+    // The load takes longer than those before, and the engine turns the request away unrun. Its
+    // caller must not be refused for that, nor the engine be left out.
+    this->load("e1");
+    this->state.retryBudgets[ServiceId{ "llm" }].tokens = 3;
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    const std::vector<Dispatch> first = this->tickAfter(std::chrono::milliseconds(300));
+    ASSERT_EQ(first.size(), 1U);
+    const Actions ended = this->end(first.front(), AttemptOutcome::NotThere);
+    EXPECT_TRUE(ended.refusals.empty());
+    EXPECT_TRUE(ended.dispatches.empty());
+    const std::vector<Dispatch> again = this->tickAfter(std::chrono::milliseconds(40));
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again.front().upstream.value, "e1");
+}
+
+TEST_F(RequestsTest, WithoutARetryLeftARequestWaitsForTheReport)
+{
+    // Requests that are sent too early count as retries, of which the fleet may make few.
+    this->load("e1");
+    this->state.retryBudgets[ServiceId{ "llm" }].tokens = 0;
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    EXPECT_TRUE(this->tickAfter(std::chrono::milliseconds(300)).empty());
+}
+
 TEST_F(RequestsTest, AStoppingHostRefusesWhatItCouldNotFinish)
 {
     Actions actions;
--- a/packages/routing/include/azurewell/routing/retry_budget.h
+++ b/packages/routing/include/azurewell/routing/retry_budget.h
@@ -27,4 +27,7 @@
 /// Takes a retry from the budget; false where it is spent.
 bool takeRetry(RetryBudget &budget);
 
+/// A retry that was taken turned out not to be needed.
+void giveBackRetry(RetryBudget &budget);
+
 } // namespace azurewell
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -17,4 +17,9 @@
     return true;
 }
 
+void giveBackRetry(RetryBudget &budget)
+{
+    budget.tokens = std::min(budget.tokens + 1.0, budget.mostSaved);
+}
+
 } // namespace azurewell
--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -52,6 +52,21 @@
     EXPECT_LT(world.unloadsInUse, world.unloads * 3 / 100);
 }
 
+TEST(GatewayWorld, RequestsStartWhenTheirLoadIsOverAndNotWhenAReportShowsIt)
+{
+    // Engines report what they hold with a delay of 200 ms, nearly as long as a load takes. Hosts
+    // that wait for a report start requests for rare adapters 300 ms later than they could, half of
+    // the time that callers take for prompt.
+    WorldSettings settings;
+    settings.reportLag = std::chrono::milliseconds(200);
+    World world{ settings };
+    world.runFor(std::chrono::seconds(40));
+    EXPECT_EQ(firstOf(world), "");
+    EXPECT_GT(world.answered, world.asked * 95 / 100);
+    EXPECT_LT(quantile(world.startSeconds, 0.9), 0.36);
+    EXPECT_LT(world.turnedAway, world.loads / 6);
+}
+
 TEST(GatewayWorld, MoreLoadsThanTheStoreBringsAreRefusedEarlyAndTheRestServed)
 {
     // More than four times as many requests as in calm times. Loads that queue without a bound
@@ -127,6 +142,7 @@
     settings.enginesPerZone = 30;
     settings.requestsPerSecond = 400;
     settings.adapters = 2000;
+    settings.loadsAtOnce = 48;
     return settings;
 }
 
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -12,7 +12,6 @@
 
 constexpr Span hop = std::chrono::milliseconds(2);
 constexpr Span slowestWay = std::chrono::milliseconds(200);
-constexpr Span reportLag = std::chrono::milliseconds(100);
 
 /// Orders of two hosts to one engine within this time are a conflict.
 constexpr Span leaseLength = std::chrono::milliseconds(3000);
@@ -274,6 +273,7 @@
             this->startSeconds.push_back(toSeconds(this->now - ask.second));
             this->admittedTokens[this->now] += 2000;
         }
+        this->turnedAway += isReady ? 0 : 1;
         const Span takes = isReady ? shortestRun
                         + fromSeconds(std::exponential_distribution<double>(runsPerSecond)(
                                 this->random))
@@ -332,6 +332,27 @@
     engine.lastOrderAt = this->now;
 }
 
+Span World::loadSpan(FakeEngine &engine, const ModelName &adapter)
+{
+    const auto held = std::find(engine.heldLately.begin(), engine.heldLately.end(), adapter);
+    const bool isHeld = held != engine.heldLately.end();
+    if (isHeld)
+        engine.heldLately.erase(held);
+    engine.heldLately.push_front(adapter);
+    if (engine.heldLately.size() > this->settings.heldLately)
+        engine.heldLately.pop_back();
+    if (isHeld)
+        return this->settings.loadTime / 10;
+    ++this->fetches;
+    std::erase_if(this->fetchesEnd, [this](Instant end) { return end <= this->now; });
+    const std::size_t others = this->fetchesEnd.size();
+    const double crowding = static_cast<double>(others + 1)
+            / static_cast<double>(this->settings.loadsAtOnce);
+    const Span takes = fromSeconds(toSeconds(this->settings.loadTime) * std::max(crowding, 1.0));
+    this->fetchesEnd.push_back(this->now + takes);
+    return takes;
+}
+
 void World::takeOrder(std::size_t index, const OrderEngine &toGive, FakeEngine &engine,
                       OrderEnded &ended)
 {
@@ -345,7 +366,7 @@
     } else if (toGive.isLoad) {
         if (engine.readyAt.size() >= this->settings.places)
             this->violate(engine.id.value + ": ordered to hold more than it has places for");
-        engine.readyAt[toGive.model] = this->now + this->settings.loadTime;
+        engine.readyAt[toGive.model] = this->now + this->loadSpan(engine, toGive.model);
         ++this->loads;
     } else {
         ++this->unloads;
@@ -395,7 +416,7 @@
         if (readyAt <= this->now)
             state.ready.push_back({ name, 1 });
         else
-            state.loading.push_back({ name, 1 });
+            state.loading.push_back({ name, {}, false });
     }
     return state;
 }
@@ -412,7 +433,8 @@
     this->at(this->now + hop, [this, index, life, ask, askedAt] {
         FakeEngine &engine = *this->engineOf(ask.engine);
         this->remember(engine);
-        while (engine.past.size() > 1 && engine.past[1].first <= this->now - reportLag)
+        while (engine.past.size() > 1
+               && engine.past[1].first <= this->now - this->settings.reportLag)
             engine.past.erase(engine.past.begin());
         const EngineState late = engine.past.front().second;
         this->at(this->now + hop, [this, index, life, ask, askedAt, late] {
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/gateway.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -31,7 +32,8 @@
     Instant baseReadyAt;
     std::map<ModelName, Instant> readyAt; ///< Adapters that take a place; in the future: loading.
     std::map<ModelName, std::uint32_t> running;
-    std::set<ModelName> leaving; ///< Unloaded when their last request has ended.
+    std::set<ModelName> leaving;      ///< Unloaded when their last request has ended.
+    std::deque<ModelName> heldLately; ///< Newest first.
     HostId lastOrderedBy;
     Instant lastOrderAt;
     std::uint64_t highestFencing = 0;
@@ -59,6 +61,10 @@
     double tokenRate = 0; ///< Of the one customer; 0: no limit.
     std::size_t places = 5;
     Span loadTime = std::chrono::milliseconds(250);
+    std::size_t loadsAtOnce = 8; ///< At full speed; with more on their way each takes longer.
+    std::size_t heldLately = 30; ///< Adapters in the memory of an engine's host: loaded ten times
+                                 ///< as fast, and not from the weight store.
+    Span reportLag = std::chrono::milliseconds(100);
     double lostMessages = 0.01;
     double slowOrders = 0; ///< The part of orders that reach their engine only after 200 to 500 ms.
     bool countsBytes = false; ///< Each message is encoded and decoded as on the wire.
@@ -103,7 +109,9 @@
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
     std::uint64_t loads = 0;
+    std::uint64_t fetches = 0; ///< Loads that the weight store brought.
     std::uint64_t unloads = 0;
+    std::uint64_t turnedAway = 0;     ///< Requests for adapters that an engine does not have ready.
     std::uint64_t messages = 0;       ///< Between hosts.
     std::uint64_t messageBytes = 0;   ///< Of these, where WorldSettings::countsBytes.
     std::uint64_t reports = 0;        ///< Asked of engines.
@@ -137,6 +145,7 @@
                    OrderEnded &ended);
     void answerReport(std::size_t index, const AskReport &ask);
     void checkHolder(std::size_t index, FakeEngine &engine, const OrderEngine &toGive);
+    Span loadSpan(FakeEngine &engine, const ModelName &adapter);
     EngineState stateOf(const FakeEngine &engine) const;
     void remember(FakeEngine &engine);
     FakeEngine *engineOf(const UpstreamId &id);
@@ -149,6 +158,7 @@
     std::map<Endpoint, std::size_t> hostAt;
     std::vector<bool> isCutOff;
     std::vector<FakeEngine> engines;
+    std::vector<Instant> fetchesEnd; ///< Of loads that the weight store brings.
     std::vector<double> adapterWeights;
     std::vector<Due> due; ///< A heap, the earliest first.
     std::map<std::pair<std::size_t, std::uint64_t>, std::pair<ModelName, Instant>> asks;
