Ask another engine for a load after 2 s instead of 0.6 s

A load that waited for a place was asked of a second engine after 0.6 s, which evicted for it what was asked for again soon after.

--- a/packages/gateway/src/loads.cpp
+++ b/packages/gateway/src/loads.cpp
@@ -7,8 +7,11 @@
 /// A word to another host is repeated after this time: it may be lost.
 constexpr Span askAgain = std::chrono::milliseconds(150);
 
-/// Another engine is asked when the load has not come by then.
-constexpr Span otherEngineAfter = std::chrono::milliseconds(600);
+/// Another engine is asked when the load has not come by then. A load may wait for a request to end
+/// that keeps its place, a second or two; asked sooner, a second engine brings the same adapter and
+/// evicts another one for it, which is loaded again a moment later. A host that is lost is noticed
+/// within this time, and an engine that has no place says so at once.
+constexpr Span otherEngineAfter = std::chrono::milliseconds(2000);
 
 } // namespace
 
