--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -57,6 +57,9 @@
     {
         SessionId session = 0;
         std::string callerId; ///< As the caller names it; for the log.
+        std::string path;
+        gateway::ModelName model;
+        Tokens promptTokens;
         std::uint32_t attempt = 0;
         UpstreamConnections::Exchange exchange = 0;
         bool isAtUpstream = false;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -181,6 +181,9 @@
     OpenRequest &request = this->open[number];
     request.session = id;
     request.callerId = facts.value().callerId;
+    request.path = facts.value().path;
+    request.model = facts.value().model;
+    request.promptTokens = facts.value().promptTokens;
     request.arrivedAt = now;
     if (isStopping(this->core))
         session.close(false);
@@ -363,6 +366,9 @@
              { { "request", request.callerId },
                { "status", std::to_string(request.head.status) },
                { "upstream", request.upstream.value },
+               { "path", request.path },
+               { "adapter", request.model.adapter },
+               { "prompt_tokens", std::to_string(request.promptTokens.count) },
                { "attempts", std::to_string(request.attempt) },
                { "sent_ms", inMillis(request.sentAt - request.arrivedAt) },
                { "first_ms", inMillis(first - request.arrivedAt) },
@@ -451,6 +457,9 @@
                { "status", request.hasBegun ? "broken_off" : std::to_string(status) },
                { "not_run", refusal.isNotRun ? "true" : "false" },
                { "upstream", request.upstream.value },
+               { "path", request.path },
+               { "adapter", request.model.adapter },
+               { "prompt_tokens", std::to_string(request.promptTokens.count) },
                { "attempts", std::to_string(request.attempt) },
                { "configuration", std::to_string(this->core.configuration.version) },
                { "after_ms", inMillis(monotonicNow() - request.arrivedAt) } });
