--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -20,6 +20,11 @@
 /// they are near their limit, by hosts that each see a small part of their requests.
 constexpr Span usesKnownWithin = std::chrono::milliseconds(600);
 
+/// In a small fleet, hosts of other zones are told of an engine at each change, and otherwise after
+/// this time: bytes between zones are paid for, and the lists of adapters are most of a heartbeat.
+/// One word may be lost before the news are out of date.
+constexpr Span enginesToldEvery = std::chrono::milliseconds(700);
+
 /// Members named in one heartbeat to a host that is new here, which has to learn of all soon, and
 /// to one that is known.
 constexpr std::size_t mostMembersToNew = 12;
@@ -136,6 +141,13 @@
     return uses;
 }
 
+/// How often \a member is told of this host's engines though nothing changed there.
+Span enginesInterval(const GatewayState &state, const Member &member)
+{
+    const bool isRarely = isSmallFleet(state) && member.zone != state.self.zone;
+    return isRarely ? enginesToldEvery : Span{};
+}
+
 /// Sends to the members whose heartbeat is due all that this host tells regularly.
 void sendHeartbeats(GatewayState &state, Instant now, Actions &actions)
 {
@@ -153,6 +165,10 @@
     for (Member *member : due) {
         member->nextHeartbeatAt = now + heartbeatInterval(state.members, *member);
         Gossip message = common;
+        if (now < member->nextEnginesAt)
+            message.engines.clear();
+        else
+            member->nextEnginesAt = now + enginesInterval(state, *member);
         addMembers(state, message, membersToTell(state, *member, now), now);
         message.adapterUses = usesFor(state, member->id, now);
         actions.gossip.push_back({ member->address, std::move(message) });
