Load an adapter where it was held last, and otherwise in the zone of its caller

Cause: two of three claims, 18 KB each, crossed between zones, since an adapter's engine was chosen among all by its name alone. Most adapters are asked for once or twice, so that nothing is lost where their first load is near. Those that come again go to the engine that held them last, wherever that is: it has them in its host's memory.

--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -46,8 +46,11 @@
 ///
 /// Load pattern: thousands of adapters, a few of them popular, and a handful of places on each
 /// engine. An adapter that an engine held lately loads ten times as fast there, so an adapter comes
-/// back to the engine that ranks highest for it unless that one has much more to do than others.
+/// back to the engine that held it last unless that one has much more to do than others. One that
+/// nobody held goes to the zone of its caller: most adapters are asked for once or twice, and their
+/// prompts need not cross between zones.
 const Upstream *chooseEngineToLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
-                                   std::uint32_t adapterPlaces, Instant now);
+                                   const LastHolders &lastHolders, std::uint32_t adapterPlaces,
+                                   Instant now);
 
 } // namespace azurewell::gateway
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -159,6 +159,7 @@
     std::unordered_map<RequestNumber, RequestRecord> requests;
     std::set<RequestNumber> waiting; ///< Those that are in RequestPhase::Waiting.
     std::map<ModelName, AwaitedLoad> awaitedLoads;
+    LastHolders lastHolders;
     std::map<std::string, LoadTimes> loadTimes; ///< Of the adapters of each base model.
     std::map<UpstreamId, OrderedEngine> engines;
     OwnUses ownUses; ///< Adapters that this host's requests use.
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -6,6 +6,7 @@
 #include "azurewell/units/tokens.h"
 
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <string>
@@ -145,9 +146,20 @@
 
 using UpstreamMap = std::map<UpstreamId, Upstream>;
 
+/// Where each adapter was held last. An engine keeps what it unloaded in the memory of its host,
+/// and loads it ten times as fast as another one, without the weight store.
+struct LastHolders
+{
+    std::map<ModelName, UpstreamId> engines;
+    std::deque<ModelName> oldestFirst; ///< May name an adapter more than once.
+};
+
 /// Takes over \a state. Reports are some 200 ms old, so that they show as loading what has taken
 /// requests since; that stays ready.
-void setEngine(Upstream &upstream, EngineState state, Instant now);
+void setEngine(Upstream &upstream, EngineState state, LastHolders &lastHolders, Instant now);
+
+/// Adapters in the memory of \a engine are gone from it.
+void noteHolder(LastHolders &lastHolders, const ModelName &adapter, const UpstreamId &engine);
 
 /// The engine has taken a request for an adapter that it loaded: all that wait for it may go.
 void noteLoadDone(Upstream &upstream, const ModelName &adapter);
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -3,6 +3,7 @@
 #include "azurewell/routing/rendezvous.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace azurewell::gateway {
 
@@ -29,6 +30,16 @@
 /// lately, while another one's is below. An engine reads 8,800 prompt tokens in 400 ms, 4.9 starts.
 constexpr double mostWaitToLoad = 3;
 
+/// An engine as a place for an adapter; the highest is chosen.
+struct LoadRank
+{
+    bool isLastHolder = false;
+    bool isInOwnZone = false;
+    std::uint64_t weight = 0; ///< The same at all hosts, and different for each adapter.
+
+    auto operator<=>(const LoadRank &) const = default;
+};
+
 double cost(const Upstream &upstream, const ZoneId &own, Instant now)
 {
     return expectedWait(upstream, now) + upstream.failureShare * failureCost
@@ -109,7 +120,8 @@
 }
 
 const Upstream *chooseEngineToLoad(const UpstreamMap &upstreams, const UpstreamNeed &need,
-                                   std::uint32_t adapterPlaces, Instant now)
+                                   const LastHolders &lastHolders, std::uint32_t adapterPlaces,
+                                   Instant now)
 {
     std::vector<const Upstream *> able;
     double least = 0;
@@ -124,16 +136,20 @@
         able.push_back(&upstream);
     }
     const std::string name = need.model.model + "/" + need.model.adapter;
+    const auto lastHolder = lastHolders.engines.find(need.model);
+    const bool wasHeld = lastHolder != lastHolders.engines.end();
     const Upstream *best = nullptr;
-    std::uint64_t highest = 0;
+    LoadRank highest;
     for (const Upstream *upstream : able) {
         if (expectedWait(*upstream, now) > std::max(least + 2.5, mostWaitToLoad))
             continue;
-        const std::uint64_t weight = rendezvousWeight(name, upstream->listed.id.value);
-        if (best && weight <= highest)
+        const UpstreamId &id = upstream->listed.id;
+        const LoadRank rank{ wasHeld && lastHolder->second == id,
+                             upstream->listed.zone == need.zone, rendezvousWeight(name, id.value) };
+        if (best && rank <= highest)
             continue;
         best = upstream;
-        highest = weight;
+        highest = rank;
     }
     return best;
 }
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -166,7 +166,7 @@
 
 /// What requests may be sent to: what the report shows, less what was ordered to go since.
 void updateView(Upstream &upstream, const OrderedEngine &engine, const EngineState &report,
-                Instant askedAt, Instant now)
+                LastHolders &lastHolders, Instant askedAt, Instant now)
 {
     EngineState view = report;
     view.seenAt = askedAt;
@@ -186,7 +186,7 @@
             view.ready.push_back({ name, versionOf(upstream, name) });
     }
     std::sort(view.ready.begin(), view.ready.end());
-    setEngine(upstream, std::move(view), now);
+    setEngine(upstream, std::move(view), lastHolders, now);
 }
 
 /// How long loads of the adapters of \a model take from the weight store, as learnt.
@@ -309,6 +309,7 @@
     std::erase_if(upstream.engine.ready,
                   [&](const LoadedAdapter &loaded) { return loaded.name == adapter; });
     upstream.loads.erase(adapter);
+    noteHolder(state.lastHolders, adapter, upstream.listed.id);
     engine.isNews = true;
     ++state.counters.unloadsOrdered;
     order(state, upstream, engine, adapter, false, actions);
@@ -512,7 +513,7 @@
     noteReport(engine.rights, *event.state, event.askedAt, now);
     takeReport(state, engine, *event.state, event.askedAt, now);
     const EngineState before = upstream.engine;
-    updateView(upstream, engine, *event.state, event.askedAt, now);
+    updateView(upstream, engine, *event.state, state.lastHolders, event.askedAt, now);
     upstream.load = { event.state->running, event.state->waiting, upstream.listed.slots };
     upstream.loadAt = event.askedAt;
     const bool isChanged = before.ready != upstream.engine.ready
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -79,7 +79,7 @@
     noteNews(state.engines[news.engine].rights, news.state, now);
     if (news.state.seenAt < upstream.engine.seenAt)
         return;
-    setEngine(upstream, news.state, now);
+    setEngine(upstream, news.state, state.lastHolders, now);
     if (news.state.seenAt > upstream.loadAt) {
         upstream.load = { news.state.running, news.state.waiting, upstream.listed.slots };
         upstream.loadAt = news.state.seenAt;
--- a/packages/gateway/src/loads.cpp
+++ b/packages/gateway/src/loads.cpp
@@ -29,7 +29,8 @@
         other.excluded.insert(awaited.refusedBy.begin(), awaited.refusedBy.end());
         const Service *service = findService(state.configuration, need.service);
         const Upstream *engine = chooseEngineToLoad(
-                state.upstreams, other, service->engine ? service->engine->adapterPlaces : 0, now);
+                state.upstreams, other, state.lastHolders,
+                service->engine ? service->engine->adapterPlaces : 0, now);
         if (!engine) {
             state.awaitedLoads.erase(adapter);
             return LoadProspect::NotHere;
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -15,6 +15,9 @@
 constexpr Span firstAvoidance = std::chrono::milliseconds(150);
 constexpr std::uint32_t mostDoublings = 4;
 
+/// Adapters whose last holder is remembered: some 30 for each engine of a fleet of a hundred.
+constexpr std::size_t mostLastHolders = 3000;
+
 /// Keeps what is known of a load over the next view of its engine, and adds it to that view.
 void followLoad(Upstream &upstream, LoadingAdapter &adapter, Instant now)
 {
@@ -78,10 +81,25 @@
             && a.engine.start == b.engine.start;
 }
 
-void setEngine(Upstream &upstream, EngineState state, Instant now)
+void noteHolder(LastHolders &lastHolders, const ModelName &adapter, const UpstreamId &engine)
+{
+    lastHolders.engines[adapter] = engine;
+    lastHolders.oldestFirst.push_back(adapter);
+    if (lastHolders.oldestFirst.size() <= mostLastHolders)
+        return;
+    lastHolders.engines.erase(lastHolders.oldestFirst.front());
+    lastHolders.oldestFirst.pop_front();
+}
+
+void setEngine(Upstream &upstream, EngineState state, LastHolders &lastHolders, Instant now)
 {
-    if (state.start != upstream.engine.start)
+    const bool isRestarted = state.start != upstream.engine.start;
+    if (isRestarted)
         upstream.loads.clear();
+    for (const LoadedAdapter &adapter : upstream.engine.ready) {
+        if (!isRestarted && !state.findReady(adapter.name))
+            noteHolder(lastHolders, adapter.name, upstream.listed.id);
+    }
     upstream.engine = std::move(state);
     std::erase_if(upstream.loads,
                   [&](const auto &entry) { return !upstream.engine.isLoading(entry.first); });
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -96,7 +96,8 @@
         engine.seenAt = this->now;
         engine.models = { "m" };
         engine.loading = { { { "m", "a1" }, this->now, false } };
-        setEngine(this->state.upstreams.at(UpstreamId{ id }), engine, this->now);
+        setEngine(this->state.upstreams.at(UpstreamId{ id }), engine, this->state.lastHolders,
+                  this->now);
     }
 
     std::vector<Dispatch> tickAfter(Span span)
