Keep an adapter's engine at up to 0.4 s of prompts before it

Cause: an engine with a wait of 3 starts of requests (0.24 s of reading) was left out when another one had less, and the adapter was fetched once more from the store, which takes longer than that wait.

--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -26,9 +26,11 @@
 /// A share of failures counts as so many waiting requests.
 constexpr double failureCost = 25;
 
-/// An engine whose wait is above this many starts loads no adapter, even where it held the adapter
-/// lately, while another one's is below. An engine reads 8,800 prompt tokens in 400 ms, 4.9 starts.
-constexpr double mostWaitToLoad = 3;
+/// An engine whose wait is above this many starts, and this many above the least, loads no adapter,
+/// even where it held the adapter lately. To bring an adapter to another engine takes about as
+/// long.
+constexpr double mostWaitToLoad = 5;
+constexpr double mostWaitAboveLeast = 4;
 
 /// An engine as a place for an adapter; the highest is chosen.
 struct LoadRank
@@ -141,7 +143,7 @@
     const Upstream *best = nullptr;
     LoadRank highest;
     for (const Upstream *upstream : able) {
-        if (expectedWait(*upstream, now) > std::max(least + 2.5, mostWaitToLoad))
+        if (expectedWait(*upstream, now) > std::max(least + mostWaitAboveLeast, mostWaitToLoad))
             continue;
         const UpstreamId &id = upstream->listed.id;
         const LoadRank rank{ wasHeld && lastHolder->second == id,
