Learn how fast engines read; reckon waits in seconds

Choice, holding back, copies and pacing use it; their thresholds are seconds, those of before at 22 tokens a millisecond.

--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -21,11 +21,16 @@
     std::set<UpstreamId> excluded; ///< Refused or failed this request already.
     Span duration{}; ///< How long the request may need: upstreams that end before are left out.
     ZoneId zone;     ///< Of this host.
+    double readPerSecond = 1; ///< Prompt tokens that an engine reads.
 };
 
-/// How long a request would wait at \a upstream before it starts, in units of one request's start.
-/// Counts what the upstream stated last and what this host has sent since.
-double expectedWait(const Upstream &upstream, Instant now);
+/// Prompt tokens that were sent to \a upstream and are not read yet, as far as reckoned.
+double promptsBefore(const Upstream &upstream, Instant now);
+
+/// How long a request would wait at \a upstream before it starts, in seconds, where it reads
+/// \a readPerSecond prompt tokens. Counts what the upstream stated last and what this host has sent
+/// since.
+double expectedWait(const Upstream &upstream, double readPerSecond, Instant now);
 
 /// Whether \a upstream can begin a request for \a model: the model, and the adapter in its declared
 /// version, are in its memory.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "azurewell/gateway/order_rights.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
+#include "azurewell/gateway/reading_rate.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
 
@@ -57,6 +58,8 @@
     RequestPhase phase = RequestPhase::Waiting;
     Instant placedBy; ///< While waiting: given up then.
     UpstreamId upstream;
+    Instant sentAt;
+    bool isSentToIdle = false; ///< The engine had little else to read.
     std::uint32_t attempt = 0;
     std::uint32_t mayHaveRun = 0; ///< Attempts after which the request can have run.
     std::set<UpstreamId> excluded;
@@ -160,6 +163,7 @@
     std::set<RequestNumber> waiting; ///< Those that are in RequestPhase::Waiting.
     std::map<ModelName, AwaitedLoad> awaitedLoads;
     LastHolders lastHolders;
+    std::map<ServiceId, ReadingRate> readingRates;
     std::map<std::string, LoadTimes> loadTimes; ///< Of the adapters of each base model.
     std::map<UpstreamId, OrderedEngine> engines;
     OwnUses ownUses; ///< Adapters that this host's requests use.
--- a/packages/gateway/include/azurewell/gateway/prompt_pacing.h
+++ b/packages/gateway/include/azurewell/gateway/prompt_pacing.h
@@ -9,9 +9,9 @@
 /// Demand for an adapter counts down to a third in this time: it moves on within seconds.
 inline constexpr Span demandLife = std::chrono::milliseconds(2000);
 
-/// Prompt tokens that one copy of an adapter is meant to get in a second: 4 parts in 10 of the
-/// 22,100 that an engine reads, since it has other adapters as well.
-inline constexpr double tokensOfOneCopy = 8800;
+/// The part of what an engine reads that one copy of an adapter is meant to get: the engine has
+/// other adapters as well.
+inline constexpr double partOfOneCopy = 0.4;
 
 /// Paces the prompts that all hosts send to one engine.
 ///
@@ -39,8 +39,10 @@
     bool isCopyWanted = false;
 };
 
-/// The turn of a prompt of \a tokens for \a adapter; the tokens count from now on.
-PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens, Instant now);
+/// The turn of a prompt of \a tokens for \a adapter at an engine that reads \a readPerSecond; the
+/// tokens count from now on.
+PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens,
+                    double readPerSecond, Instant now);
 
 /// Forgets adapters that are not asked for any more.
 void tidy(PromptPacer &pacer, Instant now);
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -12,25 +12,28 @@
 /// A stated load is believed less and less; after this time it says nothing.
 constexpr Span statedLoadLife = std::chrono::milliseconds(1500);
 
-/// Prompt tokens that count as one request's start: 1,800 at 22 tokens a millisecond are read in
-/// 80 ms, which is what an average request waits behind another.
-constexpr double tokensOfOneStart = 1800;
+/// What a request waits behind another one that an upstream states as waiting, in seconds.
+constexpr double waitOfOne = 0.08;
 
-/// What a full batch slows a new request down, in starts: steps grow from 6.8 ms to 9 ms.
-constexpr double fullBatchCost = 4;
+/// What a full batch slows a new request down, in seconds: each of its steps takes longer.
+constexpr double fullBatchCost = 0.33;
 
-/// What an upstream in another availability zone costs more: a longer way, and bytes between zones
-/// that are paid for. In starts; under the wait behind half a request.
-constexpr double otherZoneCost = 0.4;
+/// What an upstream in another availability zone costs more, in seconds: a longer way, and bytes
+/// between zones that are paid for. Under the wait behind half a request.
+constexpr double otherZoneCost = 0.033;
 
-/// A share of failures counts as so many waiting requests.
-constexpr double failureCost = 25;
+/// What an upstream costs more that fails all requests, in seconds.
+constexpr double failureCost = 2;
 
-/// An engine whose wait is above this many starts, and this many above the least, loads no adapter,
-/// even where it held the adapter lately. To bring an adapter to another engine takes about as
-/// long.
-constexpr double mostWaitToLoad = 5;
-constexpr double mostWaitAboveLeast = 4;
+/// An engine whose wait is above this, and this much above the least, loads no adapter, even where
+/// it held the adapter lately. To bring an adapter to another engine takes about as long. In
+/// seconds.
+constexpr double mostWaitToLoad = 0.4;
+constexpr double mostWaitAboveLeast = 0.33;
+
+/// Differences below this, in seconds, are left to chance, so that hosts with the same view do not
+/// all choose the same upstream.
+constexpr double chance = 0.025;
 
 /// An engine as a place for an adapter; the highest is chosen.
 struct LoadRank
@@ -42,10 +45,10 @@
     auto operator<=>(const LoadRank &) const = default;
 };
 
-double cost(const Upstream &upstream, const ZoneId &own, Instant now)
+double cost(const Upstream &upstream, const UpstreamNeed &need, Instant now)
 {
-    return expectedWait(upstream, now) + upstream.failureShare * failureCost
-            + (upstream.listed.zone == own ? 0 : otherZoneCost);
+    return expectedWait(upstream, need.readPerSecond, now) + upstream.failureShare * failureCost
+            + (upstream.listed.zone == need.zone ? 0 : otherZoneCost);
 }
 
 bool fits(const Upstream &upstream, const UpstreamNeed &need, Instant now)
@@ -57,16 +60,22 @@
 
 } // namespace
 
-double expectedWait(const Upstream &upstream, Instant now)
+double promptsBefore(const Upstream &upstream, Instant now)
+{
+    double prompts = valueAt(upstream.ownPrompts, promptLife, now);
+    for (const auto &[host, told] : upstream.otherPrompts)
+        prompts += valueAt(told, promptLife, now);
+    return prompts;
+}
+
+double expectedWait(const Upstream &upstream, double readPerSecond, Instant now)
 {
     const double slots = std::max<double>(upstream.listed.slots, 1);
     const bool isCurrent = now - upstream.loadAt < statedLoadLife;
     const StatedLoad stated = isCurrent ? upstream.load : StatedLoad{};
     const double known = std::max<double>(stated.running, upstream.underWay);
-    double prompts = valueAt(upstream.ownPrompts, promptLife, now);
-    for (const auto &[host, told] : upstream.otherPrompts)
-        prompts += valueAt(told, promptLife, now);
-    return prompts / tokensOfOneStart + stated.waiting + fullBatchCost * known / slots;
+    return promptsBefore(upstream, now) / readPerSecond + stated.waiting * waitOfOne
+            + fullBatchCost * known / slots;
 }
 
 bool isReadyFor(const Upstream &upstream, const ModelName &model, const DeclaredVersions &versions)
@@ -97,7 +106,7 @@
         const bool isAvoided = now < upstream.avoidedUntil;
         const double tie = static_cast<double>(rendezvousMix(salt, stableHash(id.value)) >> 11)
                 * 0x1p-53;
-        const double own = cost(upstream, need.zone, now) + tie * 0.3;
+        const double own = cost(upstream, need, now) + tie * chance;
         const bool isBetter = !best || (isBestAvoided && !isAvoided)
                 || (isBestAvoided == isAvoided && own < least);
         if (!isBetter)
@@ -133,7 +142,7 @@
                 && upstream.engine.loading.size() < adapterPlaces;
         if (!isAble)
             continue;
-        const double wait = expectedWait(upstream, now);
+        const double wait = expectedWait(upstream, need.readPerSecond, now);
         least = able.empty() ? wait : std::min(least, wait);
         able.push_back(&upstream);
     }
@@ -143,7 +152,8 @@
     const Upstream *best = nullptr;
     LoadRank highest;
     for (const Upstream *upstream : able) {
-        if (expectedWait(*upstream, now) > std::max(least + mostWaitAboveLeast, mostWaitToLoad))
+        const double wait = expectedWait(*upstream, need.readPerSecond, now);
+        if (wait > std::max(least + mostWaitAboveLeast, mostWaitToLoad))
             continue;
         const UpstreamId &id = upstream->listed.id;
         const LoadRank rank{ wasHeld && lastHolder->second == id,
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -357,7 +357,10 @@
             const bool isQuick = isHeldLately(engine, ref);
             noteHeld(engine, ref);
             upstream.engine.loading.push_back({ wanted, now, isQuick });
-            upstream.loads[wanted] = { now, isQuick };
+            LoadUnderWay load;
+            load.since = now;
+            load.isHeldLately = isQuick;
+            upstream.loads[wanted] = load;
             // In a large fleet that a load began is told with what comes next: its end matters
             // more.
             engine.isNews = engine.isNews || isSmallFleet(state);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -82,6 +82,7 @@
                                             const std::string &usual, Instant now)
 {
     std::vector<LoadingAdapter> out;
+    out.reserve(adapters.size());
     for (const wire::LoadedAdapter &adapter : adapters) {
         out.push_back({ { adapter.model.empty() ? usual : adapter.model, adapter.adapter },
                         now - millisecond * std::max(adapter.loadingForMillis, 0),
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -127,12 +127,14 @@
 void answerPrompt(GatewayState &state, const Gossip &from, const PromptAsk &ask, Instant now,
                   Actions &actions)
 {
-    if (!state.upstreams.contains(ask.engine))
+    const auto found = state.upstreams.find(ask.engine);
+    if (found == state.upstreams.end())
         return;
     OrderedEngine &engine = state.engines[ask.engine];
     const Span toldEvery = heartbeatInterval(state.members, state.members.others.at(from.from));
     noteOtherUse(engine.otherUses, refOf(ask.adapter), from.from, true, toldEvery, now);
-    const PromptTurn turn = takeTurn(engine.pacer, ask.adapter, ask.tokens, now);
+    const PromptTurn turn = takeTurn(engine.pacer, ask.adapter, ask.tokens,
+                                     readPerSecondOf(state, found->second.listed.service), now);
     SendGossip reply{ from.address, blankGossip(state, now) };
     reply.message.promptAnswers.push_back({ ask.request, turn.wait, turn.isCopyWanted });
     actions.gossip.push_back(std::move(reply));
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -30,6 +30,9 @@
 void noteLoadedAtOwn(GatewayState &state, const UpstreamId &engine, const ModelName &adapter,
                      Instant now);
 
+/// Prompt tokens that an engine of \a service reads in a second, as learnt.
+double readPerSecondOf(const GatewayState &state, const ServiceId &service);
+
 UpstreamNeed needOf(const GatewayState &state, const RequestRecord &record);
 
 /// Sends a request to an upstream.
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -13,6 +13,10 @@
 /// caller than none, and the load is paid for.
 constexpr Span extraWait = std::chrono::milliseconds(900);
 
+/// The time to a first event tells how fast an engine reads where less than this part of the
+/// prompt's tokens was before it.
+constexpr double mostBeforeIdle = 0.2;
+
 /// A load that was ordered is done by then: callers that come back find the adapter.
 constexpr Span loadDoneAfter = std::chrono::milliseconds(350);
 
@@ -26,27 +30,28 @@
 }
 
 /// A popular adapter is loaded at a second engine when those that have it are this much behind, in
-/// starts of requests. An engine makes a step of its batch between pieces of prompts: with prompts
+/// seconds. An engine makes a step of its batch between pieces of prompts: with prompts
 /// of 8,800 tokens every 400 ms, 4.9 starts, the streams that it has get an event of three tokens
 /// every 600 ms, where callers expect one every 400 ms.
-constexpr double waitForAnotherCopy = 1.2;
+constexpr double waitForAnotherCopy = 0.1;
 
 /// How many engines should have \a adapter, from what this host's callers send: the balancer gives
 /// it its part of them.
-std::size_t wantedCopies(const GatewayState &state, const ModelName &adapter, Instant now)
+std::size_t wantedCopies(const GatewayState &state, const ModelName &adapter, double readPerSecond,
+                         Instant now)
 {
     const auto found = state.adapterDemand.find(adapter);
     if (found == state.adapterDemand.end())
         return 1;
     const double perSecond = valueAt(found->second, demandLife, now) / toSeconds(demandLife);
     const double hosts = static_cast<double>(countHeard(state.members, now) + 1);
-    return 1 + static_cast<std::size_t>(perSecond * hosts / tokensOfOneCopy);
+    return 1 + static_cast<std::size_t>(perSecond * hosts / (partOfOneCopy * readPerSecond));
 }
 
 void spreadIfCrowded(GatewayState &state, const Upstream &chosen, const UpstreamNeed &need,
                      Instant now, Actions &actions)
 {
-    if (need.model.isBase() || expectedWait(chosen, now) < waitForAnotherCopy
+    if (need.model.isBase() || expectedWait(chosen, need.readPerSecond, now) < waitForAnotherCopy
         || state.awaitedLoads.contains(need.model))
         return;
     UpstreamNeed other = need;
@@ -57,7 +62,7 @@
         other.excluded.insert(id);
         copies += isUsable(upstream, now) ? 1 : 0;
     }
-    if (copies >= wantedCopies(state, need.model, now))
+    if (copies >= wantedCopies(state, need.model, need.readPerSecond, now))
         return;
     awaitLoad(state, need.model, other, now, actions);
 }
@@ -90,7 +95,7 @@
     const HostId holder = askedHolder(state, engine, now);
     if (holder == state.self.id) {
         PromptPacer &pacer = state.engines[engine.listed.id].pacer;
-        const PromptTurn turn = takeTurn(pacer, need.model, tokens, now);
+        const PromptTurn turn = takeTurn(pacer, need.model, tokens, need.readPerSecond, now);
         takeTurnOf(state, record, turn, now, actions);
         return now >= record.turnAt;
     }
@@ -107,14 +112,14 @@
 /// half second. The engine reads all the prompts before it makes the next steps of its batch, and
 /// each stream that it has pauses for longer than its callers take for fluent: of 1,700 streams of
 /// a calm day 230 did. A prompt that waits for a quarter of a second is still in time.
-constexpr double crowdedEngine = 3.5;
+constexpr double crowdedEngine = 0.28; ///< In seconds.
 constexpr Span longestHold = std::chrono::milliseconds(250);
 
 bool isBetterHeld(const RequestRecord &record, const Upstream &chosen, const UpstreamNeed &need,
                   Instant now)
 {
     return !need.model.model.empty() && now < record.arrivedAt + longestHold
-            && expectedWait(chosen, now) > crowdedEngine;
+            && expectedWait(chosen, need.readPerSecond, now) > crowdedEngine;
 }
 
 /// Sends the request of \a record to an engine whose load should be over. False where there is
@@ -156,6 +161,12 @@
 
 } // namespace
 
+double readPerSecondOf(const GatewayState &state, const ServiceId &service)
+{
+    const auto found = state.readingRates.find(service);
+    return found == state.readingRates.end() ? ReadingRate().perSecond : found->second.perSecond;
+}
+
 UpstreamNeed needOf(const GatewayState &state, const RequestRecord &record)
 {
     UpstreamNeed need;
@@ -166,6 +177,7 @@
     need.excluded = record.excluded;
     need.duration = likelyDuration;
     need.zone = state.self.zone;
+    need.readPerSecond = readPerSecondOf(state, record.service);
     return need;
 }
 
@@ -175,6 +187,8 @@
     Upstream &upstream = state.upstreams.at(id);
     ++upstream.underWay;
     const double prompt = static_cast<double>(record.asked.promptTokens.count);
+    record.sentAt = now;
+    record.isSentToIdle = promptsBefore(upstream, now) < prompt * mostBeforeIdle;
     add(upstream.ownPrompts, prompt, promptLife, now);
     state.newWork.insert(id);
     if (!model.isBase())
--- a/packages/gateway/src/prompt_pacing.cpp
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// Tokens that an engine reads in a second beside its batch: six tenths of the 22,100 that it reads
-/// with nothing else to do, so that a step still comes every 20 ms.
-constexpr double readPerSecond = 14000;
+/// What an engine reads beside its batch, of what it reads with nothing else to do: a step still
+/// comes every 20 ms.
+constexpr double partBesideBatch = 0.63;
 
-/// Tokens that may be on their way at once: with them the four steps of an event take 350 ms, and
-/// callers expect one every 400 ms.
-constexpr double mostAtOnce = 6000;
+/// Tokens that may be on their way at once, as seconds of reading: with them the steps of an event
+/// take 350 ms, and callers expect one every 400 ms.
+constexpr double mostAtOnce = 0.27;
 
 /// A prompt waits no longer than this: with an objective of a second for the first event there is
 /// time to read it and what is before it.
@@ -23,20 +23,22 @@
 
 } // namespace
 
-PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens, Instant now)
+PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens,
+                    double readPerSecond, Instant now)
 {
-    const double read = readPerSecond * toSeconds(now - pacer.at);
+    const double drained = readPerSecond * partBesideBatch;
+    const double read = drained * toSeconds(now - pacer.at);
     pacer.backlog = std::max(0.0, pacer.backlog - read);
     pacer.at = now;
-    const double allowedBefore = std::max(0.0, mostAtOnce - tokens);
+    const double allowedBefore = std::max(0.0, mostAtOnce * readPerSecond - tokens);
     const double tooMuch = std::max(0.0, pacer.backlog - allowedBefore);
     pacer.backlog += tokens;
     add(pacer.demand[adapter], tokens, demandLife, now);
 
     PromptTurn turn;
-    turn.wait = std::min<Span>(longestTurn, fromSeconds(tooMuch / readPerSecond));
+    turn.wait = std::min<Span>(longestTurn, fromSeconds(tooMuch / drained));
     const double perSecond = pacer.demand[adapter].value / toSeconds(demandLife);
-    turn.isCopyWanted = turn.wait >= waitForCopy && perSecond > tokensOfOneCopy;
+    turn.isCopyWanted = turn.wait >= waitForCopy && perSecond > partOfOneCopy * readPerSecond;
     return turn;
 }
 
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -243,12 +243,17 @@
     forget(state, event.request);
 }
 
-void handle(GatewayState &state, const AnswerBegan &event, Instant, Actions &)
+void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &)
 {
     const auto found = state.requests.find(event.request);
     if (found == state.requests.end() || found->second.attempt != event.attempt)
         return;
-    found->second.hasAnswerBegun = true;
+    RequestRecord &record = found->second;
+    record.hasAnswerBegun = true;
+    if (record.isSentToIdle && !record.asked.model.model.empty()) {
+        noteRead(state.readingRates[record.service],
+                 static_cast<double>(record.asked.promptTokens.count), now - record.sentAt);
+    }
 }
 
 void handle(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions)
--- a/packages/gateway/tests/choose_upstream_test.cpp
+++ b/packages/gateway/tests/choose_upstream_test.cpp
@@ -28,6 +28,7 @@
         UpstreamNeed need;
         need.model = adapter;
         need.zone.value = zone;
+        need.readPerSecond = 22'000;
         constexpr std::uint32_t places = 5;
         return *chooseEngineToLoad(this->upstreams, need, this->lastHolders, places, this->now);
     }
--- a/packages/gateway/tests/prompt_pacing_test.cpp
+++ b/packages/gateway/tests/prompt_pacing_test.cpp
@@ -7,6 +7,8 @@
 namespace azurewell::gateway {
 namespace {
 
+constexpr double readPerSecond = 22'100;
+
 const ModelName adapter{ "m", "a" };
 constexpr Instant start{ 1'000'000'000 };
 constexpr double prompt = 1800;
@@ -16,7 +18,7 @@
     PromptPacer pacer;
     for (int i = 0; i < 20; ++i) {
         const Instant now = start + std::chrono::milliseconds(200) * i;
-        EXPECT_EQ(takeTurn(pacer, adapter, prompt, now).wait, Span{});
+        EXPECT_EQ(takeTurn(pacer, adapter, prompt, readPerSecond, now).wait, Span{});
     }
 }
 
@@ -27,7 +29,7 @@
     PromptPacer pacer;
     std::array<Span, 6> waits{};
     for (Span &wait : waits)
-        wait = takeTurn(pacer, adapter, prompt, start).wait;
+        wait = takeTurn(pacer, adapter, prompt, readPerSecond, start).wait;
     EXPECT_EQ(waits[0], Span{});
     EXPECT_EQ(waits[2], Span{});
     EXPECT_GT(waits[4], waits[3]);
@@ -40,9 +42,9 @@
     // The largest tenth of prompts is larger than what is let go at once. They wait for the backlog
     // and are not held for ever.
     PromptPacer pacer;
-    EXPECT_EQ(takeTurn(pacer, adapter, 6870, start).wait, Span{});
+    EXPECT_EQ(takeTurn(pacer, adapter, 6870, readPerSecond, start).wait, Span{});
     const Instant later = start + std::chrono::milliseconds(600);
-    EXPECT_EQ(takeTurn(pacer, adapter, 6870, later).wait, Span{});
+    EXPECT_EQ(takeTurn(pacer, adapter, 6870, readPerSecond, later).wait, Span{});
 }
 
 TEST(PromptPacing, WantsACopyOfAnAdapterThatIsAskedForMoreThanOneEngineReads)
@@ -53,7 +55,8 @@
     bool isCopyWanted = false;
     for (int i = 0; i < 30; ++i) {
         const Instant now = start + std::chrono::milliseconds(66) * i;
-        isCopyWanted = isCopyWanted || takeTurn(pacer, adapter, prompt, now).isCopyWanted;
+        isCopyWanted = isCopyWanted
+                || takeTurn(pacer, adapter, prompt, readPerSecond, now).isCopyWanted;
     }
     EXPECT_TRUE(isCopyWanted);
 }
@@ -63,7 +66,7 @@
     PromptPacer pacer;
     for (int i = 0; i < 8; ++i) {
         const ModelName other{ "m", "a" + std::to_string(i) };
-        EXPECT_FALSE(takeTurn(pacer, other, prompt, start).isCopyWanted);
+        EXPECT_FALSE(takeTurn(pacer, other, prompt, readPerSecond, start).isCopyWanted);
     }
 }
 
