Keep a load's place until a report shows its adapter

A failing engine's fault was taken as proof that its load was over; the adapter was evicted while it still loaded, and its place given away twice.

Ruled out: two holders, and orders held up on their way.

--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -158,12 +158,6 @@
     endBackOffs(engine.adapters, state.charts.adapter, now);
 }
 
-std::uint64_t versionOf(const Upstream &upstream, const ModelName &adapter)
-{
-    const LoadedAdapter *loaded = upstream.engine.findReady(adapter);
-    return loaded ? loaded->version : 0;
-}
-
 /// What requests may be sent to: what the report shows, less what was ordered to go since.
 void updateView(Upstream &upstream, const OrderedEngine &engine, const EngineState &report,
                 LastHolders &lastHolders, Instant askedAt, Instant now)
@@ -179,13 +173,7 @@
         const ModelName name = nameOf(ref);
         if (adapter.state == AdapterState::Loading && !view.isLoading(name))
             view.loading.push_back({ name, {}, false });
-        // A request found it loaded, and the report is as of before its order.
-        const bool isNewer = adapter.state == AdapterState::Loaded && !view.isLoading(name)
-                && !view.findReady(name) && !showsOrder(engine, ref, adapter, askedAt);
-        if (isNewer)
-            view.ready.push_back({ name, versionOf(upstream, name) });
     }
-    std::sort(view.ready.begin(), view.ready.end());
     setEngine(upstream, std::move(view), lastHolders, now);
 }
 
@@ -456,19 +444,6 @@
         noteUses(ordered.adapters, ref, 1, now);
 }
 
-void noteLoadedAtOwn(GatewayState &state, const UpstreamId &engine, const ModelName &adapter,
-                     Instant now)
-{
-    const auto ordered = state.engines.find(engine);
-    if (ordered == state.engines.end())
-        return;
-    const AdapterRef ref = refOf(adapter);
-    if (stateOf(ordered->second, ref) != AdapterState::Loading)
-        return;
-    move(state, ordered->second, ref, AdapterEvent::LoadDone, now);
-    ordered->second.isNews = true;
-}
-
 LoadProspect wantLoad(GatewayState &state, const LoadRequest &request, Instant now)
 {
     const auto upstream = state.upstreams.find(request.engine);
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -23,12 +23,9 @@
 /// that wait for it may go.
 void endTries(GatewayState &state, Instant now);
 
-/// The request of \a record was turned away by an engine that still loads its adapter.
-void noteTryMissed(GatewayState &state, RequestRecord &record, Instant now);
-
-/// An engine at which this host orders holds \a adapter, as requests show sooner than reports.
-void noteLoadedAtOwn(GatewayState &state, const UpstreamId &engine, const ModelName &adapter,
-                     Instant now);
+/// The request of \a record, sent for a load that should be over, ended with \a outcome.
+void noteTryEnded(GatewayState &state, const RequestRecord &record, AttemptOutcome outcome,
+                  Instant now);
 
 /// Prompt tokens that an engine of \a service reads in a second, as learnt.
 double readPerSecondOf(const GatewayState &state, const ServiceId &service);
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -222,16 +222,22 @@
         loadCopy(state, needOf(state, record), now, actions);
 }
 
-void noteTryMissed(GatewayState &state, RequestRecord &record, Instant now)
+void noteTryEnded(GatewayState &state, const RequestRecord &record, AttemptOutcome outcome,
+                  Instant now)
 {
     const auto engine = state.upstreams.find(record.upstream);
-    if (engine == state.upstreams.end())
+    if (engine == state.upstreams.end() || outcome == AttemptOutcome::Done)
         return;
     const auto load = engine->second.loads.find(record.asked.model);
     if (load == engine->second.loads.end() || load->second.triedAt.micros == 0)
         return;
-    noteMissed(timeOf(state.loadTimes[record.asked.model.model], load->second),
-               load->second.triedAt - load->second.since);
+    const bool isTurnedAway = outcome == AttemptOutcome::NotRun
+            || outcome == AttemptOutcome::NotThere;
+    // A fault of the engine says nothing of the load.
+    if (isTurnedAway) {
+        noteMissed(timeOf(state.loadTimes[record.asked.model.model], load->second),
+                   load->second.triedAt - load->second.since);
+    }
     endTry(load->second, now);
 }
 
@@ -247,7 +253,12 @@
             const LoadUnderWay &load = upstream.loads.at(adapter);
             noteTaken(timeOf(state.loadTimes[adapter.model], load), load.triedAt - load.since);
             noteLoadDone(upstream, adapter);
-            noteLoadedAtOwn(state, id, adapter, now);
+            // Its place counts as taken by a load until a report shows it: an engine that was slow
+            // to turn the request away still loads, and ordered to hold another adapter instead it
+            // would hold more than it can, and crash.
+            const auto ordered = state.engines.find(id);
+            if (ordered != state.engines.end())
+                ordered->second.isNews = true;
         }
     }
 }
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -140,7 +140,6 @@
 /// was taken when it was sent.
 void placeAfterTry(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
-    noteTryMissed(state, record, now);
     record.isTry = false;
     ++state.counters.retries[ResultCode::AdapterLoadFailed];
     place(state, record, now, actions);
@@ -268,6 +267,8 @@
         noteSign(upstream->second, signOf(event.outcome), now);
     const bool isTurnedAway = event.outcome == AttemptOutcome::NotRun
             || event.outcome == AttemptOutcome::NotThere;
+    if (record.isTry)
+        noteTryEnded(state, record, event.outcome, now);
     if (record.isTry && isTurnedAway && now < record.deadline) {
         placeAfterTry(state, record, now, actions);
         return;
--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -151,6 +151,22 @@
     EXPECT_LT((world.messageBytes - bytes) / (world.hostCount() * seconds), 12'500U);
 }
 
+TEST(GatewayWorld, FaultsOfEnginesDoNotMakeALoadCountAsDone)
+{
+    // Engines fail half of their requests at once, also one that was sent for an adapter that they
+    // still load. A host that takes the load for done has the adapter unloaded for another one; the
+    // engine, which still loads it, is then ordered to hold more than it can, crashes, and breaks
+    // off all that it runs.
+    WorldSettings settings;
+    settings.faults = 0.45;
+    settings.requestsPerSecond = 90;
+    for (settings.seed = 1; settings.seed <= 6; ++settings.seed) {
+        World world{ settings };
+        world.runFor(std::chrono::seconds(40));
+        EXPECT_EQ(firstOf(world), "");
+    }
+}
+
 /// A fleet of 86 hosts and 90 engines in three zones.
 WorldSettings largeFleet()
 {
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -265,6 +265,13 @@
     this->at(this->now + hop, [this, index, life, toSend, ask] {
         FakeEngine &engine = *this->engineOf(toSend.upstream);
         const auto loaded = engine.readyAt.find(ask.first);
+        const bool isFault = this->settings.faults > 0
+                && std::uniform_real_distribution<double>(0, 1)(this->random)
+                        < this->settings.faults;
+        if (isFault) {
+            this->endWithFault(index, life, toSend);
+            return;
+        }
         const bool isThere = engine.hasBase && loaded != engine.readyAt.end();
         const bool isReady = isThere && loaded->second <= this->now
                 && !engine.leaving.contains(ask.first);
@@ -300,6 +307,19 @@
     });
 }
 
+void World::endWithFault(std::size_t index, std::uint64_t life, const Dispatch &sent)
+{
+    this->at(this->now + hop, [this, index, life, sent] {
+        if (!this->acts(index, life))
+            return;
+        Actions actions;
+        handle(this->hosts[index].state,
+               AttemptEnded{ sent.request, sent.attempt, AttemptOutcome::FaultStated, false },
+               this->now, actions);
+        this->run(index, actions);
+    });
+}
+
 void World::finish(std::size_t index, std::uint64_t life, const Dispatch &sent, std::size_t engine,
                    const ModelName &model)
 {
@@ -370,6 +390,12 @@
         ++this->loads;
     } else {
         ++this->unloads;
+        const auto held = engine.readyAt.find(toGive.model);
+        if (held != engine.readyAt.end() && held->second > this->now) {
+            // Nothing to unload yet; the load goes on and keeps its place.
+            ended.outcome = OrderOutcome::HeldAlready;
+            return;
+        }
         if (engine.running[toGive.model] > 0) {
             ++this->unloadsInUse;
             engine.leaving.insert(toGive.model);
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -67,6 +67,8 @@
     Span reportLag = std::chrono::milliseconds(100);
     double lostMessages = 0.01;
     double slowOrders = 0; ///< The part of orders that reach their engine only after 200 to 500 ms.
+    double faults = 0; ///< The part of requests that engines end at once with a fault of their own,
+                       ///< whatever they hold.
     bool countsBytes = false; ///< Each message is encoded and decoded as on the wire.
 };
 
@@ -138,6 +140,7 @@
     void run(std::size_t index, Actions &actions);
     void deliver(std::size_t from, const SendGossip &gossip);
     void dispatch(std::size_t index, const Dispatch &toSend);
+    void endWithFault(std::size_t index, std::uint64_t life, const Dispatch &sent);
     void finish(std::size_t index, std::uint64_t life, const Dispatch &sent, std::size_t engine,
                 const ModelName &model);
     void order(std::size_t index, const OrderEngine &toGive);
