Hold customers to rate and burst and 5 %, not to the whole tolerance

Cause: the meter handed out the rule's tolerance, a quarter more and 17,000 to 72,000 tokens, as if it belonged to customers. One that sends six times its rate took engines from the others for it. The tolerance stays for what hosts cannot know in time.

--- a/packages/gateway/src/customer_meter.cpp
+++ b/packages/gateway/src/customer_meter.cpp
@@ -34,13 +34,19 @@
 /// large fleet has room for.
 constexpr RestartRoom whereUseIsUnknown{ 0.02, 0.46 };
 
+/// What customers get above rate and burst at the most, as a part. What the limits tolerate beyond
+/// is for what hosts cannot know in time: cuts, restarts, and requests that arrive everywhere at
+/// once. Handed out to a customer that sends many times its rate, it takes engines from the others.
+constexpr double mostAbove = 0.05;
+
 /// The room over all hosts, in tokens for each window.
 double roomOf(const Customer &customer, const MeterLimits &limits)
 {
     const double burst = static_cast<double>(customer.burst.count);
     const double plain = customer.rate.perSecond * toSeconds(limits.window) + burst;
     const double unheard = clumping * toSeconds(limits.toldEvery) / toSeconds(limits.window);
-    return (plain * (1 + limits.overshoot) + limits.slack) * (1 - edgePart - unheard);
+    const double tolerated = plain * (1 + limits.overshoot) + limits.slack;
+    return std::min(plain * (1 + mostAbove), tolerated * (1 - edgePart - unheard));
 }
 
 /// The part of the room that may be used of all that was admitted since the start: what is left by
