--- /dev/null
+++ b/packages/gateway/src/engine_places.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "internal.h"
+
+namespace azurewell::gateway {
+
+/// A report may not show yet what was ordered so long before it was asked for.
+inline constexpr Span reportLag = std::chrono::milliseconds(250);
+
+ModelName nameOf(const AdapterRef &ref);
+
+/// What an adapter is in on an engine, as far as this host moved it.
+AdapterState stateOf(const OrderedEngine &engine, const AdapterRef &ref);
+
+/// Moves an adapter on an engine by its chart.
+void move(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
+          AdapterEvent event, Instant now);
+
+/// Asks \a upstream for a report where one is due. \a isOwn: this host orders there.
+void askReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
+               bool isOwn, Instant now, Actions &actions);
+
+/// Whether as many loads are on their way as the weight store brings at full speed.
+bool isStoreFull(const GatewayState &state, Instant now);
+
+/// Whether a load of an adapter of \a model that waits for the weight store behind those that wait
+/// at this host would begin too late.
+bool isStoreQueueFull(const GatewayState &state, const std::string &model);
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "engine_places.h"
 
 #include <algorithm>
 
@@ -6,27 +6,10 @@
 
 namespace {
 
-/// How often an engine is asked while nothing goes on there. Its load reaches the others with the
-/// news; the load that answers state is newer.
-constexpr Span quietReportInterval = std::chrono::milliseconds(500);
-
-/// How soon a load is looked for: engines answer as of 100 ms ago, an adapter that was held lately
-/// takes 25 ms and another one 250 ms.
-constexpr Span loadingReportInterval = std::chrono::milliseconds(70);
+/// The first report after a load was ordered is asked for so much later: engines answer as of 100
+/// ms ago.
 constexpr Span firstLookAfterLoad = std::chrono::milliseconds(130);
 
-/// Where the host that orders at an engine is silent, others ask it for themselves this often. With
-/// many engines, as after the cut of a zone, reports would take all of a small host's time: reading
-/// one takes some 0.1 ms.
-constexpr Span strangeReportInterval = std::chrono::milliseconds(1000);
-constexpr double mostStrangeReportsPerSecond = 15;
-
-/// A report may not show yet what was ordered so long before it was asked for.
-constexpr Span reportLag = std::chrono::milliseconds(250);
-
-/// A report or an order that got no answer for so long is given up.
-constexpr Span answerPatience = std::chrono::milliseconds(1500);
-
 /// A load that does not show up in reports within this time has failed.
 constexpr Span longestLoad = std::chrono::seconds(6);
 
@@ -40,16 +23,6 @@
 /// Requests for an adapter count half after this time: demand moves within seconds.
 constexpr Span popularityHalfLife = std::chrono::seconds(5);
 
-/// Loads that the weight store brings at full speed at once: half an engine's worth each, at least
-/// 8 (8 for 9 and for 18 engines, 48 for 90, as deployments state it). With more on their way each
-/// takes longer in proportion, so that none would come in time.
-constexpr std::size_t fewestLoadsAtOnce = 8;
-constexpr std::size_t enginesOfOneLoad = 2;
-
-/// A load that would begin later than this is refused: with the load itself and the prompt after it
-/// the answer would begin after a second.
-constexpr Span longestLoadQueue = std::chrono::milliseconds(350);
-
 /// Loads that wait at one engine until an adapter there is idle; requests run for 0.3 s and more,
 /// so that one place or another is free within a moment.
 constexpr std::size_t mostWaitingForPlace = 2;
@@ -64,151 +37,6 @@
     return service && service->engine ? &*service->engine : nullptr;
 }
 
-ModelName nameOf(const AdapterRef &ref)
-{
-    const std::size_t slash = ref.value.find('/');
-    return { ref.value.substr(0, slash), ref.value.substr(slash + 1) };
-}
-
-AdapterState stateOf(const OrderedEngine &engine, const AdapterRef &ref)
-{
-    const auto found = engine.adapters.adapters.find(ref);
-    return found == engine.adapters.adapters.end() ? AdapterState::Absent : found->second.state;
-}
-
-void move(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
-          AdapterEvent event, Instant now)
-{
-    applyEvent(engine.adapters, state.charts.adapter, ref, event, now);
-}
-
-/// An adapter that a report shows as ready.
-void noteReady(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
-               Instant askedAt, Instant now)
-{
-    const auto unloaded = engine.unloadedAt.find(ref);
-    if (unloaded != engine.unloadedAt.end() && askedAt < unloaded->second + reportLag)
-        return; // as of before the unload
-    if (stateOf(engine, ref) == AdapterState::Absent)
-        move(state, engine, ref, AdapterEvent::LoadOrdered, now);
-    if (stateOf(engine, ref) == AdapterState::Loading)
-        move(state, engine, ref, AdapterEvent::LoadDone, now);
-}
-
-/// Whether a report that was asked for at \a askedAt has to show what became of the last order for
-/// \a ref. An order can be held up on its way, while its connection opens, and reports that
-/// overtake it show nothing of it. Its place would be given away a second time, and an engine that
-/// is ordered to hold more than it can crashes.
-bool showsOrder(const OrderedEngine &engine, const AdapterRef &ref, const AdapterOnEngine &adapter,
-                Instant askedAt)
-{
-    const bool isOnItsWay = engine.orderOnItsWay && refOf(*engine.orderOnItsWay) == ref;
-    const auto unloaded = engine.unloadedAt.find(ref);
-    const Instant ordered = adapter.state == AdapterState::Unloading
-                    && unloaded != engine.unloadedAt.end()
-            ? unloaded->second
-            : adapter.orderedAt;
-    return !isOnItsWay && askedAt >= ordered + reportLag;
-}
-
-/// Adapters that a report does not show any more.
-void noteMissing(const GatewayState &state, OrderedEngine &engine, const EngineState &report,
-                 Instant askedAt, Instant now)
-{
-    std::vector<AdapterRef> missing;
-    for (const auto &[ref, adapter] : engine.adapters.adapters) {
-        const ModelName name = nameOf(ref);
-        const bool isSeen = report.findReady(name) || report.isLoading(name);
-        if (!isSeen && showsOrder(engine, ref, adapter, askedAt))
-            missing.push_back(ref);
-    }
-    for (const AdapterRef &ref : missing) {
-        const AdapterState was = stateOf(engine, ref);
-        if (was == AdapterState::Unloading) {
-            move(state, engine, ref, AdapterEvent::UnloadDone, now);
-            engine.unloadedAt.erase(ref);
-        } else if (was == AdapterState::Loading) {
-            move(state, engine, ref, AdapterEvent::LoadFailed, now);
-            backOff(engine.adapters, ref, 0.5, now);
-        } else if (was == AdapterState::Loaded) {
-            move(state, engine, ref, AdapterEvent::UnloadOrdered, now);
-            move(state, engine, ref, AdapterEvent::UnloadDone, now);
-        }
-    }
-}
-
-/// Brings what this host keeps of an engine's places in line with a report.
-void takeReport(const GatewayState &state, OrderedEngine &engine, const EngineState &report,
-                Instant askedAt, Instant now)
-{
-    if (report.start != engine.start) {
-        engine.adapters.adapters.clear();
-        engine.unloadedAt.clear();
-        engine.start = report.start;
-        engine.baseOrderedAt = Instant{};
-    }
-    for (const LoadingAdapter &adapter : report.loading) {
-        const AdapterRef ref = refOf(adapter.name);
-        if (stateOf(engine, ref) == AdapterState::Absent)
-            move(state, engine, ref, AdapterEvent::LoadOrdered, now);
-    }
-    for (const LoadedAdapter &adapter : report.ready)
-        noteReady(state, engine, refOf(adapter.name), askedAt, now);
-    noteMissing(state, engine, report, askedAt, now);
-    endBackOffs(engine.adapters, state.charts.adapter, now);
-}
-
-/// What requests may be sent to: what the report shows, less what was ordered to go since.
-void updateView(Upstream &upstream, const OrderedEngine &engine, const EngineState &report,
-                LastHolders &lastHolders, Instant askedAt, Instant now)
-{
-    EngineState view = report;
-    view.seenAt = askedAt;
-    const auto isUnloaded = [&](const auto &adapter) {
-        return engine.unloadedAt.contains(refOf(adapter.name));
-    };
-    std::erase_if(view.ready, isUnloaded);
-    std::erase_if(view.loading, isUnloaded);
-    for (const auto &[ref, adapter] : engine.adapters.adapters) {
-        const ModelName name = nameOf(ref);
-        if (adapter.state == AdapterState::Loading && !view.isLoading(name))
-            view.loading.push_back({ name, {}, false });
-    }
-    setEngine(upstream, std::move(view), lastHolders, now);
-}
-
-/// How long loads of the adapters of \a model take from the weight store, as learnt.
-Span loadTimeOf(const GatewayState &state, const std::string &model)
-{
-    const auto found = state.loadTimes.find(model);
-    return found == state.loadTimes.end() ? LoadTimes{}.fromStore.expected
-                                          : found->second.fromStore.expected;
-}
-
-std::size_t loadsAtOnce(const GatewayState &state)
-{
-    std::size_t engines = 0;
-    for (const auto &[id, upstream] : state.upstreams)
-        engines += upstream.engine.models.empty() ? 0 : 1;
-    return std::max(fewestLoadsAtOnce, engines / enginesOfOneLoad);
-}
-
-/// Loads on their way over all engines, as far as known. Reports tell of a load's end only some 150
-/// ms later, so one counts for as long as loads take of late. Where they take longer, fewer begin:
-/// with a fixed time, loads that share a crowded weight store were taken for done while they were
-/// not, more began, and none came in time.
-std::size_t loadsOnTheirWay(const GatewayState &state, Instant now)
-{
-    std::size_t loads = 0;
-    for (const auto &[id, upstream] : state.upstreams) {
-        for (const auto &[adapter, load] : upstream.loads) {
-            const bool isFetched = !load.isHeldLately && !load.isDone;
-            loads += isFetched && now - load.since < loadTimeOf(state, adapter.model) ? 1 : 0;
-        }
-    }
-    return loads;
-}
-
 bool isHeldLately(const OrderedEngine &engine, const AdapterRef &ref)
 {
     return std::find(engine.heldLately.begin(), engine.heldLately.end(), ref)
@@ -223,26 +51,6 @@
         engine.heldLately.pop_back();
 }
 
-/// Loads that this host may have waiting so that the last of them begins in time: its part of what
-/// the weight store brings within that time.
-std::size_t mostQueued(const GatewayState &state, const std::string &model)
-{
-    const double perSecond = static_cast<double>(loadsAtOnce(state))
-            / toSeconds(loadTimeOf(state, model));
-    const double hosts = static_cast<double>(countKnown(state.members) + 1);
-    const double queued = perSecond * toSeconds(longestLoadQueue) / hosts;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(queued));
-}
-
-/// Loads that wait at this host for the weight store.
-std::size_t queuedLoads(const GatewayState &state)
-{
-    std::size_t queued = 0;
-    for (const auto &[id, engine] : state.engines)
-        queued += engine.wanted.size();
-    return queued;
-}
-
 bool isUsed(const GatewayState &state, const OrderedEngine &engine, const UpstreamId &id,
             const AdapterRef &ref, Instant now)
 {
@@ -331,11 +139,11 @@
     });
     if (loadsUnderWay(engine.adapters) >= mostLoadsUnderWay)
         return;
-    const bool isStoreFull = loadsOnTheirWay(state, now) >= loadsAtOnce(state);
+    const bool isFull = isStoreFull(state, now);
     const UpstreamId &id = upstream.listed.id;
     for (const ModelName &wanted : engine.wanted) {
         const AdapterRef ref = refOf(wanted);
-        if (isStoreFull && !isHeldLately(engine, ref))
+        if (isFull && !isHeldLately(engine, ref))
             continue;
         const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
             return isUsed(state, engine, id, held, now);
@@ -385,38 +193,6 @@
     orderWanted(state, upstream, engine, now, actions);
 }
 
-Span strangeInterval(const GatewayState &state)
-{
-    const double engines = static_cast<double>(state.engines.size());
-    return std::max(strangeReportInterval, fromSeconds(engines / mostStrangeReportsPerSecond));
-}
-
-Instant nextReport(const GatewayState &state, const OrderedEngine &engine, bool isOwn, Instant now)
-{
-    if (!isOwn)
-        return now + strangeInterval(state);
-    const auto &adapters = engine.adapters.adapters;
-    const bool isMoving = std::any_of(adapters.begin(), adapters.end(), [](const auto &entry) {
-        return entry.second.state == AdapterState::Loading
-                || entry.second.state == AdapterState::Unloading;
-    });
-    return now + (isMoving ? loadingReportInterval : quietReportInterval);
-}
-
-void askReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
-               bool isOwn, Instant now, Actions &actions)
-{
-    if (engine.isReportOnItsWay && now < engine.reportAskedAt + answerPatience)
-        return;
-    const bool isNeeded = isOwn || now - upstream.engine.seenAt > newsLapse(state, upstream);
-    if (!isNeeded || now < engine.nextReportAt)
-        return;
-    engine.isReportOnItsWay = true;
-    engine.reportAskedAt = now;
-    engine.nextReportAt = nextReport(state, engine, isOwn, now);
-    actions.reports.push_back({ upstream.listed.id, upstream.listed.address });
-}
-
 /// An order was taken at the latest when its answer came, or was given up.
 void noteAnswered(OrderedEngine &engine, const AdapterRef &ref, Instant now)
 {
@@ -430,6 +206,24 @@
 
 } // namespace
 
+ModelName nameOf(const AdapterRef &ref)
+{
+    const std::size_t slash = ref.value.find('/');
+    return { ref.value.substr(0, slash), ref.value.substr(slash + 1) };
+}
+
+AdapterState stateOf(const OrderedEngine &engine, const AdapterRef &ref)
+{
+    const auto found = engine.adapters.adapters.find(ref);
+    return found == engine.adapters.adapters.end() ? AdapterState::Absent : found->second.state;
+}
+
+void move(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
+          AdapterEvent event, Instant now)
+{
+    applyEvent(engine.adapters, state.charts.adapter, ref, event, now);
+}
+
 AdapterRef refOf(const ModelName &name)
 {
     return AdapterRef{ name.model + "/" + name.adapter };
@@ -463,9 +257,8 @@
     if (!isOwn || !engine.rights.isHolding)
         return LoadProspect::NotHere;
     const bool isQuick = isHeldLately(engine, ref);
-    const bool isStoreFull = loadsOnTheirWay(state, now) >= loadsAtOnce(state);
-    const bool isStoreBusy = !isQuick && isStoreFull
-            && queuedLoads(state) >= mostQueued(state, request.adapter.model);
+    const bool isStoreBusy = !isQuick && isStoreFull(state, now)
+            && isStoreQueueFull(state, request.adapter.model);
     const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
         return isUsed(state, engine, request.engine, held, now);
     });
@@ -478,29 +271,6 @@
     return LoadProspect::Coming;
 }
 
-void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions)
-{
-    const auto found = state.upstreams.find(event.engine);
-    if (found == state.upstreams.end())
-        return;
-    OrderedEngine &engine = state.engines[event.engine];
-    engine.isReportOnItsWay = false;
-    if (!event.state)
-        return;
-    Upstream &upstream = found->second;
-    noteReport(engine.rights, *event.state, event.askedAt, now);
-    takeReport(state, engine, *event.state, event.askedAt, now);
-    const EngineState before = upstream.engine;
-    updateView(upstream, engine, *event.state, state.lastHolders, event.askedAt, now);
-    upstream.load = { event.state->running, event.state->waiting, upstream.listed.slots };
-    upstream.loadAt = event.askedAt;
-    const bool isChanged = before.ready != upstream.engine.ready
-            || before.models != upstream.engine.models || before.start != upstream.engine.start;
-    engine.isNews = engine.isNews || isChanged;
-    if (isChanged)
-        placeWaiting(state, now, actions);
-}
-
 void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions)
 {
     OrderedEngine &engine = state.engines[event.engine];
