Count requests lost by reason from the logs: azurewellctl explain

Reading and counting stand in packages/logging without any network.

Also: RequestRecord::isAheadOfReport says what isTry meant.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -64,7 +64,7 @@
     std::uint32_t mayHaveRun = 0; ///< Attempts after which the request can have run.
     std::set<UpstreamId> excluded;
     bool hasAnswerBegun = false;
-    bool isTry = false; ///< Sent before a report shows its adapter.
+    bool isAheadOfReport = false; ///< Sent before a report shows its adapter.
     PromptTurnState turn = PromptTurnState::NotAsked;
     Instant turnAt; ///< When its prompt may leave; while it is asked: when no answer is awaited any
                     ///< more.
--- a/packages/gateway/include/azurewell/gateway/load_times.h
+++ b/packages/gateway/include/azurewell/gateway/load_times.h
@@ -8,8 +8,8 @@
 /// were sent when it should have been over.
 struct LoadTime
 {
-    Span expected{};
-    std::uint32_t missedInARow = 0;
+    Span expected{};                ///< A length that is learnt, not a deadline.
+    std::uint32_t missedInARow = 0; ///< Requests that were turned away.
     std::uint32_t takenInARow = 0;
 };
 
@@ -45,7 +45,7 @@
 /// A request is sent for \a load before a report shows it.
 void beginTry(LoadUnderWay &load, Instant now);
 
-/// The request of beginTry() was turned away.
+/// The request of beginTry() was turned away, or failed and says nothing of the load.
 void endTry(LoadUnderWay &load, Instant now);
 
 /// Whether the request of beginTry() was taken: an engine that turns one away does so at once.
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -138,7 +138,7 @@
     beginTry(load, now);
     const auto declared = state.versions.find(need.model);
     load.version = declared == state.versions.end() ? 0 : declared->second;
-    record.isTry = true;
+    record.isAheadOfReport = true;
     dispatch(state, record, id, need.model, now, actions);
     return true;
 }
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -140,7 +140,7 @@
 /// was taken when it was sent.
 void placeAfterTry(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
-    record.isTry = false;
+    record.isAheadOfReport = false;
     ++state.counters.retries[ResultCode::AdapterLoadFailed];
     place(state, record, now, actions);
 }
@@ -267,13 +267,13 @@
         noteSign(upstream->second, signOf(event.outcome), now);
     const bool isTurnedAway = event.outcome == AttemptOutcome::NotRun
             || event.outcome == AttemptOutcome::NotThere;
-    if (record.isTry)
+    if (record.isAheadOfReport)
         noteTryEnded(state, record, event.outcome, now);
-    if (record.isTry && isTurnedAway && now < record.deadline) {
+    if (record.isAheadOfReport && isTurnedAway && now < record.deadline) {
         placeAfterTry(state, record, now, actions);
         return;
     }
-    if (std::exchange(record.isTry, false))
+    if (std::exchange(record.isAheadOfReport, false))
         giveBackRetry(budgetOf(state, record.service));
     if (event.outcome == AttemptOutcome::FaultStated
         && repeatAfterFault(state, record, now, actions))
--- a/programs/azurewellctl/commands.h
+++ b/programs/azurewellctl/commands.h
@@ -10,5 +10,6 @@
 void addTicketStateCommands(CLI::App &ticket, int &exitCode);
 void addShowCommand(CLI::App &app, int &exitCode);
 void addLoadCommand(CLI::App &app, int &exitCode);
+void addExplainCommand(CLI::App &app, int &exitCode);
 
 } // namespace azurewell::ctl
--- /dev/null
+++ b/programs/azurewellctl/explain_command.cpp
@@ -0,0 +1,105 @@
+#include "commands.h"
+
+#include "azurewell/logging/request_summary.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+namespace azurewell::ctl {
+
+namespace {
+
+/// Upstreams and adapters that lost most are listed down to this place.
+constexpr std::size_t mostListed = 8;
+
+struct ExplainSettings
+{
+    std::vector<std::string> files;
+    std::string request;
+    Expectation expected;
+};
+
+using Counts = std::vector<std::pair<std::string, std::uint64_t>>;
+
+Counts largestFirst(const RequestSummary::Counts &counts)
+{
+    Counts sorted(counts.begin(), counts.end());
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const auto &a, const auto &b) { return a.second > b.second; });
+    return sorted;
+}
+
+void printCounts(const std::string &title, const RequestSummary::Counts &counts, std::size_t most)
+{
+    fmt::print("{}\n", title);
+    const Counts sorted = largestFirst(counts);
+    for (std::size_t place = 0; place < std::min(most, sorted.size()); ++place)
+        fmt::print("  {:>8}  {}\n", sorted[place].second, sorted[place].first);
+}
+
+void printSummary(const RequestSummary &summary)
+{
+    for (const auto &[path, counts] : summary.byPath)
+        printCounts(path.empty() ? "(no path)" : path, counts, counts.size());
+    printCounts("lost, by upstream", summary.lostAtUpstream, mostListed);
+    printCounts("lost, by adapter", summary.lostOfAdapter, mostListed);
+    if (summary.linesUnread > 0)
+        fmt::print(stderr, "{} lines are no lines of the log\n", summary.linesUnread);
+}
+
+/// Reads \a input to its end; prints the lines of one request where the settings name one.
+void readLog(std::istream &input, const ExplainSettings &settings, RequestSummary &summary)
+{
+    std::string text;
+    while (std::getline(input, text)) {
+        if (settings.request.empty()) {
+            addLine(summary, text, settings.expected);
+            continue;
+        }
+        const std::optional<LogLine> line = readLogLine(text);
+        if (line && fieldOf(*line, "request") == settings.request)
+            fmt::print("{}\n", text);
+    }
+}
+
+int explain(const ExplainSettings &settings)
+{
+    RequestSummary summary;
+    for (const std::string &name : settings.files) {
+        std::ifstream file(name);
+        if (!file) {
+            fmt::print(stderr, "{}: cannot be read\n", name);
+            return 1;
+        }
+        readLog(file, settings, summary);
+    }
+    if (settings.request.empty())
+        printSummary(summary);
+    return 0;
+}
+
+} // namespace
+
+void addExplainCommand(CLI::App &app, int &exitCode)
+{
+    CLI::App *command = app.add_subcommand(
+            "explain", "Count what became of requests, by reason, from the logs of all hosts");
+    const std::shared_ptr<ExplainSettings> settings = std::make_shared<ExplainSettings>();
+    command->add_option("FILE", settings->files, "Logs of hosts")->required();
+    command->add_option("--request", settings->request,
+                        "Only print the lines of the request with this id");
+    command->add_option("--first-ms", settings->expected.firstMillis,
+                        "A first event after this is late")
+            ->check(CLI::PositiveNumber);
+    command->add_option("--pause-ms", settings->expected.pauseMillis,
+                        "A pause between events above this makes an answer late")
+            ->check(CLI::PositiveNumber);
+    command->callback([settings, &exitCode] { exitCode = explain(*settings); });
+}
+
+} // namespace azurewell::ctl
