--- a/benchmark/gateway_fleet/gateway_fleet.cpp
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <ctime>
 
 namespace {
@@ -36,6 +37,8 @@
     app.add_option("--warm-up", warmUpSeconds, "seconds before the measurement");
     app.add_option("--seconds", seconds, "seconds that are measured");
     CLI11_PARSE(app, argc, argv);
+    // As deployments state it: half an engine's worth of loads at full speed, and at least 8.
+    settings.loadsAtOnce = std::max<std::size_t>(8, settings.zones * settings.enginesPerZone / 2);
     const std::size_t hosts = settings.zones * settings.hostsPerZone;
     settings.requestsPerSecond = requestsPerHost * static_cast<double>(hosts);
 
