One copy each of the declared version and of what counts as turned away

The version of an adapter was looked up in three places, the last with a nested choice; whether an outcome says that a request did not run stood twice; ended tries were copied to a list before they were noted, which nothing needed. A comment gave a figure in a unit that is gone.

--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -13,6 +13,9 @@
 /// Versions of adapters that were declared; an adapter that is not listed has its first version.
 using DeclaredVersions = std::map<ModelName, std::uint64_t>;
 
+/// The version of \a adapter that was declared; 0: none was.
+std::uint64_t declaredVersion(const DeclaredVersions &versions, const ModelName &adapter);
+
 /// What a request needs of an upstream.
 struct UpstreamNeed
 {
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -60,6 +60,12 @@
 
 } // namespace
 
+std::uint64_t declaredVersion(const DeclaredVersions &versions, const ModelName &adapter)
+{
+    const auto found = versions.find(adapter);
+    return found == versions.end() ? 0 : found->second;
+}
+
 double promptsBefore(const Upstream &upstream, Instant now)
 {
     double prompts = valueAt(upstream.ownPrompts, promptLife, now);
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -73,8 +73,7 @@
 {
     engine.orderOnItsWay = model;
     state.highestFencing = std::max(state.highestFencing, engine.rights.fencing);
-    const auto declared = state.versions.find(model);
-    const std::uint64_t version = isLoad && declared != state.versions.end() ? declared->second : 0;
+    const std::uint64_t version = isLoad ? declaredVersion(state.versions, model) : 0;
     actions.orders.push_back({ upstream.listed.id, upstream.listed.address, isLoad, model, version,
                                engine.rights.fencing });
 }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -23,6 +23,9 @@
 /// that wait for it may go.
 void endTries(GatewayState &state, Instant now);
 
+/// Whether the upstream says that it did not run the request.
+bool isTurnedAway(AttemptOutcome outcome);
+
 /// The request of \a record, sent for a load that should be over, ended with \a outcome.
 void noteTryEnded(GatewayState &state, const RequestRecord &record, AttemptOutcome outcome,
                   Instant now);
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -30,9 +30,9 @@
 }
 
 /// A popular adapter is loaded at a second engine when those that have it are this much behind, in
-/// seconds. An engine makes a step of its batch between pieces of prompts: with prompts
-/// of 8,800 tokens every 400 ms, 4.9 starts, the streams that it has get an event of three tokens
-/// every 600 ms, where callers expect one every 400 ms.
+/// seconds. An engine makes a step of its batch between pieces of prompts: with prompts that take
+/// 400 ms to read every 400 ms, the streams that it has get an event of three tokens every 600 ms,
+/// where callers expect one every 400 ms.
 constexpr double waitForAnotherCopy = 0.1;
 
 /// How many engines should have \a adapter, from what this host's callers send: the balancer gives
@@ -136,8 +136,7 @@
     const UpstreamId id = engine->listed.id;
     LoadUnderWay &load = state.upstreams.at(id).loads.at(need.model);
     beginTry(load, now);
-    const auto declared = state.versions.find(need.model);
-    load.version = declared == state.versions.end() ? 0 : declared->second;
+    load.version = declaredVersion(state.versions, need.model);
     record.isAheadOfReport = true;
     dispatch(state, record, id, need.model, now, actions);
     return true;
@@ -203,9 +202,8 @@
         tellUse(state, upstream, now, actions);
     }
     const LoadedAdapter *loaded = upstream.engine.findReady(model);
-    const auto declared = state.versions.find(model);
-    const bool isVersioned = declared != state.versions.end();
-    const std::uint64_t version = loaded ? loaded->version : isVersioned ? declared->second : 0;
+    const bool isVersioned = state.versions.contains(model);
+    const std::uint64_t version = loaded ? loaded->version : declaredVersion(state.versions, model);
     ++state.counters.dispatched;
     actions.dispatches.push_back({ record.asked.request, record.attempt, id,
                                    upstream.listed.address, record.customer,
@@ -231,10 +229,8 @@
     const auto load = engine->second.loads.find(record.asked.model);
     if (load == engine->second.loads.end() || load->second.triedAt.micros == 0)
         return;
-    const bool isTurnedAway = outcome == AttemptOutcome::NotRun
-            || outcome == AttemptOutcome::NotThere;
     // A fault of the engine says nothing of the load.
-    if (isTurnedAway) {
+    if (isTurnedAway(outcome)) {
         noteMissed(timeOf(state.loadTimes[record.asked.model.model], load->second),
                    load->second.triedAt - load->second.since);
     }
@@ -244,13 +240,9 @@
 void endTries(GatewayState &state, Instant now)
 {
     for (auto &[id, upstream] : state.upstreams) {
-        std::vector<ModelName> done;
         for (const auto &[adapter, load] : upstream.loads) {
-            if (!load.isDone && isTryTaken(load, now))
-                done.push_back(adapter);
-        }
-        for (const ModelName &adapter : done) {
-            const LoadUnderWay &load = upstream.loads.at(adapter);
+            if (load.isDone || !isTryTaken(load, now))
+                continue;
             noteTaken(timeOf(state.loadTimes[adapter.model], load), load.triedAt - load.since);
             noteLoadDone(upstream, adapter);
             // Its place counts as taken by a load until a report shows it: an engine that was slow
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -147,6 +147,11 @@
 
 } // namespace
 
+bool isTurnedAway(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::NotThere;
+}
+
 RetryBudget &budgetOf(GatewayState &state, const ServiceId &service)
 {
     RetryBudget &budget = state.retryBudgets[service];
@@ -265,11 +270,9 @@
     const auto upstream = state.upstreams.find(record.upstream);
     if (upstream != state.upstreams.end())
         noteSign(upstream->second, signOf(event.outcome), now);
-    const bool isTurnedAway = event.outcome == AttemptOutcome::NotRun
-            || event.outcome == AttemptOutcome::NotThere;
     if (record.isAheadOfReport)
         noteTryEnded(state, record, event.outcome, now);
-    if (record.isAheadOfReport && isTurnedAway && now < record.deadline) {
+    if (record.isAheadOfReport && isTurnedAway(event.outcome) && now < record.deadline) {
         placeAfterTry(state, record, now, actions);
         return;
     }
