Log each call to the store that is given up, with its age and reason

The incident's logs could not tell what a host was doing while it knew of no change: store_lost is written once, without the call, how long it had been open, or why it ended. Each failed call is now a line (call, reason, status, ms since it was sent, known revision, ms since the last answer) and a count by reason; the age of the store's last answer and the known revision are gauges.

When a call is made and given up moved from the store client to gateway's platform_reader, a module without network, so that a test can play it on a clock of its own.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "azurewell/gateway/events.h"
 #include "azurewell/gateway/load_times.h"
 #include "azurewell/gateway/order_rights.h"
+#include "azurewell/gateway/platform_reader.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
 #include "azurewell/gateway/reading_rate.h"
@@ -152,6 +153,7 @@
     HolderCache holders;
     std::set<UpstreamId> newWork; ///< Engines that got prompts from this host since it told so.
     Instant nextAskForChangesAt;
+    PlatformReader platformReader;
     PlatformView platform = PlatformView::NotRead;
     Instant platformFailedAt; ///< The platform did not answer then; zero: it always has.
     Behind behind;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -34,6 +34,18 @@
                        count);
 }
 
+void addPlatformReads(std::string &out, const gateway::PlatformReader &reader, Instant now)
+{
+    addCounter(out, "azurewell_store_calls_total", reader.calls);
+    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_store_call_failures_total counter\n");
+    for (const auto &[failure, count] : reader.failures)
+        fmt::format_to(std::back_inserter(out),
+                       "azurewell_store_call_failures_total{{reason=\"{}\"}} {}\n",
+                       gateway::nameOf(failure), count);
+    if (reader.answeredAt.micros != 0)
+        addGauge(out, "azurewell_store_answer_age_seconds", toSeconds(now - reader.answeredAt));
+}
+
 void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
@@ -88,6 +100,8 @@
     addHistogram(out, "azurewell_report_seconds", metrics.reports);
     addGauge(out, "azurewell_configuration_version",
              static_cast<double>(state.configuration.version));
+    addGauge(out, "azurewell_known_revision", static_cast<double>(state.published.revision));
+    addPlatformReads(out, state.platformReader, now);
     addGauge(out, "azurewell_hosts_heard",
              static_cast<double>(gateway::countHeard(state.members, now)));
     addGauge(out, "azurewell_hosts_known", static_cast<double>(gateway::countKnown(state.members)));
