--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -33,8 +33,9 @@
     bool isFirstStart = false; ///< The whole system starts for the first time.
     std::uint64_t randomSeed = 0;
     MeterLimits meterLimits;
-    Span stopGrace{};            ///< The process is killed so long after it was asked to stop.
-    std::vector<Endpoint> seeds; ///< Hosts that may know others; may be stale.
+    Span stopGrace{}; ///< The process is killed so long after it was asked to stop.
+    Span inForceWithin = std::chrono::seconds(2); ///< A confirmed change is to be known after this.
+    std::vector<Endpoint> seeds;                  ///< Hosts that may know others; may be stale.
 };
 
 enum class RequestPhase : std::uint8_t {
--- /dev/null
+++ b/packages/gateway/tests/fake_store.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "azurewell/gateway/platform_reader.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace azurewell::gateway {
+
+/// The platform's store on a simulated clock. While it is silent it takes calls and never answers
+/// them, also not later; a call that it holds when the silence begins gets no answer either.
+struct FakeStore
+{
+    std::vector<Instant> changes; ///< The change of revision n + 1 was confirmed at the n-th.
+    Instant silentFrom;
+    Instant silentUntil;
+
+    static constexpr Span oneWay = std::chrono::milliseconds(2);
+    static constexpr Instant never{ std::numeric_limits<std::int64_t>::max() };
+
+    std::uint64_t revisionAt(Instant when) const
+    {
+        return static_cast<std::uint64_t>(
+                std::count_if(this->changes.begin(), this->changes.end(),
+                              [when](Instant change) { return change <= when; }));
+    }
+
+    /// When a watch that begins at \a now behind \a known is answered; never, if it is not.
+    Instant answerAt(Instant now, Span wait, std::uint64_t known) const
+    {
+        const Instant arrives = now + oneWay;
+        Instant answered = arrives + wait;
+        if (this->revisionAt(arrives) > known)
+            answered = arrives;
+        else if (known < this->changes.size())
+            answered = std::min(answered, this->changes[known]);
+        const bool isSilenced = arrives < this->silentUntil && answered >= this->silentFrom;
+        return isSilenced ? never : answered + oneWay;
+    }
+};
+
+} // namespace azurewell::gateway
