Bound every wait for the store by the time in which a change has to be in force

Cause: a call begun while the store is silent is never answered, also not after its return, and was given up only 4.5 s after it began (3.5 s of waiting at the store and 1 s more). All hosts were in such a call at once, so none could tell the others. Ruled out: refusals by the store (no call arrived), late passing on between hosts (50 to 120 ms), old history. Class: a wait of its own length on the way of a promise that has a deadline; silence looks like nothing to tell.

Mended in the design: planReads() derives all spans of the calls from the time in which a confirmed change has to be in force, which the settings state (the shorter one of configuration and draining). A watch lasts 0.9 s and is given up after 1.5 s where 2 s are allowed; after a failure calls wait 50 ms at the store, so that its return shows 1.4 s later at the latest.

--- a/packages/gateway/include/azurewell/gateway/platform_reader.h
+++ b/packages/gateway/include/azurewell/gateway/platform_reader.h
@@ -24,6 +24,7 @@
 struct ReadTimes
 {
     Span watchWait{};   ///< The store holds a watch for so long while nothing changes.
+    Span probeWait{};   ///< The same for the calls after a failure.
     Span answerSlack{}; ///< A call is given up so long after its answer was due.
     Span firstBackOff{};
     Span longestBackOff{};
@@ -31,12 +32,16 @@
     Span longestPause{};
 };
 
-ReadTimes usualReadTimes();
+/// Spans with which a confirmed change is known to all hosts after \a inForceWithin at the latest,
+/// counted from the store's return where it was silent. A silent store or connection looks like one
+/// without changes, so a call that nothing answers has to end, and the next one to begin, within
+/// that time.
+ReadTimes planReads(Span inForceWithin);
 
 /// When a host calls the store and when it gives a call up. One call at a time; the shell makes it.
 struct PlatformReader
 {
-    ReadTimes times = usualReadTimes();
+    ReadTimes times;
     bool isUnderWay = false;
     Instant calledAt; ///< The last call began then.
     Instant nextCallAt;
@@ -54,7 +59,8 @@
     Instant giveUpAt; ///< It counts as failed then.
 };
 
-/// The call that is due, if any. A watch waits at the store for changes, a listing does not.
+/// The call that is due, if any. A watch waits at the store for changes, a listing does not. After
+/// a failure a watch waits only briefly: whether the store is back shows in its answer.
 std::optional<ReadCall> beginRead(PlatformReader &reader, bool isWatch, Instant now);
 
 /// The call was answered. After changes there is a pause, which differs from host to host.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -75,6 +75,7 @@
     state.startedAt = now;
     state.members.self = self.id;
     state.members.zone = self.zone;
+    state.platformReader.times = planReads(self.inForceWithin);
 }
 
 void setConfiguration(GatewayState &state, Configuration configuration)
--- a/packages/gateway/src/platform_reader.cpp
+++ b/packages/gateway/src/platform_reader.cpp
@@ -6,6 +6,31 @@
 
 namespace {
 
+/// Of the time until a change is in force everywhere: what hosts need that do not read the store,
+/// with one message lost.
+constexpr Span toldWithin = std::chrono::milliseconds(300);
+
+/// The shell looks this often whether a call is due, and whether one is overdue.
+constexpr Span lookInterval = std::chrono::milliseconds(25);
+
+/// What is left of that time to a host that reads, at the least.
+constexpr Span leastOwn = std::chrono::milliseconds(1300);
+
+/// The store answers within some ms, when it is slow within some hundred; a lost packet is sent
+/// again after 200 ms.
+constexpr Span answerSlack = std::chrono::milliseconds(600);
+
+constexpr Span longestWatchWait = std::chrono::milliseconds(3500);
+constexpr Span probeWait = std::chrono::milliseconds(50);
+
+constexpr Span firstBackOff = std::chrono::milliseconds(150);
+constexpr Span longestBackOff = std::chrono::milliseconds(700);
+
+/// A series of changes costs one call and not one for each: engines write an entry for each change
+/// of their adapters.
+constexpr Span shortestPause = std::chrono::milliseconds(500);
+constexpr Span longestPause = std::chrono::milliseconds(1100);
+
 /// A pause that differs from host to host, so that their reads fall apart.
 Span drawPause(const ReadTimes &times, std::mt19937_64 &random)
 {
@@ -15,7 +40,7 @@
 }
 
 /// Doubled with each failure: the store counts calls that it refuses, too.
-Span backOff(const ReadTimes &times, std::uint32_t failuresInARow)
+Span backOffAfter(std::uint32_t failuresInARow, const ReadTimes &times)
 {
     Span span = times.firstBackOff;
     for (std::uint32_t i = 1; i < failuresInARow && span < times.longestBackOff; ++i)
@@ -40,21 +65,17 @@
     return "unreadable";
 }
 
-ReadTimes usualReadTimes()
+ReadTimes planReads(Span inForceWithin)
 {
     ReadTimes times;
-    // A connection that has gone silent is noticed only when this has passed, and a change has to
-    // be in force within 2 s of the 3 s that such trouble is excused.
-    times.watchWait = std::chrono::milliseconds(3500);
-    // The store answers in 4 ms; slow days make that 200 ms and more.
-    times.answerSlack = std::chrono::milliseconds(1000);
-    times.firstBackOff = std::chrono::milliseconds(150);
-    times.longestBackOff = std::chrono::milliseconds(700);
-    // A series of changes costs one call and not one for each: engines write an entry for each
-    // change of their adapters. Hosts tell each other what they read, so with several of them
-    // something new is known within a part of this.
-    times.shortestPause = std::chrono::milliseconds(500);
-    times.longestPause = std::chrono::milliseconds(1100);
+    times.answerSlack = answerSlack;
+    times.probeWait = probeWait;
+    times.firstBackOff = firstBackOff;
+    times.shortestPause = shortestPause;
+    const Span own = std::max(inForceWithin - toldWithin - 2 * lookInterval, leastOwn);
+    times.watchWait = std::min(longestWatchWait, own - firstBackOff - answerSlack);
+    times.longestBackOff = std::min(longestBackOff, own - probeWait - answerSlack);
+    times.longestPause = std::min(longestPause, own - answerSlack);
     return times;
 }
 
@@ -65,7 +86,9 @@
     reader.isUnderWay = true;
     reader.calledAt = now;
     ++reader.calls;
-    const Span wait = isWatch ? reader.times.watchWait : Span{};
+    const bool isProbe = reader.failuresInARow > 0;
+    const Span watchWait = isProbe ? reader.times.probeWait : reader.times.watchWait;
+    const Span wait = isWatch ? watchWait : Span{};
     return ReadCall{ wait, now + wait + reader.times.answerSlack };
 }
 
@@ -83,7 +106,7 @@
     reader.isUnderWay = false;
     ++reader.failuresInARow;
     ++reader.failures[failure];
-    reader.nextCallAt = now + backOff(reader.times, reader.failuresInARow);
+    reader.nextCallAt = now + backOffAfter(reader.failuresInARow, reader.times);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/tests/platform_reader_test.cpp
+++ b/packages/gateway/tests/platform_reader_test.cpp
@@ -70,7 +70,7 @@
     }
 
     const FakeStore &store;
-    PlatformReader reader;
+    PlatformReader reader{ planReads(inForceWithin) };
     std::uint64_t known = 0;
     Instant now;
     std::mt19937_64 random;
