--- a/packages/gateway/tests/platform_reader_test.cpp
+++ b/packages/gateway/tests/platform_reader_test.cpp
@@ -127,5 +127,24 @@
     EXPECT_LE(worst.span + toldWithin, inForceWithin) << worst.what;
 }
 
+TEST(PlatformReaderTest, ASilentStoreIsCalledLessThanOnceASecond)
+{
+    constexpr Span silence = std::chrono::seconds(60);
+    constexpr std::uint64_t most = 60;
+    const FakeStore store{ {}, dayBegins, dayBegins + silence };
+    LoneHost host(store, dayBegins, 1);
+    EXPECT_LE(host.callsUntil(dayBegins + silence), most);
+}
+
+TEST(PlatformReaderTest, SpansFollowTheTimeInWhichAChangeHasToBeInForce)
+{
+    const ReadTimes strict = planReads(std::chrono::seconds(2));
+    const ReadTimes usual = planReads(std::chrono::seconds(4));
+    EXPECT_GT(usual.watchWait, strict.watchWait);
+    const ReadTimes tooStrict = planReads(std::chrono::milliseconds(100));
+    EXPECT_GT(tooStrict.watchWait, Span{});
+    EXPECT_GE(tooStrict.longestPause, tooStrict.shortestPause);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/gateway/tests/platform_reading_fleet_test.cpp
+++ b/packages/gateway/tests/platform_reading_fleet_test.cpp
@@ -182,6 +182,24 @@
     }
 }
 
+TEST_P(ReadingFleetTest, AFewHostsOfAZoneCallTheStoreAboutOnceASecondInCalm)
+{
+    constexpr std::uint64_t zones = 3;
+    constexpr std::uint64_t readersOfZone = 3;
+    constexpr double mostCallsOfOne = 1.2;
+    const FleetCase &fleetCase = GetParam();
+    const FakeStore store{ { dayBegins }, {}, {} };
+    ReadingFleet fleet(fleetCase.hostsPerZone, store, fleetCase.inForceWithin, 1);
+    const Instant calm = dayBegins + settling;
+    fleet.runUntil(calm);
+    const std::uint64_t before = fleet.calls();
+    const Span span = std::chrono::seconds(20);
+    fleet.runUntil(calm + span);
+    const double perSecond = static_cast<double>(fleet.calls() - before) / toSeconds(span);
+    const std::uint64_t readers = zones * std::min(readersOfZone, fleetCase.hostsPerZone);
+    EXPECT_LE(perSecond, mostCallsOfOne * static_cast<double>(readers));
+}
+
 INSTANTIATE_TEST_SUITE_P(SizesOfFleets, ReadingFleetTest,
                          testing::Values(FleetCase{ 2, std::chrono::seconds(2) },
                                          FleetCase{ 10, std::chrono::seconds(3) }));
