Use an upstream again whose entry lapsed and came back in one series of changes

Cause: the entry of a server lapsed while the store was silent and came back with the same content. A host that reads again gets both changes in one answer. Whether an entry says anything new was judged for each change against what was known before the answer: the deletion was news, the return was the same as before and was left out. A plain service's entry changes rarely, so it stayed deleted.

--- a/packages/gateway/include/azurewell/gateway/published.h
+++ b/packages/gateway/include/azurewell/gateway/published.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/gossip.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,6 +31,12 @@
 /// has changed.
 std::vector<PublishedItem> takeChanges(PublishedState &state, const PublishedChanges &changes);
 
+/// Leaves out of a series of changes, oldest first, what \a isNews finds to change nothing.
+/// \a isNews compares with what is known before the series, so a key that has changed in the series
+/// keeps all that follows.
+void keepNews(std::vector<PublishedItem> &items,
+              const std::function<bool(const PublishedItem &)> &isNews);
+
 /// What another host lacks that knows all up to \a revision, oldest first.
 PublishedChanges changesAfter(const PublishedState &state, std::uint64_t revision);
 
--- a/packages/gateway/src/published.cpp
+++ b/packages/gateway/src/published.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/gateway/published.h"
 
 #include <algorithm>
+#include <set>
 
 namespace azurewell::gateway {
 
@@ -54,6 +55,18 @@
     return changed;
 }
 
+void keepNews(std::vector<PublishedItem> &items,
+              const std::function<bool(const PublishedItem &)> &isNews)
+{
+    std::set<std::string> changed;
+    std::erase_if(items, [&](const PublishedItem &item) {
+        if (!changed.contains(item.key) && !isNews(item))
+            return true;
+        changed.insert(item.key);
+        return false;
+    });
+}
+
 PublishedChanges changesAfter(const PublishedState &state, std::uint64_t revision)
 {
     PublishedChanges changes{ revision, state.revision, {} };
--- a/packages/gateway/tests/published_test.cpp
+++ b/packages/gateway/tests/published_test.cpp
@@ -57,6 +57,25 @@
     EXPECT_EQ(other.revision, 10U);
 }
 
+// Guards against an upstream that is never used again after its entry lapsed and came back
+// unchanged.
+TEST(PublishedState, AnEntryThatGoesAndComesBackInOneSeriesIsThereAfterwards)
+{
+    PublishedState state;
+    takeListing(state, { item("upstream", 3, "1"), item("other", 4, "2") }, 5);
+    const auto isNews = [&state](const PublishedItem &next) {
+        return next.isDeleted || state.items[next.key].value != next.value;
+    };
+    PublishedChanges changes{ 5, 9, {} };
+    changes.items = { { "upstream", 6, true, {} },
+                      item("other", 7, "2"),
+                      item("upstream", 8, "1") };
+    keepNews(changes.items, isNews);
+    takeChanges(state, changes);
+    EXPECT_FALSE(state.items["upstream"].isDeleted);
+    EXPECT_EQ(state.items["other"].revision, 4U);
+}
+
 TEST(PublishedState, TakesNoChangesWithAGapBeforeThem)
 {
     PublishedState state;
