Give up unanswered reads of the ticket service within the time until a ticket is in force

A ticket, or the host list at a start, whose read met a silence of any length waited for 16 s, all of the time until a ticket has to be in force.

Each read now ends 1.5 s after its answer was due; after a failure a watched key is read without waiting. The sum on the way of a ticket (15.5 s) is checked at compile time against the 16 s.

--- a/packages/shell/include/azurewell/shell/platform_watcher.h
+++ b/packages/shell/include/azurewell/shell/platform_watcher.h
@@ -38,6 +38,7 @@
     {
         QString key;
         QByteArray index = "0";
+        bool isProbe = false; ///< The last read failed: the next one is answered at once.
         std::function<void(const QByteArray &)> changed;
     };
 
@@ -49,7 +50,8 @@
     void readNextTicketAfter(int millis);
     void readNextTicket();
     void hostsRead(const QByteArray &value);
-    QNetworkReply *get(const QString &key, const QByteArray &query);
+    /// \a waitMillis: how long the service may hold the read.
+    QNetworkReply *get(const QString &key, const QByteArray &query, int waitMillis);
 
     const Settings &settings;
     TicketInForce inForce;
--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -10,10 +10,19 @@
 
 namespace {
 
+/// A confirmed ticket is to be in force everywhere after this.
+constexpr int inForceWithinMillis = 16'000;
+
 constexpr int pauseAfterFailureMillis = 1000;
 constexpr int watchSeconds = 10;
-/// A watch that is not answered by then has gone silent, and is opened again.
-constexpr int watchTimeoutMillis = (watchSeconds + 5) * 1000;
+
+/// A read that is not answered so long after its answer was due has gone silent.
+constexpr int answerSlackMillis = 1500;
+
+// A silent service looks like one without changes: the watch, a first read after it and the read of
+// the ticket have to end in time.
+static_assert(watchSeconds * 1000 + 3 * answerSlackMillis + pauseAfterFailureMillis
+              < inForceWithinMillis);
 
 } // namespace
 
@@ -70,23 +79,27 @@
     this->watch(this->head);
 }
 
-QNetworkReply *PlatformWatcher::get(const QString &key, const QByteArray &query)
+QNetworkReply *PlatformWatcher::get(const QString &key, const QByteArray &query, int waitMillis)
 {
     const QString url = QString::fromStdString(this->settings.platform + "/v1/kv/"
                                                + this->settings.keyPrefix + "/")
             + key + "?raw" + QString::fromUtf8(query);
     QNetworkRequest request{ QUrl(url) };
-    request.setTransferTimeout(watchTimeoutMillis);
+    request.setTransferTimeout(waitMillis + answerSlackMillis);
     return this->access.get(request);
 }
 
 void PlatformWatcher::watch(Watch &watch)
 {
+    const bool isWaiting = watch.index != "0" && !watch.isProbe;
+    const QByteArray index = isWaiting ? watch.index : QByteArray("0");
     QNetworkReply *reply = this->get(
-            watch.key, "&index=" + watch.index + "&wait=" + QByteArray::number(watchSeconds) + 's');
+            watch.key, "&index=" + index + "&wait=" + QByteArray::number(watchSeconds) + 's',
+            isWaiting ? watchSeconds * 1000 : 0);
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, &watch] {
         reply->deleteLater();
-        if (reply->error() != QNetworkReply::NoError) {
+        watch.isProbe = reply->error() != QNetworkReply::NoError;
+        if (watch.isProbe) {
             writeLog(LogLevel::Debug, "platform_unreachable",
                      { { "key", watch.key.toStdString() } });
             QTimer::singleShot(pauseAfterFailureMillis, this,
@@ -119,7 +132,7 @@
 void PlatformWatcher::readSnapshotIndex()
 {
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get("tickets/snapshot", {});
+    QNetworkReply *reply = this->get("tickets/snapshot", {}, 0);
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply] {
         reply->deleteLater();
         this->isReadingTicket = false;
@@ -139,8 +152,8 @@
         return;
     }
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get(QString("tickets/segments/%1/%2").arg(ticket).arg(segment),
-                                     {});
+    QNetworkReply *reply = this->get(QString("tickets/segments/%1/%2").arg(ticket).arg(segment), {},
+                                     0);
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, ticket, segment, count] {
         reply->deleteLater();
         this->isReadingTicket = false;
@@ -162,7 +175,7 @@
     if (this->isReadingTicket || next > this->newest)
         return;
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get("tickets/" + QString::number(next), {});
+    QNetworkReply *reply = this->get("tickets/" + QString::number(next), {}, 0);
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, next] {
         reply->deleteLater();
         this->isReadingTicket = false;
