--- a/packages/gateway/tests/fake_store.h
+++ b/packages/gateway/tests/fake_store.h
@@ -12,7 +12,7 @@
 /// them, also not later; a call that it holds when the silence begins gets no answer either.
 struct FakeStore
 {
-    std::vector<Instant> changes; ///< The change of revision n + 1 was confirmed at the n-th.
+    std::vector<Instant> changes; ///< Rising; revision n + 1 was confirmed at the n-th.
     Instant silentFrom;
     Instant silentUntil;
 
@@ -21,9 +21,8 @@
 
     std::uint64_t revisionAt(Instant when) const
     {
-        return static_cast<std::uint64_t>(
-                std::count_if(this->changes.begin(), this->changes.end(),
-                              [when](Instant change) { return change <= when; }));
+        const auto later = std::upper_bound(this->changes.begin(), this->changes.end(), when);
+        return static_cast<std::uint64_t>(later - this->changes.begin());
     }
 
     /// When a watch that begins at \a now behind \a known is answered; never, if it is not.
--- a/packages/gateway/tests/platform_reading_fleet_test.cpp
+++ b/packages/gateway/tests/platform_reading_fleet_test.cpp
@@ -1,157 +1,13 @@
-#include "azurewell/gateway/gateway.h"
-#include "fake_store.h"
+#include "reading_fleet.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <deque>
-#include <string>
-#include <vector>
-
 namespace azurewell::gateway {
 namespace {
 
-constexpr Instant dayBegins{ 100'000'000 };
+constexpr std::size_t zones = 3;
 constexpr Span settling = std::chrono::seconds(4);
 
-/// Hosts of three zones that read one store and tell each other, on a simulated clock. A fiftieth
-/// of their messages is lost.
-class ReadingFleet
-{
-public:
-    ReadingFleet(std::size_t hostsPerZone, const FakeStore &fakeStore, Span untilChangeIsForce,
-                 std::uint64_t seed)
-        : store(fakeStore)
-        , random(seed)
-    {
-        constexpr std::size_t zones = 3;
-        this->hosts.resize(zones * hostsPerZone);
-        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
-            Identity self;
-            self.id.value = "h" + std::to_string(index);
-            self.zone.value = "z" + std::to_string(index % zones);
-            self.address = { std::to_string(index), 1 };
-            self.seeds = { { "0", 1 }, { "1", 1 }, { "2", 1 } };
-            self.inForceWithin = untilChangeIsForce;
-            self.randomSeed = seed;
-            GatewayState &state = this->hosts[index].state;
-            gateway::start(state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
-            Configuration configuration;
-            configuration.version = 1;
-            setConfiguration(state, configuration);
-        }
-    }
-
-    /// How long after its confirmation the last host knows \a revision; \a longest, if it does not
-    /// by then.
-    Span untilAllKnow(std::uint64_t revision, Span longest)
-    {
-        const Instant confirmed = this->store.changes.at(revision - 1);
-        while (this->now - confirmed < longest) {
-            this->step();
-            const bool isKnown = std::all_of(
-                    this->hosts.begin(), this->hosts.end(),
-                    [&](const Host &host) { return host.state.published.revision >= revision; });
-            if (isKnown)
-                break;
-        }
-        return this->now - confirmed;
-    }
-
-    std::uint64_t calls() const
-    {
-        std::uint64_t sum = 0;
-        for (const Host &host : this->hosts)
-            sum += host.state.platformReader.calls;
-        return sum;
-    }
-
-    void runUntil(Instant end)
-    {
-        while (this->now < end)
-            this->step();
-    }
-
-private:
-    struct Host
-    {
-        GatewayState state;
-        Instant answerAt;
-        Instant giveUpAt;
-        std::uint64_t askedAfter = 0;
-    };
-
-    void step()
-    {
-        this->now = this->now + tickInterval;
-        const std::vector<SendGossip> arrived = std::exchange(this->onTheirWay, {});
-        for (const SendGossip &sent : arrived)
-            this->deliver(sent);
-        for (Host &host : this->hosts) {
-            this->readStore(host);
-            Actions actions;
-            tick(host.state, 0, this->now, actions);
-            this->send(actions);
-        }
-    }
-
-    void deliver(const SendGossip &sent)
-    {
-        constexpr std::uint64_t oneIn = 50;
-        if (this->random() % oneIn == 0)
-            return;
-        Actions actions;
-        handle(this->hosts[std::stoul(sent.to.ip)].state, sent.message, this->now, actions);
-        this->send(actions);
-    }
-
-    void send(const Actions &actions)
-    {
-        this->onTheirWay.insert(this->onTheirWay.end(), actions.gossip.begin(),
-                                actions.gossip.end());
-    }
-
-    void readStore(Host &host)
-    {
-        GatewayState &state = host.state;
-        if (readsPlatform(state, this->now)) {
-            const std::optional<ReadCall> call = beginRead(state.platformReader, true, this->now);
-            if (call) {
-                host.askedAfter = state.published.revision;
-                host.answerAt = this->store.answerAt(this->now, call->wait, host.askedAfter);
-                host.giveUpAt = call->giveUpAt;
-            }
-        }
-        if (!state.platformReader.isUnderWay)
-            return;
-        if (this->now >= host.answerAt) {
-            this->takeAnswer(host);
-        } else if (this->now >= host.giveUpAt) {
-            noteReadFailure(state.platformReader, ReadFailure::NoAnswer, this->now);
-            notePlatformFailure(state, this->now);
-        }
-    }
-
-    void takeAnswer(Host &host)
-    {
-        GatewayState &state = host.state;
-        const std::uint64_t revision = this->store.revisionAt(host.answerAt - FakeStore::oneWay);
-        const bool isNew = revision > host.askedAfter;
-        noteReadAnswer(state.platformReader, isNew, this->random, this->now);
-        notePlatformAnswer(state, isNew, this->now);
-        PublishedChanges changes{ host.askedAfter, revision, {} };
-        for (std::uint64_t next = host.askedAfter + 1; next <= revision; ++next)
-            changes.items.push_back({ "k", next, false, "v" });
-        takeChanges(state.published, changes);
-    }
-
-    const FakeStore &store;
-    std::vector<Host> hosts;
-    std::vector<SendGossip> onTheirWay;
-    std::mt19937_64 random;
-    Instant now = dayBegins;
-};
-
 struct FleetCase
 {
     std::size_t hostsPerZone;
@@ -167,15 +23,17 @@
 TEST_P(ReadingFleetTest, AllHostsKnowAChangeAfterASilenceInTime)
 {
     const FleetCase &fleetCase = GetParam();
-    const Instant silent = dayBegins + settling;
+    const Instant silent = ReadingFleet::begins + settling;
     std::uint64_t seed = 1;
     for (const int silenceMillis : { 300, 1400, 2600, 5200, 9000 }) {
         for (const int afterMillis : { 0, 700, 1900 }) {
             const Instant returns = silent + std::chrono::milliseconds(silenceMillis);
-            const FakeStore store{ { dayBegins, returns + std::chrono::milliseconds(afterMillis) },
+            const FakeStore store{ { ReadingFleet::begins,
+                                     returns + std::chrono::milliseconds(afterMillis) },
                                    silent,
                                    returns };
-            ReadingFleet fleet(fleetCase.hostsPerZone, store, fleetCase.inForceWithin, ++seed);
+            ReadingFleet fleet({ zones, fleetCase.hostsPerZone }, store, fleetCase.inForceWithin,
+                               ++seed);
             EXPECT_LE(fleet.untilAllKnow(2, std::chrono::seconds(10)), fleetCase.inForceWithin)
                     << "silence " << silenceMillis << " ms, change " << afterMillis << " ms after";
         }
@@ -184,13 +42,12 @@
 
 TEST_P(ReadingFleetTest, AFewHostsOfAZoneCallTheStoreAboutOnceASecondInCalm)
 {
-    constexpr std::uint64_t zones = 3;
     constexpr std::uint64_t readersOfZone = 3;
     constexpr double mostCallsOfOne = 1.2;
     const FleetCase &fleetCase = GetParam();
-    const FakeStore store{ { dayBegins }, {}, {} };
-    ReadingFleet fleet(fleetCase.hostsPerZone, store, fleetCase.inForceWithin, 1);
-    const Instant calm = dayBegins + settling;
+    const FakeStore store{ { ReadingFleet::begins }, {}, {} };
+    ReadingFleet fleet({ zones, fleetCase.hostsPerZone }, store, fleetCase.inForceWithin, 1);
+    const Instant calm = ReadingFleet::begins + settling;
     fleet.runUntil(calm);
     const std::uint64_t before = fleet.calls();
     const Span span = std::chrono::seconds(20);
