Order the model of an empty engine again when its order was lost

After a refusal the order is repeated after 0.5 s, without an answer after 2 s, when reports show whether the engine carries it out; a load that was taken keeps its 12 s, which hold the weight store's rate. An order that is not taken is logged for base models too.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -96,8 +96,8 @@
     bool isReportOnItsWay = false;
     Instant reportAskedAt;
     Instant nextReportAt;
-    Instant baseOrderedAt; ///< The base model was ordered then.
-    bool isNews = false;   ///< The others have to be told.
+    Instant nextBaseOrderAt; ///< The base model is ordered again then, if it is not there.
+    bool isNews = false;     ///< The others have to be told.
 };
 
 /// The host that orders at each engine, kept until the set of hosts that are alive may differ. To
--- a/packages/gateway/src/engine_reports.cpp
+++ b/packages/gateway/src/engine_reports.cpp
@@ -87,7 +87,7 @@
         engine.unloadedAt.clear();
         engine.heldLately.clear();
         engine.start = report.start;
-        engine.baseOrderedAt = Instant{};
+        engine.nextBaseOrderAt = Instant{};
     }
     for (const LoadingAdapter &adapter : report.loading) {
         const AdapterRef ref = refOf(adapter.name);
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -13,10 +13,15 @@
 /// A load that does not show up in reports within this time has failed.
 constexpr Span longestLoad = std::chrono::seconds(6);
 
-/// A base model that was ordered and is not there is ordered again after this time: longer than a
-/// few loads that share the weight store.
+/// A base model whose order was taken is ordered again after this time if it is not there: longer
+/// than a few loads that share the weight store.
 constexpr Span baseLoadPatience = std::chrono::seconds(12);
 
+/// The same after an order that was refused, and after one that was not answered: by then reports
+/// show whether the engine carries it out.
+constexpr Span refusedBasePause = std::chrono::milliseconds(500);
+constexpr Span unansweredBasePause = std::chrono::seconds(2);
+
 /// Transfers of adapters to one engine at a time.
 constexpr std::uint32_t mostLoadsUnderWay = 4;
 
@@ -84,11 +89,9 @@
 {
     if (!upstream.engine.models.empty() || limits.models.empty() || upstream.engine.isOrderUnderWay)
         return false;
-    const bool isOrdered = engine.baseOrderedAt.micros != 0
-            && now < engine.baseOrderedAt + baseLoadPatience;
-    if (isOrdered)
+    if (now < engine.nextBaseOrderAt)
         return false;
-    engine.baseOrderedAt = now;
+    engine.nextBaseOrderAt = now + baseLoadPatience;
     ++state.counters.baseLoadsOrdered;
     order(state, upstream, engine, { limits.models.front().name, {} }, true, actions);
     return true;
@@ -203,6 +206,26 @@
         unloaded->second = now;
 }
 
+/// Tells the log of an order that was refused or not answered.
+void noteNotTaken(const OrderEnded &event, Actions &actions)
+{
+    if (event.outcome != OrderOutcome::Refused && event.outcome != OrderOutcome::Unknown)
+        return;
+    actions.notes.push_back({ "order_not_taken",
+                              { { "engine", event.engine.value },
+                                { "model", refOf(event.model).value },
+                                { "load", event.isLoad ? "true" : "false" } } });
+}
+
+void noteBaseAnswer(OrderedEngine &engine, const OrderEnded &event, Instant now, Actions &actions)
+{
+    noteNotTaken(event, actions);
+    if (event.outcome == OrderOutcome::Refused)
+        engine.nextBaseOrderAt = now + refusedBasePause;
+    else if (event.outcome == OrderOutcome::Unknown)
+        engine.nextBaseOrderAt = now + unansweredBasePause;
+}
+
 } // namespace
 
 ModelName nameOf(const AdapterRef &ref)
@@ -278,8 +301,10 @@
     if (event.outcome == OrderOutcome::Taken
         || (event.outcome == OrderOutcome::HeldAlready && !event.isLoad))
         noteOrderTaken(engine.rights, event.sentAt);
-    if (event.model.isBase())
+    if (event.model.isBase()) {
+        noteBaseAnswer(engine, event, now, actions);
         return;
+    }
     const AdapterRef ref = refOf(event.model);
     const AdapterState was = stateOf(engine, ref);
     noteAnswered(engine, ref, now);
@@ -296,12 +321,7 @@
         move(state, engine, ref, AdapterEvent::UnloadFailed, now);
         engine.unloadedAt.erase(ref);
     }
-    if (event.outcome == OrderOutcome::Refused || event.outcome == OrderOutcome::Unknown) {
-        actions.notes.push_back({ "order_not_taken",
-                                  { { "engine", event.engine.value },
-                                    { "model", ref.value },
-                                    { "load", event.isLoad ? "true" : "false" } } });
-    }
+    noteNotTaken(event, actions);
     if (upstream != state.upstreams.end() && engine.rights.isHolding && isDone)
         giveOrders(state, upstream->second, engine, 0, now, actions);
 }
--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -120,6 +120,24 @@
     EXPECT_GT(world.answered - answered, (world.asked - asked) * 93 / 100);
 }
 
+// Guards against an empty engine that serves nothing for as long as a load may take because the
+// order of its model was lost.
+TEST(GatewayWorld, AnEmptyEngineGetsItsModelInTimeWhenTheFirstOrderIsLost)
+{
+    constexpr std::size_t restarted = 3;
+    constexpr Span servesAgainWithin = std::chrono::seconds(12);
+    WorldSettings settings;
+    settings.lostBaseOrders = restarted;
+    World world{ settings };
+    world.runFor(std::chrono::seconds(10));
+    for (std::size_t engine = 0; engine < restarted; ++engine)
+        world.restartEngine(engine);
+    world.runFor(servesAgainWithin);
+    EXPECT_EQ(firstOf(world), "");
+    for (std::size_t engine = 0; engine < restarted; ++engine)
+        EXPECT_TRUE(world.holdsBase(engine));
+}
+
 TEST(GatewayWorld, AnOrderThatIsHeldUpDoesNotOverfillItsEngine)
 {
     // An order to load waits for its connection to open while reports come over another one and do
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -408,8 +408,34 @@
     this->remember(engine);
 }
 
+/// Whether the order is one of those that get lost; its host gives it up later.
+bool World::loseOrder(std::size_t index, const OrderEngine &toGive)
+{
+    constexpr Span givenUpAfter = std::chrono::milliseconds(1200);
+    if (!toGive.model.isBase() || this->settings.lostBaseOrders == 0)
+        return false;
+    --this->settings.lostBaseOrders;
+    const std::uint64_t life = this->hosts[index].incarnation;
+    const OrderEnded ended{ toGive.engine,  toGive.model, toGive.isLoad,
+                            toGive.version, this->now,    OrderOutcome::Unknown };
+    this->at(this->now + givenUpAfter,
+             [this, index, life, ended] { this->endOrder(index, life, ended); });
+    return true;
+}
+
+void World::endOrder(std::size_t index, std::uint64_t life, const OrderEnded &ended)
+{
+    if (!this->acts(index, life))
+        return;
+    Actions actions;
+    handle(this->hosts[index].state, ended, this->now, actions);
+    this->run(index, actions);
+}
+
 void World::order(std::size_t index, const OrderEngine &toGive)
 {
+    if (this->loseOrder(index, toGive))
+        return;
     const std::uint64_t life = this->hosts[index].incarnation;
     const Instant sentAt = this->now;
     std::uniform_real_distribution<double> part(0, 1);
@@ -421,13 +447,8 @@
         OrderEnded ended{ toGive.engine,  toGive.model, toGive.isLoad,
                           toGive.version, sentAt,       OrderOutcome::Refused };
         this->takeOrder(index, toGive, engine, ended);
-        this->at(this->now + hop, [this, index, life, ended] {
-            if (!this->acts(index, life))
-                return;
-            Actions actions;
-            handle(this->hosts[index].state, ended, this->now, actions);
-            this->run(index, actions);
-        });
+        this->at(this->now + hop,
+                 [this, index, life, ended] { this->endOrder(index, life, ended); });
     });
 }
 
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -66,6 +66,8 @@
                                  ///< as fast, and not from the weight store.
     Span reportLag = std::chrono::milliseconds(100);
     double lostMessages = 0.01;
+    std::size_t lostBaseOrders = 0; ///< So many orders of a base model, the first ones, never
+                                    ///< arrive and are not answered.
     double slowOrders = 0; ///< The part of orders that reach their engine only after 200 to 500 ms.
     double faults = 0; ///< The part of requests that engines end at once with a fault of their own,
                        ///< whatever they hold.
@@ -101,6 +103,10 @@
     {
         return this->hosts[index].state;
     }
+    bool holdsBase(std::size_t engine) const
+    {
+        return this->engines[engine].hasBase;
+    }
     std::size_t engineCount() const
     {
         return this->engines.size();
@@ -144,6 +150,8 @@
     void finish(std::size_t index, std::uint64_t life, const Dispatch &sent, std::size_t engine,
                 const ModelName &model);
     void order(std::size_t index, const OrderEngine &toGive);
+    bool loseOrder(std::size_t index, const OrderEngine &toGive);
+    void endOrder(std::size_t index, std::uint64_t life, const OrderEnded &ended);
     void takeOrder(std::size_t index, const OrderEngine &toGive, FakeEngine &engine,
                    OrderEnded &ended);
     void answerReport(std::size_t index, const AskReport &ask);
