--- a/packages/gateway/tests/fake_store.h
+++ b/packages/gateway/tests/fake_store.h
@@ -15,6 +15,7 @@
     std::vector<Instant> changes; ///< Rising; revision n + 1 was confirmed at the n-th.
     Instant silentFrom;
     Instant silentUntil;
+    std::size_t valueBytes = 1; ///< Of each change.
 
     static constexpr Span oneWay = std::chrono::milliseconds(2);
     static constexpr Instant never{ std::numeric_limits<std::int64_t>::max() };
--- a/packages/gateway/tests/platform_reading_fleet_test.cpp
+++ b/packages/gateway/tests/platform_reading_fleet_test.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+// Guards against hosts that learn late of a configuration that fits into no message between hosts.
+TEST_P(ReadingFleetTest, AllHostsKnowALargeChangeInTime)
+{
+    constexpr std::size_t overOneMessage = 70'000;
+    const FleetCase &fleetCase = GetParam();
+    for (int phase = 0; phase < 8; ++phase) {
+        const Instant confirmed = ReadingFleet::begins + settling
+                + phase * std::chrono::milliseconds(230);
+        FakeStore store{
+            { ReadingFleet::begins, confirmed - std::chrono::milliseconds(30), confirmed }, {}, {}
+        };
+        store.valueBytes = overOneMessage;
+        ReadingFleet fleet({ zones, fleetCase.hostsPerZone }, store, fleetCase.inForceWithin,
+                           static_cast<std::uint64_t>(phase));
+        EXPECT_LE(fleet.untilAllKnow(3, std::chrono::seconds(10)), fleetCase.inForceWithin)
+                << phase;
+    }
+}
+
 TEST_P(ReadingFleetTest, AFewHostsOfAZoneCallTheStoreAboutOnceASecondInCalm)
 {
     constexpr std::uint64_t readersOfZone = 3;
@@ -59,7 +78,8 @@
 
 INSTANTIATE_TEST_SUITE_P(SizesOfFleets, ReadingFleetTest,
                          testing::Values(FleetCase{ 2, std::chrono::seconds(2) },
-                                         FleetCase{ 10, std::chrono::seconds(3) }));
+                                         FleetCase{ 10, std::chrono::seconds(3) },
+                                         FleetCase{ 10, std::chrono::seconds(2) }));
 
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/gateway/tests/reading_fleet.h
+++ b/packages/gateway/tests/reading_fleet.h
@@ -144,7 +144,7 @@
         notePlatformAnswer(state, isNew, this->now);
         PublishedChanges changes{ host.askedAfter, revision, {} };
         for (std::uint64_t next = host.askedAfter + 1; next <= revision; ++next)
-            changes.items.push_back({ "k", next, false, "v" });
+            changes.items.push_back({ "k", next, false, std::string(this->store.valueBytes, 'v') });
         takeChanges(state.published, changes);
     }
 
