Remember the last holder of an adapter that is held again and again

An adapter that came back stood several times in the list of ages; when 3,000 entries were reached, its oldest entry took the fresh one along, so that the most popular adapters were forgotten first and loaded from the weight store instead of an engine's memory. Each adapter has one age now. Before: KeepAnAdapterThatWasHeldAgainAfterItsFirstTime fails (the popular adapter is unknown); after: passes. All tests of gateway pass.

With it, without change of behaviour: a load that is ordered is written by beginLoad(), as one that a report shows; the wait at an engine is reckoned once when one is chosen to load.

--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -6,7 +6,6 @@
 #include "azurewell/units/tokens.h"
 
 #include <cstdint>
-#include <deque>
 #include <limits>
 #include <map>
 #include <string>
@@ -150,10 +149,19 @@
 /// and loads it ten times as fast as another one, without the weight store.
 struct LastHolders
 {
-    std::map<ModelName, UpstreamId> engines;
-    std::deque<ModelName> oldestFirst; ///< May name an adapter more than once.
+    struct Holder
+    {
+        UpstreamId engine;
+        std::uint64_t serial = 0; ///< In `adapters`.
+    };
+    std::map<ModelName, Holder> holders;
+    std::map<std::uint64_t, ModelName> adapters; ///< Those that were held longest ago first.
+    std::uint64_t nextSerial = 1;
 };
 
+/// Adapters whose last holder is remembered: some 30 for each engine of a fleet of a hundred.
+inline constexpr std::size_t mostLastHolders = 3000;
+
 /// Takes over \a state. Reports are some 200 ms old, so that they show as loading what has taken
 /// requests since; that stays ready.
 void setEngine(Upstream &upstream, EngineState state, LastHolders &lastHolders, Instant now);
@@ -161,6 +169,12 @@
 /// Adapters in the memory of \a engine are gone from it.
 void noteHolder(LastHolders &lastHolders, const ModelName &adapter, const UpstreamId &engine);
 
+/// The engine that held \a adapter last; null where it is not known.
+const UpstreamId *findHolder(const LastHolders &lastHolders, const ModelName &adapter);
+
+/// A load of \a adapter was ordered.
+void beginLoad(Upstream &upstream, const ModelName &adapter, bool isHeldLately, Instant now);
+
 /// The engine has taken a request for an adapter that it loaded: all that wait for it may go.
 void noteLoadDone(Upstream &upstream, const ModelName &adapter);
 
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -140,7 +140,7 @@
                                    const LastHolders &lastHolders, std::uint32_t adapterPlaces,
                                    Instant now)
 {
-    std::vector<const Upstream *> able;
+    std::vector<std::pair<const Upstream *, double>> able; ///< With the wait there.
     double least = 0;
     for (const auto &[id, upstream] : upstreams) {
         const bool isAble = fits(upstream, need, now) && now >= upstream.avoidedUntil
@@ -150,20 +150,18 @@
             continue;
         const double wait = expectedWait(upstream, need.readPerSecond, now);
         least = able.empty() ? wait : std::min(least, wait);
-        able.push_back(&upstream);
+        able.emplace_back(&upstream, wait);
     }
     const std::string name = need.model.model + "/" + need.model.adapter;
-    const auto lastHolder = lastHolders.engines.find(need.model);
-    const bool wasHeld = lastHolder != lastHolders.engines.end();
+    const UpstreamId *lastHolder = findHolder(lastHolders, need.model);
     const Upstream *best = nullptr;
     LoadRank highest;
-    for (const Upstream *upstream : able) {
-        const double wait = expectedWait(*upstream, need.readPerSecond, now);
+    for (const auto &[upstream, wait] : able) {
         if (wait > std::max(least + mostWaitAboveLeast, mostWaitToLoad))
             continue;
         const UpstreamId &id = upstream->listed.id;
-        const LoadRank rank{ wasHeld && lastHolder->second == id,
-                             upstream->listed.zone == need.zone, rendezvousWeight(name, id.value) };
+        const LoadRank rank{ lastHolder && *lastHolder == id, upstream->listed.zone == need.zone,
+                             rendezvousWeight(name, id.value) };
         if (best && rank <= highest)
             continue;
         best = upstream;
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -133,6 +133,19 @@
 }
 
 /// Carries out the oldest wanted load: evicts where there is no place, loads where there is one.
+void orderLoad(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+               const ModelName &adapter, Instant now, Actions &actions)
+{
+    const AdapterRef ref = refOf(adapter);
+    move(state, engine, ref, AdapterEvent::LoadOrdered, now);
+    beginLoad(upstream, adapter, isHeldLately(engine, ref), now);
+    noteHeld(engine, ref);
+    // In a large fleet that a load began is told with what comes next: its end matters more.
+    engine.isNews = engine.isNews || isSmallFleet(state);
+    ++state.counters.loadsOrdered;
+    order(state, upstream, engine, adapter, true, actions);
+}
+
 void orderWanted(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
                  Actions &actions)
 {
@@ -151,19 +164,7 @@
             return isUsed(state, engine, id, held, now);
         });
         if (step.kind == PlacementStep::Kind::Load) {
-            move(state, engine, ref, AdapterEvent::LoadOrdered, now);
-            const bool isQuick = isHeldLately(engine, ref);
-            noteHeld(engine, ref);
-            upstream.engine.loading.push_back({ wanted, now, isQuick });
-            LoadUnderWay load;
-            load.since = now;
-            load.isHeldLately = isQuick;
-            upstream.loads[wanted] = load;
-            // In a large fleet that a load began is told with what comes next: its end matters
-            // more.
-            engine.isNews = engine.isNews || isSmallFleet(state);
-            ++state.counters.loadsOrdered;
-            order(state, upstream, engine, wanted, true, actions);
+            orderLoad(state, upstream, engine, wanted, now, actions);
         } else if (step.kind == PlacementStep::Kind::Evict) {
             orderUnload(state, upstream, engine, nameOf(step.adapter), now, actions);
         }
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -15,9 +15,6 @@
 constexpr Span firstAvoidance = std::chrono::milliseconds(150);
 constexpr std::uint32_t mostDoublings = 4;
 
-/// Adapters whose last holder is remembered: some 30 for each engine of a fleet of a hundred.
-constexpr std::size_t mostLastHolders = 3000;
-
 /// Keeps what is known of a load over the next view of its engine, and adds it to that view.
 void followLoad(Upstream &upstream, LoadingAdapter &adapter, Instant now)
 {
@@ -83,12 +80,29 @@
 
 void noteHolder(LastHolders &lastHolders, const ModelName &adapter, const UpstreamId &engine)
 {
-    lastHolders.engines[adapter] = engine;
-    lastHolders.oldestFirst.push_back(adapter);
-    if (lastHolders.oldestFirst.size() <= mostLastHolders)
+    const std::uint64_t serial = lastHolders.nextSerial++;
+    LastHolders::Holder &holder = lastHolders.holders[adapter];
+    lastHolders.adapters.erase(holder.serial);
+    holder = { engine, serial };
+    lastHolders.adapters[serial] = adapter;
+    if (lastHolders.adapters.size() <= mostLastHolders)
         return;
-    lastHolders.engines.erase(lastHolders.oldestFirst.front());
-    lastHolders.oldestFirst.pop_front();
+    const auto oldest = lastHolders.adapters.begin();
+    lastHolders.holders.erase(oldest->second);
+    lastHolders.adapters.erase(oldest);
+}
+
+const UpstreamId *findHolder(const LastHolders &lastHolders, const ModelName &adapter)
+{
+    const auto found = lastHolders.holders.find(adapter);
+    return found == lastHolders.holders.end() ? nullptr : &found->second.engine;
+}
+
+void beginLoad(Upstream &upstream, const ModelName &adapter, bool isHeldLately, Instant now)
+{
+    upstream.loads.erase(adapter);
+    upstream.engine.loading.push_back({ adapter, now, isHeldLately });
+    followLoad(upstream, upstream.engine.loading.back(), now);
 }
 
 void setEngine(Upstream &upstream, EngineState state, LastHolders &lastHolders, Instant now)
--- a/packages/gateway/tests/choose_upstream_test.cpp
+++ b/packages/gateway/tests/choose_upstream_test.cpp
@@ -81,7 +81,23 @@
     state.ready.clear();
     ++state.start;
     setEngine(engine, state, this->lastHolders, this->now);
-    EXPECT_FALSE(this->lastHolders.engines.contains(ModelName{ "m", "b" }));
+    EXPECT_EQ(findHolder(this->lastHolders, ModelName{ "m", "b" }), nullptr);
+}
+
+// Guards against an adapter that is asked for all the time and forgotten with its oldest entry.
+TEST(LastHolders, KeepAnAdapterThatWasHeldAgainAfterItsFirstTime)
+{
+    LastHolders lastHolders;
+    const ModelName popular{ "m", "popular" };
+    const UpstreamId engine{ "e" };
+    noteHolder(lastHolders, popular, engine);
+    for (std::size_t other = 0; other < mostLastHolders; ++other) {
+        noteHolder(lastHolders, { "m", "a" + std::to_string(other) }, engine);
+        noteHolder(lastHolders, popular, engine);
+    }
+    EXPECT_NE(findHolder(lastHolders, popular), nullptr);
+    EXPECT_EQ(findHolder(lastHolders, { "m", "a0" }), nullptr);
+    EXPECT_EQ(lastHolders.holders.size(), mostLastHolders);
 }
 
 } // namespace
