--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -30,11 +30,12 @@
 
 /// A host that the others have not told what they know within this time reads for itself: a large
 /// configuration does not fit into one message between hosts.
-constexpr Span toldWithin = std::chrono::milliseconds(600);
+constexpr Span readsItselfAfter = std::chrono::milliseconds(600);
 
 bool isLeftBehind(const GatewayState &state, Instant now)
 {
-    return state.behind.upTo > state.published.revision && now - state.behind.since >= toldWithin;
+    return state.behind.upTo > state.published.revision
+            && now - state.behind.since >= readsItselfAfter;
 }
 
 /// Whether \a entry was written before \a known. An entry can be held up on its way and arrive
--- a/packages/gateway/src/platform_reader.cpp
+++ b/packages/gateway/src/platform_reader.cpp
@@ -14,7 +14,7 @@
 constexpr Span lookInterval = std::chrono::milliseconds(25);
 
 /// What is left of that time to a host that reads, at the least.
-constexpr Span leastOwn = std::chrono::milliseconds(1300);
+constexpr Span leastReadWithin = std::chrono::milliseconds(1300);
 
 /// The store answers within some ms, when it is slow within some hundred; a lost packet is sent
 /// again after 200 ms.
@@ -72,10 +72,11 @@
     times.probeWait = probeWait;
     times.firstBackOff = firstBackOff;
     times.shortestPause = shortestPause;
-    const Span own = std::max(inForceWithin - toldWithin - 2 * lookInterval, leastOwn);
-    times.watchWait = std::min(longestWatchWait, own - firstBackOff - answerSlack);
-    times.longestBackOff = std::min(longestBackOff, own - probeWait - answerSlack);
-    times.longestPause = std::min(longestPause, own - answerSlack);
+    const Span readWithin = std::max(inForceWithin - toldWithin - 2 * lookInterval,
+                                     leastReadWithin);
+    times.watchWait = std::min(longestWatchWait, readWithin - firstBackOff - answerSlack);
+    times.longestBackOff = std::min(longestBackOff, readWithin - probeWait - answerSlack);
+    times.longestPause = std::min(longestPause, readWithin - answerSlack);
     return times;
 }
 
--- a/packages/gateway/tests/platform_reading_fleet_test.cpp
+++ b/packages/gateway/tests/platform_reading_fleet_test.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+// The same for silences of any length in a small fleet, where one hung call matters most.
+TEST(ReadingFleetSweep, AllHostsKnowAChangeAfterASilenceOfAnyLengthInTime)
+{
+    constexpr Span inForceWithin = std::chrono::seconds(2);
+    constexpr Span longest = std::chrono::seconds(12);
+    const Instant silent = ReadingFleet::begins + settling;
+    std::uint64_t seed = 1;
+    for (Span silence = std::chrono::milliseconds(100); silence <= longest;
+         silence += std::chrono::milliseconds(50)) {
+        const Span after = ++seed % 60 * std::chrono::milliseconds(50);
+        const Instant returns = silent + silence;
+        const FakeStore store{ { ReadingFleet::begins, returns + after }, silent, returns };
+        ReadingFleet fleet({ zones, 2 }, store, inForceWithin, seed);
+        EXPECT_LE(fleet.untilAllKnow(2, std::chrono::seconds(10)), inForceWithin)
+                << "silence " << silence.count() / 1000 << " ms, change " << after.count() / 1000
+                << " ms after";
+    }
+}
+
 // Guards against hosts that learn late of a configuration that fits into no message between hosts.
 TEST_P(ReadingFleetTest, AllHostsKnowALargeChangeInTime)
 {
