--- a/tests/sockets/platform_watcher_test.cpp
+++ b/tests/sockets/platform_watcher_test.cpp
@@ -1,14 +1,11 @@
 #include "azurewell/shell/platform_watcher.h"
-#include "caller.h"
 
 #include <QtCore/QCoreApplication>
-#include <QtCore/QElapsedTimer>
 #include <QtNetwork/QTcpServer>
 #include <QtNetwork/QTcpSocket>
 
 #include <gtest/gtest.h>
 
-#include <map>
 #include <variant>
 
 namespace azurewell::tests {
