--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -92,9 +92,9 @@
 void PlatformWatcher::watch(Watch &watch)
 {
     const bool isWaiting = watch.index != "0" && !watch.isProbe;
-    const QByteArray index = isWaiting ? watch.index : QByteArray("0");
+    const QByteArray known = isWaiting ? watch.index : QByteArray("0");
     QNetworkReply *reply = this->get(
-            watch.key, "&index=" + index + "&wait=" + QByteArray::number(watchSeconds) + 's',
+            watch.key, "&index=" + known + "&wait=" + QByteArray::number(watchSeconds) + 's',
             isWaiting ? watchSeconds * 1000 : 0);
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, &watch] {
         reply->deleteLater();
