Count messages between hosts by kind and by zone

Metrics now count messages and bytes by what they are sent for, inside the zone and to others, and the control thread's wake-ups; benchmark/gateway_fleet prints the same table.

--- a/benchmark/gateway_fleet/gateway_fleet.cpp
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -16,6 +16,24 @@
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
+void printRow(std::string_view kind, std::string_view to, const SentCount &now,
+              const SentCount &before, double hostSeconds)
+{
+    fmt::print("  {:14} {:9} {:7.1f} messages/s {:8.0f} bytes/s\n", kind, to,
+               static_cast<double>(now.messages - before.messages) / hostSeconds,
+               static_cast<double>(now.bytes - before.bytes) / hostSeconds);
+}
+
+/// What a host sends, by kind of message, inside its zone and to others.
+void printKinds(const SentCounts &sent, SentCounts before, double hostSeconds)
+{
+    for (const auto &[kind, byZone] : sent) {
+        const SentByZone &earlier = before[kind];
+        printRow(nameOf(kind), "zone", byZone.inZone, earlier.inZone, hostSeconds);
+        printRow(nameOf(kind), "elsewhere", byZone.elsewhere, earlier.elsewhere, hostSeconds);
+    }
+}
+
 } // namespace
 
 /// What hosts before a platform spend on each other, at a given size of the fleet. The core of
@@ -47,6 +65,7 @@
     const std::uint64_t messages = world.messages;
     const std::uint64_t bytes = world.messageBytes;
     const std::uint64_t loads = world.loads;
+    const SentCounts sent = world.sent;
     const double began = processSeconds();
     world.runFor(std::chrono::seconds(seconds));
     const double hostSeconds = static_cast<double>(hosts) * seconds;
@@ -56,5 +75,6 @@
                static_cast<double>(world.messageBytes - bytes) / hostSeconds,
                100 * (processSeconds() - began) / hostSeconds,
                static_cast<double>(world.loads - loads) / seconds, world.answered, world.asked);
+    printKinds(world.sent, sent, hostSeconds);
     return world.violations.empty() ? 0 : 1;
 }
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/configuration.h"
 #include "azurewell/gateway/gossip.h"
+#include "azurewell/gateway/message_kind.h"
 #include "azurewell/gateway/upstreams.h"
 #include "azurewell/units/result_code.h"
 
@@ -144,6 +145,8 @@
 {
     Endpoint to;
     Gossip message;
+    MessageKind kind = MessageKind::Heartbeat;
+    bool isToOtherZone = false;
 };
 
 /// Something that an operator may have to explain afterwards; for the log.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -132,7 +132,7 @@
     std::uint64_t loadsOrdered = 0;
     std::uint64_t unloadsOrdered = 0;
     std::uint64_t baseLoadsOrdered = 0;
-    std::uint64_t gossipSent = 0;
+    SentCounts sent; ///< Messages to other hosts.
     std::uint64_t gossipReceived = 0;
 };
 
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -35,9 +35,9 @@
     if (!isDue || now < state.nextAskForChangesAt)
         return;
     state.nextAskForChangesAt = now + changesInterval;
-    SendGossip ask{ message.address, blankGossip(state, now) };
-    ask.message.wantsChanges = true;
-    actions.gossip.push_back(std::move(ask));
+    Gossip ask = blankGossip(state, now);
+    ask.wantsChanges = true;
+    send(state, message.address, message.zone, MessageKind::ChangesAsk, std::move(ask), actions);
 }
 
 /// Sends published changes to a host that asks for them.
@@ -63,7 +63,7 @@
         return;
     Gossip message = blankGossip(state, now);
     message.changes.push_back(std::move(changes));
-    actions.gossip.push_back({ to.address, std::move(message) });
+    send(state, to.address, to.zone, MessageKind::Changes, std::move(message), actions);
 }
 
 /// Takes the news of the host that orders at an engine. News of what was seen earlier than what is
@@ -98,16 +98,16 @@
     }
 }
 
-void answerLoadRequest(GatewayState &state, const LoadRequest &request, const Endpoint &asker,
+void answerLoadRequest(GatewayState &state, const LoadRequest &request, const Gossip &from,
                        Instant now, Actions &actions)
 {
     const LoadProspect prospect = wantLoad(state, request, now);
     if (prospect == LoadProspect::Coming)
         return;
     const bool isStoreBusy = prospect == LoadProspect::StoreBusy;
-    SendGossip reply{ asker, blankGossip(state, now) };
-    reply.message.loadRefusals.push_back({ request.engine, request.adapter, isStoreBusy });
-    actions.gossip.push_back(std::move(reply));
+    Gossip reply = blankGossip(state, now);
+    reply.loadRefusals.push_back({ request.engine, request.adapter, isStoreBusy });
+    send(state, from.address, from.zone, MessageKind::LoadRefusal, std::move(reply), actions);
 }
 
 /// A load that was asked for is not carried out.
@@ -135,9 +135,9 @@
     noteOtherUse(engine.otherUses, refOf(ask.adapter), from.from, true, toldEvery, now);
     const PromptTurn turn = takeTurn(engine.pacer, ask.adapter, ask.tokens,
                                      readPerSecondOf(state, found->second.listed.service), now);
-    SendGossip reply{ from.address, blankGossip(state, now) };
-    reply.message.promptAnswers.push_back({ ask.request, turn.wait, turn.isCopyWanted });
-    actions.gossip.push_back(std::move(reply));
+    Gossip reply = blankGossip(state, now);
+    reply.promptAnswers.push_back({ ask.request, turn.wait, turn.isCopyWanted });
+    send(state, from.address, from.zone, MessageKind::PromptAnswer, std::move(reply), actions);
 }
 
 void takeAnswer(GatewayState &state, const PromptAnswer &answer, Instant now, Actions &actions)
@@ -189,7 +189,7 @@
     for (const PromptAnswer &answer : message.promptAnswers)
         takeAnswer(state, answer, now, actions);
     for (const LoadRequest &request : message.loadRequests)
-        answerLoadRequest(state, request, message.address, now, actions);
+        answerLoadRequest(state, request, message, now, actions);
     for (const LoadRefusal &refusal : message.loadRefusals)
         takeRefusal(state, refusal, now, actions);
     for (const PublishedChanges &changes : message.changes) {
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -171,7 +171,8 @@
             member->nextEnginesAt = now + enginesInterval(state, *member);
         addMembers(state, message, membersToTell(state, *member, now), now);
         message.adapterUses = usesFor(state, member->id, now);
-        actions.gossip.push_back({ member->address, std::move(message) });
+        send(state, member->address, member->zone, MessageKind::Heartbeat, std::move(message),
+             actions);
     }
 }
 
@@ -205,9 +206,11 @@
         engine.isNews = false;
     if (message.engines.empty() && message.promptWork.empty() && message.uses.empty())
         return;
+    const MessageKind kind = message.engines.empty() ? MessageKind::CustomerUses
+                                                     : MessageKind::EngineNews;
     for (const auto &[id, member] : state.members.others) {
         if (now < member.nextHeartbeatAt && isHeard(state.members, member, now))
-            actions.gossip.push_back({ member.address, message });
+            send(state, member.address, member.zone, kind, message, actions);
     }
 }
 
@@ -226,7 +229,8 @@
             continue;
         Gossip message = blankGossip(state, now);
         addMembers(state, message, mostMembersToNew, now);
-        actions.gossip.push_back({ seed, std::move(message) });
+        // A seed's zone is not known yet.
+        send(state, seed, state.self.zone, MessageKind::ToSeed, std::move(message), actions);
     }
 }
 
@@ -256,6 +260,19 @@
     return state.members.others.size() <= mostOthersOfSmallFleet;
 }
 
+void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
+          Gossip message, Actions &actions)
+{
+    actions.gossip.push_back({ address, std::move(message), kind, zone != state.self.zone });
+}
+
+void sendTo(const GatewayState &state, const HostId &host, MessageKind kind, Gossip message,
+            Actions &actions)
+{
+    const Member &member = state.members.others.at(host);
+    send(state, member.address, member.zone, kind, std::move(message), actions);
+}
+
 Gossip blankGossip(const GatewayState &state, Instant now)
 {
     Gossip message;
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -73,6 +73,14 @@
 /// Reports and orders that are due.
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
 
+/// Sends \a message to \a address in \a zone.
+void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
+          Gossip message, Actions &actions);
+
+/// Sends \a message to \a host, which is a known member.
+void sendTo(const GatewayState &state, const HostId &host, MessageKind kind, Gossip message,
+            Actions &actions);
+
 /// A message of this host that tells nothing but who it is and how far it knows published changes.
 Gossip blankGossip(const GatewayState &state, Instant now);
 
--- a/packages/gateway/src/loads.cpp
+++ b/packages/gateway/src/loads.cpp
@@ -60,7 +60,7 @@
     }
     Gossip message = blankGossip(state, now);
     message.loadRequests.push_back(request);
-    actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
+    sendTo(state, holder, MessageKind::LoadRequest, std::move(message), actions);
     return LoadProspect::Coming;
 }
 
@@ -71,7 +71,7 @@
         return;
     Gossip message = blankGossip(state, now);
     message.adapterUses = takeUntold(state.ownUses, engine.listed.id);
-    actions.gossip.push_back({ state.members.others.at(holder).address, std::move(message) });
+    sendTo(state, holder, MessageKind::AdapterUses, std::move(message), actions);
 }
 
 } // namespace azurewell::gateway
--- /dev/null
+++ b/packages/gateway/src/message_kind.cpp
@@ -0,0 +1,42 @@
+#include "azurewell/gateway/message_kind.h"
+
+namespace azurewell::gateway {
+
+std::string_view nameOf(MessageKind kind)
+{
+    switch (kind) {
+    case MessageKind::Heartbeat:
+        return "heartbeat";
+    case MessageKind::EngineNews:
+        return "engine_news";
+    case MessageKind::CustomerUses:
+        return "customer_uses";
+    case MessageKind::AdapterUses:
+        return "adapter_uses";
+    case MessageKind::PromptAsk:
+        return "prompt_ask";
+    case MessageKind::PromptAnswer:
+        return "prompt_answer";
+    case MessageKind::LoadRequest:
+        return "load_request";
+    case MessageKind::LoadRefusal:
+        return "load_refusal";
+    case MessageKind::ChangesAsk:
+        return "changes_ask";
+    case MessageKind::Changes:
+        return "changes";
+    case MessageKind::ToSeed:
+        return "to_seed";
+    }
+    return "unknown";
+}
+
+void countSent(SentCounts &counts, MessageKind kind, bool isToOtherZone, std::size_t bytes)
+{
+    SentByZone &byZone = counts[kind];
+    SentCount &count = isToOtherZone ? byZone.elsewhere : byZone.inZone;
+    ++count.messages;
+    count.bytes += bytes;
+}
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -101,10 +101,9 @@
     }
     record.turn = PromptTurnState::Asked;
     record.turnAt = now + turnAnsweredWithin;
-    SendGossip ask{ state.members.others.at(holder).address, blankGossip(state, now) };
-    ask.message.promptAsks.push_back(
-            { engine.listed.id, need.model, record.asked.request.value, tokens });
-    actions.gossip.push_back(std::move(ask));
+    Gossip ask = blankGossip(state, now);
+    ask.promptAsks.push_back({ engine.listed.id, need.model, record.asked.request.value, tokens });
+    sendTo(state, holder, MessageKind::PromptAsk, std::move(ask), actions);
     return false;
 }
 
--- a/packages/proxy/include/azurewell/proxy/gossip_socket.h
+++ b/packages/proxy/include/azurewell/proxy/gossip_socket.h
@@ -19,7 +19,8 @@
     static Result<std::unique_ptr<GossipSocket>> open(
             const Endpoint &own, std::function<void(const gateway::Gossip &)> onMessage);
 
-    void send(const gateway::SendGossip &gossip, Instant now);
+    /// The bytes of the message; 0 where it was not sent.
+    std::size_t send(const gateway::SendGossip &gossip, Instant now);
 
     std::uint64_t droppedMessages() const
     {
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -32,6 +32,7 @@
     TimeHistogram reports;       ///< Of engines: from asking to the answer.
     std::uint64_t callersAccepted = 0;
     std::uint64_t badRequests = 0;
+    std::uint64_t wakeUps = 0; ///< Of the control thread.
 };
 
 /// The text of the metrics address, in the format that Prometheus reads (docs/METRICS.md).
--- a/packages/proxy/src/gossip_socket.cpp
+++ b/packages/proxy/src/gossip_socket.cpp
@@ -53,19 +53,21 @@
     QObject::connect(&this->notifier, &QSocketNotifier::activated, [this] { this->receive(); });
 }
 
-void GossipSocket::send(const gateway::SendGossip &gossip, Instant now)
+std::size_t GossipSocket::send(const gateway::SendGossip &gossip, Instant now)
 {
     sockaddr_in address{};
     if (!fillAddress(address, gossip.to)) {
         ++this->dropped;
-        return;
+        return 0;
     }
     const std::string bytes = gateway::encodeGossip(gossip.message, now);
     const ssize_t sent = ::sendto(this->descriptor.get(), bytes.data(), bytes.size(), 0,
                                   reinterpret_cast<const sockaddr *>(&address), sizeof address);
     // A lost message is made good by the next one; the counter shows a link that takes none.
-    if (sent < 0)
-        ++this->dropped;
+    if (sent >= 0)
+        return bytes.size();
+    ++this->dropped;
+    return 0;
 }
 
 void GossipSocket::receive()
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -3,6 +3,7 @@
 #include "azurewell/http/clock.h"
 #include "azurewell/logging/log.h"
 
+#include <QtCore/QAbstractEventDispatcher>
 #include <QtCore/QCoreApplication>
 
 #include <algorithm>
@@ -61,6 +62,8 @@
         return metricsSocket.error();
     this->metricsListener = std::make_unique<TcpAcceptor>(std::move(metricsSocket.value()),
                                                           onOperations);
+    QObject::connect(QAbstractEventDispatcher::instance(), &QAbstractEventDispatcher::awake,
+                     &this->ticker, [this] { ++this->metrics.wakeUps; });
     QObject::connect(&this->ticker, &QTimer::timeout, [this] { this->tick(); });
     this->ticker.setTimerType(Qt::PreciseTimer);
     this->ticker.start(std::chrono::duration_cast<std::chrono::milliseconds>(tickInterval));
@@ -85,8 +88,8 @@
         this->askReport(ask);
     const Instant now = monotonicNow();
     for (const SendGossip &message : actions.gossip) {
-        ++this->core.counters.gossipSent;
-        this->gossip->send(message, now);
+        const std::size_t bytes = this->gossip->send(message, now);
+        countSent(this->core.counters.sent, message.kind, message.isToOtherZone, bytes);
     }
     for (const Note &note : actions.notes) {
         std::vector<LogField> fields;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -46,6 +46,19 @@
         addGauge(out, "azurewell_store_answer_age_seconds", toSeconds(now - reader.answeredAt));
 }
 
+void addSentTo(std::string &out, const gateway::SentCounts &sent, std::string_view metric,
+               std::uint64_t gateway::SentCount::*value)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {} counter\n", metric);
+    for (const auto &[kind, byZone] : sent) {
+        const std::string_view name = gateway::nameOf(kind);
+        fmt::format_to(std::back_inserter(out), "{}{{kind=\"{}\",to=\"zone\"}} {}\n", metric, name,
+                       byZone.inZone.*value);
+        fmt::format_to(std::back_inserter(out), "{}{{kind=\"{}\",to=\"elsewhere\"}} {}\n", metric,
+                       name, byZone.elsewhere.*value);
+    }
+}
+
 void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
@@ -92,6 +105,10 @@
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
     addCounter(out, "azurewell_adapter_unloads_total", counters.unloadsOrdered);
     addCounter(out, "azurewell_base_loads_total", counters.baseLoadsOrdered);
+    addSentTo(out, counters.sent, "azurewell_host_messages_total", &gateway::SentCount::messages);
+    addSentTo(out, counters.sent, "azurewell_host_message_bytes_total", &gateway::SentCount::bytes);
+    addCounter(out, "azurewell_host_messages_received_total", counters.gossipReceived);
+    addCounter(out, "azurewell_wake_ups_total", metrics.wakeUps);
     addCounter(out, "azurewell_log_lines_left_out_total", linesLeftOut());
     addHistogram(out, "azurewell_first_byte_seconds", metrics.toFirstByte);
     addHistogram(out, "azurewell_request_seconds", metrics.whole);
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -233,8 +233,11 @@
     ++this->messages;
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(this->random)
             < this->settings.lostMessages;
-    if (this->settings.countsBytes)
-        this->messageBytes += encodeGossip(gossip.message, this->now).size();
+    if (this->settings.countsBytes) {
+        const std::size_t bytes = encodeGossip(gossip.message, this->now).size();
+        this->messageBytes += bytes;
+        countSent(this->sent, gossip.kind, gossip.isToOtherZone, bytes);
+    }
     const auto found = this->hostAt.find(gossip.to);
     if (found == this->hostAt.end() || isLost)
         return;
