Tell other zones through relays

Callers saw: nothing directly. Each host of a large fleet told every other one of each adapter that an engine took up and, every 200 ms, of each customer near its limit.

Now a host tells the hosts of its zone of its engines, and one relay of its zone of all that the fleet is to know. The relay gathers for 100 ms and sends to one host of each other zone, which passes it on there. Any host relays what it is asked to; who asks takes the first by link and rank that answers, so nothing is agreed on and a lost relay costs half a second. Uses of customers keep their form (totals of one life of a host), so that a word that comes twice, late or not at all is made good by the next one. A host that asks for a load that is on its way is told alone instead of all hosts. A message for several hosts is encoded once.

Weighed: sums of zones instead of each host's uses (fewer bytes, but a change of the one who sums would count customers twice for a window); every host forwarding in its zone (no single host, but as many datagrams as before); longer heartbeats only (the news, not the heartbeats, were three quarters).

Small fleets tell each other as before.

--- a/benchmark/gateway_fleet/gateway_fleet.cpp
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -65,7 +65,7 @@
     const std::uint64_t messages = world.messages;
     const std::uint64_t bytes = world.messageBytes;
     const std::uint64_t loads = world.loads;
-    const SentCounts sent = world.sent;
+    const SentCounts sent = world.sentByKind;
     const double began = processSeconds();
     world.runFor(std::chrono::seconds(seconds));
     const double hostSeconds = static_cast<double>(hosts) * seconds;
@@ -75,6 +75,6 @@
                static_cast<double>(world.messageBytes - bytes) / hostSeconds,
                100 * (processSeconds() - began) / hostSeconds,
                static_cast<double>(world.loads - loads) / seconds, world.answered, world.asked);
-    printKinds(world.sent, sent, hostSeconds);
+    printKinds(world.sentByKind, sent, hostSeconds);
     return world.violations.empty() ? 0 : 1;
 }
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -93,6 +93,14 @@
   3: list<Item> items
 }
 
+/** News of a host that another one passes on. */
+struct RelayedNews {
+  1: string host
+  2: i64 incarnation
+  3: list<CustomerUse> uses
+  4: list<EngineNews> engines
+}
+
 struct Message {
   1: string sender
   2: string zone
@@ -117,4 +125,8 @@
   20: list<PromptAsk> promptAsks
   21: list<PromptAnswer> promptAnswers
   22: i64 runningFor
+  /** 0: nobody; 1: inside the receiver's zone; 2: and to the other zones. */
+  23: i32 relayTo
+  24: list<RelayedNews> relayed
+  25: i32 linkMbps
 }
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -6,6 +6,7 @@
 #include "azurewell/gateway/upstreams.h"
 #include "azurewell/units/result_code.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -144,7 +145,7 @@
 struct SendGossip
 {
     Endpoint to;
-    Gossip message;
+    std::shared_ptr<const Gossip> message; ///< One for all that it goes to: it is encoded once.
     MessageKind kind = MessageKind::Heartbeat;
     bool isToOtherZone = false;
 };
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
 #include "azurewell/gateway/reading_rate.h"
+#include "azurewell/gateway/zone_relay.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
 
@@ -35,6 +36,7 @@
     MeterLimits meterLimits;
     Span stopGrace{}; ///< The process is killed so long after it was asked to stop.
     Span inForceWithin = std::chrono::seconds(2); ///< A confirmed change is to be known after this.
+    std::uint32_t linkMbps = 0;                   ///< Of this machine; 0: not known.
     std::vector<Endpoint> seeds;                  ///< Hosts that may know others; may be stale.
 };
 
@@ -98,6 +100,8 @@
     Instant nextReportAt;
     Instant nextBaseOrderAt; ///< The base model is ordered again then, if it is not there.
     bool isNews = false;     ///< The others have to be told.
+    std::map<HostId, Instant>
+            awaitedBy; ///< Hosts of other zones that asked for a load here lately.
 };
 
 /// The host that orders at each engine, kept until the set of hosts that are alive may differ. To
@@ -176,6 +180,9 @@
     HostId lastMemberTold; ///< Members are told of in turn; the last of the message before.
     Instant nextTidyAt;
     Instant nextUsesAt; ///< Of customers near their limit, in a large fleet.
+    ZoneRelay relay;
+    Instant nextOwnNewsAt; ///< All that the other zones are to know is told again then.
+    std::map<CustomerId, double> toldUses; ///< Admitted tokens that a relay was told last.
     Instant nextSeedsAt;
     FencingNumber highestFencing;
     Counters counters;
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -99,6 +99,22 @@
     std::vector<PublishedItem> items;
 };
 
+/// What the receiver of a message does with its news beside taking them.
+enum class RelayScope : std::uint8_t {
+    Nobody,
+    Zone,  ///< Passes them on inside its zone.
+    Fleet, ///< And to the other zones.
+};
+
+/// News of a host that another one passes on.
+struct RelayedNews
+{
+    HostId origin;
+    Incarnation incarnation;
+    std::vector<CustomerUse> uses;
+    std::vector<EngineNews> engines;
+};
+
 /// One message between hosts. Each part may be empty.
 struct Gossip
 {
@@ -113,6 +129,9 @@
     std::uint64_t newestChange = 0; ///< The revision of the newest item that it knows.
     bool wantsChanges = false;      ///< The receiver is asked for what comes after `revision`.
     FencingNumber highestFencing;
+    std::uint32_t linkMbps = 0; ///< Of the sender; 0: not known.
+    RelayScope relayTo = RelayScope::Nobody;
+    std::vector<RelayedNews> relayed;
     std::vector<MemberNews> members;
     std::vector<CustomerUse> uses;
     std::vector<EngineNews> engines;
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -33,9 +33,11 @@
     Instant startedAt;     ///< Of its process, as it tells.
     bool wasAlive = false; ///< The same for isAlive(); see Members::generation.
     std::uint64_t idHash = 0;
-    Instant firstHeardAt;    ///< In its present life, or heard of.
-    Instant nextHeartbeatAt; ///< This host's next heartbeat to it.
-    Instant nextEnginesAt;   ///< It is told of this host's engines again then, if nothing changes.
+    Instant firstHeardAt;       ///< In its present life, or heard of.
+    Instant nextHeartbeatAt;    ///< This host's next heartbeat to it.
+    std::uint32_t linkMbps = 0; ///< 0: not known.
+    Instant relayAskedAt;  ///< It was asked to pass news on, the first time since it was heard.
+    Instant nextEnginesAt; ///< It is told of this host's engines again then, if nothing changes.
 };
 
 /// Between two looks at the members: with a longer gap this process did not run.
--- a/packages/gateway/include/azurewell/gateway/message_kind.h
+++ b/packages/gateway/include/azurewell/gateway/message_kind.h
@@ -20,6 +20,9 @@
     ChangesAsk,
     Changes,
     ToSeed,
+    RelayAsk,    ///< News to pass on.
+    RelayedNews, ///< News that were passed on.
+    RelayAnswer, ///< The relay lives.
 };
 
 /// The name of \a kind among the metrics.
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -269,10 +269,8 @@
             && isOwnEngine(state, upstream->second, now);
     const AdapterRef ref = refOf(request.adapter);
     const AdapterState known = stateOf(engine, ref);
-    if (isOwn && (known == AdapterState::Loading || known == AdapterState::Loaded)) {
-        engine.isNews = true;
+    if (isOwn && (known == AdapterState::Loading || known == AdapterState::Loaded))
         return LoadProspect::Coming;
-    }
     const bool isListed = std::find(engine.wanted.begin(), engine.wanted.end(), request.adapter)
             != engine.wanted.end();
     if (isListed)
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -30,6 +30,12 @@
     return isKnown ? static_cast<PlatformView>(number) : PlatformView::NotRead;
 }
 
+RelayScope relayScope(std::int32_t number)
+{
+    const bool isKnown = number >= 0 && number <= static_cast<std::int32_t>(RelayScope::Fleet);
+    return isKnown ? static_cast<RelayScope>(number) : RelayScope::Nobody;
+}
+
 /// The model that adapters without a name of their own belong to. Nearly all engines hold one
 /// model, whose name would be half of what is told of their adapters.
 std::string usualModel(const std::vector<std::string> &models)
@@ -123,6 +129,44 @@
     return out;
 }
 
+wire::CustomerUse toWire(const CustomerUse &use)
+{
+    wire::CustomerUse out;
+    out.customer = use.customer.value;
+    out.admitted = use.admitted;
+    out.inWindow = use.inWindow;
+    return out;
+}
+
+CustomerUse fromWire(const wire::CustomerUse &use)
+{
+    return { CustomerId{ use.customer }, use.admitted, use.inWindow };
+}
+
+wire::RelayedNews toWire(const RelayedNews &news, Instant now)
+{
+    wire::RelayedNews out;
+    out.host = news.origin.value;
+    out.incarnation = static_cast<std::int64_t>(news.incarnation.value);
+    for (const CustomerUse &use : news.uses)
+        out.uses.push_back(toWire(use));
+    for (const EngineNews &engine : news.engines)
+        out.engines.push_back(toWire(engine, now));
+    return out;
+}
+
+RelayedNews fromWire(const wire::RelayedNews &news, Instant now)
+{
+    RelayedNews out;
+    out.origin.value = news.host;
+    out.incarnation.value = static_cast<std::uint64_t>(news.incarnation);
+    for (const wire::CustomerUse &use : news.uses)
+        out.uses.push_back(fromWire(use));
+    for (const wire::EngineNews &engine : news.engines)
+        out.engines.push_back(fromWire(engine, now));
+    return out;
+}
+
 template <typename Place>
 wire::AdapterAt toWire(const Place &place)
 {
@@ -198,12 +242,12 @@
     out.highestFencing = static_cast<std::int64_t>(message.highestFencing.value);
     for (const MemberNews &member : message.members)
         out.members.push_back(toWire(member));
-    for (const CustomerUse &use : message.uses) {
-        wire::CustomerUse &to = out.uses.emplace_back();
-        to.customer = use.customer.value;
-        to.admitted = use.admitted;
-        to.inWindow = use.inWindow;
-    }
+    for (const CustomerUse &use : message.uses)
+        out.uses.push_back(toWire(use));
+    out.linkMbps = static_cast<std::int32_t>(message.linkMbps);
+    out.relayTo = static_cast<std::int32_t>(message.relayTo);
+    for (const RelayedNews &news : message.relayed)
+        out.relayed.push_back(toWire(news, now));
     for (const EngineNews &news : message.engines)
         out.engines.push_back(toWire(news, now));
     for (const AdapterUse &use : message.adapterUses) {
@@ -261,7 +305,11 @@
     for (const wire::Member &member : message.members)
         out.members.push_back(fromWire(member));
     for (const wire::CustomerUse &use : message.uses)
-        out.uses.push_back({ CustomerId{ use.customer }, use.admitted, use.inWindow });
+        out.uses.push_back(fromWire(use));
+    out.linkMbps = static_cast<std::uint32_t>(std::max(message.linkMbps, 0));
+    out.relayTo = relayScope(message.relayTo);
+    for (const wire::RelayedNews &news : message.relayed)
+        out.relayed.push_back(fromWire(news, now));
     for (const wire::EngineNews &news : message.engines)
         out.engines.push_back(fromWire(news, now));
     for (const wire::AdapterUse &use : message.adapterUses) {
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "engine_places.h"
 
 #include <algorithm>
 
@@ -19,6 +19,9 @@
 /// A datagram holds 65,507 bytes, of which other parts of the message need some hundred.
 constexpr std::size_t mostDatagramBytes = 64'000;
 
+/// A host of another zone that asked for a load is told of its engine at each change for so long.
+constexpr Span awaitedFor = std::chrono::milliseconds(2000);
+
 /// Asks the sender of \a message for published changes that this host lacks. Hosts of its own zone
 /// have them a moment later, too, and bytes between zones are paid for; but where the platform
 /// turns the whole zone away, the others are the only ones to ask.
@@ -66,26 +69,6 @@
     send(state, to.address, to.zone, MessageKind::Changes, std::move(message), actions);
 }
 
-/// Takes the news of the host that orders at an engine. News of what was seen earlier than what is
-/// known here is dropped.
-void takeNews(GatewayState &state, const HostId &from, const EngineNews &news, Instant now)
-{
-    const auto found = state.upstreams.find(news.engine);
-    if (found == state.upstreams.end())
-        return;
-    Upstream &upstream = found->second;
-    upstream.toldBy = from;
-    upstream.toldAt = now;
-    noteNews(state.engines[news.engine].rights, news.state, now);
-    if (news.state.seenAt < upstream.engine.seenAt)
-        return;
-    setEngine(upstream, news.state, state.lastHolders, now);
-    if (news.state.seenAt > upstream.loadAt) {
-        upstream.load = { news.state.running, news.state.waiting, upstream.listed.slots };
-        upstream.loadAt = news.state.seenAt;
-    }
-}
-
 void takeUses(GatewayState &state, const Gossip &message, Instant now)
 {
     const Span toldEvery = heartbeatInterval(state.members, state.members.others.at(message.from));
@@ -98,12 +81,30 @@
     }
 }
 
+/// Tells the asker of a load what it does not know of its engine yet, and remembers it for what
+/// comes.
+void noteAwaited(GatewayState &state, const LoadRequest &request, const Gossip &from, Instant now,
+                 Actions &actions)
+{
+    OrderedEngine &engine = state.engines[request.engine];
+    if (from.zone != state.self.zone)
+        engine.awaitedBy[from.from] = now + awaitedFor;
+    const AdapterState known = stateOf(engine, refOf(request.adapter));
+    if (known != AdapterState::Loading && known != AdapterState::Loaded)
+        return;
+    Gossip reply = blankGossip(state, now);
+    reply.engines.push_back({ request.engine, state.upstreams.at(request.engine).engine });
+    send(state, from.address, from.zone, MessageKind::EngineNews, std::move(reply), actions);
+}
+
 void answerLoadRequest(GatewayState &state, const LoadRequest &request, const Gossip &from,
                        Instant now, Actions &actions)
 {
     const LoadProspect prospect = wantLoad(state, request, now);
-    if (prospect == LoadProspect::Coming)
+    if (prospect == LoadProspect::Coming) {
+        noteAwaited(state, request, from, now, actions);
         return;
+    }
     const bool isStoreBusy = prospect == LoadProspect::StoreBusy;
     Gossip reply = blankGossip(state, now);
     reply.loadRefusals.push_back({ request.engine, request.adapter, isStoreBusy });
@@ -151,15 +152,47 @@
         place(state, found->second, now, actions);
 }
 
+Member senderOf(const Gossip &message, Instant now)
+{
+    Member sender;
+    sender.id = message.from;
+    sender.zone = message.zone;
+    sender.address = message.address;
+    sender.incarnation = message.incarnation;
+    sender.heardAt = now;
+    sender.aliveAt = now;
+    sender.isLeaving = message.isLeaving;
+    sender.platform = message.platform;
+    sender.startedAt = now - message.runningFor;
+    sender.linkMbps = message.linkMbps;
+    return sender;
+}
+
 } // namespace
 
+void takeNews(GatewayState &state, const HostId &from, const EngineNews &news, Instant now)
+{
+    const auto found = state.upstreams.find(news.engine);
+    if (found == state.upstreams.end())
+        return;
+    Upstream &upstream = found->second;
+    upstream.toldBy = from;
+    upstream.toldAt = now;
+    noteNews(state.engines[news.engine].rights, news.state, now);
+    if (news.state.seenAt < upstream.engine.seenAt)
+        return;
+    setEngine(upstream, news.state, state.lastHolders, now);
+    if (news.state.seenAt > upstream.loadAt) {
+        upstream.load = { news.state.running, news.state.waiting, upstream.listed.slots };
+        upstream.loadAt = news.state.seenAt;
+    }
+}
+
 void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
     ++state.counters.gossipReceived;
     const bool isNew = !state.members.others.contains(message.from);
-    if (!noteMember(state.members,
-                    { message.from, message.zone, message.address, message.incarnation, now, now,
-                      message.isLeaving, false, message.platform, now - message.runningFor }))
+    if (!noteMember(state.members, senderOf(message, now)))
         return;
     if (isNew) {
         actions.notes.push_back({ "peer_found", { { "peer", message.from.value } } });
@@ -178,6 +211,7 @@
                               use.admitted, use.inWindow, state.self.meterLimits, now);
     for (const EngineNews &news : message.engines)
         takeNews(state, message.from, news, now);
+    takeRelayed(state, message, now, actions);
     takeUses(state, message, now);
     for (const PromptWork &work : message.promptWork) {
         const auto upstream = state.upstreams.find(work.engine);
@@ -196,7 +230,7 @@
         const std::vector<PublishedItem> items = takeChanges(state.published, changes);
         state.undecoded.insert(state.undecoded.end(), items.begin(), items.end());
     }
-    if (!message.engines.empty() || !message.loadRefusals.empty())
+    if (!message.engines.empty() || !message.relayed.empty() || !message.loadRefusals.empty())
         placeWaiting(state, now, actions);
     askForChanges(state, message, now, actions);
     sendChanges(state, message, now, actions);
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -148,6 +149,15 @@
     return isRarely ? enginesToldEvery : Span{};
 }
 
+/// What this host tells regularly of engines, of work and of customers' uses. In a large fleet the
+/// other zones are told by relays.
+void addRegularNews(GatewayState &state, Gossip &message, Instant now)
+{
+    addUses(state, message);
+    message.engines = ownNews(state, false, now);
+    message.promptWork = workOf(state, now);
+}
+
 /// Sends to the members whose heartbeat is due all that this host tells regularly.
 void sendHeartbeats(GatewayState &state, Instant now, Actions &actions)
 {
@@ -158,13 +168,13 @@
     }
     if (due.empty())
         return;
-    Gossip common = blankGossip(state, now);
-    addUses(state, common);
-    common.engines = ownNews(state, false, now);
-    common.promptWork = workOf(state, now);
+    const Gossip bare = blankGossip(state, now);
+    Gossip full = bare;
+    addRegularNews(state, full, now);
     for (Member *member : due) {
         member->nextHeartbeatAt = now + heartbeatInterval(state.members, *member);
-        Gossip message = common;
+        const bool isToldByRelay = !isSmallFleet(state) && member->zone != state.self.zone;
+        Gossip message = isToldByRelay ? bare : full;
         if (now < member->nextEnginesAt)
             message.engines.clear();
         else
@@ -176,42 +186,93 @@
     }
 }
 
-/// What is urgent now, besides the state of engines: in a small fleet all at once, in a large one
-/// the uses of customers near their limit, several together.
-void addUrgent(GatewayState &state, Gossip &message, Instant now)
+/// Uses of customers near their limit that the others were not told of yet.
+std::vector<CustomerUse> newUrgentUses(GatewayState &state, Instant now)
 {
-    if (state.newWork.empty())
-        return;
-    if (isSmallFleet(state)) {
-        message.promptWork = newWorkOf(state, now);
-        message.uses = urgentUses(state, now);
-        state.newWork.clear();
-    } else if (now >= state.nextUsesAt) {
-        message.uses = urgentUses(state, now);
-        state.nextUsesAt = now + usesToldEvery;
-        state.newWork.clear();
-    }
+    std::vector<CustomerUse> uses = urgentUses(state, now);
+    std::erase_if(uses, [&](const CustomerUse &use) {
+        return std::exchange(state.toldUses[use.customer], use.admitted) == use.admitted;
+    });
+    return uses;
 }
 
-void sendNews(GatewayState &state, Instant now, Actions &actions)
+/// Tells all hosts at once of what is new, as it is done in a small fleet.
+void tellEachOther(GatewayState &state, Instant now, Actions &actions)
 {
-    const bool isAny = std::any_of(state.engines.begin(), state.engines.end(),
-                                   [](const auto &entry) { return entry.second.isNews; });
-    if (!isAny && state.newWork.empty())
-        return;
     Gossip message = blankGossip(state, now);
     message.engines = ownNews(state, true, now);
-    addUrgent(state, message, now);
-    for (auto &[id, engine] : state.engines)
-        engine.isNews = false;
+    if (!state.newWork.empty()) {
+        message.promptWork = newWorkOf(state, now);
+        message.uses = urgentUses(state, now);
+        state.newWork.clear();
+    }
     if (message.engines.empty() && message.promptWork.empty() && message.uses.empty())
         return;
     const MessageKind kind = message.engines.empty() ? MessageKind::CustomerUses
                                                      : MessageKind::EngineNews;
+    const std::shared_ptr<const Gossip> shared = std::make_shared<const Gossip>(std::move(message));
     for (const auto &[id, member] : state.members.others) {
         if (now < member.nextHeartbeatAt && isHeard(state.members, member, now))
-            send(state, member.address, member.zone, kind, message, actions);
+            send(state, member.address, member.zone, kind, shared, actions);
+    }
+}
+
+/// Whether a host of another zone waits for a load at one of the engines of \a news.
+bool isAwaitedBy(const GatewayState &state, const std::vector<EngineNews> &news, const HostId &host,
+                 Instant now)
+{
+    return std::any_of(news.begin(), news.end(), [&](const EngineNews &one) {
+        const auto &awaitedBy = state.engines.at(one.engine).awaitedBy;
+        const auto found = awaitedBy.find(host);
+        return found != awaitedBy.end() && now < found->second;
+    });
+}
+
+/// Tells the hosts of this zone of changes at engines, and those of other zones that wait for them.
+void tellOfEngines(GatewayState &state, const std::vector<EngineNews> &news, Instant now,
+                   Actions &actions)
+{
+    Gossip message = blankGossip(state, now);
+    message.engines = news;
+    const std::shared_ptr<const Gossip> shared = std::make_shared<const Gossip>(std::move(message));
+    for (const auto &[id, member] : state.members.others) {
+        const bool isNear = member.zone == state.self.zone;
+        if (isHeard(state.members, member, now) && (isNear || isAwaitedBy(state, news, id, now)))
+            send(state, member.address, member.zone, MessageKind::EngineNews, shared, actions);
+    }
+}
+
+/// Tells the hosts of a large fleet of what is new: those near at once, the others by relays.
+void tellByRelays(GatewayState &state, Instant now, Actions &actions)
+{
+    RelayedNews news;
+    news.engines = ownNews(state, true, now);
+    if (!news.engines.empty())
+        tellOfEngines(state, news.engines, now, actions);
+    if (!state.newWork.empty() && now >= state.nextUsesAt) {
+        news.uses = newUrgentUses(state, now);
+        state.nextUsesAt = now + usesToldEvery;
+        state.newWork.clear();
+    }
+    if (now >= state.nextOwnNewsAt) {
+        Gossip all;
+        addUses(state, all);
+        news.uses = std::move(all.uses);
+        news.engines = ownNews(state, false, now);
+        state.nextOwnNewsAt = now + state.members.plan.elsewhere;
     }
+    if (!news.engines.empty() || !news.uses.empty())
+        tellFleet(state, std::move(news), now, actions);
+}
+
+void sendNews(GatewayState &state, Instant now, Actions &actions)
+{
+    if (isSmallFleet(state))
+        tellEachOther(state, now, actions);
+    else
+        tellByRelays(state, now, actions);
+    for (auto &[id, engine] : state.engines)
+        engine.isNews = false;
 }
 
 void writeToSeeds(GatewayState &state, Instant now, Actions &actions)
@@ -247,8 +308,10 @@
     std::erase_if(state.ownUses, [&](const auto &entry) {
         return entry.second.running == 0 && !state.upstreams.contains(entry.first.first);
     });
-    for (auto &[id, engine] : state.engines)
+    for (auto &[id, engine] : state.engines) {
         tidy(engine.pacer, now);
+        std::erase_if(engine.awaitedBy, [now](const auto &asker) { return now >= asker.second; });
+    }
     for (auto &[customer, meter] : state.meters)
         slide(meter.own.window, state.self.meterLimits.window, now);
 }
@@ -260,10 +323,16 @@
     return state.members.others.size() <= mostOthersOfSmallFleet;
 }
 
+void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
+          const std::shared_ptr<const Gossip> &message, Actions &actions)
+{
+    actions.gossip.push_back({ address, message, kind, zone != state.self.zone });
+}
+
 void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
           Gossip message, Actions &actions)
 {
-    actions.gossip.push_back({ address, std::move(message), kind, zone != state.self.zone });
+    send(state, address, zone, kind, std::make_shared<const Gossip>(std::move(message)), actions);
 }
 
 void sendTo(const GatewayState &state, const HostId &host, MessageKind kind, Gossip message,
@@ -280,6 +349,7 @@
     message.zone = state.self.zone;
     message.address = state.self.address;
     message.incarnation = state.self.incarnation;
+    message.linkMbps = state.self.linkMbps;
     message.isLeaving = isStopping(state);
     message.runningFor = now - state.startedAt;
     message.platform = state.platform;
@@ -308,6 +378,7 @@
     tidyUses(state, now);
     writeToSeeds(state, now, actions);
     sendNews(state, now, actions);
+    runRelay(state, now, actions);
     sendHeartbeats(state, now, actions);
 }
 
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -74,6 +74,8 @@
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
 
 /// Sends \a message to \a address in \a zone.
+void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
+          const std::shared_ptr<const Gossip> &message, Actions &actions);
 void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
           Gossip message, Actions &actions);
 
@@ -92,6 +94,20 @@
 /// Heartbeats and news that are due.
 void runGossip(GatewayState &state, Instant now, Actions &actions);
 
+/// Tells all other hosts of this host's news, through a relay. Hosts of its own zone are told of
+/// engines by itself.
+void tellFleet(GatewayState &state, RelayedNews news, Instant now, Actions &actions);
+
+/// Takes news that other hosts pass on, and passes on what this host is asked to.
+void takeRelayed(GatewayState &state, const Gossip &message, Instant now, Actions &actions);
+
+/// Sends what was gathered to be passed on, where it is due.
+void runRelay(GatewayState &state, Instant now, Actions &actions);
+
+/// Takes the news of the host that orders at an engine. News of what was seen earlier than what is
+/// known here is dropped.
+void takeNews(GatewayState &state, const HostId &from, const EngineNews &news, Instant now);
+
 /// This host has begun to use an adapter at an engine, or still does.
 void noteUse(GatewayState &state, const UpstreamId &engine, const ModelName &adapter, Instant now);
 
--- a/packages/gateway/src/message_kind.cpp
+++ b/packages/gateway/src/message_kind.cpp
@@ -27,6 +27,12 @@
         return "changes";
     case MessageKind::ToSeed:
         return "to_seed";
+    case MessageKind::RelayAsk:
+        return "relay_ask";
+    case MessageKind::RelayedNews:
+        return "relayed_news";
+    case MessageKind::RelayAnswer:
+        return "relay_answer";
     }
     return "unknown";
 }
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -73,7 +73,7 @@
     static bool asksForChanges(const Actions &actions)
     {
         return std::any_of(actions.gossip.begin(), actions.gossip.end(),
-                           [](const SendGossip &sent) { return sent.message.wantsChanges; });
+                           [](const SendGossip &sent) { return sent.message->wantsChanges; });
     }
 
     static constexpr int hosts = 90;
@@ -158,8 +158,8 @@
     ask.wantsChanges = true;
     const Actions answer = this->take(ask);
     ASSERT_EQ(answer.gossip.size(), 1U);
-    ASSERT_EQ(answer.gossip.front().message.changes.size(), 1U);
-    EXPECT_EQ(answer.gossip.front().message.changes.front().items.size(), 1U);
+    ASSERT_EQ(answer.gossip.front().message->changes.size(), 1U);
+    EXPECT_EQ(answer.gossip.front().message->changes.front().items.size(), 1U);
 }
 
 TEST_F(FleetExchangeTest, AFewHostsOfAZoneReadThePlatformAndOthersWhenItFailsThem)
--- a/packages/gateway/tests/reading_fleet.h
+++ b/packages/gateway/tests/reading_fleet.h
@@ -104,7 +104,7 @@
         if (this->random() % oneIn == 0)
             return;
         Actions actions;
-        handle(this->hosts[std::stoul(sent.to.ip)].state, sent.message, this->now, actions);
+        handle(this->hosts[std::stoul(sent.to.ip)].state, *sent.message, this->now, actions);
         this->send(actions);
     }
 
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -253,14 +253,14 @@
     EXPECT_TRUE(asked.dispatches.empty());
     const auto ask = std::find_if(
             asked.gossip.begin(), asked.gossip.end(),
-            [](const SendGossip &sent) { return !sent.message.promptAsks.empty(); });
+            [](const SendGossip &sent) { return !sent.message->promptAsks.empty(); });
     ASSERT_NE(ask, asked.gossip.end());
     Gossip answer;
     answer.from.value = ask->to.ip;
     answer.zone.value = "z";
     answer.address = ask->to;
     answer.incarnation.value = 1;
-    const std::uint64_t number = ask->message.promptAsks.front().request;
+    const std::uint64_t number = ask->message->promptAsks.front().request;
     answer.promptAnswers.push_back({ number, std::chrono::milliseconds(100), false });
     Actions answered;
     handle(this->state, answer, this->now, answered);
--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -275,6 +275,50 @@
     EXPECT_LE(mostTokensInWindow(world), settings.tokenRate * 9);
 }
 
+/// The hosts that any host asks to relay in \a zone.
+std::set<std::size_t> relaysOf(const World &world, const ZoneId &zone)
+{
+    std::set<std::size_t> relays;
+    for (std::size_t host = 0; host < world.hostCount(); ++host) {
+        Members members = world.hostState(host).members;
+        const Member *relay = askRelay(members, zone, world.now);
+        if (relay)
+            relays.insert(std::stoul(relay->id.value.substr(1)));
+    }
+    return relays;
+}
+
+// Hosts whose relay has just died believe that nobody else admits anything.
+TEST(GatewayWorld, ACustomerOfALargeFleetStaysWithinItsLimitWhenTheRelaysOfAZoneDie)
+{
+    const WorldSettings settings = limitedFleet();
+    World world{ settings };
+    world.runFor(std::chrono::seconds(14));
+    for (const std::size_t relay : relaysOf(world, ZoneId{ "z1" }))
+        world.killHost(relay);
+    world.setRequestRate(settings.requestsPerSecond * 6);
+    world.runFor(std::chrono::seconds(9));
+    EXPECT_EQ(firstOf(world), "");
+    EXPECT_LE(mostTokensInWindow(world), settings.tokenRate * 9);
+}
+
+// Each piece of news crosses between the zones once for each host that hears it.
+TEST(GatewayWorld, NewsOfALargeFleetCrossBetweenZonesOnce)
+{
+    WorldSettings settings = largeFleet();
+    settings.countsBytes = true;
+    World world{ settings };
+    world.runFor(std::chrono::seconds(8));
+    const SentCounts before = world.sentByKind;
+    constexpr int seconds = 6;
+    world.runFor(std::chrono::seconds(seconds));
+    std::uint64_t bytes = 0;
+    for (const auto &[kind, byZone] : world.sentByKind)
+        bytes += byZone.elsewhere.bytes - before.at(kind).elsewhere.bytes;
+    EXPECT_EQ(firstOf(world), "");
+    EXPECT_LT(bytes / (world.hostCount() * seconds), 8'000U);
+}
+
 /// Kills, pauses and cuts hosts and restarts engines, in series that overlap.
 void playFaults(World &world, std::uint64_t seed, int rounds)
 {
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -234,9 +234,9 @@
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(this->random)
             < this->settings.lostMessages;
     if (this->settings.countsBytes) {
-        const std::size_t bytes = encodeGossip(gossip.message, this->now).size();
+        const std::size_t bytes = encodeGossip(*gossip.message, this->now).size();
         this->messageBytes += bytes;
-        countSent(this->sent, gossip.kind, gossip.isToOtherZone, bytes);
+        countSent(this->sentByKind, gossip.kind, gossip.isToOtherZone, bytes);
     }
     const auto found = this->hostAt.find(gossip.to);
     if (found == this->hostAt.end() || isLost)
@@ -249,7 +249,7 @@
         if (!host.isUp || this->now < host.pausedUntil)
             return;
         Actions actions;
-        handle(host.state, message, this->now, actions);
+        handle(host.state, *message, this->now, actions);
         this->run(to, actions);
     });
 }
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -122,7 +122,7 @@
     std::uint64_t turnedAway = 0;     ///< Requests for adapters that an engine does not have ready.
     std::uint64_t messages = 0;       ///< Between hosts.
     std::uint64_t messageBytes = 0;   ///< Of these, where WorldSettings::countsBytes.
-    SentCounts sent;                  ///< The same by kind.
+    SentCounts sentByKind;            ///< The same by kind.
     std::uint64_t reports = 0;        ///< Asked of engines.
     std::uint64_t unloadsInUse = 0;   ///< Their places stay taken, and requests are sent away.
     std::vector<double> startSeconds; ///< From a request's arrival to its start, of those answered.
