Look only at what is due

Callers saw: late answers on small hosts. A host of 0.12 core that sees four requests a second spent most of its time at finding out that nothing was due: 50 times a second it walked all 122 engines (some eight lookups of string ids each), all 194 members twice, all loads and all requests.

Now what becomes due later stands in a queue of deadlines (units/deadline_queue.h): engines (reports, orders, unloads that reports must show, lapse of news), members (silence, heartbeats), deadlines of requests. What happens at an engine brings its look forward; a change of who is alive, of the configuration or of declared versions wakes all. Engines at which this host orders, those with news, those with requests sent ahead of a report and those with recent prompts are kept as sets instead of being searched for. A message wakes only the waiting requests whose adapter it shows, instead of all.

Weighed: dense indexes in place of string ids (more of the code would change for a third of what this gives), a timer wheel (deadlines are few hundred; an ordered set is exact and simple).

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -99,7 +99,6 @@
     Instant reportAskedAt;
     Instant nextReportAt;
     Instant nextBaseOrderAt; ///< The base model is ordered again then, if it is not there.
-    bool isNews = false;     ///< The others have to be told.
     std::map<HostId, Instant>
             awaitedBy; ///< Hosts of other zones that asked for a load here lately.
 };
@@ -136,7 +135,8 @@
     std::uint64_t loadsOrdered = 0;
     std::uint64_t unloadsOrdered = 0;
     std::uint64_t baseLoadsOrdered = 0;
-    SentCounts sent; ///< Messages to other hosts.
+    SentCounts sent;               ///< Messages to other hosts.
+    std::uint64_t engineLooks = 0; ///< Times that it was looked at what is due at an engine.
     std::uint64_t gossipReceived = 0;
 };
 
@@ -156,6 +156,7 @@
     std::vector<PublishedItem> undecoded; ///< From other hosts; the platform's adapter takes them.
     Members members;
     HolderCache holders;
+    std::set<UpstreamId> sentTo;  ///< Upstreams that got prompts from this host lately.
     std::set<UpstreamId> newWork; ///< Engines that got prompts from this host since it told so.
     Instant nextAskForChangesAt;
     PlatformReader platformReader;
@@ -173,12 +174,19 @@
     std::map<ServiceId, ReadingRate> readingRates;
     std::map<std::string, LoadTimes> loadTimes; ///< Of the adapters of each base model.
     std::map<UpstreamId, OrderedEngine> engines;
+    DeadlineQueue<UpstreamId> engineLooks;   ///< When something is due at each engine.
+    std::uint64_t engineLooksGeneration = 0; ///< Of the members, when all were looked at last.
+    std::set<UpstreamId> ownEngines;         ///< Those at which this host ranks first.
+    std::set<UpstreamId> changedEngines;     ///< The others have to be told.
+    std::set<UpstreamId> triedEngines; ///< With requests sent before a report shows their load.
+    DeadlineQueue<RequestNumber> requestDeadlines;
     OwnUses ownUses; ///< Adapters that this host's requests use.
     std::map<ModelName, DecayedSum>
             adapterDemand; ///< Prompt tokens that callers of this host sent.
 
     HostId lastMemberTold; ///< Members are told of in turn; the last of the message before.
     Instant nextTidyAt;
+    Instant nextForgetAt;
     Instant nextUsesAt; ///< Of customers near their limit, in a large fleet.
     ZoneRelay relay;
     Instant nextOwnNewsAt; ///< All that the other zones are to know is told again then.
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/units/deadline_queue.h"
 #include "azurewell/units/endpoint.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/time.h"
@@ -28,7 +29,7 @@
     Instant heardAt;        ///< Its last message, received here.
     Instant aliveAt;        ///< The same, or what others told of its last message to them.
     bool isLeaving = false; ///< It said that it stops.
-    bool wasHeard = false;  ///< At the last look; see Members::changedAt.
+    bool wasHeard = false;  ///< As far as noticed; see Members::changedAt.
     PlatformView platform = PlatformView::NotRead;
     Instant startedAt;     ///< Of its process, as it tells.
     bool wasAlive = false; ///< The same for isAlive(); see Members::generation.
@@ -71,7 +72,10 @@
     ZoneId zone;
     std::map<HostId, Member> others;
     HeartbeatPlan plan;
-    Instant lookedAt;             ///< The last updateMembers().
+    DeadlineQueue<HostId> looks;      ///< When each may have fallen silent, or be forgotten.
+    DeadlineQueue<HostId> heartbeats; ///< When this host writes to each again.
+    bool hasSizeChanged = false;      ///< Since the plan was made.
+    Instant lookedAt;                 ///< The last updateMembers().
     Instant changedAt;            ///< A host began or ceased to be heard, or this one was paused.
     std::uint64_t generation = 1; ///< Rises when the set of hosts that are alive may differ.
 };
@@ -79,6 +83,9 @@
 /// The plan for a fleet with so many other hosts in this host's zone and in other zones.
 HeartbeatPlan planHeartbeats(std::size_t inZone, std::size_t elsewhere);
 
+/// This host writes to \a member again at \a at.
+void setHeartbeat(Members &members, Member &member, Instant at);
+
 /// How often this host writes to \a member.
 Span heartbeatInterval(const Members &members, const Member &member);
 
--- a/packages/gateway/src/engine_places.h
+++ b/packages/gateway/src/engine_places.h
@@ -20,6 +20,10 @@
 void askReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
                bool isOwn, Instant now, Actions &actions);
 
+/// When \a upstream is asked for a report, or its last one is given up.
+Instant reportDueAt(const GatewayState &state, const Upstream &upstream,
+                    const OrderedEngine &engine, bool isOwn);
+
 /// Whether as many loads are on their way as the weight store brings at full speed.
 bool isStoreFull(const GatewayState &state, Instant now);
 
--- a/packages/gateway/src/engine_reports.cpp
+++ b/packages/gateway/src/engine_reports.cpp
@@ -139,6 +139,15 @@
 
 } // namespace
 
+Instant reportDueAt(const GatewayState &state, const Upstream &upstream,
+                    const OrderedEngine &engine, bool isOwn)
+{
+    if (engine.isReportOnItsWay)
+        return engine.reportAskedAt + answerPatience;
+    const Instant neededAt = upstream.engine.seenAt + newsLapse(state, upstream);
+    return isOwn ? engine.nextReportAt : std::max(engine.nextReportAt, neededAt);
+}
+
 void askReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
                bool isOwn, Instant now, Actions &actions)
 {
@@ -160,6 +169,7 @@
         return;
     OrderedEngine &engine = state.engines[event.engine];
     engine.isReportOnItsWay = false;
+    wakeEngine(state, event.engine);
     if (!event.state)
         return;
     Upstream &upstream = found->second;
@@ -171,9 +181,10 @@
     upstream.loadAt = event.askedAt;
     const bool isChanged = before.ready != upstream.engine.ready
             || before.models != upstream.engine.models || before.start != upstream.engine.start;
-    engine.isNews = engine.isNews || isChanged;
-    if (isChanged)
-        placeWaiting(state, now, actions);
+    if (!isChanged)
+        return;
+    state.changedEngines.insert(event.engine);
+    placeWaitingAt(state, event.engine, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -1,6 +1,7 @@
 #include "engine_places.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -36,12 +37,22 @@
 /// state it, less some for loads that were ordered by others.
 constexpr std::size_t mostHeldLately = 24;
 
+/// An engine at which this host orders is looked at this often though nothing is due there.
+constexpr Span longestBetweenLooks = std::chrono::seconds(1);
+
 const EngineLimits *limitsOf(const GatewayState &state, const Upstream &upstream)
 {
     const Service *service = findService(state.configuration, upstream.listed.service);
     return service && service->engine ? &*service->engine : nullptr;
 }
 
+/// When reports show at the latest what became of an unload that was ordered at \a ordered.
+Instant unloadShownAt(const OrderedEngine &engine, const AdapterRef &adapter, Instant ordered)
+{
+    const bool isGone = stateOf(engine, adapter) != AdapterState::Unloading;
+    return ordered + (isGone ? reportLag : longestLoad);
+}
+
 bool isHeldLately(const OrderedEngine &engine, const AdapterRef &ref)
 {
     return std::find(engine.heldLately.begin(), engine.heldLately.end(), ref)
@@ -108,7 +119,7 @@
                   [&](const LoadedAdapter &loaded) { return loaded.name == adapter; });
     upstream.loads.erase(adapter);
     noteHolder(state.lastHolders, adapter, upstream.listed.id);
-    engine.isNews = true;
+    state.changedEngines.insert(upstream.listed.id);
     ++state.counters.unloadsOrdered;
     order(state, upstream, engine, adapter, false, actions);
 }
@@ -141,7 +152,8 @@
     beginLoad(upstream, adapter, isHeldLately(engine, ref), now);
     noteHeld(engine, ref);
     // In a large fleet that a load began is told with what comes next: its end matters more.
-    engine.isNews = engine.isNews || isSmallFleet(state);
+    if (isSmallFleet(state))
+        state.changedEngines.insert(upstream.listed.id);
     ++state.counters.loadsOrdered;
     order(state, upstream, engine, adapter, true, actions);
 }
@@ -227,6 +239,63 @@
         engine.nextBaseOrderAt = now + unansweredBasePause;
 }
 
+/// Unload orders that reports must show by now are forgotten.
+void endUnloads(OrderedEngine &engine, Instant now)
+{
+    std::erase_if(engine.unloadedAt, [&](const auto &entry) {
+        return now >= unloadShownAt(engine, entry.first, entry.second);
+    });
+}
+
+/// Whether this host, which orders at \a engine, has something to do there at each tick.
+bool hasWork(const Upstream &upstream, const OrderedEngine &engine)
+{
+    return !engine.rights.isHolding || !engine.wanted.empty() || upstream.engine.models.empty();
+}
+
+/// When something is due at an engine, if nothing happens there before.
+Instant nextLookAt(const GatewayState &state, const Upstream &upstream, const OrderedEngine &engine,
+                   bool isOwn, Instant now)
+{
+    if (isOwn && hasWork(upstream, engine))
+        return now + tickInterval;
+    Instant next = reportDueAt(state, upstream, engine, isOwn);
+    if (isOwn)
+        next = std::min(next, now + longestBetweenLooks);
+    if (upstream.usableUntil > now)
+        next = std::min(next, upstream.usableUntil);
+    for (const auto &[adapter, at] : engine.unloadedAt)
+        next = std::min(next, unloadShownAt(engine, adapter, at));
+    return std::max(next, now + tickInterval);
+}
+
+void runEngine(GatewayState &state, Upstream &upstream, std::uint64_t wallMillis, Instant now,
+               Actions &actions)
+{
+    ++state.counters.engineLooks;
+    const UpstreamId &id = upstream.listed.id;
+    const EngineLimits *limits = limitsOf(state, upstream);
+    if (!limits || now >= upstream.usableUntil) {
+        state.ownEngines.erase(id);
+        state.engineLooks.bringForward(id, now + longestBetweenLooks);
+        return;
+    }
+    OrderedEngine &engine = state.engines[id];
+    engine.adapters.slots = limits->adapterPlaces;
+    engine.adapters.popularityHalfLife = popularityHalfLife;
+    endUnloads(engine, now);
+    const bool isOwn = isOwnEngine(state, upstream, now);
+    askReport(state, upstream, engine, isOwn, now, actions);
+    if (isOwn) {
+        state.ownEngines.insert(id);
+        giveOrders(state, upstream, engine, wallMillis, now, actions);
+    } else {
+        state.ownEngines.erase(id);
+        engine.wanted.clear();
+    }
+    state.engineLooks.bringForward(id, nextLookAt(state, upstream, engine, isOwn, now));
+}
+
 } // namespace
 
 ModelName nameOf(const AdapterRef &ref)
@@ -289,6 +358,7 @@
     if (isStoreBusy)
         return LoadProspect::StoreBusy;
     engine.wanted.push_back(request.adapter);
+    wakeEngine(state, request.engine);
     return LoadProspect::Coming;
 }
 
@@ -296,6 +366,7 @@
 {
     OrderedEngine &engine = state.engines[event.engine];
     engine.orderOnItsWay.reset();
+    wakeEngine(state, event.engine);
     const auto upstream = state.upstreams.find(event.engine);
     if (event.outcome == OrderOutcome::Taken
         || (event.outcome == OrderOutcome::HeldAlready && !event.isLoad))
@@ -325,30 +396,30 @@
         giveOrders(state, upstream->second, engine, 0, now, actions);
 }
 
+void wakeEngine(GatewayState &state, const UpstreamId &engine)
+{
+    state.engineLooks.bringForward(engine, Instant{});
+}
+
+void wakeEngines(GatewayState &state)
+{
+    for (const auto &[id, upstream] : state.upstreams)
+        wakeEngine(state, id);
+}
+
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
 {
-    for (auto &[id, upstream] : state.upstreams) {
-        const EngineLimits *limits = limitsOf(state, upstream);
-        if (!limits || now >= upstream.usableUntil)
-            continue;
-        OrderedEngine &engine = state.engines[id];
-        engine.adapters.slots = limits->adapterPlaces;
-        engine.adapters.popularityHalfLife = popularityHalfLife;
-        std::erase_if(engine.unloadedAt, [&](const auto &entry) {
-            const bool isGone = stateOf(engine, entry.first) != AdapterState::Unloading;
-            return now >= entry.second + (isGone ? reportLag : longestLoad);
-        });
-        const bool isOwn = isOwnEngine(state, upstream, now);
-        askReport(state, upstream, engine, isOwn, now, actions);
-        if (isOwn)
-            giveOrders(state, upstream, engine, wallMillis, now, actions);
-        else
-            engine.wanted.clear();
+    if (std::exchange(state.engineLooksGeneration, state.members.generation)
+        != state.members.generation)
+        wakeEngines(state);
+    std::vector<UpstreamId> due;
+    while (std::optional<UpstreamId> id = state.engineLooks.takeDue(now))
+        due.push_back(std::move(*id));
+    for (const UpstreamId &id : due) {
+        const auto found = state.upstreams.find(id);
+        if (found != state.upstreams.end())
+            runEngine(state, found->second, wallMillis, now, actions);
     }
-    std::erase_if(state.engines,
-                  [&](const auto &entry) { return !state.upstreams.contains(entry.first); });
-    std::erase_if(state.holders.entries,
-                  [&](const auto &entry) { return !state.upstreams.contains(entry.first); });
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -12,6 +12,8 @@
 /// An upstream that is gone is forgotten when nothing can run there any more.
 constexpr Span rememberedFor = std::chrono::seconds(10);
 
+constexpr Span forgetInterval = std::chrono::milliseconds(250);
+
 /// An upstream whose entry goes away without notice serves on for 2 s; for half of that it is still
 /// used, since entries may go away for a moment.
 constexpr Span usedAfterRemoval = std::chrono::milliseconds(800);
@@ -61,6 +63,26 @@
     });
 }
 
+/// Upstreams that are gone, and what is kept for them.
+void forgetGone(GatewayState &state, Instant now)
+{
+    if (now < state.nextForgetAt)
+        return;
+    state.nextForgetAt = now + forgetInterval;
+    std::erase_if(state.upstreams, [now](const auto &entry) {
+        const Upstream &upstream = entry.second;
+        return upstream.usableUntil != never && now >= upstream.usableUntil + rememberedFor
+                && upstream.underWay == 0;
+    });
+    const auto isForgotten = [&state](const auto &entry) {
+        return !state.upstreams.contains(entry.first);
+    };
+    std::erase_if(state.engines, isForgotten);
+    std::erase_if(state.holders.entries, isForgotten);
+    std::erase_if(state.ownEngines,
+                  [&state](const UpstreamId &id) { return !state.upstreams.contains(id); });
+}
+
 } // namespace
 
 double draw(GatewayState &state)
@@ -85,6 +107,7 @@
         return;
     indexKeys(configuration);
     state.configuration = std::move(configuration);
+    wakeEngines(state);
 }
 
 void listUpstream(GatewayState &state, const ListedUpstream &listed, Instant now)
@@ -92,6 +115,7 @@
     Upstream &upstream = state.upstreams[listed.id];
     if (isOutdated(upstream.listed, listed))
         return;
+    wakeEngine(state, listed.id);
     const bool isRestarted = listed.engine.start != upstream.listed.engine.start;
     const bool isMoved = listed.address != upstream.listed.address;
     upstream.listed = listed;
@@ -123,7 +147,10 @@
 void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version)
 {
     std::uint64_t &known = state.versions[adapter];
-    known = std::max(known, version);
+    if (version <= known)
+        return;
+    known = version;
+    wakeEngines(state);
 }
 
 void notePlatformFailure(GatewayState &state, Instant now)
@@ -139,7 +166,7 @@
         return;
     for (auto &[id, member] : state.members.others) {
         if (member.zone == state.self.zone && member.platform == PlatformView::NotRead)
-            member.nextHeartbeatAt = std::min(member.nextHeartbeatAt, now);
+            setHeartbeat(state.members, member, std::min(member.nextHeartbeatAt, now));
     }
 }
 
@@ -175,17 +202,13 @@
 {
     state.stopAskedAt = now;
     for (auto &[id, member] : state.members.others)
-        member.nextHeartbeatAt = now;
+        setHeartbeat(state.members, member, now);
     runGossip(state, now, actions);
 }
 
 void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
 {
-    std::erase_if(state.upstreams, [now](const auto &entry) {
-        const Upstream &upstream = entry.second;
-        return upstream.usableUntil != never && now >= upstream.usableUntil + rememberedFor
-                && upstream.underWay == 0;
-    });
+    forgetGone(state, now);
     updateMembers(state.members, now);
     endTries(state, now);
     placeWaiting(state, now, actions);
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -230,7 +230,13 @@
         const std::vector<PublishedItem> items = takeChanges(state.published, changes);
         state.undecoded.insert(state.undecoded.end(), items.begin(), items.end());
     }
-    if (!message.engines.empty() || !message.relayed.empty() || !message.loadRefusals.empty())
+    for (const EngineNews &news : message.engines)
+        placeWaitingAt(state, news.engine, now, actions);
+    for (const RelayedNews &relayed : message.relayed) {
+        for (const EngineNews &news : relayed.engines)
+            placeWaitingAt(state, news.engine, now, actions);
+    }
+    if (!message.loadRefusals.empty())
         placeWaiting(state, now, actions);
     askForChanges(state, message, now, actions);
     sendChanges(state, message, now, actions);
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -74,15 +74,19 @@
 }
 
 /// What this host sent to engines lately. Less than one small prompt says nothing.
-std::vector<PromptWork> workOf(const GatewayState &state, Instant now)
+std::vector<PromptWork> workOf(GatewayState &state, Instant now)
 {
     constexpr double fewestTokens = 200;
     std::vector<PromptWork> work;
-    for (const auto &[id, upstream] : state.upstreams) {
-        const double tokens = valueAt(upstream.ownPrompts, promptLife, now);
+    std::erase_if(state.sentTo, [&](const UpstreamId &id) {
+        const auto upstream = state.upstreams.find(id);
+        const double tokens = upstream == state.upstreams.end()
+                ? 0
+                : valueAt(upstream->second.ownPrompts, promptLife, now);
         if (tokens >= fewestTokens)
             work.push_back({ id, tokens });
-    }
+        return tokens < fewestTokens;
+    });
     return work;
 }
 
@@ -90,11 +94,12 @@
 std::vector<EngineNews> ownNews(GatewayState &state, bool isBrief, Instant now)
 {
     std::vector<EngineNews> news;
-    for (const auto &[id, engine] : state.engines) {
+    for (const UpstreamId &id : state.ownEngines) {
         const auto upstream = state.upstreams.find(id);
         if (upstream == state.upstreams.end() || !upstream->second.engine.isSeen())
             continue;
-        if ((engine.isNews || !isBrief) && isOwnEngine(state, upstream->second, now))
+        if ((!isBrief || state.changedEngines.contains(id))
+            && isOwnEngine(state, upstream->second, now))
             news.push_back(newsOf(upstream->second));
     }
     return news;
@@ -118,7 +123,7 @@
     return uses;
 }
 
-std::vector<PromptWork> newWorkOf(const GatewayState &state, Instant now)
+std::vector<PromptWork> newWorkOf(GatewayState &state, Instant now)
 {
     std::vector<PromptWork> work = workOf(state, now);
     std::erase_if(work, [&](const PromptWork &one) { return !state.newWork.contains(one.engine); });
@@ -162,17 +167,15 @@
 void sendHeartbeats(GatewayState &state, Instant now, Actions &actions)
 {
     std::vector<Member *> due;
-    for (auto &[id, member] : state.members.others) {
-        if (now >= member.nextHeartbeatAt)
-            due.push_back(&member);
-    }
+    while (const std::optional<HostId> id = state.members.heartbeats.takeDue(now))
+        due.push_back(&state.members.others.at(*id));
     if (due.empty())
         return;
     const Gossip bare = blankGossip(state, now);
     Gossip full = bare;
     addRegularNews(state, full, now);
     for (Member *member : due) {
-        member->nextHeartbeatAt = now + heartbeatInterval(state.members, *member);
+        setHeartbeat(state.members, *member, now + heartbeatInterval(state.members, *member));
         const bool isToldByRelay = !isSmallFleet(state) && member->zone != state.self.zone;
         Gossip message = isToldByRelay ? bare : full;
         if (now < member->nextEnginesAt)
@@ -271,8 +274,7 @@
         tellEachOther(state, now, actions);
     else
         tellByRelays(state, now, actions);
-    for (auto &[id, engine] : state.engines)
-        engine.isNews = false;
+    state.changedEngines.clear();
 }
 
 void writeToSeeds(GatewayState &state, Instant now, Actions &actions)
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -50,6 +50,9 @@
 /// Places the waiting requests whose adapter is ready, and refuses those that waited for too long.
 void placeWaiting(GatewayState &state, Instant now, Actions &actions);
 
+/// The same for those whose adapter \a engine has.
+void placeWaitingAt(GatewayState &state, const UpstreamId &engine, Instant now, Actions &actions);
+
 /// Requests that reached their deadline get their final answer.
 void endOverdue(GatewayState &state, Instant now, Actions &actions);
 
@@ -70,6 +73,10 @@
 /// The platform's weight store cannot bring an adapter in time: what waits for it is refused.
 void refuseWaiting(GatewayState &state, const ModelName &adapter, Instant now, Actions &actions);
 
+/// Something happened at \a engine: it is looked at in the next tick.
+void wakeEngine(GatewayState &state, const UpstreamId &engine);
+void wakeEngines(GatewayState &state);
+
 /// Reports and orders that are due.
 void runEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
 
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -3,6 +3,8 @@
 #include "azurewell/routing/rendezvous.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -64,6 +66,69 @@
     return a.weight != b.weight ? a.weight > b.weight : *a.id < *b.id;
 }
 
+/// How long a silent member is remembered.
+Span keptFor(const Members &members, const Member &member)
+{
+    return member.isLeaving ? silentAfter(members, member) : forgottenAfter;
+}
+
+/// When the next thing may have changed about \a member, if it is not heard of again.
+Instant nextLookAt(const Members &members, const Member &member, Instant now)
+{
+    const Span silence = silentAfter(members, member);
+    Instant next = member.heardAt + keptFor(members, member);
+    for (const Instant at : { member.heardAt + silence, member.aliveAt + silence }) {
+        if (at > now)
+            next = std::min(next, at);
+    }
+    return next;
+}
+
+void noteWhatChanged(Members &members, Member &member, Instant now)
+{
+    const bool isHeardNow = !member.isLeaving && isHeard(members, member, now);
+    if (isHeardNow != member.wasHeard)
+        members.changedAt = now;
+    member.wasHeard = isHeardNow;
+    const bool isAliveNow = isAlive(members, member, now);
+    if (isAliveNow != member.wasAlive)
+        ++members.generation;
+    member.wasAlive = isAliveNow;
+}
+
+void forget(Members &members, const HostId &id)
+{
+    members.heartbeats.erase(id);
+    members.others.erase(id);
+    members.hasSizeChanged = true;
+    ++members.generation;
+}
+
+/// Looks at the members whose silence may have begun, or who may be forgotten.
+void lookAtDue(Members &members, Instant now)
+{
+    while (const std::optional<HostId> due = members.looks.takeDue(now)) {
+        const auto found = members.others.find(*due);
+        if (found == members.others.end())
+            continue;
+        Member &member = found->second;
+        noteWhatChanged(members, member, now);
+        if (now - member.heardAt >= keptFor(members, member))
+            forget(members, *due);
+        else
+            members.looks.set(*due, nextLookAt(members, member, now));
+    }
+}
+
+void makePlan(Members &members)
+{
+    const auto inZone = std::count_if(
+            members.others.begin(), members.others.end(),
+            [&](const auto &entry) { return entry.second.zone == members.zone; });
+    const std::size_t near = static_cast<std::size_t>(inZone);
+    members.plan = planHeartbeats(near, members.others.size() - near);
+}
+
 } // namespace
 
 HeartbeatPlan planHeartbeats(std::size_t inZone, std::size_t elsewhere)
@@ -86,6 +151,12 @@
     return now - member.heardAt < silentAfter(members, member);
 }
 
+void setHeartbeat(Members &members, Member &member, Instant at)
+{
+    member.nextHeartbeatAt = at;
+    members.heartbeats.set(member.id, at);
+}
+
 bool noteMember(Members &members, const Member &member)
 {
     if (member.id == members.self)
@@ -107,8 +178,16 @@
     known->second.relayAskedAt = before.relayAskedAt;
     known->second.nextEnginesAt = isOtherLife ? Instant{} : before.nextEnginesAt;
     known->second.idHash = isNew ? stableHash(member.id.value) : before.idHash;
-    if (isNew || before.isLeaving != member.isLeaving || before.zone != member.zone)
+    if (isOtherLife)
+        setHeartbeat(members, known->second, Instant{});
+    members.hasSizeChanged = members.hasSizeChanged || isNew || before.zone != member.zone;
+    const bool isOtherwise = isNew || before.isLeaving != member.isLeaving
+            || before.zone != member.zone;
+    if (isOtherwise)
         ++members.generation;
+    // The others' deadlines only move away.
+    if (isOtherwise || !before.wasHeard || !before.wasAlive)
+        members.looks.bringForward(member.id, member.heardAt);
     return true;
 }
 
@@ -122,9 +201,13 @@
         known.idHash = stableHash(member.id.value);
         known.firstHeardAt = member.heardAt;
         ++members.generation;
+        members.hasSizeChanged = true;
+        setHeartbeat(members, known, Instant{});
     }
     if (known.incarnation == member.incarnation)
         known.aliveAt = std::max(known.aliveAt, member.heardAt);
+    if (!known.wasAlive)
+        members.looks.bringForward(member.id, member.heardAt);
 }
 
 void updateMembers(Members &members, Instant now)
@@ -132,25 +215,13 @@
     if (now - members.lookedAt > pausedAfter)
         members.changedAt = now;
     members.lookedAt = now;
-    std::size_t inZone = 0;
-    for (auto &[id, member] : members.others) {
-        inZone += member.zone == members.zone ? 1 : 0;
-        const bool isHeardNow = !member.isLeaving && isHeard(members, member, now);
-        if (isHeardNow != member.wasHeard)
-            members.changedAt = now;
-        member.wasHeard = isHeardNow;
-        const bool isAliveNow = isAlive(members, member, now);
-        if (isAliveNow != member.wasAlive)
-            ++members.generation;
-        member.wasAlive = isAliveNow;
-    }
-    members.plan = planHeartbeats(inZone, members.others.size() - inZone);
-    const std::size_t forgotten = std::erase_if(members.others, [&](const auto &entry) {
-        const Member &member = entry.second;
-        const Span kept = member.isLeaving ? silentAfter(members, member) : forgottenAfter;
-        return now - member.heardAt >= kept;
-    });
-    members.generation += forgotten;
+    lookAtDue(members, now);
+    if (!std::exchange(members.hasSizeChanged, false))
+        return;
+    makePlan(members);
+    for (const auto &[id, member] : members.others)
+        members.looks.set(id, now);
+    lookAtDue(members, now);
 }
 
 std::size_t countHeard(const Members &members, Instant now)
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -135,6 +135,7 @@
     const UpstreamId id = engine->listed.id;
     LoadUnderWay &load = state.upstreams.at(id).loads.at(need.model);
     beginTry(load, now);
+    state.triedEngines.insert(id);
     load.version = declaredVersion(state.versions, need.model);
     record.isAheadOfReport = true;
     dispatch(state, record, id, need.model, now, actions);
@@ -157,6 +158,20 @@
     return engine != state.upstreams.end() && engine->second.engine.isLoading(record.asked.model);
 }
 
+/// Places a waiting request, or refuses it where it has waited for too long.
+void placeAgain(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    if (record.turn != PromptTurnState::NotAsked && now < record.turnAt)
+        return;
+    const Span late = isLoadUnderWay(state, record) ? extraWait : Span{};
+    const bool isOver = now >= std::min(record.placedBy + late, record.deadline);
+    // The load may just have ended, later than hoped for: what it was ordered for still goes.
+    if (isOver && !isReadySomewhere(state, record, now))
+        refuseAndForget(state, record, ResultCode::AdapterLoadFailed, loadDoneAfter, actions);
+    else
+        place(state, record, now, actions);
+}
+
 } // namespace
 
 double readPerSecondOf(const GatewayState &state, const ServiceId &service)
@@ -189,6 +204,7 @@
     record.isSentToIdle = promptsBefore(upstream, now) < prompt * mostBeforeIdle;
     add(upstream.ownPrompts, prompt, promptLife, now);
     state.newWork.insert(id);
+    state.sentTo.insert(id);
     if (!model.isBase())
         add(state.adapterDemand[model], prompt, demandLife, now);
     record.phase = RequestPhase::AtUpstream;
@@ -236,9 +252,24 @@
     endTry(load->second, now);
 }
 
+/// Whether it is not known yet if the engine takes a request that was sent for one of its loads.
+bool isAnyTryOpen(const Upstream &upstream)
+{
+    return std::any_of(upstream.loads.begin(), upstream.loads.end(), [](const auto &entry) {
+        return !entry.second.isDone && entry.second.triedAt.micros != 0;
+    });
+}
+
 void endTries(GatewayState &state, Instant now)
 {
-    for (auto &[id, upstream] : state.upstreams) {
+    const std::set<UpstreamId> tried = state.triedEngines;
+    for (const UpstreamId &id : tried) {
+        const auto found = state.upstreams.find(id);
+        if (found == state.upstreams.end() || !isAnyTryOpen(found->second)) {
+            state.triedEngines.erase(id);
+            continue;
+        }
+        Upstream &upstream = found->second;
         for (const auto &[adapter, load] : upstream.loads) {
             if (load.isDone || !isTryTaken(load, now))
                 continue;
@@ -247,9 +278,7 @@
             // Its place counts as taken by a load until a report shows it: an engine that was slow
             // to turn the request away still loads, and ordered to hold another adapter instead it
             // would hold more than it can, and crash.
-            const auto ordered = state.engines.find(id);
-            if (ordered != state.engines.end())
-                ordered->second.isNews = true;
+            state.changedEngines.insert(id);
         }
     }
 }
@@ -313,17 +342,20 @@
 void placeWaiting(GatewayState &state, Instant now, Actions &actions)
 {
     const std::set<RequestNumber> waiting = state.waiting;
+    for (const RequestNumber &request : waiting)
+        placeAgain(state, state.requests.at(request), now, actions);
+}
+
+void placeWaitingAt(GatewayState &state, const UpstreamId &engine, Instant now, Actions &actions)
+{
+    const auto found = state.upstreams.find(engine);
+    if (found == state.upstreams.end() || state.waiting.empty())
+        return;
+    const std::set<RequestNumber> waiting = state.waiting;
     for (const RequestNumber &request : waiting) {
         RequestRecord &record = state.requests.at(request);
-        if (record.turn != PromptTurnState::NotAsked && now < record.turnAt)
-            continue;
-        const Span late = isLoadUnderWay(state, record) ? extraWait : Span{};
-        const bool isOver = now >= std::min(record.placedBy + late, record.deadline);
-        // The load may just have ended, later than hoped for: what it was ordered for still goes.
-        if (isOver && !isReadySomewhere(state, record, now))
-            refuseAndForget(state, record, ResultCode::AdapterLoadFailed, loadDoneAfter, actions);
-        else
-            place(state, record, now, actions);
+        if (found->second.engine.findReady(record.asked.model))
+            placeAgain(state, record, now, actions);
     }
 }
 
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -40,6 +40,7 @@
 void forget(GatewayState &state, RequestNumber request)
 {
     state.waiting.erase(request);
+    state.requestDeadlines.erase(request);
     state.requests.erase(request);
 }
 
@@ -214,6 +215,7 @@
     const Span routeLimit = route->timeout > Span{} ? route->timeout : longestRequest;
     record.deadline = now
             + (event.allowed > Span{} ? std::min(event.allowed, routeLimit) : routeLimit);
+    state.requestDeadlines.set(event.request, record.deadline);
     record.placedBy = std::min(record.deadline, now + route->objective * waitPercent / 100);
     if (endsTooLate(state, record, now)) {
         refuseAndForget(state, record, ResultCode::HostDraining, otherHostAnswers, actions);
@@ -319,16 +321,11 @@
 
 void endOverdue(GatewayState &state, Instant now, Actions &actions)
 {
-    std::vector<RequestNumber> overdue;
-    for (const auto &[request, record] : state.requests) {
-        if (now >= record.deadline)
-            overdue.push_back(request);
-    }
-    for (const RequestNumber &request : overdue) {
-        RequestRecord &record = state.requests.at(request);
+    while (const std::optional<RequestNumber> request = state.requestDeadlines.takeDue(now)) {
+        RequestRecord &record = state.requests.at(*request);
         if (record.phase == RequestPhase::AtUpstream) {
             ++record.mayHaveRun;
-            actions.cancels.push_back({ request });
+            actions.cancels.push_back({ *request });
             const auto upstream = state.upstreams.find(record.upstream);
             if (upstream != state.upstreams.end() && !record.hasAnswerBegun)
                 noteSign(upstream->second, UpstreamSign::Failed, now);
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -233,5 +233,38 @@
     EXPECT_TRUE(readsPlatform(this->state, this->now));
 }
 
+// An idle host of a large fleet spends its processor time on engines where nothing is due.
+TEST_F(FleetExchangeTest, AnIdleHostLooksOnlyAtEnginesWhereSomethingIsDue)
+{
+    Configuration configuration;
+    configuration.version = 1;
+    Service service;
+    service.id.value = "engines";
+    service.engine = EngineLimits{};
+    configuration.services.push_back(service);
+    setConfiguration(this->state, configuration);
+    constexpr int engines = 240;
+    Gossip news = this->messageOf(3);
+    for (int engine = 0; engine < engines; ++engine) {
+        ListedUpstream listed;
+        listed.id.value = "e" + std::to_string(engine);
+        listed.service.value = "engines";
+        listed.zone.value = "z1";
+        listUpstream(this->state, listed, this->now);
+        news.engines.push_back({ listed.id, {} });
+        news.engines.back().state.models = { "base" };
+    }
+    this->pass(std::chrono::seconds(1));
+    const std::uint64_t before = this->state.counters.engineLooks;
+    constexpr int seconds = 10;
+    for (int second = 0; second < seconds; ++second) {
+        for (EngineNews &one : news.engines)
+            one.state.seenAt = this->now;
+        this->take(news);
+        this->pass(std::chrono::seconds(1));
+    }
+    EXPECT_LT(this->state.counters.engineLooks - before, engines * seconds);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -108,6 +108,7 @@
     addSentTo(out, counters.sent, "azurewell_host_messages_total", &gateway::SentCount::messages);
     addSentTo(out, counters.sent, "azurewell_host_message_bytes_total", &gateway::SentCount::bytes);
     addCounter(out, "azurewell_host_messages_received_total", counters.gossipReceived);
+    addCounter(out, "azurewell_engine_looks_total", counters.engineLooks);
     addCounter(out, "azurewell_wake_ups_total", metrics.wakeUps);
     addCounter(out, "azurewell_log_lines_left_out_total", linesLeftOut());
     addHistogram(out, "azurewell_first_byte_seconds", metrics.toFirstByte);
--- /dev/null
+++ b/packages/units/include/azurewell/units/deadline_queue.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "azurewell/units/time.h"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace azurewell {
+
+/// Keys in the order of their deadlines. Each key has one deadline at the most.
+///
+/// A look at a queue without due keys costs one comparison, however many keys wait.
+template <typename Key>
+class DeadlineQueue
+{
+public:
+    /// Gives \a key the deadline \a at in place of an earlier one.
+    void set(const Key &key, Instant at)
+    {
+        const auto [found, isNew] = this->deadlines.try_emplace(key, at);
+        if (!isNew) {
+            this->order.erase({ found->second, key });
+            found->second = at;
+        }
+        this->order.emplace(at, key);
+    }
+
+    /// Gives \a key the deadline \a at unless it has an earlier one.
+    void bringForward(const Key &key, Instant at)
+    {
+        const auto found = this->deadlines.find(key);
+        if (found == this->deadlines.end() || at < found->second)
+            this->set(key, at);
+    }
+
+    void erase(const Key &key)
+    {
+        const auto found = this->deadlines.find(key);
+        if (found == this->deadlines.end())
+            return;
+        this->order.erase({ found->second, key });
+        this->deadlines.erase(found);
+    }
+
+    /// Takes out the key with the earliest deadline if that is not after \a now.
+    std::optional<Key> takeDue(Instant now)
+    {
+        if (this->order.empty() || this->order.begin()->first > now)
+            return std::nullopt;
+        Key key = this->order.begin()->second;
+        this->order.erase(this->order.begin());
+        this->deadlines.erase(key);
+        return key;
+    }
+
+    std::size_t size() const
+    {
+        return this->deadlines.size();
+    }
+
+private:
+    std::set<std::pair<Instant, Key>> order;
+    std::unordered_map<Key, Instant> deadlines;
+};
+
+} // namespace azurewell
