--- a/packages/proxy/include/azurewell/proxy/gossip_socket.h
+++ b/packages/proxy/include/azurewell/proxy/gossip_socket.h
@@ -34,6 +34,8 @@
     UniqueFd descriptor;
     std::function<void(const gateway::Gossip &)> handler;
     QSocketNotifier notifier;
+    std::shared_ptr<const gateway::Gossip> encoded; ///< The message of `bytes`.
+    std::string bytes;
     std::uint64_t dropped = 0; ///< Could not be sent or read.
 };
 
--- a/packages/proxy/src/gossip_socket.cpp
+++ b/packages/proxy/src/gossip_socket.cpp
@@ -60,12 +60,15 @@
         ++this->dropped;
         return 0;
     }
-    const std::string bytes = gateway::encodeGossip(gossip.message, now);
-    const ssize_t sent = ::sendto(this->descriptor.get(), bytes.data(), bytes.size(), 0,
+    if (this->encoded != gossip.message) {
+        this->bytes = gateway::encodeGossip(*gossip.message, now);
+        this->encoded = gossip.message;
+    }
+    const ssize_t sent = ::sendto(this->descriptor.get(), this->bytes.data(), this->bytes.size(), 0,
                                   reinterpret_cast<const sockaddr *>(&address), sizeof address);
     // A lost message is made good by the next one; the counter shows a link that takes none.
     if (sent >= 0)
-        return bytes.size();
+        return this->bytes.size();
     ++this->dropped;
     return 0;
 }
