Pause between reads of the platform in step with the promise's time

A host that reads the platform pauses after each change for a time that was fixed for a promise of 2 s. Where a change may take 4 s it now pauses 1.1 to 2.3 s; at 2 s as before (0.5 to 1.05 s).

--- a/packages/gateway/src/platform_reader.cpp
+++ b/packages/gateway/src/platform_reader.cpp
@@ -27,9 +27,9 @@
 constexpr Span longestBackOff = std::chrono::milliseconds(700);
 
 /// A series of changes costs one call and not one for each: engines write an entry for each change
-/// of their adapters.
-constexpr Span shortestPause = std::chrono::milliseconds(500);
-constexpr Span longestPause = std::chrono::milliseconds(1100);
+/// of their adapters. In hundredths of the time in which a change is to be read.
+constexpr int shortestPausePercent = 30;
+constexpr int longestPausePercent = 64;
 
 /// A pause that differs from host to host, so that their reads fall apart.
 Span drawPause(const ReadTimes &times, std::mt19937_64 &random)
@@ -71,12 +71,12 @@
     times.answerSlack = answerSlack;
     times.probeWait = probeWait;
     times.firstBackOff = firstBackOff;
-    times.shortestPause = shortestPause;
     const Span readWithin = std::max(inForceWithin - toldWithin - 2 * lookInterval,
                                      leastReadWithin);
     times.watchWait = std::min(longestWatchWait, readWithin - firstBackOff - answerSlack);
     times.longestBackOff = std::min(longestBackOff, readWithin - probeWait - answerSlack);
-    times.longestPause = std::min(longestPause, readWithin - answerSlack);
+    times.shortestPause = readWithin * shortestPausePercent / 100;
+    times.longestPause = std::min(readWithin * longestPausePercent / 100, readWithin - answerSlack);
     return times;
 }
 
