Send a prompt where it has its turn, and ask a second engine where the first is busy

Callers saw: streams with pauses and late first words on popular adapters.

Cause: the host that paces an engine's prompts says when one may leave for it, but the prompt then went to whichever engine looked best at that moment, so that what was counted at one engine arrived at another. And a host that sends a prompt to an engine every few seconds chooses by old loads: it joined the queue of one engine (up to 350 ms) while another one with the adapter had nothing to read.

Now a turn belongs to its engine. A request that is sent again asks for a turn again.

Small fleets do not ask for turns.

Tests, by load pattern: APromptGoesToTheEngineWhereItsTurnComesSooner and two on what happens where it does not, or where nobody answers.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -63,6 +63,8 @@
   3: string adapter
   4: i64 request
   5: i32 tokens
+  /** The turn that was asked for is not used. */
+  6: bool givenBack
 }
 
 struct PromptAnswer {
--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -27,6 +27,9 @@
     double readPerSecond = 1; ///< Prompt tokens that an engine reads.
 };
 
+/// Whether \a upstream may get a request with \a need, its model aside.
+bool fits(const Upstream &upstream, const UpstreamNeed &need, Instant now);
+
 /// Prompt tokens that were sent to \a upstream and are not read yet, as far as reckoned.
 double promptsBefore(const Upstream &upstream, Instant now);
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -48,6 +48,13 @@
 /// Whether the host that orders at an engine was asked when a prompt may leave for it.
 enum class PromptTurnState : std::uint8_t { NotAsked, Asked, Known };
 
+/// When a prompt may leave for an engine.
+struct EngineTurn
+{
+    UpstreamId engine;
+    Instant at;
+};
+
 /// A caller's request on its way through this host.
 struct RequestRecord
 {
@@ -70,6 +77,8 @@
     bool hasAnswerBegun = false;
     bool isAheadOfReport = false; ///< Sent before a report shows its adapter.
     PromptTurnState turn = PromptTurnState::NotAsked;
+    UpstreamId turnEngine;               ///< For which it was asked.
+    std::optional<EngineTurn> firstTurn; ///< While another engine is asked.
     Instant turnAt; ///< When its prompt may leave; while it is asked: when no answer is awaited any
                     ///< more.
 };
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -47,6 +47,7 @@
     ModelName adapter;
     std::uint64_t request = 0; ///< Of the asking host.
     double tokens = 0;
+    bool isGivenBack = false; ///< The turn that was asked for is not used.
 };
 
 struct PromptAnswer
--- a/packages/gateway/include/azurewell/gateway/prompt_pacing.h
+++ b/packages/gateway/include/azurewell/gateway/prompt_pacing.h
@@ -44,6 +44,9 @@
 PromptTurn takeTurn(PromptPacer &pacer, const ModelName &adapter, double tokens,
                     double readPerSecond, Instant now);
 
+/// A turn of \a tokens is not used.
+void giveBackTurn(PromptPacer &pacer, double tokens);
+
 /// Forgets adapters that are not asked for any more.
 void tidy(PromptPacer &pacer, Instant now);
 
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -51,13 +51,6 @@
             + (upstream.listed.zone == need.zone ? 0 : otherZoneCost);
 }
 
-bool fits(const Upstream &upstream, const UpstreamNeed &need, Instant now)
-{
-    return upstream.listed.service == need.service && isUsable(upstream, now)
-            && !need.excluded.contains(upstream.listed.id)
-            && (upstream.killedAt == never || now + need.duration < upstream.killedAt);
-}
-
 } // namespace
 
 std::uint64_t declaredVersion(const DeclaredVersions &versions, const ModelName &adapter)
@@ -66,6 +59,13 @@
     return found == versions.end() ? 0 : found->second;
 }
 
+bool fits(const Upstream &upstream, const UpstreamNeed &need, Instant now)
+{
+    return upstream.listed.service == need.service && isUsable(upstream, now)
+            && !need.excluded.contains(upstream.listed.id)
+            && (upstream.killedAt == never || now + need.duration < upstream.killedAt);
+}
+
 double promptsBefore(const Upstream &upstream, Instant now)
 {
     double prompts = valueAt(upstream.ownPrompts, promptLife, now);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -270,6 +270,7 @@
         to.adapter = ask.adapter.adapter;
         to.request = static_cast<std::int64_t>(ask.request);
         to.tokens = static_cast<std::int32_t>(ask.tokens);
+        to.givenBack = ask.isGivenBack;
     }
     for (const PromptAnswer &answer : message.promptAnswers) {
         wire::PromptAnswer &to = out.promptAnswers.emplace_back();
@@ -326,7 +327,8 @@
         out.promptAsks.push_back({ UpstreamId{ ask.engine },
                                    { ask.model, ask.adapter },
                                    static_cast<std::uint64_t>(ask.request),
-                                   static_cast<double>(std::max(ask.tokens, 0)) });
+                                   static_cast<double>(std::max(ask.tokens, 0)),
+                                   ask.givenBack });
     }
     for (const wire::PromptAnswer &answer : message.promptAnswers) {
         out.promptAnswers.push_back({ static_cast<std::uint64_t>(answer.request),
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -132,6 +132,10 @@
     if (found == state.upstreams.end())
         return;
     OrderedEngine &engine = state.engines[ask.engine];
+    if (ask.isGivenBack) {
+        giveBackTurn(engine.pacer, ask.tokens);
+        return;
+    }
     const Span toldEvery = heartbeatInterval(state.members, state.members.others.at(from.from));
     noteOtherUse(engine.otherUses, refOf(ask.adapter), from.from, true, toldEvery, now);
     const PromptTurn turn = takeTurn(engine.pacer, ask.adapter, ask.tokens,
@@ -147,8 +151,8 @@
     if (found == state.requests.end() || found->second.phase != RequestPhase::Waiting
         || found->second.turn != PromptTurnState::Asked)
         return;
-    takeTurnOf(state, found->second, { answer.wait, answer.isCopyWanted }, now, actions);
-    if (answer.wait == Span{})
+    noteTurn(state, found->second, { answer.wait, answer.isCopyWanted }, now, actions);
+    if (found->second.turnAt <= now)
         place(state, found->second, now, actions);
 }
 
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -43,9 +43,24 @@
 /// refuses.
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
 
-/// Takes what the host that paces an engine's prompts said of \a record.
-void takeTurnOf(GatewayState &state, RequestRecord &record, const PromptTurn &turn, Instant now,
-                Actions &actions);
+/// Asks the host that paces the prompts of \a engine when that of \a record may leave for it.
+void askTurn(GatewayState &state, RequestRecord &record, const Upstream &engine, Instant now,
+             Actions &actions);
+
+/// Takes the answer to askTurn(). Where the wait is long, another engine is asked as well.
+///
+/// Load pattern: a popular adapter is at several engines, and each host, which sends a prompt there
+/// every few seconds, knows only old loads of them. It joins the queue of one engine while the
+/// others have nothing to read.
+void noteTurn(GatewayState &state, RequestRecord &record, const PromptTurn &turn, Instant now,
+              Actions &actions);
+
+/// Whether the prompt of \a record, which was asked for, may leave now. Where nobody answers, it
+/// does.
+bool hasTurn(RequestRecord &record, Instant now);
+
+/// Has one more engine load the adapter of \a need.
+void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions);
 
 /// Places the waiting requests whose adapter is ready, and refuses those that waited for too long.
 void placeWaiting(GatewayState &state, Instant now, Actions &actions);
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -67,46 +67,6 @@
     awaitLoad(state, need.model, other, now, actions);
 }
 
-/// Has one more engine load the adapter of \a need.
-void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions)
-{
-    if (state.awaitedLoads.contains(need.model))
-        return;
-    UpstreamNeed other = need;
-    for (const auto &[id, upstream] : state.upstreams) {
-        if (upstream.engine.findReady(need.model) || upstream.engine.isLoading(need.model))
-            other.excluded.insert(id);
-    }
-    awaitLoad(state, need.model, other, now, actions);
-}
-
-/// The answer of the host that orders at an engine is awaited for so long: messages take 2 to 4 ms,
-/// and a small host may be busy for some time.
-constexpr Span turnAnsweredWithin = std::chrono::milliseconds(30);
-
-/// Whether the prompt of \a record may leave for \a engine now. Asks the host that paces the
-/// prompts of that engine; where it does not answer, the prompt goes.
-bool hasTurn(GatewayState &state, RequestRecord &record, const Upstream &engine,
-             const UpstreamNeed &need, Instant now, Actions &actions)
-{
-    if (record.turn != PromptTurnState::NotAsked)
-        return now >= record.turnAt;
-    const double tokens = static_cast<double>(record.asked.promptTokens.count);
-    const HostId holder = askedHolder(state, engine, now);
-    if (holder == state.self.id) {
-        PromptPacer &pacer = state.engines[engine.listed.id].pacer;
-        const PromptTurn turn = takeTurn(pacer, need.model, tokens, need.readPerSecond, now);
-        takeTurnOf(state, record, turn, now, actions);
-        return now >= record.turnAt;
-    }
-    record.turn = PromptTurnState::Asked;
-    record.turnAt = now + turnAnsweredWithin;
-    Gossip ask = blankGossip(state, now);
-    ask.promptAsks.push_back({ engine.listed.id, need.model, record.asked.request.value, tokens });
-    sendTo(state, holder, MessageKind::PromptAsk, std::move(ask), actions);
-    return false;
-}
-
 /// Load pattern: callers send in clumps, and several hosts send theirs to one engine in the same
 /// half second. The engine reads all the prompts before it makes the next steps of its batch, and
 /// each stream that it has pauses for longer than its callers take for fluent: of 1,700 streams of
@@ -158,6 +118,23 @@
     return engine != state.upstreams.end() && engine->second.engine.isLoading(record.asked.model);
 }
 
+/// The engine at which \a record has its turn; \a otherwise where it cannot be used any more.
+const Upstream *engineOfTurn(const GatewayState &state, const RequestRecord &record,
+                             const UpstreamNeed &need, const Upstream &otherwise, Instant now)
+{
+    const auto found = state.upstreams.find(record.turnEngine);
+    const bool isGood = found != state.upstreams.end() && fits(found->second, need, now)
+            && now >= found->second.avoidedUntil
+            && isReadyFor(found->second, need.model, state.versions);
+    return isGood ? &found->second : &otherwise;
+}
+
+void wait(GatewayState &state, RequestRecord &record)
+{
+    record.phase = RequestPhase::Waiting;
+    state.waiting.insert(record.asked.request);
+}
+
 /// Places a waiting request, or refuses it where it has waited for too long.
 void placeAgain(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
@@ -210,6 +187,7 @@
     record.phase = RequestPhase::AtUpstream;
     record.upstream = id;
     record.hasAnswerBegun = false;
+    record.turn = PromptTurnState::NotAsked;
     ++record.attempt;
     state.waiting.erase(record.asked.request);
     if (!model.isBase()) {
@@ -226,13 +204,16 @@
                                    record.repeat != RepeatPolicy::Stream });
 }
 
-void takeTurnOf(GatewayState &state, RequestRecord &record, const PromptTurn &turn, Instant now,
-                Actions &actions)
+void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions)
 {
-    record.turn = PromptTurnState::Known;
-    record.turnAt = now + turn.wait;
-    if (turn.isCopyWanted)
-        loadCopy(state, needOf(state, record), now, actions);
+    if (state.awaitedLoads.contains(need.model))
+        return;
+    UpstreamNeed other = need;
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (upstream.engine.findReady(need.model) || upstream.engine.isLoading(need.model))
+            other.excluded.insert(id);
+    }
+    awaitLoad(state, need.model, other, now, actions);
 }
 
 void noteTryEnded(GatewayState &state, const RequestRecord &record, AttemptOutcome outcome,
@@ -288,16 +269,19 @@
     const UpstreamNeed need = needOf(state, record);
     const Upstream *chosen = chooseUpstream(state.upstreams, need, state.versions, draw(state),
                                             now);
-    if (chosen && isBetterHeld(record, *chosen, need, now)) {
-        record.phase = RequestPhase::Waiting;
-        state.waiting.insert(record.asked.request);
+    if (chosen && record.turn == PromptTurnState::NotAsked
+        && isBetterHeld(record, *chosen, need, now)) {
+        wait(state, record);
         return;
     }
-    if (chosen && !isSmallFleet(state) && !need.model.isBase()
-        && !hasTurn(state, record, *chosen, need, now, actions)) {
-        record.phase = RequestPhase::Waiting;
-        state.waiting.insert(record.asked.request);
-        return;
+    if (chosen && !isSmallFleet(state) && !need.model.isBase()) {
+        if (record.turn == PromptTurnState::NotAsked)
+            askTurn(state, record, *chosen, now, actions);
+        if (!hasTurn(record, now)) {
+            wait(state, record);
+            return;
+        }
+        chosen = engineOfTurn(state, record, need, *chosen, now);
     }
     if (chosen) {
         const UpstreamId id = chosen->listed.id;
@@ -314,8 +298,7 @@
     }
     switch (awaitLoad(state, need.model, need, now, actions)) {
     case LoadProspect::Coming:
-        record.phase = RequestPhase::Waiting;
-        state.waiting.insert(record.asked.request);
+        wait(state, record);
         break;
     case LoadProspect::StoreBusy:
         refuseAndForget(state, record, ResultCode::QueueFull, spreadReturn(state), actions);
--- a/packages/gateway/src/prompt_pacing.cpp
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -42,6 +42,11 @@
     return turn;
 }
 
+void giveBackTurn(PromptPacer &pacer, double tokens)
+{
+    pacer.backlog = std::max(0.0, pacer.backlog - tokens);
+}
+
 void tidy(PromptPacer &pacer, Instant now)
 {
     std::erase_if(pacer.demand,
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -271,6 +271,83 @@
     EXPECT_EQ(due.dispatches.size(), 1U);
 }
 
+/// The engine and host that are asked for a turn in \a actions; the last of them.
+const SendGossip &lastAsk(const Actions &actions)
+{
+    const auto ask = std::find_if(
+            actions.gossip.rbegin(), actions.gossip.rend(),
+            [](const SendGossip &sent) { return !sent.message->promptAsks.empty(); });
+    EXPECT_NE(ask, actions.gossip.rend());
+    return *ask;
+}
+
+Actions answerAsk(GatewayState &state, const SendGossip &ask, Span wait, Instant now)
+{
+    Gossip answer;
+    answer.from.value = ask.to.ip;
+    answer.zone.value = "z";
+    answer.address = ask.to;
+    answer.incarnation.value = 1;
+    answer.promptAnswers.push_back({ ask.message->promptAsks.front().request, wait, false });
+    Actions actions;
+    handle(state, answer, now, actions);
+    return actions;
+}
+
+// A prompt queues at one engine while another one that has its adapter has nothing to read.
+TEST_F(RequestsTest, APromptGoesToTheEngineWhereItsTurnComesSooner)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const UpstreamId crowded = first.message->promptAsks.front().engine;
+    const Actions asked = answerAsk(this->state, first, std::chrono::milliseconds(200), this->now);
+    EXPECT_TRUE(asked.dispatches.empty());
+    const SendGossip second = lastAsk(asked);
+    EXPECT_NE(second.message->promptAsks.front().engine, crowded);
+    const Actions sent = answerAsk(this->state, second, Span{}, this->now);
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    EXPECT_NE(sent.dispatches.front().upstream, crowded);
+    const PromptAsk returned = lastAsk(sent).message->promptAsks.front();
+    EXPECT_TRUE(returned.isGivenBack);
+    EXPECT_EQ(returned.engine, crowded);
+}
+
+// The second question makes a prompt wait for longer than its first turn.
+TEST_F(RequestsTest, APromptKeepsItsTurnWhereNoOtherEngineIsSooner)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const UpstreamId engine = first.message->promptAsks.front().engine;
+    const Span wait = std::chrono::milliseconds(100);
+    const Actions asked = answerAsk(this->state, first, wait, this->now);
+    const Actions answered = answerAsk(this->state, lastAsk(asked), wait * 2, this->now);
+    EXPECT_TRUE(answered.dispatches.empty());
+    EXPECT_TRUE(lastAsk(answered).message->promptAsks.front().isGivenBack);
+    EXPECT_TRUE(this->tickAfter(wait - tickInterval).empty());
+    const std::vector<Dispatch> sent = this->tickAfter(tickInterval);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().upstream, engine);
+}
+
+// The host that is asked second has just died.
+TEST_F(RequestsTest, APromptKeepsItsTurnWhereTheSecondQuestionIsNotAnswered)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const Span wait = std::chrono::milliseconds(100);
+    answerAsk(this->state, first, wait, this->now);
+    EXPECT_TRUE(this->tickAfter(wait - tickInterval).empty());
+    const std::vector<Dispatch> sent = this->tickAfter(tickInterval);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().upstream, first.message->promptAsks.front().engine);
+}
+
 TEST_F(RequestsTest, APromptGoesWhereNobodyTellsItsTurn)
 {
     // The host that paces the prompts of an engine has just died. Requests for it must not wait
