One timer for the core and for the platform's reader; a removed engine is looked at

The store client and the signals had a timer of 25 ms beside the core's of 20 ms, so that a calm host woke 90 times a second instead of 50. And the look at an engine whose entry goes away was not brought forward: its host would have gone on ordering there for up to a second after its use ended.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -83,6 +83,21 @@
                   [&state](const UpstreamId &id) { return !state.upstreams.contains(id); });
 }
 
+/// Hosts of this zone that can read the platform and rank before this one.
+std::size_t countReadersBefore(const GatewayState &state, Instant now)
+{
+    const std::uint64_t key = stableHash(readersKey);
+    const std::uint64_t ownRank = rendezvousMix(key, stableHash(state.self.id.value));
+    const auto &others = state.members.others;
+    const auto readers = std::count_if(others.begin(), others.end(), [&](const auto &entry) {
+        const Member &member = entry.second;
+        return member.zone == state.self.zone && !member.isLeaving
+                && member.platform != PlatformView::Failing && isHeard(state.members, member, now)
+                && rendezvousMix(key, member.idHash) > ownRank;
+    });
+    return static_cast<std::size_t>(readers);
+}
+
 } // namespace
 
 double draw(GatewayState &state)
@@ -140,6 +155,7 @@
     Upstream &upstream = found->second;
     const bool isLapse = state.platformFailedAt.micros != 0
             && now - state.platformFailedAt < lapsesFor;
+    wakeEngine(state, id);
     if (upstream.usableUntil == never)
         upstream.usableUntil = now + (isLapse ? usedAfterLapse : usedAfterRemoval);
 }
@@ -172,17 +188,8 @@
 
 bool readsPlatform(GatewayState &state, Instant now)
 {
-    const std::uint64_t ownRank = rendezvousMix(stableHash(readersKey),
-                                                stableHash(state.self.id.value));
-    std::size_t readers = 0;
-    for (const auto &[id, member] : state.members.others) {
-        const bool isReader = member.zone == state.self.zone && !member.isLeaving
-                && member.platform != PlatformView::Failing && isHeard(state.members, member, now);
-        const bool isBefore = rendezvousMix(stableHash(readersKey), member.idHash) > ownRank;
-        readers += isReader && isBefore ? 1 : 0;
-    }
-    const bool isNeeded = state.configuration.version == 0 || readers < readersOfZone
-            || isLeftBehind(state, now);
+    const bool isNeeded = state.configuration.version == 0
+            || countReadersBefore(state, now) < readersOfZone || isLeftBehind(state, now);
     if (!isNeeded)
         state.platform = PlatformView::NotRead;
     return isNeeded;
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -46,6 +46,12 @@
         return this->httpCalls;
     }
 
+    /// \a handler is called at each tick, before the core: one timer wakes the thread for both.
+    void callAtEachTick(std::function<void()> handler)
+    {
+        this->onTick = std::move(handler);
+    }
+
     /// Carries out what the core asked for.
     void run(gateway::Actions &actions);
 
@@ -115,6 +121,7 @@
     std::map<SessionId, std::unique_ptr<CallerConnection>> operations;
     std::map<SessionId, gateway::RequestNumber> requestOf;
     std::unordered_map<gateway::RequestNumber, OpenRequest> open;
+    std::function<void()> onTick;
     QTimer ticker;
     SessionId nextSession = 1;
     std::uint64_t nextRequest = 1;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -102,6 +102,8 @@
 
 void Proxy::tick()
 {
+    if (this->onTick)
+        this->onTick();
     const Instant now = monotonicNow();
     Actions actions;
     gateway::tick(this->core, wallMillis(), now, actions);
