Keep a load until the requests that asked for it can use it

Cause, from the logs of all hosts: an adapter that was loaded for a waiting request had no use yet, so it looked idle and least popular, and was evicted for the next load a moment after its own had ended: loaded at 0.150 s, unloaded at 0.549 s, its request refused at 0.889 s, loaded again at 1.175 s and so on. In a large fleet the request's host hears of the load from another host and then asks for a turn, which takes longer than the next load waits.

Ruled out: lost orders (all taken), the weight store (it was not full), places taken by other requests (most victims had never been used).

Now a load that was asked for is kept until 400 ms after a report shows its end, or until it is used.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -100,6 +100,7 @@
     std::int64_t start = 0;                   ///< Of the engine's life that `adapters` describe.
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders not yet seen to be carried out.
     PromptPacer pacer;
+    std::map<AdapterRef, Instant> awaitedUntil; ///< Loads that requests wait for are kept so long.
     OtherUses otherUses;          ///< Adapters that other hosts use here; they are not evicted.
     std::deque<ModelName> wanted; ///< Loads to order, oldest first.
     std::deque<AdapterRef> heldLately;      ///< Newest first; the engine loads these quickly.
--- a/packages/gateway/src/engine_places.h
+++ b/packages/gateway/src/engine_places.h
@@ -7,6 +7,10 @@
 /// A report may not show yet what was ordered so long before it was asked for.
 inline constexpr Span reportLag = std::chrono::milliseconds(250);
 
+/// Requests that asked for a load use it so soon after a report shows its end: their hosts have to
+/// hear of it and to ask for a turn.
+inline constexpr Span takenWithin = std::chrono::milliseconds(400);
+
 ModelName nameOf(const AdapterRef &ref);
 
 /// What an adapter is in on an engine, as far as this host moved it.
--- a/packages/gateway/src/engine_reports.cpp
+++ b/packages/gateway/src/engine_reports.cpp
@@ -32,8 +32,12 @@
         return; // as of before the unload
     if (stateOf(engine, ref) == AdapterState::Absent)
         move(state, engine, ref, AdapterEvent::LoadOrdered, now);
-    if (stateOf(engine, ref) == AdapterState::Loading)
-        move(state, engine, ref, AdapterEvent::LoadDone, now);
+    if (stateOf(engine, ref) != AdapterState::Loading)
+        return;
+    move(state, engine, ref, AdapterEvent::LoadDone, now);
+    const auto awaited = engine.awaitedUntil.find(ref);
+    if (awaited != engine.awaitedUntil.end())
+        awaited->second = now + takenWithin;
 }
 
 /// Whether a report that was asked for at \a askedAt has to show what became of the last order for
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -37,6 +37,9 @@
 /// state it, less some for loads that were ordered by others.
 constexpr std::size_t mostHeldLately = 24;
 
+/// A load is kept so long for requests that asked for it, until it is done.
+constexpr Span longestAwait = std::chrono::seconds(2);
+
 /// An engine at which this host orders is looked at this often though nothing is due there.
 constexpr Span longestBetweenLooks = std::chrono::seconds(1);
 
@@ -72,7 +75,9 @@
 {
     const auto own = state.ownUses.find({ id, nameOf(ref) });
     const bool isUsedHere = own != state.ownUses.end() && own->second.running > 0;
-    return isUsedHere || isUsedElsewhere(engine.otherUses, ref, now);
+    const auto awaited = engine.awaitedUntil.find(ref);
+    const bool isAwaited = awaited != engine.awaitedUntil.end() && now < awaited->second;
+    return isUsedHere || isAwaited || isUsedElsewhere(engine.otherUses, ref, now);
 }
 
 FencingNumber nextFencing(const GatewayState &state, std::uint64_t wallMillis)
@@ -326,6 +331,7 @@
     beginUse(state.ownUses, { engine, adapter });
     OrderedEngine &ordered = state.engines[engine];
     const AdapterRef ref = refOf(adapter);
+    ordered.awaitedUntil.erase(ref);
     if (stateOf(ordered, ref) == AdapterState::Loaded)
         noteUses(ordered.adapters, ref, 1, now);
 }
@@ -338,6 +344,9 @@
             && isOwnEngine(state, upstream->second, now);
     const AdapterRef ref = refOf(request.adapter);
     const AdapterState known = stateOf(engine, ref);
+    if (isOwn)
+        engine.awaitedUntil[ref] = now
+                + (known == AdapterState::Loaded ? takenWithin : longestAwait);
     if (isOwn && (known == AdapterState::Loading || known == AdapterState::Loaded))
         return LoadProspect::Coming;
     const bool isListed = std::find(engine.wanted.begin(), engine.wanted.end(), request.adapter)
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -76,6 +76,7 @@
         OrderedEngine &engine = state.engines[use.engine];
         const AdapterRef ref = refOf(use.adapter);
         noteOtherUse(engine.otherUses, ref, message.from, use.isRunning, toldEvery, now);
+        engine.awaitedUntil.erase(ref);
         if (use.begun > 0 && engine.adapters.adapters.contains(ref))
             noteUses(engine.adapters, ref, use.begun, now);
     }
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -313,6 +313,7 @@
     for (auto &[id, engine] : state.engines) {
         tidy(engine.pacer, now);
         std::erase_if(engine.awaitedBy, [now](const auto &asker) { return now >= asker.second; });
+        std::erase_if(engine.awaitedUntil, [now](const auto &load) { return now >= load.second; });
     }
     for (auto &[customer, meter] : state.meters)
         slide(meter.own.window, state.self.meterLimits.window, now);
--- a/tests/gateway_world/gateway_world_test.cpp
+++ b/tests/gateway_world/gateway_world_test.cpp
@@ -288,6 +288,20 @@
     return relays;
 }
 
+// Load pattern: more rare adapters than places. What was loaded for a waiting request looks idle
+// and rare, is evicted before the request hears of it, and is loaded again.
+TEST(GatewayWorld, ALoadIsKeptUntilTheRequestsThatAskedForItCanUseIt)
+{
+    WorldSettings settings = largeFleet();
+    settings.adapters = 24000;
+    settings.requestsPerSecond = 1000;
+    World world{ settings };
+    world.runFor(std::chrono::seconds(14));
+    EXPECT_EQ(firstOf(world), "");
+    EXPECT_LT(world.loads, world.answered * 27 / 100);
+    EXPECT_GT(world.answered, world.asked * 70 / 100);
+}
+
 // Hosts whose relay has just died believe that nobody else admits anything.
 TEST(GatewayWorld, ACustomerOfALargeFleetStaysWithinItsLimitWhenTheRelaysOfAZoneDie)
 {
