Tell of published changes only where all of them are known

Cause, by a log of each applied entry: a host that joins lists what the platform publishes, and does not know what was deleted before. It says that it knows everything up to the listing's revision, and hosts that lack the last changes ask it for them: what they get lacks the deletions, and they take it for complete. Half of the fleet went on using the engines until they were switched off. The reader of the platform skips what the others have told, so nothing made it good.

Ruled out: the longer pauses between reads (the deletion was read and passed on 0.4 s after it happened), entries in the wrong order, the new choice by turns.

Now a host answers only those that know as much as it did when it began, and those that know nothing.

AHostThatAsksGetsTheChangesThatItLacks described a host that had listed once, at revision 9, and told one at 5 of what came since: just what must not be. Its host has known revision 4 now; what it checks is the same. New test, failed before: AHostThatJoinedLaterDoesNotTellOfChangesThatItDoesNotKnow.

--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -46,7 +46,8 @@
 /// Sends published changes to a host that asks for them.
 void sendChanges(const GatewayState &state, const Gossip &to, Instant now, Actions &actions)
 {
-    if (!to.wantsChanges || to.revision >= state.published.newestChange)
+    if (!to.wantsChanges || to.revision >= state.published.newestChange
+        || !isCompleteAfter(state.published, to.revision))
         return;
     PublishedChanges changes = changesAfter(state.published, to.revision);
     std::size_t bytes = 0;
--- a/packages/gateway/src/published.cpp
+++ b/packages/gateway/src/published.cpp
@@ -18,8 +18,21 @@
     return true;
 }
 
+/// Everything up to \a revision is known now.
+void advanceTo(PublishedState &state, std::uint64_t revision)
+{
+    if (state.revision == 0)
+        state.begunAt = revision;
+    state.revision = std::max(state.revision, revision);
+}
+
 } // namespace
 
+bool isCompleteAfter(const PublishedState &state, std::uint64_t revision)
+{
+    return revision == 0 || revision >= state.begunAt;
+}
+
 std::vector<PublishedItem> takeListing(PublishedState &state,
                                        const std::vector<PublishedItem> &items,
                                        std::uint64_t revision)
@@ -38,7 +51,7 @@
         state.newestChange = std::max(state.newestChange, revision);
         changed.push_back(item);
     }
-    state.revision = std::max(state.revision, revision);
+    advanceTo(state, revision);
     return changed;
 }
 
@@ -51,7 +64,7 @@
         if (takeItem(state, item))
             changed.push_back(item);
     }
-    state.revision = std::max(state.revision, changes.upTo);
+    advanceTo(state, changes.upTo);
     return changed;
 }
 
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -151,6 +151,7 @@
 
 TEST_F(FleetExchangeTest, AHostThatAsksGetsTheChangesThatItLacks)
 {
+    takeListing(this->state.published, {}, 4);
     takeListing(this->state.published, { { "k", 7, false, "v" } }, 9);
     Gossip ask = this->messageOf(3);
     ask.revision = 5;
@@ -233,6 +234,24 @@
     EXPECT_TRUE(readsPlatform(this->state, this->now));
 }
 
+// A host that joined after an upstream was deleted tells the others of all changes since, but not
+// of the deletion: they go on sending requests to the upstream.
+TEST_F(FleetExchangeTest, AHostThatJoinedLaterDoesNotTellOfChangesThatItDoesNotKnow)
+{
+    constexpr std::uint64_t joinedAt = 50;
+    takeListing(this->state.published, { { "a", joinedAt - 2, false, "1" } }, joinedAt);
+    Gossip ask = this->messageOf(3);
+    ask.wantsChanges = true;
+    ask.revision = joinedAt - 10;
+    EXPECT_TRUE(this->take(ask).gossip.empty());
+    takeChanges(this->state.published,
+                { joinedAt, joinedAt + 5, { { "a", joinedAt + 5, false, "2" } } });
+    ask.revision = joinedAt;
+    EXPECT_EQ(this->take(ask).gossip.size(), 1U);
+    ask.revision = 0;
+    EXPECT_EQ(this->take(ask).gossip.size(), 1U);
+}
+
 // An idle host of a large fleet spends its processor time on engines where nothing is due.
 TEST_F(FleetExchangeTest, AnIdleHostLooksOnlyAtEnginesWhereSomethingIsDue)
 {
