Refuse a load at once where eight engines have no place for it

Callers saw: a refusal after three quarters of their objective. Where every place of the fleet is taken, a request was passed from engine to engine (117 of them) until it had waited for too long.

Test: ARequestThatNoEngineHasAPlaceForIsRefusedAtOnce (asked 40 engines before).

--- a/packages/gateway/src/loads.cpp
+++ b/packages/gateway/src/loads.cpp
@@ -13,6 +13,10 @@
 /// within this time, and an engine that has no place says so at once.
 constexpr Span otherEngineAfter = std::chrono::milliseconds(2000);
 
+/// Where so many engines have no place for an adapter the fleet has none: the request is refused
+/// at once instead of being passed from engine to engine until it has waited for too long.
+constexpr std::size_t mostEnginesAsked = 8;
+
 } // namespace
 
 LoadProspect awaitLoad(GatewayState &state, const ModelName &adapter, const UpstreamNeed &need,
@@ -25,6 +29,10 @@
         // The host that orders there may be lost, and nobody have noticed yet.
         if (!isGone && !present->second.engine.isLoading(adapter))
             awaited.refusedBy.insert(awaited.engine);
+        if (awaited.refusedBy.size() >= mostEnginesAsked) {
+            state.awaitedLoads.erase(adapter);
+            return LoadProspect::NotHere;
+        }
         UpstreamNeed other = need;
         other.excluded.insert(awaited.refusedBy.begin(), awaited.refusedBy.end());
         const Service *service = findService(state.configuration, need.service);
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -404,6 +404,47 @@
     EXPECT_TRUE(this->tickAfter(std::chrono::milliseconds(300)).empty());
 }
 
+/// Answers each load request in \a actions with a refusal; the last actions that follow.
+Actions refuseLoads(GatewayState &state, Actions actions, std::size_t &asked, Instant now)
+{
+    for (bool isAny = true; isAny && actions.refusals.empty();) {
+        isAny = false;
+        for (const SendGossip &sent : std::exchange(actions.gossip, {})) {
+            if (sent.message->loadRequests.empty())
+                continue;
+            isAny = true;
+            ++asked;
+            const LoadRequest &request = sent.message->loadRequests.front();
+            Gossip refusal;
+            refusal.from.value = sent.to.ip;
+            refusal.zone.value = "z";
+            refusal.address = sent.to;
+            refusal.incarnation.value = 1;
+            refusal.loadRefusals.push_back({ request.engine, request.adapter, false });
+            handle(state, refusal, now, actions);
+        }
+    }
+    return actions;
+}
+
+// Load pattern: every place of the fleet is taken. A request is passed from engine to engine until
+// it has waited for three quarters of its objective, and is refused then.
+TEST_F(RequestsTest, ARequestThatNoEngineHasAPlaceForIsRefusedAtOnce)
+{
+    constexpr int engines = 40;
+    constexpr std::size_t mostAsked = 10;
+    for (int engine = 0; engine < engines; ++engine)
+        this->list("e" + std::to_string(engine), "llm", "other");
+    this->joinLargeFleet();
+    std::size_t asked = 0;
+    const Actions last = refuseLoads(this->state, this->ask("/draft/x"), asked, this->now);
+    ASSERT_EQ(last.refusals.size(), 1U);
+    EXPECT_EQ(last.refusals.front().code, ResultCode::AdapterLoadFailed);
+    EXPECT_TRUE(last.refusals.front().isNotRun);
+    EXPECT_GT(last.refusals.front().retryAfter, Span{});
+    EXPECT_LE(asked, mostAsked);
+}
+
 TEST_F(RequestsTest, AStoppingHostRefusesWhatItCouldNotFinish)
 {
     Actions actions;
