--- a/packages/gateway/src/engine_places.h
+++ b/packages/gateway/src/engine_places.h
@@ -20,6 +20,20 @@
 void move(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
           AdapterEvent event, Instant now);
 
+/// What the configuration says of the engines of \a upstream's service; null where it has none.
+const EngineLimits *limitsOf(const GatewayState &state, const Upstream &upstream);
+
+/// Whether the engine has an adapter in its host's memory, as far as known.
+bool isHeldLately(const OrderedEngine &engine, const AdapterRef &ref);
+
+/// Whether requests use an adapter, or wait for it.
+bool isUsed(const GatewayState &state, const OrderedEngine &engine, const UpstreamId &id,
+            const AdapterRef &ref, Instant now);
+
+/// Orders what is due at an engine, if this host may order there.
+void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
+                std::uint64_t wallMillis, Instant now, Actions &actions);
+
 /// Asks \a upstream for a report where one is due. \a isOwn: this host orders there.
 void askReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
                bool isOwn, Instant now, Actions &actions);
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -113,6 +113,13 @@
 /// host has a smaller part in it.
 bool isSmallFleet(const GatewayState &state);
 
+/// Adds what this host tells regularly of engines, of work and of customers' uses. In a large fleet
+/// the other zones are told by relays.
+void addRegularNews(GatewayState &state, Gossip &message, Instant now);
+
+/// Tells the others of what is new here.
+void sendNews(GatewayState &state, Instant now, Actions &actions);
+
 /// Heartbeats and news that are due.
 void runGossip(GatewayState &state, Instant now, Actions &actions);
 
