One copy of taking customers' uses; a member's link is copied with the rest of it

Told directly or by a relay, uses were taken by the same loop twice; the function that takes uses of adapters is called so now.

--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -70,7 +70,7 @@
     send(state, to.address, to.zone, MessageKind::Changes, std::move(message), actions);
 }
 
-void takeUses(GatewayState &state, const Gossip &message, Instant now)
+void takeAdapterUses(GatewayState &state, const Gossip &message, Instant now)
 {
     const Span toldEvery = heartbeatInterval(state.members, state.members.others.at(message.from));
     for (const AdapterUse &use : message.adapterUses) {
@@ -177,6 +177,15 @@
 
 } // namespace
 
+void takeUses(GatewayState &state, const HostId &from, Incarnation incarnation,
+              const std::vector<CustomerUse> &uses, Instant now)
+{
+    for (const CustomerUse &use : uses) {
+        noteAdmittedElsewhere(state.meters[use.customer], from, incarnation, use.admitted,
+                              use.inWindow, state.self.meterLimits, now);
+    }
+}
+
 void takeNews(GatewayState &state, const HostId &from, const EngineNews &news, Instant now)
 {
     const auto found = state.upstreams.find(news.engine);
@@ -213,13 +222,11 @@
                    { member.id, member.zone, member.address, member.incarnation,
                      now - member.silentFor, now - member.silentFor });
     }
-    for (const CustomerUse &use : message.uses)
-        noteAdmittedElsewhere(state.meters[use.customer], message.from, message.incarnation,
-                              use.admitted, use.inWindow, state.self.meterLimits, now);
+    takeUses(state, message.from, message.incarnation, message.uses, now);
     for (const EngineNews &news : message.engines)
         takeNews(state, message.from, news, now);
     takeRelayed(state, message, now, actions);
-    takeUses(state, message, now);
+    takeAdapterUses(state, message, now);
     for (const PromptWork &work : message.promptWork) {
         const auto upstream = state.upstreams.find(work.engine);
         if (upstream != state.upstreams.end())
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -133,6 +133,10 @@
 /// Sends what was gathered to be passed on, where it is due.
 void runRelay(GatewayState &state, Instant now, Actions &actions);
 
+/// Takes what \a from, in its present life, admitted of customers' requests.
+void takeUses(GatewayState &state, const HostId &from, Incarnation incarnation,
+              const std::vector<CustomerUse> &uses, Instant now);
+
 /// Takes the news of the host that orders at an engine. News of what was seen earlier than what is
 /// known here is dropped.
 void takeNews(GatewayState &state, const HostId &from, const EngineNews &news, Instant now);
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -174,7 +174,6 @@
     known->second.wasAlive = before.wasAlive;
     known->second.firstHeardAt = isOtherLife ? member.heardAt : before.firstHeardAt;
     known->second.nextHeartbeatAt = isOtherLife ? Instant{} : before.nextHeartbeatAt;
-    known->second.linkMbps = member.linkMbps;
     known->second.relayAskedAt = before.relayAskedAt;
     known->second.nextEnginesAt = isOtherLife ? Instant{} : before.nextEnginesAt;
     known->second.idHash = isNew ? stableHash(member.id.value) : before.idHash;
--- a/packages/gateway/src/relaying.cpp
+++ b/packages/gateway/src/relaying.cpp
@@ -84,10 +84,7 @@
 {
     if (news.origin == state.self.id)
         return;
-    for (const CustomerUse &use : news.uses) {
-        noteAdmittedElsewhere(state.meters[use.customer], news.origin, news.incarnation,
-                              use.admitted, use.inWindow, state.self.meterLimits, now);
-    }
+    takeUses(state, news.origin, news.incarnation, news.uses, now);
     for (const EngineNews &engine : news.engines)
         takeNews(state, news.origin, engine, now);
 }
