Answer requests for a large item in the order in which they came

Cause: an item larger than a message goes to one requester, then its sender's link is left to other traffic for a while, and requests that arrive meanwhile were dropped.

Ruled out: lost messages (one in fifty; a single one costs 200 ms), late knowledge of the change (each late host knew of it within 0.4 s and asked every 200 ms).

Now such requests wait at the sender, oldest first, until the requester would ask again.

--- a/packages/gateway/include/azurewell/gateway/item_parts.h
+++ b/packages/gateway/include/azurewell/gateway/item_parts.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/gossip.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,17 @@
                         ///< requested.
 };
 
+/// A host that requested published changes.
+struct ChangesRequester
+{
+    HostId id;
+    ZoneId zone;
+    Endpoint address;
+    std::uint64_t revision = 0;     ///< It knows every change up to this revision.
+    std::uint64_t newestChange = 0; ///< Revision of the newest change that it knows.
+    Instant expiresAt;              ///< It requests them again then, perhaps from another host.
+};
+
 /// If no part arrives within this time, the rest is requested again.
 inline constexpr Span nextPartTimeout = std::chrono::milliseconds(150);
 
@@ -37,6 +49,9 @@
     std::string key;
     std::uint64_t revision = 0;
     std::string bytes;
+    /// Hosts that wait for parts, oldest first. Without them, hosts whose requests arrive while the
+    /// link is busy get no answer as long as others request sooner.
+    std::deque<ChangesRequester> waiting;
     Instant nextSendAt; ///< Earliest time at which it is sent to another host, since it fills the
                         ///< link of a small host.
 };
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -45,12 +45,10 @@
 }
 
 /// Sends the only item of \a changes, which is too large for a message, in parts.
-void sendInParts(GatewayState &state, const Gossip &to, const PublishedChanges &changes,
+void sendInParts(GatewayState &state, const ChangesRequester &to, const PublishedChanges &changes,
                  Instant now, Actions &actions)
 {
     PackedItem &packed = state.packedItem;
-    if (now < packed.nextSendAt)
-        return; // other hosts can send it, too
     packItem(packed, changes.items.front());
     packed.nextSendAt = now + linkPauseAfter(packed.bytes.size(), state.self.linkMbps);
     for (ItemPart &part : splitItem(changes, packed)) {
@@ -60,6 +58,13 @@
     }
 }
 
+void addWaiting(PackedItem &packed, const ChangesRequester &requester)
+{
+    std::erase_if(packed.waiting,
+                  [&](const ChangesRequester &other) { return other.id == requester.id; });
+    packed.waiting.push_back(requester);
+}
+
 /// Applies published changes from a host that knows all changes up to \a senderRevision.
 void takePublished(GatewayState &state, const PublishedChanges &changes,
                    std::uint64_t senderRevision)
@@ -76,15 +81,13 @@
         takePublished(state, *whole, senderRevision);
 }
 
-/// Sends published changes to a host that requested them.
-void sendChanges(GatewayState &state, const Gossip &to, Instant now, Actions &actions)
+/// The changes that \a requester lacks, limited to what fits into one message.
+PublishedChanges nextChangesFor(const GatewayState &state, const ChangesRequester &requester)
 {
-    if (!to.wantsChanges || to.revision >= state.published.newestChange)
-        return;
-    const bool isComplete = isCompleteAfter(state.published, to.revision);
+    const bool isComplete = isCompleteAfter(state.published, requester.revision);
     PublishedChanges changes = isComplete
-            ? changesAfter(state.published, to.revision)
-            : newestChanges(state.published, to.revision, to.newestChange);
+            ? changesAfter(state.published, requester.revision)
+            : newestChanges(state.published, requester.revision, requester.newestChange);
     std::size_t bytes = 0;
     std::size_t kept = 0;
     while (kept < changes.items.size()) {
@@ -98,15 +101,37 @@
         if (isComplete)
             changes.upTo = changes.items.back().revision;
     }
+    return changes;
+}
+
+/// Sends published changes to a host that requested them, or lets it wait until the link is free.
+void sendChanges(GatewayState &state, const ChangesRequester &requester, Instant now,
+                 Actions &actions)
+{
+    PublishedChanges changes = nextChangesFor(state, requester);
     if (changes.items.empty())
         return;
     if (changes.items.front().value.size() > maxChangeBytes) {
-        sendInParts(state, to, changes, now, actions);
+        if (now < state.packedItem.nextSendAt)
+            addWaiting(state.packedItem, requester);
+        else
+            sendInParts(state, requester, changes, now, actions);
         return;
     }
     Gossip message = messageHeader(state, now);
     message.changes.push_back(std::move(changes));
-    send(state, to.address, to.zone, MessageKind::Changes, std::move(message), actions);
+    send(state, requester.address, requester.zone, MessageKind::Changes, std::move(message),
+         actions);
+}
+
+void answerChangesRequest(GatewayState &state, const Gossip &from, Instant now, Actions &actions)
+{
+    if (!from.wantsChanges || from.revision >= state.published.newestChange)
+        return;
+    sendChanges(state,
+                { from.from, from.zone, from.address, from.revision, from.newestChange,
+                  now + changesInterval },
+                now, actions);
 }
 
 void takeAdapterUses(GatewayState &state, const Gossip &message, Instant now)
@@ -230,6 +255,17 @@
 
 } // namespace
 
+void sendWaitingChanges(GatewayState &state, Instant now, Actions &actions)
+{
+    std::deque<ChangesRequester> &waiting = state.packedItem.waiting;
+    while (!waiting.empty() && now >= state.packedItem.nextSendAt) {
+        const ChangesRequester next = waiting.front();
+        waiting.pop_front();
+        if (now < next.expiresAt)
+            sendChanges(state, next, now, actions);
+    }
+}
+
 void handleUses(GatewayState &state, const HostId &from, Incarnation incarnation,
                 const std::vector<CustomerUse> &uses, Instant now)
 {
@@ -311,7 +347,7 @@
     if (!message.loadRefusals.empty())
         placeWaiting(state, now, actions);
     requestChanges(state, message, now, actions);
-    sendChanges(state, message, now, actions);
+    answerChangesRequest(state, message, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -190,6 +190,7 @@
     removeExpired(state, now);
     contactSeeds(state, now, actions);
     sendUpdates(state, now, actions);
+    sendWaitingChanges(state, now, actions);
     runRelay(state, now, actions);
     sendHeartbeats(state, now, actions);
 }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -150,6 +150,9 @@
 /// Sends heartbeats and updates that are due.
 void runGossip(GatewayState &state, Instant now, Actions &actions);
 
+/// Sends published changes to hosts whose requests arrived while the link was busy.
+void sendWaitingChanges(GatewayState &state, Instant now, Actions &actions);
+
 /// Sends updates of this host to all other hosts through a relay. Engine updates to hosts of its
 /// own zone are sent directly.
 void sendToFleet(GatewayState &state, RelayedUpdate news, Instant now, Actions &actions);
