Keep requests from evacuated zones, and few of them at cold upstreams

Evacuations travel as all published items do, so hosts that the store turns away, that have just started or whose history is lost know them too. Every way of sending passes fits(), which asks isUsable(); the closing time of a zone is held there, at each upstream. A host that learns of an evacuation goes on using the zone for what is loaded nowhere else, for the time for an evacuation less the time for a change to be known less 0.6 s for a connection (1.4 s here), and has it loaded elsewhere; a host that has just started stops at once. Upstreams of a zone that is taken back count as cold.

Cold upstreams use the permits of stated limits: the coordinator spaces requests evenly while an upstream is cold (its entry says so, a report shows a new start, its zone is back in use). As an upstream may be cold before anyone can know, the coordinator also bounds the permits within any second at all times, below what a cold one bears; hosts that get no answer have a small share each, and a part of a split zone's hosts issues its part of the permits. A permit that is not used within 200 ms is void.

Tests at 6, 69 and 195 hosts without network. Seen failing without the mechanisms: 30 arrivals in an evacuated zone (6 hosts), 22 requests in a second at a cold engine where 18.8 are allowed (6 hosts). The two tests of zones that come back cold passed without them too, at this load. Ways tried for hosts whose coordinator does not answer: send after 30 ms as before (41 in a second at 69 hosts), permits by the reachable part of the fleet (28), a share each (21).

--- a/packages/gateway/include/azurewell/gateway/configuration.h
+++ b/packages/gateway/include/azurewell/gateway/configuration.h
@@ -67,6 +67,9 @@
     std::string healthPath;
     std::uint32_t maxConnections = 0;   ///< To one upstream, from all hosts together.
     std::optional<EngineLimits> engine; ///< Empty for a plain service.
+    Span warmupTime{};                  ///< For this long after a start an upstream is cold.
+    double warmupPerSecond = 0; ///< Requests per second that a cold upstream bears from all hosts
+                                ///< together; 0: not limited.
 };
 
 struct Customer
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -14,6 +14,8 @@
 #include "azurewell/gateway/prefill_rate.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
+#include "azurewell/gateway/warmup.h"
+#include "azurewell/gateway/zone_evacuation.h"
 #include "azurewell/gateway/zone_relay.h"
 #include "azurewell/placement/engine_adapters.h"
 #include "azurewell/routing/retry_budget.h"
@@ -39,6 +41,8 @@
     MeterLimits meterLimits;
     Span stopGrace{}; ///< Time from the stop request until the process is killed.
     Span propagationTimeout = std::chrono::seconds(2); ///< Propagation limit of confirmed changes.
+    Span evacuationTimeout{}; ///< An evacuated zone gets no requests this long after confirmation.
+    WarmupBound warmupBound;
     std::uint32_t linkMbps = 0;  ///< Bandwidth of this machine's link; 0: unknown.
     std::vector<Endpoint> seeds; ///< Hosts that may know other hosts; may be stale.
 };
@@ -108,6 +112,8 @@
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders that no report confirms yet.
     PromptPacer pacer;
     PermitPacer permits;
+    PermitPacer burstPermits; ///< Bounds the requests within a second; see warmup.h.
+    PermitPacer ownShare;     ///< Requests of this host while the coordinator does not answer.
     std::map<AdapterRef, Instant> awaitedUntil; ///< Kept for waiting requests until this time.
     RemoteUses remoteUses; ///< Adapters that other hosts use at this engine; they are not evicted.
     std::deque<ModelName> wanted;                ///< Loads to order, oldest first.
@@ -170,6 +176,7 @@
     Configuration configuration;
     DeclaredVersions versions;
     UpstreamMap upstreams;
+    ZoneEvacuations evacuations;
     PublishedState published;
     PartialItems partialItems;
     PackedItem packedItem;                ///< The last item that was sent in parts.
--- a/packages/gateway/include/azurewell/gateway/permit_pacer.h
+++ b/packages/gateway/include/azurewell/gateway/permit_pacer.h
@@ -19,6 +19,10 @@
 /// interval, as the previous coordinator may just have issued one.
 Span reservePermit(PermitPacer &pacer, double perSecond, Instant now);
 
+/// Reserves a permit where up to \a burst permits may be issued at once and \a perSecond more each
+/// second, and returns the wait until it is valid.
+Span reserveInBurst(PermitPacer &pacer, double perSecond, double burst, Instant now);
+
 /// Returns an unused permit.
 void returnPermit(PermitPacer &pacer, double perSecond);
 
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -76,8 +76,9 @@
     ZoneId zone;
     std::uint32_t slots = 1;
     bool isLeaving = false;
-    Span remaining{}; ///< Time until the upstream is terminated, if it leaves at short notice; 0:
-                      ///< not stated.
+    Span remaining{};  ///< Time until the upstream is terminated, if it leaves at short notice; 0:
+                       ///< not stated.
+    Span warmupLeft{}; ///< Time for which the upstream stays cold; 0: it is warm.
     std::uint64_t serial = 0; ///< Increases with each entry of one process of the upstream.
     EngineState engine;       ///< State in the last entry; `seenAt` is set by the reader.
 };
@@ -122,6 +123,8 @@
 
 void add(DecayedSum &sum, double value, Span decayTime, Instant now);
 
+inline constexpr Instant never{ std::numeric_limits<std::int64_t>::max() };
+
 /// An upstream and what this host knows about it.
 struct Upstream
 {
@@ -130,6 +133,8 @@
                           ///< otherwise `never`.
     Instant terminatedAt; ///< When the upstream is terminated, whatever still runs; otherwise
                           ///< `never`.
+    Instant zoneClosesAt = never; ///< When its zone gets no more requests; see zone_evacuation.h.
+    Instant coldUntil;            ///< Until then it bears few requests; see warmup.h.
     EngineState engine;
     std::map<ModelName, LoadInProgress> loads;
     HostId updatedBy; ///< Sender of the last update on the engine, presumably its coordinator.
@@ -148,8 +153,6 @@
     double failureRate = 0;         ///< Moving average of the share of failed requests.
 };
 
-inline constexpr Instant never{ std::numeric_limits<std::int64_t>::max() };
-
 using UpstreamMap = std::map<UpstreamId, Upstream>;
 
 /// The engine that last held each adapter. An engine keeps unloaded adapters in its host memory and
@@ -189,6 +192,15 @@
 /// Whether new requests may be sent to \a upstream.
 bool isUsable(const Upstream &upstream, Instant now);
 
+/// Whether requests to \a upstream need a permit, as it bears only some a second.
+bool isRateLimited(const Upstream &upstream, Instant now);
+
+/// Whether \a upstream is cold, as far as this host knows.
+bool isCold(const Upstream &upstream, Instant now);
+
+/// Whether the zone of \a upstream is being evacuated.
+bool isEvacuated(const Upstream &upstream);
+
 /// What the outcome of an attempt says about the health of an upstream.
 enum class HealthSignal : std::uint8_t {
     Answered, ///< A complete answer that states no fault.
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -18,6 +18,9 @@
 /// Delay of a new request by a full batch, in seconds: each step of the batch takes longer.
 constexpr double fullBatchDelay = 0.33;
 
+/// Wait for a permit at a cold upstream, in seconds.
+constexpr double coldDelay = 0.1;
+
 /// Cost of an upstream in another availability zone, in seconds: higher latency, and paid traffic.
 /// Less than the wait behind half a request.
 constexpr double otherZonePenalty = 0.033;
@@ -64,7 +67,7 @@
 {
     return upstream.listed.service == need.service && isUsable(upstream, now)
             && !need.excluded.contains(upstream.listed.id)
-            && !(need.isSentWithoutAdmission && isInForce(upstream.limit, now))
+            && !(need.isSentWithoutAdmission && isRateLimited(upstream, now))
             && (upstream.terminatedAt == never || now + need.duration < upstream.terminatedAt);
 }
 
@@ -84,7 +87,7 @@
     const double runningRequests = std::max<double>(stated.running, upstream.requestsInFlight);
     return queuedPromptTokens(upstream, now) / prefillTokensPerSecond
             + stated.waiting * waitPerQueuedRequest + fullBatchDelay * runningRequests / slots
-            + expectedLimitWait(upstream.limit, now);
+            + expectedLimitWait(upstream.limit, now) + (isCold(upstream, now) ? coldDelay : 0);
 }
 
 bool isReadyFor(const Upstream &upstream, const ModelName &model, const DeclaredVersions &versions)
@@ -112,7 +115,7 @@
     for (const auto &[id, upstream] : upstreams) {
         if (!fits(upstream, need, now) || !isReadyFor(upstream, need.model, versions))
             continue;
-        const bool isAvoided = now < upstream.avoidedUntil;
+        const bool isAvoided = now < upstream.avoidedUntil || isEvacuated(upstream);
         const double tieBreak = static_cast<double>(rendezvousMix(salt, stableHash(id.value)) >> 11)
                 * 0x1p-53;
         const double ownCost = cost(upstream, need, now) + tieBreak * tieBreakRange;
@@ -147,7 +150,7 @@
     double minWait = 0;
     for (const auto &[id, upstream] : upstreams) {
         const bool isCandidate = fits(upstream, need, now) && now >= upstream.avoidedUntil
-                && upstream.engine.hasModel(need.model.model)
+                && !isEvacuated(upstream) && upstream.engine.hasModel(need.model.model)
                 && upstream.engine.loading.size() < maxLoadedAdapters;
         if (!isCandidate)
             continue;
--- a/packages/gateway/src/crashes.cpp
+++ b/packages/gateway/src/crashes.cpp
@@ -81,6 +81,9 @@
     if (start < upstream.reportedStart
         || (start == upstream.reportedStart && sentAt <= upstream.reportedAt))
         return;
+    const std::int64_t known = std::max(upstream.reportedStart, upstream.listed.engine.start);
+    if (known != 0 && start > known)
+        markColdFromNow(state, upstream, sentAt);
     upstream.reportedStart = start;
     upstream.reportedAt = sentAt;
     recordReported(state.quarantine, { upstream.listed.id, start }, sentAt);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -123,6 +123,12 @@
         return;
     indexKeys(configuration);
     state.configuration = std::move(configuration);
+    for (auto &[id, upstream] : state.upstreams) {
+        // An entry that was read before the configuration counts as cold whatever its service is.
+        const Service *service = findService(state.configuration, upstream.listed.service);
+        if (service && service->warmupPerSecond <= 0)
+            upstream.coldUntil = Instant{};
+    }
     wakeEngines(state);
 }
 
@@ -135,6 +141,8 @@
     const bool isRestarted = listed.engine.start != upstream.listed.engine.start;
     const bool isMoved = listed.address != upstream.listed.address;
     upstream.listed = listed;
+    applyEvacuations(state.evacuations, upstream);
+    markCold(state, upstream, listed.warmupLeft, now);
     upstream.usableUntil = listed.isLeaving ? std::min(now, upstream.usableUntil) : never;
     upstream.terminatedAt = listed.remaining > Span{} ? now + listed.remaining : never;
     if (isRestarted || isMoved) {
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -201,7 +201,7 @@
         return;
     OrderedEngine &engine = state.engines[admission.engine];
     if (admission.isReturned) {
-        releaseAdmission(state, engine, found->second, admission);
+        releaseAdmission(state, engine, found->second, admission, now);
         return;
     }
     if (!admission.adapter.isBase()) {
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -67,14 +67,15 @@
 
 /// Cancels an unused admission.
 void releaseAdmission(const GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
-                      const AdmissionRequest &request);
+                      const AdmissionRequest &request, Instant now);
 
 /// Whether a request for \a model needs admission at \a upstream.
 bool needsAdmission(const GatewayState &state, const Upstream &upstream, const ModelName &model,
                     Instant now);
 
 /// Whether \a upstream states a rate limit and \a record has no permit for it.
-bool lacksPermit(const RequestRecord &record, const Upstream &upstream, Instant now);
+bool lacksPermit(GatewayState &state, const RequestRecord &record, const Upstream &upstream,
+                 Instant now);
 
 /// Whether the permit of \a record becomes valid only after the placement deadline.
 bool isPermitTooLate(const RequestRecord &record);
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -80,7 +80,7 @@
 bool shouldHold(const RequestRecord &record, const Upstream &chosen, const UpstreamNeed &need,
                 Instant now)
 {
-    return !need.model.model.empty() && !isInForce(chosen.limit, now)
+    return !need.model.model.empty() && !isRateLimited(chosen, now)
             && now < record.arrivedAt + maxHold
             && expectedWait(chosen, need.prefillTokensPerSecond, now) > crowdedEngineWait;
 }
@@ -231,7 +231,7 @@
 
 void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions)
 {
-    if (state.awaitedLoads.contains(need.model))
+    if (need.model.isBase() || state.awaitedLoads.contains(need.model))
         return;
     UpstreamNeed other = need;
     for (const auto &[id, upstream] : state.upstreams) {
@@ -299,6 +299,8 @@
     const UpstreamNeed need = needOf(state, record);
     const Upstream *chosen = chooseUpstream(state.upstreams, need, state.versions, draw(state),
                                             now);
+    if (chosen && isEvacuated(*chosen))
+        loadCopy(state, need, now, actions);
     if (chosen && record.admissionState == PromptAdmissionState::NotRequested
         && shouldHold(record, *chosen, need, now)) {
         markWaiting(state, record);
@@ -318,7 +320,7 @@
             return;
         }
         chosen = admittedEngine(state, record, need, *chosen, now);
-        if (lacksPermit(record, *chosen, now)) {
+        if (lacksPermit(state, record, *chosen, now)) {
             excludeUpstream(state, record, chosen->listed.id, now, actions);
             place(state, record, now, actions);
             return;
--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -1,3 +1,4 @@
+#include "azurewell/gateway/warmup.h"
 #include "internal.h"
 
 #include <utility>
@@ -16,16 +17,20 @@
 /// Minimum gain for which admission at another engine is preferred.
 constexpr Span minAdmissionGain = std::chrono::milliseconds(20);
 
+/// A permit that is not used within this time is void: after a pause of the process, permits for
+/// different times would be used together.
+constexpr Span permitValidity = std::chrono::milliseconds(200);
+
 double promptOf(const RequestRecord &record)
 {
     return static_cast<double>(record.arrivedRequest.promptTokens.count);
 }
 
 /// The admission request to the coordinator of \a upstream.
-AdmissionRequest admissionRequestFor(const RequestRecord &record, const Upstream &upstream,
-                                     Instant now)
+AdmissionRequest admissionRequestFor(const GatewayState &state, const RequestRecord &record,
+                                     const Upstream &upstream, Instant now)
 {
-    const double limit = isInForce(upstream.limit, now) ? upstream.limit.perSecond : 0;
+    const double limit = permitsPerSecond(state, upstream, now);
     return { upstream.listed.id,
              record.arrivedRequest.model,
              record.arrivedRequest.request.value,
@@ -42,10 +47,10 @@
     if (found == state.upstreams.end())
         return;
     const HostId coordinator = coordinatorOf(state, found->second, now);
-    AdmissionRequest returned = admissionRequestFor(record, found->second, now);
+    AdmissionRequest returned = admissionRequestFor(state, record, found->second, now);
     returned.isReturned = true;
     if (coordinator == state.self.id) {
-        releaseAdmission(state, state.engines[engine], found->second, returned);
+        releaseAdmission(state, state.engines[engine], found->second, returned, now);
         return;
     }
     Gossip message = messageHeader(state, now);
@@ -92,7 +97,15 @@
         turn = admitPrompt(engine.pacer, request.adapter, request.tokens,
                            prefillRateOf(state, upstream.listed.service), now);
     }
-    const double limit = isInForce(upstream.limit, now) ? upstream.limit.perSecond : request.limit;
+    if (limitsColdUpstreams(state, upstream)) {
+        const WarmupLimit warmup = warmupLimitOf(state, upstream, now);
+        turn.wait = std::max(
+                turn.wait,
+                reserveInBurst(engine.burstPermits, warmup.perSecondWarm, warmup.burst, now));
+        turn.isPermit = true;
+    }
+    const double known = permitsPerSecond(state, upstream, now);
+    const double limit = known > 0 ? known : request.limit;
     if (limit > 0) {
         turn.wait = std::max(turn.wait, reservePermit(engine.permits, limit, now));
         turn.isPermit = true;
@@ -101,10 +114,12 @@
 }
 
 void releaseAdmission(const GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
-                      const AdmissionRequest &request)
+                      const AdmissionRequest &request, Instant now)
 {
     if (!isSmallFleet(state) && !request.adapter.isBase())
         releaseAdmission(engine.pacer, request.tokens);
+    if (limitsColdUpstreams(state, upstream))
+        returnPermit(engine.burstPermits, warmupLimitOf(state, upstream, now).perSecondWarm);
     const double limit = upstream.limit.perSecond > 0 ? upstream.limit.perSecond : request.limit;
     if (limit > 0)
         returnPermit(engine.permits, limit);
@@ -113,13 +128,20 @@
 bool needsAdmission(const GatewayState &state, const Upstream &upstream, const ModelName &model,
                     Instant now)
 {
-    return isInForce(upstream.limit, now) || (!isSmallFleet(state) && !model.isBase());
+    return isRateLimited(upstream, now) || limitsColdUpstreams(state, upstream)
+            || (!isSmallFleet(state) && !model.isBase());
 }
 
-bool lacksPermit(const RequestRecord &record, const Upstream &upstream, Instant now)
+bool lacksPermit(GatewayState &state, const RequestRecord &record, const Upstream &upstream,
+                 Instant now)
 {
-    return isInForce(upstream.limit, now)
-            && (!record.isPermit || record.admissionEngine != upstream.listed.id);
+    const bool isAdmittedHere = record.isPermit && record.admissionEngine == upstream.listed.id;
+    if (!isAdmittedHere && limitsColdUpstreams(state, upstream)
+        && !takeOwnShare(state, upstream, now))
+        return true;
+    return isRateLimited(upstream, now)
+            && (!record.isPermit || record.admissionEngine != upstream.listed.id
+                || now >= record.admissionAt + permitValidity);
 }
 
 bool isPermitTooLate(const RequestRecord &record)
@@ -146,7 +168,7 @@
     record.admissionAt = now + admissionTimeout;
     record.isPermit = false;
     const HostId coordinator = coordinatorOf(state, engine, now);
-    AdmissionRequest request = admissionRequestFor(record, engine, now);
+    AdmissionRequest request = admissionRequestFor(state, record, engine, now);
     if (coordinator == state.self.id) {
         const PromptAdmission turn = admitPromptAt(state, state.engines[engine.listed.id], engine,
                                                    request, now);
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -28,6 +28,12 @@
     adapter.isInHostMemory = load.isInHostMemory;
 }
 
+/// Whether \a after is what remains of \a before. An upstream that is cold again is a change.
+bool isWarmupContinued(Span before, Span after)
+{
+    return after <= before && (after > Span{}) == (before > Span{});
+}
+
 void showReady(EngineState &engine, const LoadedAdapter &adapter)
 {
     std::erase_if(engine.loading,
@@ -75,7 +81,7 @@
 {
     return a.id == b.id && a.service == b.service && a.address == b.address && a.zone == b.zone
             && a.slots == b.slots && a.isLeaving == b.isLeaving && a.remaining == b.remaining
-            && a.engine.start == b.engine.start;
+            && a.engine.start == b.engine.start && isWarmupContinued(a.warmupLeft, b.warmupLeft);
 }
 
 void recordLastEngine(LastEngines &lastEngines, const ModelName &adapter, const UpstreamId &engine)
@@ -136,7 +142,22 @@
 
 bool isUsable(const Upstream &upstream, Instant now)
 {
-    return now < upstream.usableUntil && now < upstream.terminatedAt;
+    return now < upstream.usableUntil && now < upstream.terminatedAt && now < upstream.zoneClosesAt;
+}
+
+bool isRateLimited(const Upstream &upstream, Instant now)
+{
+    return isInForce(upstream.limit, now) || isCold(upstream, now);
+}
+
+bool isCold(const Upstream &upstream, Instant now)
+{
+    return now < upstream.coldUntil;
+}
+
+bool isEvacuated(const Upstream &upstream)
+{
+    return upstream.zoneClosesAt != never;
 }
 
 void recordHealth(Upstream &upstream, HealthSignal signal, Instant now)
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -68,6 +68,12 @@
     });
 }
 
+std::ptrdiff_t countCold(const gateway::GatewayState &state, Instant now)
+{
+    return std::count_if(state.upstreams.begin(), state.upstreams.end(),
+                         [now](const auto &entry) { return gateway::isCold(entry.second, now); });
+}
+
 void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
@@ -110,6 +116,9 @@
     addCounter(out, "azurewell_crash_suspicions_total", state.quarantine.suspicionsRecorded);
     addCounter(out, "azurewell_crash_suspicions_refuted_total", state.quarantine.suspicionsRefuted);
     addGauge(out, "azurewell_upstreams_limited", static_cast<double>(countLimited(state, now)));
+    addGauge(out, "azurewell_upstreams_cold", static_cast<double>(countCold(state, now)));
+    addGauge(out, "azurewell_zones_evacuated",
+             static_cast<double>(state.evacuations.closesAt.size()));
     addGauge(out, "azurewell_requests_quarantined",
              static_cast<double>(state.quarantine.quarantinedUntil.size()));
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -44,6 +44,8 @@
     configuration.routes.push_back(route);
     Service service;
     service.id.value = "engines";
+    service.warmupTime = warmupTime;
+    service.warmupPerSecond = settings.warmupPerSecond;
     service.engine = EngineLimits{};
     service.engine->batchSlots = 64;
     service.engine->maxLoadedAdapters = static_cast<std::uint32_t>(settings.adapterSlots);
@@ -59,18 +61,6 @@
     return configuration;
 }
 
-ListedUpstream listedOf(const FakeEngine &engine)
-{
-    ListedUpstream listed;
-    listed.id = engine.id;
-    listed.service.value = "engines";
-    listed.address = { engine.id.value, 1 };
-    listed.zone = engine.zone;
-    listed.slots = 64;
-    listed.engine.start = engine.start;
-    return listed;
-}
-
 Endpoint addressOf(std::size_t host)
 {
     return { "host-" + std::to_string(host), 1 };
@@ -109,6 +99,19 @@
     }
 }
 
+ListedUpstream World::listedOf(const FakeEngine &engine) const
+{
+    ListedUpstream listed;
+    listed.id = engine.id;
+    listed.service.value = "engines";
+    listed.address = { engine.id.value, 1 };
+    listed.zone = engine.zone;
+    listed.slots = 64;
+    listed.engine.start = engine.start;
+    listed.warmupLeft = std::max(engine.coldUntil - this->now, Span{});
+    return listed;
+}
+
 void World::schedule(Instant when, std::function<void()> callback)
 {
     this->scheduled.push_back({ when, this->nextSequenceNumber++, std::move(callback) });
@@ -152,12 +155,18 @@
     self.incarnation.value = host.incarnation;
     self.isFirstStart = isFirst;
     self.randomSeed = this->random();
+    self.propagationTimeout = propagationTime;
+    self.evacuationTimeout = evacuationTimeout;
+    self.warmupBound = { 1.5, 5 };
     for (std::size_t seed = 0; seed < std::min<std::size_t>(3, this->hosts.size()); ++seed)
         self.seeds.push_back(addressOf(seed));
     start(host.state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
     setConfiguration(host.state, configurationOf(this->settings));
     for (const FakeEngine &engine : this->engines)
-        listUpstream(host.state, listedOf(engine), this->now);
+        listUpstream(host.state, this->listedOf(engine), this->now);
+    Actions actions;
+    for (const auto &[zone, at] : this->evacuatedAt)
+        beginEvacuation(host.state, zone, this->now, actions);
     this->tickHost(index);
 }
 
@@ -188,6 +197,7 @@
     engine.hasBase = false;
     engine.ordersTaken = 0;
     ++engine.start;
+    engine.coldUntil = this->now + warmupTime;
     engine.stateHistory.clear();
     this->recordState(engine);
 }
@@ -196,7 +206,7 @@
 {
     for (FakeHost &host : this->hosts) {
         if (host.isUp)
-            listUpstream(host.state, listedOf(engine), this->now);
+            listUpstream(host.state, this->listedOf(engine), this->now);
     }
 }
 
@@ -328,6 +338,7 @@
         const bool isLoaded = engine.hasBase && loaded != engine.readyAt.end();
         const bool isReady = isLoaded && loaded->second <= this->now
                 && !engine.pendingUnloads.contains(fakeRequest.model);
+        this->recordZoneArrival(index, engine, isReady);
         if (isReady) {
             ++engine.running[fakeRequest.model];
             engine.runs.push_back({ index, incarnation, toSend });
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -68,6 +68,8 @@
     Instant limitStatedAt;     ///< When the limit was first stated; 0: not yet.
     std::map<std::size_t, Instant> limitReceivedAt; ///< By host: when it first received the limit.
     std::vector<Instant> arrivalsUnderLimit; ///< Times of requests from hosts that must comply.
+    Instant coldUntil;                       ///< It bears few requests until then.
+    std::vector<Instant> coldArrivals;       ///< Times of requests that it ran while it was cold.
     HostId lastOrderedBy;
     Instant lastOrderAt;
     std::uint64_t highestFencing = 0;
@@ -111,6 +113,7 @@
     std::size_t crashingRequestCount = 0; ///< Each is sent repeatedly, to random hosts.
     Span crashingRequestInterval = std::chrono::milliseconds(700);
     Span engineRestartTime = std::chrono::seconds(3);
+    double warmupPerSecond = 0; ///< Requests a second that the service states for cold engines.
     std::uint32_t maxSends = 1; ///< Attempts of a caller whose answers are interrupted.
     bool countsBytes = false;   ///< Each message is encoded and decoded as on the wire.
 };
@@ -144,6 +147,14 @@
     {
         return this->engines[index].arrivalsUnderLimit.size();
     }
+    /// Hosts learn of the evacuation within propagationTime.
+    void evacuateZone(std::size_t zone);
+    /// Ends the evacuation. The engines of the zone are cold from now on.
+    void returnZone(std::size_t zone);
+    /// The engine is cold from now on, as if it had just started.
+    void makeCold(std::size_t index);
+    /// The maximum number of requests that an engine ran in any second while it was cold.
+    std::size_t maxColdArrivals() const;
     /// The engine crashes with all its requests and is back after
     /// WorldSettings::engineRestartTime without models.
     void crashEngine(std::size_t index);
@@ -183,6 +194,9 @@
     std::map<ContentDigest, CrashingRequest> crashingRequests;
     /// Requests interrupted by a crash of their engine, without those that cause crashes.
     std::uint64_t interrupted = 0;
+    /// Requests that reached an evacuated zone later than evacuationTimeout after its evacuation,
+    /// from hosts that ran undisturbed.
+    std::uint64_t arrivalsInEvacuatedZones = 0;
     std::map<ResultCode, std::uint64_t> refusals; ///< Without requests that crash engines.
     Instant now{ 1'000'000'000 };
 
@@ -209,6 +223,11 @@
     void startCrashingRun(std::size_t engine);
     void recordLimitedArrival(std::size_t host, FakeEngine &engine);
     void sendLimit(const FakeRun &run, FakeEngine &engine, Instant sentAt);
+    void recordZoneArrival(std::size_t host, FakeEngine &engine, bool isRun);
+    Span randomDelay(Span max);
+    void notifyHost(std::size_t index, Span delay,
+                    const std::function<void(GatewayState &, Actions &)> &notify);
+    ListedUpstream listedOf(const FakeEngine &engine) const;
     void relistEngine(const FakeEngine &engine);
     void endAttempt(const FakeRun &run, AttemptOutcome outcome);
     void applyActions(std::size_t index, Actions &actions);
@@ -242,6 +261,7 @@
     std::vector<ScheduledEvent> scheduled; ///< A heap, the earliest first.
     /// By host and request id.
     std::map<std::pair<std::size_t, std::uint64_t>, FakeRequest> requests;
+    std::map<ZoneId, Instant> evacuatedAt; ///< Evacuated zones.
     std::uint64_t nextSequenceNumber = 1;
     std::uint64_t nextRequest = 1;
 };
@@ -249,4 +269,10 @@
 /// Maximum time until all hosts know of a crashed engine or repeat a refused request.
 inline constexpr Span propagationTime = std::chrono::seconds(3);
 
+/// An evacuated zone must get no requests this long after the evacuation.
+inline constexpr Span evacuationTimeout = std::chrono::seconds(5);
+
+/// Time for which an engine is cold after its start.
+inline constexpr Span warmupTime = std::chrono::seconds(3);
+
 } // namespace azurewell::gateway
