--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -27,11 +27,12 @@
 /// Retry-after time of refusals by a stopping host: another host serves the retry at once.
 constexpr Span drainingRetryAfter = std::chrono::milliseconds(50);
 
-/// Retries that the fleet may save up, divided among its hosts (at least one each). The bound
-/// for the fleet is a fifth of its requests plus about 50 retries.
+/// Retries that the fleet may save up, divided among its hosts (at least one each). Together with
+/// retriesPerRequest it stays below the platform's bound, a fifth of the requests plus 50 or more,
+/// as hosts that a partition separates each have their share.
 constexpr double fleetRetryBurst = 40;
 
-/// Retries earned per request; less than the fifth that the fleet may retry.
+/// Retries earned per request.
 constexpr double retriesPerRequest = 0.15;
 
 void refuse(GatewayState &state, const RequestRecord &record, ResultCode code, Span retryAfter,
--- a/packages/host/src/slot_requests.cpp
+++ b/packages/host/src/slot_requests.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Fraction by which the requester shortens a lease, to allow for clock drift. Quartz clocks drift
-/// by at most 200 ppm; a hundred times that costs a tenth of a second of a ten-second lease.
+/// by at most 200 ppm; a hundred times that costs a fifth of a second of a ten-second lease.
 constexpr double leaseDriftMargin = 0.02;
 /// Maximum number of coordinators from which a slot is requested for one request. A long queue at
 /// one coordinator says nothing about the others; at four times the capacity, three requests
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -83,11 +83,15 @@
 
 std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &all)
 {
-    const std::string_view connection = headerValue(all, "Connection");
+    const auto isNamedByConnection = [&all](std::string_view name) {
+        return std::any_of(all.begin(), all.end(), [name](const HttpHeader &header) {
+            return isSameHeaderName(header.name, "Connection") && isListed(header.value, name);
+        });
+    };
     std::vector<HttpHeader> kept;
     kept.reserve(all.size());
     std::copy_if(all.begin(), all.end(), std::back_inserter(kept), [&](const HttpHeader &header) {
-        return !isHopByHop(header.name) && !isListed(connection, header.name);
+        return !isHopByHop(header.name) && !isNamedByConnection(header.name);
     });
     return kept;
 }
--- a/packages/http/tests/message_readers_test.cpp
+++ b/packages/http/tests/message_readers_test.cpp
@@ -115,5 +115,14 @@
     EXPECT_EQ(kept.front().name, "X-Kept");
 }
 
+// Guards against a header that is forwarded because only a second Connection header names it.
+TEST(Headers, EveryConnectionHeaderNamesHopByHopHeaders)
+{
+    const std::vector<HttpHeader> all{ { "Connection", "keep-alive" },
+                                       { "X-Hop", "1" },
+                                       { "connection", "X-Hop" } };
+    EXPECT_TRUE(endToEndHeaders(all).empty());
+}
+
 } // namespace
 } // namespace azurewell
--- a/packages/shell/src/engine_orders.cpp
+++ b/packages/shell/src/engine_orders.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/shell/engine_orders.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/shell/load_report.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,22 +25,6 @@
     return FencingNumber{ reply->rawHeader("X-Fencing-Number").toULongLong() };
 }
 
-LoadReported parseReport(const UpstreamId &engine, const QByteArray &text)
-{
-    LoadReported report;
-    report.engine = engine;
-    const nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
-    report.isReachable = json.is_object();
-    if (!report.isReachable)
-        return report;
-    report.running = json.value("running", 0U);
-    report.queued = json.value("queued", 0U);
-    report.engineStart = json.value("start", std::uint64_t{ 0 });
-    for (const std::string &name : json.value("adapters", std::vector<std::string>{}))
-        report.loaded.emplace_back(name);
-    return report;
-}
-
 } // namespace
 
 EngineOrders::EngineOrders(EventHandler onEvent)
@@ -83,8 +68,8 @@
     QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, query] {
         reply->deleteLater();
         const bool isAnswered = reply->error() == QNetworkReply::NoError;
-        LoadReported report = parseReport(query.engine,
-                                          isAnswered ? reply->readAll() : QByteArray());
+        LoadReported report = parseLoadReport(
+                query.engine, isAnswered ? reply->readAll().toStdString() : std::string());
         report.queriedAt = query.queriedAt;
         this->handleEvent(report);
     });
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -1,4 +1,5 @@
 #include "azurewell/shell/http_text.h"
+#include "azurewell/shell/load_report.h"
 #include "azurewell/shell/platform_watcher.h"
 #include "azurewell/shell/settings.h"
 #include "azurewell/shell/show_record.h"
@@ -34,6 +35,19 @@
     EXPECT_TRUE(answer.contains("\"code\":300"));
 }
 
+// Guards against a report with a field of another type that ends the process by an exception.
+TEST(LoadReport, FieldsOfOtherTypesAreIgnored)
+{
+    const LoadReported report = parseLoadReport(
+            UpstreamId{ "e" }, R"({"running":"3","queued":2,"start":null,"adapters":["a",7]})");
+    EXPECT_TRUE(report.isReachable);
+    EXPECT_EQ(report.running, 0U);
+    EXPECT_EQ(report.queued, 2U);
+    EXPECT_EQ(report.loaded, std::vector<AdapterRef>{ AdapterRef{ "a" } });
+    EXPECT_TRUE(parseLoadReport(UpstreamId{ "e" }, R"({"adapters":3})").loaded.empty());
+    EXPECT_FALSE(parseLoadReport(UpstreamId{ "e" }, "[]").isReachable);
+}
+
 TEST(HostList, LeavingHostsAndUpstreamsAreRead)
 {
     const Result<HostListRead> list = parseHostList(
--- a/programs/azurewellctl/ticket_state_commands.cpp
+++ b/programs/azurewellctl/ticket_state_commands.cpp
@@ -39,9 +39,15 @@
     if (directory.empty())
         return StateInForce{};
     const std::optional<std::string> text = readFile(directory + "/tickets/snapshot");
-    const Result<SnapshotIndex> index = text ? parseSnapshotIndex(*text) : Error{};
-    if (!index)
+    if (!text) {
+        fmt::print(stderr, "{}: has no readable snapshot\n", directory);
         return std::nullopt;
+    }
+    const Result<SnapshotIndex> index = parseSnapshotIndex(*text);
+    if (!index) {
+        fmt::print(stderr, "{}: {}\n", directory, index.error().detail);
+        return std::nullopt;
+    }
     SnapshotAssembly assembly;
     const std::string segments = directory + "/tickets/segments/"
             + std::to_string(index.value().ticket.value) + "/";
