Ignore entries of an earlier start when an upstream is cold

A report shows a new start before the upstream's entry does. An entry of the start before, which says that the upstream is warm, ended the cold time: permits were no longer spaced. Found by reading the change. An entry counts now if it is of the start last reported or a later one; with a test.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -142,7 +142,9 @@
     const bool isMoved = listed.address != upstream.listed.address;
     upstream.listed = listed;
     applyEvacuations(state.evacuations, upstream);
-    markCold(state, upstream, listed.warmupLeft, now);
+    // The entry of an earlier start says nothing of the one that a report has shown since.
+    if (listed.engine.start >= upstream.reportedStart)
+        markCold(state, upstream, listed.warmupLeft, now);
     upstream.usableUntil = listed.isLeaving ? std::min(now, upstream.usableUntil) : never;
     upstream.terminatedAt = listed.remaining > Span{} ? now + listed.remaining : never;
     if (isRestarted || isMoved) {
--- a/packages/gateway/tests/warmup_test.cpp
+++ b/packages/gateway/tests/warmup_test.cpp
@@ -132,6 +132,19 @@
     EXPECT_TRUE(isCold(this->upstream(), this->now));
 }
 
+// Guards against an entry from before a restart that makes a cold upstream look warm.
+TEST_F(ColdUpstreamTest, AnEntryOfAnEarlierStartDoesNotEndTheColdTime)
+{
+    listUpstream(this->state, this->listed, this->now);
+    ReportRead report{ this->listed.id, this->now, EngineState{} };
+    report.state->start = 101;
+    Actions actions;
+    handle(this->state, report, this->now, actions);
+    ++this->listed.serial;
+    listUpstream(this->state, this->listed, this->now);
+    EXPECT_TRUE(isCold(this->upstream(), this->now));
+}
+
 // Guards against a limit on upstreams of services that state no rate for cold upstreams.
 TEST_F(ColdUpstreamTest, ServicesWithoutARateHaveNoColdUpstreams)
 {
