Walk the members once for a share of permits, and ask once whether a permit is held

Found on the last reading, no change of behaviour. shareOfPermits counted reachable and known hosts at each admission, though only a split zone needs them: three walks over the members became one in the usual case. lacksPermit wrote its own condition a second time. Not measured.

--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -140,8 +140,7 @@
         && !takeOwnShare(state, upstream, now))
         return true;
     return isRateLimited(upstream, now)
-            && (!record.isPermit || record.admissionEngine != upstream.listed.id
-                || now >= record.admissionAt + permitValidity);
+            && (!isAdmittedHere || now >= record.admissionAt + permitValidity);
 }
 
 bool isPermitTooLate(const RequestRecord &record)
--- a/packages/gateway/src/warmup.cpp
+++ b/packages/gateway/src/warmup.cpp
@@ -36,10 +36,10 @@
         known += 1;
         reachable += isMemberReachable(state.members, member, now) ? 1 : 0;
     }
-    const bool isInMajority = 2 * (countReachable(state.members, now) + 1)
-            > countKnown(state.members) + 1;
     if (known == 0 || reachable >= wholeZone * known)
         return 1;
+    const bool isInMajority = 2 * (countReachable(state.members, now) + 1)
+            > countKnown(state.members) + 1;
     return isInMajority ? std::max(reachable / known, shareOfLostZone) : reachable / known;
 }
 
