Count tokens of a stream, not events, when it may have to be resumed

Callers of an engine that sends a role, a finish reason or its usage in an event of its own lost a token for each such event when their stream was resumed: the position to resume from was one too high.

Cause: extractEvents() counted each event with data as a token.

Why this works: an event without text that begins a text with its role, ends one, or has no text at all (usage) is no token. Data in an unknown form counts as one, as before. Each event is now parsed; the first one was already.

--- a/packages/shell/src/event_stream.cpp
+++ b/packages/shell/src/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/shell/event_stream.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace azurewell {
@@ -10,6 +12,56 @@
 constexpr const char *dataField = "data:";
 constexpr const char *doneMarker = "[DONE]";
 
+struct EventContent
+{
+    bool hasToken = false;
+    std::uint32_t finishedChoices = 0;
+};
+
+bool isNonEmptyText(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string()
+            && !found->get_ref<const std::string &>().empty();
+}
+
+bool isFinished(const nlohmann::json &choice)
+{
+    const auto reason = choice.find("finish_reason");
+    return reason != choice.end() && !reason->is_null();
+}
+
+/// Whether \a choice carries no token: it begins a text with its role, or only ends one.
+bool isWithoutToken(const nlohmann::json &choice)
+{
+    if (isNonEmptyText(choice, "text"))
+        return false;
+    const auto delta = choice.find("delta");
+    const bool isDelta = delta != choice.end() && delta->is_object();
+    if (isDelta && isNonEmptyText(*delta, "content"))
+        return false;
+    return isFinished(choice) || (isDelta && delta->contains("role"));
+}
+
+/// What \a data, the data of one event, adds to an answer. Data in an unknown form counts as a
+/// token.
+EventContent contentOf(const QByteArray &data)
+{
+    if (data.isEmpty())
+        return {};
+    const nlohmann::json json = nlohmann::json::parse(data.begin(), data.end(), nullptr, false);
+    if (!json.is_object() || !json.contains("choices") || !json["choices"].is_array())
+        return EventContent{ true, 0 };
+    EventContent content;
+    for (const nlohmann::json &choice : json["choices"]) {
+        if (!choice.is_object())
+            continue;
+        content.hasToken = content.hasToken || !isWithoutToken(choice);
+        content.finishedChoices += isFinished(choice) ? 1 : 0;
+    }
+    return content;
+}
+
 } // namespace
 
 QByteArray firstData(const QByteArray &events)
@@ -49,7 +101,9 @@
         if (stream.isDone)
             break;
         whole.bytes += event;
-        whole.tokens += Tokens{ data.isEmpty() ? 0 : 1 };
+        const EventContent content = contentOf(data);
+        whole.tokens += Tokens{ content.hasToken ? 1 : 0 };
+        stream.finishedChoices += content.finishedChoices;
     }
     stream.partial.remove(0, taken);
     if (stream.partial.size() > maxEventBytes)
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -1,3 +1,4 @@
+#include "azurewell/shell/event_stream.h"
 #include "azurewell/shell/http_text.h"
 #include "azurewell/shell/load_report.h"
 #include "azurewell/shell/platform_watcher.h"
@@ -48,6 +49,41 @@
     EXPECT_FALSE(parseLoadReport(UpstreamId{ "e" }, "[]").isReachable);
 }
 
+// Guards against a shifted resume position: a role, a finish reason and usage are no tokens.
+TEST(EventStream, CountsOnlyEventsWithAToken)
+{
+    EventStream stream;
+    const Result<CompleteEvents> begin = extractEvents(
+            stream,
+            "data: {\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\"}}]}\n\n"
+            "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n"
+            "data: {\"choices\":[{\"index\":0,\"text\":\"b\",\"finish_reason\":null}]}\n\n");
+    ASSERT_TRUE(begin);
+    EXPECT_EQ(begin.value().tokens, Tokens{ 2 });
+    EXPECT_FALSE(stream.isAnswerEnd());
+    const Result<CompleteEvents> end = extractEvents(
+            stream,
+            "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+            "data: {\"choices\":[],\"usage\":{\"completion_tokens\":2}}\n\n");
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end.value().tokens, Tokens{ 0 });
+    EXPECT_TRUE(stream.isAnswerEnd());
+}
+
+TEST(EventStream, AnAnswerOfSeveralChoicesEndsWithTheLastOne)
+{
+    const QByteArray finished
+            = "data: {\"choices\":[{\"index\":0,\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
+    EventStream stream;
+    stream.choices = 2;
+    const Result<CompleteEvents> first = extractEvents(stream, finished);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first.value().tokens, Tokens{ 1 });
+    EXPECT_FALSE(stream.isAnswerEnd());
+    ASSERT_TRUE(extractEvents(stream, finished));
+    EXPECT_TRUE(stream.isAnswerEnd());
+}
+
 TEST(HostList, LeavingHostsAndUpstreamsAreRead)
 {
     const Result<HostListRead> list = parseHostList(
--- a/standins/include/azurewell/standins/engine.h
+++ b/standins/include/azurewell/standins/engine.h
@@ -13,18 +13,24 @@
 
 namespace azurewell::standins {
 
+/// What an engine does instead of sending the end marker of a stream.
+enum class EndFault : std::uint8_t { None, Close, Stall };
+
 /// Faults of an engine that a test can enable.
 struct EngineFaults
 {
-    int closeAfterTokens = -1;         ///< Closes each stream after this many tokens.
-    int stallAfterTokens = -1;         ///< Stops sending after this many tokens, connection open.
-    bool mismatchesRequestIds = false; ///< Responses carry the ID of another request.
-    bool omitsId = false;              ///< Responses carry no request ID.
-    bool respondsAsOtherModel = false; ///< Responses name another adapter.
-    bool ignoresResume = false;        ///< Restarts a resumed stream at its first token.
-    std::string tokenSuffix;           ///< Appended to each token's text.
-    bool refuses = false;              ///< 503 to everything.
-    int failLoads = 0;                 ///< Number of loads that will fail.
+    int closeAfterTokens = -1; ///< Closes each stream after this many tokens.
+    int stallAfterTokens = -1; ///< Stops sending after this many tokens, connection open.
+    int stopAfterTokens = -1;  ///< Finishes each answer after this many tokens.
+    EndFault endFault = EndFault::None;
+    bool sendsEventsWithoutToken = false; ///< Role, finish reason and usage in separate events.
+    bool mismatchesRequestIds = false;    ///< Responses carry the ID of another request.
+    bool omitsId = false;                 ///< Responses carry no request ID.
+    bool respondsAsOtherModel = false;    ///< Responses name another adapter.
+    bool ignoresResume = false;           ///< Restarts a resumed stream at its first token.
+    std::string tokenSuffix;              ///< Appended to each token's text.
+    bool refuses = false;                 ///< 503 to everything.
+    int failLoads = 0;                    ///< Number of loads that will fail.
 };
 
 struct EngineOptions
@@ -89,6 +95,10 @@
     void callerDisconnected(const Sequence *sequence);
     void step();
     bool stepSequence(Sequence &sequence);
+    void sendStreamHead(Sequence &sequence, const std::string &model);
+    bool sendAnswer(Sequence &sequence, const std::string &model);
+    bool endStream(Sequence &sequence);
+    bool isAnswerFinished(const Sequence &sequence) const;
     bool isFenced(const QHttpServerRequest &request, QTcpSocket *socket);
     bool isServing(const std::string &adapter) const;
 
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -22,13 +22,36 @@
     return json.is_object() ? json : nlohmann::json::object();
 }
 
-QByteArray eventOf(const QByteArray &id, const std::string &adapter, const std::string &text)
+QByteArray eventOf(const std::string &adapter, nlohmann::json fields)
 {
-    const nlohmann::json delta{ { "id", id.toStdString() },
-                                { "model", adapter },
-                                { "choices",
-                                  { { { "index", 0 }, { "delta", { { "content", text } } } } } } };
-    return "data: " + QByteArray::fromStdString(delta.dump()) + "\n\n";
+    fields["model"] = adapter;
+    return encodeChunk("data: " + QByteArray::fromStdString(fields.dump()) + "\n\n");
+}
+
+QByteArray choiceEvent(const std::string &adapter, nlohmann::json choice)
+{
+    choice["index"] = 0;
+    return eventOf(adapter, { { "choices", { std::move(choice) } } });
+}
+
+QByteArray tokenEvent(const QByteArray &id, const std::string &adapter, const std::string &text)
+{
+    return eventOf(adapter,
+                   { { "id", id.toStdString() },
+                     { "choices", { { { "index", 0 }, { "delta", { { "content", text } } } } } } });
+}
+
+QByteArray finishEvent(const std::string &adapter, const std::string &reason)
+{
+    return choiceEvent(adapter,
+                       { { "delta", nlohmann::json::object() }, { "finish_reason", reason } });
+}
+
+QByteArray usageEvent(const std::string &adapter, int tokens)
+{
+    return eventOf(adapter,
+                   { { "choices", nlohmann::json::array() },
+                     { "usage", { { "completion_tokens", tokens } } } });
 }
 
 QByteArray streamHead(const RequestId &id, const QByteArray &resumedFrom)
@@ -229,6 +252,62 @@
     });
 }
 
+bool Engine::isAnswerFinished(const Sequence &sequence) const
+{
+    const bool isStopMet = this->faults.stopAfterTokens >= 0
+            && sequence.generatedTokens >= this->faults.stopAfterTokens;
+    return isStopMet || sequence.generatedTokens >= sequence.maxTokens;
+}
+
+void Engine::sendStreamHead(Sequence &sequence, const std::string &model)
+{
+    const RequestId id{ this->faults.omitsId ? std::string() : sequence.id.toStdString() };
+    sequence.socket->write(streamHead(id, sequence.resumedFrom));
+    sequence.isHeadSent = true;
+    if (this->faults.sendsEventsWithoutToken && sequence.resumedFrom.isEmpty())
+        sequence.socket->write(choiceEvent(model, { { "delta", { { "role", "assistant" } } } }));
+}
+
+/// Sends a complete answer that is no stream. Returns true: the sequence has ended.
+bool Engine::sendAnswer(Sequence &sequence, const std::string &model)
+{
+    ++this->completed;
+    QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
+    const nlohmann::json json{
+        { "id", sequence.id.toStdString() },
+        { "model", model },
+        { "choices",
+          { { { "index", 0 }, { "message", { { "content", sequence.text.toStdString() } } } } } },
+        { "usage", { { "completion_tokens", sequence.generatedTokens } } }
+    };
+    answer(sequence.socket, 200, QByteArray::fromStdString(json.dump()),
+           this->faults.omitsId ? QByteArray() : sequence.id);
+    return true;
+}
+
+/// Sends the end of a stream, or does what endFault states. Returns true if the sequence has ended.
+bool Engine::endStream(Sequence &sequence)
+{
+    if (this->faults.sendsEventsWithoutToken) {
+        const std::string reason = sequence.generatedTokens < sequence.maxTokens ? "stop"
+                                                                                 : "length";
+        sequence.socket->write(finishEvent(sequence.adapter, reason));
+    }
+    sequence.isSilent = this->faults.endFault == EndFault::Stall;
+    if (sequence.isSilent)
+        return false;
+    ++this->completed;
+    QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
+    if (this->faults.endFault == EndFault::Close) {
+        sequence.socket->disconnectFromHost();
+        return true;
+    }
+    if (this->faults.sendsEventsWithoutToken)
+        sequence.socket->write(usageEvent(sequence.adapter, sequence.generatedTokens));
+    sequence.socket->write(encodeChunk("data: [DONE]\n\n") + encodeChunk({}));
+    return true;
+}
+
 /// Generates the next token. Returns true if the sequence has ended.
 bool Engine::stepSequence(Sequence &sequence)
 {
@@ -239,7 +318,6 @@
     if (this->faults.stallAfterTokens >= 0
         && sequence.generatedTokens >= this->faults.stallAfterTokens)
         return false;
-    const RequestId id{ sequence.id.toStdString() };
     if (this->faults.closeAfterTokens >= 0
         && sequence.generatedTokens >= this->faults.closeAfterTokens) {
         QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
@@ -253,32 +331,14 @@
             + this->faults.tokenSuffix;
     if (sequence.isStream) {
         if (!sequence.isHeadSent)
-            sequence.socket->write(
-                    streamHead(this->faults.omitsId ? RequestId{} : id, sequence.resumedFrom));
-        sequence.isHeadSent = true;
-        sequence.socket->write(encodeChunk(eventOf(sequence.id, model, text)));
+            this->sendStreamHead(sequence, model);
+        sequence.socket->write(tokenEvent(sequence.id, model, text));
     } else {
         sequence.text += QByteArray::fromStdString(text);
     }
-    if (sequence.generatedTokens < sequence.maxTokens)
+    if (!this->isAnswerFinished(sequence))
         return false;
-    ++this->completed;
-    QObject::disconnect(sequence.socket, &QTcpSocket::disconnected, this, nullptr);
-    if (sequence.isStream) {
-        sequence.socket->write(encodeChunk("data: [DONE]\n\n") + encodeChunk({}));
-    } else {
-        const nlohmann::json json{
-            { "id", id.value },
-            { "model", model },
-            { "choices",
-              { { { "index", 0 },
-                  { "message", { { "content", sequence.text.toStdString() } } } } } },
-            { "usage", { { "completion_tokens", sequence.generatedTokens } } }
-        };
-        answer(sequence.socket, 200, QByteArray::fromStdString(json.dump()),
-               this->faults.omitsId ? QByteArray() : sequence.id);
-    }
-    return true;
+    return sequence.isStream ? this->endStream(sequence) : this->sendAnswer(sequence, model);
 }
 
 } // namespace azurewell::standins
--- a/tests/sockets/streams_test.cpp
+++ b/tests/sockets/streams_test.cpp
@@ -81,6 +81,18 @@
     EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(40));
 }
 
+// Guards against lost tokens: events without a token shift the position at which a stream resumes.
+TEST_F(Streams, EventsWithoutATokenDoNotShiftTheResumePosition)
+{
+    standins::EngineFaults faults;
+    faults.closeAfterTokens = 7;
+    faults.sendsEventsWithoutToken = true;
+    this->startStream(faults, 40);
+    const Answer answer = this->caller->answer();
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(40));
+}
+
 // An engine restarts in mid-stream and has lost the adapter too.
 TEST_F(Streams, NoTokenIsLostWhenAnEngineRestartsColdInMidStream)
 {
