Do not resume a stream whose caller has the last token

Callers got a token more than they asked for, and paid for it, when the connection, the lease or the time of an attempt ended after the last token and before the end marker; text after the end if the engine had finished early; an error after a complete answer if the engine stalled there.

Cause: the decision to resume asked whether the caller had any token, never whether it had the last one.

Why this works: the traffic thread that forwards the tokens knows the limit, the finish reasons and the end marker. Once it has forwarded the last token it completes the answer, whatever ended the attempt, and tells the host state both. The outcome still counts for the engine's health, and the coordinator cancels what the engine may still run before it frees the slot. The limit counts only if the request states max_tokens.

Ruled out: that the resume starts from another count than was delivered: both are the count of the thread that forwards.

--- a/packages/host/include/azurewell/host/events.h
+++ b/packages/host/include/azurewell/host/events.h
@@ -4,6 +4,7 @@
 #include "azurewell/fleet/messages.h"
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -57,6 +58,8 @@
     Cancelled,    ///< Ended by CancelAttempt.
 };
 
+std::string_view nameOf(AttemptOutcome outcome);
+
 struct AttemptEnded
 {
     RequestId request;
@@ -64,6 +67,9 @@
     AttemptOutcome outcome = AttemptOutcome::Done;
     Tokens generated;              ///< Tokens forwarded to the caller by all attempts together.
     bool hasAnswerStarted = false; ///< Whether the head of an answer was forwarded to the caller.
+    /// Whether the caller has the complete answer. Also true if only its end was lost: the last
+    /// token was forwarded before the attempt ended in another way than Done.
+    bool isAnswerComplete = false;
     HeldAnswer answer{}; ///< Answer of a call with a number, if it is short enough to be stored.
 };
 
--- a/packages/host/src/attempts.cpp
+++ b/packages/host/src/attempts.cpp
@@ -2,6 +2,33 @@
 
 #include <algorithm>
 
+namespace azurewell {
+
+std::string_view nameOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Done:
+        return "done";
+    case AttemptOutcome::NotSent:
+        return "not_sent";
+    case AttemptOutcome::Refused:
+        return "refused";
+    case AttemptOutcome::Failed:
+        return "failed";
+    case AttemptOutcome::Silent:
+        return "silent";
+    case AttemptOutcome::Mismatch:
+        return "mismatch";
+    case AttemptOutcome::NotResumable:
+        return "not_resumable";
+    case AttemptOutcome::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+} // namespace azurewell
+
 namespace azurewell::internal {
 
 namespace {
@@ -130,7 +157,9 @@
     if (!record || record->attempt != event.attempt || record->phase != RequestPhase::Running)
         return;
     recordUpstreamOutcome(step, record->upstream, event.outcome);
-    if (event.outcome == AttemptOutcome::Done) {
+    if (event.outcome == AttemptOutcome::Done || event.isAnswerComplete) {
+        // Without its end, the engine may still run the request.
+        record->isCancelled = record->isCancelled || event.outcome != AttemptOutcome::Done;
         ++step.state.counters.completed;
         recordStreamRate(step, *record, true);
         if (needsPermit(*record))
--- a/packages/host/tests/host_test.cpp
+++ b/packages/host/tests/host_test.cpp
@@ -104,6 +104,26 @@
     EXPECT_TRUE(fixture.state.coordinatedEngines.at(UpstreamId{ "e1" }).granted.empty());
 }
 
+// Guards against a token too many: a stream lacks only its end when its attempt fails.
+TEST(Host, AnAnswerThatLacksOnlyItsEndIsNotResumed)
+{
+    for (const AttemptOutcome outcome :
+         { AttemptOutcome::Failed, AttemptOutcome::Silent, AttemptOutcome::Cancelled }) {
+        Fixture fixture;
+        fixture.start();
+        fixture.deliver(fixture.request("r1"));
+        const std::uint64_t dispatched = fixture.state.counters.dispatched;
+        fixture.deliver(AttemptEnded{ RequestId{ "r1" }, 1, outcome, Tokens{ 20 }, true, true });
+        EXPECT_TRUE(fixture.state.requests.empty());
+        EXPECT_EQ(fixture.state.counters.dispatched, dispatched);
+        EXPECT_EQ(fixture.state.counters.completed, 1U);
+        EXPECT_EQ(fixture.last<Refuse>(), nullptr);
+        const auto &granted = fixture.state.coordinatedEngines.at(UpstreamId{ "e1" }).granted;
+        EXPECT_NE(granted.at(RequestId{ "r1" }).nextCancelAt, never)
+                << "the engine may still run it";
+    }
+}
+
 // A key is withdrawn while a caller's stream runs and another request waits. Both must end at once,
 // and new requests must be refused with the reason.
 TEST(Host, AWithdrawnKeyEndsAllItsRequests)
--- a/packages/shell/include/azurewell/shell/caller_request.h
+++ b/packages/shell/include/azurewell/shell/caller_request.h
@@ -6,6 +6,8 @@
 #include <QtCore/QByteArray>
 #include <QtHttpServer/QHttpServerRequest>
 
+#include <optional>
+
 namespace azurewell {
 
 /// A caller's request as held by the traffic thread. `arrived` is the event reported to the host
@@ -19,6 +21,8 @@
     QByteArray body;
     QByteArray callNumber; ///< From X-Call-Number; passed on to the service.
     bool isStream = false;
+    std::uint32_t choices = 1;         ///< Texts that are requested in one answer.
+    std::optional<Tokens> answerLimit; ///< Tokens after which the answer is complete, if stated.
 };
 
 /// Extracts key, model and sizes. Only the hash of the key is kept. Errors: KeyMissing,
--- a/packages/shell/include/azurewell/shell/traffic_worker.h
+++ b/packages/shell/include/azurewell/shell/traffic_worker.h
@@ -61,6 +61,7 @@
         QPointer<QTcpSocket> socket;
         std::unique_ptr<UpstreamAttempt> attempt;
         std::uint32_t attemptNumber = 0;
+        Tokens resumedFrom; ///< Tokens that the caller had when the attempt began.
         Tokens delivered;
         Tokens reported;        ///< Part of `delivered` reported to the control thread.
         Instant readerDeadline; ///< When the caller is dropped; valid while paused.
@@ -79,6 +80,9 @@
     void reportProgress();
     void dropSlowReaders(Instant now);
     void attemptEnded(const RequestId &id, AttemptOutcome outcome);
+    /// Whether the caller of a stream has its last token, so that nothing is left to resume.
+    static bool hasLastToken(const Exchange &exchange);
+    void logAttemptEnd(const Exchange &exchange, AttemptOutcome outcome) const;
     void sendCompleteResponse(Exchange &exchange);
     void endStream(Exchange &exchange);
     QByteArray connectionHeader() const;
--- a/packages/shell/include/azurewell/shell/upstream_attempt.h
+++ b/packages/shell/include/azurewell/shell/upstream_attempt.h
@@ -33,6 +33,11 @@
 
     /// Ends the attempt as Silent if nothing was received by the idle deadline.
     void checkDeadline(Instant now);
+    /// Whether a stream has received the end of its answer, even if the end marker is missing.
+    bool hasAnswerEnd() const
+    {
+        return this->isStream && this->events.isAnswerEnd();
+    }
     /// Stops reading from the upstream while the caller does not read; only what has arrived and
     /// the bounded read and socket buffers are held.
     void pause();
--- a/packages/shell/src/caller_request.cpp
+++ b/packages/shell/src/caller_request.cpp
@@ -60,6 +60,13 @@
     return found->get<std::int64_t>();
 }
 
+/// The number of texts that are requested in one answer; 1 if it is missing or unusable.
+std::uint32_t choicesOf(const nlohmann::json &body)
+{
+    const Result<std::int64_t> choices = readCount(body, "n", 1);
+    return choices ? static_cast<std::uint32_t>(choices.value()) : 1;
+}
+
 Result<CallerRequest> readCompletion(CallerRequest read)
 {
     const nlohmann::json body = nlohmann::json::parse(read.body.begin(), read.body.end(), nullptr,
@@ -80,6 +87,9 @@
     read.arrived.promptTokens = Tokens{ read.body.size() / bytesPerToken };
     read.arrived.maxGenerated = Tokens{ maxTokens.value() };
     read.isStream = stream != body.end() && stream->get<bool>();
+    read.choices = choicesOf(body);
+    if (body.contains("max_tokens") && !body["max_tokens"].is_null())
+        read.answerLimit = Tokens{ maxTokens.value() * read.choices };
     return read;
 }
 
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -183,11 +183,12 @@
         // The caller disconnected while the message was queued. A numbered call still needs its
         // outcome.
         this->report(Event{ AttemptEnded{
-                order.request, order.attempt, AttemptOutcome::NotSent, {}, false, {} } });
+                order.request, order.attempt, AttemptOutcome::NotSent, {}, false, false, {} } });
         return;
     }
     Exchange &exchange = found->second;
     exchange.attemptNumber = order.attempt;
+    exchange.resumedFrom = order.resumeFrom;
     // Checked just before sending: the message may have been queued while the process was
     // suspended.
     if (monotonicNow() >= order.notAfter) {
@@ -196,6 +197,7 @@
                                           AttemptOutcome::NotSent,
                                           exchange.delivered,
                                           exchange.isHeadSent,
+                                          false,
                                           {} } });
         return;
     }
@@ -218,10 +220,20 @@
     if (found == this->exchanges.end() || !found->second.attempt)
         return;
     Exchange &exchange = found->second;
+    const bool isComplete = hasLastToken(exchange);
+    this->logAttemptEnd(exchange, AttemptOutcome::Cancelled);
     exchange.attempt.reset();
-    this->report(
-            Event{ AttemptEnded{ order.request, exchange.attemptNumber, AttemptOutcome::Cancelled,
-                                 exchange.delivered, exchange.isHeadSent } });
+    if (isComplete)
+        this->endStream(exchange);
+    this->report(Event{ AttemptEnded{ order.request,
+                                      exchange.attemptNumber,
+                                      AttemptOutcome::Cancelled,
+                                      exchange.delivered,
+                                      exchange.isHeadSent,
+                                      isComplete,
+                                      {} } });
+    if (isComplete)
+        this->endExchange(order.request);
 }
 
 void TrafficWorker::answer(const RequestId &id, const QByteArray &bytes)
@@ -298,23 +310,47 @@
 {
     Exchange &exchange = this->exchanges.at(id);
     const std::uint32_t number = exchange.attemptNumber;
-    if (outcome == AttemptOutcome::Done) {
+    const bool isComplete = outcome == AttemptOutcome::Done || hasLastToken(exchange);
+    if (isComplete) {
         const bool isStream = exchange.request.isStream && exchange.attempt->status == 200;
         if (isStream)
             this->endStream(exchange);
         else
             this->sendCompleteResponse(exchange);
     }
-    AttemptEnded ended{ id, number, outcome, exchange.delivered, exchange.isHeadSent, {} };
+    if (outcome != AttemptOutcome::Done)
+        this->logAttemptEnd(exchange, outcome);
+    AttemptEnded ended{
+        id, number, outcome, exchange.delivered, exchange.isHeadSent, isComplete, {}
+    };
     if (outcome == AttemptOutcome::Done && !exchange.request.callNumber.isEmpty())
         ended.answer = heldAnswerOf(*exchange.attempt);
     this->report(Event{ std::move(ended) });
     // Called by the attempt, which therefore must not be deleted here.
     exchange.attempt.release()->deleteLater();
-    if (outcome == AttemptOutcome::Done)
+    if (isComplete)
         this->endExchange(id);
 }
 
+bool TrafficWorker::hasLastToken(const Exchange &exchange)
+{
+    if (!exchange.request.isStream || !exchange.isHeadSent)
+        return false;
+    const std::optional<Tokens> &limit = exchange.request.answerLimit;
+    return exchange.attempt->hasAnswerEnd() || (limit && exchange.delivered >= *limit);
+}
+
+void TrafficWorker::logAttemptEnd(const Exchange &exchange, AttemptOutcome outcome) const
+{
+    writeLog(LogLevel::Info, "attempt_ended",
+             { { "request", exchange.request.arrived.request.value },
+               { "attempt", std::to_string(exchange.attemptNumber) },
+               { "outcome", std::string(nameOf(outcome)) },
+               { "resumed_from", std::to_string(exchange.resumedFrom.count) },
+               { "delivered", std::to_string(exchange.delivered.count) },
+               { "complete", hasLastToken(exchange) ? "true" : "false" } });
+}
+
 void TrafficWorker::endStream(Exchange &exchange)
 {
     if (!exchange.socket)
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -79,6 +79,7 @@
     , idleDeadline(monotonicNow() + limit)
     , callbacks(std::move(reportTo))
 {
+    this->events.choices = request.choices;
     const QByteArray address = QByteArray::fromStdString(dispatch.address);
     this->reply = this->pool.send(request.method, address, requestFor(request, dispatch),
                                   request.body);
--- a/tests/random_faults/checks.cpp
+++ b/tests/random_faults/checks.cpp
@@ -43,6 +43,8 @@
     if (found == this->callers.end())
         return;
     CallerRecord &caller = found->second;
+    if (caller.isCompletedAtCancel)
+        return; // the traffic thread no longer has the request
     if (caller.isEnded && !caller.hasDisconnected)
         this->fail("answers: " + refusal.request.value + " received two final results");
     caller.isEnded = true;
@@ -63,6 +65,8 @@
                    + writtenFor.value + " after " + std::to_string(view.tokens));
     if (adapter != view.request.adapter)
         this->fail("adapter: " + caller.value + " was answered by " + adapter.value);
+    if (view.tokens >= view.request.maxGenerated.count)
+        this->fail("answers: " + caller.value + " got more tokens than it asked for");
     ++view.tokens;
     this->countTokens(view.owner, 1, now);
 }
--- a/tests/random_faults/checks.h
+++ b/tests/random_faults/checks.h
@@ -40,8 +40,15 @@
     bool isAttemptOpen = false; ///< The traffic thread holds a connection for it.
     int runs = 0;               ///< Times that an upstream started to run it.
     bool isEnded = false;
-    bool hasDisconnected = false;  ///< Closed its connection.
-    bool isReportedNotRun = false; ///< Refused with run state "not run".
+    bool isCompletedAtCancel = false; ///< Has all tokens of an attempt that was cancelled.
+    bool hasDisconnected = false;     ///< Closed its connection.
+    bool isReportedNotRun = false;    ///< Refused with run state "not run".
+
+    bool hasLastToken() const
+    {
+        return this->request.kind == RequestKind::Completion
+                && this->tokens >= this->request.maxGenerated.count;
+    }
 };
 
 /// Checks of the ten invariants, each at the events that can violate it. Keeps the first failure.
--- a/tests/random_faults/shell.cpp
+++ b/tests/random_faults/shell.cpp
@@ -12,6 +12,9 @@
 /// Time after which the simulated shell abandons an unreachable or unresponsive upstream.
 constexpr Span upstreamTimeout = fromSeconds(2);
 
+/// Part of the answers whose end is lost after their last token.
+constexpr double lostEndRate = 0.05;
+
 int zoneIndexOf(const ZoneId &zone)
 {
     return zone.value.back() - '0';
@@ -304,13 +307,17 @@
     CallerRecord &caller = this->checks.callers.at(order.request);
     if (caller.host != host.id || !std::exchange(caller.isAttemptOpen, false) || caller.isEnded)
         return;
+    const bool isComplete = caller.hasLastToken();
+    if (isComplete) {
+        caller.isEnded = true;
+        caller.isCompletedAtCancel = true;
+        ++this->checks.completed;
+    }
+    const AttemptEnded ended{ caller.request.request,  caller.attempt,    AttemptOutcome::Cancelled,
+                              Tokens{ caller.tokens }, caller.tokens > 0, isComplete };
     this->schedule(Span{ 100 },
-                   [this, id = host.id, incarnation = host.state.self.incarnation, caller] {
-                       this->deliverToIncarnation(
-                               id, incarnation,
-                               AttemptEnded{ caller.request.request, caller.attempt,
-                                             AttemptOutcome::Cancelled, Tokens{ caller.tokens },
-                                             caller.tokens > 0 });
+                   [this, id = host.id, incarnation = host.state.self.incarnation, ended] {
+                       this->deliverToIncarnation(id, incarnation, ended);
                    });
 }
 
@@ -330,13 +337,14 @@
         if (!host.isUp || host.state.self.incarnation != sequence.incarnation || caller.isEnded
             || caller.attempt != sequence.attempt || !std::exchange(caller.isAttemptOpen, false))
             return;
-        if (outcome == AttemptOutcome::Done) {
+        const bool isComplete = outcome == AttemptOutcome::Done || caller.hasLastToken();
+        if (isComplete) {
             caller.isEnded = true;
             ++this->checks.completed;
         }
         this->deliver(host,
                       AttemptEnded{ sequence.request, sequence.attempt, outcome,
-                                    Tokens{ caller.tokens }, caller.tokens > 0 });
+                                    Tokens{ caller.tokens }, caller.tokens > 0, isComplete });
     });
 }
 
@@ -371,10 +379,12 @@
             this->deliver(
                     host,
                     AttemptProgress{ sequence.request, sequence.attempt, Tokens{ caller.tokens } });
-            if (sequence.position >= sequence.maxTokens)
-                this->endAttempt(sequence, AttemptOutcome::Done, Span{ 0 });
-            else
+            if (sequence.position < sequence.maxTokens)
                 kept.push_back(sequence);
+            else if (this->chance(lostEndRate))
+                this->endAttempt(sequence, AttemptOutcome::Silent, upstreamTimeout);
+            else
+                this->endAttempt(sequence, AttemptOutcome::Done, Span{ 0 });
         }
         engine.sequences = std::move(kept);
     }
--- a/tests/sockets/stop_test.cpp
+++ b/tests/sockets/stop_test.cpp
@@ -118,4 +118,24 @@
     EXPECT_EQ(this->engines[0]->unloadsWhileServing, 0U);
 }
 
+// Guards against a token too many: the lease of a stream expires after its last token arrived and
+// before its end marker.
+TEST_F(PlannedStop, AHostThatResumesAfterTheLastTokenAddsNoToken)
+{
+    this->engines[0]->faults.endFault = standins::EndFault::Stall;
+    Caller stream(this->port);
+    stream.post("/v1/completions", completion("routes@3", longStreamTokens));
+    ASSERT_TRUE(stream.waitFor("routes@3#2"));
+    this->process->signal(SIGSTOP);
+    const Instant resumesAt = monotonicNow() + fromSeconds(11); // a slot lease is 10 s
+    ASSERT_TRUE(waitUntil([resumesAt] { return monotonicNow() >= resumesAt; }));
+    this->process->signal(SIGCONT);
+    const Answer answer = stream.answer();
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(tokenPositions(answer.body, "routes@3").size(),
+              static_cast<std::size_t>(longStreamTokens))
+            << this->process->log().right(2000).toStdString();
+    EXPECT_TRUE(answer.body.endsWith("data: [DONE]\n\n"));
+}
+
 } // namespace azurewell::tests
--- a/tests/sockets/streams_test.cpp
+++ b/tests/sockets/streams_test.cpp
@@ -36,6 +36,20 @@
         this->otherEngine->faults = {};
     }
 
+    /// Expects the complete answer from an engine that has \a fault in place of the end marker.
+    void expectCompleteWithoutResume(standins::EndFault fault)
+    {
+        standins::EngineFaults faults;
+        faults.endFault = fault;
+        this->startStream(faults, 40);
+        const Answer answer = this->caller->answer();
+        EXPECT_TRUE(answer.isComplete);
+        EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(40));
+        EXPECT_TRUE(answer.body.endsWith("data: [DONE]\n\n"));
+        EXPECT_EQ(this->metric("azurewell_resumes_total"), 0);
+        EXPECT_EQ(this->otherEngine->tokensGenerated, 0U);
+    }
+
     std::unique_ptr<Caller> caller;
     standins::Engine *servingEngine = nullptr;
     standins::Engine *otherEngine = nullptr;
@@ -81,6 +95,49 @@
     EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(40));
 }
 
+// Guards against a token too many: the connection is closed after the last token of an answer and
+// before its end marker.
+TEST_F(Streams, AStreamThatIsClosedBeforeItsEndMarkerIsNotResumed)
+{
+    this->expectCompleteWithoutResume(standins::EndFault::Close);
+}
+
+// The same for an engine that stalls there. It must be told to cancel what it may still run.
+TEST_F(Streams, AStreamThatStallsBeforeItsEndMarkerIsNotResumed)
+{
+    this->expectCompleteWithoutResume(standins::EndFault::Stall);
+    EXPECT_TRUE(waitUntil([this] { return this->servingEngine->runningCount() == 0; }));
+}
+
+// Guards against a token too many if the engine restarts after the last token.
+TEST_F(Streams, AStreamIsCompleteIfItsEngineRestartsAfterTheLastToken)
+{
+    standins::EngineFaults faults;
+    faults.endFault = standins::EndFault::Stall;
+    this->startStream(faults, 40);
+    ASSERT_TRUE(this->caller->waitFor("routes@3#39"));
+    this->servingEngine->restartCold();
+    const Answer answer = this->caller->answer();
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(40));
+    EXPECT_TRUE(answer.body.endsWith("data: [DONE]\n\n"));
+}
+
+// Guards against text after the end of an answer: the engine has finished it early and the end
+// marker is lost.
+TEST_F(Streams, AnAnswerThatItsEngineHasFinishedIsNotResumed)
+{
+    standins::EngineFaults faults;
+    faults.stopAfterTokens = 12;
+    faults.sendsEventsWithoutToken = true;
+    faults.endFault = standins::EndFault::Close;
+    this->startStream(faults, 40);
+    const Answer answer = this->caller->answer();
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(tokenPositions(answer.body, "routes@3"), positionsUpTo(12));
+    EXPECT_TRUE(answer.body.endsWith("data: [DONE]\n\n"));
+}
+
 // Guards against lost tokens: events without a token shift the position at which a stream resumes.
 TEST_F(Streams, EventsWithoutATokenDoNotShiftTheResumePosition)
 {
