Give a returned permit to the next request for the time that it was issued for

Callers saw cold engines crash under more requests in a second than they bear; the same permits keep the limits that upstreams state.

Cause: returnPermit() moved the time of the next permit back by one turn, whichever permit was returned. The next request then got the time of a permit that somebody else still held. Evidence: with each reservation and return printed, 69 hosts, the coordinator of one engine granted the same times several times over: five requests left together at 10.92 s, 19 of its permits within 0.86 s where 11.8 a second are issued; two of three reservations were returned.

Ruled out: permits used late (all were used within 20 ms of their time).

Why this works: the coordinator remembers for whom a permit is reserved and for which time; a return frees just that time, and a time that is over is not given out again.

--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -201,7 +201,7 @@
         return;
     OrderedEngine &engine = state.engines[admission.engine];
     if (admission.isReturned) {
-        releaseAdmission(state, engine, found->second, admission, now);
+        releaseAdmission(state, engine, admission, from.from);
         return;
     }
     if (!admission.adapter.isBase()) {
@@ -210,7 +210,8 @@
         recordRemoteUse(engine.remoteUses, refOf(admission.adapter), from.from, true,
                         updateInterval, now);
     }
-    const PromptAdmission turn = admitPromptAt(state, engine, found->second, admission, now);
+    const PromptAdmission turn = admitPromptAt(state, engine, found->second, admission, from.from,
+                                               now);
     Gossip reply = messageHeader(state, now);
     reply.admissionReplies.push_back(
             { admission.request, turn.wait, turn.isCopyWanted, turn.isPermit });
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -59,15 +59,15 @@
 /// a timeout if no answer came.
 bool isAdmitted(RequestRecord &record, Instant now);
 
-/// Admits the prompt of \a request at \a upstream, which this host coordinates, after the prompts
-/// ahead of it and within the rate limit of the upstream.
-PromptAdmission admitPromptAt(const GatewayState &state, OrderedEngine &engine,
-                              const Upstream &upstream, const AdmissionRequest &request,
+/// Admits the prompt of \a request by \a requester at \a upstream, which this host coordinates,
+/// after the prompts ahead of it and within the rate limit of the upstream.
+PromptAdmission admitPromptAt(GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
+                              const AdmissionRequest &request, const HostId &requester,
                               Instant now);
 
 /// Cancels an unused admission.
-void releaseAdmission(const GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
-                      const AdmissionRequest &request, Instant now);
+void releaseAdmission(const GatewayState &state, OrderedEngine &engine,
+                      const AdmissionRequest &request, const HostId &requester);
 
 /// Whether a request for \a model needs admission at \a upstream.
 bool needsAdmission(const GatewayState &state, const Upstream &upstream, const ModelName &model,
--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -50,7 +50,7 @@
     AdmissionRequest returned = admissionRequestFor(state, record, found->second, now);
     returned.isReturned = true;
     if (coordinator == state.self.id) {
-        releaseAdmission(state, state.engines[engine], found->second, returned, now);
+        releaseAdmission(state, state.engines[engine], returned, state.self.id);
         return;
     }
     Gossip message = messageHeader(state, now);
@@ -88,10 +88,10 @@
 
 } // namespace
 
-PromptAdmission admitPromptAt(const GatewayState &state, OrderedEngine &engine,
-                              const Upstream &upstream, const AdmissionRequest &request,
-                              Instant now)
+PromptAdmission admitPromptAt(GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
+                              const AdmissionRequest &request, const HostId &requester, Instant now)
 {
+    const PermitHolder holder{ requester, request.request };
     PromptAdmission turn;
     if (!isSmallFleet(state) && !request.adapter.isBase()) {
         turn = admitPrompt(engine.pacer, request.adapter, request.tokens,
@@ -99,30 +99,28 @@
     }
     if (limitsColdUpstreams(state, upstream)) {
         const WarmupLimit warmup = warmupLimitOf(state, upstream, now);
-        turn.wait = std::max(
-                turn.wait,
-                reserveInBurst(engine.burstPermits, warmup.perSecondWarm, warmup.burst, now));
+        turn.wait = std::max(turn.wait,
+                             reserveInBurst(engine.burstPermits, warmup.perSecondWarm, warmup.burst,
+                                            now, holder));
         turn.isPermit = true;
     }
     const double known = permitsPerSecond(state, upstream, now);
     const double limit = known > 0 ? known : request.limit;
     if (limit > 0) {
-        turn.wait = std::max(turn.wait, reservePermit(engine.permits, limit, now));
+        turn.wait = std::max(turn.wait, reservePermit(engine.permits, limit, now, holder));
         turn.isPermit = true;
     }
     return turn;
 }
 
-void releaseAdmission(const GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
-                      const AdmissionRequest &request, Instant now)
+void releaseAdmission(const GatewayState &state, OrderedEngine &engine,
+                      const AdmissionRequest &request, const HostId &requester)
 {
     if (!isSmallFleet(state) && !request.adapter.isBase())
         releaseAdmission(engine.pacer, request.tokens);
-    if (limitsColdUpstreams(state, upstream))
-        returnPermit(engine.burstPermits, warmupLimitOf(state, upstream, now).perSecondWarm);
-    const double limit = upstream.limit.perSecond > 0 ? upstream.limit.perSecond : request.limit;
-    if (limit > 0)
-        returnPermit(engine.permits, limit);
+    const PermitHolder holder{ requester, request.request };
+    returnPermit(engine.burstPermits, holder);
+    returnPermit(engine.permits, holder);
 }
 
 bool needsAdmission(const GatewayState &state, const Upstream &upstream, const ModelName &model,
@@ -170,7 +168,7 @@
     AdmissionRequest request = admissionRequestFor(state, record, engine, now);
     if (coordinator == state.self.id) {
         const PromptAdmission turn = admitPromptAt(state, state.engines[engine.listed.id], engine,
-                                                   request, now);
+                                                   request, state.self.id, now);
         handleAdmission(state, record, turn, now, actions);
         return;
     }
