Send requests ahead of a report only with a permit, and bound the permits of a split fleet

Callers lose their requests when a cold engine gets more than it bears and crashes. In the second in which a third of the hosts lost each other, an engine got 21 (69 hosts) and 23 (195) instead of 18.

Causes, by printing what each request of the worst second was sent with: - 9 of 21 were sent ahead of a report that shows their adapter, with no permit. They take one now, or the host's own share; so do repeats after a fault. - A host that loses its own zone notices that seconds before it notices the others, and took itself for the majority: 39 hosts of a zone issued 0.3 of its permits each (22 in a second). A host that lost most of its zone is cut off. - All hosts that begin to issue a part issued their first permit at once, and hosts without any host of the zone had a rate that grows with the fleet. The first permit has a random time; such hosts share a fifth.

The bound in one line: permits * (1 + shareOfLostZone) + own shares <= what a cold upstream bears in a second, here 13.3 * 1.25 + 1.7 = 18.3 of 18.8, for any number of hosts. Own shares are spread by chance, so theirs is a mean.

New: half of the hosts cut off while others wake and one starts (19 in a second before at 69 hosts), and all alone (23 at 69, 22 at 195 before).

--- a/packages/gateway/include/azurewell/gateway/warmup.h
+++ b/packages/gateway/include/azurewell/gateway/warmup.h
@@ -29,6 +29,7 @@
     double perSecond = 0;     ///< Evenly spaced permits while the upstream is cold; 0: no limit.
     double perSecondWarm = 0; ///< Rate of permits at other times.
     double burst = 0;         ///< Permits at once at other times.
+    bool isShared = false;    ///< Other hosts may issue the rest of the permits.
 };
 
 /// \a requestsPerSecond is what the service states, 0: nothing. While hosts cannot reach each
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -85,19 +85,43 @@
             && expectedWait(chosen, need.prefillTokensPerSecond, now) > crowdedEngineWait;
 }
 
-/// Sends the request of \a record to an engine whose load is expected to be done. False if there is
-/// none, or if no retry is left in case the engine rejects it.
-bool sendEarlyAttempt(GatewayState &state, RequestRecord &record, const UpstreamNeed &need,
-                      Instant now, Actions &actions)
+enum class EarlyAttempt : std::uint8_t { None, AwaitsPermit, Sent };
+
+/// Whether a request may be sent early to \a engine, which may be cold: with a permit, or as this
+/// host's own share.
+EarlyAttempt permitEarlyAttempt(GatewayState &state, RequestRecord &record, const Upstream &engine,
+                                Instant now, Actions &actions)
+{
+    if (!limitsColdUpstreams(state, engine))
+        return EarlyAttempt::Sent;
+    if (record.admissionState == PromptAdmissionState::NotRequested)
+        requestAdmission(state, record, engine, now, actions);
+    if (!isAdmitted(record, now))
+        return EarlyAttempt::AwaitsPermit;
+    if (!lacksPermit(state, record, engine, now))
+        return EarlyAttempt::Sent;
+    record.admissionState = PromptAdmissionState::NotRequested;
+    return EarlyAttempt::None;
+}
+
+/// Sends the request of \a record to an engine whose load is expected to be done. None if there is
+/// no such engine, or if no retry is left in case the engine rejects it.
+EarlyAttempt sendEarlyAttempt(GatewayState &state, RequestRecord &record, const UpstreamNeed &need,
+                              Instant now, Actions &actions)
 {
     if (need.model.isBase())
-        return false;
+        return EarlyAttempt::None;
     UpstreamNeed withoutAdmission = need;
     withoutAdmission.isSentWithoutAdmission = true;
     const Upstream *engine = chooseEngineWithFinishedLoad(state.upstreams, withoutAdmission,
                                                           state.loadTimes[need.model.model], now);
-    if (!engine || !takeRetry(retryBudgetOf(state, record.service)))
-        return false;
+    if (!engine)
+        return EarlyAttempt::None;
+    const EarlyAttempt permitted = permitEarlyAttempt(state, record, *engine, now, actions);
+    if (permitted != EarlyAttempt::Sent)
+        return permitted;
+    if (!takeRetry(retryBudgetOf(state, record.service)))
+        return EarlyAttempt::None;
     const UpstreamId id = engine->listed.id;
     LoadInProgress &load = state.upstreams.at(id).loads.at(need.model);
     beginEarlyAttempt(load, now);
@@ -105,7 +129,7 @@
     load.version = declaredVersion(state.versions, need.model);
     record.isEarlyAttempt = true;
     dispatch(state, record, id, need.model, now, actions);
-    return true;
+    return EarlyAttempt::Sent;
 }
 
 bool isReadySomewhere(const GatewayState &state, const RequestRecord &record, Instant now)
@@ -333,9 +357,13 @@
         dispatch(state, record, id, need.model, now, actions);
         return;
     }
-    if (!isSuspected(state.quarantine, record.digest)
-        && sendEarlyAttempt(state, record, need, now, actions))
-        return;
+    if (!isSuspected(state.quarantine, record.digest)) {
+        const EarlyAttempt early = sendEarlyAttempt(state, record, need, now, actions);
+        if (early == EarlyAttempt::AwaitsPermit)
+            markWaiting(state, record);
+        if (early != EarlyAttempt::None)
+            return;
+    }
     if (need.model.model.empty() || need.model.isBase()) {
         refuseUnplaced(state, record, ResultCode::NoUpstream, shortRetryAfter, actions);
         return;
--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -86,6 +86,13 @@
     requestAdmission(state, record, *other, now, actions);
 }
 
+/// Sets a random time for the first permit of a host that issues a part of an upstream's permits.
+/// All hosts of a fleet that has just split begin to do so at once.
+void spreadFirstPermit(GatewayState &state, PermitPacer &pacer, double perSecond, Instant now)
+{
+    pacer.nextAt = now + fromSeconds(draw(state) / perSecond);
+}
+
 } // namespace
 
 PromptAdmission admitPromptAt(GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
@@ -99,6 +106,8 @@
     }
     if (limitsColdUpstreams(state, upstream)) {
         const WarmupLimit warmup = warmupLimitOf(state, upstream, now);
+        if (warmup.isShared && engine.burstPermits.nextAt.micros == 0)
+            spreadFirstPermit(state, engine.burstPermits, warmup.perSecondWarm, now);
         turn.wait = std::max(turn.wait,
                              reserveInBurst(engine.burstPermits, warmup.perSecondWarm, warmup.burst,
                                             now, holder));
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include "azurewell/gateway/request_digest.h"
+#include "azurewell/gateway/warmup.h"
 
 #include <algorithm>
 #include <utility>
@@ -151,11 +152,13 @@
         return false;
     record.excluded.insert(record.upstream);
     UpstreamNeed need = needOf(state, record);
-    // Sent at once, without prompt admission by the engine's coordinator.
+    // Sent at once, without admission by the engine's coordinator.
     need.isSentWithoutAdmission = true;
     const Upstream *other = chooseUpstream(state.upstreams, need, state.versions, draw(state), now);
     if (!other || !takeRetry(retryBudgetOf(state, record.service)))
         return false;
+    if (limitsColdUpstreams(state, *other) && !takeOwnShare(state, *other, now))
+        return false;
     ++state.counters.retries[ResultCode::UpstreamFailed];
     const UpstreamId id = other->listed.id;
     dispatch(state, record, id, need.model, now, actions);
--- a/packages/gateway/src/warmup.cpp
+++ b/packages/gateway/src/warmup.cpp
@@ -8,12 +8,18 @@
 
 namespace {
 
-/// Requests within a second that no permit covers: those sent early, before a report shows that
-/// their adapter is loaded, and those of hosts whose coordinator does not answer.
-constexpr double requestsWithoutPermit = 7;
+/// Requests within a second that the permits of one coordinator do not cover: those of hosts whose
+/// coordinator does not answer, and the permits of others while hosts cannot reach each other.
+///
+/// Bound: permits * (1 + shareOfLostZone) + own shares <= what a cold upstream bears in a second.
+constexpr double requestsWithoutPermit = 5.5;
 
-/// Requests per second of a host that reaches no other host of the upstream's zone.
-constexpr double minPerSecond = 0.05;
+/// The part of the permits that all hosts together send as their own shares.
+constexpr double partOfOwnShares = 0.125;
+
+/// Permits at once while an upstream is not known to be cold. With more, the rate would have to be
+/// lower.
+constexpr double maxBurst = 1;
 
 /// Hosts that may issue permits for one upstream at the same time.
 constexpr double maxCoordinators = 2;
@@ -23,24 +29,60 @@
 
 /// The part of the limit for upstreams of a zone whose hosts are all out of reach: they may be lost
 /// or behind a partition.
-constexpr double shareOfLostZone = 0.3;
+constexpr double shareOfLostZone = 0.25;
 
-/// The part of the permits for upstreams of \a zone that this host may issue.
-double shareOfPermits(const GatewayState &state, const ZoneId &zone, Instant now)
+/// Hosts that are cut off from most others issue this part of their share, as the permits of many
+/// such hosts may coincide.
+constexpr double shareOfMinority = 0.5;
+
+/// The same, for upstreams of a zone of which they reach no host: of the share that they would have
+/// if all hosts were cut off from each other.
+constexpr double shareOfOtherZones = 0.2;
+
+/// Hosts of one zone, with this host if it is its own.
+struct ZoneHosts
+{
+    double known = 0;
+    double reachable = 0;
+};
+
+ZoneHosts hostsOf(const GatewayState &state, const ZoneId &zone, Instant now)
 {
-    double known = zone == state.self.zone ? 1 : 0;
-    double reachable = known;
+    ZoneHosts hosts;
+    if (zone == state.self.zone)
+        hosts = { 1, 1 };
     for (const auto &[id, member] : state.members.others) {
         if (member.zone != zone || member.isLeaving)
             continue;
-        known += 1;
-        reachable += isMemberReachable(state.members, member, now) ? 1 : 0;
+        hosts.known += 1;
+        hosts.reachable += isMemberReachable(state.members, member, now) ? 1 : 0;
     }
-    if (known == 0 || reachable >= wholeZone * known)
+    return hosts;
+}
+
+/// Whether this host is on the smaller side of a partition, as far as it knows. The loss of its own
+/// zone is noticed first.
+bool isCutOff(const GatewayState &state, Instant now)
+{
+    const ZoneHosts own = hostsOf(state, state.self.zone, now);
+    const double all = static_cast<double>(countKnown(state.members) + 1);
+    const double reachable = static_cast<double>(countReachable(state.members, now) + 1);
+    return 2 * own.reachable < own.known || 2 * reachable <= all;
+}
+
+/// The part of the permits for upstreams of \a zone that this host may issue.
+double shareOfPermits(const GatewayState &state, const ZoneId &zone, Instant now)
+{
+    const ZoneHosts hosts = hostsOf(state, zone, now);
+    if (hosts.known == 0 || hosts.reachable >= wholeZone * hosts.known)
         return 1;
-    const bool isInMajority = 2 * (countReachable(state.members, now) + 1)
-            > countKnown(state.members) + 1;
-    return isInMajority ? std::max(reachable / known, shareOfLostZone) : reachable / known;
+    const double reachable = hosts.reachable / hosts.known;
+    if (!isCutOff(state, now))
+        return reachable > 1 - wholeZone ? 1 - shareOfMinority * (1 - reachable) : shareOfLostZone;
+    if (hosts.reachable > 0)
+        return reachable * shareOfMinority;
+    const double all = static_cast<double>(countKnown(state.members) + 1);
+    return static_cast<double>(countReachable(state.members, now) + 1) / all * shareOfOtherZones;
 }
 
 const Service *serviceOf(const GatewayState &state, const Upstream &upstream)
@@ -57,7 +99,7 @@
         return limit;
     const double inASecond = requestsPerSecond * bound.overshoot + bound.tolerance;
     const double permits = std::max(inASecond - requestsWithoutPermit, inASecond / maxCoordinators);
-    limit.burst = std::min(bound.tolerance / maxCoordinators, permits / maxCoordinators);
+    limit.burst = std::min(maxBurst, permits / maxCoordinators);
     limit.perSecondWarm = permits - limit.burst;
     limit.perSecond = std::min(requestsPerSecond, permits / maxCoordinators);
     return limit;
@@ -76,9 +118,10 @@
     WarmupLimit limit = warmupLimit(serviceOf(state, upstream)->warmupPerSecond,
                                     state.self.warmupBound);
     const double share = shareOfPermits(state, upstream.listed.zone, now);
-    limit.perSecond = std::max(limit.perSecond * share, minPerSecond);
-    limit.perSecondWarm = std::max(limit.perSecondWarm * share, minPerSecond);
+    limit.perSecond *= share;
+    limit.perSecondWarm *= share;
     limit.burst *= share;
+    limit.isShared = share < 1;
     return limit;
 }
 
@@ -96,7 +139,7 @@
     const Service *service = serviceOf(state, upstream);
     const WarmupLimit limit = warmupLimit(service->warmupPerSecond, state.self.warmupBound);
     const double hosts = static_cast<double>(countKnown(state.members) + 1);
-    const Span turn = fromSeconds(hosts * maxCoordinators / limit.perSecond);
+    const Span turn = fromSeconds(hosts / ((limit.perSecondWarm + limit.burst) * partOfOwnShares));
     PermitPacer &share = state.engines[upstream.listed.id].ownShare;
     // The hosts' first turns are spread over the time between two turns of one.
     if (share.nextAt.micros == 0)
--- a/tests/gateway_world/zones_test.cpp
+++ b/tests/gateway_world/zones_test.cpp
@@ -44,6 +44,12 @@
         return settings;
     }
 
+    void makeAllCold()
+    {
+        for (std::size_t engine = 0; engine < this->world.engineCount(); ++engine)
+            this->world.makeCold(engine);
+    }
+
     World world{ settingsOf(GetParam()) };
 };
 
@@ -101,6 +107,36 @@
     EXPECT_LE(static_cast<double>(this->world.maxColdArrivals()), maxColdArrivals);
 }
 
+// The same while half of the hosts cannot reach the others, some wake from a pause, and one starts.
+TEST_P(ZonesTest, EnginesThatBecomeColdAreNotOverloadedWhileHostsWakeAndStart)
+{
+    this->world.runFor(settling);
+    this->world.killHost(1);
+    for (std::size_t host = 3; host < this->world.hostCount(); host += 7)
+        this->world.pauseHost(host, std::chrono::seconds(2));
+    this->world.runFor(std::chrono::milliseconds(1500));
+    for (std::size_t host = 0; host < this->world.hostCount(); host += 2)
+        this->world.partitionHost(host, true);
+    this->makeAllCold();
+    this->world.runFor(std::chrono::milliseconds(400));
+    this->world.startHost(1, false);
+    this->world.runFor(std::chrono::seconds(4));
+    EXPECT_LE(static_cast<double>(this->world.maxColdArrivals()), maxColdArrivals);
+}
+
+// The same while no host reaches any other.
+TEST_P(ZonesTest, EnginesThatBecomeColdAreNotOverloadedByHostsThatAreAllAlone)
+{
+    this->world.runFor(settling);
+    for (std::size_t host = 0; host < this->world.hostCount(); ++host)
+        this->world.partitionHost(host, true);
+    for (int round = 0; round < 2; ++round) {
+        this->makeAllCold();
+        this->world.runFor(std::chrono::seconds(4));
+    }
+    EXPECT_LE(static_cast<double>(this->world.maxColdArrivals()), maxColdArrivals);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, ZonesTest,
                          testing::Values(FleetSize{ 3, 2, 3, 120 }, FleetSize{ 3, 23, 30, 700 },
                                          FleetSize{ 5, 39, 24, 900 }));
