Give adapter slots to the demand that waits longest, and load only for callers that still wait

Loads stood in a queue of up to 15 at engines with a slot, were ordered after their callers had been refused, kept a slot for nobody and were evicted. Nothing remembered who had been turned away.

Now: a queued load that no host requests any more (hosts repeat their request every 150 ms) is dropped; the queue is no longer than the unused slots and two; and the next slot goes to the largest product of age and load requests since the adapter was last used there, also where the weight store is busy. A stronger claim displaces a weaker one, whose host asks another engine at once. No message is added.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "azurewell/gateway/customer_meter.h"
 #include "azurewell/gateway/events.h"
 #include "azurewell/gateway/item_parts.h"
+#include "azurewell/gateway/load_queue.h"
 #include "azurewell/gateway/load_times.h"
 #include "azurewell/gateway/order_rights.h"
 #include "azurewell/gateway/permit_pacer.h"
@@ -116,7 +117,7 @@
     PermitPacer ownShare;     ///< Requests of this host while the coordinator does not answer.
     std::map<AdapterRef, Instant> awaitedUntil; ///< Kept for waiting requests until this time.
     RemoteUses remoteUses; ///< Adapters that other hosts use at this engine; they are not evicted.
-    std::deque<ModelName> wanted;                ///< Loads to order, oldest first.
+    LoadQueue wanted;
     std::deque<AdapterRef> adaptersInHostMemory; ///< Newest first; the engine loads these faster.
     std::optional<ModelName> pendingOrder;       ///< An order that the engine has not answered yet.
     bool isReportPending = false;
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -119,15 +119,17 @@
 void orderNextWanted(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
                      Actions &actions)
 {
-    std::erase_if(engine.wanted, [&](const ModelName &wanted) {
-        return !isOrderable(engine.adapters, refOf(wanted), now);
-    });
+    removeAbandoned(engine.wanted, now);
     if (loadsInFlight(engine.adapters) >= maxLoadsInProgress)
         return;
     const bool isFull = isStoreFull(state, now);
     const UpstreamId &id = upstream.listed.id;
-    for (const ModelName &wanted : engine.wanted) {
+    for (const ModelName &wanted : queuedLoads(engine.wanted, now)) {
         const AdapterRef ref = refOf(wanted);
+        if (!isOrderable(engine.adapters, ref, now)) {
+            dequeue(engine.wanted, wanted);
+            continue;
+        }
         if (isFull && !isInHostMemory(engine, ref))
             continue;
         const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
@@ -184,7 +186,7 @@
     if (!limits || isStopping(state) || engine.pendingOrder)
         return;
     const OrderStart start{ state.self.isFirstStart, state.startedAt };
-    const bool isWanted = !engine.wanted.empty() || upstream.engine.models.empty();
+    const bool isWanted = countQueued(engine.wanted) > 0 || upstream.engine.models.empty();
     const bool wasCoordinating = engine.rights.isCoordinating;
     if (!mayOrder(engine.rights, upstream, state.members, start,
                   nextFencingNumber(state, wallMillis), now))
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -41,7 +41,7 @@
 /// Whether this host, the coordinator of \a engine, has work to do there at each tick.
 bool hasWork(const Upstream &upstream, const OrderedEngine &engine)
 {
-    return !engine.rights.isCoordinating || !engine.wanted.empty()
+    return !engine.rights.isCoordinating || countQueued(engine.wanted) > 0
             || upstream.engine.models.empty();
 }
 
@@ -83,7 +83,7 @@
         giveOrders(state, upstream, engine, wallMillis, now, actions);
     } else {
         state.ownEngines.erase(id);
-        engine.wanted.clear();
+        clearQueue(engine.wanted);
     }
     state.enginePolls.bringForward(id, nextPollAt(state, upstream, engine, isOwn, now));
 }
@@ -141,10 +141,30 @@
     OrderedEngine &ordered = state.engines[engine];
     const AdapterRef ref = refOf(adapter);
     ordered.awaitedUntil.erase(ref);
+    recordServed(ordered.wanted, adapter);
     if (stateOf(ordered, ref) == AdapterState::Loaded)
         recordUses(ordered.adapters, ref, 1, now);
 }
 
+namespace {
+
+/// Slots that are empty, or whose adapter no request uses.
+std::size_t countUnusedSlots(const GatewayState &state, const OrderedEngine &engine,
+                             const UpstreamId &id, Instant now)
+{
+    const auto used = std::count_if(engine.adapters.adapters.begin(),
+                                    engine.adapters.adapters.end(), [&](const auto &entry) {
+                                        const AdapterState adapterState = entry.second.state;
+                                        return adapterState == AdapterState::Loading
+                                                || (adapterState == AdapterState::Loaded
+                                                    && isUsed(state, engine, id, entry.first, now));
+                                    });
+    const std::size_t slots = engine.adapters.slots;
+    return slots - std::min(slots, static_cast<std::size_t>(used));
+}
+
+} // namespace
+
 LoadProspect enqueueLoad(GatewayState &state, const LoadRequest &request, Instant now)
 {
     const auto upstream = state.upstreams.find(request.engine);
@@ -158,24 +178,18 @@
                 + (adapterState == AdapterState::Loaded ? firstUseTimeout : awaitedLoadTimeout);
     if (isOwn && (adapterState == AdapterState::Loading || adapterState == AdapterState::Loaded))
         return LoadProspect::Coming;
-    const bool isQueued = std::find(engine.wanted.begin(), engine.wanted.end(), request.adapter)
-            != engine.wanted.end();
-    if (isQueued)
-        return LoadProspect::Coming;
     if (!isOwn || !engine.rights.isCoordinating)
         return LoadProspect::Unavailable;
+    recordLoadRequest(engine.wanted, request.adapter, now);
     const bool isInMemory = isInHostMemory(engine, ref);
     const bool isStoreBusy = !isInMemory && isStoreFull(state, now)
             && isStoreQueueFull(state, request.adapter.model);
-    const PlacementStep step = makeRoom(engine.adapters, now, [&](const AdapterRef &held) {
-        return isUsed(state, engine, request.engine, held, now);
-    });
-    const bool hasSlot = step.kind != PlacementStep::Kind::Nothing;
-    if (!hasSlot && engine.wanted.size() >= maxWaitingForSlot)
-        return LoadProspect::Unavailable;
-    if (isStoreBusy)
-        return LoadProspect::StoreBusy;
-    engine.wanted.push_back(request.adapter);
+    // A busy store takes a further load only in place of another one.
+    const std::size_t maxLength = isStoreBusy
+            ? std::max<std::size_t>(countQueued(engine.wanted), 1)
+            : countUnusedSlots(state, engine, request.engine, now) + maxWaitingForSlot;
+    if (!enqueue(engine.wanted, request.adapter, maxLength, now))
+        return isStoreBusy ? LoadProspect::StoreBusy : LoadProspect::Unavailable;
     wakeEngine(state, request.engine);
     return LoadProspect::Coming;
 }
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -143,6 +143,8 @@
         const AdapterRef ref = refOf(use.adapter);
         recordRemoteUse(engine.remoteUses, ref, message.from, use.isRunning, updateInterval, now);
         engine.awaitedUntil.erase(ref);
+        if (use.begun > 0)
+            recordServed(engine.wanted, use.adapter);
         if (use.begun > 0 && engine.adapters.adapters.contains(ref))
             recordUses(engine.adapters, ref, use.begun, now);
     }
--- a/packages/gateway/src/weight_store.cpp
+++ b/packages/gateway/src/weight_store.cpp
@@ -64,7 +64,7 @@
 {
     std::size_t queued = 0;
     for (const auto &[id, engine] : state.engines)
-        queued += engine.wanted.size();
+        queued += countQueued(engine.wanted);
     return queued;
 }
 
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -170,6 +170,15 @@
     this->tickHost(index);
 }
 
+std::size_t World::countNeverStarted(Span span) const
+{
+    const auto isNeverStarted = [span](const auto &entry) {
+        return entry.second.started == 0 && entry.second.lastAt - entry.second.firstAt >= span;
+    };
+    return static_cast<std::size_t>(std::count_if(this->adapterRequests.begin(),
+                                                  this->adapterRequests.end(), isNeverStarted));
+}
+
 void World::killHost(std::size_t index)
 {
     this->hosts[index].isUp = false;
@@ -260,6 +269,9 @@
     FakeRequest &kept = this->requests[{ index, request.request.value }];
     kept = fakeRequest;
     kept.at = this->now;
+    AdapterRequests &known = this->adapterRequests[fakeRequest.model];
+    known.firstAt = known.firstAt.micros == 0 ? this->now : known.firstAt;
+    known.lastAt = this->now;
     Actions actions;
     handle(host.state, request, this->now, actions);
     this->applyActions(index, actions);
@@ -341,6 +353,8 @@
         this->recordZoneArrival(index, engine, isReady);
         if (isReady) {
             ++engine.running[fakeRequest.model];
+            ++this->adapterRequests[fakeRequest.model].started;
+            engine.unused.erase(fakeRequest.model);
             engine.runs.push_back({ index, incarnation, toSend });
             this->startDelaySeconds.push_back(toSeconds(this->now - fakeRequest.at));
             this->admittedTokens[this->now] += 2000;
@@ -462,11 +476,13 @@
             this->recordViolation(
                     engine.id.value
                     + ": ordered to load an adapter while all adapter slots are occupied");
+        engine.unused.insert(engineOrder.model);
         engine.readyAt[engineOrder.model] = this->now
                 + this->loadDuration(engine, engineOrder.model);
         ++this->loads;
     } else {
         ++this->unloads;
+        this->unusedLoads += engine.unused.erase(engineOrder.model);
         const auto held = engine.readyAt.find(engineOrder.model);
         if (held != engine.readyAt.end() && held->second > this->now) {
             // Nothing to unload yet; the load continues and keeps its slot.
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -19,6 +19,14 @@
     std::string what;
 };
 
+/// Requests for one adapter.
+struct AdapterRequests
+{
+    Instant firstAt;
+    Instant lastAt;
+    std::uint64_t started = 0; ///< That an engine began to run.
+};
+
 /// A request that runs at an engine.
 struct FakeRun
 {
@@ -60,6 +68,7 @@
     Instant baseReadyAt;
     /// Adapters that occupy a slot, with the end of their load; in the future while loading.
     std::map<ModelName, Instant> readyAt;
+    std::set<ModelName> unused; ///< Loaded adapters that no request has used yet.
     std::map<ModelName, std::uint32_t> running;
     std::set<ModelName> pendingUnloads;   ///< Unloaded when their last request has ended.
     std::deque<ModelName> cachedAdapters; ///< In the memory of the engine's host, newest first.
@@ -159,6 +168,9 @@
     /// WorldSettings::engineRestartTime without models.
     void crashEngine(std::size_t index);
 
+    /// Adapters that callers requested over at least \a span and of which no request was started.
+    std::size_t countNeverStarted(Span span) const;
+
     std::size_t hostCount() const
     {
         return this->hosts.size();
@@ -183,12 +195,14 @@
     std::uint64_t loads = 0;
     std::uint64_t fetches = 0; ///< Loads from the weight store.
     std::uint64_t unloads = 0;
-    std::uint64_t rejectedNotReady = 0;    ///< Requests rejected because the adapter was not ready.
-    std::uint64_t messages = 0;            ///< Between hosts.
-    std::uint64_t messageBytes = 0;        ///< Encoded size; 0 without WorldSettings::countsBytes.
-    SentCounts sentByKind;                 ///< Messages between hosts by kind.
-    std::uint64_t reports = 0;             ///< Reports requested from engines.
-    std::uint64_t unloadsWhileInUse = 0;   ///< Their slots stay occupied and requests are rejected.
+    std::uint64_t rejectedNotReady = 0; ///< Requests rejected because the adapter was not ready.
+    std::uint64_t messages = 0;         ///< Between hosts.
+    std::uint64_t messageBytes = 0;     ///< Encoded size; 0 without WorldSettings::countsBytes.
+    SentCounts sentByKind;              ///< Messages between hosts by kind.
+    std::uint64_t reports = 0;          ///< Reports requested from engines.
+    std::map<ModelName, AdapterRequests> adapterRequests;
+    std::uint64_t unusedLoads = 0;       ///< Loaded adapters that were unloaded without a request.
+    std::uint64_t unloadsWhileInUse = 0; ///< Their slots stay occupied and requests are rejected.
     std::vector<double> startDelaySeconds; ///< From a request's arrival to its start.
     std::map<Instant, double> admittedTokens;
     std::map<ContentDigest, CrashingRequest> crashingRequests;
