Report the end of the last use of an adapter at once

Callers were refused for want of a slot while slots were kept for adapters that nobody used any more.

Now a host tells the coordinator at the next tick when its last request for an adapter at an engine has ended.

--- a/packages/gateway/include/azurewell/gateway/adapter_uses.h
+++ b/packages/gateway/include/azurewell/gateway/adapter_uses.h
@@ -24,7 +24,8 @@
 using OwnUses = std::map<AdapterPlace, OwnUse>;
 
 void beginUse(OwnUses &uses, const AdapterPlace &place);
-void endUse(OwnUses &uses, const AdapterPlace &place);
+/// Returns whether no request of this host uses the adapter any more.
+bool endUse(OwnUses &uses, const AdapterPlace &place);
 
 /// Returns the uses to report to the coordinator of \a engine and marks them as reported.
 std::vector<AdapterUse> takeUnreported(OwnUses &uses, const UpstreamId &engine);
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -212,7 +212,9 @@
     std::set<UpstreamId> earlyAttemptEngines; ///< Engines with requests that were sent before a
                                               ///< report shows the load as done.
     DeadlineQueue<RequestNumber> requestDeadlines;
-    OwnUses ownUses; ///< Adapters in use by requests of this host.
+    OwnUses ownUses;                           ///< Adapters in use by requests of this host.
+    std::set<UpstreamId> enginesWithEndedUses; ///< Their coordinators still count an adapter as in
+                                               ///< use.
     std::map<ModelName, DecayedSum>
             adapterDemand; ///< Prompt tokens that callers of this host sent, by adapter.
 
--- a/packages/gateway/src/adapter_uses.cpp
+++ b/packages/gateway/src/adapter_uses.cpp
@@ -19,11 +19,12 @@
     ++use.begun;
 }
 
-void endUse(OwnUses &uses, const AdapterPlace &place)
+bool endUse(OwnUses &uses, const AdapterPlace &place)
 {
     const auto found = uses.find(place);
-    if (found != uses.end() && found->second.running > 0)
-        --found->second.running;
+    if (found == uses.end() || found->second.running == 0)
+        return false;
+    return --found->second.running == 0;
 }
 
 std::vector<AdapterUse> takeUnreported(OwnUses &uses, const UpstreamId &engine)
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -201,7 +201,8 @@
         return;
     Upstream &upstream = found->second;
     upstream.requestsInFlight -= std::min(upstream.requestsInFlight, 1U);
-    endUse(state.ownUses, { record.upstream, record.arrivedRequest.model });
+    if (endUse(state.ownUses, { record.upstream, record.arrivedRequest.model }))
+        state.enginesWithEndedUses.insert(record.upstream);
 }
 
 void refuseAndForget(GatewayState &state, RequestRecord &record, ResultCode code, Span retryAfter,
--- a/packages/gateway/src/updates.cpp
+++ b/packages/gateway/src/updates.cpp
@@ -165,6 +165,17 @@
         sendToFleet(state, std::move(update), now, actions);
 }
 
+/// Reports the end of uses to the coordinators of the engines. With the next heartbeat it would
+/// come up to seconds late, and the adapter would keep its slot without any use.
+void sendEndedUses(GatewayState &state, Instant now, Actions &actions)
+{
+    for (const UpstreamId &id : std::exchange(state.enginesWithEndedUses, {})) {
+        const auto engine = state.upstreams.find(id);
+        if (engine != state.upstreams.end())
+            sendAdapterUses(state, engine->second, now, actions);
+    }
+}
+
 } // namespace
 
 void addPeriodicUpdates(GatewayState &state, Gossip &message, Instant now)
@@ -180,6 +191,7 @@
         sendUpdatesDirectly(state, now, actions);
     else
         sendUpdatesByRelay(state, now, actions);
+    sendEndedUses(state, now, actions);
     sendSuspicions(state, now, actions);
     sendLimits(state, now, actions);
     state.changedEngines.clear();
