Leave an engine out whose permit comes too late for an early attempt; drop a displaced load from its queue

A load that is already queued and has the smallest claim of a queue that became too long was refused and stayed in it (LoadQueue.AShorterQueueDropsTheSmallestClaim). Demand at engines that this host no longer coordinates is forgotten with the other expired state.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -117,7 +117,7 @@
     PermitPacer ownShare;     ///< Requests of this host while the coordinator does not answer.
     std::map<AdapterRef, Instant> awaitedUntil; ///< Kept for waiting requests until this time.
     RemoteUses remoteUses; ///< Adapters that other hosts use at this engine; they are not evicted.
-    LoadQueue wanted;
+    LoadQueue wanted;      ///< Loads to order.
     std::deque<AdapterRef> adaptersInHostMemory; ///< Newest first; the engine loads these faster.
     std::optional<ModelName> pendingOrder;       ///< An order that the engine has not answered yet.
     bool isReportPending = false;
--- a/packages/gateway/include/azurewell/gateway/load_queue.h
+++ b/packages/gateway/include/azurewell/gateway/load_queue.h
@@ -37,7 +37,7 @@
 /// smallest claim yields. False if that is \a adapter itself.
 bool enqueue(LoadQueue &queue, const ModelName &adapter, std::size_t maxLength, Instant now);
 
-bool isQueued(const LoadQueue &queue, const ModelName &adapter);
+/// Removes loads from the queue; their demand keeps its age.
 void dequeue(LoadQueue &queue, const ModelName &adapter);
 void clearQueue(LoadQueue &queue);
 std::size_t countQueued(const LoadQueue &queue);
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -156,6 +156,7 @@
     });
     for (auto &[id, engine] : state.engines) {
         tidy(engine.pacer, now);
+        removeAbandoned(engine.wanted, now);
         std::erase_if(engine.requestingHosts,
                       [now](const auto &requester) { return now >= requester.second; });
         std::erase_if(engine.awaitedUntil, [now](const auto &load) { return now >= load.second; });
--- a/packages/gateway/src/load_queue.cpp
+++ b/packages/gateway/src/load_queue.cpp
@@ -43,20 +43,14 @@
             if (demand.isQueued && claimOf(demand, now) < claimOf(*smallest, now))
                 smallest = &demand;
         }
+        smallest->isQueued = false;
         if (smallest == &wanted)
             return false;
-        smallest->isQueued = false;
     }
     wanted.isQueued = true;
     return true;
 }
 
-bool isQueued(const LoadQueue &queue, const ModelName &adapter)
-{
-    const auto found = queue.demand.find(adapter);
-    return found != queue.demand.end() && found->second.isQueued;
-}
-
 void dequeue(LoadQueue &queue, const ModelName &adapter)
 {
     const auto found = queue.demand.find(adapter);
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -85,6 +85,19 @@
             && expectedWait(chosen, need.prefillTokensPerSecond, now) > crowdedEngineWait;
 }
 
+/// The shorter of two waits; 0 stands for none.
+Span shorterOf(Span a, Span b)
+{
+    return a == Span{} ? b : std::min(a, b);
+}
+
+/// Returns a permit that comes too late for \a record, and leaves its engine out from now on.
+void yieldLatePermit(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    record.permitWait = shorterOf(record.permitWait, record.admissionAt - now);
+    excludeUpstream(state, record, record.admissionEngine, now, actions);
+}
+
 enum class EarlyAttempt : std::uint8_t { None, AwaitsPermit, Sent };
 
 /// Whether a request may be sent early to \a engine, which may be cold: with a permit, or as this
@@ -96,6 +109,10 @@
         return EarlyAttempt::Sent;
     if (record.admissionState == PromptAdmissionState::NotRequested)
         requestAdmission(state, record, engine, now, actions);
+    if (isPermitTooLate(record)) {
+        yieldLatePermit(state, record, now, actions);
+        return EarlyAttempt::None;
+    }
     if (!isAdmitted(record, now))
         return EarlyAttempt::AwaitsPermit;
     if (!lacksPermit(state, record, engine, now))
@@ -167,12 +184,6 @@
     state.waiting.insert(record.arrivedRequest.request);
 }
 
-/// The shorter of two waits; 0 stands for none.
-Span shorterOf(Span a, Span b)
-{
-    return a == Span{} ? b : std::min(a, b);
-}
-
 /// Refuses a request that no upstream takes in time. The reason is \a otherwise, unless a rate
 /// limit kept the request from an upstream.
 void refuseUnplaced(GatewayState &state, RequestRecord &record, ResultCode otherwise,
@@ -334,8 +345,7 @@
         if (record.admissionState == PromptAdmissionState::NotRequested)
             requestAdmission(state, record, *chosen, now, actions);
         if (isPermitTooLate(record)) {
-            record.permitWait = shorterOf(record.permitWait, record.admissionAt - now);
-            excludeUpstream(state, record, record.admissionEngine, now, actions);
+            yieldLatePermit(state, record, now, actions);
             place(state, record, now, actions);
             return;
         }
--- a/packages/gateway/tests/load_queue_test.cpp
+++ b/packages/gateway/tests/load_queue_test.cpp
@@ -59,6 +59,16 @@
     EXPECT_EQ(countQueued(queue), 2U);
 }
 
+TEST(LoadQueue, AShorterQueueDropsTheSmallestClaim)
+{
+    LoadQueue queue;
+    EXPECT_TRUE(request(queue, rare, 2, start));
+    const Instant later = start + std::chrono::milliseconds(300);
+    EXPECT_TRUE(request(queue, other, 2, later));
+    EXPECT_FALSE(request(queue, other, 1, later));
+    EXPECT_EQ(queuedLoads(queue, later), std::vector<ModelName>{ rare });
+}
+
 TEST(LoadQueue, AServedAdapterStartsAnew)
 {
     LoadQueue queue;
