--- a/packages/gateway/src/updates.cpp
+++ b/packages/gateway/src/updates.cpp
@@ -165,15 +165,11 @@
         sendToFleet(state, std::move(update), now, actions);
 }
 
-/// Reports the end of uses to the coordinators of the engines of a large fleet. With the next
-/// heartbeat it would come up to seconds late there, and the adapter would keep its slot without
-/// any use. Heartbeats of a small fleet are frequent.
+/// Reports the end of uses to the coordinators of the engines. With the next heartbeat it would
+/// come up to seconds late, and the adapter would keep its slot without any use.
 void sendEndedUses(GatewayState &state, Instant now, Actions &actions)
 {
-    const std::set<UpstreamId> ended = std::exchange(state.enginesWithEndedUses, {});
-    if (isSmallFleet(state))
-        return;
-    for (const UpstreamId &id : ended) {
+    for (const UpstreamId &id : std::exchange(state.enginesWithEndedUses, {})) {
         const auto engine = state.upstreams.find(id);
         if (engine != state.upstreams.end())
             sendAdapterUses(state, engine->second, now, actions);
