--- a/packages/gateway/include/azurewell/gateway/permit_pacer.h
+++ b/packages/gateway/include/azurewell/gateway/permit_pacer.h
@@ -42,7 +42,7 @@
                     const PermitHolder &holder = {});
 
 /// Returns the unused permit of \a holder. The next request gets it, for the time that it was
-/// issued for: at any other time it would come on top of the permits that others hold.
+/// issued for: at another time it would exceed the rate, as others hold the permits there.
 void returnPermit(PermitPacer &pacer, const PermitHolder &holder);
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/warmup.cpp
+++ b/packages/gateway/src/warmup.cpp
@@ -35,8 +35,8 @@
 /// such hosts may coincide.
 constexpr double shareOfMinority = 0.5;
 
-/// The same, for upstreams of a zone of which they reach no host: of the share that they would have
-/// if all hosts were cut off from each other.
+/// The part of the permits that such hosts issue, all together, for upstreams of a zone of which
+/// they reach no host.
 constexpr double shareOfOtherZones = 0.2;
 
 /// Hosts of one zone, with this host if it is its own.
