Probe the path to the upstreams of a service, and log when none can be reached

Why: at hosts that served next to nothing the logs showed single failed attempts, but not whether any upstream could be reached. No decision reads it.

The probes draw nothing from the random numbers of routing.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -107,6 +107,15 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
 };
 
+/// A probe has opened its connection, or has failed to do so within probeTimeout.
+struct ProbeEnded
+{
+    ServiceId service;
+    std::uint64_t round = 0;
+    UpstreamId upstream;
+    bool isOpen = false;
+};
+
 /// Send a refusal to a caller.
 struct Refuse
 {
@@ -155,6 +164,15 @@
     Endpoint address;
 };
 
+/// Open a connection to an upstream and close it without sending anything.
+struct ProbeUpstream
+{
+    ServiceId service;
+    std::uint64_t round = 0;
+    UpstreamId upstream;
+    Endpoint address;
+};
+
 struct SendGossip
 {
     Endpoint to;
@@ -178,6 +196,7 @@
     std::vector<CancelAttempt> cancels;
     std::vector<OrderEngine> orders;
     std::vector<QueryReport> reports;
+    std::vector<ProbeUpstream> probes;
     std::vector<SendGossip> gossip;
     std::vector<LogEvent> logEvents;
 };
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "azurewell/gateway/prefill_rate.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
+#include "azurewell/gateway/upstream_path.h"
 #include "azurewell/gateway/warmup.h"
 #include "azurewell/gateway/zone_evacuation.h"
 #include "azurewell/gateway/zone_relay.h"
@@ -163,6 +164,7 @@
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
+    std::uint64_t probes = 0; ///< Connections that were opened to probe paths to upstreams.
 };
 
 /// The whole state of one host. It is kept in memory only and can be lost safely.
@@ -197,6 +199,7 @@
     std::map<ServiceId, RetryBudget> retryBudgets;
     CrashQuarantine quarantine;
     std::set<UpstreamId> limitsToSend;
+    std::map<ServiceId, UpstreamPath> paths;
 
     std::unordered_map<RequestNumber, RequestRecord> requests;
     std::set<RequestNumber> waiting; ///< Requests in RequestPhase::Waiting.
@@ -242,6 +245,7 @@
 void handle(GatewayState &state, const LoadStated &event, Instant now);
 void handle(GatewayState &state, const LimitStated &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const ProbeEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions);
 void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -230,6 +230,7 @@
     removeExpiredSuspicions(state.quarantine, now);
     updateMembers(state.members, now);
     resolveEarlyAttempts(state, now);
+    checkPaths(state, now, actions);
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
     dropUnneededLoads(state);
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -217,6 +217,21 @@
 /// Sends rate limits to other hosts that are new or were not sent recently.
 void sendLimits(GatewayState &state, Instant now, Actions &actions);
 
+/// Suspects the path to the upstreams of \a service after a failed connection to one of them.
+void suspectPath(GatewayState &state, const ServiceId &service, Instant now);
+
+/// Records that \a upstream answered any call of this host.
+void recordPathAnswer(GatewayState &state, const UpstreamId &upstream);
+
+/// Whether this host reaches no upstream of \a service.
+bool isPathLost(const GatewayState &state, const ServiceId &service);
+
+/// Begins probes of suspected and lost paths that are due.
+void checkPaths(GatewayState &state, Instant now, Actions &actions);
+
+void handlePathChange(GatewayState &state, const ServiceId &service, PathChange change, Instant now,
+                      Actions &actions);
+
 /// What is known of customers' use from before the start of this process.
 MeterStart meterStart(const GatewayState &state, Instant now);
 
--- a/packages/gateway/src/limits.cpp
+++ b/packages/gateway/src/limits.cpp
@@ -37,6 +37,7 @@
     if (found == state.upstreams.end())
         return;
     Upstream &upstream = found->second;
+    recordPathAnswer(state, event.upstream);
     const Instant statedBefore = upstream.limit.statedAt;
     const std::int64_t start = incarnationOf(upstream).start;
     const LimitChange change = applyLimit(
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -241,6 +241,7 @@
     add(upstream.ownPrompts, prompt, promptDecayTime, now);
     state.enginesWithNewPrompts.insert(id);
     state.recentUpstreams.insert(id);
+    recordSent(state.paths[record.service], id, now);
     if (!model.isBase())
         add(state.adapterDemand[model], prompt, demandDecayTime, now);
     record.phase = RequestPhase::AtUpstream;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -311,6 +311,8 @@
         return;
     RequestRecord &record = found->second;
     detachFromUpstream(state, record);
+    if (event.outcome == AttemptOutcome::NotSent || event.isCutOff)
+        suspectPath(state, record.service, now);
     const auto upstream = state.upstreams.find(record.upstream);
     if (upstream != state.upstreams.end())
         recordHealth(upstream->second, healthSignalOf(event.outcome), now);
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/gateway.h"
 #include "azurewell/http/caller_connection.h"
+#include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/gossip_socket.h"
 #include "azurewell/proxy/http_call.h"
 #include "azurewell/proxy/proxy_metrics.h"
@@ -103,6 +104,7 @@
     void refuse(const gateway::Refuse &refusal);
     void order(const gateway::OrderEngine &order);
     void requestReport(const gateway::QueryReport &ask);
+    void probe(const gateway::ProbeUpstream &toProbe);
     void tick();
     void closeTimedOutCallers(Instant now);
     void continueStop(Instant now);
@@ -114,6 +116,7 @@
     gateway::GatewayState core;
     UpstreamConnections connections;
     HttpCalls httpCalls{ connections };
+    ConnectProbes probes;
     ProxyMetrics metrics;
     std::unique_ptr<GossipSocket> gossip;
     std::unique_ptr<TcpAcceptor> callers;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -87,6 +87,8 @@
         this->order(toGive);
     for (const QueryReport &ask : actions.reports)
         this->requestReport(ask);
+    for (const ProbeUpstream &toProbe : actions.probes)
+        this->probe(toProbe);
     const Instant now = monotonicNow();
     for (const SendGossip &message : actions.gossip) {
         const std::size_t bytes = this->gossip->send(message, now);
@@ -110,6 +112,7 @@
     gateway::tick(this->core, wallMillis(), now, actions);
     this->run(actions);
     this->httpCalls.cancelOverdue(now);
+    this->probes.endOverdue(now);
     this->connections.closeExpired(now);
     this->closeTimedOutCallers(now);
     flushLog();
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -59,6 +59,17 @@
                           now + callTimeout, onAnswer, now, orderConnectTimeout);
 }
 
+void Proxy::probe(const ProbeUpstream &toProbe)
+{
+    const auto onEnd = [this, toProbe](bool isOpen) {
+        Actions actions;
+        handle(this->core, ProbeEnded{ toProbe.service, toProbe.round, toProbe.upstream, isOpen },
+               monotonicNow(), actions);
+        this->run(actions);
+    };
+    this->probes.start(toProbe.address, monotonicNow() + probeTimeout, onEnd);
+}
+
 void Proxy::requestReport(const QueryReport &ask)
 {
     const Instant askedAt = monotonicNow();
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -74,6 +74,13 @@
                          [now](const auto &entry) { return gateway::isCold(entry.second, now); });
 }
 
+std::ptrdiff_t countUnreachableServices(const gateway::GatewayState &state)
+{
+    return std::count_if(state.paths.begin(), state.paths.end(), [](const auto &entry) {
+        return entry.second.state == gateway::PathState::Lost;
+    });
+}
+
 void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
@@ -117,6 +124,9 @@
     addCounter(out, "azurewell_crash_suspicions_refuted_total", state.quarantine.suspicionsRefuted);
     addGauge(out, "azurewell_upstreams_limited", static_cast<double>(countLimited(state, now)));
     addGauge(out, "azurewell_upstreams_cold", static_cast<double>(countCold(state, now)));
+    addCounter(out, "azurewell_path_probes_total", counters.probes);
+    addGauge(out, "azurewell_services_unreachable",
+             static_cast<double>(countUnreachableServices(state)));
     addGauge(out, "azurewell_zones_evacuated",
              static_cast<double>(state.evacuations.closesAt.size()));
     addGauge(out, "azurewell_requests_quarantined",
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -84,6 +84,7 @@
     }
     this->hosts.resize(this->settings.zones * this->settings.hostsPerZone);
     this->partitionedHosts.resize(this->hosts.size());
+    this->engineCuts.resize(this->hosts.size());
     for (std::size_t index = 0; index < this->hosts.size(); ++index)
         this->hostAt[addressOf(index)] = index;
     for (FakeEngine &engine : this->engines)
@@ -269,6 +270,7 @@
     FakeRequest &kept = this->requests[{ index, request.request.value }];
     kept = fakeRequest;
     kept.at = this->now;
+    this->recordFirstTry(index, kept);
     AdapterRequests &known = this->adapterRequests[fakeRequest.model];
     known.firstAt = known.firstAt.micros == 0 ? this->now : known.firstAt;
     known.lastAt = this->now;
@@ -289,6 +291,8 @@
     this->reports += actions.reports.size();
     for (const QueryReport &query : actions.reports)
         this->answerReport(index, query);
+    for (const ProbeUpstream &probe : actions.probes)
+        this->answerProbe(index, probe);
     for (const SendGossip &gossip : actions.gossip)
         this->deliver(index, gossip);
 }
@@ -330,6 +334,12 @@
 {
     const std::uint64_t incarnation = this->hosts[index].incarnation;
     const FakeRequest fakeRequest = this->requests[{ index, toSend.request.value }];
+    if (this->isCut(index)) {
+        this->schedule(this->now + this->timeToFail(index), [this, index, incarnation, toSend] {
+            this->endAttempt({ index, incarnation, toSend }, AttemptOutcome::NotSent);
+        });
+        return;
+    }
     this->schedule(this->now + networkLatency, [this, index, incarnation, toSend, fakeRequest] {
         FakeEngine &engine = *this->findEngine(toSend.upstream);
         if (!engine.isUp) {
@@ -412,9 +422,12 @@
     });
     if (--at.running[model] == 0 && at.pendingUnloads.erase(model) > 0)
         at.readyAt.erase(model);
-    if (!this->isIncarnationRunning(index, incarnation))
+    if (!this->isIncarnationRunning(index, incarnation) || this->isCut(index))
         return;
     ++this->answered;
+    const FakeRequest &request = this->requests.at({ index, sent.request.value });
+    if (request.isCounted)
+        ++this->triesOf(request).served;
     Actions actions;
     handle(this->hosts[index].state,
            AttemptEnded{ sent.request, sent.attempt, AttemptOutcome::Done, true, false }, this->now,
@@ -501,13 +514,15 @@
     this->recordState(engine);
 }
 
-/// Whether the order is dropped. Its host is notified of the timeout after orderTimeout.
+/// Whether the order is dropped: one of the first to load a base model, or one of a host without a
+/// path to the engine. Its host is notified of the timeout after orderTimeout.
 bool World::dropOrder(std::size_t index, const OrderEngine &engineOrder)
 {
     constexpr Span orderTimeout = std::chrono::milliseconds(1200);
-    if (!engineOrder.model.isBase() || this->settings.lostBaseOrders == 0)
+    const bool isLostBaseOrder = engineOrder.model.isBase() && this->settings.lostBaseOrders > 0;
+    if (!this->isCut(index) && !isLostBaseOrder)
         return false;
-    --this->settings.lostBaseOrders;
+    this->settings.lostBaseOrders -= isLostBaseOrder ? 1 : 0;
     const std::uint64_t incarnation = this->hosts[index].incarnation;
     const OrderEnded ended{ engineOrder.engine,  engineOrder.model, engineOrder.isLoad,
                             engineOrder.version, this->now,         OrderOutcome::Unknown };
@@ -581,7 +596,7 @@
     const Instant askedAt = this->now;
     this->schedule(this->now + networkLatency, [this, index, incarnation, query, askedAt] {
         FakeEngine &engine = *this->findEngine(query.engine);
-        if (!engine.isUp)
+        if (!engine.isUp || this->isCut(index))
             return;
         this->recordState(engine);
         while (engine.stateHistory.size() > 1
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -27,6 +27,27 @@
     std::uint64_t started = 0; ///< That an engine began to run.
 };
 
+/// What happens to connections of a host that has lost its path to all engines.
+enum class EngineCut : std::uint8_t {
+    None,
+    Hang,   ///< Nothing is answered and no connection opens.
+    Refuse, ///< Connections are reset, and new ones are refused.
+};
+
+/// First tries of requests after a loss of paths to engines.
+struct TryCounts
+{
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+
+    double servedShare() const
+    {
+        return this->sent == 0
+                ? 0
+                : static_cast<double>(this->served) / static_cast<double>(this->sent);
+    }
+};
+
 /// A request that runs at an engine.
 struct FakeRun
 {
@@ -41,7 +62,9 @@
     ModelName model;
     Instant at;
     ContentDigest content;
-    std::uint32_t sends = 1; ///< Times sent so far, including this one.
+    std::uint32_t sends = 1;  ///< Times sent so far, including this one.
+    bool isAtCutHost = false; ///< Its host has lost its path to the engines.
+    bool isCounted = false;   ///< It counts in triesAtCutHosts or triesAtOtherHosts.
 };
 
 /// A request that crashes each engine that begins to run it (a query of death).
@@ -146,6 +169,8 @@
     void pauseHost(std::size_t index, Span span);
     /// Host \a index neither receives from other hosts nor reaches them; engines stay reachable.
     void partitionHost(std::size_t index, bool isPartitioned);
+    /// The host keeps its path to callers and other hosts.
+    void cutFromEngines(std::size_t host, EngineCut cut);
     void restartEngine(std::size_t index);
     /// The engine states \a perSecond in its answers from now on; 0: no limit.
     void limitEngine(std::size_t index, double perSecond);
@@ -212,6 +237,8 @@
     /// from hosts that ran undisturbed.
     std::uint64_t arrivalsInEvacuatedZones = 0;
     std::map<ResultCode, std::uint64_t> refusals; ///< Without requests that crash engines.
+    TryCounts triesAtCutHosts;                    ///< From contactTimeOfCuts after the last cut.
+    TryCounts triesAtOtherHosts;
     Instant now{ 1'000'000'000 };
 
 private:
@@ -238,6 +265,13 @@
     void recordLimitedArrival(std::size_t host, FakeEngine &engine);
     void sendLimit(const FakeRun &run, FakeEngine &engine, Instant sentAt);
     void recordZoneArrival(std::size_t host, FakeEngine &engine, bool isRun);
+    bool isCut(std::size_t host) const
+    {
+        return this->engineCuts[host] != EngineCut::None;
+    }
+    Span timeToFail(std::size_t host) const;
+    void recordFirstTry(std::size_t host, FakeRequest &request);
+    TryCounts &triesOf(const FakeRequest &request);
     Span randomDelay(Span max);
     void notifyHost(std::size_t index, Span delay,
                     const std::function<void(GatewayState &, Actions &)> &notify);
@@ -256,6 +290,7 @@
     void executeOrder(std::size_t index, const OrderEngine &engineOrder, FakeEngine &engine,
                       OrderEnded &ended);
     void answerReport(std::size_t index, const QueryReport &query);
+    void answerProbe(std::size_t index, const ProbeUpstream &probe);
     void checkCoordinator(std::size_t index, FakeEngine &engine, const OrderEngine &engineOrder);
     Span loadDuration(FakeEngine &engine, const ModelName &adapter);
     EngineState stateOf(const FakeEngine &engine) const;
@@ -269,6 +304,8 @@
     std::vector<FakeHost> hosts;
     std::map<Endpoint, std::size_t> hostAt;
     std::vector<bool> partitionedHosts; ///< By index of the host.
+    std::vector<EngineCut> engineCuts;  ///< By index of the host.
+    Instant cutAt;                      ///< Last change of `engineCuts`; zero: none.
     std::vector<FakeEngine> engines;
     std::vector<Instant> fetchesEnd; ///< End times of loads from the weight store.
     std::vector<double> adapterWeights;
@@ -283,6 +320,9 @@
 /// Maximum time until all hosts know of a crashed engine or repeat a refused request.
 inline constexpr Span propagationTime = std::chrono::seconds(3);
 
+/// Requests count this long after a loss of paths to engines.
+inline constexpr Span contactTimeOfCuts = std::chrono::seconds(3);
+
 /// An evacuated zone must get no requests this long after the evacuation.
 inline constexpr Span evacuationTimeout = std::chrono::seconds(5);
 
