Read and log what upstreams state in answers: that they leave, and pauses

Why: neither logs nor metrics showed whether an answer had said so. Every answer is read: those of requests, reports, orders and forwards; not one that another upstream has given. Nothing decides by it yet.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -100,6 +100,28 @@
     bool isReport = false;
 };
 
+/// What an upstream says of itself in an answer, apart from its load.
+struct UpstreamStatements
+{
+    double limitPerSecond = 0; ///< Requests from all hosts together; 0: none stated.
+    bool isLeaving = false;
+    Span pause{};             ///< Time for which it wants no request from this host; 0: not stated.
+    bool isMalformed = false; ///< A statement could not be read and was ignored.
+};
+
+/// An answer of an upstream stated that it leaves.
+struct LeavingStated
+{
+    UpstreamId upstream;
+};
+
+/// An upstream rejected a call and asked for a pause.
+struct PauseStated
+{
+    UpstreamId upstream;
+    Span pause{};
+};
+
 /// An engine answered a report query, or the query failed.
 struct ReportRead
 {
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -167,6 +167,8 @@
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
+    std::uint64_t leavingStated = 0;    ///< Upstreams that stated in an answer that they leave.
+    std::uint64_t pausesStated = 0;     ///< Rejections that asked for a pause.
     std::uint64_t forwarded = 0;        ///< To other hosts.
     std::uint64_t forwardsReceived = 0; ///< From other hosts.
     std::uint64_t probes = 0; ///< Connections that were opened to probe paths to upstreams.
@@ -250,6 +252,8 @@
 void handle(GatewayState &state, const ForwardEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const LoadStated &event, Instant now);
 void handle(GatewayState &state, const LimitStated &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const LeavingStated &event, Instant now, Actions &actions);
+void handle(GatewayState &state, const PauseStated &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const ReportRead &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const ProbeEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions);
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -133,6 +134,10 @@
                           ///< otherwise `never`.
     Instant terminatedAt; ///< When the upstream is terminated, whatever still runs; otherwise
                           ///< `never`.
+    /// Start of the process that has stated in an answer that it leaves. That precedes the
+    /// platform's list, and holds for that process only.
+    std::optional<std::int64_t> leavingStart;
+    Instant pausedUntil;          ///< Until then it wants no request from this host.
     Instant zoneClosesAt = never; ///< When its zone gets no more requests; see zone_evacuation.h.
     Instant coldUntil;            ///< Until then it bears few requests; see warmup.h.
     EngineState engine;
@@ -189,6 +194,12 @@
 /// The other requests that wait for the adapter may be sent.
 void recordLoadDone(Upstream &upstream, const ModelName &adapter);
 
+/// Start of the current process of \a upstream, as far as this host knows.
+std::int64_t startOf(const Upstream &upstream);
+
+/// Whether the current process of \a upstream has stated in an answer that it leaves.
+bool isStatedLeaving(const Upstream &upstream);
+
 /// Whether new requests may be sent to \a upstream.
 bool isUsable(const Upstream &upstream, Instant now);
 
--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -106,7 +106,7 @@
 
 UpstreamIncarnation incarnationOf(const Upstream &upstream)
 {
-    return { upstream.listed.id, std::max(upstream.listed.engine.start, upstream.engine.start) };
+    return { upstream.listed.id, startOf(upstream) };
 }
 
 bool recordSuspicion(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now)
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -140,6 +140,16 @@
     showReady(upstream.engine, { adapter, load->second.version });
 }
 
+std::int64_t startOf(const Upstream &upstream)
+{
+    return std::max(upstream.listed.engine.start, upstream.engine.start);
+}
+
+bool isStatedLeaving(const Upstream &upstream)
+{
+    return upstream.leavingStart == startOf(upstream);
+}
+
 bool isUsable(const Upstream &upstream, Instant now)
 {
     return now < upstream.usableUntil && now < upstream.terminatedAt && now < upstream.zoneClosesAt;
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -110,7 +110,8 @@
     std::vector<HttpHeader> refusalHeaders(SessionId session,
                                            const gateway::ForwardRefusal &refusal) const;
     void handleHead(gateway::RequestNumber request, const ResponseHead &head);
-    void applyStatements(const OpenRequest &request);
+    void applyStatements(const UpstreamId &upstream, const gateway::UpstreamStatements &statements);
+    void applyAnswerFacts(const OpenRequest &request);
     void handleBody(gateway::RequestNumber request, const std::string &body);
     void complete(gateway::RequestNumber request);
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -31,6 +31,7 @@
     TimeHistogram timeToDispatch;    ///< From arrival to the first dispatch to an upstream.
     TimeHistogram reportDuration;    ///< Engine reports: from the request to the answer.
     std::uint64_t callersAccepted = 0;
+    std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
     std::uint64_t wakeUps = 0; ///< Wake-ups of the control thread's event loop.
--- a/packages/proxy/include/azurewell/proxy/wire_format.h
+++ b/packages/proxy/include/azurewell/proxy/wire_format.h
@@ -20,7 +20,6 @@
     bool isFault = false;       ///< The upstream reports an error of its own.
     bool isAttested = false;    ///< The upstream produced this answer itself: it is signed.
     std::optional<gateway::StatedLoad> load;
-    double limitPerSecond = 0; ///< Requests per second, see readLimit; 0: not stated.
 };
 
 /// The wire protocol towards callers and upstreams, as a table of functions over plain structs. A
@@ -42,8 +41,9 @@
 
     ReplyFacts (*readReply)(const ResponseHead &head);
 
-    /// The requests per second that the upstream accepts from all hosts together; 0: not stated.
-    double (*readLimit)(const ResponseHead &head);
+    /// What \a upstream states in any answer; nothing if another one has given the answer.
+    gateway::UpstreamStatements (*readStatements)(const ResponseHead &head,
+                                                  const UpstreamId &upstream);
 
     /// A complete request for the report of an engine's state.
     std::string (*reportRequest)(const gateway::QueryReport &ask);
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -42,8 +42,11 @@
     const auto onAnswer = [this, toGive, now](std::optional<CallAnswer> answer) {
         OrderEnded ended{ toGive.engine,  toGive.model, toGive.isLoad,
                           toGive.version, now,          OrderOutcome::Unknown };
-        if (answer)
+        if (answer) {
             ended.outcome = this->format.readOrderAnswer(answer->head);
+            this->applyStatements(toGive.engine,
+                                  this->format.readStatements(answer->head, toGive.engine));
+        }
         writeLog(LogLevel::Info, "order_ended",
                  { { "engine", toGive.engine.value },
                    { "model", toGive.model.model + "/" + toGive.model.adapter },
@@ -81,8 +84,11 @@
         this->metrics.reportDuration.add(now - askedAt);
         Actions actions;
         if (answer) {
-            const double limit = this->format.readLimit(answer->head);
-            handle(this->core, LimitStated{ ask.engine, limit, askedAt, true }, now, actions);
+            const UpstreamStatements statements = this->format.readStatements(answer->head,
+                                                                              ask.engine);
+            handle(this->core, LimitStated{ ask.engine, statements.limitPerSecond, askedAt, true },
+                   now, actions);
+            this->applyStatements(ask.engine, statements);
         }
         handle(this->core, read, now, actions);
         this->run(actions);
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -88,6 +88,9 @@
 {
     request.refusal = readForwardRefusal(head.headers);
     request.upstream = readUpstreamHeader(head.headers);
+    if (!request.upstream.value.empty())
+        this->applyStatements(request.upstream,
+                              this->format.readStatements(head, request.upstream));
     if (!request.refusal && request.facts.isNotRun)
         request.refusal = ForwardRefusal{ ResultCode::UpstreamRefused, true, {} };
 }
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -118,22 +118,40 @@
     if (request.isAtPeer)
         this->handleForwardHead(request, head);
     else
-        this->applyStatements(request);
+        this->applyAnswerFacts(request);
     // Only successful streams are forwarded chunk by chunk; a failure is buffered, so that the
     // answer of a retry can replace it.
     if (!isSuccess(head) || !request.facts.isAttested)
         request.isHeldBack = true;
 }
 
-void Proxy::applyStatements(const OpenRequest &request)
+void Proxy::applyAnswerFacts(const OpenRequest &request)
 {
     if (request.facts.load)
         handle(this->core, LoadStated{ request.upstream, *request.facts.load }, monotonicNow());
+    const UpstreamStatements statements = this->format.readStatements(request.head,
+                                                                      request.upstream);
     Actions actions;
     handle(this->core,
-           LimitStated{ request.upstream, request.facts.limitPerSecond, request.sentAt, false },
+           LimitStated{ request.upstream, statements.limitPerSecond, request.sentAt, false },
            monotonicNow(), actions);
     this->run(actions);
+    this->applyStatements(request.upstream, statements);
+}
+
+void Proxy::applyStatements(const UpstreamId &upstream, const UpstreamStatements &statements)
+{
+    if (statements.isMalformed) {
+        ++this->metrics.malformedStatements;
+        writeLog(LogLevel::Warning, "upstream_statement_unreadable",
+                 { { "upstream", upstream.value } });
+    }
+    Actions actions;
+    if (statements.isLeaving)
+        handle(this->core, LeavingStated{ upstream }, monotonicNow(), actions);
+    if (statements.pause > Span{})
+        handle(this->core, PauseStated{ upstream, statements.pause }, monotonicNow(), actions);
+    this->run(actions);
 }
 
 void Proxy::handleBody(RequestNumber number, const std::string &body)
--- a/packages/proxy/tests/forwarding_sockets_test.cpp
+++ b/packages/proxy/tests/forwarding_sockets_test.cpp
@@ -49,7 +49,7 @@
             facts.isAttested = headerCount(head.headers, "Signature") > 0;
             return facts;
         },
-        [](const ResponseHead &) { return 0.0; },
+        [](const ResponseHead &, const UpstreamId &) { return UpstreamStatements(); },
         [](const QueryReport &) { return std::string(); },
         [](const QueryReport &, const ResponseHead &, std::string_view) {
             return std::optional<EngineState>();
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -205,6 +205,8 @@
     engine.running.clear();
     engine.runs.clear();
     engine.hasBase = false;
+    engine.isLeaving = false;
+    engine.leavingToldAt.clear();
     engine.ordersTaken = 0;
     ++engine.start;
     engine.coldUntil = this->now + warmupTime;
@@ -354,6 +356,10 @@
             return;
         }
         this->recordCrashingSend(index, fakeRequest);
+        this->recordArrival(index, engine, fakeRequest);
+        if (this->rejectInPause({ index, incarnation, toSend }, engine))
+            return;
+        this->sendLeaving(index, engine);
         this->recordLimitedArrival(index, engine);
         this->sendLimit({ index, incarnation, toSend }, engine, this->now - networkLatency);
         const auto loaded = engine.readyAt.find(fakeRequest.model);
@@ -373,6 +379,7 @@
             ++this->adapterRequests[fakeRequest.model].started;
             engine.unused.erase(fakeRequest.model);
             engine.runs.push_back({ index, incarnation, toSend });
+            ++engine.runCount;
             this->startDelaySeconds.push_back(toSeconds(this->now - fakeRequest.at));
             this->admittedTokens[this->now] += 2000;
         }
@@ -602,6 +609,7 @@
         FakeEngine &engine = *this->findEngine(query.engine);
         if (!engine.isUp || this->isCut(index))
             return;
+        this->sendLeaving(index, engine);
         this->recordState(engine);
         while (engine.stateHistory.size() > 1
                && engine.stateHistory[1].first <= this->now - this->settings.reportLag)
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -80,6 +80,15 @@
     std::uint64_t sentAfterThirdCrash = 0;
 };
 
+/// A pause that an engine has asked a host for.
+struct StatedPause
+{
+    Instant statedAt;
+    Instant until;
+    std::size_t arrivals = 0;    ///< Requests of the host during the pause.
+    std::size_t maxArrivals = 0; ///< During any earlier pause.
+};
+
 /// A simulated engine with adapter slots, load times and delayed reports. It does not check fencing
 /// numbers.
 struct FakeEngine
@@ -102,8 +111,13 @@
     Instant limitStatedAt;     ///< When the limit was first stated; 0: not yet.
     std::map<std::size_t, Instant> limitReceivedAt; ///< By host: when it first received the limit.
     std::vector<Instant> arrivalsUnderLimit; ///< Times of requests from hosts that must comply.
-    Instant coldUntil;                       ///< It bears few requests until then.
-    std::vector<Instant> coldArrivals;       ///< Times of requests that it ran while it was cold.
+    bool isLeaving = false;                  ///< It says so in each answer.
+    std::map<std::size_t, Instant> leavingToldAt; ///< By host: its first such answer.
+    Span pause{}; ///< It rejects each request and asks for this pause; 0: it does not.
+    std::map<std::size_t, StatedPause> pauses; ///< By host.
+    std::uint64_t runCount = 0;
+    Instant coldUntil;                 ///< It bears few requests until then.
+    std::vector<Instant> coldArrivals; ///< Times of requests that it ran while it was cold.
     HostId lastOrderedBy;
     Instant lastOrderAt;
     std::uint64_t highestFencing = 0;
@@ -183,6 +197,17 @@
     {
         return this->engines[index].arrivalsUnderLimit.size();
     }
+    /// The engine states in each answer that it leaves; the platform's list does not know.
+    void stateLeaving(std::size_t index);
+    /// The engine rejects all requests and asks for a pause; 0: no longer.
+    void statePauses(std::size_t index, Span pause);
+    /// The maximum number of requests of one host that reached an engine during a pause.
+    std::size_t maxArrivalsInPause() const;
+    /// Number of requests that the engine has run.
+    std::uint64_t runsAt(std::size_t index) const
+    {
+        return this->engines[index].runCount;
+    }
     /// Hosts learn of the evacuation within propagationTime.
     void evacuateZone(std::size_t zone);
     /// Ends the evacuation. The engines of the zone are cold from now on.
@@ -238,6 +263,8 @@
     /// Requests that reached an evacuated zone later than evacuationTimeout after its evacuation,
     /// from hosts that ran undisturbed.
     std::uint64_t arrivalsInEvacuatedZones = 0;
+    /// Requests that reached a leaving engine too long after their host was told.
+    std::uint64_t arrivalsAtLeavingEngines = 0;
     std::map<ResultCode, std::uint64_t> refusals; ///< Without requests that crash engines.
     TryCounts triesAtCutHosts;                    ///< From contactTimeOfCuts after the last cut.
     TryCounts triesAtOtherHosts;
@@ -275,6 +302,9 @@
     void recordFirstTry(std::size_t host, FakeRequest &request);
     void recordServed(const FakeRequest &request);
     TryCounts &triesOf(const FakeRequest &request);
+    void recordArrival(std::size_t host, FakeEngine &engine, const FakeRequest &request);
+    void sendLeaving(std::size_t host, const FakeEngine &engine);
+    bool rejectInPause(const FakeRun &run, const FakeEngine &engine);
     Span randomDelay(Span max);
     void notifyHost(std::size_t index, Span delay,
                     const std::function<void(GatewayState &, Actions &)> &notify);
