--- /dev/null
+++ b/tests/gateway_world/statements_test.cpp
@@ -0,0 +1,69 @@
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+namespace azurewell::gateway {
+namespace {
+
+/// The size of a fleet and its request rate.
+struct Case
+{
+    std::size_t zones;
+    std::size_t hostsPerZone;
+    std::size_t enginesPerZone;
+    double requestsPerSecond;
+};
+
+std::ostream &operator<<(std::ostream &out, const Case &one)
+{
+    return out << one.zones * one.hostsPerZone << "_hosts";
+}
+
+WorldSettings settingsOf(const Case &fleet)
+{
+    WorldSettings settings;
+    settings.zones = fleet.zones;
+    settings.hostsPerZone = fleet.hostsPerZone;
+    settings.enginesPerZone = fleet.enginesPerZone;
+    settings.requestsPerSecond = fleet.requestsPerSecond;
+    settings.adapters = 40 * fleet.enginesPerZone;
+    settings.fullSpeedLoads = fleet.enginesPerZone * 2;
+    return settings;
+}
+
+class StatedLeaving : public testing::TestWithParam<Case>
+{
+};
+
+// Guards against requests to an upstream that has said in an answer that it leaves, while the
+// platform's list does not know yet.
+TEST_P(StatedLeaving, EndsNewRequestsBeforeTheListKnows)
+{
+    World world{ settingsOf(GetParam()) };
+    world.runFor(std::chrono::seconds(8));
+    world.stateLeaving(0);
+    world.stateLeaving(1);
+    world.runFor(std::chrono::seconds(12));
+    EXPECT_EQ(world.arrivalsAtLeavingEngines, 0U);
+    EXPECT_TRUE(world.violations.empty());
+}
+
+// Guards against a statement of one process that is applied to the next one.
+TEST_P(StatedLeaving, EndsWithTheProcessThatStatedIt)
+{
+    World world{ settingsOf(GetParam()) };
+    world.runFor(std::chrono::seconds(8));
+    world.stateLeaving(0);
+    world.runFor(std::chrono::seconds(4));
+    world.crashEngine(0);
+    world.runFor(std::chrono::seconds(16));
+    EXPECT_GT(world.runsAt(0), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, StatedLeaving,
+                         testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 23, 24, 300 }));
+
+} // namespace
+} // namespace azurewell::gateway
