--- a/tests/gateway_world/statements_test.cpp
+++ b/tests/gateway_world/statements_test.cpp
@@ -65,5 +65,37 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, StatedLeaving,
                          testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 23, 24, 300 }));
 
+class StatedPauses : public testing::TestWithParam<Case>
+{
+};
+
+// Guards against requests to an upstream that has rejected one and asked for a pause.
+TEST_P(StatedPauses, AreKept)
+{
+    constexpr std::size_t maxArrivals = 2;
+    World world{ settingsOf(GetParam()) };
+    world.runFor(std::chrono::seconds(8));
+    world.statePauses(0, std::chrono::seconds(3));
+    world.statePauses(1, std::chrono::seconds(3));
+    world.runFor(std::chrono::seconds(10));
+    EXPECT_LE(world.maxArrivalsInPause(), maxArrivals);
+}
+
+// Guards against an upstream that gets no request after its pause.
+TEST_P(StatedPauses, End)
+{
+    World world{ settingsOf(GetParam()) };
+    world.runFor(std::chrono::seconds(8));
+    world.statePauses(0, std::chrono::seconds(3));
+    world.runFor(std::chrono::seconds(4));
+    world.statePauses(0, Span{});
+    const std::uint64_t before = world.runsAt(0);
+    world.runFor(std::chrono::seconds(8));
+    EXPECT_GT(world.runsAt(0), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, StatedPauses,
+                         testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 3, 3, 120 }));
+
 } // namespace
 } // namespace azurewell::gateway
