Send nothing new to upstreams that state in an answer that they leave

What callers saw: requests reached an upstream up to 13 s after it had said that it leaves, until the platform's list knew.

Cause: nothing read the statement. Now it holds for the process that has made it, before the list and whatever the list says, for all sends, loads and the coordination of an engine. Hosts tell each other in heartbeats. A new process at the address starts without it. Ruled out: that the requests had waited since before (5 ms from caller to upstream).

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -127,6 +127,12 @@
   4: i64 age
 }
 
+/** An upstream whose process with this start has stated that it leaves. */
+struct LeavingUpstream {
+  1: string upstream
+  2: i64 start
+}
+
 /** News of a host that another one passes on. */
 struct RelayedNews {
   1: string host
@@ -170,4 +176,5 @@
   28: optional list<ItemPart> itemParts
   /** Services of which the sender reaches no upstream. */
   29: optional list<string> unreachableServices
+  30: optional list<LeavingUpstream> leavingUpstreams
 }
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -206,6 +206,7 @@
     std::map<ServiceId, RetryBudget> retryBudgets;
     CrashQuarantine quarantine;
     std::set<UpstreamId> limitsToSend;
+    std::set<UpstreamId> leavingUpstreams; ///< Stated that they leave; the list may not know.
     std::map<ServiceId, UpstreamPath> paths;
 
     std::unordered_map<RequestNumber, RequestRecord> requests;
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -174,6 +174,8 @@
     std::vector<ItemPart> itemParts;       ///< At most one.
     std::vector<CrashSuspicion> crashes;
     std::vector<UpstreamLimit> limits;
+    /// Upstreams that have stated in an answer that they leave.
+    std::vector<UpstreamIncarnation> leavingUpstreams;
     std::set<ServiceId> unreachableServices; ///< The sender reaches none of their upstreams.
 };
 
--- a/packages/gateway/src/crashes.cpp
+++ b/packages/gateway/src/crashes.cpp
@@ -60,7 +60,7 @@
     const auto found = state.upstreams.find(record.upstream);
     // An upstream that is being removed is expected to close its connections.
     if (found == state.upstreams.end() || found->second.usableUntil != never
-        || found->second.terminatedAt != never)
+        || found->second.terminatedAt != never || isStatedLeaving(found->second))
         return;
     const CrashSuspicion suspicion{ record.digest, incarnationOf(found->second), now };
     handleSuspicion(state, suspicion, record.arrivedRequest.request, now, actions);
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -67,7 +67,7 @@
     ++state.counters.enginePolls;
     const UpstreamId &id = upstream.listed.id;
     const EngineLimits *limits = limitsOf(state, upstream);
-    if (!limits || now >= upstream.usableUntil) {
+    if (!limits || now >= upstream.usableUntil || isStatedLeaving(upstream)) {
         state.ownEngines.erase(id);
         state.enginePolls.bringForward(id, now + maxPollInterval);
         return;
@@ -169,7 +169,7 @@
 {
     const auto upstream = state.upstreams.find(request.engine);
     OrderedEngine &engine = state.engines[request.engine];
-    const bool isOwn = upstream != state.upstreams.end()
+    const bool isOwn = upstream != state.upstreams.end() && !isStatedLeaving(upstream->second)
             && isOwnEngine(state, upstream->second, now);
     const AdapterRef ref = refOf(request.adapter);
     const AdapterState adapterState = stateOf(engine, ref);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -375,6 +375,12 @@
     out.__isset.unreachableServices = !message.unreachableServices.empty();
     for (const ServiceId &service : message.unreachableServices)
         out.unreachableServices.push_back(service.value);
+    out.__isset.leavingUpstreams = !message.leavingUpstreams.empty();
+    for (const UpstreamIncarnation &incarnation : message.leavingUpstreams) {
+        wire::LeavingUpstream &to = out.leavingUpstreams.emplace_back();
+        to.upstream = incarnation.upstream.value;
+        to.start = incarnation.start;
+    }
     out.__isset.itemParts = !message.itemParts.empty();
     for (const ItemPart &part : message.itemParts)
         out.itemParts.push_back(toWire(part));
@@ -440,6 +446,8 @@
     out.limits = fromWire(message.limits, now);
     for (const wire::ItemPart &part : message.itemParts)
         out.itemParts.push_back(fromWire(part));
+    for (const wire::LeavingUpstream &leaving : message.leavingUpstreams)
+        out.leavingUpstreams.push_back({ UpstreamId{ leaving.upstream }, leaving.start });
     for (const std::string &service : message.unreachableServices)
         out.unreachableServices.insert(ServiceId{ service });
     return out;
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -333,6 +333,7 @@
         handleEngineUpdate(state, message.from, update, now);
     handleSuspicions(state, message.crashes, now, actions);
     handleLimits(state, message.limits, actions);
+    handleLeaving(state, message.leavingUpstreams);
     handleRelayed(state, message, now, actions);
     takeAdapterUses(state, message, now);
     for (const PromptWork &work : message.promptWork) {
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -99,7 +99,8 @@
         due.push_back(&state.members.others.at(*id));
     if (due.empty())
         return;
-    const Gossip bare = messageHeader(state, now);
+    Gossip bare = messageHeader(state, now);
+    bare.leavingUpstreams = leavingToSend(state);
     Gossip full = bare;
     addPeriodicUpdates(state, full, now);
     for (Member *member : due) {
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -152,7 +152,8 @@
 
 bool isUsable(const Upstream &upstream, Instant now)
 {
-    return now < upstream.usableUntil && now < upstream.terminatedAt && now < upstream.zoneClosesAt;
+    return !isStatedLeaving(upstream) && now < upstream.usableUntil && now < upstream.terminatedAt
+            && now < upstream.zoneClosesAt;
 }
 
 bool isRateLimited(const Upstream &upstream, Instant now)
