Keep the pauses that upstreams ask for

What callers saw: rejections at an upstream that had asked for a time without requests, each followed by a repeat elsewhere.

Cause: nothing read Retry-After of an upstream. Now a rejection with it (503) keeps the upstream from the choice of this host until then: first tries, repeats, requests ahead of a report, loads. The longest statement counts, at most a minute; a new process starts without. If all upstreams of a service have asked for a pause, the request is refused at once until the first ends (upstreams_paused). Ruled out: that repeats or early sends came on top (the record shows a first try).

Open: pauses of several upstreams end together.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -148,6 +148,7 @@
     upstream.usableUntil = listed.isLeaving ? std::min(now, upstream.usableUntil) : never;
     upstream.terminatedAt = listed.remaining > Span{} ? now + listed.remaining : never;
     if (isRestarted || isMoved) {
+        upstream.pausedUntil = Instant{};
         upstream.avoidedUntil = Instant{};
         upstream.failuresInARow = 0;
         upstream.failureRate = 0;
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -184,11 +184,31 @@
     state.waiting.insert(record.arrivedRequest.request);
 }
 
-/// Refuses a request that no upstream takes in time. The reason is \a otherwise, unless a rate
-/// limit kept the request from an upstream.
+/// When the first pause ends if all usable upstreams of the request's service have asked for one;
+/// `never` otherwise.
+Instant pausedUntil(const GatewayState &state, const RequestRecord &record, Instant now)
+{
+    Instant first = never;
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (upstream.listed.service != record.service || !isUsable(upstream, now))
+            continue;
+        if (now >= upstream.pausedUntil)
+            return never;
+        first = std::min(first, upstream.pausedUntil);
+    }
+    return first;
+}
+
+/// Refuses a request that no upstream takes in time. The reason is \a otherwise, unless a pause or
+/// a rate limit kept the request from an upstream.
 void refuseUnplaced(GatewayState &state, RequestRecord &record, ResultCode otherwise,
-                    Span retryAfter, Actions &actions)
+                    Span retryAfter, Instant now, Actions &actions)
 {
+    const Instant pauseEnd = pausedUntil(state, record, now);
+    if (pauseEnd != never) {
+        refuseAndForget(state, record, ResultCode::UpstreamsPaused, pauseEnd - now, actions);
+        return;
+    }
     const bool isLimited = record.permitWait > Span{};
     refuseAndForget(state, record, isLimited ? ResultCode::UpstreamLimited : otherwise,
                     isLimited ? std::max(record.permitWait, shortRetryAfter) : retryAfter, actions);
@@ -203,7 +223,7 @@
     const bool isOver = now >= std::min(record.placementDeadline + grace, record.deadline);
     // The load may just be done, later than expected: the request is still sent.
     if (isOver && !isReadySomewhere(state, record, now))
-        refuseUnplaced(state, record, ResultCode::AdapterLoadFailed, loadRetryAfter, actions);
+        refuseUnplaced(state, record, ResultCode::AdapterLoadFailed, loadRetryAfter, now, actions);
     else
         place(state, record, now, actions);
 }
@@ -380,7 +400,7 @@
             return;
     }
     if (need.model.model.empty() || need.model.isBase()) {
-        refuseUnplaced(state, record, ResultCode::NoUpstream, shortRetryAfter, actions);
+        refuseUnplaced(state, record, ResultCode::NoUpstream, shortRetryAfter, now, actions);
         return;
     }
     switch (requestLoad(state, need.model, need, now, actions)) {
@@ -391,7 +411,7 @@
         refuseAndForget(state, record, ResultCode::QueueFull, spreadRetryAfter(state), actions);
         break;
     case LoadProspect::Unavailable:
-        refuseUnplaced(state, record, ResultCode::AdapterLoadFailed, shortRetryAfter, actions);
+        refuseUnplaced(state, record, ResultCode::AdapterLoadFailed, shortRetryAfter, now, actions);
         break;
     }
 }
--- a/packages/gateway/tests/statements_test.cpp
+++ b/packages/gateway/tests/statements_test.cpp
@@ -51,6 +51,12 @@
         return actions;
     }
 
+    void statePause(const std::string &id, Span pause)
+    {
+        Actions actions;
+        handle(this->state, PauseStated{ UpstreamId{ id }, pause }, this->now, actions);
+    }
+
     Actions ask()
     {
         RequestArrived request;
@@ -121,6 +127,45 @@
     EXPECT_TRUE(std::any_of(actions.gossip.begin(), actions.gossip.end(), isTold));
 }
 
+TEST_F(StatementsTest, AnUpstreamGetsNothingDuringItsPauseAndIsUsedAfterIt)
+{
+    this->statePause("d1", std::chrono::seconds(3));
+    this->now = this->now + std::chrono::milliseconds(2999);
+    EXPECT_FALSE(this->isUsed("d1"));
+    this->now = this->now + std::chrono::milliseconds(1);
+    EXPECT_TRUE(this->isUsed("d1"));
+}
+
+TEST_F(StatementsTest, TheLongestPauseCounts)
+{
+    this->statePause("d1", std::chrono::seconds(3));
+    this->statePause("d1", std::chrono::seconds(1));
+    this->now = this->now + std::chrono::seconds(2);
+    EXPECT_FALSE(this->isUsed("d1"));
+}
+
+// Guards against an upstream that is out of use for good by a wrong statement.
+TEST_F(StatementsTest, APauseEndsWithinAMinuteAndWithTheProcess)
+{
+    this->statePause("d1", std::chrono::hours(10));
+    this->list("d1", 2);
+    EXPECT_TRUE(this->isUsed("d1"));
+    this->statePause("d1", std::chrono::hours(10));
+    this->now = this->now + std::chrono::minutes(1);
+    EXPECT_TRUE(this->isUsed("d1"));
+}
+
+TEST_F(StatementsTest, ARequestIsRefusedUntilTheFirstPauseEndsIfAllUpstreamsHaveAskedForOne)
+{
+    this->statePause("d1", std::chrono::seconds(3));
+    this->statePause("d2", std::chrono::seconds(2));
+    const Actions actions = this->ask();
+    ASSERT_EQ(actions.refusals.size(), 1U);
+    EXPECT_EQ(actions.refusals[0].code, ResultCode::UpstreamsPaused);
+    EXPECT_EQ(actions.refusals[0].retryAfter, std::chrono::seconds(2));
+    EXPECT_TRUE(actions.refusals[0].isNotRun);
+}
+
 // Guards against an old message about an earlier process.
 TEST_F(StatementsTest, AMessageAboutAnEarlierProcessChangesNothing)
 {
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -52,6 +52,7 @@
     RequestQuarantined = 408,
     UpstreamLimited = 409,
     UpstreamsUnreachable = 410,
+    UpstreamsPaused = 411,
 
     // 5xx: calls that must not run twice.
     OutcomeUnknown = 500,
--- a/packages/units/src/result_code.cpp
+++ b/packages/units/src/result_code.cpp
@@ -70,6 +70,8 @@
                     "The back ends that could take the request have stated a limit." },
     ResultCodeInfo{ UpstreamsUnreachable, "upstreams_unreachable", 503,
                     "This host reaches no back end, and no other host could serve the request." },
+    ResultCodeInfo{ UpstreamsPaused, "upstreams_paused", 503,
+                    "The back ends that could take the request have asked for a pause." },
     ResultCodeInfo{ OutcomeUnknown, "outcome_unknown", 502,
                     "The call may have run; it was not sent again." },
     ResultCodeInfo{ CallInProgress, "call_in_progress", 409,
