--- a/tests/gateway_world/cut_off_hosts_test.cpp
+++ b/tests/gateway_world/cut_off_hosts_test.cpp
@@ -83,6 +83,25 @@
     EXPECT_TRUE(world.violations.empty());
 }
 
+// Guards against two hosts that order at one engine when paths are lost and come back.
+TEST_P(CutOffHosts, LeaveOneHostThatOrdersAtAnEngine)
+{
+    const Case &fleet = GetParam();
+    const std::uint64_t seeds = fleet.hostsPerZone > 2 ? 1 : 40;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        World world{ settingsOf(fleet, seed) };
+        world.runFor(std::chrono::milliseconds(8000 + 37 * seed));
+        for (int round = 1; round <= 3; ++round) {
+            cutHosts(world, fleet, fleet.cut);
+            world.runFor(std::chrono::milliseconds(1700 * round));
+            cutHosts(world, fleet, EngineCut::None);
+            world.runFor(std::chrono::milliseconds(1500 * round));
+        }
+        for (const Violation &violation : world.violations)
+            ADD_FAILURE() << "seed " << seed << ": " << violation.what;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(
         Fleets, CutOffHosts,
         testing::Values(Case{ 3, 2, 3, 40, CutHosts::Half, EngineCut::Hang },
