Restart the right to order when the path to an engine is lost or comes back

Cause: a host whose path came back took up ordering with the count it had before, while the host that had ordered meanwhile did not know yet; its last orders are in no report for some 100 ms. A host that no longer coordinated an engine also kept its right. Now both end: the right ends when another host coordinates the engine, and the wait of 3.5 s without a change begins again when the path is lost or comes back. Class: a host takes its own view for the state of the world.

Price: engines wait 3.5 s for loads after a path comes back.

--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -84,6 +84,7 @@
     } else {
         state.ownEngines.erase(id);
         clearQueue(engine.wanted);
+        engine.rights.isCoordinating = false;
     }
     state.enginePolls.bringForward(id, nextPollAt(state, upstream, engine, isOwn, now));
 }
--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -100,6 +100,19 @@
         setHeartbeat(state.members, member, now);
 }
 
+/// This host has seen no orders of others while its path was lost, and the host that has ordered
+/// meanwhile may not know yet that the path has changed.
+void restartOrderRights(GatewayState &state, const ServiceId &service, Instant now)
+{
+    for (auto &[id, engine] : state.engines) {
+        const auto upstream = state.upstreams.find(id);
+        if (upstream == state.upstreams.end() || upstream->second.listed.service != service)
+            continue;
+        engine.rights.isCoordinating = false;
+        engine.rights.unchangedSince = now;
+    }
+}
+
 /// Places a request again whose forward has failed at \a peer, which is not asked again.
 void placeAfterForward(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
@@ -199,6 +212,7 @@
                       Actions &actions)
 {
     const bool isLost = change == PathChange::Lost;
+    restartOrderRights(state, service, now);
     actions.logEvents.push_back({ isLost ? "upstreams_unreachable" : "upstreams_reachable_again",
                                   { { "service", service.value } } });
     if (!isLost) {
