--- a/tests/gateway_world/statements_test.cpp
+++ b/tests/gateway_world/statements_test.cpp
@@ -97,5 +97,27 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, StatedPauses,
                          testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 3, 3, 120 }));
 
+class BrittleEngines : public testing::TestWithParam<Case>
+{
+};
+
+// Guards against engines that crash because they have to reject more requests than they can bear.
+TEST_P(BrittleEngines, AreNotBroughtDownByRequestsThatTheyReject)
+{
+    constexpr std::size_t room = 2;
+    constexpr std::size_t maxRejections = 4;
+    World world{ settingsOf(GetParam()) };
+    world.runFor(std::chrono::seconds(8));
+    for (std::size_t engine = 0; engine < world.engineCount(); ++engine)
+        world.makeBrittle(engine, room, maxRejections);
+    world.runFor(std::chrono::seconds(12));
+    EXPECT_LE(world.crashesByRejections, 2 + world.engineCount() / 10);
+    EXPECT_GT(world.answered, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, BrittleEngines,
+                         testing::Values(Case{ 3, 2, 3, 100 }, Case{ 3, 3, 3, 160 },
+                                         Case{ 3, 23, 24, 700 }));
+
 } // namespace
 } // namespace azurewell::gateway
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -362,6 +362,8 @@
         this->sendLeaving(index, engine);
         this->recordLimitedArrival(index, engine);
         this->sendLimit({ index, incarnation, toSend }, engine, this->now - networkLatency);
+        if (this->rejectWithoutRoom({ index, incarnation, toSend }, engine))
+            return;
         const auto loaded = engine.readyAt.find(fakeRequest.model);
         const bool isFault = this->settings.faultFraction > 0
                 && std::uniform_real_distribution<double>(0, 1)(this->random)
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -113,6 +113,9 @@
     std::vector<Instant> arrivalsUnderLimit; ///< Times of requests from hosts that must comply.
     bool isLeaving = false;                  ///< It says so in each answer.
     std::map<std::size_t, Instant> leavingToldAt; ///< By host: its first such answer.
+    std::size_t room = 0;            ///< It rejects requests while this many run; 0: never.
+    std::size_t maxRejections = 0;   ///< It crashes if it rejects more in a second; 0: never.
+    std::vector<Instant> rejections; ///< Of the last second.
     Span pause{}; ///< It rejects each request and asks for this pause; 0: it does not.
     std::map<std::size_t, StatedPause> pauses; ///< By host.
     std::uint64_t runCount = 0;
@@ -201,6 +204,9 @@
     void stateLeaving(std::size_t index);
     /// The engine rejects all requests and asks for a pause; 0: no longer.
     void statePauses(std::size_t index, Span pause);
+    /// The engine rejects requests while \a room run, and crashes if it rejects more than
+    /// \a maxRejections in a second, which it states in its answers.
+    void makeBrittle(std::size_t index, std::size_t room, std::size_t maxRejections);
     /// The maximum number of requests of one host that reached an engine during a pause.
     std::size_t maxArrivalsInPause() const;
     /// Number of requests that the engine has run.
@@ -263,6 +269,7 @@
     /// Requests that reached an evacuated zone later than evacuationTimeout after its evacuation,
     /// from hosts that ran undisturbed.
     std::uint64_t arrivalsInEvacuatedZones = 0;
+    std::uint64_t crashesByRejections = 0;
     /// Requests that reached a leaving engine too long after their host was told.
     std::uint64_t arrivalsAtLeavingEngines = 0;
     std::map<ResultCode, std::uint64_t> refusals; ///< Without requests that crash engines.
@@ -304,6 +311,7 @@
     TryCounts &triesOf(const FakeRequest &request);
     void recordArrival(std::size_t host, FakeEngine &engine, const FakeRequest &request);
     void sendLeaving(std::size_t host, const FakeEngine &engine);
+    bool rejectWithoutRoom(const FakeRun &run, FakeEngine &engine);
     bool rejectInPause(const FakeRun &run, const FakeEngine &engine);
     Span randomDelay(Span max);
     void notifyHost(std::size_t index, Span delay,
--- a/tests/gateway_world/world_statements.cpp
+++ b/tests/gateway_world/world_statements.cpp
@@ -15,6 +15,10 @@
 /// Requests that arrive earlier after an answer that asks for a pause do not count.
 constexpr Span pauseNoticeTime = std::chrono::milliseconds(500);
 
+/// An engine has less room from this long after it began to state that it is brittle.
+constexpr Span brittleNoticeTime = std::chrono::seconds(3);
+constexpr Span rejectionWindow = std::chrono::seconds(1);
+
 } // namespace
 
 void World::stateLeaving(std::size_t index)
@@ -27,6 +31,30 @@
     this->engines[index].pause = pause;
 }
 
+void World::makeBrittle(std::size_t index, std::size_t room, std::size_t maxRejections)
+{
+    this->engines[index].maxRejections = maxRejections;
+    this->schedule(this->now + brittleNoticeTime,
+                   [this, index, room] { this->engines[index].room = room; });
+}
+
+bool World::rejectWithoutRoom(const FakeRun &run, FakeEngine &engine)
+{
+    if (engine.room == 0 || engine.runs.size() < engine.room)
+        return false;
+    std::erase_if(engine.rejections,
+                  [this](Instant at) { return this->now - at >= rejectionWindow; });
+    engine.rejections.push_back(this->now);
+    this->schedule(this->now + answerLatency,
+                   [this, run] { this->endAttempt(run, AttemptOutcome::NotRun); });
+    if (engine.rejections.size() > engine.maxRejections) {
+        engine.rejections.clear();
+        ++this->crashesByRejections;
+        this->crashEngine(static_cast<std::size_t>(&engine - this->engines.data()));
+    }
+    return true;
+}
+
 std::size_t World::maxArrivalsInPause() const
 {
     std::size_t maximum = 0;
