Send brittle upstreams fewer requests than they may reject

An upstream that rejects more requests in a second than it states to bear crashes.

Cause: nothing read the statement. Now it counts as a limit of 0.6 requests a second for each rejection that the upstream bears, over all hosts together, by the permits of the coordinator that stated limits use: the upstream bears it even if it rejects everything.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -104,6 +104,7 @@
 struct UpstreamStatements
 {
     double limitPerSecond = 0; ///< Requests from all hosts together; 0: none stated.
+    double maxRejections = 0;  ///< It crashes if it rejects more in a second; 0: not stated.
     bool isLeaving = false;
     Span pause{};             ///< Time for which it wants no request from this host; 0: not stated.
     bool isMalformed = false; ///< A statement could not be read and was ignored.
--- a/packages/gateway/include/azurewell/gateway/stated_limit.h
+++ b/packages/gateway/include/azurewell/gateway/stated_limit.h
@@ -38,6 +38,15 @@
 /// sent to the upstream, no answer can show that the limit has ended.
 bool isInForce(const StatedLimit &limit, Instant now);
 
+/// The limit for an upstream that states \a perSecond (0: no limit) and that it crashes if it
+/// rejects more than \a maxRejections in a second (0: not stated); 0: none.
+///
+/// Failure: an upstream has less room than its load shows, each host sends it a request that it
+/// rejects, all of them together crash it, and its load brings down the next one. With fewer
+/// requests a second from all hosts together than it may reject, it bears even the loss of all
+/// room.
+double limitFrom(double perSecond, double maxRejections);
+
 /// Expected wait for a permit under \a limit in seconds when other requests compete for it. 0 if no
 /// limit is in force, or if a request has to be sent to find out.
 double expectedLimitWait(const StatedLimit &limit, Instant now);
--- a/packages/gateway/src/stated_limit.cpp
+++ b/packages/gateway/src/stated_limit.cpp
@@ -14,6 +14,10 @@
 /// Cap in seconds: longer waits do not change the choice of another upstream.
 constexpr double maxLimitWait = 2;
 
+/// Requests per allowed rejection. The rest is for requests without a permit, and for permits whose
+/// requests arrive closer to each other than they were sent.
+constexpr double requestsPerRejection = 0.6;
+
 } // namespace
 
 LimitChange updateLimit(StatedLimit &limit, const LimitObservation &observation)
@@ -40,6 +44,14 @@
     return isSame ? LimitChange::Renewed : LimitChange::Begun;
 }
 
+double limitFrom(double perSecond, double maxRejections)
+{
+    if (maxRejections <= 0)
+        return perSecond;
+    const double bearable = maxRejections * requestsPerRejection;
+    return perSecond > 0 ? std::min(perSecond, bearable) : bearable;
+}
+
 bool isInForce(const StatedLimit &limit, Instant now)
 {
     return limit.perSecond > 0 && now - limit.statedAt < limitExpiry;
--- a/packages/gateway/tests/stated_limit_test.cpp
+++ b/packages/gateway/tests/stated_limit_test.cpp
@@ -72,5 +72,15 @@
     EXPECT_FALSE(isInForce(this->limit, this->at(31'000)));
 }
 
+TEST(LimitFrom, IsBelowTheRejectionsThatAnUpstreamBears)
+{
+    EXPECT_EQ(limitFrom(0, 0), 0);
+    EXPECT_EQ(limitFrom(3, 0), 3);
+    EXPECT_LT(limitFrom(0, 5), 5);
+    EXPECT_GT(limitFrom(0, 5), 0);
+    EXPECT_EQ(limitFrom(1, 5), 1);
+    EXPECT_LT(limitFrom(100, 5), 5);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -86,7 +86,10 @@
         if (answer) {
             const UpstreamStatements statements = this->format.readStatements(answer->head,
                                                                               ask.engine);
-            handle(this->core, LimitStated{ ask.engine, statements.limitPerSecond, askedAt, true },
+            handle(this->core,
+                   LimitStated{ ask.engine,
+                                limitFrom(statements.limitPerSecond, statements.maxRejections),
+                                askedAt, true },
                    now, actions);
             this->applyStatements(ask.engine, statements);
         }
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -133,7 +133,9 @@
                                                                       request.upstream);
     Actions actions;
     handle(this->core,
-           LimitStated{ request.upstream, statements.limitPerSecond, request.sentAt, false },
+           LimitStated{ request.upstream,
+                        limitFrom(statements.limitPerSecond, statements.maxRejections),
+                        request.sentAt, false },
            monotonicNow(), actions);
     this->run(actions);
     this->applyStatements(request.upstream, statements);
--- a/tests/gateway_world/world_limits.cpp
+++ b/tests/gateway_world/world_limits.cpp
@@ -39,7 +39,8 @@
 
 void World::sendLimit(const FakeRun &run, FakeEngine &engine, Instant sentAt)
 {
-    const double perSecond = engine.limitPerSecond;
+    const double perSecond = limitFrom(engine.limitPerSecond,
+                                       static_cast<double>(engine.maxRejections));
     if (perSecond > 0 && engine.limitStatedAt.micros == 0)
         engine.limitStatedAt = this->now;
     const UpstreamId id = engine.id;
