--- a/packages/proxy/tests/forwarding_sockets_test.cpp
+++ b/packages/proxy/tests/forwarding_sockets_test.cpp
@@ -98,6 +98,7 @@
     {
     }
 
+    /// The returned end is not connected if \a to accepts no connection.
     static Peer connectTo(const Endpoint &to)
     {
         UniqueFd connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -105,8 +106,9 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(to.port);
         ::inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
-        ::connect(connection.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        return Peer(std::move(connection));
+        const int result = ::connect(connection.get(), reinterpret_cast<const sockaddr *>(&address),
+                                     sizeof address);
+        return result == 0 ? Peer(std::move(connection)) : Peer();
     }
 
     void send(const std::string &text)
