--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -370,6 +370,12 @@
 /// An evacuated zone must get no requests this long after the evacuation.
 inline constexpr Span evacuationTimeout = std::chrono::seconds(5);
 
+/// One way between two hosts, or a host and an engine.
+inline constexpr Span networkLatency = std::chrono::milliseconds(2);
+
+/// The only model of the engines.
+inline const std::string baseName = "base";
+
 /// Time for which an engine is cold after its start.
 inline constexpr Span warmupTime = std::chrono::seconds(3);
 
--- a/tests/gateway_world/world_partitions.cpp
+++ b/tests/gateway_world/world_partitions.cpp
@@ -9,8 +9,6 @@
 /// Time after which a connection that does not open is given up.
 constexpr Span connectTimeout = std::chrono::milliseconds(400);
 
-constexpr Span networkLatency = std::chrono::milliseconds(2);
-
 constexpr Span refusalLatency = std::chrono::milliseconds(4);
 
 } // namespace
