--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -66,8 +66,7 @@
 bool fits(const Upstream &upstream, const UpstreamNeed &need, Instant now)
 {
     return upstream.listed.service == need.service && isUsable(upstream, now)
-            && now >= upstream.pausedUntil
-            && !need.excluded.contains(upstream.listed.id)
+            && now >= upstream.pausedUntil && !need.excluded.contains(upstream.listed.id)
             && !(need.isSentWithoutAdmission && isRateLimited(upstream, now))
             && (upstream.terminatedAt == never || now + need.duration < upstream.terminatedAt);
 }
