--- a/packages/gateway/src/forwarding.cpp
+++ b/packages/gateway/src/forwarding.cpp
@@ -6,6 +6,8 @@
 #include <forward_types.h>
 
 #include <algorithm>
+#include <span>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -23,7 +25,7 @@
 
 ResultCode codeOf(std::int32_t number)
 {
-    const auto table = resultCodeTable();
+    const std::span<const ResultCodeInfo> table = resultCodeTable();
     const auto isSame = [number](const ResultCodeInfo &info) {
         return static_cast<std::int32_t>(info.code) == number;
     };
@@ -94,15 +96,13 @@
                          const std::set<HostId> &excluded, std::uint64_t salt, Instant now)
 {
     const Member *best = nullptr;
-    std::uint64_t highest = 0;
+    std::pair<bool, std::uint64_t> highest; ///< Whether it is in this host's zone, and its weight.
     for (const auto &[id, member] : members.others) {
         if (member.isLeaving || !isMemberReachable(members, member, now) || excluded.contains(id)
             || member.unreachableServices.contains(service))
             continue;
-        const std::uint64_t rank = rendezvousMix(salt, member.idHash);
-        const bool isInZone = member.zone == members.zone;
-        const bool isBestInZone = best && best->zone == members.zone;
-        if (best && (isInZone == isBestInZone ? rank <= highest : isBestInZone))
+        const std::pair rank{ member.zone == members.zone, rendezvousMix(salt, member.idHash) };
+        if (best && rank <= highest)
             continue;
         best = &member;
         highest = rank;
--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -9,8 +9,8 @@
 /// Hosts that are tried for one request: each that fails costs the caller time.
 constexpr std::size_t maxPeers = 3;
 
-/// A path is lost only if this many upstreams could not be reached; requests under way are then
-/// given up for a try at another host. One or two silent upstreams may still answer.
+/// When a path is lost, requests under way are given up for a try at another host only if the
+/// service has at least this many upstreams: one or two that are silent may still answer.
 constexpr std::size_t minUpstreamsToRepeat = 3;
 
 void refuseUnreachable(GatewayState &state, RequestRecord &record, Actions &actions)
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -132,11 +132,16 @@
 }
 
 /// Takes over what the host that forwarded a request has decided.
-void takeForwarded(GatewayState &state, RequestRecord &record)
+void takeForwarded(GatewayState &state, RequestRecord &record, Actions &actions)
 {
+    const ForwardedRequest &forwarded = *record.arrivedRequest.forwarded;
     ++state.counters.forwardsReceived;
-    record.customer = record.arrivedRequest.forwarded->customer;
-    record.service = record.arrivedRequest.forwarded->service;
+    record.customer = forwarded.customer;
+    record.service = forwarded.service;
+    actions.logEvents.push_back({ "forward_received",
+                                  { { "request", record.arrivedRequest.callerId },
+                                    { "service", forwarded.service.value },
+                                    { "host", forwarded.sender.value } } });
 }
 
 /// The attempts that \a route allows, without those of the host that forwarded the request.
@@ -261,7 +266,7 @@
     const Customer *customer = event.key ? findCustomer(configuration, *event.key) : nullptr;
     const bool isForwarded = event.forwarded.has_value();
     if (isForwarded) {
-        takeForwarded(state, record);
+        takeForwarded(state, record, actions);
     } else if (!customer && !route->isPublic && !configuration.customers.empty()) {
         refuseAndForget(state, record, event.key ? ResultCode::KeyUnknown : ResultCode::KeyMissing,
                         Span{}, actions);
