Probe upstreams of the own zone as well

A host in a zone that is cut off from the others reaches the upstreams of its own zone; a sample of sixteen over all zones could miss them (about 3 in 100 with five zones), and the path would count as lost. Half of a sample now is of the own zone.

--- a/packages/gateway/src/upstream_paths.cpp
+++ b/packages/gateway/src/upstream_paths.cpp
@@ -8,22 +8,39 @@
 
 namespace {
 
-/// A sample of up to \a size usable upstreams of \a service. Differs by host and round, without a
-/// draw from the random numbers that routing uses.
-std::set<UpstreamId> sampleOf(const GatewayState &state, const ServiceId &service,
-                              std::uint64_t round, std::size_t size, Instant now)
+/// Usable upstreams of \a service, in this host's zone or in the others, in an order that differs
+/// by host and round. Takes no draw from the random numbers that routing uses.
+std::vector<UpstreamId> shuffledUpstreams(const GatewayState &state, const ServiceId &service,
+                                          bool isInOwnZone, std::uint64_t round, Instant now)
 {
     const std::uint64_t salt = stableHash(state.self.id.value) + round;
-    std::vector<std::pair<std::uint64_t, const UpstreamId *>> ranked;
+    std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
     for (const auto &[id, upstream] : state.upstreams) {
-        if (upstream.listed.service == service && isUsable(upstream, now))
-            ranked.emplace_back(rendezvousMix(salt, stableHash(id.value)), &id);
+        if (upstream.listed.service == service && isUsable(upstream, now)
+            && (upstream.listed.zone == state.self.zone) == isInOwnZone)
+            ranked.emplace_back(rendezvousMix(salt, stableHash(id.value)), id);
     }
     std::sort(ranked.begin(), ranked.end());
+    std::vector<UpstreamId> ids;
+    ids.reserve(ranked.size());
+    for (auto &[rank, id] : ranked)
+        ids.push_back(std::move(id));
+    return ids;
+}
+
+/// A sample of up to \a size usable upstreams of \a service, half of them in this host's zone if
+/// there are as many: a host in a zone that is cut off from the others still reaches those.
+std::set<UpstreamId> sampleOf(const GatewayState &state, const ServiceId &service,
+                              std::uint64_t round, std::size_t size, Instant now)
+{
+    const std::vector<UpstreamId> near = shuffledUpstreams(state, service, true, round, now);
+    const std::vector<UpstreamId> far = shuffledUpstreams(state, service, false, round, now);
     std::set<UpstreamId> sample;
-    for (const auto &[rank, id] : ranked) {
-        if (sample.size() < size)
-            sample.insert(*id);
+    for (std::size_t index = 0; index < std::max(near.size(), far.size()); ++index) {
+        if (index < near.size() && sample.size() < size)
+            sample.insert(near[index]);
+        if (index < far.size() && sample.size() < size)
+            sample.insert(far[index]);
     }
     return sample;
 }
--- a/packages/gateway/tests/forwarding_test.cpp
+++ b/packages/gateway/tests/forwarding_test.cpp
@@ -280,6 +280,31 @@
     EXPECT_TRUE(std::none_of(keys.begin(), keys.end(), isOwn));
 }
 
+// Guards against a zone that is cut off and whose hosts find no upstream in a sample of the others.
+TEST_F(ForwardingTest, ProbesUpstreamsOfTheOwnZone)
+{
+    constexpr int others = 60;
+    for (int index = 0; index < others; ++index) {
+        ListedUpstream listed;
+        listed.id.value = "far" + std::to_string(index);
+        listed.service = this->service;
+        listed.zone.value = "y";
+        listUpstream(this->state, listed, this->now);
+    }
+    ListedUpstream near;
+    near.id.value = "near";
+    near.service = this->service;
+    near.zone = this->state.self.zone;
+    listUpstream(this->state, near, this->now);
+    suspect(this->state.paths[this->service], this->now);
+    Actions actions;
+    tick(this->state, 0, this->now, actions);
+    const auto isNear = [](const ProbeUpstream &probe) {
+        return probe.upstream.value == "near";
+    };
+    EXPECT_EQ(std::count_if(actions.probes.begin(), actions.probes.end(), isNear), 1);
+}
+
 TEST_F(ForwardingTest, TellsTheOtherHostsThatThePathIsLost)
 {
     this->losePath();
