End a probe once, whatever happens to its connection later

Cause: an opened probe's stream is kept for up to a tick; if the upstream reset the connection meanwhile, the end of the probe that was erased already ran again. Probes are now found by number, and one that is gone is left alone.

--- a/packages/proxy/include/azurewell/proxy/connect_probes.h
+++ b/packages/proxy/include/azurewell/proxy/connect_probes.h
@@ -3,8 +3,10 @@
 #include "azurewell/http/tcp_stream.h"
 #include "azurewell/units/time.h"
 
+#include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 
 namespace azurewell {
@@ -30,9 +32,13 @@
         Handler handler;
     };
 
-    void end(std::list<Probe>::iterator probe, bool isOpen);
+    using ProbeId = std::uint64_t;
 
-    std::list<Probe> probes;
+    /// Does nothing if the probe has ended: its connection may end later.
+    void end(ProbeId id, bool isOpen);
+
+    std::map<ProbeId, Probe> probes;
+    ProbeId nextId = 1;
     /// Destroyed at the next endOverdue(), as a stream may end from within its own functions.
     std::list<std::unique_ptr<TcpStream>> endedStreams;
 };
--- a/packages/proxy/src/connect_probes.cpp
+++ b/packages/proxy/src/connect_probes.cpp
@@ -6,34 +6,38 @@
 
 void ConnectProbes::start(const Endpoint &to, Instant deadline, Handler handler)
 {
-    const auto probe = this->probes.emplace(this->probes.end());
-    probe->deadline = deadline;
-    probe->handler = std::move(handler);
-    probe->stream = TcpStream::open(to,
-                                    { [this, probe] { this->end(probe, true); },
-                                      {},
-                                      [this, probe](StreamEnd) { this->end(probe, false); },
-                                      {} });
+    const ProbeId id = this->nextId++;
+    Probe &probe = this->probes[id];
+    probe.deadline = deadline;
+    probe.handler = std::move(handler);
+    probe.stream = TcpStream::open(to,
+                                   { [this, id] { this->end(id, true); },
+                                     {},
+                                     [this, id](StreamEnd) { this->end(id, false); },
+                                     {} });
 }
 
-void ConnectProbes::end(std::list<Probe>::iterator probe, bool isOpen)
+void ConnectProbes::end(ProbeId id, bool isOpen)
 {
-    const Handler handler = std::move(probe->handler);
-    this->endedStreams.push_back(std::move(probe->stream));
-    this->probes.erase(probe);
+    const auto found = this->probes.find(id);
+    if (found == this->probes.end())
+        return;
+    const Handler handler = std::move(found->second.handler);
+    this->endedStreams.push_back(std::move(found->second.stream));
+    this->probes.erase(found);
     handler(isOpen);
 }
 
 void ConnectProbes::endOverdue(Instant now)
 {
     this->endedStreams.clear();
-    std::vector<std::list<Probe>::iterator> overdue;
-    for (auto probe = this->probes.begin(); probe != this->probes.end(); ++probe) {
-        if (now >= probe->deadline)
-            overdue.push_back(probe);
+    std::vector<ProbeId> overdue;
+    for (const auto &[id, probe] : this->probes) {
+        if (now >= probe.deadline)
+            overdue.push_back(id);
     }
-    for (const auto &probe : overdue)
-        this->end(probe, false);
+    for (const ProbeId id : overdue)
+        this->end(id, false);
 }
 
 } // namespace azurewell
