--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -92,7 +92,8 @@
             }));
 }
 
-/// Sends heartbeats to all hosts: they choose this one no more as a peer or coordinator, or again.
+/// Sends heartbeats to all hosts at once, so that they stop or resume choosing this host as a peer
+/// or coordinator.
 void announceReach(GatewayState &state, Instant now)
 {
     ++state.members.generation;
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -243,7 +243,7 @@
 void handlePathChange(GatewayState &state, const ServiceId &service, PathChange change, Instant now,
                       Actions &actions);
 
-/// Handles upstreams of which another host knows that they have stated that they leave.
+/// Handles the upstreams that, according to another host, have stated that they leave.
 void handleLeaving(GatewayState &state, const std::vector<UpstreamIncarnation> &leaving);
 
 /// Upstreams that have stated that they leave and that the platform's list shows as ready.
--- a/packages/gateway/src/upstream_path.cpp
+++ b/packages/gateway/src/upstream_path.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Requests to several upstreams, or to one, without any answer for this long are a silence.
-/// Upstreams state their load in the head of an answer, mostly within half a second.
+/// The path is silent if requests to several upstreams, or to a single one, get no answer for this
+/// long. Upstreams mostly send the head of an answer within half a second.
 constexpr Span silenceOfSeveral = std::chrono::milliseconds(600);
 constexpr Span silenceOfOne = std::chrono::milliseconds(1200);
 
@@ -19,8 +19,8 @@
 constexpr std::size_t firstSample = 4;
 constexpr std::size_t decidingSample = 16;
 
-/// Consecutive rounds without any open connection after which a suspected path is lost, and with
-/// one after which a lost path is open.
+/// A suspected path is lost after this many consecutive rounds in which no connection opens. A lost
+/// path is open again after this many consecutive rounds in which at least one does.
 constexpr std::uint32_t roundsToLose = 2;
 constexpr std::uint32_t roundsToRestore = 2;
 
