--- /dev/null
+++ b/packages/proxy/tests/two_hosts.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "azurewell/gateway/configuration.h"
+#include "azurewell/http/listen_socket.h"
+#include "azurewell/proxy/proxy.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace azurewell {
+
+/// The service of all routes.
+inline const ServiceId deskService{ "desk" };
+
+/// Processes events until \a condition holds. Returns false if it does not within some seconds.
+bool waitFor(const std::function<bool()> &condition);
+
+/// One end of a connection that the test reads and writes.
+class Peer
+{
+public:
+    Peer() = default;
+    explicit Peer(UniqueFd connection);
+
+    /// The returned end is not connected if \a to accepts no connection.
+    static Peer connectTo(const Endpoint &to);
+
+    void send(const std::string &text);
+
+    /// Waits until \a text was received.
+    bool receives(const std::string &text);
+
+    bool isClosedByOtherEnd();
+
+    /// Closes in an orderly way: the other end reads an end of file.
+    void close();
+
+    void reset();
+
+    std::string received;
+    bool isReset = false;
+
+private:
+    void read();
+
+    UniqueFd descriptor;
+    bool isEnded = false;
+};
+
+/// A caller, a host without a path to the upstream, a host with one, and the upstream.
+class TwoHostsTest : public testing::Test
+{
+protected:
+    void SetUp() override;
+
+    /// Sends a request to the host called \a host.
+    Peer ask(const std::string &host, const std::string &path, const std::string &body = "body");
+
+    /// Accepts the connection at the upstream and waits for the whole request.
+    bool acceptAtUpstream(const std::string &end = "body");
+
+    std::unique_ptr<Proxy> cutOff;  ///< Called "cut".
+    std::unique_ptr<Proxy> serving; ///< Called "serving".
+    Peer upstream;
+
+private:
+    void startHost(std::unique_ptr<Proxy> &host, const std::string &name);
+    void configure(gateway::GatewayState &state);
+
+    UniqueFd listening;
+    std::map<std::string, Endpoint> callersOf;
+};
+
+} // namespace azurewell
