Log and count how answers mark the end of their bodies

Hypotheses: (1) an answer with neither length nor chunks, whose connection ends in order because its process does, is taken for a whole one; (2) the upstream itself marked the end too early; (3) a chunked answer that is cut passes for a whole one; (4) a host between cut it. Neither log nor metrics showed how an answer was framed, so 1 and 2 could not be told apart. Now request_answered and attempt_ended have its framing, and azurewell_answer_heads_total counts each. Behaviour is unchanged. (3) is ruled out by ResponseReader.TruncatedBodyIsNotComplete for a length; (4) by the record: both requests went from the host that took them to the upstream within 3 ms.

--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -25,6 +25,16 @@
     bool hasBody = false; ///< A length (even 0) or chunked coding was announced.
 };
 
+/// How a response shows where its body ends.
+enum class BodyFraming : std::uint8_t {
+    Length,  ///< A length, or a status or method without a body.
+    Chunked, ///< A last chunk.
+    Close,   ///< Only the end of the connection: a part of the body looks like the whole.
+};
+
+/// The name of \a framing in log lines and metrics.
+std::string_view nameOf(BodyFraming framing);
+
 /// The head of a response.
 struct ResponseHead
 {
@@ -32,7 +42,7 @@
     std::string reason;
     std::vector<HttpHeader> headers;
     bool keepsConnection = true;
-    bool endsAtClose = false; ///< No length, no chunks: the body ends at the close.
+    BodyFraming framing = BodyFraming::Length;
 };
 
 /// The value of the first header called \a name, ignoring letter case; empty if there is none.
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -96,6 +96,19 @@
     return kept;
 }
 
+std::string_view nameOf(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::Close:
+        break;
+    }
+    return "close";
+}
+
 const char *reasonPhrase(int status)
 {
     switch (status) {
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 namespace beast = boost::beast;
+using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
 /// The parser never holds a complete response body, so only the head needs a limit. Observed heads
 /// of upstreams are under 1 KiB.
@@ -60,6 +61,14 @@
             || head.find("\r\n\t") != std::string_view::npos;
 }
 
+BodyFraming framingOf(const ResponseParser &parser)
+{
+    if (parser.chunked())
+        return BodyFraming::Chunked;
+    const bool endsAtClose = parser.get().need_eof() && !parser.is_done();
+    return endsAtClose ? BodyFraming::Close : BodyFraming::Length;
+}
+
 ResultCode codeOf(const beast::error_code &error)
 {
     if (error == beast::http::error::header_limit)
@@ -169,7 +178,7 @@
 
 struct ResponseReader::Impl
 {
-    beast::http::response_parser<beast::http::string_body> parser;
+    ResponseParser parser;
     std::optional<ResponseHead> head;
 };
 
@@ -199,7 +208,7 @@
         head.reason = toString(message.reason());
         head.headers = headersOf(message);
         head.keepsConnection = message.keep_alive();
-        head.endsAtClose = message.need_eof() && !self.parser.is_done();
+        head.framing = framingOf(self.parser);
         if (!hasUnambiguousFraming(head.headers))
             return Error{ ResultCode::UpstreamFailed, "response body length is ambiguous" };
         self.head = std::move(head);
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -132,7 +132,7 @@
     if (current.isUnrelated)
         return;
     this->keepAlive = keepAliveOf(head);
-    this->keepsConnection = head.keepsConnection && !head.endsAtClose;
+    this->keepsConnection = head.keepsConnection && head.framing != BodyFraming::Close;
     const std::function<void(const ResponseHead &)> onHead = current.handlers.onHead;
     onHead(head);
 }
--- a/packages/http/tests/message_readers_test.cpp
+++ b/packages/http/tests/message_readers_test.cpp
@@ -81,7 +81,7 @@
     ResponseReader reader{ false };
     std::string buffer = "HTTP/1.1 200 OK\r\n\r\npart";
     EXPECT_FALSE(reader.read(buffer).value());
-    EXPECT_TRUE(reader.head().endsAtClose);
+    EXPECT_EQ(reader.head().framing, BodyFraming::Close);
     EXPECT_EQ(reader.takeBody(), "part");
     EXPECT_TRUE(reader.finish());
 }
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "azurewell/gateway/gateway.h"
+#include "azurewell/http/message.h"
 
 #include <boost/histogram.hpp>
 
+#include <map>
 #include <string>
 
 namespace azurewell {
@@ -30,6 +32,7 @@
     TimeHistogram timeBetweenChunks; ///< Between two chunks of a stream.
     TimeHistogram timeToDispatch;    ///< From arrival to the first dispatch to an upstream.
     TimeHistogram reportDuration;    ///< Engine reports: from the request to the answer.
+    std::map<BodyFraming, std::uint64_t> answersByFraming; ///< Heads received, also of other hosts.
     std::uint64_t callersAccepted = 0;
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -36,6 +36,15 @@
                        count);
 }
 
+void addByFraming(std::string &out, const std::map<BodyFraming, std::uint64_t> &counts)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_answer_heads_total counter\n");
+    for (const auto &[framing, count] : counts)
+        fmt::format_to(std::back_inserter(out),
+                       "azurewell_answer_heads_total{{framing=\"{}\"}} {}\n", nameOf(framing),
+                       count);
+}
+
 void addPlatformReads(std::string &out, const gateway::PlatformReader &reader, Instant now)
 {
     addCounter(out, "azurewell_store_calls_total", reader.calls);
@@ -139,6 +148,7 @@
              static_cast<double>(state.quarantine.quarantinedUntil.size()));
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
+    addByFraming(out, metrics.answersByFraming);
     addByCode(out, "azurewell_refusals_total", counters.refusals);
     addByCode(out, "azurewell_retries_total", counters.retries);
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -115,6 +115,7 @@
     request.head = head;
     request.head.headers = withoutInternalHeaders(request.head.headers);
     request.facts = this->format.readReply(head);
+    ++this->metrics.answersByFraming[head.framing];
     if (request.isAtPeer)
         this->handleForwardHead(request, head);
     else
@@ -208,6 +209,7 @@
                { "upstream", request.upstream.value },
                { "path", request.path },
                { "adapter", request.model.adapter },
+               { "framing", std::string(nameOf(request.head.framing)) },
                { "prompt_tokens", std::to_string(request.promptTokens.count) },
                { "attempts", std::to_string(request.attempt) },
                { "sent_ms", inMillis(request.sentAt - request.arrivedAt) },
@@ -288,6 +290,7 @@
                    { "outcome", std::string(nameOf(outcome)) },
                    { "cut_off", isCutOff ? "true" : "false" },
                    { "status", std::to_string(request.head.status) },
+                   { "framing", std::string(nameOf(request.head.framing)) },
                    { "after_ms", inMillis(monotonicNow() - request.sentAt) } });
     }
     Actions actions;
