--- /dev/null
+++ b/packages/proxy/tests/answer_framing_test.cpp
@@ -0,0 +1,141 @@
+#include "two_hosts.h"
+
+#include "azurewell/http/message.h"
+
+namespace azurewell {
+namespace {
+
+constexpr const char *streamHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                   "Content-Type: text/event-stream\r\n";
+constexpr const char *plainHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                  "Content-Type: application/json\r\n";
+
+enum class Framing { Close, Chunked, Length };
+
+struct FramingCase
+{
+    const char *name;
+    Framing framing;
+    const char *host; ///< "cut" forwards the request to "serving".
+};
+
+void PrintTo(const FramingCase &framingCase, std::ostream *out)
+{
+    *out << framingCase.name;
+}
+
+std::string framed(const std::string &head, Framing framing, const std::string &body)
+{
+    switch (framing) {
+    case Framing::Close:
+        return head + "\r\n" + body;
+    case Framing::Chunked:
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + chunkBytes(body)
+                + std::string(lastChunk);
+    case Framing::Length:
+        break;
+    }
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class AnswerFramingTest : public TwoHostsTest, public testing::WithParamInterface<FramingCase>
+{
+protected:
+    /// A caller that has been sent an answer with \a head and \a body, after which the upstream has
+    /// closed its connection in an orderly way.
+    Peer answered(const std::string &path, const std::string &head, const std::string &body)
+    {
+        Peer caller = this->ask(GetParam().host, path);
+        EXPECT_TRUE(this->acceptAtUpstream());
+        this->upstream.send(framed(head, GetParam().framing, body));
+        this->upstream.close();
+        return caller;
+    }
+};
+
+// Guards against a stream of a crashed upstream that its caller takes for a complete one.
+TEST_P(AnswerFramingTest, AStreamThatEndsInsideAnEventIsBrokenOff)
+{
+    Peer caller = this->answered("/stream", streamHead, "id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    EXPECT_TRUE(caller.isReset);
+    EXPECT_EQ(caller.received.find(lastChunk), std::string::npos);
+}
+
+// Guards against streams that are broken off although they are complete.
+TEST_P(AnswerFramingTest, AStreamThatEndsBetweenEventsIsDelivered)
+{
+    Peer caller = this->answered("/stream", streamHead, "id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n");
+    EXPECT_TRUE(caller.receives("data: b\r\n\r\n"));
+    if (GetParam().framing != Framing::Close)
+        EXPECT_TRUE(caller.receives(std::string(lastChunk)));
+    EXPECT_FALSE(caller.isReset);
+}
+
+INSTANTIATE_TEST_SUITE_P(Framings, AnswerFramingTest,
+                         testing::Values(FramingCase{ "close", Framing::Close, "serving" },
+                                         FramingCase{ "chunked", Framing::Chunked, "serving" },
+                                         FramingCase{ "length", Framing::Length, "serving" },
+                                         FramingCase{ "close_forwarded", Framing::Close, "cut" },
+                                         FramingCase{ "chunked_forwarded", Framing::Chunked,
+                                                      "cut" },
+                                         FramingCase{ "length_forwarded", Framing::Length, "cut" }),
+                         [](const auto &testInfo) { return std::string(testInfo.param.name); });
+
+class UnframedAnswerTest : public AnswerFramingTest
+{
+protected:
+    static void expectUnframed(const std::string &received)
+    {
+        EXPECT_EQ(received.find("Content-Length"), std::string::npos);
+        EXPECT_EQ(received.find("Transfer-Encoding"), std::string::npos);
+        EXPECT_NE(received.find("Connection: close"), std::string::npos);
+    }
+};
+
+// Guards against a stream that is announced as complete although nothing shows that it is.
+TEST_P(UnframedAnswerTest, AStreamReachesItsCallerUnframed)
+{
+    Peer caller = this->answered("/stream", streamHead, "id: 1\ndata: a\n\n");
+    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    EXPECT_FALSE(caller.isReset);
+    expectUnframed(caller.received);
+    EXPECT_TRUE(caller.received.ends_with("\r\n\r\nid: 1\ndata: a\n\n"));
+}
+
+// Guards against a part of an answer that is announced with its own length as the whole.
+TEST_P(UnframedAnswerTest, AnAnswerThatIsNoStreamReachesItsCallerUnframed)
+{
+    Peer caller = this->answered("/file", plainHead, "{\"done\":true}");
+    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    EXPECT_FALSE(caller.isReset);
+    expectUnframed(caller.received);
+    EXPECT_TRUE(caller.received.ends_with("\r\n\r\n{\"done\":true}"));
+}
+
+// Guards against an upstream that crashed before its first event and counts as having answered.
+TEST_P(UnframedAnswerTest, AStreamWithoutAnEventIsAFailure)
+{
+    Peer caller = this->answered("/stream", streamHead, "");
+    ASSERT_TRUE(caller.receives("outcome_unknown"));
+    EXPECT_EQ(caller.received.find("HTTP/1.1 502"), 0U);
+}
+
+// Guards against a reset of the upstream that is taken for the end of its answer.
+TEST_P(UnframedAnswerTest, AnAnswerThatEndsWithAResetIsAFailure)
+{
+    Peer caller = this->ask(GetParam().host, "/file");
+    ASSERT_TRUE(this->acceptAtUpstream());
+    this->upstream.send(framed(plainHead, Framing::Close, "{\"done\":true}"));
+    this->upstream.reset();
+    ASSERT_TRUE(caller.receives("outcome_unknown"));
+    EXPECT_EQ(caller.received.find("HTTP/1.1 502"), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, UnframedAnswerTest,
+                         testing::Values(FramingCase{ "direct", Framing::Close, "serving" },
+                                         FramingCase{ "forwarded", Framing::Close, "cut" }),
+                         [](const auto &testInfo) { return std::string(testInfo.param.name); });
+
+} // namespace
+} // namespace azurewell
