Take no end of a connection for the end of an answer

Cause: the body of an answer with neither length nor chunks ends with its connection, and an orderly end counted as the end of the answer; the host then framed the part as a whole. The class: a claim about an answer that is stronger than what the host knows.

Now: - A stream (text/event-stream) that ends inside an event has been broken off, whatever its framing says; so has one without framing that ends before its first event. The caller's connection is reset, or the request is repeated or answered 502 if nothing was sent yet; the crash counts for the quarantine and against the upstream's health. - An answer without framing reaches its caller without framing: this host knows no more than the upstream showed. It costs the caller's kept connection. Between hosts answers keep a frame, so that a host that ends is seen, and a header says how the upstream had framed it. - Such an answer, though it goes out, clears no suspicion of its request.

--- a/packages/gateway/include/azurewell/gateway/crash_quarantine.h
+++ b/packages/gateway/include/azurewell/gateway/crash_quarantine.h
@@ -104,7 +104,7 @@
 void recordAnswered(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
                     Instant sentAt);
 
-/// Clears all suspicions of a request that was answered completely.
+/// Clears all suspicions of a request whose answer is known to be complete.
 void clearSuspicions(CrashQuarantine &quarantine, const RequestDigest &digest);
 
 /// Removes expired suspects and quarantines. Call at each tick.
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -58,6 +58,7 @@
     AttemptOutcome outcome = AttemptOutcome::Done;
     bool hasAnswerStarted = false; ///< A part of the answer was sent to the caller.
     bool isCutOff = false;         ///< The connection ended before the answer was complete.
+    bool isEndShown = true;        ///< The answer showed its end: a cut would have been detected.
 };
 
 /// How the forward of a request to another host ended.
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -359,7 +359,7 @@
         recordConnectionLost(state, record, now, actions);
     else if (upstream != state.upstreams.end() && hasAnswered(event.outcome))
         recordAnswered(state.quarantine, incarnationOf(upstream->second), record.sentAt);
-    if (event.outcome == AttemptOutcome::Done)
+    if (event.outcome == AttemptOutcome::Done && event.isEndShown)
         clearSuspicions(state.quarantine, record.digest);
     if (record.isEarlyAttempt)
         handleEarlyAttemptEnd(state, record, event.outcome, now);
--- a/packages/gateway/tests/quarantined_requests_test.cpp
+++ b/packages/gateway/tests/quarantined_requests_test.cpp
@@ -154,6 +154,21 @@
 }
 
 // Guards against suspecting requests whose upstream was removed and shut down as planned.
+// Guards against a crash that clears the request behind it: its answer looked complete.
+TEST_F(QuarantinedRequestsTest, AnAnswerThatDoesNotShowItsEndClearsNoSuspicion)
+{
+    this->fillRetryBudget();
+    const Actions first = this->sendRequest(1);
+    this->receiveSuspicions({ "d4" });
+    Actions actions;
+    AttemptEnded ended{ first.dispatches.front().request, 1 };
+    ended.isEndShown = false;
+    handle(this->state, ended, this->now, actions);
+    EXPECT_EQ(this->state.quarantine.suspects.size(), 1U);
+    this->endAttempt(this->sendRequest(1).dispatches.front(), AttemptOutcome::Done);
+    EXPECT_TRUE(this->state.quarantine.suspects.empty());
+}
+
 TEST_F(QuarantinedRequestsTest, PlannedShutdownIsNoSuspicion)
 {
     const Actions sent = this->sendRequest(1);
--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -49,9 +49,12 @@
     void answer(int status, std::string_view reason, const std::vector<HttpHeader> &headers,
                 std::string_view body, Instant now);
 
-    /// Starts a chunked response; complete() or abort() ends it.
-    void beginChunks(int status, std::string_view reason, const std::vector<HttpHeader> &headers);
-    void sendChunk(std::string_view data);
+    /// Starts a response of unknown length; complete() or abort() ends it. \a framing is Chunked,
+    /// or Close, which ends the connection with the response.
+    void beginBody(int status, std::string_view reason, const std::vector<HttpHeader> &headers,
+                   BodyFraming framing);
+    /// Sends the next part of the body. \a data must not be empty.
+    void sendBody(std::string_view data);
     void complete(Instant now);
 
     /// Resets the connection, so that the caller cannot take a partial response for a complete one.
@@ -90,6 +93,7 @@
     RequestReader reader;
     std::unique_ptr<TcpStream> stream;
     Instant idleSince;
+    BodyFraming bodyFraming = BodyFraming::Chunked; ///< Of the response that beginBody() started.
     bool isInRequest = false;
     bool isClosing = false;
     bool isDisconnected = false;
--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -67,10 +67,10 @@
                          const std::vector<HttpHeader> &headers, std::string_view body,
                          bool hasBody);
 
-/// The head of a response. A negative \a contentLength announces chunked coding instead.
+/// The head of a response. \a contentLength, in bytes, is stated with BodyFraming::Length only.
 std::string responseHeadBytes(int status, std::string_view reason,
-                              const std::vector<HttpHeader> &headers, std::int64_t contentLength,
-                              bool keepsConnection);
+                              const std::vector<HttpHeader> &headers, BodyFraming framing,
+                              std::size_t contentLength, bool keepsConnection);
 
 /// \a data as one chunk of a chunked body. \a data must not be empty.
 std::string chunkBytes(std::string_view data);
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/http/event_stream_scanner.h"
 #include "azurewell/http/message_readers.h"
 #include "azurewell/http/tcp_stream.h"
 #include "azurewell/units/time.h"
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace azurewell {
@@ -15,6 +17,7 @@
 enum class ExchangeFailure : std::uint8_t {
     NotSent,   ///< No byte of the request was sent: it cannot have run.
     CutOff,    ///< The connection closed before the end of the response; the request may have run.
+    Truncated, ///< The response ended in order, but inside an event; the request may have run.
     Malformed, ///< The bytes received are not a valid response; the request may have run.
 };
 
@@ -83,12 +86,17 @@
         bool isHeadOnly = false;
         bool isHeadDelivered = false;
         bool isUnrelated = false; ///< The current response is interim or to another request.
+        std::optional<EventStreamScanner> events; ///< Of a response that is an event stream.
+
+        void begin();
+        bool isTruncated() const;
     };
 
     void handleOpened();
     void receive();
     bool readResponse();
     void deliverHead();
+    void end();
     void complete();
     void handleEnd(StreamEnd how);
     void fail(ExchangeFailure failure);
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -74,29 +74,34 @@
 {
     this->isClosing = !this->keepsConnection();
     const bool isHeadOnly = this->reader.isHeadRead() && this->reader.head().method == "HEAD";
-    std::string bytes = responseHeadBytes(status, reason, headers,
-                                          static_cast<std::int64_t>(body.size()), !this->isClosing);
+    std::string bytes = responseHeadBytes(status, reason, headers, BodyFraming::Length, body.size(),
+                                          !this->isClosing);
     if (!isHeadOnly)
         bytes += body;
     this->stream->write(bytes);
     this->startNextRequest(now);
 }
 
-void CallerConnection::beginChunks(int status, std::string_view reason,
-                                   const std::vector<HttpHeader> &headers)
+void CallerConnection::beginBody(int status, std::string_view reason,
+                                 const std::vector<HttpHeader> &headers, BodyFraming framing)
 {
-    this->isClosing = !this->keepsConnection();
-    this->stream->write(responseHeadBytes(status, reason, headers, -1, !this->isClosing));
+    this->bodyFraming = framing;
+    this->isClosing = framing == BodyFraming::Close || !this->keepsConnection();
+    this->stream->write(responseHeadBytes(status, reason, headers, framing, 0, !this->isClosing));
 }
 
-void CallerConnection::sendChunk(std::string_view data)
+void CallerConnection::sendBody(std::string_view data)
 {
-    this->stream->write(chunkBytes(data));
+    if (this->bodyFraming == BodyFraming::Chunked)
+        this->stream->write(chunkBytes(data));
+    else
+        this->stream->write(data);
 }
 
 void CallerConnection::complete(Instant now)
 {
-    this->stream->write(lastChunk);
+    if (this->bodyFraming == BodyFraming::Chunked)
+        this->stream->write(lastChunk);
     this->startNextRequest(now);
 }
 
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -160,14 +160,14 @@
 }
 
 std::string responseHeadBytes(int status, std::string_view reason,
-                              const std::vector<HttpHeader> &headers, std::int64_t contentLength,
-                              bool keepsConnection)
+                              const std::vector<HttpHeader> &headers, BodyFraming framing,
+                              std::size_t contentLength, bool keepsConnection)
 {
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
     appendHeaders(out, headers);
-    if (contentLength >= 0)
+    if (framing == BodyFraming::Length)
         out += fmt::format("Content-Length: {}\r\n", contentLength);
-    else
+    if (framing == BodyFraming::Chunked)
         out += "Transfer-Encoding: chunked\r\n";
     if (!keepsConnection)
         out += "Connection: close\r\n";
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -47,10 +47,29 @@
     this->exchange = std::make_unique<Exchange>();
     this->exchange->handlers = std::move(handlers);
     this->exchange->isHeadOnly = isHeadOnly;
-    this->exchange->reader = ResponseReader(isHeadOnly);
+    this->exchange->begin();
     this->stream->write(request);
 }
 
+/// Prepares for the next response.
+void UpstreamConnection::Exchange::begin()
+{
+    this->reader = ResponseReader(this->isHeadOnly);
+    this->isHeadDelivered = false;
+    this->isUnrelated = false;
+    this->events.reset();
+}
+
+/// Whether the response, whose body has ended as its framing says, misses its end. Nothing but an
+/// event shows that a stream without framing was written at all.
+bool UpstreamConnection::Exchange::isTruncated() const
+{
+    if (!this->events)
+        return false;
+    const bool isUnframed = this->reader.head().framing == BodyFraming::Close;
+    return !this->events->isBetweenEvents() || (isUnframed && this->events->eventCount() == 0);
+}
+
 void UpstreamConnection::abandon()
 {
     this->exchange.reset();
@@ -106,6 +125,8 @@
             return false;
     }
     std::string body = current.reader.takeBody();
+    if (current.events)
+        current.events->read(body);
     if (!body.empty() && !current.isUnrelated) {
         current.handlers.onBody(std::move(body));
         if (*destroyed || !this->exchange)
@@ -114,12 +135,10 @@
     if (!isWhole.value())
         return false;
     if (!current.isUnrelated) {
-        this->complete();
+        this->end();
         return false;
     }
-    current.reader = ResponseReader(current.isHeadOnly);
-    current.isHeadDelivered = false;
-    current.isUnrelated = false;
+    current.begin();
     return true;
 }
 
@@ -131,12 +150,23 @@
     current.isUnrelated = isInterim(head) || !current.handlers.matchesRequest(head);
     if (current.isUnrelated)
         return;
+    if (!current.isHeadOnly && isEventStream(head.headers))
+        current.events.emplace();
     this->keepAlive = keepAliveOf(head);
     this->keepsConnection = head.keepsConnection && head.framing != BodyFraming::Close;
     const std::function<void(const ResponseHead &)> onHead = current.handlers.onHead;
     onHead(head);
 }
 
+/// The body has ended as its framing says.
+void UpstreamConnection::end()
+{
+    if (this->exchange->isTruncated())
+        this->fail(ExchangeFailure::Truncated);
+    else
+        this->complete();
+}
+
 void UpstreamConnection::complete()
 {
     const std::unique_ptr<Exchange> done = std::move(this->exchange);
@@ -164,7 +194,7 @@
     if (how == StreamEnd::Finished && current.isHeadDelivered && !current.isUnrelated
         && current.reader.finish()) {
         this->keepsConnection = false;
-        this->complete();
+        this->end();
         return;
     }
     const bool isUnsent = how == StreamEnd::ConnectFailed || !this->stream->hasSent();
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -119,6 +119,7 @@
                     bool isCutOff = false);
     void deliver(gateway::RequestNumber number);
     void answerBuffered(OpenRequest &open);
+    bool isUnframed(const OpenRequest &request) const;
     void recordAnswer(const OpenRequest &request);
 
     void refuse(const gateway::Refuse &refusal);
--- a/packages/proxy/src/forward_headers.cpp
+++ b/packages/proxy/src/forward_headers.cpp
@@ -16,7 +16,8 @@
 constexpr std::string_view forwardedName = "Azurewell-Forwarded";
 constexpr std::string_view refusalName = "Azurewell-Refusal";
 constexpr std::string_view upstreamName = "Azurewell-Upstream";
-constexpr std::array internalNames{ forwardedName, refusalName, upstreamName };
+constexpr std::string_view framingName = "Azurewell-Framing";
+constexpr std::array internalNames{ forwardedName, refusalName, upstreamName, framingName };
 
 std::string toBase64(const std::string &bytes)
 {
@@ -74,6 +75,17 @@
     return { std::string(upstreamName), upstream.value };
 }
 
+HttpHeader framingHeaderOf(BodyFraming framing)
+{
+    return { std::string(framingName), std::string(nameOf(framing)) };
+}
+
+BodyFraming readFramingHeader(const std::vector<HttpHeader> &headers, BodyFraming otherwise)
+{
+    const bool isClose = headerValue(headers, framingName) == nameOf(BodyFraming::Close);
+    return isClose ? BodyFraming::Close : otherwise;
+}
+
 UpstreamId readUpstreamHeader(const std::vector<HttpHeader> &headers)
 {
     return UpstreamId{ std::string(headerValue(headers, upstreamName)) };
--- a/packages/proxy/src/forward_headers.h
+++ b/packages/proxy/src/forward_headers.h
@@ -25,6 +25,12 @@
 /// Names the upstream that gave an answer.
 HttpHeader upstreamHeaderOf(const UpstreamId &upstream);
 
+/// States the framing in which the upstream sent an answer.
+HttpHeader framingHeaderOf(BodyFraming framing);
+
+/// Close if it is stated, else \a otherwise.
+BodyFraming readFramingHeader(const std::vector<HttpHeader> &headers, BodyFraming otherwise);
+
 /// Empty if none is named.
 UpstreamId readUpstreamHeader(const std::vector<HttpHeader> &headers);
 
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -88,6 +88,7 @@
 {
     request.refusal = readForwardRefusal(head.headers);
     request.upstream = readUpstreamHeader(head.headers);
+    request.head.framing = readFramingHeader(head.headers, head.framing);
     if (!request.upstream.value.empty())
         this->applyStatements(request.upstream,
                               this->format.readStatements(head, request.upstream));
@@ -140,8 +141,11 @@
 std::vector<HttpHeader> Proxy::answerHeaders(const OpenRequest &request) const
 {
     std::vector<HttpHeader> headers = endToEndHeaders(request.head.headers);
-    if (this->peerSessions.contains(request.session))
-        headers.push_back(upstreamHeaderOf(request.upstream));
+    if (!this->peerSessions.contains(request.session))
+        return headers;
+    headers.push_back(upstreamHeaderOf(request.upstream));
+    if (request.head.framing == BodyFraming::Close)
+        headers.push_back(framingHeaderOf(request.head.framing));
     return headers;
 }
 
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -149,6 +149,7 @@
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addByFraming(out, metrics.answersByFraming);
+    addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
     addByCode(out, "azurewell_refusals_total", counters.refusals);
     addByCode(out, "azurewell_retries_total", counters.retries);
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -181,21 +181,37 @@
         this->metrics.timeToFirstByte.add(now - request.arrivedAt);
         Actions actions;
         handle(this->core, AnswerBegan{ number, request.attempt }, now, actions);
-        session.beginChunks(request.head.status, request.head.reason, this->answerHeaders(request));
+        session.beginBody(request.head.status, request.head.reason, this->answerHeaders(request),
+                          this->isUnframed(request) ? BodyFraming::Close : BodyFraming::Chunked);
     }
-    session.sendChunk(body);
+    session.sendBody(body);
     if (session.unsentBytes() > maxUnsentBytes && !std::exchange(request.isPaused, true))
         this->connections.pauseReading(request.exchange, true);
 }
 
+/// Whether the caller gets the answer without framing: this host cannot tell whether it has the
+/// whole, so it claims no more than the upstream did. Other hosts get framing, which shows them
+/// that this host ends early, and a header.
+bool Proxy::isUnframed(const OpenRequest &request) const
+{
+    return request.head.framing == BodyFraming::Close
+            && !this->peerSessions.contains(request.session);
+}
+
 void Proxy::answerBuffered(OpenRequest &request)
 {
     const Instant now = monotonicNow();
     this->metrics.timeToFirstByte.add(now - request.arrivedAt);
     CallerConnection &session = *this->sessions.at(request.session);
     request.isHeadSent = true;
-    session.answer(request.head.status, request.head.reason, this->answerHeaders(request),
-                   request.body, now);
+    const std::vector<HttpHeader> headers = this->answerHeaders(request);
+    if (!this->isUnframed(request)) {
+        session.answer(request.head.status, request.head.reason, headers, request.body, now);
+        return;
+    }
+    session.beginBody(request.head.status, request.head.reason, headers, BodyFraming::Close);
+    session.sendBody(request.body);
+    session.complete(now);
 }
 
 void Proxy::recordAnswer(const OpenRequest &request)
@@ -273,9 +289,11 @@
     }
     // A statement that the request was not run is valid even if the connection then fails.
     const bool isNotRun = found->second.facts.isNotRun;
+    const bool isTruncated = failure == ExchangeFailure::Truncated;
+    this->metrics.truncatedAnswers += isTruncated ? 1 : 0;
     const AttemptOutcome broken = isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Failed;
     this->endAttempt(number, failure == ExchangeFailure::NotSent ? AttemptOutcome::NotSent : broken,
-                     failure == ExchangeFailure::CutOff);
+                     failure == ExchangeFailure::CutOff || isTruncated);
 }
 
 void Proxy::endAttempt(RequestNumber number, AttemptOutcome outcome, bool isCutOff)
@@ -295,7 +313,8 @@
     }
     Actions actions;
     handle(this->core,
-           AttemptEnded{ number, request.attempt, outcome, request.isHeadSent, isCutOff },
+           AttemptEnded{ number, request.attempt, outcome, request.isHeadSent, isCutOff,
+                         request.head.framing != BodyFraming::Close },
            monotonicNow(), actions);
     this->run(actions);
 }
