Send HTTP/1.0 callers streams that end with the connection

An HTTP/1.0 caller got chunked coding, which it does not know, and took the sizes of the chunks for text. ACallerWithoutChunkedCodingGetsAStreamUnframed failed before (the caller got chunks and no end) and passes now.

--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -21,6 +21,7 @@
     std::string target; ///< Path and query, unchanged.
     std::vector<HttpHeader> headers;
     bool keepsConnection = true;
+    bool acceptsChunks = true; ///< HTTP/1.1 or later.
     bool expectsContinue = false;
     bool hasBody = false; ///< A length (even 0) or chunked coding was announced.
 };
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -145,6 +145,8 @@
         line.target = toString(message.target());
         line.headers = headersOf(message);
         line.keepsConnection = message.keep_alive();
+        constexpr unsigned firstVersionWithChunks = 11;
+        line.acceptsChunks = message.version() >= firstVersionWithChunks;
         line.expectsContinue = isSameHeaderName(headerValue(line.headers, "Expect"),
                                                 "100-continue");
         line.hasBody = headerCount(line.headers, "Content-Length") != 0
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -181,8 +181,9 @@
         this->metrics.timeToFirstByte.add(now - request.arrivedAt);
         Actions actions;
         handle(this->core, AnswerBegan{ number, request.attempt }, now, actions);
+        const bool isChunked = !this->isUnframed(request) && session.request().acceptsChunks;
         session.beginBody(request.head.status, request.head.reason, this->answerHeaders(request),
-                          this->isUnframed(request) ? BodyFraming::Close : BodyFraming::Chunked);
+                          isChunked ? BodyFraming::Chunked : BodyFraming::Close);
     }
     session.sendBody(body);
     if (session.unsentBytes() > maxUnsentBytes && !std::exchange(request.isPaused, true))
--- a/packages/proxy/tests/answer_framing_test.cpp
+++ b/packages/proxy/tests/answer_framing_test.cpp
@@ -82,6 +82,17 @@
                                          FramingCase{ "length_forwarded", Framing::Length, "cut" }),
                          [](const auto &testInfo) { return std::string(testInfo.param.name); });
 
+// Guards against chunks that an HTTP/1.0 caller takes for a part of the text.
+TEST_F(TwoHostsTest, ACallerWithoutChunkedCodingGetsAStreamUnframed)
+{
+    Peer caller = this->ask("serving", "/stream", "body", "HTTP/1.0");
+    ASSERT_TRUE(this->acceptAtUpstream());
+    this->upstream.send(framed(streamHead, Framing::Chunked, "data: a\n\n"));
+    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    EXPECT_FALSE(caller.isReset);
+    EXPECT_TRUE(caller.received.ends_with("\r\n\r\ndata: a\n\n"));
+}
+
 class UnframedAnswerTest : public AnswerFramingTest
 {
 protected:
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -229,10 +229,12 @@
     listUpstream(state, listed, monotonicNow());
 }
 
-Peer TwoHostsTest::ask(const std::string &host, const std::string &path, const std::string &body)
+Peer TwoHostsTest::ask(const std::string &host, const std::string &path, const std::string &body,
+                       const std::string &version)
 {
     Peer caller = Peer::connectTo(this->callersOf[host]);
-    caller.send("POST " + path + " HTTP/1.1\r\nHost: h\r\nKey: secret\r\nId: 7\r\nContent-Length: "
+    caller.send("POST " + path + " " + version
+                + "\r\nHost: h\r\nKey: secret\r\nId: 7\r\nContent-Length: "
                 + std::to_string(body.size()) + "\r\n\r\n" + body);
     return caller;
 }
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -58,7 +58,8 @@
     void SetUp() override;
 
     /// Sends a request to the host called \a host.
-    Peer ask(const std::string &host, const std::string &path, const std::string &body = "body");
+    Peer ask(const std::string &host, const std::string &path, const std::string &body = "body",
+             const std::string &version = "HTTP/1.1");
 
     /// Accepts the connection at the upstream and waits for the whole request.
     bool acceptAtUpstream(const std::string &end = "body");
