Read the parts of a request's prompt, and log them where an answer was cut off

Now attempt_ended has the digests of the prompt's parts. Lists that cannot be read are counted and left out; their requests are served. Behaviour is unchanged otherwise.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -28,6 +28,9 @@
     std::optional<KeyHash> key;
     ModelName model; ///< Empty if the request names no model.
     Tokens promptTokens;
+    /// Of the prompt, in order, without the last part, which is this request's own.
+    std::vector<PromptPartId> promptParts;
+    bool arePartsUnreadable = false;   ///< The request states parts in an unknown form.
     std::optional<Tokens> totalTokens; ///< Prompt tokens plus the maximum of generated tokens;
                                        ///< empty if not stated.
     Span allowed{};                    ///< Time that the caller is willing to wait; 0: not stated.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -160,6 +160,8 @@
     std::uint64_t requests = 0;
     std::uint64_t dispatched = 0;
     std::uint64_t answered = 0;
+    std::uint64_t unreadableParts
+            = 0; ///< Requests that state their prompt's parts in another form.
     std::uint64_t callersDisconnected = 0;
     std::uint64_t loadsOrdered = 0;
     std::uint64_t unloadsOrdered = 0;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -250,6 +250,7 @@
 void handle(GatewayState &state, const RequestArrived &event, Instant now, Actions &actions)
 {
     ++state.counters.requests;
+    state.counters.unreadableParts += event.arePartsUnreadable ? 1 : 0;
     RequestRecord &record = state.requests[event.request];
     record.arrivedRequest = event;
     record.arrivedAt = now;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -131,6 +131,7 @@
     addCounter(out, "azurewell_callers_left_total", counters.callersDisconnected);
     addCounter(out, "azurewell_crash_suspicions_total", state.quarantine.suspicionsRecorded);
     addCounter(out, "azurewell_crash_suspicions_refuted_total", state.quarantine.suspicionsRefuted);
+    addCounter(out, "azurewell_prompt_parts_unreadable_total", counters.unreadableParts);
     addCounter(out, "azurewell_leaving_stated_total", counters.leavingStated);
     addCounter(out, "azurewell_statements_unreadable_total", metrics.malformedStatements);
     addCounter(out, "azurewell_pauses_stated_total", counters.pausesStated);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -46,6 +46,15 @@
     return "fault_stated";
 }
 
+/// The digests of the parts of a prompt, separated by commas.
+std::string inText(const std::vector<PromptPartId> &parts)
+{
+    std::string text;
+    for (const PromptPartId &part : parts)
+        text += (text.empty() ? "" : ",") + inHex(digestOf(part));
+    return text;
+}
+
 bool isSuccess(const ResponseHead &head)
 {
     return head.status >= 200 && head.status < 300;
@@ -301,9 +310,11 @@
 {
     const OpenRequest &request = this->open.at(number);
     if (outcome != AttemptOutcome::Done) {
+        const RequestRecord &record = this->core.requests.at(number);
         writeLog(LogLevel::Info, "attempt_ended",
                  { { "request", request.callerId },
-                   { "digest", inHex(this->core.requests.at(number).digest) },
+                   { "digest", inHex(record.digest) },
+                   { "parts", inText(record.arrivedRequest.promptParts) },
                    { "attempt", std::to_string(request.attempt) },
                    { "upstream", request.upstream.value },
                    { "outcome", std::string(nameOf(outcome)) },
--- a/packages/units/include/azurewell/units/ids.h
+++ b/packages/units/include/azurewell/units/ids.h
@@ -22,8 +22,10 @@
 using RequestId = StrongId<struct RequestTag, std::string>;
 /// A digest of a request's target and whole body, equal each time the request is sent.
 using ContentDigest = StrongId<struct ContentDigestTag, std::uint64_t>;
-/// A digest of a request's target, whole body and customer.
+/// A digest of a request's target, whole body and customer, or of a part of its prompt.
 using RequestDigest = StrongId<struct RequestDigestTag, std::uint64_t>;
+/// A part of a prompt that requests may share, whoever sends them.
+using PromptPartId = StrongId<struct PromptPartTag, std::uint64_t>;
 /// The number that a caller gives to a call that must not run twice.
 using CallNumber = StrongId<struct CallNumberTag, std::string>;
 /// The number of a ticket; tickets are applied in ascending order.
