Known red: a part of prompts that crashes one engine after the other

The simulated fleet gets requests that share one part of their prompts and differ in all else, beside sound ones with the same first part.

--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -19,6 +19,8 @@
 constexpr Span crashingRequestsDelay = std::chrono::seconds(8);
 
 /// Greater than the content digests of all other requests.
+constexpr Span crashingPartsDelay = std::chrono::seconds(16);
+constexpr std::uint64_t firstCrashingPart = 1ULL << 40U;
 constexpr std::uint64_t firstCrashingContent = 1ULL << 40U;
 
 Configuration configurationOf(const WorldSettings &settings)
@@ -90,6 +92,12 @@
         this->schedule(this->now + crashingRequestsDelay,
                        [this, content] { this->sendCrashingRequest(content); });
     }
+    for (std::size_t index = 0; index < this->settings.crashingPartCount; ++index) {
+        const PromptPartId part{ firstCrashingPart + index };
+        this->crashingParts[part] = {};
+        this->schedule(this->now + crashingPartsDelay,
+                       [this, part] { this->sendCrashingPart(part); });
+    }
 }
 
 ListedUpstream World::listedOf(const FakeEngine &engine) const
@@ -241,6 +249,8 @@
     FakeRequest fakeRequest;
     fakeRequest.model = { baseName, "a" + std::to_string(pick(this->random)) };
     fakeRequest.content.value = this->nextRequest;
+    if (!this->crashingParts.empty())
+        fakeRequest.parts = this->soundParts();
     this->sendRequest(fakeRequest);
 }
 
@@ -251,6 +261,7 @@
     request.host = "h";
     request.path = "/s/x";
     request.content = fakeRequest.content;
+    request.promptParts = fakeRequest.parts;
     request.key = KeyHash{ "key" };
     request.model = fakeRequest.model;
     request.promptTokens.count = 1800;
@@ -271,6 +282,8 @@
     kept = fakeRequest;
     kept.at = this->now;
     this->recordFirstTry(index, kept);
+    if (this->isSound(kept) && this->soundTriesNow())
+        ++this->soundTriesNow()->sent;
     AdapterRequests &known = this->adapterRequests[fakeRequest.model];
     known.firstAt = known.firstAt.micros == 0 ? this->now : known.firstAt;
     known.lastAt = this->now;
@@ -348,6 +361,7 @@
             return;
         }
         this->recordCrashingSend(index, fakeRequest);
+        this->recordPartSend(index, fakeRequest);
         this->recordArrival(index, engine, fakeRequest);
         if (this->rejectInPause({ index, incarnation, toSend }, engine))
             return;
@@ -383,10 +397,14 @@
                                       : Span{};
         const std::size_t at = static_cast<std::size_t>(&engine - this->engines.data());
         const std::int64_t engineStart = engine.start;
-        if (isReady && this->crashingRequests.contains(fakeRequest.content)) {
+        const bool isCrashing = this->crashingRequests.contains(fakeRequest.content)
+                || this->crashingPartOf(fakeRequest);
+        if (isReady && isCrashing) {
             this->startCrashingRun(at);
             return;
         }
+        if (isReady && !this->crashingParts.empty())
+            this->beginAnswer({ index, incarnation, toSend }, at);
         this->schedule(this->now + duration + networkLatency,
                        [this, index, incarnation, toSend, at, isReady, isLoaded, fakeRequest,
                         engineStart] {
@@ -432,7 +450,10 @@
         at.readyAt.erase(model);
     if (!this->isIncarnationRunning(index, incarnation) || this->isCut(index))
         return;
-    this->recordServed(this->requests.at({ index, sent.request.value }));
+    const FakeRequest &served = this->requests.at({ index, sent.request.value });
+    this->recordServed(served);
+    if (this->isSound(served) && this->soundTriesNow())
+        ++this->soundTriesNow()->served;
     Actions actions;
     handle(this->hosts[index].state,
            AttemptEnded{ sent.request, sent.attempt, AttemptOutcome::Done, true, false }, this->now,
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -63,6 +63,7 @@
     ModelName model;
     Instant at;
     ContentDigest content;
+    std::vector<PromptPartId> parts;    ///< Of its prompt, without the last.
     std::uint32_t sends = 1;            ///< Times sent so far, including this one.
     bool isAtCutHost = false;           ///< Its host has lost its path to the engines.
     std::optional<FakeRun> forwardedBy; ///< The run at the host that forwarded it.
@@ -80,6 +81,25 @@
     std::uint64_t sentAfterThirdCrash = 0;
 };
 
+/// A part of prompts that crashes each engine that begins to answer a request with it. The requests
+/// differ otherwise.
+struct CrashingPart
+{
+    std::set<std::pair<UpstreamId, std::int64_t>> crashedEngines; ///< Engine id and start number.
+    Instant fifthCrashAt;
+    Instant lastCrashAt;
+    /// Sends later than propagationTime after the fifth crash, by hosts that were neither paused
+    /// nor partitioned for that long.
+    std::uint64_t sentAfterFifthCrash = 0;
+};
+
+/// First tries of requests whose prompts share a first part with that of a crashing part.
+struct SoundTries
+{
+    TryCounts before; ///< Until the crashing requests begin.
+    TryCounts after;  ///< From twice propagationTime after the fifth crash, or the last if fewer.
+};
+
 /// A pause that an engine has asked a host for.
 struct StatedPause
 {
@@ -163,6 +183,8 @@
                               ///< error, whether or not the adapter is loaded.
     std::size_t crashingRequestCount = 0; ///< Each is sent repeatedly, to random hosts.
     Span crashingRequestInterval = std::chrono::milliseconds(700);
+    std::size_t crashingPartCount = 0; ///< Each is in requests that begin after some time.
+    Span crashingPartInterval = std::chrono::milliseconds(500); ///< Between requests with one part.
     Span engineRestartTime = std::chrono::seconds(3);
     double warmupPerSecond = 0; ///< Requests a second that the service states for cold engines.
     std::uint32_t maxSends = 1; ///< Attempts of a caller whose answers are interrupted.
@@ -264,6 +286,8 @@
     std::vector<double> startDelaySeconds; ///< From a request's arrival to its start.
     std::map<Instant, double> admittedTokens;
     std::map<ContentDigest, CrashingRequest> crashingRequests;
+    std::map<PromptPartId, CrashingPart> crashingParts;
+    SoundTries soundTries; ///< Counted while there are crashing parts.
     /// Requests interrupted by a crash of their engine, without those that cause crashes.
     std::uint64_t interrupted = 0;
     /// Requests that reached an evacuated zone later than evacuationTimeout after its evacuation,
@@ -293,6 +317,14 @@
     void tickHost(std::size_t index);
     void sendRandomRequest();
     void sendCrashingRequest(const ContentDigest &content);
+    void sendCrashingPart(const PromptPartId &part);
+    std::vector<PromptPartId> soundParts();
+    CrashingPart *crashingPartOf(const FakeRequest &request);
+    void recordPartCrash(const FakeRequest &request, const FakeEngine &engine);
+    void recordPartSend(std::size_t index, const FakeRequest &request);
+    TryCounts *soundTriesNow();
+    bool isSound(const FakeRequest &request);
+    void beginAnswer(const FakeRun &run, std::size_t engine);
     void sendRequest(const FakeRequest &fakeRequest);
     void retryAfterRefusal(const FakeRequest &fakeRequest, const Refuse &refusal);
     std::size_t countRuns(const ContentDigest &content) const;
--- a/tests/gateway_world/world_crashes.cpp
+++ b/tests/gateway_world/world_crashes.cpp
@@ -28,6 +28,7 @@
     for (const FakeRun &run : runs) {
         const FakeRequest &fakeRequest = this->requests.at({ run.host, run.sent.request.value });
         const auto found = this->crashingRequests.find(fakeRequest.content);
+        this->recordPartCrash(fakeRequest, engine);
         if (found == this->crashingRequests.end()) {
             ++this->interrupted;
         } else {
@@ -99,7 +100,7 @@
         return;
     }
     ++this->refused;
-    if (this->crashingRequests.contains(fakeRequest.content))
+    if (this->crashingRequests.contains(fakeRequest.content) || this->crashingPartOf(fakeRequest))
         return;
     ++this->refusals[refusal.code];
     if (refusal.isNotRun || fakeRequest.sends >= this->settings.maxSends)
