Find the part of prompts that crashes engines, and refuse requests with it

The quarantine now has one mechanism over suspects, whole requests and parts of prompts (all but the last). An engine that ends makes the parts of requests suspects whose answers had not begun, or less than 100 ms before; a complete answer to any request with a part clears it, and hosts send each other both as sets of ended processes. Three separate crashes that no answer has cleared and no other guilty part explains put a part in quarantine, five for one that was cleared before; crashes within 200 ms count once, as engines that fail together have a common cause. Requests with it are refused at once, also those that wait or are at an engine without an answer. After 20 s, doubled by each further crash, one host of the fleet lets one request through; a complete answer frees the part everywhere.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -99,12 +99,14 @@
   3: list<Item> items
 }
 
-/** An upstream that may have ended under a request. */
+/** An upstream that may have ended under a request, or under a part of its prompt. */
 struct CrashSuspicion {
   1: i64 digest
   2: string upstream
   3: i64 start
   4: i64 age
+  5: optional bool isPart
+  6: optional bool isCleared
 }
 
 /** A part of an item that fits into no message. */
--- a/packages/gateway/include/azurewell/gateway/crash_quarantine.h
+++ b/packages/gateway/include/azurewell/gateway/crash_quarantine.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -24,13 +25,20 @@
 
 UpstreamIncarnation incarnationOf(const Upstream &upstream);
 
-/// An upstream closed the connection of a request before answering, so the request may have crashed
-/// it.
+enum class SuspectKind : std::uint8_t {
+    Request,    ///< All sends of one request.
+    PromptPart, ///< All requests whose prompts have one part.
+};
+
+/// An upstream closed the connection of a request before answering, so the request, or a part of
+/// its prompt, may have crashed it.
 struct CrashSuspicion
 {
     RequestDigest digest;
     UpstreamIncarnation incarnation;
     Instant at;
+    SuspectKind kind = SuspectKind::Request;
+    bool isCleared = false; ///< A complete answer has shown that the suspicion was wrong.
 };
 
 /// A suspicion still to be sent to the other hosts. It is sent several times because messages may
@@ -42,7 +50,8 @@
     int sendsLeft = 0;
 };
 
-/// Tracks requests that may crash the upstreams that run them, and quarantines those that do.
+/// Tracks requests and parts of prompts that may crash the upstreams that run them, and quarantines
+/// those that do.
 ///
 /// Failure: a request crashes the engine that runs it. Its caller, or other callers with the same
 /// request, send it again, each host dispatches it to the next engine, and the engines of a service
@@ -53,18 +62,31 @@
 /// was sent later, and all suspicions of a request are cleared when the request is answered
 /// completely. A suspect keeps the set of incarnations, never a count, so that receiving the same
 /// suspicion twice changes nothing and the suspicions of two partitions of a fleet add up.
+///
+/// The same failure with requests that differ in all but one part of their prompts: that part is
+/// what the crashed incarnations have in common and no complete answer has cleared. Most parts are
+/// shared by many requests, and a complete answer to any of them clears a part; the hosts send each
+/// other what they have cleared. The crashes that a quarantined part explains count against no
+/// other part.
 struct CrashQuarantine
 {
     struct Suspect
     {
+        SuspectKind kind = SuspectKind::Request;
         /// Incarnations that may have crashed while running the request, and when.
         std::map<UpstreamIncarnation, Instant> incarnations;
+        /// Incarnations of which a complete answer has cleared it. Of prompt parts only.
+        std::set<UpstreamIncarnation> cleared;
+        Instant clearedAt;
+        bool isQuarantined = false;
     };
     std::unordered_map<RequestDigest, Suspect> suspects;
     DeadlineQueue<RequestDigest> suspectedUntil; ///< Suspects that may still be dispatched.
     DeadlineQueue<RequestDigest> quarantinedUntil;
     /// Time of the latest suspicion of each incarnation.
     std::map<UpstreamIncarnation, Instant> suspectedIncarnations;
+    /// Incarnations that crashed while running requests with quarantined parts, and these parts.
+    std::map<UpstreamIncarnation, std::set<RequestDigest>> explained;
     std::vector<PendingSuspicion> pending;
     std::uint64_t suspicionsRecorded = 0; ///< Suspicions recorded since the process started.
     std::uint64_t suspicionsRefuted
@@ -75,13 +97,22 @@
 /// it. One or two can crash by chance under a request that its caller retries.
 inline constexpr std::size_t quarantineThreshold = 3;
 
-/// Records \a suspicion. Returns true if the request becomes quarantined by it.
-bool recordSuspicion(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now);
+/// Crashes at least this far apart count separately against a part: those of upstreams that fail
+/// together have a common cause. A crash of one upstream is noticed by all hosts within this time.
+inline constexpr Span commonCauseSpan = std::chrono::milliseconds(200);
+
+/// As quarantineThreshold, for a part that complete answers have cleared before.
+inline constexpr std::size_t clearedPartThreshold = 5;
+
+/// Records \a suspicions, which were received together. Returns what becomes quarantined.
+std::vector<RequestDigest> recordSuspicions(CrashQuarantine &quarantine,
+                                            const std::vector<CrashSuspicion> &suspicions,
+                                            Instant now);
 
 /// Queues \a suspicion, which this host has recorded itself, for sending to the other hosts.
 void queueSuspicion(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now);
 
-/// Returns the suspicions that are due to be sent at \a now.
+/// Returns suspicions that are due to be sent at \a now, as many as one message may have.
 std::vector<CrashSuspicion> takePending(CrashQuarantine &quarantine, Instant now);
 
 /// Whether the request is quarantined, that is, dispatched to no upstream.
@@ -90,6 +121,10 @@
 /// Whether the request may have crashed an upstream.
 bool isSuspected(const CrashQuarantine &quarantine, const RequestDigest &digest);
 
+/// When one request with a quarantined part may be sent to learn whether it still crashes
+/// upstreams. The interval doubles with each crash.
+Instant nextTrialAt(const CrashQuarantine &quarantine, const RequestDigest &part);
+
 /// Returns the time left until the request leaves quarantine; 0: it is not quarantined.
 Span remainingQuarantine(const CrashQuarantine &quarantine, const RequestDigest &digest,
                          Instant now);
@@ -107,6 +142,14 @@
 /// Clears all suspicions of a request whose answer is known to be complete.
 void clearSuspicions(CrashQuarantine &quarantine, const RequestDigest &digest);
 
+/// Clears all suspicions of a prompt's part, as a request with it was answered completely. Returns
+/// them for the other hosts.
+std::vector<CrashSuspicion> clearPart(CrashQuarantine &quarantine, const RequestDigest &part,
+                                      Instant now);
+
+/// The number of quarantined suspects of \a kind.
+std::size_t countQuarantined(const CrashQuarantine &quarantine, SuspectKind kind);
+
 /// Removes expired suspects and quarantines. Call at each tick.
 void removeExpiredSuspicions(CrashQuarantine &quarantine, Instant now);
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -72,6 +72,7 @@
     RequestArrived arrivedRequest;
     CustomerId customer;
     RequestDigest digest;
+    std::vector<RequestDigest> partDigests; ///< Of the parts of its prompt, without the last.
     ServiceId service;
     RepeatPolicy repeat = RepeatPolicy::NonIdempotent;
     bool isResumable = false;
@@ -89,6 +90,7 @@
     HostId peer;                    ///< The host that it was last forwarded to.
     std::set<HostId> excludedPeers; ///< Hosts that could not serve it.
     bool hasAnswerStarted = false;
+    Instant answerStartedAt;
     bool isEarlyAttempt = false; ///< Sent before a report shows that its adapter is loaded.
     PromptAdmissionState admissionState = PromptAdmissionState::NotRequested;
     UpstreamId admissionEngine;                    ///< The engine that admission was requested for.
--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/gateway/crash_quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -26,10 +27,10 @@
 /// Suspicions sent to a newly joined host.
 constexpr std::size_t maxSuspicionsForNewHost = 200;
 
-bool isSevere(const CrashQuarantine::Suspect &suspect)
-{
-    return suspect.incarnations.size() + 1 >= quarantineThreshold;
-}
+constexpr std::size_t maxSuspicionsPerMessage = 200;
+
+/// From the latest crash of a quarantined part to the first trial.
+constexpr Span firstTrialDelay = std::chrono::seconds(20);
 
 Instant latestSuspicionAt(const CrashQuarantine::Suspect &suspect)
 {
@@ -39,8 +40,16 @@
     return latest;
 }
 
+void stopExplaining(CrashQuarantine &quarantine, const RequestDigest &digest)
+{
+    for (auto &[incarnation, parts] : quarantine.explained)
+        parts.erase(digest);
+    std::erase_if(quarantine.explained, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void forget(CrashQuarantine &quarantine, const RequestDigest &digest)
 {
+    stopExplaining(quarantine, digest);
     quarantine.suspects.erase(digest);
     quarantine.suspectedUntil.erase(digest);
     quarantine.quarantinedUntil.erase(digest);
@@ -50,10 +59,10 @@
 void setExpiry(CrashQuarantine &quarantine, const RequestDigest &digest,
                const CrashQuarantine::Suspect &suspect)
 {
-    const Instant latest = latestSuspicionAt(suspect);
+    const Instant latest = std::max(latestSuspicionAt(suspect), suspect.clearedAt);
     quarantine.suspectedUntil.erase(digest);
     quarantine.quarantinedUntil.erase(digest);
-    if (suspect.incarnations.size() >= quarantineThreshold)
+    if (suspect.isQuarantined)
         quarantine.quarantinedUntil.set(digest, latest + quarantineDuration);
     else
         quarantine.suspectedUntil.set(digest, latest + suspicionLifetime);
@@ -64,20 +73,113 @@
 void enforceLimits(CrashQuarantine &quarantine)
 {
     while (quarantine.suspectedUntil.size() > maxSuspects)
-        quarantine.suspects.erase(*quarantine.suspectedUntil.takeDue(never));
+        forget(quarantine, *quarantine.suspectedUntil.takeDue(never));
     while (quarantine.quarantinedUntil.size() > maxQuarantined)
-        quarantine.suspects.erase(*quarantine.quarantinedUntil.takeDue(never));
+        forget(quarantine, *quarantine.quarantinedUntil.takeDue(never));
+}
+
+/// The times of the crashes that speak against a part.
+std::vector<Instant> crashTimesOf(const CrashQuarantine &quarantine, const RequestDigest &part,
+                                  const CrashQuarantine::Suspect &suspect)
+{
+    std::vector<Instant> times;
+    for (const auto &[incarnation, at] : suspect.incarnations) {
+        const auto found = quarantine.explained.find(incarnation);
+        if (found == quarantine.explained.end() || found->second.contains(part))
+            times.push_back(at);
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+/// How many separate crashes speak against \a suspect.
+std::size_t evidenceOf(const CrashQuarantine &quarantine, const RequestDigest &digest,
+                       const CrashQuarantine::Suspect &suspect)
+{
+    if (suspect.kind == SuspectKind::Request)
+        return suspect.incarnations.size();
+    std::size_t crashes = 0;
+    Instant countedAt;
+    for (const Instant &at : crashTimesOf(quarantine, digest, suspect)) {
+        if (crashes > 0 && at < countedAt + commonCauseSpan)
+            continue;
+        ++crashes;
+        countedAt = at;
+    }
+    return crashes;
+}
+
+std::size_t thresholdOf(const CrashQuarantine::Suspect &suspect)
+{
+    return suspect.cleared.empty() ? quarantineThreshold : clearedPartThreshold;
+}
+
+void explainCrashes(CrashQuarantine &quarantine, const RequestDigest &part,
+                    const CrashQuarantine::Suspect &suspect)
+{
+    for (const auto &[incarnation, at] : suspect.incarnations)
+        quarantine.explained[incarnation].insert(part);
+}
+
+/// Brings the state of \a suspect in line with its suspicions. Returns true if it becomes
+/// quarantined.
+bool update(CrashQuarantine &quarantine, const RequestDigest &digest,
+            CrashQuarantine::Suspect &suspect)
+{
+    const bool isGuilty = evidenceOf(quarantine, digest, suspect) >= thresholdOf(suspect);
+    const bool wasQuarantined = std::exchange(suspect.isQuarantined, isGuilty);
+    if (wasQuarantined && !isGuilty)
+        stopExplaining(quarantine, digest);
+    if (isGuilty && suspect.kind == SuspectKind::PromptPart)
+        explainCrashes(quarantine, digest, suspect);
+    setExpiry(quarantine, digest, suspect);
+    return isGuilty && !wasQuarantined;
+}
+
+/// Whether \a suspect is a part with the same crashes as one of \a others.
+bool hasSameCrashes(const CrashQuarantine &quarantine, const CrashQuarantine::Suspect &suspect,
+                    const std::vector<RequestDigest> &others)
+{
+    return suspect.kind == SuspectKind::PromptPart
+            && std::any_of(others.begin(), others.end(), [&](const RequestDigest &other) {
+                   const CrashQuarantine::Suspect &guilty = quarantine.suspects.at(other);
+                   return guilty.kind == SuspectKind::PromptPart
+                           && guilty.incarnations == suspect.incarnations;
+               });
+}
+
+/// Updates \a changed, those with the most crashes first: they explain the crashes
+/// of others. Parts with the same crashes cannot be told apart and are quarantined together.
+std::vector<RequestDigest> updateAll(CrashQuarantine &quarantine,
+                                     const std::vector<RequestDigest> &changed)
+{
+    std::vector<std::pair<std::size_t, RequestDigest>> order;
+    for (const RequestDigest &digest : changed) {
+        const CrashQuarantine::Suspect &suspect = quarantine.suspects.at(digest);
+        order.emplace_back(evidenceOf(quarantine, digest, suspect), digest);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<RequestDigest> quarantined;
+    for (const auto &[evidence, digest] : order) {
+        CrashQuarantine::Suspect &suspect = quarantine.suspects.at(digest);
+        if (hasSameCrashes(quarantine, suspect, quarantined))
+            explainCrashes(quarantine, digest, suspect);
+        if (update(quarantine, digest, suspect))
+            quarantined.push_back(digest);
+    }
+    return quarantined;
 }
 
 /// Updates the requests in \a changed, some of whose suspicions were refuted.
 void updateRefuted(CrashQuarantine &quarantine, const std::vector<RequestDigest> &changed)
 {
     for (const RequestDigest &digest : changed) {
-        const CrashQuarantine::Suspect &suspect = quarantine.suspects.at(digest);
-        if (suspect.incarnations.empty())
+        CrashQuarantine::Suspect &suspect = quarantine.suspects.at(digest);
+        if (suspect.incarnations.empty() && suspect.cleared.empty())
             forget(quarantine, digest);
         else
-            setExpiry(quarantine, digest, suspect);
+            update(quarantine, digest, suspect);
     }
 }
 
@@ -109,21 +211,53 @@
     return { upstream.listed.id, startOf(upstream) };
 }
 
-bool recordSuspicion(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now)
+namespace {
+
+void recordCleared(CrashQuarantine::Suspect &suspect, const UpstreamIncarnation &incarnation,
+                   Instant now)
+{
+    suspect.incarnations.erase(incarnation);
+    suspect.cleared.insert(incarnation);
+    suspect.clearedAt = std::max(suspect.clearedAt, now);
+}
+
+/// Records \a suspicion. Returns whether it changes anything.
+bool record(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now)
 {
     if (now >= suspicion.at + quarantineDuration)
         return false;
     CrashQuarantine::Suspect &suspect = quarantine.suspects[suspicion.digest];
-    const auto [known, isNew] = suspect.incarnations.emplace(suspicion.incarnation, suspicion.at);
-    if (!isNew)
+    suspect.kind = suspicion.kind;
+    if (suspect.cleared.contains(suspicion.incarnation))
+        return false;
+    if (suspicion.isCleared) {
+        recordCleared(suspect, suspicion.incarnation, now);
+        return true;
+    }
+    if (!suspect.incarnations.emplace(suspicion.incarnation, suspicion.at).second)
         return false;
     ++quarantine.suspicionsRecorded;
     Instant &latest = quarantine.suspectedIncarnations[suspicion.incarnation];
     latest = std::max(latest, suspicion.at);
-    const bool isQuarantinedNow = suspect.incarnations.size() == quarantineThreshold;
-    setExpiry(quarantine, suspicion.digest, suspect);
+    return true;
+}
+
+} // namespace
+
+std::vector<RequestDigest> recordSuspicions(CrashQuarantine &quarantine,
+                                            const std::vector<CrashSuspicion> &suspicions,
+                                            Instant now)
+{
+    std::vector<RequestDigest> changed;
+    for (const CrashSuspicion &suspicion : suspicions) {
+        if (record(quarantine, suspicion, now))
+            changed.push_back(suspicion.digest);
+    }
+    std::sort(changed.begin(), changed.end());
+    changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+    const std::vector<RequestDigest> quarantined = updateAll(quarantine, changed);
     enforceLimits(quarantine);
-    return isQuarantinedNow;
+    return quarantined;
 }
 
 void queueSuspicion(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now)
@@ -131,18 +265,29 @@
     quarantine.pending.push_back({ suspicion, now, sendsPerSuspicion });
 }
 
+namespace {
+
+bool isStillValid(const CrashQuarantine &quarantine, const CrashSuspicion &suspicion)
+{
+    const auto suspect = quarantine.suspects.find(suspicion.digest);
+    if (suspect == quarantine.suspects.end())
+        return false;
+    return suspicion.isCleared ? suspect->second.cleared.contains(suspicion.incarnation)
+                               : suspect->second.incarnations.contains(suspicion.incarnation);
+}
+
+} // namespace
+
 std::vector<CrashSuspicion> takePending(CrashQuarantine &quarantine, Instant now)
 {
     std::vector<CrashSuspicion> due;
     for (PendingSuspicion &pending : quarantine.pending) {
-        if (now < pending.nextSendAt)
+        if (now < pending.nextSendAt || due.size() >= maxSuspicionsPerMessage)
             continue;
-        const auto suspect = quarantine.suspects.find(pending.suspicion.digest);
-        const bool isStillSuspected = suspect != quarantine.suspects.end()
-                && suspect->second.incarnations.contains(pending.suspicion.incarnation);
-        pending.sendsLeft = isStillSuspected ? pending.sendsLeft - 1 : 0;
+        const bool isValid = isStillValid(quarantine, pending.suspicion);
+        pending.sendsLeft = isValid ? pending.sendsLeft - 1 : 0;
         pending.nextSendAt = now + resendInterval;
-        if (isStillSuspected)
+        if (isValid)
             due.push_back(pending.suspicion);
     }
     std::erase_if(quarantine.pending,
@@ -153,8 +298,7 @@
 bool isQuarantined(const CrashQuarantine &quarantine, const RequestDigest &digest)
 {
     const auto found = quarantine.suspects.find(digest);
-    return found != quarantine.suspects.end()
-            && found->second.incarnations.size() >= quarantineThreshold;
+    return found != quarantine.suspects.end() && found->second.isQuarantined;
 }
 
 bool isSuspected(const CrashQuarantine &quarantine, const RequestDigest &digest)
@@ -162,13 +306,25 @@
     return quarantine.suspects.contains(digest);
 }
 
+Instant nextTrialAt(const CrashQuarantine &quarantine, const RequestDigest &part)
+{
+    const CrashQuarantine::Suspect &suspect = quarantine.suspects.at(part);
+    const std::size_t more = suspect.incarnations.size()
+            - std::min(suspect.incarnations.size(), quarantineThreshold);
+    Span delay = firstTrialDelay;
+    for (std::size_t doubled = 0; doubled < more && delay < quarantineDuration; ++doubled)
+        delay = delay * 2;
+    return latestSuspicionAt(suspect) + std::min(delay, quarantineDuration);
+}
+
 Span remainingQuarantine(const CrashQuarantine &quarantine, const RequestDigest &digest,
                          Instant now)
 {
     const auto found = quarantine.suspects.find(digest);
-    if (found == quarantine.suspects.end()
-        || found->second.incarnations.size() < quarantineThreshold)
+    if (found == quarantine.suspects.end() || !found->second.isQuarantined)
         return Span{};
+    if (found->second.kind == SuspectKind::PromptPart)
+        return nextTrialAt(quarantine, digest) - now;
     return latestSuspicionAt(found->second) + quarantineDuration - now;
 }
 
@@ -190,12 +346,37 @@
         forget(quarantine, digest);
 }
 
+std::vector<CrashSuspicion> clearPart(CrashQuarantine &quarantine, const RequestDigest &part,
+                                      Instant now)
+{
+    const auto found = quarantine.suspects.find(part);
+    if (found == quarantine.suspects.end())
+        return {};
+    CrashQuarantine::Suspect &suspect = found->second;
+    std::vector<CrashSuspicion> cleared;
+    for (const auto &[incarnation, at] : suspect.incarnations)
+        cleared.push_back({ part, incarnation, at, SuspectKind::PromptPart, true });
+    for (const CrashSuspicion &suspicion : cleared)
+        recordCleared(suspect, suspicion.incarnation, now);
+    if (!cleared.empty())
+        update(quarantine, part, suspect);
+    return cleared;
+}
+
+std::size_t countQuarantined(const CrashQuarantine &quarantine, SuspectKind kind)
+{
+    return static_cast<std::size_t>(std::count_if(
+            quarantine.suspects.begin(), quarantine.suspects.end(), [kind](const auto &entry) {
+                return entry.second.isQuarantined && entry.second.kind == kind;
+            }));
+}
+
 void removeExpiredSuspicions(CrashQuarantine &quarantine, Instant now)
 {
     while (const std::optional<RequestDigest> digest = quarantine.suspectedUntil.takeDue(now))
-        quarantine.suspects.erase(*digest);
+        forget(quarantine, *digest);
     while (const std::optional<RequestDigest> digest = quarantine.quarantinedUntil.takeDue(now))
-        quarantine.suspects.erase(*digest);
+        forget(quarantine, *digest);
     if (quarantine.suspects.empty())
         quarantine.suspectedIncarnations.clear();
 }
@@ -204,10 +385,11 @@
 {
     std::vector<CrashSuspicion> severe;
     for (const auto &[digest, suspect] : quarantine.suspects) {
-        if (!isSevere(suspect) || severe.size() >= maxSuspicionsForNewHost)
+        const bool isSevere = suspect.incarnations.size() + 1 >= quarantineThreshold;
+        if (!isSevere || severe.size() >= maxSuspicionsForNewHost)
             continue;
         for (const auto &[incarnation, at] : suspect.incarnations)
-            severe.push_back({ digest, incarnation, at });
+            severe.push_back({ digest, incarnation, at, suspect.kind });
     }
     return severe;
 }
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -148,6 +148,10 @@
         to.upstream = crash.incarnation.upstream.value;
         to.start = crash.incarnation.start;
         to.age = (now - crash.at).count();
+        if (crash.kind == SuspectKind::PromptPart)
+            to.__set_isPart(true);
+        if (crash.isCleared)
+            to.__set_isCleared(true);
     }
     return out;
 }
@@ -159,7 +163,9 @@
     for (const wire::CrashSuspicion &crash : crashes) {
         out.push_back({ RequestDigest{ static_cast<std::uint64_t>(crash.digest) },
                         { UpstreamId{ crash.upstream }, crash.start },
-                        now - ageOf(crash.age) });
+                        now - ageOf(crash.age),
+                        crash.isPart ? SuspectKind::PromptPart : SuspectKind::Request,
+                        crash.isCleared });
     }
     return out;
 }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -199,6 +199,11 @@
 void recordConnectionLost(GatewayState &state, const RequestRecord &record, Instant now,
                           Actions &actions);
 
+/// Clears the suspicions of the request of \a record and of its prompt's parts, as it was answered
+/// completely.
+void clearSuspicionsOf(GatewayState &state, const RequestRecord &record, Instant now,
+                       Actions &actions);
+
 /// Handles the crash suspicions of other hosts.
 void handleSuspicions(GatewayState &state, const std::vector<CrashSuspicion> &suspicions,
                       Instant now, Actions &actions);
@@ -207,12 +212,15 @@
 /// at \a start.
 void recordStart(GatewayState &state, Upstream &upstream, std::int64_t start, Instant sentAt);
 
-/// Whether \a record may not be sent: it is in quarantine, or upstreams may have crashed on it and
-/// another copy of it is at one. Copies sent together would crash as many upstreams before the
-/// first crash is known.
-bool isDispatchBlocked(const GatewayState &state, const RequestRecord &record);
+/// Whether the request of \a record or a part of its prompt is in quarantine.
+bool isQuarantined(const GatewayState &state, const RequestRecord &record);
+
+/// Whether \a record may not be sent: it is in quarantine and no trial of it is due here, or
+/// upstreams may have crashed on it and another copy of it is at one. Copies sent together would
+/// crash as many upstreams before the first crash is known.
+bool isDispatchBlocked(const GatewayState &state, const RequestRecord &record, Instant now);
 
-/// Refuses \a record, which is in quarantine (see crash_quarantine.h).
+/// Refuses \a record, which is blocked by isDispatchBlocked().
 void refuseQuarantined(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
 
 /// Sends suspicions about requests on which upstreams may have crashed to other hosts.
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -348,7 +348,7 @@
 
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
-    if (isDispatchBlocked(state, record)) {
+    if (isDispatchBlocked(state, record, now)) {
         refuseQuarantined(state, record, now, actions);
         return;
     }
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -165,7 +165,7 @@
 bool repeatAfterFault(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
     ++record.possibleRuns;
-    if (isQuarantined(state.quarantine, record.digest))
+    if (isQuarantined(state, record))
         return false;
     if (record.repeat != RepeatPolicy::Idempotent || record.possibleRuns >= record.maxAttempts
         || now >= record.deadline)
@@ -282,10 +282,12 @@
         record.customer = customer ? customer->id : CustomerId{};
     }
     record.digest = digestOf(record.customer, event.content);
+    for (const PromptPartId &part : event.promptParts)
+        record.partDigests.push_back(digestOf(part));
     record.repeat = route->repeat;
     record.isResumable = route->isResumable;
     record.maxAttempts = attemptsLeft(*route, event);
-    if (isDispatchBlocked(state, record)) {
+    if (isDispatchBlocked(state, record, now)) {
         refuseQuarantined(state, record, now, actions);
         return;
     }
@@ -332,6 +334,7 @@
         return;
     RequestRecord &record = found->second;
     record.hasAnswerStarted = true;
+    record.answerStartedAt = now;
     if (record.phase != RequestPhase::AtUpstream)
         return;
     const auto upstream = state.upstreams.find(record.upstream);
@@ -361,7 +364,7 @@
     else if (upstream != state.upstreams.end() && hasAnswered(event.outcome))
         recordAnswered(state.quarantine, incarnationOf(upstream->second), record.sentAt);
     if (event.outcome == AttemptOutcome::Done && event.isEndShown)
-        clearSuspicions(state.quarantine, record.digest);
+        clearSuspicionsOf(state, record, now, actions);
     if (record.isEarlyAttempt)
         handleEarlyAttemptEnd(state, record, event.outcome, now);
     if (record.isEarlyAttempt && isTurnedAway(event.outcome) && now < record.deadline) {
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -15,8 +15,8 @@
 
     bool suspect(std::uint64_t digest, const UpstreamIncarnation &incarnation)
     {
-        return recordSuspicion(this->quarantine,
-                               { RequestDigest{ digest }, incarnation, this->now }, this->now);
+        const CrashSuspicion suspicion{ RequestDigest{ digest }, incarnation, this->now };
+        return !recordSuspicions(this->quarantine, { suspicion }, this->now).empty();
     }
 
     /// Records suspicions of the request at \a upstreams upstreams.
@@ -117,8 +117,8 @@
 {
     const CrashSuspicion first{ RequestDigest{ 1 }, incarnation("a"), this->now };
     const CrashSuspicion second{ RequestDigest{ 2 }, incarnation("b"), this->now };
-    recordSuspicion(this->quarantine, first, this->now);
-    recordSuspicion(this->quarantine, second, this->now);
+    recordSuspicions(this->quarantine, { first }, this->now);
+    recordSuspicions(this->quarantine, { second }, this->now);
     queueSuspicion(this->quarantine, first, this->now);
     queueSuspicion(this->quarantine, second, this->now);
     EXPECT_EQ(takePending(this->quarantine, this->now).size(), 2U);
@@ -138,11 +138,133 @@
     this->suspectAtUpstreams(3, 1);
     CrashQuarantine joined;
     for (const CrashSuspicion &suspicion : severeSuspicions(this->quarantine))
-        recordSuspicion(joined, suspicion, this->now + std::chrono::minutes(5));
+        recordSuspicions(joined, { suspicion }, this->now + std::chrono::minutes(5));
     EXPECT_TRUE(isQuarantined(joined, RequestDigest{ 1 }));
     EXPECT_TRUE(isSuspected(joined, RequestDigest{ 2 }));
     EXPECT_FALSE(isSuspected(joined, RequestDigest{ 3 }));
 }
 
+/// Engines crash one after the other while they begin to answer requests.
+class CrashingPartTest : public CrashQuarantineTest
+{
+protected:
+    static constexpr std::uint64_t guilty = 1;
+    static constexpr std::uint64_t innocent = 2;
+
+    static CrashSuspicion suspicionOf(std::uint64_t part, const std::string &upstream, Instant at)
+    {
+        return { RequestDigest{ part }, incarnation(upstream), at, SuspectKind::PromptPart };
+    }
+
+    /// \a upstream crashes while it begins to answer a request with \a parts.
+    void crash(const std::string &upstream, const std::vector<std::uint64_t> &parts)
+    {
+        this->now = this->now + std::chrono::milliseconds(500);
+        std::vector<CrashSuspicion> suspicions;
+        for (const std::uint64_t part : parts)
+            suspicions.push_back(suspicionOf(part, upstream, this->now));
+        recordSuspicions(this->quarantine, suspicions, this->now);
+    }
+
+    std::vector<CrashSuspicion> answer(std::uint64_t part)
+    {
+        return clearPart(this->quarantine, RequestDigest{ part }, this->now);
+    }
+};
+
+// Guards against requests that are refused because they share a part with a guilty one.
+TEST_F(CrashingPartTest, ACompleteAnswerClearsAPart)
+{
+    this->crash("e1", { guilty, innocent });
+    this->crash("e2", { guilty, innocent });
+    EXPECT_EQ(this->answer(innocent).size(), 2U);
+    this->crash("e3", { guilty, innocent });
+    EXPECT_TRUE(this->isInQuarantine(guilty));
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+}
+
+// Guards against a suspicion that comes back with a message that is late or was sent twice.
+TEST_F(CrashingPartTest, AClearedSuspicionStaysCleared)
+{
+    const Instant at = this->now;
+    this->crash("e1", { innocent });
+    const std::vector<CrashSuspicion> cleared = this->answer(innocent);
+    recordSuspicions(this->quarantine, { suspicionOf(innocent, "e1", at) }, this->now);
+    EXPECT_TRUE(this->quarantine.suspects.at(RequestDigest{ innocent }).incarnations.empty());
+
+    CrashQuarantine other;
+    recordSuspicions(other, cleared, this->now);
+    recordSuspicions(other, { suspicionOf(innocent, "e1", at) }, this->now);
+    EXPECT_TRUE(other.suspects.at(RequestDigest{ innocent }).incarnations.empty());
+}
+
+// Guards against a part that is found guilty because a rack of engines fails.
+TEST_F(CrashingPartTest, CrashesWithACommonCauseCountOnce)
+{
+    std::vector<CrashSuspicion> suspicions;
+    for (const std::string upstream : { "e1", "e2", "e3", "e4", "e5" })
+        suspicions.push_back(suspicionOf(innocent, upstream, this->now));
+    recordSuspicions(this->quarantine, suspicions, this->now);
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+    this->crash("e6", { innocent });
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+    this->crash("e7", { innocent });
+    EXPECT_TRUE(this->isInQuarantine(innocent));
+}
+
+// Guards against parts that are found guilty of crashes that another part has caused.
+TEST_F(CrashingPartTest, CrashesOfAGuiltyPartSpeakAgainstNoOther)
+{
+    this->crash("e1", { guilty });
+    this->crash("e2", { guilty, innocent });
+    this->crash("e3", { guilty, innocent });
+    this->crash("e4", { guilty, innocent });
+    this->crash("e5", { innocent });
+    EXPECT_TRUE(this->isInQuarantine(guilty));
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+}
+
+// Guards against a guilty part that hides behind one that is always with it.
+TEST_F(CrashingPartTest, PartsWithTheSameCrashesAreBothQuarantined)
+{
+    for (const std::string upstream : { "e1", "e2", "e3" })
+        this->crash(upstream, { innocent, guilty });
+    EXPECT_TRUE(this->isInQuarantine(guilty));
+    EXPECT_TRUE(this->isInQuarantine(innocent));
+    this->answer(innocent);
+    EXPECT_TRUE(this->isInQuarantine(guilty));
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+}
+
+// Guards against trials that crash one engine after the other.
+TEST_F(CrashingPartTest, TrialsBecomeRarerWithEachCrash)
+{
+    for (const std::string upstream : { "e1", "e2", "e3" })
+        this->crash(upstream, { guilty });
+    const Span first = nextTrialAt(this->quarantine, RequestDigest{ guilty }) - this->now;
+    this->crash("e4", { guilty });
+    const Span second = nextTrialAt(this->quarantine, RequestDigest{ guilty }) - this->now;
+    EXPECT_GE(first, std::chrono::seconds(20));
+    EXPECT_EQ(second, first * 2);
+    EXPECT_EQ(remainingQuarantine(this->quarantine, RequestDigest{ guilty }, this->now), second);
+}
+
+// Guards against messages that grow with the number of crashes.
+TEST_F(CrashingPartTest, AMessageHasABoundedNumberOfSuspicions)
+{
+    for (std::uint64_t part = 0; part < 500; ++part) {
+        const CrashSuspicion suspicion = suspicionOf(part, "e1", this->now);
+        recordSuspicions(this->quarantine, { suspicion }, this->now);
+        queueSuspicion(this->quarantine, suspicion, this->now);
+    }
+    std::size_t sent = 0;
+    for (int tick = 0; tick < 3; ++tick) {
+        const std::size_t inMessage = takePending(this->quarantine, this->now).size();
+        EXPECT_LE(inMessage, 200U);
+        sent += inMessage;
+    }
+    EXPECT_EQ(sent, 500U);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/gateway/tests/quarantined_requests_test.cpp
+++ b/packages/gateway/tests/quarantined_requests_test.cpp
@@ -45,13 +45,14 @@
         listUpstream(this->state, listed, this->now);
     }
 
-    Actions sendRequest(std::uint64_t content)
+    Actions sendRequest(std::uint64_t content, const std::vector<PromptPartId> &parts = {})
     {
         RequestArrived request;
         request.request.value = ++this->lastRequest;
         request.host = "h";
         request.path = "/x";
         request.content.value = content;
+        request.promptParts = parts;
         request.allowed = std::chrono::seconds(4);
         Actions actions;
         handle(this->state, request, this->now, actions);
@@ -191,5 +192,84 @@
     EXPECT_EQ(crashes, 1U);
 }
 
+/// Requests that differ in all but one part of their prompts crash one upstream after the other.
+class QuarantinedPartTest : public QuarantinedRequestsTest
+{
+protected:
+    QuarantinedPartTest()
+    {
+        this->state.configuration.routes.front().maxAttempts = 1;
+    }
+
+    /// An upstream crashes under a request with the part.
+    Actions crash()
+    {
+        this->now = this->now + std::chrono::milliseconds(400);
+        const Actions sent = this->sendRequest(++this->lastContent, { this->part });
+        return this->endAttempt(sent.dispatches.front(), AttemptOutcome::Failed);
+    }
+
+    void quarantine()
+    {
+        for (int crashes = 0; crashes < 3; ++crashes)
+            this->crash();
+    }
+
+    PromptPartId part{ 7 };
+    PromptPartId otherPart{ 8 };
+    std::uint64_t lastContent = 1000;
+};
+
+TEST_F(QuarantinedPartTest, TheNextRequestWithThePartIsRefusedAsNotRun)
+{
+    this->quarantine();
+    const Actions refused = this->sendRequest(1, { this->otherPart, this->part });
+    ASSERT_EQ(refused.refusals.size(), 1U);
+    EXPECT_EQ(refused.refusals.front().code, ResultCode::RequestQuarantined);
+    EXPECT_TRUE(refused.refusals.front().isNotRun);
+    EXPECT_GE(refused.refusals.front().retryAfter, std::chrono::seconds(1));
+    EXPECT_EQ(this->sendRequest(2, { this->otherPart }).dispatches.size(), 1U);
+}
+
+// Guards against upstreams that crash under requests that were sent before the part was found.
+TEST_F(QuarantinedPartTest, RequestsWithThePartAreCancelledBeforeTheirAnswersBegin)
+{
+    const Actions waiting = this->sendRequest(1, { this->part });
+    const Actions answering = this->sendRequest(2, { this->part });
+    Actions ignored;
+    handle(this->state, AnswerBegan{ answering.dispatches.front().request, 1 }, this->now, ignored);
+    this->crash();
+    this->crash();
+    const Actions last = this->crash();
+    ASSERT_EQ(last.cancels.size(), 1U);
+    EXPECT_EQ(last.cancels.front().request, waiting.dispatches.front().request);
+    EXPECT_TRUE(this->state.requests.contains(answering.dispatches.front().request));
+}
+
+// Guards against parts that are found guilty by requests whose answers went well for long.
+TEST_F(QuarantinedPartTest, ACrashInTheMiddleOfAnAnswerIsNoSuspicion)
+{
+    for (std::uint64_t content = 1; content <= 4; ++content) {
+        const Dispatch sent = this->sendRequest(content, { this->part }).dispatches.front();
+        Actions ignored;
+        handle(this->state, AnswerBegan{ sent.request, 1 }, this->now, ignored);
+        this->now = this->now + std::chrono::milliseconds(400);
+        this->endAttempt(sent, AttemptOutcome::Failed);
+    }
+    EXPECT_EQ(this->sendRequest(9, { this->part }).dispatches.size(), 1U);
+}
+
+// Guards against a part that is refused for ever, and against a flood of trials.
+TEST_F(QuarantinedPartTest, OneTrialThatIsAnsweredEndsTheQuarantine)
+{
+    this->quarantine();
+    this->now = this->now + std::chrono::seconds(30);
+    const Actions trial = this->sendRequest(1, { this->part });
+    ASSERT_EQ(trial.dispatches.size(), 1U);
+    EXPECT_EQ(this->sendRequest(2, { this->part }).refusals.size(), 1U);
+    this->endAttempt(trial.dispatches.front(), AttemptOutcome::Done);
+    EXPECT_EQ(this->sendRequest(3, { this->part }).dispatches.size(), 1U);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -145,8 +145,12 @@
              static_cast<double>(countUnreachableServices(state)));
     addGauge(out, "azurewell_zones_evacuated",
              static_cast<double>(state.evacuations.closesAt.size()));
-    addGauge(out, "azurewell_requests_quarantined",
-             static_cast<double>(state.quarantine.quarantinedUntil.size()));
+    addGauge(
+            out, "azurewell_requests_quarantined",
+            static_cast<double>(countQuarantined(state.quarantine, gateway::SuspectKind::Request)));
+    addGauge(out, "azurewell_prompt_parts_quarantined",
+             static_cast<double>(
+                     countQuarantined(state.quarantine, gateway::SuspectKind::PromptPart)));
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addByFraming(out, metrics.answersByFraming);
--- a/packages/units/src/result_code.cpp
+++ b/packages/units/src/result_code.cpp
@@ -65,7 +65,8 @@
     ResultCodeInfo{ SlotLost, "slot_lost", 503,
                     "The slot for this request ended before it could be used." },
     ResultCodeInfo{ RequestQuarantined, "request_quarantined", 503,
-                    "Back ends ended while they ran this request; it is sent to no other one." },
+                    "Back ends ended while they ran this request, or requests with a part of "
+                    "its prompt; it is sent to no other one." },
     ResultCodeInfo{ UpstreamLimited, "upstream_limited", 503,
                     "The back ends that could take the request have stated a limit." },
     ResultCodeInfo{ UpstreamsUnreachable, "upstreams_unreachable", 503,
--- a/programs/azurewellctl/explain_command.cpp
+++ b/programs/azurewellctl/explain_command.cpp
@@ -58,10 +58,18 @@
     return !settings.request.empty() || !settings.digest.empty();
 }
 
+/// Whether \a line is of a request whose prompt has the part with \a digest.
+bool hasPart(const LogLine &line, const std::string &digest)
+{
+    return fieldOf(line, "part") == digest
+            || fieldOf(line, "parts").find(digest) != std::string::npos;
+}
+
 bool isSelected(const ExplainSettings &settings, const LogLine &line)
 {
     const bool isRequest = settings.request.empty() || fieldOf(line, "request") == settings.request;
-    const bool isDigest = settings.digest.empty() || fieldOf(line, "digest") == settings.digest;
+    const bool isDigest = settings.digest.empty() || fieldOf(line, "digest") == settings.digest
+            || hasPart(line, settings.digest);
     return isRequest && isDigest;
 }
 
@@ -107,7 +115,8 @@
     command->add_option("--request", settings->request,
                         "Only print the lines of the request with this id");
     command->add_option("--digest", settings->digest,
-                        "Only print the lines of all sends of the request with this digest");
+                        "Only print the lines of all sends of the request with this digest, or of "
+                        "requests whose prompts have the part with this digest");
     command->add_option("--first-ms", settings->expected.firstEventMillis,
                         "A first event after this is late")
             ->check(CLI::PositiveNumber);
