Report no part as quarantined that the bounds drop at once

A host would have ended on news so old that they exceed the bounds of what it keeps as soon as they arrive: the log line looked the dropped part up. Lint of the new tests.

--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -255,8 +255,11 @@
     }
     std::sort(changed.begin(), changed.end());
     changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
-    const std::vector<RequestDigest> quarantined = updateAll(quarantine, changed);
+    std::vector<RequestDigest> quarantined = updateAll(quarantine, changed);
     enforceLimits(quarantine);
+    std::erase_if(quarantined, [&](const RequestDigest &digest) {
+        return !quarantine.suspects.contains(digest);
+    });
     return quarantined;
 }
 
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -161,6 +161,7 @@
     {
         this->now = this->now + std::chrono::milliseconds(500);
         std::vector<CrashSuspicion> suspicions;
+        suspicions.reserve(parts.size());
         for (const std::uint64_t part : parts)
             suspicions.push_back(suspicionOf(part, upstream, this->now));
         recordSuspicions(this->quarantine, suspicions, this->now);
@@ -249,6 +250,25 @@
     EXPECT_EQ(remainingQuarantine(this->quarantine, RequestDigest{ guilty }, this->now), second);
 }
 
+// Guards against a host that ends because old news exceed the bounds of what it keeps.
+TEST_F(CrashingPartTest, WhatIsDroppedAtOnceIsNotReported)
+{
+    constexpr std::uint64_t firstPart = 100;
+    constexpr std::uint64_t parts = 1100;
+    for (std::uint64_t part = firstPart; part < firstPart + parts; ++part) {
+        for (const std::string upstream : { "e1", "e2", "e3" })
+            this->crash(upstream, { part });
+    }
+    const Instant longAgo = this->now - std::chrono::minutes(9);
+    std::vector<CrashSuspicion> old;
+    old.reserve(3);
+    for (int index = 0; index < 3; ++index)
+        old.push_back(suspicionOf(guilty, "o" + std::to_string(index),
+                                  longAgo + std::chrono::seconds(index)));
+    for (const RequestDigest &digest : recordSuspicions(this->quarantine, old, this->now))
+        EXPECT_TRUE(this->quarantine.suspects.contains(digest));
+}
+
 // Guards against messages that grow with the number of crashes.
 TEST_F(CrashingPartTest, AMessageHasABoundedNumberOfSuspicions)
 {
--- a/packages/http/tests/event_stream_scanner_test.cpp
+++ b/packages/http/tests/event_stream_scanner_test.cpp
@@ -21,10 +21,8 @@
     "data: a\r\rdata: b\r\r",
     "data: a\r\n\rdata: b\n\r\n",
     ": comment\n\ndata: a\n: within\ndata: b\n\n: at the end\n",
-    "\xEF\xBB\xBF"
-    "data: a\n\n",
-    "\xEF\xBB"
-    "a\n\n",
+    "\xEF\xBB\xBFretry: 1\n\n",
+    "\xEF\xBBz\n\n",
     "\n\n\ndata\n\n\n\n",
     "data: a\n\r\n\r\r\n",
     "",
--- a/packages/proxy/tests/answer_framing_test.cpp
+++ b/packages/proxy/tests/answer_framing_test.cpp
@@ -19,9 +19,9 @@
     const char *host; ///< "cut" forwards the request to "serving".
 };
 
-void PrintTo(const FramingCase &framingCase, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const FramingCase &framingCase)
 {
-    *out << framingCase.name;
+    return out << framingCase.name;
 }
 
 std::string framed(const std::string &head, Framing framing, const std::string &body)
--- a/tests/gateway_world/crashing_parts_test.cpp
+++ b/tests/gateway_world/crashing_parts_test.cpp
@@ -24,9 +24,9 @@
     Span duration;
 };
 
-void PrintTo(const FleetCase &fleet, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const FleetCase &fleet)
 {
-    *out << fleet.name;
+    return out << fleet.name;
 }
 
 class CrashingParts : public testing::TestWithParam<FleetCase>
