Ask for more crashes of parts that were answered shortly before

AnswersShortlyBeforeTheCrashesSpeakForAPart guards it. The tests of guilty parts pass unchanged; a part that becomes guilty after good answers costs two crashes more.

--- a/packages/gateway/include/azurewell/gateway/crash_quarantine.h
+++ b/packages/gateway/include/azurewell/gateway/crash_quarantine.h
@@ -78,6 +78,7 @@
         /// Incarnations of which a complete answer has cleared it. Of prompt parts only.
         std::set<UpstreamIncarnation> cleared;
         Instant clearedAt;
+        bool wasAnswered = false; ///< A request with the part was answered shortly before.
         bool isQuarantined = false;
     };
     std::unordered_map<RequestDigest, Suspect> suspects;
@@ -87,6 +88,7 @@
     std::map<UpstreamIncarnation, Instant> suspectedIncarnations;
     /// Incarnations that crashed while running requests with quarantined parts, and these parts.
     std::map<UpstreamIncarnation, std::set<RequestDigest>> explained;
+    DeadlineQueue<RequestDigest> answeredParts; ///< Until when a complete answer speaks for a part.
     std::vector<PendingSuspicion> pending;
     std::uint64_t suspicionsRecorded = 0; ///< Suspicions recorded since the process started.
     std::uint64_t suspicionsRefuted
@@ -101,8 +103,9 @@
 /// together have a common cause. A crash of one upstream is noticed by all hosts within this time.
 inline constexpr Span commonCauseSpan = std::chrono::milliseconds(200);
 
-/// As quarantineThreshold, for a part that complete answers have cleared before.
-inline constexpr std::size_t clearedPartThreshold = 5;
+/// As quarantineThreshold, for a part with complete answers, before the crashes or after one of
+/// them. Engines that crash for another reason, one after the other, interrupt many such parts.
+inline constexpr std::size_t answeredPartThreshold = 5;
 
 /// Records \a suspicions, which were received together. Returns what becomes quarantined.
 std::vector<RequestDigest> recordSuspicions(CrashQuarantine &quarantine,
@@ -142,10 +145,10 @@
 /// Clears all suspicions of a request whose answer is known to be complete.
 void clearSuspicions(CrashQuarantine &quarantine, const RequestDigest &digest);
 
-/// Clears all suspicions of a prompt's part, as a request with it was answered completely. Returns
-/// them for the other hosts.
-std::vector<CrashSuspicion> clearPart(CrashQuarantine &quarantine, const RequestDigest &part,
-                                      Instant now);
+/// Records that a request with \a part was answered completely, which clears all suspicions of the
+/// part. Returns them for the other hosts.
+std::vector<CrashSuspicion> recordPartAnswered(CrashQuarantine &quarantine,
+                                               const RequestDigest &part, Instant now);
 
 /// The number of quarantined suspects of \a kind.
 std::size_t countQuarantined(const CrashQuarantine &quarantine, SuspectKind kind);
--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -29,6 +29,10 @@
 
 constexpr std::size_t maxSuspicionsPerMessage = 200;
 
+/// How long a complete answer speaks for the parts of its prompt.
+constexpr Span answeredPartLifetime = std::chrono::seconds(30);
+constexpr std::size_t maxAnsweredParts = 8192;
+
 /// From the latest crash of a quarantined part to the first trial.
 constexpr Span firstTrialDelay = std::chrono::seconds(20);
 
@@ -111,7 +115,8 @@
 
 std::size_t thresholdOf(const CrashQuarantine::Suspect &suspect)
 {
-    return suspect.cleared.empty() ? quarantineThreshold : clearedPartThreshold;
+    const bool hasAnswers = suspect.wasAnswered || !suspect.cleared.empty();
+    return hasAnswers ? answeredPartThreshold : quarantineThreshold;
 }
 
 void explainCrashes(CrashQuarantine &quarantine, const RequestDigest &part,
@@ -226,8 +231,11 @@
 {
     if (now >= suspicion.at + quarantineDuration)
         return false;
-    CrashQuarantine::Suspect &suspect = quarantine.suspects[suspicion.digest];
+    const auto [found, isNew] = quarantine.suspects.try_emplace(suspicion.digest);
+    CrashQuarantine::Suspect &suspect = found->second;
     suspect.kind = suspicion.kind;
+    if (isNew)
+        suspect.wasAnswered = quarantine.answeredParts.contains(suspicion.digest);
     if (suspect.cleared.contains(suspicion.incarnation))
         return false;
     if (suspicion.isCleared) {
@@ -349,9 +357,12 @@
         forget(quarantine, digest);
 }
 
-std::vector<CrashSuspicion> clearPart(CrashQuarantine &quarantine, const RequestDigest &part,
-                                      Instant now)
+std::vector<CrashSuspicion> recordPartAnswered(CrashQuarantine &quarantine,
+                                               const RequestDigest &part, Instant now)
 {
+    quarantine.answeredParts.set(part, now + answeredPartLifetime);
+    if (quarantine.answeredParts.size() > maxAnsweredParts)
+        quarantine.answeredParts.takeDue(never);
     const auto found = quarantine.suspects.find(part);
     if (found == quarantine.suspects.end())
         return {};
@@ -380,6 +391,7 @@
         forget(quarantine, *digest);
     while (const std::optional<RequestDigest> digest = quarantine.quarantinedUntil.takeDue(now))
         forget(quarantine, *digest);
+    while (quarantine.answeredParts.takeDue(now)) {}
     if (quarantine.suspects.empty())
         quarantine.suspectedIncarnations.clear();
 }
--- a/packages/gateway/src/crashes.cpp
+++ b/packages/gateway/src/crashes.cpp
@@ -143,7 +143,7 @@
     clearSuspicions(state.quarantine, record.digest);
     for (const RequestDigest &part : record.partDigests) {
         const bool wasQuarantined = isQuarantined(state.quarantine, part);
-        for (const CrashSuspicion &cleared : clearPart(state.quarantine, part, now))
+        for (const CrashSuspicion &cleared : recordPartAnswered(state.quarantine, part, now))
             queueSuspicion(state.quarantine, cleared, now);
         if (wasQuarantined)
             actions.logEvents.push_back({ "prompt_part_cleared", { { "digest", inHex(part) } } });
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -169,7 +169,7 @@
 
     std::vector<CrashSuspicion> answer(std::uint64_t part)
     {
-        return clearPart(this->quarantine, RequestDigest{ part }, this->now);
+        return recordPartAnswered(this->quarantine, RequestDigest{ part }, this->now);
     }
 };
 
@@ -184,6 +184,17 @@
     EXPECT_FALSE(this->isInQuarantine(innocent));
 }
 
+// Guards against innocent parts that are refused because engines crash in turn for another reason.
+TEST_F(CrashingPartTest, AnswersShortlyBeforeTheCrashesSpeakForAPart)
+{
+    this->answer(innocent);
+    for (const std::string upstream : { "e1", "e2", "e3", "e4" })
+        this->crash(upstream, { innocent });
+    EXPECT_FALSE(this->isInQuarantine(innocent));
+    this->crash("e5", { innocent });
+    EXPECT_TRUE(this->isInQuarantine(innocent));
+}
+
 // Guards against a suspicion that comes back with a message that is late or was sent twice.
 TEST_F(CrashingPartTest, AClearedSuspicionStaysCleared)
 {
--- a/packages/units/include/azurewell/units/deadline_queue.h
+++ b/packages/units/include/azurewell/units/deadline_queue.h
@@ -55,6 +55,11 @@
         return key;
     }
 
+    bool contains(const Key &key) const
+    {
+        return this->deadlines.contains(key);
+    }
+
     std::size_t size() const
     {
         return this->deadlines.size();
