--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -46,12 +46,12 @@
     return "fault_stated";
 }
 
-/// The digests of the parts of a prompt, separated by commas.
-std::string inText(const std::vector<PromptPartId> &parts)
+/// \a digests in hexadecimal, separated by commas.
+std::string inText(const std::vector<RequestDigest> &digests)
 {
     std::string text;
-    for (const PromptPartId &part : parts)
-        text += (text.empty() ? "" : ",") + inHex(digestOf(part));
+    for (const RequestDigest &digest : digests)
+        text += (text.empty() ? "" : ",") + inHex(digest);
     return text;
 }
 
@@ -314,7 +314,7 @@
         writeLog(LogLevel::Info, "attempt_ended",
                  { { "request", request.callerId },
                    { "digest", inHex(record.digest) },
-                   { "parts", inText(record.arrivedRequest.promptParts) },
+                   { "parts", inText(record.partDigests) },
                    { "attempt", std::to_string(request.attempt) },
                    { "upstream", request.upstream.value },
                    { "outcome", std::string(nameOf(outcome)) },
