Log and count why a host begins and stops to order at an engine, and hosts that are lost and come back

The record of two hosts that order at one engine could not tell apart an older period of ordering that went on from a later one with a lower number, nor who had lost whom: the end of a period, the order count and the age of the report behind its start, and the reach of the host were in no line, and the answer to an order was one of four outcomes without its status. Counting the reach of a zone and of the fleet, and counters by reason in the metrics, stood in more than one place and are one function each.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace azurewell::gateway {
@@ -139,10 +140,17 @@
 enum class OrderOutcome : std::uint8_t {
     Taken,       ///< Accepted; in progress.
     AlreadyDone, ///< There was nothing to do.
-    Refused,     ///< Not carried out.
+    Conflict,    ///< Not carried out: another order is in progress or was accepted meanwhile.
+    OldFencing,  ///< Not carried out: the engine has seen a higher fencing number.
+    Refused,     ///< Not carried out for another reason.
     Unknown,     ///< No answer; the order may have been accepted.
 };
 
+std::string_view nameOf(OrderOutcome outcome);
+
+/// Whether the engine stated that it does not carry out the order.
+bool isRefusal(OrderOutcome outcome);
+
 struct OrderEnded
 {
     UpstreamId engine;
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -168,6 +168,8 @@
     std::uint64_t loadsOrdered = 0;
     std::uint64_t unloadsOrdered = 0;
     std::uint64_t baseLoadsOrdered = 0;
+    std::map<OrderingEnd, std::uint64_t> orderingEnds;
+    std::map<OrderOutcome, std::uint64_t> orderOutcomes;
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -86,6 +86,7 @@
     Instant lastUpdateAt;     ///< Time of the last updateMembers().
     Instant changedAt;        ///< When a host last became reachable or unreachable, or this process
                               ///< resumed after a pause.
+    std::vector<HostId> reachabilityChanges; ///< Hosts that were lost or came back; to be logged.
     /// Incremented when the set of live hosts, or the services they reach, may have changed.
     std::uint64_t generation = 1;
 };
@@ -113,6 +114,16 @@
 /// Updates which members are reachable and removes those past their retention. Call at each tick.
 void updateMembers(Members &members, Instant now);
 
+/// Hosts, including this one, that have not announced that they leave.
+struct ReachCounts
+{
+    std::size_t known = 0;
+    std::size_t reachable = 0;
+};
+
+ReachCounts countReach(const Members &members, Instant now);
+ReachCounts countReach(const Members &members, const ZoneId &zone, Instant now);
+
 /// Returns the number of other hosts that are reachable and not leaving.
 std::size_t countReachable(const Members &members, Instant now);
 
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -3,8 +3,22 @@
 #include "azurewell/gateway/members.h"
 #include "azurewell/gateway/upstreams.h"
 
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
 namespace azurewell::gateway {
 
+/// Why a host stopped ordering at an engine.
+enum class OrderingEnd : std::uint8_t {
+    OutOfRank,     ///< Another live host ranks first for the engine.
+    OrderSeen,     ///< The engine has accepted an order of another host.
+    PathChanged,   ///< This host lost its path to the engines, or it came back.
+    EngineRestart, ///< The engine restarted, which hides the last orders before.
+};
+
+std::string_view nameOf(OrderingEnd end);
+
 /// The right of this host to order loads and unloads at an engine.
 ///
 /// Engines here do not check fencing numbers. Two hosts that order at the same engine evict each
@@ -30,8 +44,12 @@
     Instant lastOrderAt;    ///< Last order of this host that the engine accepted.
     FencingNumber fencing;  ///< Fencing number of the current period of ordering.
     bool isCoordinating = false;
+    std::optional<OrderingEnd> end; ///< Why the last period of ordering ended, until it is logged.
 };
 
+/// Ends the period of ordering at an engine, if there is one.
+void endOrdering(OrderRights &rights, OrderingEnd end);
+
 /// How long the order count must be unchanged before another host starts to order. Orders of two
 /// hosts within 3 s of each other count as a conflict; a report is some 100 ms old.
 inline constexpr Span takeoverWait = std::chrono::milliseconds(3500);
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -159,7 +159,7 @@
 /// Logs an order that was refused or not answered.
 void logOrderNotTaken(const OrderEnded &event, Actions &actions)
 {
-    if (event.outcome != OrderOutcome::Refused && event.outcome != OrderOutcome::Unknown)
+    if (!isRefusal(event.outcome) && event.outcome != OrderOutcome::Unknown)
         return;
     actions.logEvents.push_back({ "engine_order_not_accepted",
                                   { { "engine", event.engine.value },
@@ -167,11 +167,36 @@
                                     { "load", event.isLoad ? "true" : "false" } } });
 }
 
+std::string millisecondsSince(Instant then, Instant now)
+{
+    return std::to_string(inMilliseconds(now - then));
+}
+
+/// Logs a period of ordering with everything that the right to it was taken from.
+void logOrderingStart(const GatewayState &state, const Upstream &upstream,
+                      const OrderRights &rights, Instant now, Actions &actions)
+{
+    const ReachCounts zone = countReach(state.members, upstream.listed.zone, now);
+    const ReachCounts all = countReach(state.members, now);
+    actions.logEvents.push_back(
+            { "engine_ordering_started",
+              { { "engine", upstream.listed.id.value },
+                { "fencing", std::to_string(rights.fencing.value) },
+                { "orders", std::to_string(rights.expectedOrders) },
+                { "report_age_ms", millisecondsSince(rights.confirmedAt, now) },
+                { "unchanged_ms", millisecondsSince(rights.unchangedSince, now) },
+                { "hosts_stable_ms", millisecondsSince(state.members.changedAt, now) },
+                { "zone_hosts", std::to_string(zone.known) },
+                { "zone_hosts_reached", std::to_string(zone.reachable) },
+                { "hosts", std::to_string(all.known) },
+                { "hosts_reached", std::to_string(all.reachable) } } });
+}
+
 void handleBaseLoadAnswer(OrderedEngine &engine, const OrderEnded &event, Instant now,
                           Actions &actions)
 {
     logOrderNotTaken(event, actions);
-    if (event.outcome == OrderOutcome::Refused)
+    if (isRefusal(event.outcome))
         engine.nextBaseOrderAt = now + refusedBaseLoadDelay;
     else if (event.outcome == OrderOutcome::Unknown)
         engine.nextBaseOrderAt = now + unansweredBaseLoadDelay;
@@ -179,6 +204,31 @@
 
 } // namespace
 
+std::string_view nameOf(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Taken:
+        return "taken";
+    case OrderOutcome::AlreadyDone:
+        return "held_already";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::OldFencing:
+        return "old_fencing";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+bool isRefusal(OrderOutcome outcome)
+{
+    return outcome == OrderOutcome::Conflict || outcome == OrderOutcome::OldFencing
+            || outcome == OrderOutcome::Refused;
+}
+
 void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
                 std::uint64_t wallMillis, Instant now, Actions &actions)
 {
@@ -191,12 +241,8 @@
     if (!mayOrder(engine.rights, upstream, state.members, start,
                   nextFencingNumber(state, wallMillis), now))
         return;
-    if (!wasCoordinating) {
-        actions.logEvents.push_back(
-                { "engine_ordering_started",
-                  { { "engine", upstream.listed.id.value },
-                    { "fencing", std::to_string(engine.rights.fencing.value) } } });
-    }
+    if (!wasCoordinating)
+        logOrderingStart(state, upstream, engine.rights, now, actions);
     if (isWanted && orderBase(state, upstream, engine, *limits, now, actions))
         return;
     if (unloadOutdated(state, upstream, engine, now, actions))
@@ -208,6 +254,7 @@
 {
     OrderedEngine &engine = state.engines[event.engine];
     engine.pendingOrder.reset();
+    ++state.counters.orderOutcomes[event.outcome];
     wakeEngine(state, event.engine);
     const auto upstream = state.upstreams.find(event.engine);
     if (event.outcome == OrderOutcome::Taken
@@ -222,14 +269,14 @@
     updateOrderTime(engine, ref, now);
     const bool isDone = event.outcome == OrderOutcome::AlreadyDone;
     if (event.isLoad) {
-        if (event.outcome == OrderOutcome::Refused && previousState == AdapterState::Loading) {
+        if (isRefusal(event.outcome) && previousState == AdapterState::Loading) {
             applyAdapterEvent(state, engine, ref, AdapterEvent::LoadFailed, now);
             backOff(engine.adapters, ref, draw(state), now);
         }
         engine.nextReportAt = std::min(engine.nextReportAt, now + firstReportDelay);
     } else if (isDone && previousState == AdapterState::Unloading) {
         applyAdapterEvent(state, engine, ref, AdapterEvent::UnloadDone, now);
-    } else if (event.outcome == OrderOutcome::Refused && previousState == AdapterState::Unloading) {
+    } else if (isRefusal(event.outcome) && previousState == AdapterState::Unloading) {
         applyAdapterEvent(state, engine, ref, AdapterEvent::UnloadFailed, now);
         engine.unloadedAt.erase(ref);
     }
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -61,6 +61,21 @@
     return std::max(next, now + tickInterval);
 }
 
+/// Logs and counts that this host has stopped ordering at an engine.
+void logOrderingEnd(GatewayState &state, const UpstreamId &id, OrderedEngine &engine,
+                    Actions &actions)
+{
+    const std::optional<OrderingEnd> end = std::exchange(engine.rights.end, std::nullopt);
+    if (!end)
+        return;
+    ++state.counters.orderingEnds[*end];
+    actions.logEvents.push_back({ "engine_ordering_ended",
+                                  { { "engine", id.value },
+                                    { "reason", std::string(nameOf(*end)) },
+                                    { "orders", std::to_string(engine.rights.expectedOrders) },
+                                    { "fencing", std::to_string(engine.rights.fencing.value) } } });
+}
+
 void pollEngine(GatewayState &state, Upstream &upstream, std::uint64_t wallMillis, Instant now,
                 Actions &actions)
 {
@@ -84,8 +99,9 @@
     } else {
         state.ownEngines.erase(id);
         clearQueue(engine.wanted);
-        engine.rights.isCoordinating = false;
+        endOrdering(engine.rights, OrderingEnd::OutOfRank);
     }
+    logOrderingEnd(state, id, engine, actions);
     state.enginePolls.bringForward(id, nextPollAt(state, upstream, engine, isOwn, now));
 }
 
--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -109,7 +109,7 @@
         const auto upstream = state.upstreams.find(id);
         if (upstream == state.upstreams.end() || upstream->second.listed.service != service)
             continue;
-        engine.rights.isCoordinating = false;
+        endOrdering(engine.rights, OrderingEnd::PathChanged);
         engine.rights.unchangedSince = now;
     }
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -99,6 +100,23 @@
     return static_cast<std::size_t>(readers);
 }
 
+void logReachability(Members &members, Instant now, Actions &actions)
+{
+    for (const HostId &id : std::exchange(members.reachabilityChanges, {})) {
+        const auto found = members.others.find(id);
+        if (found == members.others.end())
+            continue;
+        const Member &member = found->second;
+        const Span silence = now - member.lastMessageAt;
+        actions.logEvents.push_back(
+                { member.wasReachable ? "peer_reachable_again" : "peer_unreachable",
+                  { { "peer", id.value },
+                    { "zone", member.zone.value },
+                    { "silent_ms", std::to_string(inMilliseconds(silence)) },
+                    { "leaving", member.isLeaving ? "true" : "false" } } });
+    }
+}
+
 } // namespace
 
 double draw(GatewayState &state)
@@ -230,6 +248,7 @@
     removeExpiredUpstreams(state, now);
     removeExpiredSuspicions(state.quarantine, now);
     updateMembers(state.members, now);
+    logReachability(state.members, now, actions);
     resolveEarlyAttempts(state, now);
     checkPaths(state, now, actions);
     placeWaiting(state, now, actions);
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -96,8 +96,11 @@
 void updateReachability(Members &members, Member &member, Instant now)
 {
     const bool isReachableNow = !member.isLeaving && isMemberReachable(members, member, now);
-    if (isReachableNow != member.wasReachable)
+    if (isReachableNow != member.wasReachable) {
         members.changedAt = now;
+        if (!isReachableNow || member.returnedAt.micros != 0)
+            members.reachabilityChanges.push_back(member.id);
+    }
     member.wasReachable = isReachableNow;
     const bool isAliveNow = isAlive(members, member, now);
     if (isAliveNow != member.wasAlive)
@@ -235,6 +238,23 @@
     checkDue(members, now);
 }
 
+ReachCounts countReach(const Members &members, const ZoneId &zone, Instant now)
+{
+    const std::size_t own = members.zone == zone ? 1 : 0;
+    ReachCounts counts{ own, own };
+    for (const auto &[id, member] : members.others) {
+        const bool isInside = !member.isLeaving && member.zone == zone;
+        counts.known += isInside ? 1 : 0;
+        counts.reachable += isInside && isMemberReachable(members, member, now) ? 1 : 0;
+    }
+    return counts;
+}
+
+ReachCounts countReach(const Members &members, Instant now)
+{
+    return { countKnown(members) + 1, countReachable(members, now) + 1 };
+}
+
 std::size_t countReachable(const Members &members, Instant now)
 {
     return static_cast<std::size_t>(
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -13,18 +13,12 @@
 /// zone reach each other and keep ordering, and the engine may be reachable from both sides.
 bool hasQuorum(const Upstream &engine, const Members &members, Instant now)
 {
-    const ZoneId &zone = engine.listed.zone;
-    std::size_t zoneReachable = members.zone == zone ? 1 : 0;
-    std::size_t zoneKnown = zoneReachable;
-    for (const auto &[id, member] : members.others) {
-        const bool isInside = !member.isLeaving && member.zone == zone;
-        zoneKnown += isInside ? 1 : 0;
-        zoneReachable += isInside && isMemberReachable(members, member, now) ? 1 : 0;
-    }
-    const bool isMajority = 2 * (countReachable(members, now) + 1) > countKnown(members) + 1;
-    if (members.zone != zone)
-        return zoneKnown == 0 && isMajority;
-    return 2 * zoneReachable > zoneKnown || (2 * zoneReachable == zoneKnown && isMajority);
+    const ReachCounts zone = countReach(members, engine.listed.zone, now);
+    const ReachCounts all = countReach(members, now);
+    const bool isMajority = 2 * all.reachable > all.known;
+    if (members.zone != engine.listed.zone)
+        return zone.known == 0 && isMajority;
+    return 2 * zone.reachable > zone.known || (2 * zone.reachable == zone.known && isMajority);
 }
 
 /// Time after a change of the reachable hosts by which the other hosts have noticed it and reports
@@ -39,6 +33,28 @@
 
 } // namespace
 
+std::string_view nameOf(OrderingEnd end)
+{
+    switch (end) {
+    case OrderingEnd::OutOfRank:
+        return "out_of_rank";
+    case OrderingEnd::OrderSeen:
+        return "order_seen";
+    case OrderingEnd::PathChanged:
+        return "path_changed";
+    case OrderingEnd::EngineRestart:
+        break;
+    }
+    return "engine_restart";
+}
+
+void endOrdering(OrderRights &rights, OrderingEnd end)
+{
+    if (rights.isCoordinating)
+        rights.end = end;
+    rights.isCoordinating = false;
+}
+
 void recordReport(OrderRights &rights, const EngineState &engine, Instant requestedAt, Instant now)
 {
     const bool isRestarted = engine.start != rights.start;
@@ -50,7 +66,7 @@
     const bool mayHideOrders = isRestarted && (!rights.isCoordinating || engine.ordersTaken != 0);
     if (isFirstReport || hasMoved || mayHideOrders) {
         rights.unchangedSince = now;
-        rights.isCoordinating = false;
+        endOrdering(rights, hasMoved ? OrderingEnd::OrderSeen : OrderingEnd::EngineRestart);
         rights.expectedOrders = engine.ordersTaken;
     } else if (isRestarted || requestedAt > rights.lastOrderAt + reportValidity) {
         // An order that was answered as done may have had no effect and not been counted.
@@ -67,7 +83,7 @@
         && rights.unchangedSince.micros != 0)
         return;
     rights.unchangedSince = now;
-    rights.isCoordinating = false;
+    endOrdering(rights, isRestarted ? OrderingEnd::EngineRestart : OrderingEnd::OrderSeen);
     rights.expectedOrders = engine.ordersTaken;
     rights.start = engine.start;
 }
@@ -90,7 +106,7 @@
     if (now - members.lastUpdateAt > pauseThreshold)
         return false;
     if (presumedCoordinator(engine, members, now) != members.self) {
-        rights.isCoordinating = false;
+        endOrdering(rights, OrderingEnd::OutOfRank);
         return false;
     }
     if (rights.unchangedSince.micros == 0 || now - rights.confirmedAt > reportValidity)
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -19,21 +19,6 @@
 /// after it has noticed that this one is unreachable.
 constexpr Span orderConnectTimeout = std::chrono::milliseconds(200);
 
-std::string_view nameOf(OrderOutcome outcome)
-{
-    switch (outcome) {
-    case OrderOutcome::Taken:
-        return "taken";
-    case OrderOutcome::AlreadyDone:
-        return "held_already";
-    case OrderOutcome::Refused:
-        return "refused";
-    case OrderOutcome::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 } // namespace
 
 void Proxy::order(const OrderEngine &toGive)
@@ -52,7 +37,8 @@
                    { "model", toGive.model.model + "/" + toGive.model.adapter },
                    { "load", toGive.isLoad ? "true" : "false" },
                    { "fencing", std::to_string(toGive.fencing.value) },
-                   { "outcome", std::string(nameOf(ended.outcome)) },
+                   { "outcome", std::string(gateway::nameOf(ended.outcome)) },
+                   { "status", std::to_string(answer ? answer->head.status : 0) },
                    { "after_ms", inMillis(monotonicNow() - now) } });
         Actions actions;
         handle(this->core, ended, monotonicNow(), actions);
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -36,6 +36,16 @@
                        count);
 }
 
+template <typename Reason>
+void addByReason(std::string &out, std::string_view name,
+                 const std::map<Reason, std::uint64_t> &counts)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {} counter\n", name);
+    for (const auto &[reason, count] : counts)
+        fmt::format_to(std::back_inserter(out), "{}{{reason=\"{}\"}} {}\n", name,
+                       gateway::nameOf(reason), count);
+}
+
 void addByFraming(std::string &out, const std::map<BodyFraming, std::uint64_t> &counts)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE azurewell_answer_heads_total counter\n");
@@ -48,11 +58,7 @@
 void addPlatformReads(std::string &out, const gateway::PlatformReader &reader, Instant now)
 {
     addCounter(out, "azurewell_store_calls_total", reader.calls);
-    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_store_call_failures_total counter\n");
-    for (const auto &[failure, count] : reader.failures)
-        fmt::format_to(std::back_inserter(out),
-                       "azurewell_store_call_failures_total{{reason=\"{}\"}} {}\n",
-                       gateway::nameOf(failure), count);
+    addByReason(out, "azurewell_store_call_failures_total", reader.failures);
     if (reader.answeredAt.micros != 0)
         addGauge(out, "azurewell_store_answer_age_seconds", toSeconds(now - reader.answeredAt));
 }
@@ -160,6 +166,8 @@
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
     addCounter(out, "azurewell_adapter_unloads_total", counters.unloadsOrdered);
     addCounter(out, "azurewell_base_loads_total", counters.baseLoadsOrdered);
+    addByReason(out, "azurewell_engine_orders_total", counters.orderOutcomes);
+    addByReason(out, "azurewell_engine_ordering_ends_total", counters.orderingEnds);
     addSentTo(out, counters.sent, "azurewell_host_messages_total", &gateway::SentCount::messages);
     addSentTo(out, counters.sent, "azurewell_host_message_bytes_total", &gateway::SentCount::bytes);
     addCounter(out, "azurewell_host_messages_received_total", counters.gossipReceived);
--- a/packages/units/include/azurewell/units/time.h
+++ b/packages/units/include/azurewell/units/time.h
@@ -39,6 +39,12 @@
     return static_cast<double>(span.count()) / 1e6;
 }
 
+/// \a span in whole milliseconds.
+constexpr std::int64_t inMilliseconds(Span span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 /// \a seconds as a span, truncated to microseconds.
 constexpr Span fromSeconds(double seconds)
 {
