Known red: two hosts order at one engine after a loss in one direction; reports that step back overfill engines

The simulated fleet gets hosts whose messages no other host receives, hosts that get the processor late, orders that are late, a first start over seconds, wall clocks that differ, and reports whose age jitters. Six tests of who orders, at 6, 69 and 195 hosts.

--- /dev/null
+++ b/tests/gateway_world/one_orderer_test.cpp
@@ -0,0 +1,179 @@
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace azurewell::gateway {
+namespace {
+
+constexpr Span settling = std::chrono::seconds(10);
+
+struct FleetSize
+{
+    std::size_t zones;
+    std::size_t hostsPerZone;
+    std::size_t enginesPerZone;
+    double requestsPerSecond;
+    std::uint64_t seeds;
+};
+
+std::ostream &operator<<(std::ostream &out, const FleetSize &fleet)
+{
+    return out << fleet.zones * fleet.hostsPerZone << "_hosts";
+}
+
+/// Fleets in which two hosts could order at one engine at a time. Each adapter is requested by all
+/// hosts, so that whoever may order does.
+class OneOrderer : public testing::TestWithParam<FleetSize>
+{
+protected:
+    static WorldSettings settingsOf(const FleetSize &fleet, std::uint64_t seed)
+    {
+        WorldSettings settings;
+        settings.seed = seed;
+        settings.zones = fleet.zones;
+        settings.hostsPerZone = fleet.hostsPerZone;
+        settings.enginesPerZone = fleet.enginesPerZone;
+        settings.requestsPerSecond = fleet.requestsPerSecond;
+        settings.adapters = 40 * fleet.enginesPerZone;
+        settings.fullSpeedLoads = fleet.enginesPerZone * 2;
+        return settings;
+    }
+
+    /// Runs \a play for each seed and reports the first violation of each.
+    template <typename Play>
+    void playSeeds(Play play)
+    {
+        for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
+            WorldSettings settings = settingsOf(GetParam(), seed);
+            const World world = play(settings);
+            if (!world.violations.empty()) {
+                ADD_FAILURE() << "seed " << seed << ": " << world.violations.size()
+                              << " violations, the first at "
+                              << toSeconds(world.violations.front().at - Instant{})
+                              << " s: " << world.violations.front().what;
+            }
+            EXPECT_GT(world.answered, 0U);
+        }
+    }
+};
+
+/// Whether \a host is among the third of the hosts that is disturbed in \a round.
+bool isDisturbed(std::size_t host, std::size_t round)
+{
+    return (host * 7 + round) % 3 == 0;
+}
+
+// Guards against a host that goes on to order when all its messages to others are lost and another
+// host has taken over.
+TEST_P(OneOrderer, StopsWhenOthersNoLongerHearIt)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 3; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.muteHost(host, isDisturbed(host, round));
+            world.runFor(std::chrono::milliseconds(6000 + 37 * settings.seed));
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.muteHost(host, false);
+            world.runFor(std::chrono::milliseconds(3000));
+        }
+        return world;
+    });
+}
+
+// Guards against hosts that get the processor late, again and again, and order by what was true
+// before.
+TEST_P(OneOrderer, IsAloneWhileHostsAreStarved)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 4; ++round) {
+            const Span maxLag = std::chrono::milliseconds(round % 2 == 0 ? 3000 : 700);
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.starveHost(host, isDisturbed(host, round) ? maxLag : Span{});
+            world.runFor(std::chrono::milliseconds(6000 + 37 * settings.seed));
+        }
+        return world;
+    });
+}
+
+// Guards against orders that reach their engine after another host has taken over.
+TEST_P(OneOrderer, IsAloneWhenOrdersAreLate)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.maxOrderDelay = std::chrono::milliseconds(1200);
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 3; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.partitionHost(host, isDisturbed(host, round));
+            world.runFor(std::chrono::milliseconds(5000 + 37 * settings.seed));
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.partitionHost(host, false);
+            world.runFor(std::chrono::milliseconds(2500));
+        }
+        return world;
+    });
+}
+
+// Guards against a host that starts late in the first start of the system and orders at once at an
+// engine where another one does.
+TEST_P(OneOrderer, IsAloneWhenHostsStartOverManySeconds)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.firstStartSpread = std::chrono::seconds(9);
+        World world{ settings };
+        world.runFor(std::chrono::seconds(25));
+        return world;
+    });
+}
+
+// Guards against a fencing number that is lower than that of a host whose clock was ahead and that
+// was killed before the others heard of its number.
+TEST_P(OneOrderer, UsesHigherFencingNumbersThanAHostWhoseClockIsAhead)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        constexpr Span skew = std::chrono::seconds(6);
+        World world{ settings };
+        for (std::size_t host = 0; host < world.hostCount(); ++host)
+            world.setClock(host, skew * (static_cast<int>(host % 3) - 1));
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 3; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                if (isDisturbed(host, round))
+                    world.killHost(host);
+            }
+            world.runFor(std::chrono::milliseconds(5000 + 37 * settings.seed));
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                if (isDisturbed(host, round))
+                    world.startHost(host, false);
+            }
+            world.runFor(std::chrono::milliseconds(4500 + 137 * settings.seed));
+        }
+        return world;
+    });
+}
+
+// Guards against reports of which a newer one shows an older state of its engine.
+TEST_P(OneOrderer, DoesNotBelieveReportsThatStepBack)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.reportLagJitter = std::chrono::milliseconds(300);
+        World world{ settings };
+        world.runFor(std::chrono::seconds(40));
+        return world;
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, OneOrderer,
+                         testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
+                                         FleetSize{ 3, 23, 24, 300, 2 },
+                                         FleetSize{ 5, 39, 24, 400, 1 }));
+
+} // namespace
+} // namespace azurewell::gateway
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -84,7 +84,7 @@
     for (FakeEngine &engine : this->engines)
         this->recordState(engine);
     for (std::size_t index = 0; index < this->hosts.size(); ++index)
-        this->startHost(index, true);
+        this->startFirst(index);
     this->schedule(this->now + callersStartDelay, [this] { this->sendRandomRequest(); });
     for (std::size_t index = 0; index < this->settings.crashingRequestCount; ++index) {
         const ContentDigest content{ firstCrashingContent + index };
@@ -171,6 +171,17 @@
     this->tickHost(index);
 }
 
+void World::startFirst(std::size_t index)
+{
+    if (this->settings.firstStartSpread == Span{}) {
+        this->startHost(index, true);
+        return;
+    }
+    this->hosts[index].isUp = false;
+    this->schedule(this->now + this->randomDelay(this->settings.firstStartSpread),
+                   [this, index] { this->startHost(index, true); });
+}
+
 std::size_t World::countNeverStarted(Span span) const
 {
     const auto isNeverStarted = [span](const auto &entry) {
@@ -227,15 +238,18 @@
     const std::uint64_t incarnation = this->hosts[index].incarnation;
     const Instant wake = std::max(this->now, this->hosts[index].pausedUntil);
     this->schedule(wake + tickInterval, [this, index, incarnation] {
-        if (!this->isIncarnationRunning(index, incarnation))
-            return;
-        if (this->now >= this->hosts[index].pausedUntil) {
-            Actions actions;
-            tick(this->hosts[index].state, static_cast<std::uint64_t>(this->now.micros / 1000),
-                 this->now, actions);
-            this->applyActions(index, actions);
-        }
-        this->tickHost(index);
+        this->whenScheduled(index, incarnation, [this, index] {
+            FakeHost &host = this->hosts[index];
+            if (this->now >= host.pausedUntil) {
+                Actions actions;
+                const Instant wall = this->now + host.clockOffset;
+                tick(host.state, static_cast<std::uint64_t>(wall.micros / 1000), this->now,
+                     actions);
+                this->applyActions(index, actions);
+                this->drawLag(index);
+            }
+            this->tickHost(index);
+        });
     });
 }
 
@@ -325,15 +339,17 @@
     if (found == this->hostAt.end() || isLost)
         return;
     const std::size_t to = found->second;
-    if (this->partitionedHosts[from] || this->partitionedHosts[to])
+    if (this->partitionedHosts[from] || this->partitionedHosts[to] || this->hosts[from].isUnheard)
         return;
-    this->schedule(this->now + networkLatency, [this, to, message = gossip.message] {
-        FakeHost &host = this->hosts[to];
-        if (!host.isUp || this->now < host.pausedUntil)
+    const std::uint64_t incarnation = this->hosts[to].incarnation;
+    this->schedule(this->now + networkLatency, [this, to, incarnation, message = gossip.message] {
+        if (this->now < this->hosts[to].pausedUntil)
             return;
-        Actions actions;
-        handle(host.state, *message, this->now, actions);
-        this->applyActions(to, actions);
+        this->whenScheduled(to, incarnation, [this, to, message] {
+            Actions actions;
+            handle(this->hosts[to].state, *message, this->now, actions);
+            this->applyActions(to, actions);
+        });
     });
 }
 
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -156,6 +156,10 @@
     Instant pausedUntil;
     Instant stableSince;
     std::uint64_t incarnation = 1;
+    Span clockOffset{};     ///< Of its wall clock.
+    bool isUnheard = false; ///< Its messages reach no other host, though it receives theirs.
+    Span maxLag{};          ///< Longest time for which it gets no processor; 0: it always does.
+    Instant busyUntil;      ///< Events that arrive until then are handled then.
 };
 
 struct WorldSettings
@@ -179,6 +183,9 @@
     std::size_t lostBaseOrders = 0; ///< The first orders to load a base model that never arrive
                                     ///< and are not answered.
     double slowOrderFraction = 0;   ///< Of orders; these reach their engine after 200 to 500 ms.
+    Span maxOrderDelay{};           ///< Of any order, in addition.
+    Span reportLagJitter{};         ///< The age of each report is up to this longer than reportLag.
+    Span firstStartSpread{};        ///< Hosts start for the first time within this time.
     double faultFraction = 0; ///< Fraction of requests that engines fail at once with an internal
                               ///< error, whether or not the adapter is loaded.
     std::size_t crashingRequestCount = 0; ///< Each is sent repeatedly, to random hosts.
@@ -212,6 +219,14 @@
     void partitionHost(std::size_t index, bool isPartitioned);
     /// The host keeps its path to callers and other hosts.
     void cutFromEngines(std::size_t host, EngineCut cut);
+    /// The host's messages reach no other host; it still receives theirs and reaches all engines.
+    void muteHost(std::size_t index, bool isMuted);
+    /// From now on the host often gets no processor for up to \a maxLag; 0: it always does.
+    void starveHost(std::size_t index, Span maxLag);
+    void setClock(std::size_t index, Span offset)
+    {
+        this->hosts[index].clockOffset = offset;
+    }
     void restartEngine(std::size_t index);
     /// The engine states \a perSecond in its answers from now on; 0: no limit.
     void limitEngine(std::size_t index, double perSecond);
@@ -314,6 +329,11 @@
     };
 
     void schedule(Instant when, std::function<void()> callback);
+    /// Calls \a callback once the host gets the processor, if its process still runs then.
+    void whenScheduled(std::size_t index, std::uint64_t incarnation,
+                       std::function<void()> callback);
+    void drawLag(std::size_t index);
+    void startFirst(std::size_t index);
     void tickHost(std::size_t index);
     void sendRandomRequest();
     void sendCrashingRequest(const ContentDigest &content);
@@ -346,6 +366,11 @@
     bool rejectWithoutRoom(const FakeRun &run, FakeEngine &engine);
     bool rejectInPause(const FakeRun &run, const FakeEngine &engine);
     Span randomDelay(Span max);
+    /// As randomDelay(), but takes no random number if there is no delay.
+    Span delayUpTo(Span max)
+    {
+        return max > Span{} ? this->randomDelay(max) : Span{};
+    }
     void notifyHost(std::size_t index, Span delay,
                     const std::function<void(GatewayState &, Actions &)> &notify);
     ListedUpstream listedOf(const FakeEngine &engine) const;
@@ -366,6 +391,8 @@
     void executeOrder(std::size_t index, const OrderEngine &engineOrder, FakeEngine &engine,
                       OrderEnded &ended);
     void answerReport(std::size_t index, const QueryReport &query);
+    void endReport(std::size_t index, std::uint64_t incarnation, const ReportRead &read);
+    EngineState reportedState(FakeEngine &engine);
     void answerProbe(std::size_t index, const ProbeUpstream &probe);
     void checkCoordinator(std::size_t index, FakeEngine &engine, const OrderEngine &engineOrder);
     Span loadDuration(FakeEngine &engine, const ModelName &adapter);
--- a/tests/gateway_world/world_orders.cpp
+++ b/tests/gateway_world/world_orders.cpp
@@ -112,11 +112,11 @@
 
 void World::endOrder(std::size_t index, std::uint64_t incarnation, const OrderEnded &ended)
 {
-    if (!this->isIncarnationRunning(index, incarnation))
-        return;
-    Actions actions;
-    handle(this->hosts[index].state, ended, this->now, actions);
-    this->applyActions(index, actions);
+    this->whenScheduled(index, incarnation, [this, index, ended] {
+        Actions actions;
+        handle(this->hosts[index].state, ended, this->now, actions);
+        this->applyActions(index, actions);
+    });
 }
 
 void World::sendOrder(std::size_t index, const OrderEngine &engineOrder)
@@ -128,8 +128,8 @@
     std::uniform_real_distribution<double> part(0, 1);
     const bool isSlow = this->settings.slowOrderFraction > 0
             && part(this->random) < this->settings.slowOrderFraction;
-    const Span latency = isSlow ? slowOrderLatency + fromSeconds(part(this->random) * 0.3)
-                                : networkLatency;
+    const Span latency = this->delayUpTo(this->settings.maxOrderDelay)
+            + (isSlow ? slowOrderLatency + fromSeconds(part(this->random) * 0.3) : networkLatency);
     this->schedule(this->now + latency, [this, index, incarnation, engineOrder, sentAt] {
         FakeEngine &engine = *this->findEngine(engineOrder.engine);
         if (!engine.isUp)
@@ -168,6 +168,21 @@
     engine.stateHistory.emplace_back(this->now, this->stateOf(engine));
 }
 
+/// The state of \a engine that it reports now, some time ago.
+EngineState World::reportedState(FakeEngine &engine)
+{
+    const Instant oldest = this->now - this->settings.reportLag - this->settings.reportLagJitter;
+    while (engine.stateHistory.size() > 1 && engine.stateHistory[1].first <= oldest)
+        engine.stateHistory.erase(engine.stateHistory.begin());
+    const Instant at = oldest + this->delayUpTo(this->settings.reportLagJitter);
+    const auto isLater = [at](const auto &entry) {
+        return entry.first > at;
+    };
+    const auto next = std::find_if(engine.stateHistory.begin() + 1, engine.stateHistory.end(),
+                                   isLater);
+    return std::prev(next)->second;
+}
+
 void World::answerReport(std::size_t index, const QueryReport &query)
 {
     const std::uint64_t incarnation = this->hosts[index].incarnation;
@@ -178,20 +193,21 @@
             return;
         this->sendLeaving(index, engine);
         this->recordState(engine);
-        while (engine.stateHistory.size() > 1
-               && engine.stateHistory[1].first <= this->now - this->settings.reportLag)
-            engine.stateHistory.erase(engine.stateHistory.begin());
-        const EngineState delayed = engine.stateHistory.front().second;
-        this->schedule(this->now + networkLatency,
-                       [this, index, incarnation, query, askedAt, delayed] {
-                           if (!this->isIncarnationRunning(index, incarnation)
-                               || this->now < this->hosts[index].pausedUntil)
-                               return;
-                           Actions actions;
-                           handle(this->hosts[index].state,
-                                  ReportRead{ query.engine, askedAt, delayed }, this->now, actions);
-                           this->applyActions(index, actions);
-                       });
+        const EngineState delayed = this->reportedState(engine);
+        this->schedule(
+                this->now + networkLatency, [this, index, incarnation, query, askedAt, delayed] {
+                    if (this->now >= this->hosts[index].pausedUntil)
+                        this->endReport(index, incarnation, { query.engine, askedAt, delayed });
+                });
+    });
+}
+
+void World::endReport(std::size_t index, std::uint64_t incarnation, const ReportRead &read)
+{
+    this->whenScheduled(index, incarnation, [this, index, read] {
+        Actions actions;
+        handle(this->hosts[index].state, read, this->now, actions);
+        this->applyActions(index, actions);
     });
 }
 
