Let the engine refuse orders that were made from an outdated order count

What operators saw: an engine got an order with a lower fencing number after one with a higher number of another host; two hosts load and evict against each other, and overfill it.

Cause: the right to order was judged by the views of the two hosts alone. A host that no other host hears, but that hears all, counts as first in rank for itself, has all others in reach, and goes on with the number of its old period; it learns of the takeover from a report, up to 0.9 s and a report's age after its own next order. The engine, the one place where both orders meet, was asked nothing.

Now each order states the count of accepted orders that its right was confirmed for, and the engine refuses it if there is another one. A refused or unanswered order leaves the count unknown until a report that was requested later. The fencing number follows from the engine's start and that count instead of the wall clock of the host and what it has heard: no clock, and no message that may be lost, is needed for it to rise. An engine that checks numbers and has recorded a higher one of an order that it refused gets rising ones until it accepts.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -153,7 +153,7 @@
   5: i64 incarnation
   6: bool leaving
   7: i64 revision
-  8: i64 highestFencing
+  // 8 was the highest fencing number known to the sender.
   9: list<Member> members
   10: list<CustomerUse> uses
   11: list<EngineNews> engines
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -219,6 +219,9 @@
     bool isLoad = true;
     ModelName model;
     std::uint64_t version = 0; ///< 0: the newest.
+    /// The engine refuses the order if it has accepted another number of orders; 0 may not be
+    /// checked.
+    std::uint64_t expectedOrders = 0;
     FencingNumber fencing;
 };
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -244,14 +244,12 @@
     Instant nextFullUpdateAt;              ///< When the full state is next sent to the other zones.
     std::map<CustomerId, double> sentUses; ///< Admitted tokens as last sent to a relay.
     Instant nextSeedsAt;
-    FencingNumber highestFencing;
     Counters counters;
 };
 
 void start(GatewayState &state, const Identity &self, KnownCharts charts, Instant now);
 
-/// Handle one event of the shell. \a wallMillis is the wall clock in ms since 1970. It is used for
-/// fencing numbers only, which tolerate clock steps.
+/// Handle one event of the shell.
 void handle(GatewayState &state, const RequestArrived &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const CallerDisconnected &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &actions);
@@ -265,7 +263,7 @@
 void handle(GatewayState &state, const ProbeEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const OrderEnded &event, Instant now, Actions &actions);
 void handle(GatewayState &state, const Gossip &message, Instant now, Actions &actions);
-void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
+void tick(GatewayState &state, Instant now, Actions &actions);
 
 /// Apply decoded state that the platform publishes.
 void setConfiguration(GatewayState &state, Configuration configuration);
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -157,8 +157,7 @@
     std::uint64_t revision = 0;     ///< The sender knows all published changes up to this revision.
     std::uint64_t newestChange = 0; ///< Revision of the newest item known to the sender.
     bool wantsChanges = false;      ///< Requests the changes after `revision` from the receiver.
-    FencingNumber highestFencing;
-    std::uint32_t linkMbps = 0; ///< Link speed of the sender in Mbit/s; 0: unknown.
+    std::uint32_t linkMbps = 0;     ///< Link speed of the sender in Mbit/s; 0: unknown.
     RelayScope relayTo = RelayScope::None;
     std::vector<RelayedUpdate> relayed;
     std::vector<MemberUpdate> members;
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/gateway/events.h"
 #include "azurewell/gateway/members.h"
 #include "azurewell/gateway/upstreams.h"
 
@@ -21,17 +22,22 @@
 
 /// The right of this host to order loads and unloads at an engine.
 ///
-/// Engines here do not check fencing numbers. Two hosts that order at the same engine evict each
-/// other's adapters, including adapters that are about to be used. There is no store for a lease.
-/// The only thing that both hosts can reach is the engine itself, which counts the orders that it
-/// accepted.
+/// Two hosts that order at the same engine evict each other's adapters, including adapters that are
+/// about to be used. There is no store for a lease, and hosts can disagree about who is alive for
+/// as long as messages are lost or processes wait for a processor. So the engine decides: it counts
+/// the orders that it accepts, each order states the count that its right was confirmed for, and
+/// the engine refuses an order that states another one. An order is accepted only if no host had
+/// one accepted since, however late it arrives.
 ///
-/// The coordinator of an engine is the reachable host that ranks first for it. It starts to order
-/// only after the engine's order count has been unchanged for `takeoverWait`. While it keeps
-/// ordering, the changing count prevents other hosts from starting. A host that was paused sees in
-/// its next report that the count has changed, and waits like any other host.
+/// The engine cannot tell how long ago the last order was. The coordinator of an engine is the
+/// reachable host that ranks first for it, and it starts to order only after the engine's order
+/// count has been unchanged for `takeoverWait`. While it keeps ordering, the changing count
+/// prevents other hosts from starting. An order that was refused, or that was not answered, leaves
+/// the count unknown until a report that was requested later.
 ///
-/// An unreachable host may be alive on the other side of a network partition, where it also ranks
+/// An engine that has accepted no order yet does not check the count, and an order to load what is
+/// loaded already neither changes nor needs it. There the views of the hosts protect alone: an
+/// unreachable host may be alive on the other side of a network partition, where it also ranks
 /// first. Then only a host that reaches most of the engine's zone starts to order. A coordinator in
 /// the minority continues only while its orders follow each other closely enough for the other side
 /// to see them.
@@ -42,7 +48,9 @@
     Instant unchangedSince; ///< Since when no other host's order was seen; zero: no report yet.
     Instant confirmedAt;    ///< The newest report that showed no order of another host.
     Instant lastOrderAt;    ///< Last order of this host that the engine accepted.
-    FencingNumber fencing;  ///< Fencing number of the current period of ordering.
+    Instant doubtedAt;      ///< Reports requested before do not confirm the count.
+    FencingNumber fencing;  ///< Highest fencing number of this host's orders.
+    std::uint64_t fencingSurplus = 0; ///< Added to the count after refusals for a fencing number.
     bool isCoordinating = false;
     std::optional<OrderingEnd> end; ///< Why the last period of ordering ended, until it is logged.
 };
@@ -72,6 +80,14 @@
 /// Records that the engine accepted an order of this host that was sent at \a sentAt.
 void recordOrderAccepted(OrderRights &rights, Instant sentAt);
 
+/// Records that the engine refused an order of this host, or did not answer it.
+void recordOrderFailed(OrderRights &rights, OrderOutcome outcome, Instant now);
+
+/// Returns the fencing number of the next order of \a host. It follows from the start of the engine
+/// and its order count, so that it is higher than that of any accepted order before without the
+/// host knowing of that order; clocks of hosts play no part.
+FencingNumber nextFencing(const OrderRights &rights, const HostId &host);
+
 /// How this host was started.
 struct OrderStart
 {
@@ -89,11 +105,10 @@
 /// may be ordering there.
 inline constexpr Span firstStartWindow = std::chrono::milliseconds(6000);
 
-/// Whether this host may order at \a engine now. Sets `isHolding`, and sets the fencing number to
-/// \a newFencing when a period of ordering starts. A process that was paused and has not updated
-/// the members since may not order, as its view of the other hosts is outdated.
+/// Whether this host may order at \a engine now. Sets `isCoordinating`. A process that was paused
+/// and has not updated the members since may not order, as its view of the other hosts is outdated.
 bool mayOrder(OrderRights &rights, const Upstream &engine, const Members &members,
-              const OrderStart &start, FencingNumber newFencing, Instant now);
+              const OrderStart &start, Instant now);
 
 /// The coordinator of \a engine as seen by this host: the reachable host that ranks first.
 HostId presumedCoordinator(const Upstream &engine, const Members &members, Instant now);
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -33,23 +33,14 @@
         engine.adaptersInHostMemory.pop_back();
 }
 
-FencingNumber nextFencingNumber(const GatewayState &state, std::uint64_t wallMillis)
-{
-    // The low part distinguishes hosts that start to order in the same millisecond.
-    constexpr std::uint64_t hostSuffixes = 1024;
-    const std::uint64_t highest = state.highestFencing.value / hostSuffixes + 1;
-    const std::uint64_t host = std::hash<std::string>{}(state.self.id.value) % hostSuffixes;
-    return FencingNumber{ std::max(wallMillis, highest) * hostSuffixes + host };
-}
-
 void issueOrder(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
                 const ModelName &model, bool isLoad, Actions &actions)
 {
     engine.pendingOrder = model;
-    state.highestFencing = std::max(state.highestFencing, engine.rights.fencing);
+    engine.rights.fencing = nextFencing(engine.rights, state.self.id);
     const std::uint64_t version = isLoad ? declaredVersion(state.versions, model) : 0;
     actions.orders.push_back({ upstream.listed.id, upstream.listed.address, isLoad, model, version,
-                               engine.rights.fencing });
+                               engine.rights.expectedOrders, engine.rights.fencing });
 }
 
 /// Orders the base model load of an engine that started empty. Returns whether an order was given.
@@ -181,7 +172,6 @@
     actions.logEvents.push_back(
             { "engine_ordering_started",
               { { "engine", upstream.listed.id.value },
-                { "fencing", std::to_string(rights.fencing.value) },
                 { "orders", std::to_string(rights.expectedOrders) },
                 { "report_age_ms", millisecondsSince(rights.confirmedAt, now) },
                 { "unchanged_ms", millisecondsSince(rights.unchangedSince, now) },
@@ -229,8 +219,8 @@
             || outcome == OrderOutcome::Refused;
 }
 
-void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
-                std::uint64_t wallMillis, Instant now, Actions &actions)
+void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
+                Actions &actions)
 {
     const EngineLimits *limits = limitsOf(state, upstream);
     if (!limits || isStopping(state) || engine.pendingOrder)
@@ -238,8 +228,7 @@
     const OrderStart start{ state.self.isFirstStart, state.startedAt };
     const bool isWanted = countQueued(engine.wanted) > 0 || upstream.engine.models.empty();
     const bool wasCoordinating = engine.rights.isCoordinating;
-    if (!mayOrder(engine.rights, upstream, state.members, start,
-                  nextFencingNumber(state, wallMillis), now))
+    if (!mayOrder(engine.rights, upstream, state.members, start, now))
         return;
     if (!wasCoordinating)
         logOrderingStart(state, upstream, engine.rights, now, actions);
@@ -260,6 +249,8 @@
     if (event.outcome == OrderOutcome::Taken
         || (event.outcome == OrderOutcome::AlreadyDone && !event.isLoad))
         recordOrderAccepted(engine.rights, event.sentAt);
+    if (isRefusal(event.outcome) || event.outcome == OrderOutcome::Unknown)
+        recordOrderFailed(engine.rights, event.outcome, now);
     if (event.model.isBase()) {
         handleBaseLoadAnswer(engine, event, now, actions);
         return;
@@ -282,7 +273,7 @@
     }
     logOrderNotTaken(event, actions);
     if (upstream != state.upstreams.end() && engine.rights.isCoordinating && isDone)
-        giveOrders(state, upstream->second, engine, 0, now, actions);
+        giveOrders(state, upstream->second, engine, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/engine_slots.h
+++ b/packages/gateway/src/engine_slots.h
@@ -31,8 +31,8 @@
             const AdapterRef &ref, Instant now);
 
 /// Gives the orders that are due at an engine, if this host may order there.
-void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine,
-                std::uint64_t wallMillis, Instant now, Actions &actions);
+void giveOrders(GatewayState &state, Upstream &upstream, OrderedEngine &engine, Instant now,
+                Actions &actions);
 
 /// Queries \a upstream for a report if one is due. \a isOwn: this host coordinates the engine.
 void queryReport(const GatewayState &state, const Upstream &upstream, OrderedEngine &engine,
--- a/packages/gateway/src/engines.cpp
+++ b/packages/gateway/src/engines.cpp
@@ -76,8 +76,7 @@
                                     { "fencing", std::to_string(engine.rights.fencing.value) } } });
 }
 
-void pollEngine(GatewayState &state, Upstream &upstream, std::uint64_t wallMillis, Instant now,
-                Actions &actions)
+void pollEngine(GatewayState &state, Upstream &upstream, Instant now, Actions &actions)
 {
     ++state.counters.enginePolls;
     const UpstreamId &id = upstream.listed.id;
@@ -95,7 +94,7 @@
     queryReport(state, upstream, engine, isOwn, now, actions);
     if (isOwn) {
         state.ownEngines.insert(id);
-        giveOrders(state, upstream, engine, wallMillis, now, actions);
+        giveOrders(state, upstream, engine, now, actions);
     } else {
         state.ownEngines.erase(id);
         clearQueue(engine.wanted);
@@ -222,7 +221,7 @@
         wakeEngine(state, id);
 }
 
-void pollEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
+void pollEngines(GatewayState &state, Instant now, Actions &actions)
 {
     if (std::exchange(state.enginePollsGeneration, state.members.generation)
         != state.members.generation)
@@ -233,7 +232,7 @@
     for (const UpstreamId &id : due) {
         const auto found = state.upstreams.find(id);
         if (found != state.upstreams.end())
-            pollEngine(state, found->second, wallMillis, now, actions);
+            pollEngine(state, found->second, now, actions);
     }
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -243,7 +243,7 @@
     runGossip(state, now, actions);
 }
 
-void tick(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions)
+void tick(GatewayState &state, Instant now, Actions &actions)
 {
     removeExpiredUpstreams(state, now);
     removeExpiredSuspicions(state.quarantine, now);
@@ -254,7 +254,7 @@
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
     dropUnneededLoads(state);
-    pollEngines(state, wallMillis, now, actions);
+    pollEngines(state, now, actions);
     runGossip(state, now, actions);
 }
 
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -319,7 +319,6 @@
     out.wantsChanges = message.wantsChanges;
     out.platform = static_cast<std::int32_t>(message.platform);
     out.runningFor = message.runningFor.count();
-    out.highestFencing = static_cast<std::int64_t>(message.highestFencing.value);
     for (const MemberUpdate &member : message.members)
         out.members.push_back(toWire(member));
     for (const CustomerUse &use : message.uses)
@@ -406,7 +405,6 @@
     out.wantsChanges = message.wantsChanges;
     out.platform = platformView(message.platform);
     out.runningFor = ageOf(message.runningFor);
-    out.highestFencing.value = static_cast<std::uint64_t>(message.highestFencing);
     for (const wire::Member &member : message.members)
         out.members.push_back(fromWire(member));
     for (const wire::CustomerUse &use : message.uses)
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -324,7 +324,6 @@
     if (message.platform == PlatformView::Failing && message.zone == state.self.zone
         && state.platform == PlatformView::NotRead)
         state.platformFailedAt = now;
-    state.highestFencing = std::max(state.highestFencing, message.highestFencing);
     for (const MemberUpdate &member : message.members) {
         recordReportedMember(state.members, reportedMember(member, now));
     }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -131,7 +131,7 @@
 void wakeEngines(GatewayState &state);
 
 /// Polls the engines that are due: queries reports and gives orders.
-void pollEngines(GatewayState &state, std::uint64_t wallMillis, Instant now, Actions &actions);
+void pollEngines(GatewayState &state, Instant now, Actions &actions);
 
 /// Sends \a message to \a address in \a zone.
 void send(const GatewayState &state, const Endpoint &address, const ZoneId &zone, MessageKind kind,
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/gateway/order_rights.h"
 
+#include "azurewell/routing/rendezvous.h"
+
 #include <algorithm>
 
 namespace azurewell::gateway {
@@ -94,6 +96,25 @@
     rights.lastOrderAt = std::max(rights.lastOrderAt, sentAt);
 }
 
+void recordOrderFailed(OrderRights &rights, OrderOutcome outcome, Instant now)
+{
+    rights.doubtedAt = std::max(rights.doubtedAt, now);
+    if (outcome == OrderOutcome::OldFencing)
+        rights.fencingSurplus = std::max<std::uint64_t>(1, 2 * rights.fencingSurplus);
+}
+
+FencingNumber nextFencing(const OrderRights &rights, const HostId &host)
+{
+    // Distinguishes hosts that order at the same count, of which the engine accepts one. Starts are
+    // in milliseconds, and an engine accepts fewer orders than one a millisecond: the numbers of
+    // its next start are higher. All fit into the 53 bits that JSON readers keep.
+    constexpr std::uint64_t hostSuffixes = 4096;
+    const std::uint64_t start = rights.start > 0 ? static_cast<std::uint64_t>(rights.start) : 0;
+    const std::uint64_t count = start + rights.expectedOrders + rights.fencingSurplus;
+    const FencingNumber next{ count * hostSuffixes + stableHash(host.value) % hostSuffixes };
+    return std::max(rights.fencing, next);
+}
+
 HostId presumedCoordinator(const Upstream &engine, const Members &members, Instant now)
 {
     return firstLiveHost(members, engine.listed.zone, engine.listed.id.value, now,
@@ -101,7 +122,7 @@
 }
 
 bool mayOrder(OrderRights &rights, const Upstream &engine, const Members &members,
-              const OrderStart &start, FencingNumber newFencing, Instant now)
+              const OrderStart &start, Instant now)
 {
     if (now - members.lastUpdateAt > pauseThreshold)
         return false;
@@ -111,6 +132,8 @@
     }
     if (rights.unchangedSince.micros == 0 || now - rights.confirmedAt > reportValidity)
         return false;
+    if (rights.confirmedAt < rights.doubtedAt)
+        return false;
     if (rights.isCoordinating && now - rights.lastOrderAt < maxOrderGap)
         return true;
     if (rights.confirmedAt < members.changedAt + settlingTime(members))
@@ -123,8 +146,6 @@
     const bool isDue = isFirst ? now >= start.startedAt + firstStartDelay : isUnchanged;
     if (!rights.isCoordinating && !isDue)
         return false;
-    if (!rights.isCoordinating)
-        rights.fencing = newFencing;
     rights.isCoordinating = true;
     return true;
 }
--- a/packages/gateway/src/sending.cpp
+++ b/packages/gateway/src/sending.cpp
@@ -34,7 +34,6 @@
     message.platform = state.platform;
     message.revision = state.published.revision;
     message.newestChange = state.published.newestChange;
-    message.highestFencing = state.highestFencing;
     message.unreachableServices = state.members.unreachableServices;
     return message;
 }
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -119,7 +119,7 @@
         this->onTick();
     const Instant now = monotonicNow();
     Actions actions;
-    gateway::tick(this->core, wallMillis(), now, actions);
+    gateway::tick(this->core, now, actions);
     this->run(actions);
     this->httpCalls.cancelOverdue(now);
     this->probes.endOverdue(now);
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -36,6 +36,7 @@
                  { { "engine", toGive.engine.value },
                    { "model", toGive.model.model + "/" + toGive.model.adapter },
                    { "load", toGive.isLoad ? "true" : "false" },
+                   { "orders", std::to_string(toGive.expectedOrders) },
                    { "fencing", std::to_string(toGive.fencing.value) },
                    { "outcome", std::string(gateway::nameOf(ended.outcome)) },
                    { "status", std::to_string(answer ? answer->head.status : 0) },
