Take no report for newer than the orders that it does not count

Cause: a report that shows an order count below one that an earlier report of the same process showed was believed, and so was one that did not yet show this host's own last order, once 250 ms had passed since; a load that was not shown counted as failed and its place was given away.

A report below a known count is dropped now, and a report says something of an adapter only if its count includes the last order for it.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -117,6 +117,9 @@
     EngineAdapters adapters; ///< Maintained while this host coordinates the engine.
     std::int64_t start = 0;  ///< The engine start that `adapters` belongs to.
     std::map<AdapterRef, Instant> unloadedAt; ///< Unload orders that no report confirms yet.
+    /// The engine's order count after this host's last order for an adapter; without those that
+    /// reports show.
+    std::map<AdapterRef, std::uint64_t> orderCounts;
     PromptPacer pacer;
     PermitPacer permits;
     PermitPacer burstPermits; ///< Bounds the requests within a second; see warmup.h.
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -44,7 +44,8 @@
 struct OrderRights
 {
     std::uint64_t expectedOrders = 0; ///< Order count expected from this host's orders.
-    std::int64_t start = 0;           ///< The engine start that the count belongs to.
+    std::uint64_t seenOrders = 0;     ///< Highest count that a report or another host has shown.
+    std::int64_t start = 0;           ///< The engine start that the counts belong to.
     Instant unchangedSince; ///< Since when no other host's order was seen; zero: no report yet.
     Instant confirmedAt;    ///< The newest report that showed no order of another host.
     Instant lastOrderAt;    ///< Last order of this host that the engine accepted.
@@ -70,6 +71,10 @@
 /// Maximum age of a report that can confirm the right to order.
 inline constexpr Span reportValidity = std::chrono::milliseconds(900);
 
+/// Whether \a engine shows the engine as it was before a state that is known already. Reports can
+/// overtake each other inside an engine; an outdated one would show slots as free that are not.
+bool isOutdated(const OrderRights &rights, const EngineState &engine);
+
 /// Updates \a rights from a report of the engine that was requested at \a requestedAt.
 void recordReport(OrderRights &rights, const EngineState &engine, Instant requestedAt, Instant now);
 
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -246,8 +246,9 @@
     ++state.counters.orderOutcomes[event.outcome];
     wakeEngine(state, event.engine);
     const auto upstream = state.upstreams.find(event.engine);
-    if (event.outcome == OrderOutcome::Taken
-        || (event.outcome == OrderOutcome::AlreadyDone && !event.isLoad))
+    const bool isCounted = event.outcome == OrderOutcome::Taken
+            || (event.outcome == OrderOutcome::AlreadyDone && !event.isLoad);
+    if (isCounted)
         recordOrderAccepted(engine.rights, event.sentAt);
     if (isRefusal(event.outcome) || event.outcome == OrderOutcome::Unknown)
         recordOrderFailed(engine.rights, event.outcome, now);
@@ -256,6 +257,8 @@
         return;
     }
     const AdapterRef ref = refOf(event.model);
+    if (isCounted)
+        engine.orderCounts[ref] = engine.rights.expectedOrders;
     const AdapterState previousState = stateOf(engine, ref);
     updateOrderTime(engine, ref, now);
     const bool isDone = event.outcome == OrderOutcome::AlreadyDone;
--- a/packages/gateway/src/engine_reports.cpp
+++ b/packages/gateway/src/engine_reports.cpp
@@ -23,13 +23,24 @@
 /// Timeout of a report query.
 constexpr Span reportTimeout = std::chrono::milliseconds(1500);
 
+/// Whether \a report is from before the last order of this host for \a ref. The count of an order
+/// whose answer was misread may never be reached; the expected count is corrected then.
+bool isBeforeOrder(const OrderedEngine &engine, const AdapterRef &ref, const EngineState &report)
+{
+    const auto ordered = engine.orderCounts.find(ref);
+    return ordered != engine.orderCounts.end()
+            && report.ordersTaken < std::min(ordered->second, engine.rights.expectedOrders);
+}
+
 /// Handles an adapter that a report shows as ready.
 void handleReady(const GatewayState &state, OrderedEngine &engine, const AdapterRef &ref,
-                 Instant askedAt, Instant now)
+                 const EngineState &report, Instant askedAt, Instant now)
 {
     const auto unloaded = engine.unloadedAt.find(ref);
-    if (unloaded != engine.unloadedAt.end() && askedAt < unloaded->second + reportLag)
-        return; // the report is from before the unload
+    const bool isTooEarly = unloaded != engine.unloadedAt.end()
+            && askedAt < unloaded->second + reportLag;
+    if (isTooEarly || isBeforeOrder(engine, ref, report))
+        return;
     if (stateOf(engine, ref) == AdapterState::Absent)
         applyAdapterEvent(state, engine, ref, AdapterEvent::LoadOrdered, now);
     if (stateOf(engine, ref) != AdapterState::Loading)
@@ -64,7 +75,8 @@
     for (const auto &[ref, adapter] : engine.adapters.adapters) {
         const ModelName name = nameOf(ref);
         const bool isReported = report.findReady(name) || report.isLoading(name);
-        if (!isReported && showsOrder(engine, ref, adapter, askedAt))
+        if (!isReported && showsOrder(engine, ref, adapter, askedAt)
+            && !isBeforeOrder(engine, ref, report))
             missing.push_back(ref);
     }
     for (const AdapterRef &ref : missing) {
@@ -89,6 +101,7 @@
     if (report.start != engine.start) {
         engine.adapters.adapters.clear();
         engine.unloadedAt.clear();
+        engine.orderCounts.clear();
         engine.adaptersInHostMemory.clear();
         engine.start = report.start;
         engine.nextBaseOrderAt = Instant{};
@@ -99,8 +112,10 @@
             applyAdapterEvent(state, engine, ref, AdapterEvent::LoadOrdered, now);
     }
     for (const LoadedAdapter &adapter : report.ready)
-        handleReady(state, engine, refOf(adapter.name), askedAt, now);
+        handleReady(state, engine, refOf(adapter.name), report, askedAt, now);
     handleMissing(state, engine, report, askedAt, now);
+    std::erase_if(engine.orderCounts,
+                  [&](const auto &entry) { return !isBeforeOrder(engine, entry.first, report); });
     endBackOffs(engine.adapters, state.charts.adapter, now);
 }
 
@@ -176,7 +191,7 @@
     OrderedEngine &engine = state.engines[event.engine];
     engine.isReportPending = false;
     wakeEngine(state, event.engine);
-    if (!event.state)
+    if (!event.state || isOutdated(engine.rights, *event.state))
         return;
     Upstream &upstream = found->second;
     recordReport(engine.rights, *event.state, event.queriedAt, now);
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -300,7 +300,10 @@
     Upstream &upstream = found->second;
     upstream.updatedBy = from;
     upstream.updatedAt = now;
-    recordEngineUpdate(state.engines[update.engine].rights, update.state, now);
+    OrderRights &rights = state.engines[update.engine].rights;
+    if (isOutdated(rights, update.state))
+        return;
+    recordEngineUpdate(rights, update.state, now);
     recordStart(state, upstream, update.state.start, update.state.seenAt);
     if (update.state.seenAt < upstream.engine.seenAt)
         return;
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -33,6 +33,14 @@
     return members.plan.inZone + orderReportDelay;
 }
 
+void recordSeen(OrderRights &rights, const EngineState &engine)
+{
+    rights.seenOrders = engine.start == rights.start
+            ? std::max(rights.seenOrders, engine.ordersTaken)
+            : engine.ordersTaken;
+    rights.start = engine.start;
+}
+
 } // namespace
 
 std::string_view nameOf(OrderingEnd end)
@@ -57,6 +65,11 @@
     rights.isCoordinating = false;
 }
 
+bool isOutdated(const OrderRights &rights, const EngineState &engine)
+{
+    return engine.start == rights.start && engine.ordersTaken < rights.seenOrders;
+}
+
 void recordReport(OrderRights &rights, const EngineState &engine, Instant requestedAt, Instant now)
 {
     const bool isRestarted = engine.start != rights.start;
@@ -74,20 +87,20 @@
         // An order that was answered as done may have had no effect and not been counted.
         rights.expectedOrders = engine.ordersTaken;
     }
-    rights.start = engine.start;
+    recordSeen(rights, engine);
     rights.confirmedAt = std::max(rights.confirmedAt, requestedAt);
 }
 
 void recordEngineUpdate(OrderRights &rights, const EngineState &engine, Instant now)
 {
     const bool isRestarted = engine.start != rights.start;
+    recordSeen(rights, engine);
     if (!isRestarted && engine.ordersTaken <= rights.expectedOrders
         && rights.unchangedSince.micros != 0)
         return;
     rights.unchangedSince = now;
     endOrdering(rights, isRestarted ? OrderingEnd::EngineRestart : OrderingEnd::OrderSeen);
     rights.expectedOrders = engine.ordersTaken;
-    rights.start = engine.start;
 }
 
 void recordOrderAccepted(OrderRights &rights, Instant sentAt)
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -188,6 +188,21 @@
     }
 }
 
+// Guards against a report that shows an engine as it was before an earlier report.
+TEST_F(OrderRightsTest, DoNotFollowAReportThatStepsBack)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    EngineState state;
+    state.start = this->engineStart;
+    state.ordersTaken = 4;
+    EXPECT_TRUE(isOutdated(this->rights, state));
+    state.ordersTaken = 5;
+    EXPECT_FALSE(isOutdated(this->rights, state));
+    state.start = this->engineStart - 1;
+    state.ordersTaken = 0;
+    EXPECT_FALSE(isOutdated(this->rights, state));
+}
+
 // Guards against a fencing number that is lower than one of another host, whose orders this host
 // knows from the engine's count only.
 TEST_F(OrderRightsTest, GiveFencingNumbersThatRiseWithTheOrdersOfAllHosts)
