--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -111,7 +111,8 @@
 
 void recordOrderFailed(OrderRights &rights, OrderOutcome outcome, Instant now)
 {
-    rights.doubtedAt = std::max(rights.doubtedAt, now);
+    if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Unknown)
+        rights.doubtedAt = std::max(rights.doubtedAt, now);
     if (outcome == OrderOutcome::OldFencing)
         rights.fencingSurplus = std::max<std::uint64_t>(1, 2 * rights.fencingSurplus);
 }
--- a/tests/gateway_world/one_orderer_test.cpp
+++ b/tests/gateway_world/one_orderer_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ostream>
+#include <utility>
 
 namespace azurewell::gateway {
 namespace {
@@ -85,6 +86,22 @@
     });
 }
 
+// Guards against the same at engines that have accepted no order yet and so check no count.
+TEST_P(OneOrderer, StopsWhenOthersNoLongerHearItBeforeTheFirstOrder)
+{
+    this->playSeeds([](WorldSettings settings) {
+        const double requestsPerSecond = std::exchange(settings.requestsPerSecond, 0.01);
+        World world{ settings };
+        world.runFor(std::chrono::milliseconds(3500));
+        for (std::size_t host = 0; host < world.hostCount(); ++host)
+            world.muteHost(host, isDisturbed(host, settings.seed));
+        world.runFor(std::chrono::milliseconds(200 * settings.seed));
+        world.setRequestRate(requestsPerSecond);
+        world.runFor(std::chrono::seconds(8));
+        return world;
+    });
+}
+
 // Guards against hosts that get the processor late, again and again, and order by what was true
 // before.
 TEST_P(OneOrderer, IsAloneWhileHostsAreStarved)
