Stop to order at an engine when another host states that it orders there

An engine that has accepted no order checks no count, so two hosts that each rank first in their own view could both give first orders.

A coordinator states in its updates that it orders. Whoever hears this of another host stops: that one has not heard it for the timeout, or it would have yielded by rank. Before a first order the others get two heartbeats of time, which are sent at once, also to hosts that are not heard.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -35,6 +35,8 @@
   8: list<LoadedAdapter> loading
   9: i32 running
   10: i32 waiting
+  /** The sender may order at the engine. */
+  11: optional bool ordering
 }
 
 struct AdapterUse {
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -23,7 +23,8 @@
 struct EngineUpdate
 {
     UpstreamId engine;
-    EngineState state; ///< `seenAt` is in the receiver's time, from the age in the message.
+    EngineState state;       ///< `seenAt` is in the receiver's time, from the age in the message.
+    bool isOrdering = false; ///< The sender may order at the engine.
 };
 
 /// The sender's requests that use an adapter at an engine.
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -15,6 +15,7 @@
     OutOfRank,     ///< Another live host ranks first for the engine.
     OrderSeen,     ///< The engine has accepted an order of another host.
     PathChanged,   ///< This host lost its path to the engines, or it came back.
+    ClaimSeen,     ///< Another host stated that it orders at the engine.
     EngineRestart, ///< The engine restarted, which hides the last orders before.
 };
 
@@ -36,21 +37,24 @@
 /// the count unknown until a report that was requested later.
 ///
 /// An engine that has accepted no order yet does not check the count, and an order to load what is
-/// loaded already neither changes nor needs it. There the views of the hosts protect alone: an
-/// unreachable host may be alive on the other side of a network partition, where it also ranks
-/// first. Then only a host that reaches most of the engine's zone starts to order. A coordinator in
-/// the minority continues only while its orders follow each other closely enough for the other side
-/// to see them.
+/// loaded already neither changes nor needs it. There the hosts protect each other. A coordinator
+/// states with each update that it orders, and one that hears this of another host stops: that host
+/// has not heard it for a while, or it would not order. An unreachable host may be alive on the
+/// other side of a network partition, where it also ranks first. Then only a host that reaches most
+/// of the engine's zone starts to order. A coordinator in the minority continues only while its
+/// orders follow each other closely enough for the other side to see them.
 struct OrderRights
 {
     std::uint64_t expectedOrders = 0; ///< Order count expected from this host's orders.
     std::uint64_t seenOrders = 0;     ///< Highest count that a report or another host has shown.
     std::int64_t start = 0;           ///< The engine start that the counts belong to.
-    Instant unchangedSince; ///< Since when no other host's order was seen; zero: no report yet.
-    Instant confirmedAt;    ///< The newest report that showed no order of another host.
-    Instant lastOrderAt;    ///< Last order of this host that the engine accepted.
-    Instant doubtedAt;      ///< Reports requested before do not confirm the count.
-    FencingNumber fencing;  ///< Highest fencing number of this host's orders.
+    Instant unchangedSince;     ///< Since when no other host's order was seen; zero: no report yet.
+    Instant confirmedAt;        ///< The newest report that showed no order of another host.
+    Instant lastOrderAt;        ///< Last order of this host that the engine accepted.
+    Instant coordinatingSince;  ///< Start of the current period of ordering.
+    Instant claimedElsewhereAt; ///< When another host last stated that it orders; zero: never.
+    Instant doubtedAt;          ///< Reports requested before do not confirm the count.
+    FencingNumber fencing;      ///< Highest fencing number of this host's orders.
     std::uint64_t fencingSurplus = 0; ///< Added to the count after refusals for a fencing number.
     bool isCoordinating = false;
     std::optional<OrderingEnd> end; ///< Why the last period of ordering ended, until it is logged.
@@ -82,6 +86,9 @@
 /// changed, but cannot confirm the right to order.
 void recordEngineUpdate(OrderRights &rights, const EngineState &engine, Instant now);
 
+/// Records that another host states that it orders at the engine.
+void recordClaim(OrderRights &rights, Instant now);
+
 /// Records that the engine accepted an order of this host that was sent at \a sentAt.
 void recordOrderAccepted(OrderRights &rights, Instant sentAt);
 
@@ -99,9 +106,14 @@
     /// The whole system starts for the first time: no orders can have been given before, so that
     /// only the first messages of the other hosts have to be awaited.
     bool isFirst = false;
+    bool isAlone = false; ///< No host was heard yet, though there are seeds that may know some.
     Instant startedAt;
 };
 
+/// How long a host that has heard of no other one gives no first orders: others may be as alone,
+/// and the engines check no count then.
+inline constexpr Span aloneWait = std::chrono::seconds(15);
+
 /// Time after a first start by which the other hosts are known. They start within 0.3 s of each
 /// other and read late seeds again after a second.
 inline constexpr Span firstStartDelay = std::chrono::milliseconds(2500);
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -182,6 +182,28 @@
                 { "hosts_reached", std::to_string(all.reachable) } } });
 }
 
+/// Whether this host has heard of no other one, though there are seeds.
+bool isAlone(const GatewayState &state)
+{
+    const std::vector<Endpoint> &seeds = state.self.seeds;
+    const bool hasSeeds = std::any_of(seeds.begin(), seeds.end(), [&](const Endpoint &seed) {
+        return seed != state.self.address;
+    });
+    return hasSeeds && state.members.others.empty();
+}
+
+/// Lets the next heartbeats, which state the engines that this host orders at, go out at once, also
+/// to hosts that are not heard: one of them may be the one that has ordered so far.
+void announceOrdering(GatewayState &state, Instant now)
+{
+    for (auto &[id, member] : state.members.others) {
+        if (member.zone != state.self.zone && !isSmallFleet(state))
+            continue;
+        member.nextEngineUpdateAt = Instant{};
+        setHeartbeat(state.members, member, now);
+    }
+}
+
 void handleBaseLoadAnswer(OrderedEngine &engine, const OrderEnded &event, Instant now,
                           Actions &actions)
 {
@@ -225,13 +247,16 @@
     const EngineLimits *limits = limitsOf(state, upstream);
     if (!limits || isStopping(state) || engine.pendingOrder)
         return;
-    const OrderStart start{ state.self.isFirstStart, state.startedAt };
+    const OrderStart start{ state.self.isFirstStart, isAlone(state), state.startedAt };
     const bool isWanted = countQueued(engine.wanted) > 0 || upstream.engine.models.empty();
     const bool wasCoordinating = engine.rights.isCoordinating;
-    if (!mayOrder(engine.rights, upstream, state.members, start, now))
-        return;
-    if (!wasCoordinating)
+    const bool isAllowed = mayOrder(engine.rights, upstream, state.members, start, now);
+    if (!wasCoordinating && engine.rights.isCoordinating) {
+        announceOrdering(state, now);
         logOrderingStart(state, upstream, engine.rights, now, actions);
+    }
+    if (!isAllowed)
+        return;
     if (isWanted && orderBase(state, upstream, engine, *limits, now, actions))
         return;
     if (unloadOutdated(state, upstream, engine, now, actions))
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -106,6 +106,8 @@
     out.loading = toWire(update.state.loading, defaultModel(update.state.models), now);
     out.running = static_cast<std::int32_t>(update.state.running);
     out.waiting = static_cast<std::int32_t>(update.state.waiting);
+    if (update.isOrdering)
+        out.__set_ordering(true);
     return out;
 }
 
@@ -122,6 +124,7 @@
     out.state.loading = loadingFromWire(update.loading, defaultModel(update.models), now);
     out.state.running = static_cast<std::uint32_t>(update.running);
     out.state.waiting = static_cast<std::uint32_t>(update.waiting);
+    out.isOrdering = update.ordering;
     return out;
 }
 
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -301,6 +301,8 @@
     upstream.updatedBy = from;
     upstream.updatedAt = now;
     OrderRights &rights = state.engines[update.engine].rights;
+    if (update.isOrdering)
+        recordClaim(rights, now);
     if (isOutdated(rights, update.state))
         return;
     recordEngineUpdate(rights, update.state, now);
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -3,6 +3,7 @@
 #include "azurewell/routing/rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurewell::gateway {
 
@@ -33,6 +34,26 @@
     return members.plan.inZone + orderReportDelay;
 }
 
+/// Whether another host may be about to order at an engine that has accepted no order and so checks
+/// no count.
+bool isClaimedElsewhere(const OrderRights &rights, Instant now)
+{
+    return rights.expectedOrders == 0 && rights.claimedElsewhereAt.micros != 0
+            && now - rights.claimedElsewhereAt < takeoverWait;
+}
+
+/// Time in which the other hosts hear that this one orders, and stop. A heartbeat may be lost.
+Span claimLead(const Members &members)
+{
+    return 2 * members.plan.inZone;
+}
+
+/// Whether others have heard that this host orders. Needed only where the engine checks no count.
+bool isClaimHeard(const OrderRights &rights, const Members &members, Instant now)
+{
+    return rights.expectedOrders != 0 || now - rights.coordinatingSince >= claimLead(members);
+}
+
 void recordSeen(OrderRights &rights, const EngineState &engine)
 {
     rights.seenOrders = engine.start == rights.start
@@ -52,6 +73,8 @@
         return "order_seen";
     case OrderingEnd::PathChanged:
         return "path_changed";
+    case OrderingEnd::ClaimSeen:
+        return "claim_seen";
     case OrderingEnd::EngineRestart:
         break;
     }
@@ -103,6 +126,15 @@
     rights.expectedOrders = engine.ordersTaken;
 }
 
+void recordClaim(OrderRights &rights, Instant now)
+{
+    rights.claimedElsewhereAt = now;
+    if (!rights.isCoordinating)
+        return;
+    rights.unchangedSince = now;
+    endOrdering(rights, OrderingEnd::ClaimSeen);
+}
+
 void recordOrderAccepted(OrderRights &rights, Instant sentAt)
 {
     ++rights.expectedOrders;
@@ -157,11 +189,15 @@
     const bool isFirst = start.isFirst && rights.expectedOrders == 0
             && now < start.startedAt + firstStartWindow;
     const bool isUnchanged = now - rights.unchangedSince >= takeoverWait;
-    const bool isDue = isFirst ? now >= start.startedAt + firstStartDelay : isUnchanged;
-    if (!rights.isCoordinating && !isDue)
+    const Instant firstClaimAt = start.startedAt + firstStartDelay - claimLead(members);
+    const bool isDue = isFirst ? now >= firstClaimAt : isUnchanged;
+    const bool mayBeginAlone = rights.expectedOrders != 0 || !start.isAlone
+            || now >= start.startedAt + aloneWait;
+    if (!rights.isCoordinating && (!isDue || !mayBeginAlone || isClaimedElsewhere(rights, now)))
         return false;
-    rights.isCoordinating = true;
-    return true;
+    if (!std::exchange(rights.isCoordinating, true))
+        rights.coordinatingSince = now;
+    return isClaimHeard(rights, members, now);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/updates.cpp
+++ b/packages/gateway/src/updates.cpp
@@ -18,9 +18,12 @@
     }
 }
 
-EngineUpdate updateOf(const Upstream &upstream)
+EngineUpdate updateOf(const GatewayState &state, const Upstream &upstream)
 {
-    return { upstream.listed.id, upstream.engine };
+    const auto engine = state.engines.find(upstream.listed.id);
+    const bool isOrdering = engine != state.engines.end() && engine->second.rights.isCoordinating
+            && !isStopping(state);
+    return { upstream.listed.id, upstream.engine, isOrdering };
 }
 
 /// Returns the prompt tokens that this host recently sent to engines. Amounts below one small
@@ -52,7 +55,7 @@
             continue;
         if ((!isChangedOnly || state.changedEngines.contains(id))
             && isOwnEngine(state, upstream->second, now))
-            updates.push_back(updateOf(upstream->second));
+            updates.push_back(updateOf(state, upstream->second));
     }
     return updates;
 }
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -188,6 +188,45 @@
     }
 }
 
+// Guards against two hosts that both order at an engine, as one of them is not heard.
+TEST_F(OrderRightsTest, EndWhenAnotherHostStatesThatItOrders)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    ASSERT_TRUE(this->mayOrderNow());
+    recordClaim(this->rights, this->now);
+    EXPECT_FALSE(this->mayOrderNow());
+    this->advance(takeoverWait, true, 5);
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
+// Guards against first orders of two hosts, of which the engine checks neither.
+TEST_F(OrderRightsTest, BeginAtAnEngineWithoutOrdersOnlyAfterOthersHaveHeardOfIt)
+{
+    this->advance(std::chrono::seconds(2), true, 0);
+    recordClaim(this->rights, this->now);
+    this->advance(std::chrono::seconds(3), true, 0);
+    EXPECT_FALSE(this->mayOrderNow());
+    EXPECT_FALSE(this->rights.isCoordinating);
+    this->advance(std::chrono::milliseconds(600), true, 0);
+    EXPECT_FALSE(this->mayOrderNow());
+    EXPECT_TRUE(this->rights.isCoordinating);
+    this->advance(2 * this->members.plan.inZone, true, 0);
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
+// Guards against first orders of two hosts that start before their seeds and know of no other host.
+TEST_F(OrderRightsTest, BeginLateAtAnEngineWithoutOrdersBeforeAnyOtherHostIsHeard)
+{
+    this->start = { true, true, this->now };
+    this->advance(std::chrono::seconds(10), false, 0);
+    EXPECT_FALSE(this->mayOrderNow());
+    EXPECT_FALSE(this->rights.isCoordinating);
+    this->start.isAlone = false;
+    this->advance(std::chrono::seconds(1), true, 0);
+    this->mayOrderNow();
+    EXPECT_TRUE(this->rights.isCoordinating);
+}
+
 // Guards against a report that shows an engine as it was before an earlier report.
 TEST_F(OrderRightsTest, DoNotFollowAReportThatStepsBack)
 {
@@ -246,7 +285,7 @@
 
 TEST_F(OrderRightsTest, BeginEarlyAtTheFirstStartOfTheSystem)
 {
-    this->start = { true, this->now };
+    this->start = { true, false, this->now };
     this->advance(std::chrono::milliseconds(2000), true, 0);
     EXPECT_FALSE(this->mayOrderNow());
     this->advance(std::chrono::milliseconds(800), true, 0);
--- a/packages/gateway/tests/published_test.cpp
+++ b/packages/gateway/tests/published_test.cpp
@@ -160,6 +160,7 @@
     update.state.ordersTaken = 9;
     update.state.models = { "m" };
     update.state.ready = { { { "m", "a" }, 2 } };
+    update.isOrdering = true;
     message.engines.push_back(update);
     message.adapterUses.push_back({ UpstreamId{ "e" }, { "m", "a" }, true, 3 });
     message.promptWork.push_back({ UpstreamId{ "e" }, 1800 });
@@ -179,6 +180,7 @@
     EXPECT_DOUBLE_EQ(message.uses.front().inWindow, 200);
     EXPECT_EQ(message.engines.front().state.seenAt, now - std::chrono::milliseconds(100));
     EXPECT_EQ(message.engines.front().state.findReady({ "m", "a" })->version, 2U);
+    EXPECT_TRUE(message.engines.front().isOrdering);
     EXPECT_TRUE(message.adapterUses.front().isRunning);
     EXPECT_TRUE(message.loadRefusals.front().isStoreBusy);
     EXPECT_EQ(message.changes.front().items.front().value, "v");
