Take the lease of orders from the settings

The wait before another host orders was a constant for a lease of 3 s, whatever the deployment states. Tests: a lease of 6 s is awaited; the setting is read.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -43,6 +43,8 @@
     MeterLimits meterLimits;
     Span stopGrace{}; ///< Time from the stop request until the process is killed.
     Span propagationTimeout = std::chrono::seconds(2); ///< Propagation limit of confirmed changes.
+    Span orderLease = std::chrono::seconds(3);         ///< Orders of two hosts to one engine closer
+                                                       ///< together are a conflict.
     Span evacuationTimeout{}; ///< An evacuated zone gets no requests this long after confirmation.
     WarmupBound warmupBound;
     std::uint32_t linkMbps = 0;  ///< Bandwidth of this machine's link; 0: unknown.
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -64,10 +64,6 @@
 /// Ends the period of ordering at an engine, if there is one.
 void endOrdering(OrderRights &rights, OrderingEnd end);
 
-/// How long the order count must be unchanged before another host starts to order. Orders of two
-/// hosts within 3 s of each other count as a conflict; a report is some 100 ms old.
-inline constexpr Span takeoverWait = std::chrono::milliseconds(3500);
-
 /// A coordinator whose last order is older than this must confirm its right again if any host is
 /// unreachable. That host may be about to start ordering, and sees an order of this host only after
 /// some 400 ms.
@@ -101,16 +97,20 @@
 /// host knowing of that order; clocks of hosts play no part.
 FencingNumber nextFencing(const OrderRights &rights, const HostId &host);
 
-/// How this host was started.
-struct OrderStart
+/// What the right to order depends on apart from the engine and the other hosts.
+struct OrderTerms
 {
     /// The whole system starts for the first time: no orders can have been given before, so that
     /// only the first messages of the other hosts have to be awaited.
     bool isFirst = false;
     bool isAlone = false; ///< No host was heard yet, though there are seeds that may know some.
     Instant startedAt;
+    Span lease = std::chrono::seconds(3); ///< Orders of two hosts closer together are a conflict.
 };
 
+/// How long the order count must be unchanged before another host starts to order.
+Span takeoverWait(const OrderTerms &terms);
+
 /// How long a host that has heard of no other one gives no first orders: others may be as alone,
 /// and the engines check no count then.
 inline constexpr Span aloneWait = std::chrono::seconds(15);
@@ -126,7 +126,7 @@
 /// Whether this host may order at \a engine now. Sets `isCoordinating`. A process that was paused
 /// and has not updated the members since may not order, as its view of the other hosts is outdated.
 bool mayOrder(OrderRights &rights, const Upstream &engine, const Members &members,
-              const OrderStart &start, Instant now);
+              const OrderTerms &terms, Instant now);
 
 /// The coordinator of \a engine as seen by this host: the reachable host that ranks first.
 HostId presumedCoordinator(const Upstream &engine, const Members &members, Instant now);
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -249,10 +249,11 @@
     const EngineLimits *limits = limitsOf(state, upstream);
     if (!limits || isStopping(state) || engine.pendingOrder)
         return;
-    const OrderStart start{ state.self.isFirstStart, isAlone(state), state.startedAt };
+    const OrderTerms terms{ state.self.isFirstStart, isAlone(state), state.startedAt,
+                            state.self.orderLease };
     const bool isWanted = countQueued(engine.wanted) > 0 || upstream.engine.models.empty();
     const bool wasCoordinating = engine.rights.isCoordinating;
-    const bool isAllowed = mayOrder(engine.rights, upstream, state.members, start, now);
+    const bool isAllowed = mayOrder(engine.rights, upstream, state.members, terms, now);
     if (!wasCoordinating && engine.rights.isCoordinating) {
         announceOrdering(state, now);
         logOrderingStart(state, upstream, engine.rights, now, actions);
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -44,10 +44,10 @@
 
 /// Whether another host may be about to order at an engine that has accepted no order and so checks
 /// no count.
-bool isClaimedElsewhere(const OrderRights &rights, Instant now)
+bool isClaimedElsewhere(const OrderRights &rights, const OrderTerms &terms, Instant now)
 {
     return rights.expectedOrders == 0 && rights.claimedElsewhereAt.micros != 0
-            && now - rights.claimedElsewhereAt < takeoverWait;
+            && now - rights.claimedElsewhereAt < takeoverWait(terms);
 }
 
 /// Time in which the other hosts hear that this one orders, and stop. A heartbeat may be lost.
@@ -89,6 +89,12 @@
     return "engine_restart";
 }
 
+Span takeoverWait(const OrderTerms &terms)
+{
+    constexpr Span margin = std::chrono::milliseconds(500);
+    return terms.lease + margin;
+}
+
 void endOrdering(OrderRights &rights, OrderingEnd end)
 {
     if (rights.isCoordinating)
@@ -176,7 +182,7 @@
 }
 
 bool mayOrder(OrderRights &rights, const Upstream &engine, const Members &members,
-              const OrderStart &start, Instant now)
+              const OrderTerms &terms, Instant now)
 {
     if (now - members.lastUpdateAt > pauseThreshold)
         return false;
@@ -194,14 +200,15 @@
         return false;
     if (!hasQuorum(engine, members, now))
         return false;
-    const bool isFirst = start.isFirst && rights.expectedOrders == 0
-            && now < start.startedAt + firstStartWindow;
-    const bool isUnchanged = now - rights.unchangedSince >= takeoverWait;
-    const Instant firstClaimAt = start.startedAt + firstStartDelay - claimLead(members);
+    const bool isFirst = terms.isFirst && rights.expectedOrders == 0
+            && now < terms.startedAt + firstStartWindow;
+    const bool isUnchanged = now - rights.unchangedSince >= takeoverWait(terms);
+    const Instant firstClaimAt = terms.startedAt + firstStartDelay - claimLead(members);
     const bool isDue = isFirst ? now >= firstClaimAt : isUnchanged;
-    const bool mayBeginAlone = rights.expectedOrders != 0 || !start.isAlone
-            || now >= start.startedAt + aloneWait;
-    if (!rights.isCoordinating && (!isDue || !mayBeginAlone || isClaimedElsewhere(rights, now)))
+    const bool mayBeginAlone = rights.expectedOrders != 0 || !terms.isAlone
+            || now >= terms.startedAt + aloneWait;
+    if (!rights.isCoordinating
+        && (!isDue || !mayBeginAlone || isClaimedElsewhere(rights, terms, now)))
         return false;
     if (!std::exchange(rights.isCoordinating, true))
         rights.coordinatingSince = now;
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -58,7 +58,7 @@
 
     bool mayOrderNow()
     {
-        return mayOrder(this->rights, this->engine, this->members, this->start, this->now);
+        return mayOrder(this->rights, this->engine, this->members, this->terms, this->now);
     }
 
     Instant now{ 1'000'000'000 };
@@ -67,7 +67,7 @@
     Members members;
     std::vector<HostId> others;
     OrderRights rights;
-    OrderStart start;
+    OrderTerms terms;
 };
 
 TEST_F(OrderRightsTest, BeginOnlyAfterTheOrderCountWasUnchanged)
@@ -80,6 +80,16 @@
     EXPECT_TRUE(this->mayOrderNow());
 }
 
+// Guards against a takeover within the lease of a service that states a longer one.
+TEST_F(OrderRightsTest, BeginOnlyAfterTheLeaseThatIsStated)
+{
+    this->terms.lease = std::chrono::seconds(6);
+    this->advance(std::chrono::seconds(6), true, 5);
+    EXPECT_FALSE(this->mayOrderNow());
+    this->advance(std::chrono::seconds(1), true, 5);
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
 TEST_F(OrderRightsTest, AreLostWhenAnotherHostOrders)
 {
     // A host was paused and another one took over. The changed order count is the only sign of it.
@@ -195,7 +205,7 @@
     ASSERT_TRUE(this->mayOrderNow());
     recordClaim(this->rights, this->now);
     EXPECT_FALSE(this->mayOrderNow());
-    this->advance(takeoverWait, true, 5);
+    this->advance(takeoverWait(this->terms), true, 5);
     EXPECT_TRUE(this->mayOrderNow());
 }
 
@@ -217,11 +227,11 @@
 // Guards against first orders of two hosts that start before their seeds and know of no other host.
 TEST_F(OrderRightsTest, BeginLateAtAnEngineWithoutOrdersBeforeAnyOtherHostIsHeard)
 {
-    this->start = { true, true, this->now };
+    this->terms = { true, true, this->now };
     this->advance(std::chrono::seconds(10), false, 0);
     EXPECT_FALSE(this->mayOrderNow());
     EXPECT_FALSE(this->rights.isCoordinating);
-    this->start.isAlone = false;
+    this->terms.isAlone = false;
     this->advance(std::chrono::seconds(1), true, 0);
     this->mayOrderNow();
     EXPECT_TRUE(this->rights.isCoordinating);
@@ -285,7 +295,7 @@
 
 TEST_F(OrderRightsTest, BeginEarlyAtTheFirstStartOfTheSystem)
 {
-    this->start = { true, false, this->now };
+    this->terms = { true, false, this->now };
     this->advance(std::chrono::milliseconds(2000), true, 0);
     EXPECT_FALSE(this->mayOrderNow());
     this->advance(std::chrono::milliseconds(800), true, 0);
