Known red: answers that living upstreams break off count as crashes

What callers saw: three streams break off, one at each of three upstreams that live on; requests that are the same (customer, path and body) are then refused with 503 for ten minutes. The log names the three upstreams as crashed.

Reproduced without network in the core of one host with five plain upstreams, which opens a connection to each whenever it asks for one: 0 of 20 equal requests are sent, 20 expected. Each break is a second after the one before, so that none of them is news any more.

--- a/packages/gateway/tests/quarantined_requests_test.cpp
+++ b/packages/gateway/tests/quarantined_requests_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace azurewell::gateway {
 namespace {
 
@@ -271,5 +273,65 @@
     EXPECT_EQ(this->sendRequest(3, { this->part }).dispatches.size(), 1U);
 }
 
+/// Upstreams that live on break off single answers.
+class BrokenStreamsTest : public QuarantinedRequestsTest
+{
+protected:
+    BrokenStreamsTest()
+    {
+        this->state.configuration.routes.front().maxAttempts = 1;
+    }
+
+    /// Time passes. Connections open at all upstreams but those in \a crashed.
+    void runFor(Span span, const std::set<UpstreamId> &crashed = {})
+    {
+        const Instant end = this->now + span;
+        while (this->now < end) {
+            this->now = this->now + tickInterval;
+            Actions ticked;
+            tick(this->state, this->now, ticked);
+            for (const ProbeUpstream &probe : ticked.probes) {
+                ++this->probes;
+                const bool isOpen = !crashed.contains(probe.upstream);
+                Actions ignored;
+                handle(this->state, ProbeEnded{ probe.service, probe.round, probe.upstream, isOpen },
+                       this->now, ignored);
+            }
+        }
+    }
+
+    /// An upstream breaks off the answer to a request. Returns the upstream.
+    UpstreamId breakOff(std::uint64_t content)
+    {
+        const Dispatch sent = this->sendRequest(content).dispatches.front();
+        Actions ignored;
+        handle(this->state, AnswerBegan{ sent.request, sent.attempt }, this->now, ignored);
+        this->endAttempt(sent, AttemptOutcome::Failed);
+        return sent.upstream;
+    }
+
+    /// How many of \a count equal requests that arrive together are sent.
+    std::size_t countSent(std::uint64_t content, std::size_t count)
+    {
+        std::size_t sent = 0;
+        for (std::size_t index = 0; index < count; ++index)
+            sent += this->sendRequest(content).dispatches.size();
+        return sent;
+    }
+
+    std::size_t probes = 0;
+};
+
+// Guards against good requests that are refused because living upstreams broke off others like them.
+TEST_F(BrokenStreamsTest, AtLivingUpstreamsRefuseNoEqualRequests)
+{
+    std::set<UpstreamId> upstreams;
+    while (upstreams.size() < 3) {
+        upstreams.insert(this->breakOff(1));
+        this->runFor(std::chrono::seconds(1));
+    }
+    EXPECT_EQ(this->countSent(1, 20), 20U);
+}
+
 } // namespace
 } // namespace azurewell::gateway
