Take the end of a connection for a crash only until the upstream shows that it runs

What callers saw: three streams break off at three upstreams that live on, and equal requests are refused with 503 for up to ten minutes.

Cause: a cut connection is a suspicion, which counts as a crash until the upstream answers a request that was sent within the second after, or reports the same start. Plain upstreams do not report, and the requests that could have shown it were the ones refused. What the host that lost the connections learnt later it told nobody.

Now the host that lost a connection opens another one to that upstream 0.1 s later; a process that has ended accepts none. An answer on an older connection that goes on 0.2 s after the loss refutes as well, if it shows its end: no restarted process has that connection. The host tells the others three times what is refuted, so that what they were told of is dropped, also if it arrives later. A suspicion still counts at once: a third one is not waited for, so that real crashes are found as fast as before.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -101,7 +101,10 @@
   3: list<Item> items
 }
 
-/** An upstream that may have ended under a request, or under a part of its prompt. */
+/**
+ * An upstream that may have ended under a request, or under a part of its prompt. Refuted: it has
+ * no digest, and the upstream was running when the age began.
+ */
 struct CrashSuspicion {
   1: i64 digest
   2: string upstream
@@ -109,6 +112,7 @@
   4: i64 age
   5: optional bool isPart
   6: optional bool isCleared
+  7: optional bool isRefuted
 }
 
 /** A part of an item that fits into no message. */
--- a/packages/gateway/include/azurewell/gateway/crash_quarantine.h
+++ b/packages/gateway/include/azurewell/gateway/crash_quarantine.h
@@ -39,6 +39,9 @@
     Instant at;
     SuspectKind kind = SuspectKind::Request;
     bool isCleared = false; ///< A complete answer has shown that the suspicion was wrong.
+    /// The incarnation was running at `at`, so that all suspicions of it shortly before are wrong.
+    /// The digest is 0.
+    bool isRefuted = false;
 };
 
 /// A suspicion still to be sent to the other hosts. It is sent several times because messages may
@@ -50,6 +53,16 @@
     int sendsLeft = 0;
 };
 
+/// A check whether an upstream that has cut off a request of this host is still running.
+struct CrashCheck
+{
+    Instant lostAt; ///< When a connection was last lost.
+    Instant dueAt = never;
+    Instant sentAt; ///< When the latest check was sent; 0: none was.
+    bool isPending = false;
+    bool isRefuted = false; ///< The upstream was running after the latest loss.
+};
+
 /// Tracks requests and parts of prompts that may crash the upstreams that run them, and quarantines
 /// those that do.
 ///
@@ -58,10 +71,17 @@
 /// crash one after the other, each with everything that it runs.
 ///
 /// All requests that an engine cuts off when it crashes become suspects, nearly all of them
-/// wrongly. A suspicion is refuted when the same incarnation of the engine answers something that
-/// was sent later, and all suspicions of a request are cleared when the request is answered
-/// completely. A suspect keeps the set of incarnations, never a count, so that receiving the same
-/// suspicion twice changes nothing and the suspicions of two partitions of a fleet add up.
+/// wrongly. All suspicions of a request are cleared when the request is answered completely. A lost
+/// connection alone proves nothing: upstreams that live on break off single answers. A process that
+/// ended has closed all its connections, accepts none for a while, and has another start
+/// afterwards. So a suspicion is refuted when the same incarnation answers something that was sent
+/// later, or goes on with an answer on an older connection. As there may be no such request, the
+/// host that lost the connection opens another one shortly after, and tells the other hosts if a
+/// suspicion of its own is refuted. Until then it counts: to wait would let a fourth upstream run
+/// the request.
+///
+/// A suspect keeps the set of incarnations, never a count, so that receiving the same suspicion
+/// twice changes nothing and the suspicions of two partitions of a fleet add up.
 ///
 /// The same failure with requests that differ in all but one part of their prompts: that part is
 /// what the crashed incarnations have in common and no complete answer has cleared. Most parts are
@@ -90,6 +110,10 @@
     std::map<UpstreamIncarnation, std::set<RequestDigest>> explained;
     DeadlineQueue<RequestDigest> answeredParts; ///< Until when a complete answer speaks for a part.
     std::vector<PendingSuspicion> pending;
+    /// Of the incarnations that cut off requests of this host.
+    std::map<UpstreamIncarnation, CrashCheck> checks;
+    /// When an incarnation was last known to be running after a suspicion.
+    std::map<UpstreamIncarnation, Instant> runningAt;
     std::uint64_t suspicionsRecorded = 0; ///< Suspicions recorded since the process started.
     std::uint64_t suspicionsRefuted
             = 0; ///< Of these, the ones refuted because the incarnation kept running.
@@ -142,6 +166,22 @@
 void recordAnswered(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
                     Instant sentAt);
 
+/// Refutes suspicions of an upstream that sends at \a now a part of the answer to a request that it
+/// received at \a sentAt: it has not ended in between.
+void recordStillAnswering(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
+                          Instant sentAt, Instant now);
+
+/// Schedules a check of an upstream that cut off a request of this host at \a now.
+void scheduleCheck(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
+                   Instant now);
+
+/// Returns the incarnations whose check is due at \a now, unless they may have restarted since.
+std::vector<UpstreamIncarnation> takeDueChecks(CrashQuarantine &quarantine, Instant now);
+
+/// Records the end of the pending check of \a upstream. If a connection opened, the upstream was
+/// running when the check was sent.
+void recordCheckEnded(CrashQuarantine &quarantine, const UpstreamId &upstream, bool isOpen);
+
 /// Clears all suspicions of a request whose answer is known to be complete.
 void clearSuspicions(CrashQuarantine &quarantine, const RequestDigest &digest);
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -182,7 +182,8 @@
     std::uint64_t pausesStated = 0;     ///< Rejections that asked for a pause.
     std::uint64_t forwarded = 0;        ///< To other hosts.
     std::uint64_t forwardsReceived = 0; ///< From other hosts.
-    std::uint64_t probes = 0; ///< Connections that were opened to probe paths to upstreams.
+    std::uint64_t probes = 0;      ///< Connections that were opened to probe paths to upstreams.
+    std::uint64_t crashChecks = 0; ///< To check whether an upstream that cut off a request runs.
 };
 
 /// The whole state of one host. It is kept in memory only and can be lost safely.
--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -20,6 +20,17 @@
 /// A crashed upstream takes at least this long to restart: one that answers sooner has not crashed.
 constexpr Span minRestartTime = std::chrono::seconds(1);
 
+/// From the loss of a connection to the check of its upstream. A process that ends closes what it
+/// listens on within this time.
+constexpr Span checkDelay = std::chrono::milliseconds(100);
+
+/// An upstream that breaks off many answers is not checked more often than this.
+constexpr Span checkInterval = std::chrono::milliseconds(500);
+constexpr Span checkLifetime = std::chrono::seconds(5);
+
+/// What another host tells about an upstream may be older than it seems by this.
+constexpr Span maxMessageDelay = std::chrono::milliseconds(50);
+
 /// Interval between repeated sends of a suspicion, in case a message was lost.
 constexpr Span resendInterval = std::chrono::milliseconds(400);
 constexpr int sendsPerSuspicion = 3;
@@ -188,10 +199,28 @@
     }
 }
 
+/// Queues the news that \a incarnation was running at \a at, if it cut off a request of this host
+/// between \a from and then: the other hosts suspect it.
+void queueRefutation(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
+                     Instant from, Instant at)
+{
+    const auto check = quarantine.checks.find(incarnation);
+    if (check == quarantine.checks.end() || check->second.isRefuted || check->second.lostAt < from
+        || check->second.lostAt >= at)
+        return;
+    check->second.isRefuted = true;
+    check->second.dueAt = never;
+    Instant &running = quarantine.runningAt[incarnation];
+    running = std::max(running, at);
+    const CrashSuspicion refuted{ {}, incarnation, at, SuspectKind::Request, false, true };
+    quarantine.pending.push_back({ refuted, Instant{}, sendsPerSuspicion });
+}
+
 /// Drops the suspicions of \a incarnation recorded at or after \a from and before \a until.
 void refute(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation, Instant from,
             Instant until)
 {
+    queueRefutation(quarantine, incarnation, from, until);
     const auto suspected = quarantine.suspectedIncarnations.find(incarnation);
     if (suspected == quarantine.suspectedIncarnations.end())
         return;
@@ -226,11 +255,33 @@
     suspect.clearedAt = std::max(suspect.clearedAt, now);
 }
 
+/// Records that another host knows \a incarnation to have been running at \a at.
+void recordRunning(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation, Instant at)
+{
+    Instant &running = quarantine.runningAt[incarnation];
+    running = std::max(running, at + maxMessageDelay);
+    refute(quarantine, incarnation, at - minRestartTime, at + maxMessageDelay);
+}
+
+/// Whether the incarnation is known to have been running shortly after \a suspicion.
+bool wasRunningAfter(const CrashQuarantine &quarantine, const CrashSuspicion &suspicion)
+{
+    const auto found = quarantine.runningAt.find(suspicion.incarnation);
+    return found != quarantine.runningAt.end() && suspicion.at < found->second
+            && suspicion.at >= found->second - minRestartTime;
+}
+
 /// Records \a suspicion. Returns whether it changes anything.
 bool record(CrashQuarantine &quarantine, const CrashSuspicion &suspicion, Instant now)
 {
     if (now >= suspicion.at + quarantineDuration)
         return false;
+    if (suspicion.isRefuted) {
+        recordRunning(quarantine, suspicion.incarnation, suspicion.at);
+        return false;
+    }
+    if (!suspicion.isCleared && wasRunningAfter(quarantine, suspicion))
+        return false;
     const auto [found, isNew] = quarantine.suspects.try_emplace(suspicion.digest);
     CrashQuarantine::Suspect &suspect = found->second;
     suspect.kind = suspicion.kind;
@@ -280,6 +331,8 @@
 
 bool isStillValid(const CrashQuarantine &quarantine, const CrashSuspicion &suspicion)
 {
+    if (suspicion.isRefuted)
+        return true;
     const auto suspect = quarantine.suspects.find(suspicion.digest);
     if (suspect == quarantine.suspects.end())
         return false;
@@ -351,6 +404,47 @@
     refute(quarantine, incarnation, sentAt - minRestartTime, sentAt);
 }
 
+void recordStillAnswering(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation,
+                          Instant sentAt, Instant now)
+{
+    refute(quarantine, incarnation, sentAt, now - commonCauseSpan);
+}
+
+void scheduleCheck(CrashQuarantine &quarantine, const UpstreamIncarnation &incarnation, Instant now)
+{
+    CrashCheck &check = quarantine.checks[incarnation];
+    check.lostAt = now;
+    check.isRefuted = false;
+    if (check.dueAt == never)
+        check.dueAt = std::max(now + checkDelay, check.sentAt + checkInterval);
+}
+
+std::vector<UpstreamIncarnation> takeDueChecks(CrashQuarantine &quarantine, Instant now)
+{
+    std::vector<UpstreamIncarnation> due;
+    for (auto &[incarnation, check] : quarantine.checks) {
+        if (now < check.dueAt)
+            continue;
+        check.dueAt = never;
+        if (now >= check.lostAt + minRestartTime)
+            continue;
+        check.sentAt = now;
+        check.isPending = true;
+        due.push_back(incarnation);
+    }
+    return due;
+}
+
+void recordCheckEnded(CrashQuarantine &quarantine, const UpstreamId &upstream, bool isOpen)
+{
+    for (auto &[incarnation, check] : quarantine.checks) {
+        const bool isMeant = incarnation.upstream == upstream
+                && std::exchange(check.isPending, false);
+        if (isMeant && isOpen)
+            recordAnswered(quarantine, incarnation, check.sentAt);
+    }
+}
+
 void clearSuspicions(CrashQuarantine &quarantine, const RequestDigest &digest)
 {
     if (quarantine.suspects.contains(digest))
@@ -392,6 +486,10 @@
     while (const std::optional<RequestDigest> digest = quarantine.quarantinedUntil.takeDue(now))
         forget(quarantine, *digest);
     while (quarantine.answeredParts.takeDue(now)) {}
+    std::erase_if(quarantine.checks,
+                  [now](const auto &entry) { return now >= entry.second.lostAt + checkLifetime; });
+    std::erase_if(quarantine.runningAt,
+                  [now](const auto &entry) { return now >= entry.second + suspicionLifetime; });
     if (quarantine.suspects.empty())
         quarantine.suspectedIncarnations.clear();
 }
--- a/packages/gateway/src/crashes.cpp
+++ b/packages/gateway/src/crashes.cpp
@@ -135,6 +135,38 @@
     applySuspicions(state, suspicions, record.arrivedRequest.request, now, actions);
     for (const CrashSuspicion &suspicion : suspicions)
         queueSuspicion(state.quarantine, suspicion, now);
+    scheduleCheck(state.quarantine, incarnation, now);
+}
+
+void recordAnswered(GatewayState &state, const RequestRecord &record, bool isShown, Instant now)
+{
+    const auto found = state.upstreams.find(record.upstream);
+    if (found == state.upstreams.end())
+        return;
+    const UpstreamIncarnation incarnation = incarnationOf(found->second);
+    recordAnswered(state.quarantine, incarnation, record.sentAt);
+    if (isShown)
+        recordStillAnswering(state.quarantine, incarnation, record.sentAt, now);
+}
+
+void checkCrashes(GatewayState &state, Instant now, Actions &actions)
+{
+    for (const UpstreamIncarnation &incarnation : takeDueChecks(state.quarantine, now)) {
+        const auto found = state.upstreams.find(incarnation.upstream);
+        if (found == state.upstreams.end() || incarnationOf(found->second) != incarnation)
+            continue;
+        ++state.counters.crashChecks;
+        actions.probes.push_back({ found->second.listed.service, crashCheckRound,
+                                   incarnation.upstream, found->second.listed.address });
+    }
+}
+
+void recordCrashCheck(GatewayState &state, const ProbeEnded &event, Actions &actions)
+{
+    actions.logEvents.push_back({ "crash_checked",
+                                  { { "upstream", event.upstream.value },
+                                    { "running", event.isOpen ? "true" : "unknown" } } });
+    recordCheckEnded(state.quarantine, event.upstream, event.isOpen);
 }
 
 void clearSuspicionsOf(GatewayState &state, const RequestRecord &record, Instant now,
@@ -156,7 +188,8 @@
     std::vector<CrashSuspicion> credible;
     std::copy_if(suspicions.begin(), suspicions.end(), std::back_inserter(credible),
                  [&](const CrashSuspicion &suspicion) {
-                     return suspicion.isCleared || !isRefuted(state, suspicion);
+                     return suspicion.isCleared || suspicion.isRefuted
+                             || !isRefuted(state, suspicion);
                  });
     if (!credible.empty())
         applySuspicions(state, credible, {}, now, actions);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -251,6 +251,7 @@
     logReachability(state.members, now, actions);
     resolveEarlyAttempts(state, now);
     checkPaths(state, now, actions);
+    checkCrashes(state, now, actions);
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
     dropUnneededLoads(state);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -155,6 +155,8 @@
             to.__set_isPart(true);
         if (crash.isCleared)
             to.__set_isCleared(true);
+        if (crash.isRefuted)
+            to.__set_isRefuted(true);
     }
     return out;
 }
@@ -168,7 +170,8 @@
                         { UpstreamId{ crash.upstream }, crash.start },
                         now - ageOf(crash.age),
                         crash.isPart ? SuspectKind::PromptPart : SuspectKind::Request,
-                        crash.isCleared });
+                        crash.isCleared,
+                        crash.isRefuted });
     }
     return out;
 }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -199,6 +199,19 @@
 void recordConnectionLost(GatewayState &state, const RequestRecord &record, Instant now,
                           Actions &actions);
 
+/// Records that the upstream of \a record has answered, completely or with the first byte of a body
+/// if \a isShown: an answer that may have been cut off does not show that the upstream still runs.
+void recordAnswered(GatewayState &state, const RequestRecord &record, bool isShown, Instant now);
+
+/// The round of probes that check whether an upstream that cut off a request is still running.
+inline constexpr std::uint64_t crashCheckRound = 0;
+
+/// Begins the checks that are due of upstreams that cut off requests.
+void checkCrashes(GatewayState &state, Instant now, Actions &actions);
+
+/// Handles the end of such a check.
+void recordCrashCheck(GatewayState &state, const ProbeEnded &event, Actions &actions);
+
 /// Clears the suspicions of the request of \a record and of its prompt's parts, as it was answered
 /// completely.
 void clearSuspicionsOf(GatewayState &state, const RequestRecord &record, Instant now,
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -337,9 +337,7 @@
     record.answerStartedAt = now;
     if (record.phase != RequestPhase::AtUpstream)
         return;
-    const auto upstream = state.upstreams.find(record.upstream);
-    if (upstream != state.upstreams.end())
-        recordAnswered(state.quarantine, incarnationOf(upstream->second), record.sentAt);
+    recordAnswered(state, record, true, now);
     if (record.isEngineIdle && !record.arrivedRequest.model.model.empty()) {
         recordPrefill(state.prefillRates[record.service],
                       static_cast<double>(record.arrivedRequest.promptTokens.count),
@@ -361,8 +359,8 @@
         recordHealth(upstream->second, healthSignalOf(event.outcome), now);
     if (event.isCutOff && event.outcome == AttemptOutcome::Failed)
         recordConnectionLost(state, record, now, actions);
-    else if (upstream != state.upstreams.end() && hasAnswered(event.outcome))
-        recordAnswered(state.quarantine, incarnationOf(upstream->second), record.sentAt);
+    else if (hasAnswered(event.outcome))
+        recordAnswered(state, record, event.isEndShown, now);
     if (event.outcome == AttemptOutcome::Done && event.isEndShown)
         clearSuspicionsOf(state, record, now, actions);
     if (record.isEarlyAttempt)
--- a/packages/gateway/src/upstream_paths.cpp
+++ b/packages/gateway/src/upstream_paths.cpp
@@ -92,6 +92,10 @@
 
 void handle(GatewayState &state, const ProbeEnded &event, Instant now, Actions &actions)
 {
+    if (event.round == crashCheckRound) {
+        recordCrashCheck(state, event, actions);
+        return;
+    }
     const PathChange change = recordProbe(state.paths[event.service], event.round, event.upstream,
                                           event.isOpen, now);
     if (change != PathChange::None)
--- a/packages/gateway/tests/quarantined_requests_test.cpp
+++ b/packages/gateway/tests/quarantined_requests_test.cpp
@@ -286,18 +286,47 @@
     void runFor(Span span, const std::set<UpstreamId> &crashed = {})
     {
         const Instant end = this->now + span;
-        while (this->now < end) {
-            this->now = this->now + tickInterval;
-            Actions ticked;
-            tick(this->state, this->now, ticked);
-            for (const ProbeUpstream &probe : ticked.probes) {
-                ++this->probes;
-                const bool isOpen = !crashed.contains(probe.upstream);
-                Actions ignored;
-                handle(this->state, ProbeEnded{ probe.service, probe.round, probe.upstream, isOpen },
-                       this->now, ignored);
-            }
+        while (this->now < end)
+            this->tickOnce(crashed);
+    }
+
+    /// Returns what is sent to the other host about crashes.
+    std::vector<CrashSuspicion> tickOnce(const std::set<UpstreamId> &crashed = {})
+    {
+        this->now = this->now + tickInterval;
+        Actions ticked;
+        tick(this->state, this->now, ticked);
+        for (const ProbeUpstream &probe : ticked.probes) {
+            const bool isOpen = !crashed.contains(probe.upstream);
+            Actions ignored;
+            handle(this->state, ProbeEnded{ probe.service, probe.round, probe.upstream, isOpen },
+                   this->now, ignored);
+        }
+        std::vector<CrashSuspicion> sent;
+        for (const SendGossip &gossip : ticked.gossip) {
+            const std::vector<CrashSuspicion> &crashes = gossip.message->crashes;
+            sent.insert(sent.end(), crashes.begin(), crashes.end());
         }
+        return sent;
+    }
+
+    static Gossip messageOfOther()
+    {
+        Gossip message;
+        message.from.value = "other";
+        message.zone.value = "z";
+        message.incarnation.value = 1;
+        return message;
+    }
+
+    /// The other host tells that \a upstream was running at \a at.
+    void receiveRefutation(const std::string &upstream, Instant at)
+    {
+        Gossip message = messageOfOther();
+        message.crashes.push_back(
+                { {}, { UpstreamId{ upstream }, 0 }, at, SuspectKind::Request, false, true });
+        Actions ignored;
+        handle(this->state, message, this->now, ignored);
     }
 
     /// An upstream breaks off the answer to a request. Returns the upstream.
@@ -318,11 +347,10 @@
             sent += this->sendRequest(content).dispatches.size();
         return sent;
     }
-
-    std::size_t probes = 0;
 };
 
-// Guards against good requests that are refused because living upstreams broke off others like them.
+// Guards against good requests that are refused because living upstreams broke off others like
+// them.
 TEST_F(BrokenStreamsTest, AtLivingUpstreamsRefuseNoEqualRequests)
 {
     std::set<UpstreamId> upstreams;
@@ -333,5 +361,136 @@
     EXPECT_EQ(this->countSent(1, 20), 20U);
 }
 
+// Guards against crashes that are taken for broken connections: nothing accepts a connection.
+TEST_F(BrokenStreamsTest, OfCrashedUpstreamsRefuseEqualRequests)
+{
+    std::set<UpstreamId> crashed;
+    while (crashed.size() < 3) {
+        crashed.insert(this->breakOff(1));
+        this->runFor(std::chrono::seconds(1), crashed);
+    }
+    EXPECT_EQ(this->countSent(1, 20), 0U);
+}
+
+// Guards against an upstream that restarts fast: a connection that opens later proves nothing.
+TEST_F(BrokenStreamsTest, AreNotRefutedByLaterConnections)
+{
+    std::set<UpstreamId> crashed;
+    while (crashed.size() < 3)
+        crashed.insert(this->breakOff(1));
+    this->runFor(std::chrono::seconds(2), crashed);
+    this->runFor(std::chrono::seconds(20));
+    EXPECT_EQ(this->countSent(1, 20), 0U);
+}
+
+// Guards against refusals where no new connection can be opened, but older ones go on.
+TEST_F(BrokenStreamsTest, AreRefutedByAnswersThatGoOn)
+{
+    std::vector<Dispatch> others;
+    for (std::uint64_t content = 2; content < 60; ++content)
+        others.push_back(this->sendRequest(content).dispatches.front());
+    std::set<UpstreamId> upstreams;
+    while (upstreams.size() < 3)
+        upstreams.insert(this->breakOff(1));
+    this->runFor(std::chrono::milliseconds(300), upstreams);
+    EXPECT_EQ(this->countSent(1, 20), 0U);
+    for (const Dispatch &other : others)
+        this->endAttempt(other, AttemptOutcome::Done);
+    EXPECT_EQ(this->countSent(1, 20), 20U);
+}
+
+// Guards against an answer that a crash ended, too, and that only seems to be whole.
+TEST_F(BrokenStreamsTest, AreNotRefutedByAnswersThatEndWithTheirConnection)
+{
+    std::vector<Dispatch> others;
+    for (std::uint64_t content = 2; content < 60; ++content)
+        others.push_back(this->sendRequest(content).dispatches.front());
+    std::set<UpstreamId> upstreams;
+    while (upstreams.size() < 3)
+        upstreams.insert(this->breakOff(1));
+    this->runFor(std::chrono::milliseconds(300), upstreams);
+    for (const Dispatch &other : others) {
+        AttemptEnded ended{ other.request, other.attempt };
+        ended.isEndShown = false;
+        Actions ignored;
+        handle(this->state, ended, this->now, ignored);
+    }
+    EXPECT_EQ(this->countSent(1, 20), 0U);
+}
+
+// Guards against hosts that refuse good requests because only the host that lost the connections
+// learns that the upstreams live on.
+TEST_F(BrokenStreamsTest, AreRefutedAtTheOtherHostsToo)
+{
+    this->sendRequest(1);
+    const RequestNumber last{ this->lastRequest };
+    const RequestDigest digest = this->state.requests.at(last).digest;
+    this->receiveSuspicions({ "d1", "d2", "d3" });
+    ASSERT_TRUE(isQuarantined(this->state.quarantine, digest));
+    const Instant lostAt = this->now;
+    this->now = this->now + std::chrono::milliseconds(150);
+    for (const std::string upstream : { "d1", "d2", "d3" })
+        this->receiveRefutation(upstream, lostAt + std::chrono::milliseconds(100));
+    EXPECT_EQ(this->countSent(1, 20), 20U);
+    Gossip late = messageOfOther();
+    for (const std::string upstream : { "d1", "d2", "d3" })
+        late.crashes.push_back({ digest, { UpstreamId{ upstream }, 0 }, lostAt });
+    Actions ignored;
+    handle(this->state, late, this->now, ignored);
+    EXPECT_FALSE(isSuspected(this->state.quarantine, digest)) << "a message that is late";
+}
+
+// Guards against a refutation that is told to no other host.
+TEST_F(BrokenStreamsTest, AreToldToBeRefutedToOtherHosts)
+{
+    Actions ignored;
+    handle(this->state, messageOfOther(), this->now, ignored);
+    const UpstreamId upstream = this->breakOff(1);
+    const Instant lostAt = this->now;
+    std::vector<CrashSuspicion> refutations;
+    for (int ticks = 0; ticks < 100; ++ticks) {
+        for (const CrashSuspicion &sent : this->tickOnce()) {
+            if (sent.isRefuted)
+                refutations.push_back(sent);
+        }
+    }
+    ASSERT_EQ(refutations.size(), 3U) << "sent three times, as messages are lost";
+    EXPECT_EQ(refutations.front().incarnation.upstream, upstream);
+    EXPECT_GT(refutations.front().at, lostAt);
+}
+
+// Guards against a suspicion that lasts at the other hosts after this one has dropped it.
+TEST_F(BrokenStreamsTest, AreToldToBeRefutedAlsoAfterACompleteAnswer)
+{
+    Actions ignored;
+    handle(this->state, messageOfOther(), this->now, ignored);
+    this->breakOff(1);
+    this->tickOnce();
+    this->endAttempt(this->sendRequest(1).dispatches.front(), AttemptOutcome::Done);
+    EXPECT_TRUE(this->state.quarantine.suspects.empty());
+    std::size_t refutations = 0;
+    for (int ticks = 0; ticks < 100; ++ticks) {
+        for (const CrashSuspicion &sent : this->tickOnce())
+            refutations += sent.isRefuted ? 1 : 0;
+    }
+    EXPECT_EQ(refutations, 3U);
+}
+
+// Guards against a flood of connections to an upstream that breaks off each of its answers.
+TEST_F(BrokenStreamsTest, CauseAtMostTwoChecksOfAnUpstreamASecond)
+{
+    for (const std::string id : { "d2", "d3", "d4", "d5" })
+        this->list(id, true);
+    const Instant begunAt = this->now;
+    for (std::uint64_t content = 1; content <= 100; ++content) {
+        const Actions sent = this->sendRequest(content);
+        this->endAttempt(sent.dispatches.front(), AttemptOutcome::Failed);
+        this->runFor(std::chrono::milliseconds(50));
+    }
+    const double elapsed = toSeconds(this->now - begunAt);
+    EXPECT_GE(static_cast<double>(this->state.counters.crashChecks), elapsed);
+    EXPECT_LE(static_cast<double>(this->state.counters.crashChecks), 1 + 2 * elapsed);
+}
+
 } // namespace
 } // namespace azurewell::gateway
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -147,6 +147,7 @@
     addCounter(out, "azurewell_forwards_received_total", counters.forwardsReceived);
     addCounter(out, "azurewell_peer_connections_rejected_total", metrics.peerConnectionsRejected);
     addCounter(out, "azurewell_path_probes_total", counters.probes);
+    addCounter(out, "azurewell_crash_checks_total", counters.crashChecks);
     addGauge(out, "azurewell_services_unreachable",
              static_cast<double>(countUnreachableServices(state)));
     addGauge(out, "azurewell_zones_evacuated",
