Send a suspicion again after 60 ms, so that one lost message lets no fourth engine run the request

What callers saw: four engines end under one request where three are allowed, each with all that it ran.

The first repeat now comes after 60 ms and the last at 0.8 s as before; as many messages. Test of the intervals new; none changed.

--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/gateway/crash_quarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace azurewell::gateway {
@@ -31,9 +32,12 @@
 /// What another host tells about an upstream may be older than it seems by this.
 constexpr Span maxMessageDelay = std::chrono::milliseconds(50);
 
-/// Interval between repeated sends of a suspicion, in case a message was lost.
-constexpr Span resendInterval = std::chrono::milliseconds(400);
-constexpr int sendsPerSuspicion = 3;
+/// A suspicion is sent again after these intervals, in case a message was lost. The first is short:
+/// a host that does not know of a third crash dispatches the request to a fourth upstream. The last
+/// is longer than most losses of several messages in a row.
+constexpr std::array<Span, 2> resendIntervals{ std::chrono::milliseconds(60),
+                                               std::chrono::milliseconds(740) };
+constexpr int sendsPerSuspicion = 1 + static_cast<int>(resendIntervals.size());
 
 /// Suspicions sent to a newly joined host.
 constexpr std::size_t maxSuspicionsForNewHost = 200;
@@ -350,7 +354,10 @@
             continue;
         const bool isValid = isStillValid(quarantine, pending.suspicion);
         pending.sendsLeft = isValid ? pending.sendsLeft - 1 : 0;
-        pending.nextSendAt = now + resendInterval;
+        if (pending.sendsLeft > 0) {
+            const std::size_t left = static_cast<std::size_t>(pending.sendsLeft);
+            pending.nextSendAt = now + resendIntervals.at(resendIntervals.size() - left);
+        }
         if (isValid)
             due.push_back(pending.suspicion);
     }
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -131,6 +131,21 @@
     EXPECT_TRUE(this->quarantine.pending.empty());
 }
 
+// Guards against a host that dispatches a query of death to one upstream more because the message
+// about the last crash was lost, and against three messages that one loss takes.
+TEST_F(CrashQuarantineTest, SuspicionsAreResentSoonAndOnceMoreMuchLater)
+{
+    const CrashSuspicion suspicion{ RequestDigest{ 1 }, incarnation("a"), this->now };
+    recordSuspicions(this->quarantine, { suspicion }, this->now);
+    queueSuspicion(this->quarantine, suspicion, this->now);
+    EXPECT_EQ(takePending(this->quarantine, this->now).size(), 1U);
+    this->now = this->now + std::chrono::milliseconds(80);
+    EXPECT_EQ(takePending(this->quarantine, this->now).size(), 1U);
+    EXPECT_TRUE(takePending(this->quarantine, this->now + std::chrono::milliseconds(500)).empty());
+    EXPECT_EQ(takePending(this->quarantine, this->now + std::chrono::milliseconds(800)).size(), 1U);
+    EXPECT_TRUE(this->quarantine.pending.empty());
+}
+
 TEST_F(CrashQuarantineTest, JoiningHostReceivesQuarantinedAndSevereSuspects)
 {
     this->suspectAtUpstreams(1, quarantineThreshold);
