Known red: streams go on at servers of another software version

Callers saw streams that hold events from servers of two software versions of one service: no source read the version in a server's entry, nor the headers by which a caller takes a stream up again.

The simulated fleet gets plain servers with versions, streams that break at either end, callers that take them up at any host, releases, cuts between groups of hosts, and hosts from which the store is away.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -18,6 +18,13 @@
 /// Number of a caller's request on this host, counted from the start of the process.
 using RequestNumber = StrongId<struct RequestNumberTag, std::uint64_t>;
 
+/// What a caller states about the stream that it takes up again.
+struct StreamResumption
+{
+    AttemptId begunBy; ///< The attempt that brought the stream's first event; empty: not stated.
+    EventId lastEvent; ///< The last event that the caller has; empty: not stated.
+};
+
 /// A caller's request has been read completely.
 struct RequestArrived
 {
@@ -36,6 +43,7 @@
                                        ///< empty if not stated.
     Span allowed{};                    ///< Time that the caller is willing to wait; 0: not stated.
     std::optional<ForwardedRequest> forwarded; ///< Set if another host sent the request.
+    std::optional<StreamResumption> resumption{}; ///< Set if the caller takes up a stream again.
 };
 
 /// The caller closed its connection.
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -82,6 +82,7 @@
     Span warmupLeft{}; ///< Time for which the upstream stays cold; 0: it is warm.
     std::uint64_t serial = 0; ///< Increases with each entry of one process of the upstream.
     EngineState engine;       ///< State in the last entry; `seenAt` is set by the reader.
+    SoftwareVersion softwareVersion{};
 };
 
 /// Whether two entries of an upstream are equal apart from their serial and the engine's state,
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -81,7 +81,8 @@
 {
     return a.id == b.id && a.service == b.service && a.address == b.address && a.zone == b.zone
             && a.slots == b.slots && a.isLeaving == b.isLeaving && a.remaining == b.remaining
-            && a.engine.start == b.engine.start && isWarmupContinued(a.warmupLeft, b.warmupLeft);
+            && a.engine.start == b.engine.start && a.softwareVersion == b.softwareVersion
+            && isWarmupContinued(a.warmupLeft, b.warmupLeft);
 }
 
 void recordLastEngine(LastEngines &lastEngines, const ModelName &adapter, const UpstreamId &engine)
--- a/packages/units/include/azurewell/units/ids.h
+++ b/packages/units/include/azurewell/units/ids.h
@@ -26,6 +26,13 @@
 using RequestDigest = StrongId<struct RequestDigestTag, std::uint64_t>;
 /// A part of a prompt that requests may share, whoever sends them.
 using PromptPartId = StrongId<struct PromptPartTag, std::uint64_t>;
+/// A version of an upstream's software, not of its weights; empty: the platform states none. What
+/// two versions write does not fit together.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
+/// The name that a caller gives to one of its attempts; another caller may use the same.
+using AttemptId = StrongId<struct AttemptIdTag, std::string>;
+/// The id of an event of a stream, as its upstream wrote it.
+using EventId = StrongId<struct EventIdTag, std::string>;
 /// The number that a caller gives to a call that must not run twice.
 using CallNumber = StrongId<struct CallNumberTag, std::string>;
 /// The number of a ticket; tickets are applied in ascending order.
--- /dev/null
+++ b/tests/gateway_world/stream_versions_test.cpp
@@ -0,0 +1,207 @@
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace azurewell::gateway {
+namespace {
+
+constexpr Span settling = std::chrono::seconds(10);
+
+/// Servers that are released one after the other, in the time of a test.
+constexpr std::size_t maxReleases = 12;
+
+struct FleetSize
+{
+    std::size_t zones;
+    std::size_t hostsPerZone;
+    std::size_t serversPerZone;
+    double streamsPerSecond;
+    std::uint64_t seeds;
+};
+
+std::ostream &operator<<(std::ostream &out, const FleetSize &fleet)
+{
+    return out << fleet.zones * fleet.hostsPerZone << "_hosts";
+}
+
+/// Share of the resumptions at hosts in touch that must go on while two servers of their version
+/// serve.
+constexpr double minShareThatGoesOn = 0.95;
+
+/// Fleets before servers of two software versions, with callers that take broken streams up again
+/// at any host.
+class StreamVersions : public testing::TestWithParam<FleetSize>
+{
+protected:
+    static WorldSettings settingsOf(const FleetSize &fleet, std::uint64_t seed)
+    {
+        WorldSettings settings;
+        settings.seed = seed;
+        settings.zones = fleet.zones;
+        settings.hostsPerZone = fleet.hostsPerZone;
+        settings.enginesPerZone = fleet.serversPerZone;
+        settings.requestsPerSecond = fleet.streamsPerSecond;
+        settings.adapters = 1;
+        settings.servesStreams = true;
+        settings.brokenStreams = 0.2;
+        return settings;
+    }
+
+    /// Runs \a play for each seed. No stream may have events of two versions, and of the
+    /// resumptions at hosts in touch enough must go on, over all seeds.
+    template <typename Play>
+    void playSeeds(Play play)
+    {
+        StreamTries resumptions;
+        StreamTries newStreams;
+        std::uint64_t ofTwoVersions = 0;
+        for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
+            const World world = play(settingsOf(GetParam(), seed));
+            if (world.streamsOfTwoVersions > 0) {
+                ADD_FAILURE() << "seed " << seed << ": " << world.streamsOfTwoVersions
+                              << " streams of two versions";
+            }
+            ofTwoVersions += world.streamsOfTwoVersions;
+            resumptions.sent += world.resumptions.sent;
+            resumptions.gotEvents += world.resumptions.gotEvents;
+            newStreams.sent += world.newStreams.sent;
+            newStreams.gotEvents += world.newStreams.gotEvents;
+        }
+        EXPECT_GE(resumptions.sent, 12 * GetParam().seeds);
+        EXPECT_GE(resumptions.share(), minShareThatGoesOn)
+                << resumptions.gotEvents << " of " << resumptions.sent;
+        EXPECT_GE(newStreams.share(), minShareThatGoesOn)
+                << newStreams.gotEvents << " of " << newStreams.sent;
+        RecordProperty("resumptions", static_cast<int>(resumptions.sent));
+        RecordProperty("went_on", static_cast<int>(resumptions.gotEvents));
+        RecordProperty("of_two_versions", static_cast<int>(ofTwoVersions));
+    }
+};
+
+/// Whether \a host is among the fifth of the hosts that is disturbed in \a round.
+bool isDisturbed(std::size_t host, std::size_t round)
+{
+    return (host * 7 + round) % 5 == 0;
+}
+
+// Guards against a stream that goes on at a server of another software version: what two versions
+// write does not fit together.
+TEST_P(StreamVersions, GoOnAtTheVersionThatBeganThem)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(std::chrono::seconds(20));
+        return world;
+    });
+}
+
+// Guards against a resumption that is refused or goes wrong because the host that passed on the
+// first event is gone, and against hosts that have just started and know nothing.
+TEST_P(StreamVersions, GoOnBesideRestartsAndJoinsOfHosts)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 4; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                if (isDisturbed(host, round))
+                    world.killHost(host);
+            }
+            world.runFor(std::chrono::milliseconds(2000 + 37 * settings.seed));
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                if (isDisturbed(host, round))
+                    world.startHost(host, false);
+            }
+            world.runFor(std::chrono::milliseconds(4500));
+        }
+        return world;
+    });
+}
+
+// Guards against a resumption that waits for the answer of a host that stands still.
+TEST_P(StreamVersions, GoOnBesideFrozenHosts)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 5; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                if (isDisturbed(host, round))
+                    world.pauseHost(host, std::chrono::milliseconds(600 + 700 * round));
+            }
+            world.runFor(std::chrono::milliseconds(5000 + 37 * settings.seed));
+        }
+        return world;
+    });
+}
+
+// Guards against hosts without touch that guess who began a stream.
+TEST_P(StreamVersions, GoOnBesideCutsOfZonesAndHosts)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t round = 0; round < 4; ++round) {
+            for (std::size_t host = 0; host < world.hostCount(); ++host) {
+                const bool isCut = round % 2 == 0 ? host % settings.zones == round / 2
+                                                  : isDisturbed(host, round);
+                world.moveToSide(host, isCut ? 1 : 0);
+            }
+            world.runFor(std::chrono::milliseconds(5000 + 37 * settings.seed));
+            for (std::size_t host = 0; host < world.hostCount(); ++host)
+                world.moveToSide(host, 0);
+            world.runFor(std::chrono::milliseconds(4500));
+        }
+        return world;
+    });
+}
+
+// Guards against streams that are begun and taken up again while the hosts learn, one after the
+// other, that a server has another version now.
+TEST_P(StreamVersions, GoOnWhileServersAreReleased)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.softwareVersions = 1;
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t server = 0; server < std::min(world.engineCount(), maxReleases); ++server) {
+            world.releaseEngine(server, "v2");
+            world.runFor(std::chrono::milliseconds(900 + 11 * settings.seed));
+        }
+        world.runFor(settling);
+        return world;
+    });
+}
+
+// Guards against hosts that are cut off from the others and the store, know of one version only and
+// resume a stream there that another version has begun.
+TEST_P(StreamVersions, AreNeverMixedWhileTheStoreIsAwayFromHostsWithoutTouch)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.softwareVersions = 1;
+        World world{ settings };
+        world.runFor(std::chrono::seconds(20));
+        for (std::size_t host = 0; host < world.hostCount(); ++host) {
+            const bool isAway = isDisturbed(host, settings.seed);
+            world.takeStoreAway(host, isAway);
+            world.moveToSide(host, isAway ? 1 + host : 0);
+        }
+        for (std::size_t round = 0; round < std::min(world.engineCount() / 2, maxReleases); ++round) {
+            world.releaseEngine(2 * round, "v2");
+            world.runFor(std::chrono::milliseconds(900 + 11 * settings.seed));
+        }
+        world.runFor(settling);
+        return world;
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, StreamVersions,
+                         testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
+                                         FleetSize{ 3, 23, 6, 100, 1 },
+                                         FleetSize{ 5, 39, 4, 120, 1 }));
+
+} // namespace
+} // namespace azurewell::gateway
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -43,6 +43,11 @@
     service.engine->batchSlots = 64;
     service.engine->maxLoadedAdapters = static_cast<std::uint32_t>(settings.adapterSlots);
     service.engine->models.push_back({ baseName, 70000, std::chrono::seconds(2) });
+    if (settings.servesStreams) {
+        configuration.routes.front().isResumable = true;
+        configuration.routes.front().maxAttempts = 3;
+        service.engine.reset();
+    }
     configuration.services.push_back(service);
     Customer customer;
     customer.id.value = "c";
@@ -73,6 +78,8 @@
         FakeEngine engine;
         engine.id.value = "e" + std::to_string(index);
         engine.zone.value = "z" + std::to_string(index % this->settings.zones);
+        engine.softwareVersion = "v"
+                + std::to_string(1 + index / this->settings.zones % this->settings.softwareVersions);
         this->engines.push_back(engine);
     }
     this->hosts.resize(this->settings.zones * this->settings.hostsPerZone);
@@ -84,7 +91,12 @@
         this->recordState(engine);
     for (std::size_t index = 0; index < this->hosts.size(); ++index)
         this->startFirst(index);
-    this->schedule(this->now + this->settings.callersStart, [this] { this->sendRandomRequest(); });
+    this->schedule(this->now + this->settings.callersStart, [this] {
+        if (this->settings.servesStreams)
+            this->beginStream();
+        else
+            this->sendRandomRequest();
+    });
     for (std::size_t index = 0; index < this->settings.crashingRequestCount; ++index) {
         const ContentDigest content{ firstCrashingContent + index };
         this->crashingRequests[content] = {};
@@ -109,6 +121,8 @@
     listed.slots = 64;
     listed.engine.start = engine.start;
     listed.warmupLeft = std::max(engine.coldUntil - this->now, Span{});
+    listed.softwareVersion.value = engine.softwareVersion;
+    listed.isLeaving = engine.isDraining;
     return listed;
 }
 
@@ -278,6 +292,13 @@
     request.promptTokens.count = 1800;
     request.totalTokens = Tokens{ 2000 };
     request.allowed = std::chrono::seconds(4);
+    if (fakeRequest.stream == 0)
+        return request;
+    const FakeStream &stream = this->streams[fakeRequest.stream];
+    request.callerId = "s" + std::to_string(fakeRequest.stream) + "-"
+            + std::to_string(fakeRequest.streamAttempt);
+    if (!stream.begunBy.empty())
+        request.resumption = StreamResumption{ AttemptId{ stream.begunBy }, EventId{ "1" } };
     return request;
 }
 
@@ -336,7 +357,8 @@
     if (found == this->hostAt.end() || isLost)
         return;
     const std::size_t to = found->second;
-    if (this->partitionedHosts[from] || this->partitionedHosts[to] || this->hosts[from].isUnheard)
+    if (this->partitionedHosts[from] || this->partitionedHosts[to] || this->hosts[from].isUnheard
+        || this->hosts[from].side != this->hosts[to].side)
         return;
     const std::uint64_t incarnation = this->hosts[to].incarnation;
     this->schedule(this->now + networkLatency, [this, to, incarnation, message = gossip.message] {
@@ -367,6 +389,12 @@
         });
         return;
     }
+    if (fakeRequest.stream != 0) {
+        this->schedule(this->now + networkLatency, [this, index, incarnation, toSend] {
+            this->runStream({ index, incarnation, toSend });
+        });
+        return;
+    }
     this->schedule(this->now + networkLatency, [this, index, incarnation, toSend, fakeRequest] {
         FakeEngine &engine = *this->findEngine(toSend.upstream);
         if (!engine.isUp) {
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -49,6 +49,29 @@
     }
 };
 
+/// A stream as its caller sees it, over all of its attempts.
+struct FakeStream
+{
+    std::uint64_t attempts = 0;
+    std::string begunBy;            ///< The attempt that brought the first event; empty: none yet.
+    std::set<std::string> versions; ///< Of the servers that wrote the events the caller has.
+    bool isDone = false;
+};
+
+/// Streams or resumptions at hosts in touch, by their first tries.
+struct StreamTries
+{
+    std::uint64_t sent = 0;
+    std::uint64_t gotEvents = 0;
+
+    double share() const
+    {
+        return this->sent == 0
+                ? 1
+                : static_cast<double>(this->gotEvents) / static_cast<double>(this->sent);
+    }
+};
+
 /// A request that runs at an engine.
 struct FakeRun
 {
@@ -68,6 +91,9 @@
     bool isAtCutHost = false;           ///< Its host has lost its path to the engines.
     std::optional<FakeRun> forwardedBy; ///< The run at the host that forwarded it.
     bool isCounted = false;             ///< It counts in triesAtCutHosts or triesAtOtherHosts.
+    std::uint64_t stream = 0;           ///< Index of its stream; 0: it is none.
+    std::uint64_t streamAttempt = 0;    ///< Which of the stream's attempts it is.
+    StreamTries *streamTries = nullptr; ///< Where it counts, if it does.
 };
 
 /// A request that crashes each engine that begins to run it (a query of death).
@@ -144,6 +170,8 @@
     HostId lastOrderedBy;
     Instant lastOrderAt;
     std::uint64_t highestFencing = 0;
+    std::string softwareVersion;
+    bool isDraining = false; ///< Its entry says that it leaves.
     /// Oldest first; reports return the state of WorldSettings::reportLag ago.
     std::vector<std::pair<Instant, EngineState>> stateHistory;
 };
@@ -157,6 +185,8 @@
     Instant stableSince;
     std::uint64_t incarnation = 1;
     bool isUnheard = false; ///< Its messages reach no other host, though it receives theirs.
+    std::size_t side = 0; ///< Messages between hosts of different sides are lost.
+    bool isStoreAway = false; ///< Entries of engines reach it only when this is over.
     Span maxLag{};          ///< Longest time for which it gets no processor; 0: it always does.
     Instant busyUntil;      ///< Events that arrive until then are handled then.
 };
@@ -195,6 +225,10 @@
     Span engineRestartTime = std::chrono::seconds(3);
     double warmupPerSecond = 0; ///< Requests a second that the service states for cold engines.
     std::uint32_t maxSends = 1; ///< Attempts of a caller whose answers are interrupted.
+    /// The service is a plain one with streams that may be resumed, in place of engines.
+    bool servesStreams = false;
+    double brokenStreams = 0.1; ///< Share of the streams' attempts that break after an event.
+    std::size_t softwareVersions = 2; ///< Of the servers at the start, in turn.
     bool countsBytes = false;   ///< Each message is encoded and decoded as on the wire.
 };
 
@@ -259,6 +293,13 @@
     /// WorldSettings::engineRestartTime without models.
     void crashEngine(std::size_t index);
 
+    /// Replaces the server's software: it drains, ends, and starts again under its id.
+    void releaseEngine(std::size_t index, const std::string &version);
+    /// Messages between hosts of different sides are lost.
+    void moveToSide(std::size_t host, std::size_t side);
+    /// Entries of engines reach the host only when the store is back.
+    void takeStoreAway(std::size_t host, bool isAway);
+
     /// Adapters that callers requested over at least \a span and of which no request was started.
     std::size_t countNeverStarted(Span span) const;
 
@@ -310,6 +351,10 @@
     std::map<ResultCode, std::uint64_t> refusals; ///< Without requests that crash engines.
     TryCounts triesAtCutHosts;                    ///< From contactTimeOfCuts after the last cut.
     TryCounts triesAtOtherHosts;
+    std::uint64_t streamsOfTwoVersions = 0;
+    StreamTries newStreams;
+    StreamTries resumptions;
+    std::uint64_t resumptionsSent = 0; ///< All tries, also at hosts that are out of touch.
     Instant now{ 1'000'000'000 };
 
 private:
@@ -378,6 +423,19 @@
     void endForward(const FakeRun &run, ForwardOutcome outcome, const ForwardRefusal &refusal = {});
     void deliver(std::size_t from, const SendGossip &gossip);
     void dispatch(std::size_t index, const Dispatch &toSend);
+    void beginStream();
+    void sendStream(std::uint64_t stream);
+    void sendStreamLater(std::uint64_t stream, Span delay);
+    bool isInTouch(std::size_t host) const;
+    bool hasTwoServers(const std::string &version) const;
+    void runStream(const FakeRun &run);
+    void passFirstEvent(const FakeRun &run, std::size_t engine, const std::string &version);
+    void takeFirstEvent(const FakeRun &run, const std::string &version);
+    void continueStream(const FakeRun &run, std::size_t engine, std::int64_t start);
+    void breakStream(std::uint64_t stream, std::uint64_t attempt, Span delay);
+    void refuseStream(const FakeRequest &request, const Refuse &refusal);
+    void relistLater(std::size_t engine);
+    void relistAt(std::size_t host, std::size_t engine, Span delay);
     void endWithFault(std::size_t index, std::uint64_t incarnation, const Dispatch &sent);
     void finish(std::size_t index, std::uint64_t incarnation, const Dispatch &sent,
                 std::size_t engine, const ModelName &model);
@@ -412,6 +470,7 @@
     /// By host and request id.
     std::map<std::pair<std::size_t, std::uint64_t>, FakeRequest> requests;
     std::map<ZoneId, Instant> evacuatedAt; ///< Evacuated zones.
+    std::vector<FakeStream> streams{ 1 }; ///< The first one is unused.
     std::uint64_t nextSequenceNumber = 1;
     std::uint64_t nextRequest = 1;
 };
--- a/tests/gateway_world/world_crashes.cpp
+++ b/tests/gateway_world/world_crashes.cpp
@@ -100,6 +100,10 @@
         return;
     }
     ++this->refused;
+    if (fakeRequest.stream != 0) {
+        this->refuseStream(fakeRequest, refusal);
+        return;
+    }
     if (this->crashingRequests.contains(fakeRequest.content) || this->crashingPartOf(fakeRequest))
         return;
     ++this->refusals[refusal.code];
--- a/tests/gateway_world/world_partitions.cpp
+++ b/tests/gateway_world/world_partitions.cpp
@@ -78,7 +78,8 @@
     this->schedule(this->now + networkLatency, [this, run, sent] {
         const std::size_t peer = this->hostAt.at(sent.address);
         FakeHost &host = this->hosts[peer];
-        if (!host.isUp || this->partitionedHosts[run.host] || this->partitionedHosts[peer]) {
+        if (!host.isUp || this->partitionedHosts[run.host] || this->partitionedHosts[peer]
+            || this->hosts[run.host].side != host.side) {
             this->endForward(run, ForwardOutcome::NotSent);
             return;
         }
