Let a stream go on only at a server of the software version that began it

Callers saw streams that hold events from servers of two software versions: the host that took up a broken stream chose any server of the service.

Cause: nobody recorded who began a stream. Now the host that passes on the first event records it under customer and attempt; while versions are mixed, three hosts of different zones get the record, and the host that gets the resumption asks two of each of these zones, and more every 40 ms. With one version only nothing is sent or asked. The version is a need of the request, for tries, repeats, loads and forwards, and is compared again at the first event. What is not known within a quarter of the objective, or has no server of its version left, is refused as not run (412, 413). New streams do not begin at a version that is new beside another one before every host has heard of it or knows that it is out of touch.

Ruled out on the way: recording and taking up streams at a host that reaches neither the platform nor others.

--- a/benchmark/gateway_fleet/gateway_fleet.cpp
+++ b/benchmark/gateway_fleet/gateway_fleet.cpp
@@ -34,6 +34,27 @@
     }
 }
 
+void printStreams(const World &world)
+{
+    OriginCounters sum;
+    for (std::size_t host = 0; host < world.hostCount(); ++host) {
+        const OriginCounters &counters = world.hostState(host).counters.origins;
+        sum.recorded += counters.recorded;
+        sum.sent += counters.sent;
+        sum.questions += counters.questions;
+        sum.unknown += counters.unknown;
+    }
+    const std::vector<Span> &waits = world.resumptionWaits;
+    const auto known = std::count_if(waits.begin(), waits.end(), [](Span wait) {
+        return wait <= std::chrono::milliseconds(5);
+    });
+    fmt::print(
+            "{} streams recorded, {} records sent, {} questions; {} of {} resumptions sent on, {} "
+            "of them within 5 ms; {} refused as unknown; {} streams of two versions\n",
+            sum.recorded, sum.sent, sum.questions, waits.size(), world.resumptionsSent, known,
+            sum.unknown, world.streamsOfTwoVersions);
+}
+
 } // namespace
 
 /// Measures the traffic between the hosts of a gateway fleet and its processor time. The cores of
@@ -52,6 +73,8 @@
     app.add_option("--engines-per-zone", settings.enginesPerZone, "engines in each zone");
     app.add_option("--adapters", settings.adapters, "adapters that are requested, Zipf 1.2");
     app.add_option("--requests", requestsPerHost, "requests per second at each host");
+    app.add_flag("--streams", settings.servesStreams, "plain servers with streams that break");
+    app.add_option("--versions", settings.softwareVersions, "software versions of the servers");
     app.add_option("--warm-up", warmUpSeconds, "seconds before the measurement");
     app.add_option("--seconds", seconds, "seconds that are measured");
     CLI11_PARSE(app, argc, argv);
@@ -78,5 +101,7 @@
                static_cast<double>(world.loads - loads) / seconds, world.answered,
                world.requestsSent);
     printKinds(world.sentByKind, sent, hostSeconds);
+    if (settings.servesStreams)
+        printStreams(world);
     return world.violations.empty() ? 0 : 1;
 }
--- a/idl/forward.thrift
+++ b/idl/forward.thrift
@@ -15,6 +15,8 @@
   4: i64 allowed
   /** Attempts after which the request may have run. */
   5: i32 possibleRuns
+  /** Version of the software that began the stream which the request takes up again. */
+  6: optional string begunBy
 }
 
 struct ForwardRefusal {
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -141,6 +141,38 @@
   2: i64 start
 }
 
+/** Which software began a stream that its caller may take up again. */
+struct StreamOrigin {
+  1: string customer
+  /** The attempt that brought the first event. */
+  2: string attempt
+  3: string serviceId
+  4: string version
+  /** Until the record is dropped. */
+  5: i64 remaining
+  6: optional bool isAmbiguous
+}
+
+struct OriginQuestion {
+  1: string customer
+  2: string attempt
+  3: string serviceId
+  4: i64 request
+}
+
+struct OriginAnswer {
+  1: StreamOrigin origin
+  2: i64 request
+  /** There is no record, but the service has had one version only. */
+  3: optional bool isLoneVersion
+}
+
+/** A service whose upstreams have several software versions, or had them this long ago. */
+struct MixedService {
+  1: string serviceId
+  2: i64 age
+}
+
 /** News of a host that another one passes on. */
 struct RelayedNews {
   1: string host
@@ -187,4 +219,8 @@
   30: optional list<LeavingUpstream> leavingUpstreams
   /** Of a heartbeat: since the sender last received a message of the receiver. */
   31: optional i32 heardMillisAgo
+  32: optional list<MixedService> mixedServices
+  33: optional list<StreamOrigin> origins
+  34: optional list<OriginQuestion> originQuestions
+  35: optional list<OriginAnswer> originAnswers
 }
--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace azurewell::gateway {
@@ -27,6 +28,9 @@
     ZoneId zone;     ///< Zone of this host.
     double prefillTokensPerSecond = 1;   ///< Prompt tokens that an engine reads per second.
     bool isSentWithoutAdmission = false; ///< Excludes upstreams with a rate limit.
+    /// Excludes upstreams of other versions, as the request takes up a stream that this one began.
+    std::optional<SoftwareVersion> softwareVersion{};
+    std::set<SoftwareVersion> heldVersions{}; ///< Excludes upstreams of these versions.
 };
 
 /// Whether \a upstream can take a request with \a need, apart from its model.
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -42,7 +42,7 @@
     std::optional<Tokens> totalTokens; ///< Prompt tokens plus the maximum of generated tokens;
                                        ///< empty if not stated.
     Span allowed{};                    ///< Time that the caller is willing to wait; 0: not stated.
-    std::optional<ForwardedRequest> forwarded; ///< Set if another host sent the request.
+    std::optional<ForwardedRequest> forwarded;    ///< Set if another host sent the request.
     std::optional<StreamResumption> resumption{}; ///< Set if the caller takes up a stream again.
 };
 
--- a/packages/gateway/include/azurewell/gateway/forwarding.h
+++ b/packages/gateway/include/azurewell/gateway/forwarding.h
@@ -4,6 +4,7 @@
 #include "azurewell/units/result.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
     ServiceId service;
     Span allowed{};                 ///< Time until the caller's deadline.
     std::uint32_t possibleRuns = 0; ///< Attempts after which the request may have run.
+    /// Of the software that began the stream which the request takes up again; empty: not known.
+    std::optional<SoftwareVersion> begunBy{};
 };
 
 /// The refusal of a forwarded request.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "azurewell/gateway/prefill_rate.h"
 #include "azurewell/gateway/prompt_pacing.h"
 #include "azurewell/gateway/published.h"
+#include "azurewell/gateway/stream_origins.h"
 #include "azurewell/gateway/upstream_path.h"
 #include "azurewell/gateway/warmup.h"
 #include "azurewell/gateway/zone_evacuation.h"
@@ -68,6 +69,20 @@
     bool isPermit = false;
 };
 
+enum class OriginStep : std::uint8_t { NotBegun, Asking, Known };
+
+/// The search for the software version that began a stream which a caller takes up again.
+struct OriginSearch
+{
+    OriginStep step = OriginStep::NotBegun;
+    SoftwareVersion version;     ///< Once it is known.
+    bool isLoneVersion = false;  ///< The service has had no other version.
+    bool isOtherService = false; ///< A service began it that its route no longer names.
+    Instant givesUpAt;
+    Instant nextQuestionAt;
+    std::size_t rounds = 0; ///< Number of times that other hosts were asked.
+};
+
 /// A caller's request while this host processes it.
 struct RequestRecord
 {
@@ -94,6 +109,8 @@
     bool hasAnswerStarted = false;
     Instant answerStartedAt;
     bool isEarlyAttempt = false; ///< Sent before a report shows that its adapter is loaded.
+    OriginSearch originSearch;   ///< Of a stream that is taken up again.
+    SoftwareVersion sentVersion; ///< Of the upstream that it was last sent to.
     PromptAdmissionState admissionState = PromptAdmissionState::NotRequested;
     UpstreamId admissionEngine;                    ///< The engine that admission was requested for.
     std::optional<EngineAdmission> firstAdmission; ///< Set while a second engine is asked.
@@ -159,6 +176,20 @@
     Instant since;                    ///< When this host was first known to lag behind.
 };
 
+/// Counts of what hosts know and ask about who began streams.
+struct OriginCounters
+{
+    std::uint64_t recorded = 0;        ///< Streams that began here.
+    std::uint64_t sent = 0;            ///< Records sent to other hosts.
+    std::uint64_t questions = 0;       ///< Questions sent to other hosts.
+    std::uint64_t answersGiven = 0;    ///< To questions of other hosts.
+    std::uint64_t answersTaken = 0;    ///< Resumptions whose origin another host knew.
+    std::uint64_t ownAnswers = 0;      ///< Resumptions whose origin this host knew.
+    std::uint64_t unknown = 0;         ///< Resumptions refused as nobody knew it.
+    std::uint64_t versionsGone = 0;    ///< Resumptions refused as no server of the version is left.
+    std::uint64_t changedVersions = 0; ///< Attempts given up as their server has another version.
+};
+
 /// Event counts since the start of the process; published as metrics.
 struct Counters
 {
@@ -175,6 +206,7 @@
     std::uint64_t baseLoadsOrdered = 0;
     std::map<OrderingEnd, std::uint64_t> orderingEnds;
     std::map<OrderOutcome, std::uint64_t> orderOutcomes;
+    OriginCounters origins;
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
@@ -250,6 +282,12 @@
     Instant nextFullUpdateAt;              ///< When the full state is next sent to the other zones.
     std::map<CustomerId, double> sentUses; ///< Admitted tokens as last sent to a relay.
     Instant nextSeedsAt;
+
+    StreamOrigins origins;
+    std::map<ServiceId, ServiceVersions> serviceVersions;
+    std::map<ServiceId, std::set<SoftwareVersion>> heldVersions; ///< Where no streams begin now.
+    Instant nextVersionCheckAt;
+    std::size_t knownWhenLost = 0; ///< Hosts known when this one lost most of them; 0: it has not.
     Counters counters;
 };
 
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/crash_quarantine.h"
 #include "azurewell/gateway/members.h"
+#include "azurewell/gateway/stream_origins.h"
 #include "azurewell/gateway/upstreams.h"
 
 #include <cstdint>
@@ -146,6 +147,36 @@
     std::vector<UpstreamLimit> limits;
 };
 
+/// A record of which software began a stream, or the answer to a question for it.
+struct StreamOriginUpdate
+{
+    StreamKey key;
+    StreamOrigin origin; ///< `until` is in the receiver's time, from the span in the message.
+};
+
+/// Asks which software began a stream that a caller takes up again.
+struct OriginQuestion
+{
+    StreamKey key;
+    ServiceId service;
+    std::uint64_t request = 0; ///< Request number at the asking host.
+};
+
+struct OriginAnswer
+{
+    StreamOriginUpdate update;
+    std::uint64_t request = 0;
+    /// There is no record, but the service had this version only for longer than streams last.
+    bool isLoneVersion = false;
+};
+
+/// A service whose upstreams have, or recently had, several software versions.
+struct MixedService
+{
+    ServiceId service;
+    Instant mixedAt; ///< When this was last so.
+};
+
 /// One message between hosts. Each list may be empty.
 struct Gossip
 {
@@ -180,6 +211,10 @@
     /// Upstreams that have stated in an answer that they leave.
     std::vector<UpstreamIncarnation> leavingUpstreams;
     std::set<ServiceId> unreachableServices; ///< The sender reaches none of their upstreams.
+    std::vector<MixedService> mixedServices;
+    std::vector<StreamOriginUpdate> origins;
+    std::vector<OriginQuestion> originQuestions;
+    std::vector<OriginAnswer> originAnswers;
 };
 
 } // namespace azurewell::gateway
--- a/packages/gateway/include/azurewell/gateway/message_kind.h
+++ b/packages/gateway/include/azurewell/gateway/message_kind.h
@@ -25,6 +25,9 @@
     RelayAnswer,   ///< Shows that the relay is alive.
     CrashSuspicions,
     UpstreamLimits,
+    StreamOrigins,
+    OriginQuestion,
+    OriginAnswer,
 };
 
 /// Returns the name of \a kind in metrics.
--- a/packages/gateway/src/forwarding.cpp
+++ b/packages/gateway/src/forwarding.cpp
@@ -51,6 +51,8 @@
     out.serviceId = request.service.value;
     out.allowed = request.allowed.count();
     out.possibleRuns = static_cast<std::int32_t>(request.possibleRuns);
+    if (request.begunBy)
+        out.__set_begunBy(request.begunBy->value);
     return encodeCompact(out);
 }
 
@@ -65,6 +67,8 @@
     request.service.value = in.value().serviceId;
     request.allowed = spanOf(in.value().allowed);
     request.possibleRuns = static_cast<std::uint32_t>(std::max(in.value().possibleRuns, 0));
+    if (in.value().__isset.begunBy)
+        request.begunBy = SoftwareVersion{ in.value().begunBy };
     return request;
 }
 
--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -175,11 +175,14 @@
     ++record.attempt;
     ++state.counters.forwarded;
     logForward(record, actions);
+    const OriginSearch &search = record.originSearch;
+    const bool isVersionKnown = search.step == OriginStep::Known;
     actions.forwards.push_back({ record.arrivedRequest.request,
                                  record.attempt,
                                  peer->address,
                                  { state.self.id, record.customer, record.service,
-                                   record.deadline - now, record.possibleRuns },
+                                   record.deadline - now, record.possibleRuns,
+                                   isVersionKnown ? std::optional(search.version) : std::nullopt },
                                  record.repeat != RepeatPolicy::Stream });
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -175,6 +175,7 @@
         upstream.engine = listed.engine;
         upstream.engine.seenAt = now;
     }
+    checkVersions(state, listed.service, now);
 }
 
 void removeUpstream(GatewayState &state, const UpstreamId &id, Instant now)
@@ -252,6 +253,7 @@
     resolveEarlyAttempts(state, now);
     checkPaths(state, now, actions);
     checkCrashes(state, now, actions);
+    runOrigins(state, now, actions);
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
     dropUnneededLoads(state);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <gossip_types.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace azurewell::gateway {
@@ -311,6 +312,75 @@
              part.bytes };
 }
 
+wire::StreamOrigin toWire(const StreamOriginUpdate &update, Instant now)
+{
+    wire::StreamOrigin out;
+    out.customer = update.key.customer.value;
+    out.attempt = update.key.begunBy.value;
+    out.serviceId = update.origin.service.value;
+    out.version = update.origin.version.value;
+    out.remaining = (update.origin.until - now).count();
+    if (update.origin.isAmbiguous)
+        out.__set_isAmbiguous(true);
+    return out;
+}
+
+StreamOriginUpdate fromWire(const wire::StreamOrigin &origin, Instant now)
+{
+    return { { CustomerId{ origin.customer }, AttemptId{ origin.attempt } },
+             { ServiceId{ origin.serviceId }, SoftwareVersion{ origin.version },
+               now + std::clamp(Span{ origin.remaining }, Span{}, maxOriginAge),
+               origin.isAmbiguous } };
+}
+
+void addOrigins(wire::Message &out, const Gossip &message, Instant now)
+{
+    out.__isset.mixedServices = !message.mixedServices.empty();
+    for (const MixedService &mixed : message.mixedServices) {
+        wire::MixedService &to = out.mixedServices.emplace_back();
+        to.serviceId = mixed.service.value;
+        to.age = (now - mixed.mixedAt).count();
+    }
+    out.__isset.origins = !message.origins.empty();
+    for (const StreamOriginUpdate &update : message.origins)
+        out.origins.push_back(toWire(update, now));
+    out.__isset.originQuestions = !message.originQuestions.empty();
+    for (const OriginQuestion &question : message.originQuestions) {
+        wire::OriginQuestion &to = out.originQuestions.emplace_back();
+        to.customer = question.key.customer.value;
+        to.attempt = question.key.begunBy.value;
+        to.serviceId = question.service.value;
+        to.request = static_cast<std::int64_t>(question.request);
+    }
+    out.__isset.originAnswers = !message.originAnswers.empty();
+    for (const OriginAnswer &answer : message.originAnswers) {
+        wire::OriginAnswer &to = out.originAnswers.emplace_back();
+        to.origin = toWire(answer.update, now);
+        to.request = static_cast<std::int64_t>(answer.request);
+        if (answer.isLoneVersion)
+            to.__set_isLoneVersion(true);
+    }
+}
+
+void takeOrigins(Gossip &out, const wire::Message &message, Instant now)
+{
+    for (const wire::MixedService &mixed : message.mixedServices)
+        out.mixedServices.push_back({ ServiceId{ mixed.serviceId }, now - ageOf(mixed.age) });
+    for (const wire::StreamOrigin &origin : message.origins)
+        out.origins.push_back(fromWire(origin, now));
+    for (const wire::OriginQuestion &question : message.originQuestions) {
+        out.originQuestions.push_back(
+                { { CustomerId{ question.customer }, AttemptId{ question.attempt } },
+                  ServiceId{ question.serviceId },
+                  static_cast<std::uint64_t>(question.request) });
+    }
+    for (const wire::OriginAnswer &answer : message.originAnswers) {
+        out.originAnswers.push_back({ fromWire(answer.origin, now),
+                                      static_cast<std::uint64_t>(answer.request),
+                                      answer.isLoneVersion });
+    }
+}
+
 wire::Message toWire(const Gossip &message, Instant now)
 {
     wire::Message out;
@@ -397,6 +467,7 @@
     out.__isset.itemParts = !message.itemParts.empty();
     for (const ItemPart &part : message.itemParts)
         out.itemParts.push_back(toWire(part));
+    addOrigins(out, message, now);
     return out;
 }
 
@@ -464,6 +535,7 @@
         out.leavingUpstreams.push_back({ UpstreamId{ leaving.upstream }, leaving.start });
     for (const std::string &service : message.unreachableServices)
         out.unreachableServices.insert(ServiceId{ service });
+    takeOrigins(out, message, now);
     return out;
 }
 
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -341,6 +341,7 @@
     handleLimits(state, message.limits, actions);
     handleLeaving(state, message.leavingUpstreams);
     handleRelayed(state, message, now, actions);
+    handleOrigins(state, message, now, actions);
     takeAdapterUses(state, message, now);
     for (const PromptWork &work : message.promptWork) {
         const auto upstream = state.upstreams.find(work.engine);
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -264,6 +264,34 @@
 void handlePathChange(GatewayState &state, const ServiceId &service, PathChange change, Instant now,
                       Actions &actions);
 
+/// The time within which a request of \a route gets its answer.
+Span timeoutOf(const Route &route);
+
+/// Finds out which software version began the stream that \a record takes up again. False if the
+/// request waits for that, or was refused and forgotten.
+bool findOutOrigin(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
+
+/// Adds the software versions that \a record may or may not be sent to.
+void addVersionNeed(const GatewayState &state, const RequestRecord &record, UpstreamNeed &need);
+
+/// The first event of an answer to \a record is there. Records which version began the stream.
+/// False if the upstream has another version by now than when the request was sent: the event must
+/// not be passed on, and the request is repeated, or refused and forgotten.
+bool acceptFirstEvent(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
+
+/// Services with several versions, as sent with each message.
+std::vector<MixedService> mixedServices(const GatewayState &state, Instant now);
+
+/// Updates which versions the upstreams of \a service have. Tells all hosts at once if there is a
+/// second one.
+void checkVersions(GatewayState &state, const ServiceId &service, Instant now);
+
+/// Handles what \a message says of streams and versions.
+void handleOrigins(GatewayState &state, const Gossip &message, Instant now, Actions &actions);
+
+/// Drops expired records and sends those that other hosts may need. Call at each tick.
+void runOrigins(GatewayState &state, Instant now, Actions &actions);
+
 /// Handles the upstreams that, according to another host, have stated that they leave.
 void handleLeaving(GatewayState &state, const std::vector<UpstreamIncarnation> &leaving);
 
--- a/packages/gateway/src/message_kind.cpp
+++ b/packages/gateway/src/message_kind.cpp
@@ -37,6 +37,12 @@
         return "crash_suspicions";
     case MessageKind::UpstreamLimits:
         return "upstream_limits";
+    case MessageKind::StreamOrigins:
+        return "stream_origins";
+    case MessageKind::OriginQuestion:
+        return "origin_question";
+    case MessageKind::OriginAnswer:
+        return "origin_answer";
     }
     return "unknown";
 }
--- /dev/null
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -0,0 +1,529 @@
+#include "azurewell/routing/rendezvous.h"
+#include "internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurewell::gateway {
+
+namespace {
+
+/// Hosts that keep a record of a stream, in different zones as far as there are as many.
+constexpr std::size_t holdersPerStream = 3;
+
+/// Hosts of each zone that are asked besides those that should have a record, since hosts differ
+/// for a moment in which others they know.
+constexpr std::size_t spareHolders = 1;
+
+/// Callers take a stream up again until its deadline, and this much later if they are refused.
+constexpr Span triesAfterDeadline = std::chrono::seconds(10);
+
+/// A question is answered within milliseconds; one that is lost, or comes before the record, is
+/// repeated, to one more host of each zone each time.
+constexpr Span questionInterval = std::chrono::milliseconds(40);
+
+/// Share of a route's objective for which a resumption waits for the answer, and the time on routes
+/// that state none. The rest of the objective is needed for the first event.
+constexpr int waitPercentOfObjective = 25;
+constexpr Span defaultOriginWait = std::chrono::milliseconds(250);
+
+/// Retry-after time if it is not known who began a stream: a record that is on its way, or a host
+/// that stands still, is there after two heartbeats.
+constexpr Span unknownRetryAfter = std::chrono::milliseconds(600);
+
+/// Retry-after time if no server of a version is left: one that has crashed may be back.
+constexpr Span goneRetryAfter = std::chrono::seconds(1);
+
+/// Records in one message, of up to 300 bytes each.
+constexpr std::size_t maxOriginsInMessage = 150;
+
+constexpr Span versionCheckInterval = std::chrono::milliseconds(250);
+
+/// New streams do not begin at servers of a version that is new beside another one until each host
+/// either knows of it or has noticed that it is out of touch, and a little longer. Otherwise a host
+/// that knows of the other version only would go on with such a stream there.
+constexpr Span holdMargin = std::chrono::seconds(1);
+
+Span holdTime(const GatewayState &state)
+{
+    const HeartbeatPlan &plan = state.members.plan;
+    return std::max(plan.timeoutInZone, plan.timeoutElsewhere) + holdMargin;
+}
+
+bool isResumable(const Route &route)
+{
+    return route.repeat == RepeatPolicy::Stream && route.isResumable;
+}
+
+/// How long streams may be taken up after they began; 0: no route has such streams.
+Span streamLifetime(const GatewayState &state)
+{
+    Span longest{};
+    for (const Route &route : state.configuration.routes) {
+        if (isResumable(route))
+            longest = std::max(longest, timeoutOf(route) + triesAfterDeadline);
+    }
+    return longest;
+}
+
+bool isResumableStream(const RequestRecord &record)
+{
+    return record.repeat == RepeatPolicy::Stream && record.isResumable;
+}
+
+StreamKey keyOf(const RequestRecord &record)
+{
+    const std::optional<StreamResumption> &resumption = record.arrivedRequest.resumption;
+    return { record.customer,
+             resumption ? resumption->begunBy : AttemptId{ record.arrivedRequest.callerId } };
+}
+
+/// Whether this host reaches most of the hosts that it knows, or knew when it lost them. Only then
+/// it has heard of all versions that streams may have begun at.
+bool isInTouch(const GatewayState &state, Instant now)
+{
+    const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
+    return 2 * (countReachable(state.members, now) + 1) > known;
+}
+
+/// Whether this host learns of upstreams that start again with another version: from the platform,
+/// or from other hosts.
+bool areEntriesFresh(const GatewayState &state, Instant now)
+{
+    const auto &others = state.members.others;
+    return state.platform == PlatformView::Answering || isInTouch(state, now)
+            || std::any_of(others.begin(), others.end(), [&](const auto &entry) {
+                   return entry.second.platform == PlatformView::Answering
+                           && isMemberReachable(state.members, entry.second, now);
+               });
+}
+
+ServiceVersions &versionsOf(GatewayState &state, const ServiceId &service, Instant now)
+{
+    const auto [entry, isNew] = state.serviceVersions.try_emplace(service);
+    if (isNew && !state.self.isFirstStart)
+        entry->second.since = now;
+    return entry->second;
+}
+
+bool isServiceMixed(const GatewayState &state, const ServiceId &service, Instant now)
+{
+    const auto found = state.serviceVersions.find(service);
+    return found != state.serviceVersions.end()
+            && isMixed(found->second, streamLifetime(state), now);
+}
+
+/// The version that has begun any stream of \a service; null if there may be several, or one that
+/// this host does not know of.
+const SoftwareVersion *onlyVersion(const GatewayState &state, const ServiceId &service, Instant now)
+{
+    const auto found = state.serviceVersions.find(service);
+    if (found == state.serviceVersions.end() || !isInTouch(state, now))
+        return nullptr;
+    return loneVersion(found->second, streamLifetime(state), now);
+}
+
+/// The hosts with a record of the stream \a key: the first of each of some zones by their weights,
+/// which are equal at all hosts. \a spare more of each zone follow.
+std::vector<HostId> holdersOf(const GatewayState &state, const StreamKey &key, std::size_t spare,
+                              bool areLeavingIncluded, Instant now)
+{
+    const std::uint64_t hash = rendezvousMix(stableHash(key.customer.value),
+                                             stableHash(key.begunBy.value));
+    using Ranked = std::vector<std::pair<std::uint64_t, HostId>>;
+    std::map<ZoneId, Ranked> byZone;
+    byZone[state.self.zone].emplace_back(rendezvousMix(hash, stableHash(state.self.id.value)),
+                                         state.self.id);
+    for (const auto &[id, member] : state.members.others) {
+        if (isMemberReachable(state.members, member, now)
+            && (areLeavingIncluded || !member.isLeaving))
+            byZone[member.zone].emplace_back(rendezvousMix(hash, member.idHash), id);
+    }
+    std::vector<std::pair<std::uint64_t, ZoneId>> zones;
+    for (const auto &[zone, hosts] : byZone)
+        zones.emplace_back(rendezvousMix(hash, stableHash(zone.value)), zone);
+    std::sort(zones.rbegin(), zones.rend());
+    zones.resize(std::min(zones.size(), holdersPerStream));
+    const std::size_t perZone = (holdersPerStream + zones.size() - 1) / zones.size() + spare;
+    std::vector<HostId> holders;
+    for (const auto &[weight, zone] : zones) {
+        Ranked &hosts = byZone.at(zone);
+        std::sort(hosts.rbegin(), hosts.rend());
+        for (std::size_t rank = 0; rank < std::min(perZone, hosts.size()); ++rank)
+            holders.push_back(hosts[rank].second);
+    }
+    std::erase(holders, state.self.id);
+    return holders;
+}
+
+void ask(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    OriginSearch &search = record.originSearch;
+    const StreamKey key = keyOf(record);
+    Gossip message = messageHeader(state, now);
+    message.originQuestions.push_back({ key, record.service, record.arrivedRequest.request.value });
+    const auto shared = std::make_shared<const Gossip>(std::move(message));
+    for (const HostId &host : holdersOf(state, key, spareHolders + search.rounds, true, now)) {
+        const Member &member = state.members.others.at(host);
+        send(state, member.address, member.zone, MessageKind::OriginQuestion, shared, actions);
+        ++state.counters.origins.questions;
+    }
+    ++search.rounds;
+    search.nextQuestionAt = now + questionInterval;
+}
+
+void refuseUnknown(GatewayState &state, RequestRecord &record, std::string_view reason, Instant now,
+                   Actions &actions)
+{
+    ++state.counters.origins.unknown;
+    actions.logEvents.push_back(
+            { "stream_origin_unknown",
+              { { "request", record.arrivedRequest.callerId },
+                { "begun_by", keyOf(record).begunBy.value },
+                { "service", record.service.value },
+                { "reason", std::string(reason) },
+                { "rounds", std::to_string(record.originSearch.rounds) },
+                { "after_ms", std::to_string(inMilliseconds(now - record.arrivedAt)) } } });
+    refuseAndForget(state, record, ResultCode::StreamOriginUnknown, unknownRetryAfter, actions);
+}
+
+/// Lets the request go on at the version of \a origin only. False if it was refused.
+bool takeOrigin(GatewayState &state, RequestRecord &record, const StreamOrigin &origin,
+                std::string_view source, Instant now, Actions &actions)
+{
+    if (origin.isAmbiguous) {
+        refuseUnknown(state, record, "ambiguous", now, actions);
+        return false;
+    }
+    const RequestArrived &arrived = record.arrivedRequest;
+    const Route *route = findRoute(state.configuration, arrived.host, arrived.path);
+    const bool isRouted = route
+            && std::any_of(route->services.begin(), route->services.end(),
+                           [&](const WeightedService &to) { return to.service == origin.service; });
+    if (isRouted)
+        record.service = origin.service;
+    record.originSearch.step = OriginStep::Known;
+    record.originSearch.version = origin.version;
+    record.originSearch.isOtherService = record.service != origin.service;
+    actions.logEvents.push_back(
+            { "stream_origin_known",
+              { { "request", arrived.callerId },
+                { "begun_by", keyOf(record).begunBy.value },
+                { "service", origin.service.value },
+                { "version", origin.version.value },
+                { "source", std::string(source) },
+                { "after_ms", std::to_string(inMilliseconds(now - record.arrivedAt)) } } });
+    return true;
+}
+
+/// Whether a server of the version that began the stream of \a record is left. Of a lone version,
+/// placing the request decides that.
+bool isVersionLeft(const GatewayState &state, const RequestRecord &record, Instant now)
+{
+    const OriginSearch &search = record.originSearch;
+    if (search.isLoneVersion)
+        return true;
+    return !search.isOtherService
+            && std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
+                   const Upstream &upstream = entry.second;
+                   return upstream.listed.service == record.service
+                           && upstream.listed.softwareVersion == search.version
+                           && isUsable(upstream, now);
+               });
+}
+
+/// Begins to find out who began the stream of \a record. False if it was refused.
+bool beginSearch(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    OriginSearch &search = record.originSearch;
+    const std::optional<ForwardedRequest> &forwarded = record.arrivedRequest.forwarded;
+    if (forwarded && forwarded->begunBy)
+        return takeOrigin(state, record, { record.service, *forwarded->begunBy, {}, false },
+                          "forwarded", now, actions);
+    if (const SoftwareVersion *version = onlyVersion(state, record.service, now)) {
+        search.step = OriginStep::Known;
+        search.version = *version;
+        search.isLoneVersion = true;
+        return true;
+    }
+    const StreamKey key = keyOf(record);
+    if (key.begunBy.value.empty()) {
+        refuseUnknown(state, record, "not_stated", now, actions);
+        return false;
+    }
+    if (const StreamOrigin *origin = findOrigin(state.origins, key, now)) {
+        ++state.counters.origins.ownAnswers;
+        return takeOrigin(state, record, *origin, "own", now, actions);
+    }
+    const Route *route = findRoute(state.configuration, record.arrivedRequest.host,
+                                   record.arrivedRequest.path);
+    const bool hasObjective = route && route->objective > Span{};
+    const Span wait = hasObjective ? route->objective * waitPercentOfObjective / 100
+                                   : defaultOriginWait;
+    search.step = OriginStep::Asking;
+    search.givesUpAt = std::min(now + wait, record.deadline);
+    return true;
+}
+
+/// The request of \a record is waiting for the answer; it asks again, or gives up.
+void continueSearch(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    const OriginSearch &search = record.originSearch;
+    if (now >= search.givesUpAt) {
+        refuseUnknown(state, record, "no_answer", now, actions);
+        return;
+    }
+    if (now >= search.nextQuestionAt)
+        ask(state, record, now, actions);
+    record.phase = RequestPhase::Waiting;
+    state.waiting.insert(record.arrivedRequest.request);
+}
+
+void recordStream(GatewayState &state, const RequestRecord &record, Instant now)
+{
+    if (!areEntriesFresh(state, now))
+        return;
+    const StreamKey key = keyOf(record);
+    recordOrigin(
+            state.origins, key,
+            { record.service, record.sentVersion, record.deadline + triesAfterDeadline, false });
+    if (!state.origins.records.contains(key))
+        return;
+    ++state.counters.origins.recorded;
+    state.origins.unsent.insert(key);
+}
+
+/// Sends the records of streams that this host began, and that others may have to know, to their
+/// holders. While a service has one version only, they stay here until a second one appears.
+void sendOrigins(GatewayState &state, bool isTouchLost, Instant now, Actions &actions)
+{
+    std::map<HostId, std::vector<StreamOriginUpdate>> toSend;
+    std::set<ServiceId> mixed;
+    for (const auto &[service, versions] : state.serviceVersions) {
+        if (isTouchLost || isServiceMixed(state, service, now))
+            mixed.insert(service);
+    }
+    if (mixed.empty() || state.origins.unsent.empty())
+        return;
+    std::erase_if(state.origins.unsent, [&](const StreamKey &key) {
+        const StreamOrigin &origin = state.origins.records.at(key);
+        if (!mixed.contains(origin.service))
+            return false;
+        for (const HostId &holder : holdersOf(state, key, 0, false, now))
+            toSend[holder].push_back({ key, origin });
+        return true;
+    });
+    for (auto &[holder, updates] : toSend) {
+        state.counters.origins.sent += updates.size();
+        for (std::size_t first = 0; first < updates.size(); first += maxOriginsInMessage) {
+            const std::size_t end = std::min(first + maxOriginsInMessage, updates.size());
+            Gossip message = messageHeader(state, now);
+            message.origins.assign(updates.begin() + static_cast<std::ptrdiff_t>(first),
+                                   updates.begin() + static_cast<std::ptrdiff_t>(end));
+            sendTo(state, holder, MessageKind::StreamOrigins, std::move(message), actions);
+        }
+    }
+}
+
+/// The held versions of \a service, unless no server of another version is usable.
+std::set<SoftwareVersion> heldVersionsOf(const GatewayState &state, const ServiceId &service,
+                                         const ServiceVersions &versions, Instant now)
+{
+    std::set<SoftwareVersion> held;
+    for (const auto &[version, until] : versions.heldUntil) {
+        if (now < until)
+            held.insert(version);
+    }
+    if (held.empty())
+        return held;
+    const bool isOtherUsable = std::any_of(
+            state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
+                const ListedUpstream &listed = entry.second.listed;
+                return listed.service == service && !held.contains(listed.softwareVersion)
+                        && isUsable(entry.second, now);
+            });
+    return isOtherUsable ? held : std::set<SoftwareVersion>{};
+}
+
+void answerQuestion(GatewayState &state, const Gossip &from, const OriginQuestion &question,
+                    Instant now, Actions &actions)
+{
+    OriginAnswer answer;
+    answer.request = question.request;
+    answer.update.key = question.key;
+    if (const StreamOrigin *origin = findOrigin(state.origins, question.key, now)) {
+        answer.update.origin = *origin;
+    } else if (const SoftwareVersion *version = onlyVersion(state, question.service, now)) {
+        answer.update.origin = { question.service, *version, now, false };
+        answer.isLoneVersion = true;
+    } else {
+        return;
+    }
+    ++state.counters.origins.answersGiven;
+    Gossip reply = messageHeader(state, now);
+    reply.originAnswers.push_back(std::move(answer));
+    send(state, from.address, from.zone, MessageKind::OriginAnswer, std::move(reply), actions);
+}
+
+void takeOriginAnswer(GatewayState &state, const OriginAnswer &answer, Instant now,
+                      Actions &actions)
+{
+    const auto found = state.requests.find(RequestNumber{ answer.request });
+    if (found == state.requests.end() || found->second.originSearch.step != OriginStep::Asking
+        || keyOf(found->second) != answer.update.key)
+        return;
+    RequestRecord &record = found->second;
+    // Another host may not know yet that versions are mixed.
+    if (answer.isLoneVersion && isServiceMixed(state, record.service, now))
+        return;
+    ++state.counters.origins.answersTaken;
+    if (takeOrigin(state, record, answer.update.origin, answer.isLoneVersion ? "lone" : "record",
+                   now, actions))
+        place(state, record, now, actions);
+}
+
+} // namespace
+
+bool findOutOrigin(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    if (!record.arrivedRequest.resumption || !isResumableStream(record))
+        return true;
+    if (!areEntriesFresh(state, now)) {
+        refuseUnknown(state, record, "out_of_touch", now, actions);
+        return false;
+    }
+    const OriginSearch &search = record.originSearch;
+    if (search.step == OriginStep::NotBegun && !beginSearch(state, record, now, actions))
+        return false;
+    if (search.step == OriginStep::Asking) {
+        continueSearch(state, record, now, actions);
+        return false;
+    }
+    if (isVersionLeft(state, record, now))
+        return true;
+    ++state.counters.origins.versionsGone;
+    actions.logEvents.push_back({ "stream_version_gone",
+                                  { { "request", record.arrivedRequest.callerId },
+                                    { "service", record.service.value },
+                                    { "version", search.version.value } } });
+    refuseAndForget(state, record, ResultCode::StreamVersionGone, goneRetryAfter, actions);
+    return false;
+}
+
+void addVersionNeed(const GatewayState &state, const RequestRecord &record, UpstreamNeed &need)
+{
+    if (!isResumableStream(record))
+        return;
+    if (record.originSearch.step == OriginStep::Known) {
+        need.softwareVersion = record.originSearch.version;
+        return;
+    }
+    const auto held = state.heldVersions.find(record.service);
+    if (held != state.heldVersions.end())
+        need.heldVersions = held->second;
+}
+
+bool acceptFirstEvent(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    const auto upstream = state.upstreams.find(record.upstream);
+    if (!isResumableStream(record) || record.phase != RequestPhase::AtUpstream
+        || upstream == state.upstreams.end())
+        return true;
+    if (upstream->second.listed.softwareVersion == record.sentVersion) {
+        recordStream(state, record, now);
+        return true;
+    }
+    ++state.counters.origins.changedVersions;
+    actions.logEvents.push_back({ "stream_version_changed",
+                                  { { "request", record.arrivedRequest.callerId },
+                                    { "upstream", record.upstream.value },
+                                    { "sent_to", record.sentVersion.value },
+                                    { "now", upstream->second.listed.softwareVersion.value } } });
+    actions.cancels.push_back({ record.arrivedRequest.request });
+    ++record.possibleRuns;
+    record.excluded.insert(record.upstream);
+    detachFromUpstream(state, record);
+    const bool mayRepeat = mayRunAgain(record, record.possibleRuns) && now < record.deadline
+            && takeRetry(retryBudgetOf(state, record.service));
+    if (!mayRepeat) {
+        refuseAndForget(state, record, ResultCode::StreamVersionGone, goneRetryAfter, actions);
+        return false;
+    }
+    ++state.counters.retries[ResultCode::StreamVersionGone];
+    place(state, record, now, actions);
+    return false;
+}
+
+std::vector<MixedService> mixedServices(const GatewayState &state, Instant now)
+{
+    std::vector<MixedService> mixed;
+    for (const auto &[service, versions] : state.serviceVersions) {
+        if (isServiceMixed(state, service, now))
+            mixed.push_back({ service, versions.mixedAt });
+    }
+    return mixed;
+}
+
+void checkVersions(GatewayState &state, const ServiceId &service, Instant now)
+{
+    if (streamLifetime(state) == Span{})
+        return;
+    std::set<SoftwareVersion> listed;
+    for (const auto &[id, upstream] : state.upstreams) {
+        if (upstream.listed.service == service)
+            listed.insert(upstream.listed.softwareVersion);
+    }
+    if (listed.empty())
+        return;
+    const bool wasMixed = isServiceMixed(state, service, now);
+    ServiceVersions &versions = versionsOf(state, service, now);
+    updateVersions(versions, listed, now, now + holdTime(state));
+    state.heldVersions[service] = heldVersionsOf(state, service, versions, now);
+    if (wasMixed || !isServiceMixed(state, service, now))
+        return;
+    // The others must know before a stream begins at the new version.
+    for (auto &[id, member] : state.members.others)
+        setHeartbeat(state.members, member, now);
+}
+
+void handleOrigins(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
+{
+    for (const MixedService &mixed : message.mixedServices) {
+        ServiceVersions &versions = versionsOf(state, mixed.service, now);
+        versions.mixedAt = std::max(versions.mixedAt, std::min(mixed.mixedAt, now));
+    }
+    for (const StreamOriginUpdate &update : message.origins)
+        recordOrigin(state.origins, update.key, update.origin);
+    for (const OriginQuestion &question : message.originQuestions)
+        answerQuestion(state, message, question, now, actions);
+    for (const OriginAnswer &answer : message.originAnswers)
+        takeOriginAnswer(state, answer, now, actions);
+}
+
+void runOrigins(GatewayState &state, Instant now, Actions &actions)
+{
+    dropExpiredOrigins(state.origins, now);
+    if (now >= state.nextVersionCheckAt) {
+        state.nextVersionCheckAt = now + versionCheckInterval;
+        std::set<ServiceId> services;
+        for (const auto &[id, upstream] : state.upstreams)
+            services.insert(upstream.listed.service);
+        for (const ServiceId &service : services)
+            checkVersions(state, service, now);
+    }
+    const bool isTouchLost = !isInTouch(state, now);
+    if (isTouchLost) {
+        state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
+        for (auto &[service, versions] : state.serviceVersions) {
+            for (auto &[version, until] : versions.heldUntil) {
+                if (now < until)
+                    until = now + holdTime(state);
+            }
+        }
+    } else {
+        state.knownWhenLost = 0;
+    }
+    sendOrigins(state, isTouchLost, now, actions);
+}
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -247,6 +247,7 @@
     need.duration = expectedRequestDuration;
     need.zone = state.self.zone;
     need.prefillTokensPerSecond = prefillRateOf(state, record.service);
+    addVersionNeed(state, record, need);
     return need;
 }
 
@@ -266,6 +267,7 @@
         add(state.adapterDemand[model], prompt, demandDecayTime, now);
     record.phase = RequestPhase::AtUpstream;
     record.upstream = id;
+    record.sentVersion = upstream.listed.softwareVersion;
     record.hasAnswerStarted = false;
     record.admissionState = PromptAdmissionState::NotRequested;
     record.isPermit = false;
@@ -352,6 +354,8 @@
         refuseQuarantined(state, record, now, actions);
         return;
     }
+    if (!findOutOrigin(state, record, now, actions))
+        return;
     if (isPathLost(state, record.service)) {
         forwardOrRefuse(state, record, now, actions);
         return;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -154,7 +154,7 @@
 /// Time until the request gets a final answer.
 Span timeAllowed(const Route &route, const RequestArrived &event)
 {
-    const Span routeLimit = route.timeout > Span{} ? route.timeout : defaultRequestTimeout;
+    const Span routeLimit = timeoutOf(route);
     if (event.forwarded)
         return std::min(event.forwarded->allowed, routeLimit);
     return event.allowed > Span{} ? std::min(event.allowed, routeLimit) : routeLimit;
@@ -197,6 +197,11 @@
 
 } // namespace
 
+Span timeoutOf(const Route &route)
+{
+    return route.timeout > Span{} ? route.timeout : defaultRequestTimeout;
+}
+
 void eraseRequest(GatewayState &state, RequestNumber request)
 {
     state.waiting.erase(request);
@@ -327,12 +332,14 @@
     eraseRequest(state, event.request);
 }
 
-void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &)
+void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &actions)
 {
     const auto found = state.requests.find(event.request);
     if (found == state.requests.end() || found->second.attempt != event.attempt)
         return;
     RequestRecord &record = found->second;
+    if (!acceptFirstEvent(state, record, now, actions))
+        return;
     record.hasAnswerStarted = true;
     record.answerStartedAt = now;
     if (record.phase != RequestPhase::AtUpstream)
--- a/packages/gateway/src/sending.cpp
+++ b/packages/gateway/src/sending.cpp
@@ -34,6 +34,7 @@
     message.platform = state.platform;
     message.revision = state.published.revision;
     message.newestChange = state.published.newestChange;
+    message.mixedServices = mixedServices(state, now);
     message.unreachableServices = state.members.unreachableServices;
     return message;
 }
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -128,7 +128,9 @@
     if (current.events)
         current.events->read(body);
     if (!body.empty() && !current.isUnrelated) {
-        current.handlers.onBody(std::move(body));
+        // The handler may abandon the exchange, which deletes it.
+        const std::function<void(std::string)> onBody = current.handlers.onBody;
+        onBody(std::move(body));
         if (*destroyed || !this->exchange)
             return false;
     }
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -113,6 +113,7 @@
     void applyStatements(const UpstreamId &upstream, const gateway::UpstreamStatements &statements);
     void applyAnswerFacts(const OpenRequest &request);
     void handleBody(gateway::RequestNumber request, const std::string &body);
+    bool mayBeginAnswer(gateway::RequestNumber number, Instant now);
     void complete(gateway::RequestNumber request);
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
     void endAttempt(gateway::RequestNumber request, gateway::AttemptOutcome outcome,
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -162,6 +162,15 @@
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addByFraming(out, metrics.answersByFraming);
     addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
+    addCounter(out, "azurewell_stream_origins_recorded_total", counters.origins.recorded);
+    addCounter(out, "azurewell_stream_origins_sent_total", counters.origins.sent);
+    addCounter(out, "azurewell_origin_questions_total", counters.origins.questions);
+    addCounter(out, "azurewell_origin_answers_total", counters.origins.answersGiven);
+    addCounter(out, "azurewell_resumptions_known_here_total", counters.origins.ownAnswers);
+    addCounter(out, "azurewell_resumptions_known_elsewhere_total", counters.origins.answersTaken);
+    addCounter(out, "azurewell_resumptions_unknown_total", counters.origins.unknown);
+    addCounter(out, "azurewell_resumptions_version_gone_total", counters.origins.versionsGone);
+    addCounter(out, "azurewell_stream_versions_changed_total", counters.origins.changedVersions);
     addByCode(out, "azurewell_refusals_total", counters.refusals);
     addByCode(out, "azurewell_retries_total", counters.retries);
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -185,11 +185,11 @@
     }
     request.lastChunkAt = now;
     if (!request.isHeadSent) {
+        if (!this->mayBeginAnswer(number, now))
+            return;
         request.isHeadSent = true;
         request.firstByteAt = now;
         this->metrics.timeToFirstByte.add(now - request.arrivedAt);
-        Actions actions;
-        handle(this->core, AnswerBegan{ number, request.attempt }, now, actions);
         const bool isChunked = !this->isUnframed(request) && session.request().acceptsChunks;
         session.beginBody(request.head.status, request.head.reason, this->answerHeaders(request),
                           isChunked ? BodyFraming::Chunked : BodyFraming::Close);
@@ -199,6 +199,19 @@
         this->connections.pauseReading(request.exchange, true);
 }
 
+/// Whether the core lets the answer of the current attempt begin. If not, it has repeated or
+/// refused the request.
+bool Proxy::mayBeginAnswer(RequestNumber number, Instant now)
+{
+    const std::uint32_t attempt = this->open.at(number).attempt;
+    Actions actions;
+    handle(this->core, AnswerBegan{ number, attempt }, now, actions);
+    this->run(actions);
+    const auto found = this->open.find(number);
+    return found != this->open.end() && found->second.attempt == attempt
+            && found->second.isAtUpstream;
+}
+
 /// Whether the caller gets the answer without framing: this host cannot tell whether it has the
 /// whole, so it claims no more than the upstream did. Other hosts get framing, which shows them
 /// that this host ends early, and a header.
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -53,6 +53,8 @@
     UpstreamLimited = 409,
     UpstreamsUnreachable = 410,
     UpstreamsPaused = 411,
+    StreamOriginUnknown = 412,
+    StreamVersionGone = 413,
 
     // 5xx: calls that must not run twice.
     OutcomeUnknown = 500,
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -55,6 +55,7 @@
     std::uint64_t attempts = 0;
     std::string begunBy;            ///< The attempt that brought the first event; empty: none yet.
     std::set<std::string> versions; ///< Of the servers that wrote the events the caller has.
+    bool isBegunInTouch = false;    ///< Its first event came through a host that others reach.
     bool isDone = false;
 };
 
@@ -184,11 +185,11 @@
     Instant pausedUntil;
     Instant stableSince;
     std::uint64_t incarnation = 1;
-    bool isUnheard = false; ///< Its messages reach no other host, though it receives theirs.
-    std::size_t side = 0; ///< Messages between hosts of different sides are lost.
+    bool isUnheard = false;   ///< Its messages reach no other host, though it receives theirs.
+    std::size_t side = 0;     ///< Messages between hosts of different sides are lost.
     bool isStoreAway = false; ///< Entries of engines reach it only when this is over.
-    Span maxLag{};          ///< Longest time for which it gets no processor; 0: it always does.
-    Instant busyUntil;      ///< Events that arrive until then are handled then.
+    Span maxLag{};            ///< Longest time for which it gets no processor; 0: it always does.
+    Instant busyUntil;        ///< Events that arrive until then are handled then.
 };
 
 struct WorldSettings
@@ -227,9 +228,9 @@
     std::uint32_t maxSends = 1; ///< Attempts of a caller whose answers are interrupted.
     /// The service is a plain one with streams that may be resumed, in place of engines.
     bool servesStreams = false;
-    double brokenStreams = 0.1; ///< Share of the streams' attempts that break after an event.
+    double brokenStreams = 0.1;       ///< Share of the streams' attempts that break after an event.
     std::size_t softwareVersions = 2; ///< Of the servers at the start, in turn.
-    bool countsBytes = false;   ///< Each message is encoded and decoded as on the wire.
+    bool countsBytes = false;         ///< Each message is encoded and decoded as on the wire.
 };
 
 /// Hosts, engines and callers in one process, on a virtual clock. Deterministic for a given seed.
@@ -354,6 +355,7 @@
     std::uint64_t streamsOfTwoVersions = 0;
     StreamTries newStreams;
     StreamTries resumptions;
+    std::vector<Span> resumptionWaits; ///< From their arrival until they are sent to a server.
     std::uint64_t resumptionsSent = 0; ///< All tries, also at hosts that are out of touch.
     Instant now{ 1'000'000'000 };
 
@@ -470,7 +472,7 @@
     /// By host and request id.
     std::map<std::pair<std::size_t, std::uint64_t>, FakeRequest> requests;
     std::map<ZoneId, Instant> evacuatedAt; ///< Evacuated zones.
-    std::vector<FakeStream> streams{ 1 }; ///< The first one is unused.
+    std::vector<FakeStream> streams{ 1 };  ///< The first one is unused.
     std::uint64_t nextSequenceNumber = 1;
     std::uint64_t nextRequest = 1;
 };
