Serve resumptions that name no attempt while one version is known

Callers of deployments whose servers all have one version name none; by reading, a host that had just started, or had lost most others, would have refused them. With a second version known they are refused as before.

--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -388,6 +388,9 @@
 {
     if (!record.arrivedRequest.resumption || !isResumableStream(record))
         return true;
+    // Callers that never name an attempt are served as long as no second version is known.
+    if (keyOf(record).begunBy.value.empty() && !isServiceMixed(state, record.service, now))
+        return true;
     if (!areEntriesFresh(state, now)) {
         refuseUnknown(state, record, "out_of_touch", now, actions);
         return false;
--- a/packages/gateway/tests/stream_origins_test.cpp
+++ b/packages/gateway/tests/stream_origins_test.cpp
@@ -293,6 +293,19 @@
     EXPECT_FALSE(this->state.requests.at(RequestNumber{ 2 }).hasAnswerStarted);
 }
 
+// Guards against refusals to callers that never name an attempt, by a host that has just started or
+// has lost the others, while one version serves.
+TEST_F(StreamResumptionTest, GoesOnWithoutTheAttemptWhileOneVersionIsKnown)
+{
+    for (const char *id : { "2a", "2b" })
+        this->state.upstreams.erase(UpstreamId{ id });
+    this->state.serviceVersions.clear();
+    this->now = this->now + std::chrono::seconds(5);
+    const Actions actions = this->arrive(2, "b", StreamResumption{ {}, EventId{ "3" } });
+    EXPECT_TRUE(actions.refusals.empty());
+    EXPECT_EQ(this->versionAt(actions), "1");
+}
+
 // Guards against a resumption that states no attempt and is sent anywhere.
 TEST_F(StreamResumptionTest, IsRefusedWithoutTheAttemptThatBeganIt)
 {
