Soak of orders: requests in waves, and several hosts that are not heard at a time

Who orders changes hands only after quiet seconds, so that requests in waves, with 3.2 s without any between them, bring two hosts together that both hold themselves for the one that orders.

--- a/tests/ordering_soak/callers.cpp
+++ b/tests/ordering_soak/callers.cpp
@@ -19,6 +19,9 @@
 /// The popular adapters change after this time, so that there is always something to load.
 constexpr Span popularityPeriod = std::chrono::seconds(5);
 
+/// Length of a wave of requests.
+constexpr Span waveLength = std::chrono::milliseconds(1500);
+
 /// Exponent of the popularity by rank: a few adapters get most of the requests.
 constexpr double popularityExponent = 0.9;
 
@@ -45,13 +48,25 @@
     this->isStopped = true;
 }
 
+Span Callers::period() const
+{
+    return this->settings.quiet > Span{} ? waveLength + this->settings.quiet : popularityPeriod;
+}
+
+Instant Callers::afterQuiet(Instant at) const
+{
+    const Span inPeriod = (at - this->startedAt) % this->period();
+    const bool isQuiet = this->settings.quiet > Span{} && inPeriod > waveLength;
+    return isQuiet ? at + (this->period() - inPeriod) : at;
+}
+
 std::string Callers::drawAdapter(Instant now)
 {
     std::vector<double> weights;
     for (std::size_t rank = 0; rank < this->settings.adapters; ++rank)
         weights.push_back(1 / std::pow(static_cast<double>(rank + 1), popularityExponent));
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-    const std::size_t period = static_cast<std::size_t>((now - this->startedAt) / popularityPeriod);
+    const std::size_t period = static_cast<std::size_t>((now - this->startedAt) / this->period());
     const std::size_t shift = period * (this->settings.adapters / 3 + 1);
     return fmt::format("a{}", 1 + (draw(this->random) + shift) % this->settings.adapters);
 }
@@ -61,7 +76,7 @@
     const Instant now = monotonicNow();
     std::exponential_distribution<double> gap(this->settings.requestsPerSecond);
     while (!this->isStopped && this->nextAt <= now) {
-        this->nextAt = this->nextAt + fromSeconds(gap(this->random));
+        this->nextAt = this->afterQuiet(this->nextAt + fromSeconds(gap(this->random)));
         Request request;
         request.id = fmt::format("{:016x}", this->random());
         request.adapter = this->drawAdapter(now);
--- a/tests/ordering_soak/callers.h
+++ b/tests/ordering_soak/callers.h
@@ -19,6 +19,7 @@
     double requestsPerSecond = 100;
     std::size_t adapters = 60;
     std::uint64_t seed = 0;
+    Span quiet{}; ///< Between two waves of requests there are none for so long; zero: no waves.
 };
 
 struct CallerCounts
@@ -66,6 +67,10 @@
     };
 
     void tick();
+    /// Of a wave with the quiet time after it; popular adapters change with it.
+    Span period() const;
+    /// The time of the next request from \a at on, which is not in a quiet time.
+    Instant afterQuiet(Instant at) const;
     std::string drawAdapter(Instant now);
     void send(Request request);
     Connection &connectionTo(std::size_t host);
--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -41,6 +41,7 @@
     double requestsPerSecond = 100;
     double seconds = 60;
     double startSpread = 0.3;
+    double quietSeconds = 0;
     int busyProcesses = 0;
     bool hasNoLoss = false;
     bool hasNoDelays = false;
@@ -64,6 +65,8 @@
     app.add_option("--seconds", options.seconds, "Length from the first start to the last request");
     app.add_option("--start-spread", options.startSpread,
                    "The hosts start within this many seconds, under traffic");
+    app.add_option("--quiet", options.quietSeconds,
+                   "Requests come in waves with so many seconds without any between them");
     app.add_option("--busy", options.busyProcesses, "Processes that take processor time");
     app.add_flag("--no-loss", options.hasNoLoss, "No loss of messages in one direction");
     app.add_flag("--no-delays", options.hasNoDelays, "No orders that are held up on their way");
@@ -131,7 +134,9 @@
         , storeListener(
                   this->addresses.store(),
                   [this](const std::shared_ptr<Session> &session) { this->readStore(session); })
-        , callers({ given.requestsPerSecond, given.adapters, given.seed }, this->callerEndpoints())
+        , callers({ given.requestsPerSecond, given.adapters, given.seed,
+                    fromSeconds(given.quietSeconds) },
+                  this->callerEndpoints())
         , startedAt(monotonicNow())
     {
         this->createEngines();
--- a/tests/ordering_soak/ordering_faults.cpp
+++ b/tests/ordering_soak/ordering_faults.cpp
@@ -102,12 +102,13 @@
         double weight;
         bool isOn;
     };
-    const std::array<Kind, 7> kinds{ {
+    const std::array<Kind, 8> kinds{ {
             { "starved", &OrderingFaults::starve, 30, true },
             { "starved together", &OrderingFaults::starveSeveral, 12, true },
             { "paused", &OrderingFaults::pause, 18, true },
             { "killed", &OrderingFaults::killAndRestart, 12, true },
             { "not heard", &OrderingFaults::mute, 12, this->settings.losesOneWay },
+            { "not heard, several", &OrderingFaults::muteSeveral, 8, this->settings.losesOneWay },
             { "not hearing", &OrderingFaults::deafen, 8, this->settings.losesOneWay },
             { "orders late", &OrderingFaults::delayOrders, 8, this->settings.delaysOrders },
     } };
@@ -180,6 +181,13 @@
                 [this, index] { --this->relay.muted[index]; });
 }
 
+void OrderingFaults::muteSeveral(std::size_t index)
+{
+    const std::size_t count = this->fleet.hosts.size();
+    for (std::size_t i = 0; i < std::max<std::size_t>(2, count / 4); ++i)
+        this->mute((index + i) % count);
+}
+
 void OrderingFaults::deafen(std::size_t index)
 {
     ++this->relay.deaf[index];
--- a/tests/ordering_soak/ordering_faults.h
+++ b/tests/ordering_soak/ordering_faults.h
@@ -46,6 +46,7 @@
     void pause(std::size_t index);
     void killAndRestart(std::size_t index);
     void mute(std::size_t index);
+    void muteSeveral(std::size_t index);
     void deafen(std::size_t index);
     void delayOrders(std::size_t index);
     void runSlice(std::size_t index, std::uint64_t life, Instant until);
