--- a/tests/ordering_soak/engines.cpp
+++ b/tests/ordering_soak/engines.cpp
@@ -194,10 +194,12 @@
 {
     const auto held = this->adapters.find(order.adapter);
     record.isHeldAlready = held == this->adapters.end();
-    if (record.isHeldAlready)
+    if (record.isHeldAlready && !this->settings.checksDoneUnloads)
         return 200;
     if (this->isConflict(order))
         return 409;
+    if (record.isHeldAlready)
+        return 200;
     if (!held->second.isReady || held->second.isLeaving)
         return this->refuseUnderWay();
     ++this->state.count;
--- a/tests/ordering_soak/engines.h
+++ b/tests/ordering_soak/engines.h
@@ -16,8 +16,9 @@
     std::uint32_t places = 4;
     std::uint32_t batchSlots = 16;
     Span maxReportLag = std::chrono::milliseconds(300); ///< Reports are as old as this, or newer.
-    bool reportsStepBack
-            = false; ///< Each report is as of its own lag, so a newer one may be older.
+    /// An order to unload what is absent is refused for another order count, not answered as done.
+    bool checksDoneUnloads = false;
+    bool reportsStepBack = false; ///< A newer report may show an older state.
 };
 
 /// What the engines saw.
--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -47,6 +47,7 @@
     bool hasNoDelays = false;
     bool hasNoFaults = false;
     int maxReportLagMillis = 300;
+    bool checksDoneUnloads = false;
     bool reportsStepBack = false;
     std::string program = AZUREWELLD;
     std::string root = AZUREWELL_ROOT;
@@ -73,6 +74,8 @@
     app.add_flag("--no-faults", options.hasNoFaults, "No faults at all");
     app.add_option("--max-report-lag", options.maxReportLagMillis,
                    "Reports of engines are 100 ms up to this many milliseconds old");
+    app.add_flag("--check-done-unloads", options.checksDoneUnloads,
+                 "Engines check the order count also of orders to unload what is absent");
     app.add_flag("--reports-step-back", options.reportsStepBack,
                  "A newer report may show an older state of the engine");
     app.add_option("--program", options.program, "azurewelld to run");
@@ -205,6 +208,7 @@
         EngineSettings settings;
         settings.places = this->options.places;
         settings.maxReportLag = std::chrono::milliseconds(this->options.maxReportLagMillis);
+        settings.checksDoneUnloads = this->options.checksDoneUnloads;
         settings.reportsStepBack = this->options.reportsStepBack;
         this->engines.push_back(std::make_unique<EngineStandin>(identity, settings, this->faults,
                                                                 this->judge, this->counts,
@@ -298,8 +302,11 @@
     for (const std::string &failure : this->fleet.failures)
         fmt::print("failure: {}\n", failure);
     std::map<ViolationKind, std::size_t> byKind;
-    for (const Violation &violation : this->judge.violations)
+    std::size_t ofDoneOrders = 0;
+    for (const Violation &violation : this->judge.violations) {
         ++byKind[violation.kind];
+        ofDoneOrders += violation.order.isHeldAlready ? 1 : 0;
+    }
     std::string begun;
     for (const auto &[name, count] : this->faults.begun)
         begun += fmt::format("{}{} {}", begun.empty() ? "" : ", ", count, name);
@@ -312,11 +319,11 @@
                "under way {}, not judged after a thaw {}, held up {}; reports {}\n",
                this->judge.orders, this->judge.turns, this->counts.conflicts, this->counts.underWay,
                this->counts.afterThaw, this->counts.late, this->counts.reports);
-    fmt::print(
-            "  violations {}: lower number {}, same number {}, early turn {}, beyond places {}\n",
-            this->judge.violations.size(), byKind[ViolationKind::LowerNumber],
-            byKind[ViolationKind::SameNumber], byKind[ViolationKind::EarlyTurn],
-            byKind[ViolationKind::BeyondPlaces]);
+    fmt::print("  violations {}: lower number {}, same number {}, early turn {}, beyond places {}; "
+               "{} of orders that held already\n",
+               this->judge.violations.size(), byKind[ViolationKind::LowerNumber],
+               byKind[ViolationKind::SameNumber], byKind[ViolationKind::EarlyTurn],
+               byKind[ViolationKind::BeyondPlaces], ofDoneOrders);
     fmt::print("  requests {}, served {:.3f}, refused {}, broken off {}, misdirected {}\n",
                calls.requests, share, calls.refused, calls.brokenOff, this->counts.misdirected);
     fmt::print("  datagrams {}, lost {}; this process late by up to {} ms\n", this->relay.datagrams,
