--- a/tests/ordering_soak/host_fleet.cpp
+++ b/tests/ordering_soak/host_fleet.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr std::size_t seedCount = 3;
-
 /// Hosts in one block of an address, so that addresses of one run have one length.
 std::string addressIn(int net, std::size_t index)
 {
--- a/tests/ordering_soak/host_fleet.h
+++ b/tests/ordering_soak/host_fleet.h
@@ -54,6 +54,9 @@
 class HostFleet
 {
 public:
+    /// The first hosts are those that all others know from their settings.
+    static constexpr std::size_t seedCount = 3;
+
     HostFleet(FleetSettings fleetSettings, const Addresses &fleetAddresses);
     ~HostFleet();
     HostFleet(const HostFleet &) = delete;
--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -41,10 +41,10 @@
     double requestsPerSecond = 100;
     double seconds = 60;
     double startSpread = 0.3;
+    bool startsSeedsLast = false;
     double quietSeconds = 0;
     int busyProcesses = 0;
-    bool hasNoLoss = false;
-    bool hasNoDelays = false;
+    std::vector<std::string> only;
     bool hasNoFaults = false;
     int maxReportLagMillis = 300;
     bool checksDoneUnloads = false;
@@ -66,11 +66,13 @@
     app.add_option("--seconds", options.seconds, "Length from the first start to the last request");
     app.add_option("--start-spread", options.startSpread,
                    "The hosts start within this many seconds, under traffic");
+    app.add_flag("--seeds-last", options.startsSeedsLast,
+                 "The hosts that the others know at first start last, the others at once");
     app.add_option("--quiet", options.quietSeconds,
                    "Requests come in waves with so many seconds without any between them");
     app.add_option("--busy", options.busyProcesses, "Processes that take processor time");
-    app.add_flag("--no-loss", options.hasNoLoss, "No loss of messages in one direction");
-    app.add_flag("--no-delays", options.hasNoDelays, "No orders that are held up on their way");
+    app.add_option("--only", options.only,
+                   "Injects only faults of these names, which are those in the figures");
     app.add_flag("--no-faults", options.hasNoFaults, "No faults at all");
     app.add_option("--max-report-lag", options.maxReportLagMillis,
                    "Reports of engines are 100 ms up to this many milliseconds old");
@@ -132,8 +134,8 @@
                   QString::fromStdString(given.root), QString::fromStdString(given.logs) },
                 this->addresses)
         , relay(this->addresses, given.hosts)
-        , faults({ given.seed, !given.hasNoLoss, !given.hasNoDelays }, this->fleet, this->relay,
-                 this->judge, this->engineIds())
+        , faults({ given.seed, given.only }, this->fleet, this->relay, this->judge,
+                 this->engineIds())
         , storeListener(
                   this->addresses.store(),
                   [this](const std::shared_ptr<Session> &session) { this->readStore(session); })
@@ -249,7 +251,9 @@
     std::mt19937_64 random(this->options.seed);
     std::uniform_real_distribution<double> seconds(0, this->options.startSpread);
     for (std::size_t index = 0; index < this->options.hosts; ++index) {
-        const Span delay = fromSeconds(seconds(random));
+        Span delay = fromSeconds(seconds(random));
+        if (this->options.startsSeedsLast)
+            delay = fromSeconds(index < HostFleet::seedCount ? this->options.startSpread : 0);
         QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(delay),
                            Qt::PreciseTimer, &this->context,
                            [this, index] { this->fleet.start(index); });
@@ -350,6 +354,8 @@
     QTemporaryDir temporary;
     if (options.logs.empty())
         options.logs = temporary.path().toStdString();
+    // Hosts run in another directory.
+    options.logs = QDir(QString::fromStdString(options.logs)).absolutePath().toStdString();
     QDir().mkpath(QString::fromStdString(options.logs));
     Run run(options);
     return run.play() ? 0 : 1;
--- a/tests/ordering_soak/ordering_faults.cpp
+++ b/tests/ordering_soak/ordering_faults.cpp
@@ -27,13 +27,13 @@
 
 OrderingFaults::OrderingFaults(FaultSettings faultSettings, HostFleet &hostFleet, Relay &hostRelay,
                                const OrderJudge &orderJudge, std::vector<std::string> engineIds)
-    : settings(faultSettings)
+    : settings(std::move(faultSettings))
     , fleet(hostFleet)
     , relay(hostRelay)
     , judge(orderJudge)
     , engines(std::move(engineIds))
-    , plan(faultSettings.seed)
-    , random(faultSettings.seed + 1)
+    , plan(this->settings.seed)
+    , random(this->settings.seed + 1)
 {
 }
 
@@ -100,23 +100,26 @@
         const char *name;
         Fault begin;
         double weight;
-        bool isOn;
     };
-    const std::array<Kind, 8> kinds{ {
-            { "starved", &OrderingFaults::starve, 30, true },
-            { "starved together", &OrderingFaults::starveSeveral, 12, true },
-            { "paused", &OrderingFaults::pause, 18, true },
-            { "killed", &OrderingFaults::killAndRestart, 12, true },
-            { "not heard", &OrderingFaults::mute, 12, this->settings.losesOneWay },
-            { "not heard, several", &OrderingFaults::muteSeveral, 8, this->settings.losesOneWay },
-            { "not hearing", &OrderingFaults::deafen, 8, this->settings.losesOneWay },
-            { "orders late", &OrderingFaults::delayOrders, 8, this->settings.delaysOrders },
+    constexpr std::array<Kind, 8> kinds{ {
+            { "starved", &OrderingFaults::starve, 30 },
+            { "starved together", &OrderingFaults::starveSeveral, 12 },
+            { "paused", &OrderingFaults::pause, 18 },
+            { "killed", &OrderingFaults::killAndRestart, 12 },
+            { "not heard", &OrderingFaults::mute, 12 },
+            { "not heard, several", &OrderingFaults::muteSeveral, 8 },
+            { "not hearing", &OrderingFaults::deafen, 8 },
+            { "orders late", &OrderingFaults::delayOrders, 8 },
     } };
     if (this->isStopped)
         return;
+    const std::vector<std::string> &only = this->settings.only;
     std::vector<double> weights;
-    for (const Kind &kind : kinds)
-        weights.push_back(kind.isOn ? kind.weight : 0);
+    for (const Kind &kind : kinds) {
+        const bool isOn = only.empty()
+                || std::find(only.begin(), only.end(), kind.name) != only.end();
+        weights.push_back(isOn ? kind.weight : 0);
+    }
     std::discrete_distribution<std::size_t> kindIndexes(weights.begin(), weights.end());
     const Kind &kind = kinds[kindIndexes(this->plan)];
     const std::size_t host = this->drawHost();
--- a/tests/ordering_soak/ordering_faults.h
+++ b/tests/ordering_soak/ordering_faults.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace azurewell::soak {
 
@@ -16,8 +17,7 @@
 struct FaultSettings
 {
     std::uint64_t seed = 1;
-    bool losesOneWay = true;
-    bool delaysOrders = true;
+    std::vector<std::string> only; ///< Names of the faults to inject; empty: all.
 };
 
 /// Disturbs hosts from outside: kinds, times and lengths follow from the seed, and faults overlap.
