Drop a suspicion whose refutation comes in the same message

The refutation forgets the suspect, and the update after it looked the suspect up: an exception, with which a host ends.

--- a/packages/gateway/src/crash_quarantine.cpp
+++ b/packages/gateway/src/crash_quarantine.cpp
@@ -318,6 +318,10 @@
     }
     std::sort(changed.begin(), changed.end());
     changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+    // A refutation that came with a suspicion has dropped it again.
+    std::erase_if(changed, [&](const RequestDigest &digest) {
+        return !quarantine.suspects.contains(digest);
+    });
     std::vector<RequestDigest> quarantined = updateAll(quarantine, changed);
     enforceLimits(quarantine);
     std::erase_if(quarantined, [&](const RequestDigest &digest) {
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -146,6 +146,23 @@
     EXPECT_TRUE(this->quarantine.pending.empty());
 }
 
+// Guards against a host that ends because a relay put a suspicion and its refutation into one
+// message.
+TEST_F(CrashQuarantineTest, ASuspicionAndItsRefutationMayComeTogether)
+{
+    const CrashSuspicion suspicion{ RequestDigest{ 1 }, incarnation("a"), this->now };
+    const CrashSuspicion refutation{ {},
+                                     incarnation("a"),
+                                     this->now + std::chrono::milliseconds(100),
+                                     SuspectKind::Request,
+                                     false,
+                                     true };
+    EXPECT_TRUE(recordSuspicions(this->quarantine, { suspicion, refutation }, this->now).empty());
+    EXPECT_TRUE(this->quarantine.suspects.empty());
+    EXPECT_TRUE(recordSuspicions(this->quarantine, { refutation, suspicion }, this->now).empty());
+    EXPECT_TRUE(this->quarantine.suspects.empty());
+}
+
 TEST_F(CrashQuarantineTest, JoiningHostReceivesQuarantinedAndSevereSuspects)
 {
     this->suspectAtUpstreams(1, quarantineThreshold);
