--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -108,8 +108,11 @@
     {
         QObject::connect(&this->timer, &QTimer::timeout, [this] {
             const Instant now = monotonicNow();
-            if (this->last.micros != 0)
-                this->longest = std::max(this->longest, now - this->last - interval);
+            const Span late = now - this->last - interval;
+            if (this->last.micros != 0 && late > this->longest) {
+                this->longest = late;
+                this->longestAt = now;
+            }
             this->last = now;
         });
         this->timer.setTimerType(Qt::PreciseTimer);
@@ -117,6 +120,7 @@
     }
 
     Span longest{};
+    Instant longestAt;
 
 private:
     static constexpr Span interval = std::chrono::milliseconds(10);
@@ -330,8 +334,9 @@
                byKind[ViolationKind::BeyondPlaces], ofDoneOrders);
     fmt::print("  requests {}, served {:.3f}, refused {}, broken off {}, misdirected {}\n",
                calls.requests, share, calls.refused, calls.brokenOff, this->counts.misdirected);
-    fmt::print("  datagrams {}, lost {}; this process late by up to {} ms\n", this->relay.datagrams,
-               this->relay.lost, inMilliseconds(this->loopWatch.longest));
+    fmt::print("  datagrams {}, lost {}; this process late by up to {} ms, at {:.1f} s\n",
+               this->relay.datagrams, this->relay.lost, inMilliseconds(this->loopWatch.longest),
+               toSeconds(this->loopWatch.longestAt - this->startedAt));
     const bool isPlayed = this->judge.orders > 0 && calls.served > 0;
     if (!isPlayed)
         fmt::print("failure: no order was carried out, or no request was served\n");
