--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -140,6 +140,7 @@
             byZone[member.zone].emplace_back(rendezvousMix(hash, member.idHash), id);
     }
     std::vector<std::pair<std::uint64_t, ZoneId>> zones;
+    zones.reserve(byZone.size());
     for (const auto &[zone, hosts] : byZone)
         zones.emplace_back(rendezvousMix(hash, stableHash(zone.value)), zone);
     std::sort(zones.rbegin(), zones.rend());
@@ -345,6 +346,32 @@
     return isOtherUsable ? held : std::set<SoftwareVersion>{};
 }
 
+void checkAllVersions(GatewayState &state, Instant now)
+{
+    std::set<ServiceId> services;
+    for (const auto &[id, upstream] : state.upstreams)
+        services.insert(upstream.listed.service);
+    for (const ServiceId &service : services)
+        checkVersions(state, service, now);
+}
+
+/// Records that this host has lost most others, or reaches them again. Versions that are held stay
+/// so until it has been in touch for long enough.
+void checkTouch(GatewayState &state, Instant now)
+{
+    if (isInTouch(state, now)) {
+        state.knownWhenLost = 0;
+        return;
+    }
+    state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
+    for (auto &[service, versions] : state.serviceVersions) {
+        for (auto &[version, until] : versions.heldUntil) {
+            if (now < until)
+                until = now + holdTime(state);
+        }
+    }
+}
+
 void answerQuestion(GatewayState &state, const Gossip &from, const OriginQuestion &question,
                     Instant now, Actions &actions)
 {
@@ -508,25 +535,10 @@
     dropExpiredOrigins(state.origins, now);
     if (now >= state.nextVersionCheckAt) {
         state.nextVersionCheckAt = now + versionCheckInterval;
-        std::set<ServiceId> services;
-        for (const auto &[id, upstream] : state.upstreams)
-            services.insert(upstream.listed.service);
-        for (const ServiceId &service : services)
-            checkVersions(state, service, now);
-    }
-    const bool isTouchLost = !isInTouch(state, now);
-    if (isTouchLost) {
-        state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
-        for (auto &[service, versions] : state.serviceVersions) {
-            for (auto &[version, until] : versions.heldUntil) {
-                if (now < until)
-                    until = now + holdTime(state);
-            }
-        }
-    } else {
-        state.knownWhenLost = 0;
+        checkAllVersions(state, now);
+        checkTouch(state, now);
     }
-    sendOrigins(state, isTouchLost, now, actions);
+    sendOrigins(state, state.knownWhenLost > 0, now, actions);
 }
 
 } // namespace azurewell::gateway
