Let a host that hears nobody count as out of touch at once

A host that was cut off with its store away counted as in touch until its members timed out, seconds in a large fleet, and went on with streams at servers that had started again under their id with another version.

Cause: only the timeouts of members told it. Now silence of 600 ms from all does, too.

--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -37,6 +37,10 @@
 /// Records in one message, of up to 300 bytes each.
 constexpr std::size_t maxOriginsInMessage = 150;
 
+/// A host that has heard nobody for this long is out of touch before its members time out: somebody
+/// sends to it every 250 ms or more often, in fleets of any size.
+constexpr Span maxSilence = std::chrono::milliseconds(600);
+
 constexpr Span versionCheckInterval = std::chrono::milliseconds(250);
 
 /// New streams do not begin at servers of a version that is new beside another one until each host
@@ -82,6 +86,12 @@
 /// it has heard of all versions that streams may have begun at.
 bool isInTouch(const GatewayState &state, Instant now)
 {
+    const auto &others = state.members.others;
+    const bool isAnyHeard = std::any_of(others.begin(), others.end(), [&](const auto &entry) {
+        return now - entry.second.lastMessageAt < maxSilence;
+    });
+    if (!others.empty() && !isAnyHeard)
+        return false;
     const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
     return 2 * (countReachable(state.members, now) + 1) > known;
 }
