Tests: one size of simulated fleets and its settings for five test files

Each had its own structure of zones, hosts and engines and set up the simulated fleet from it alike.

--- a/tests/gateway_world/cut_off_hosts_test.cpp
+++ b/tests/gateway_world/cut_off_hosts_test.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "fleet_size.h"
 
 #include <gtest/gtest.h>
 
@@ -13,10 +13,7 @@
 /// A fleet and what happens to it.
 struct Case
 {
-    std::size_t zones;
-    std::size_t hostsPerZone;
-    std::size_t enginesPerZone;
-    double requestsPerSecond;
+    FleetSize fleet;
     CutHosts hosts;
     EngineCut cut;
 };
@@ -24,40 +21,29 @@
 std::ostream &operator<<(std::ostream &out, const Case &one)
 {
     constexpr const char *names[] = { "half", "whole_zone", "all_but_one" };
-    return out << one.zones * one.hostsPerZone << "_hosts_" << names[static_cast<int>(one.hosts)]
+    return out << one.fleet << '_' << names[static_cast<int>(one.hosts)]
                << (one.cut == EngineCut::Hang ? "_hang" : "_refuse");
 }
 
-WorldSettings settingsOf(const Case &fleet, std::uint64_t seed)
-{
-    WorldSettings settings;
-    settings.seed = seed;
-    settings.zones = fleet.zones;
-    settings.hostsPerZone = fleet.hostsPerZone;
-    settings.enginesPerZone = fleet.enginesPerZone;
-    settings.requestsPerSecond = fleet.requestsPerSecond;
-    settings.adapters = 40 * fleet.enginesPerZone;
-    settings.fullSpeedLoads = fleet.enginesPerZone * 2;
-    return settings;
-}
+constexpr std::size_t adaptersPerEngine = 40;
 
-bool isCut(const Case &fleet, std::size_t host)
+bool isCut(const Case &one, std::size_t host)
 {
-    switch (fleet.hosts) {
+    switch (one.hosts) {
     case CutHosts::Half:
-        return host < fleet.zones * fleet.hostsPerZone / 2;
+        return host < one.fleet.zones * one.fleet.hostsPerZone / 2;
     case CutHosts::WholeZone:
-        return host % fleet.zones == 0;
+        return host % one.fleet.zones == 0;
     case CutHosts::AllButOne:
         break;
     }
     return host != 0;
 }
 
-void cutHosts(World &world, const Case &fleet, EngineCut cut)
+void cutHosts(World &world, const Case &one, EngineCut cut)
 {
     for (std::size_t host = 0; host < world.hostCount(); ++host) {
-        if (isCut(fleet, host))
+        if (isCut(one, host))
             world.cutFromEngines(host, cut);
     }
 }
@@ -70,12 +56,12 @@
 // upstreams, and refuse requests that hosts with a path could serve.
 TEST_P(CutOffHosts, ServeAsOftenAsTheOthers)
 {
-    const Case &fleet = GetParam();
-    World world{ settingsOf(fleet, 1) };
+    const Case &one = GetParam();
+    World world{ settingsWithAdapters(one.fleet, adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
-    cutHosts(world, fleet, fleet.cut);
+    cutHosts(world, one, one.cut);
     world.runFor(std::chrono::seconds(12));
-    cutHosts(world, fleet, EngineCut::None);
+    cutHosts(world, one, EngineCut::None);
     const double atCut = world.triesAtCutHosts.servedShare();
     const double atOthers = world.triesAtOtherHosts.servedShare();
     EXPECT_GT(world.triesAtCutHosts.sent, 50U);
@@ -86,15 +72,15 @@
 // Guards against two hosts that order at one engine when paths are lost and come back.
 TEST_P(CutOffHosts, LeaveOneHostThatOrdersAtAnEngine)
 {
-    const Case &fleet = GetParam();
-    const std::uint64_t seeds = fleet.hostsPerZone > 2 ? 1 : 40;
+    const Case &one = GetParam();
+    const std::uint64_t seeds = one.fleet.hostsPerZone > 2 ? 1 : 40;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        World world{ settingsOf(fleet, seed) };
+        World world{ settingsWithAdapters(one.fleet, adaptersPerEngine, seed) };
         world.runFor(std::chrono::milliseconds(8000 + 37 * seed));
         for (int round = 1; round <= 3; ++round) {
-            cutHosts(world, fleet, fleet.cut);
+            cutHosts(world, one, one.cut);
             world.runFor(std::chrono::milliseconds(1700 * round));
-            cutHosts(world, fleet, EngineCut::None);
+            cutHosts(world, one, EngineCut::None);
             world.runFor(std::chrono::milliseconds(1500 * round));
         }
         for (const Violation &violation : world.violations)
@@ -104,13 +90,13 @@
 
 INSTANTIATE_TEST_SUITE_P(
         Fleets, CutOffHosts,
-        testing::Values(Case{ 3, 2, 3, 40, CutHosts::Half, EngineCut::Hang },
-                        Case{ 3, 2, 3, 40, CutHosts::Half, EngineCut::Refuse },
-                        Case{ 3, 2, 3, 40, CutHosts::WholeZone, EngineCut::Hang },
-                        Case{ 3, 2, 3, 40, CutHosts::AllButOne, EngineCut::Refuse },
-                        Case{ 3, 23, 24, 300, CutHosts::Half, EngineCut::Hang },
-                        Case{ 3, 23, 24, 300, CutHosts::WholeZone, EngineCut::Refuse },
-                        Case{ 5, 39, 24, 400, CutHosts::WholeZone, EngineCut::Hang }));
+        testing::Values(Case{ { 3, 2, 3, 40 }, CutHosts::Half, EngineCut::Hang },
+                        Case{ { 3, 2, 3, 40 }, CutHosts::Half, EngineCut::Refuse },
+                        Case{ { 3, 2, 3, 40 }, CutHosts::WholeZone, EngineCut::Hang },
+                        Case{ { 3, 2, 3, 40 }, CutHosts::AllButOne, EngineCut::Refuse },
+                        Case{ { 3, 23, 24, 300 }, CutHosts::Half, EngineCut::Hang },
+                        Case{ { 3, 23, 24, 300 }, CutHosts::WholeZone, EngineCut::Refuse },
+                        Case{ { 5, 39, 24, 400 }, CutHosts::WholeZone, EngineCut::Hang }));
 
 } // namespace
 } // namespace azurewell::gateway
--- a/tests/gateway_world/one_orderer_test.cpp
+++ b/tests/gateway_world/one_orderer_test.cpp
@@ -1,54 +1,24 @@
-#include "world.h"
+#include "fleet_size.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <ostream>
-
 namespace azurewell::gateway {
 namespace {
 
 constexpr Span settling = std::chrono::seconds(10);
-
-struct FleetSize
-{
-    std::size_t zones;
-    std::size_t hostsPerZone;
-    std::size_t enginesPerZone;
-    double requestsPerSecond;
-    std::uint64_t seeds;
-};
-
-std::ostream &operator<<(std::ostream &out, const FleetSize &fleet)
-{
-    return out << fleet.zones * fleet.hostsPerZone << "_hosts";
-}
+constexpr std::size_t adaptersPerEngine = 40;
 
 /// Fleets in which two hosts could order at one engine at a time. Each adapter is requested by all
 /// hosts, so that whoever may order does.
 class OneOrderer : public testing::TestWithParam<FleetSize>
 {
 protected:
-    static WorldSettings settingsOf(const FleetSize &fleet, std::uint64_t seed)
-    {
-        WorldSettings settings;
-        settings.seed = seed;
-        settings.zones = fleet.zones;
-        settings.hostsPerZone = fleet.hostsPerZone;
-        settings.enginesPerZone = fleet.enginesPerZone;
-        settings.requestsPerSecond = fleet.requestsPerSecond;
-        settings.adapters = 40 * fleet.enginesPerZone;
-        settings.fullSpeedLoads = fleet.enginesPerZone * 2;
-        return settings;
-    }
-
     /// Runs \a play for each seed and reports the first violation of each.
     template <typename Play>
     void playSeeds(Play play)
     {
         for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
-            WorldSettings settings = settingsOf(GetParam(), seed);
-            const World world = play(settings);
+            const World world = play(settingsWithAdapters(GetParam(), adaptersPerEngine, seed));
             if (!world.violations.empty()) {
                 ADD_FAILURE() << "seed " << seed << ": " << world.violations.size()
                               << " violations, the first at "
--- a/tests/gateway_world/statements_test.cpp
+++ b/tests/gateway_world/statements_test.cpp
@@ -1,39 +1,14 @@
-#include "world.h"
+#include "fleet_size.h"
 
 #include <gtest/gtest.h>
 
-#include <ostream>
-
 namespace azurewell::gateway {
 namespace {
 
 /// The size of a fleet and its request rate.
-struct Case
-{
-    std::size_t zones;
-    std::size_t hostsPerZone;
-    std::size_t enginesPerZone;
-    double requestsPerSecond;
-};
-
-std::ostream &operator<<(std::ostream &out, const Case &one)
-{
-    return out << one.zones * one.hostsPerZone << "_hosts";
-}
-
-WorldSettings settingsOf(const Case &fleet)
-{
-    WorldSettings settings;
-    settings.zones = fleet.zones;
-    settings.hostsPerZone = fleet.hostsPerZone;
-    settings.enginesPerZone = fleet.enginesPerZone;
-    settings.requestsPerSecond = fleet.requestsPerSecond;
-    settings.adapters = 40 * fleet.enginesPerZone;
-    settings.fullSpeedLoads = fleet.enginesPerZone * 2;
-    return settings;
-}
+constexpr std::size_t adaptersPerEngine = 40;
 
-class StatedLeaving : public testing::TestWithParam<Case>
+class StatedLeaving : public testing::TestWithParam<FleetSize>
 {
 };
 
@@ -41,7 +16,7 @@
 // platform's list does not know yet.
 TEST_P(StatedLeaving, EndsNewRequestsBeforeTheListKnows)
 {
-    World world{ settingsOf(GetParam()) };
+    World world{ settingsWithAdapters(GetParam(), adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
     world.stateLeaving(0);
     world.stateLeaving(1);
@@ -53,7 +28,7 @@
 // Guards against a statement of one process that is applied to the next one.
 TEST_P(StatedLeaving, EndsWithTheProcessThatStatedIt)
 {
-    World world{ settingsOf(GetParam()) };
+    World world{ settingsWithAdapters(GetParam(), adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
     world.stateLeaving(0);
     world.runFor(std::chrono::seconds(4));
@@ -63,9 +38,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, StatedLeaving,
-                         testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 23, 24, 300 }));
+                         testing::Values(FleetSize{ 3, 2, 3, 60 }, FleetSize{ 3, 23, 24, 300 }));
 
-class StatedPauses : public testing::TestWithParam<Case>
+class StatedPauses : public testing::TestWithParam<FleetSize>
 {
 };
 
@@ -73,7 +48,7 @@
 TEST_P(StatedPauses, AreKept)
 {
     constexpr std::size_t maxArrivals = 2;
-    World world{ settingsOf(GetParam()) };
+    World world{ settingsWithAdapters(GetParam(), adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
     world.statePauses(0, std::chrono::seconds(3));
     world.statePauses(1, std::chrono::seconds(3));
@@ -84,7 +59,7 @@
 // Guards against an upstream that gets no request after its pause.
 TEST_P(StatedPauses, End)
 {
-    World world{ settingsOf(GetParam()) };
+    World world{ settingsWithAdapters(GetParam(), adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
     world.statePauses(0, std::chrono::seconds(3));
     world.runFor(std::chrono::seconds(4));
@@ -95,9 +70,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, StatedPauses,
-                         testing::Values(Case{ 3, 2, 3, 60 }, Case{ 3, 3, 3, 120 }));
+                         testing::Values(FleetSize{ 3, 2, 3, 60 }, FleetSize{ 3, 3, 3, 120 }));
 
-class BrittleEngines : public testing::TestWithParam<Case>
+class BrittleEngines : public testing::TestWithParam<FleetSize>
 {
 };
 
@@ -106,7 +81,7 @@
 {
     constexpr std::size_t room = 2;
     constexpr std::size_t maxRejections = 4;
-    World world{ settingsOf(GetParam()) };
+    World world{ settingsWithAdapters(GetParam(), adaptersPerEngine) };
     world.runFor(std::chrono::seconds(8));
     for (std::size_t engine = 0; engine < world.engineCount(); ++engine)
         world.makeBrittle(engine, room, maxRejections);
@@ -116,8 +91,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, BrittleEngines,
-                         testing::Values(Case{ 3, 2, 3, 100 }, Case{ 3, 3, 3, 160 },
-                                         Case{ 3, 23, 24, 700 }));
+                         testing::Values(FleetSize{ 3, 2, 3, 100 }, FleetSize{ 3, 3, 3, 160 },
+                                         FleetSize{ 3, 23, 24, 700 }));
 
 } // namespace
 } // namespace azurewell::gateway
--- a/tests/gateway_world/stream_versions_test.cpp
+++ b/tests/gateway_world/stream_versions_test.cpp
@@ -1,9 +1,8 @@
-#include "world.h"
+#include "fleet_size.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <ostream>
 
 namespace azurewell::gateway {
 namespace {
@@ -13,20 +12,6 @@
 /// Servers that are released one after the other, in the time of a test.
 constexpr std::size_t maxReleases = 12;
 
-struct FleetSize
-{
-    std::size_t zones;
-    std::size_t hostsPerZone;
-    std::size_t serversPerZone;
-    double streamsPerSecond;
-    std::uint64_t seeds;
-};
-
-std::ostream &operator<<(std::ostream &out, const FleetSize &fleet)
-{
-    return out << fleet.zones * fleet.hostsPerZone << "_hosts";
-}
-
 /// Share of the resumptions at hosts in touch that must go on while two servers of their version
 /// serve.
 constexpr double minShareThatGoesOn = 0.95;
@@ -36,14 +21,9 @@
 class StreamVersions : public testing::TestWithParam<FleetSize>
 {
 protected:
-    static WorldSettings settingsOf(const FleetSize &fleet, std::uint64_t seed)
+    static WorldSettings streamSettingsOf(const FleetSize &fleet, std::uint64_t seed)
     {
-        WorldSettings settings;
-        settings.seed = seed;
-        settings.zones = fleet.zones;
-        settings.hostsPerZone = fleet.hostsPerZone;
-        settings.enginesPerZone = fleet.serversPerZone;
-        settings.requestsPerSecond = fleet.streamsPerSecond;
+        WorldSettings settings = settingsOf(fleet, seed);
         settings.adapters = 1;
         settings.servesStreams = true;
         settings.brokenStreams = 0.2;
@@ -59,7 +39,7 @@
         StreamTries newStreams;
         std::uint64_t ofTwoVersions = 0;
         for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
-            const World world = play(settingsOf(GetParam(), seed));
+            const World world = play(streamSettingsOf(GetParam(), seed));
             if (world.streamsOfTwoVersions > 0) {
                 ADD_FAILURE() << "seed " << seed << ": " << world.streamsOfTwoVersions
                               << " streams of two versions";
--- a/tests/gateway_world/zones_test.cpp
+++ b/tests/gateway_world/zones_test.cpp
@@ -1,9 +1,7 @@
-#include "world.h"
+#include "fleet_size.h"
 
 #include <gtest/gtest.h>
 
-#include <ostream>
-
 namespace azurewell::gateway {
 namespace {
 
@@ -15,31 +13,12 @@
 /// Callers send from 4 s on.
 constexpr Span settling = std::chrono::seconds(6);
 
-struct FleetSize
-{
-    std::size_t zones;
-    std::size_t hostsPerZone;
-    std::size_t enginesPerZone;
-    double requestsPerSecond;
-};
-
-std::ostream &operator<<(std::ostream &out, const FleetSize &fleet)
-{
-    return out << fleet.zones * fleet.hostsPerZone << "_hosts";
-}
-
 class ZonesTest : public testing::TestWithParam<FleetSize>
 {
 protected:
-    static WorldSettings settingsOf(const FleetSize &fleet)
+    static WorldSettings coldSettingsOf(const FleetSize &fleet)
     {
-        WorldSettings settings;
-        settings.zones = fleet.zones;
-        settings.hostsPerZone = fleet.hostsPerZone;
-        settings.enginesPerZone = fleet.enginesPerZone;
-        settings.requestsPerSecond = fleet.requestsPerSecond;
-        settings.adapters = 20 * fleet.enginesPerZone;
-        settings.fullSpeedLoads = fleet.enginesPerZone * 2;
+        WorldSettings settings = settingsWithAdapters(fleet, 20);
         settings.warmupPerSecond = warmupPerSecond;
         return settings;
     }
@@ -50,7 +29,7 @@
             this->world.makeCold(engine);
     }
 
-    World world{ settingsOf(GetParam()) };
+    World world{ coldSettingsOf(GetParam()) };
 };
 
 // Guards against requests to an evacuated zone by hosts that learned of it late, were paused, or
