Ordering: follow claims, unanswered first orders, numbers and updates more strictly

Now claims that go on keep a host that has yielded out; after an unanswered first order none is given for 2.5 s; the number that counts is that of accepted orders of the present start; the surplus is bounded; an update of an earlier start is dropped, a report of the engine itself is not; hosts state when they heard a message, not when another one did. Four new tests of the rights.

--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -39,6 +39,7 @@
     Instant firstKnownAt;    ///< When its current incarnation first sent a message, or was first
                              ///< reported by another host.
     Instant returnedAt;      ///< When it last became reachable again after a timeout; zero: never.
+    Instant heardAt;         ///< When this host last received a message of it; zero: never.
     Instant heardByAt;       ///< When it last received a message of this host, as it states; zero:
                              ///< it has stated nothing yet.
     Instant nextHeartbeatAt; ///< When this host sends it the next heartbeat.
--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -55,9 +55,11 @@
     Instant coordinatingSince;  ///< Start of the current period of ordering.
     Instant claimedElsewhereAt; ///< When another host last stated that it orders; zero: never.
     Instant doubtedAt;          ///< Reports requested before do not confirm the count.
-    FencingNumber fencing;      ///< Highest fencing number of this host's orders.
+    FencingNumber sentFencing;  ///< Of the last order that was sent.
+    FencingNumber fencing;      ///< Highest of this host's orders that this engine start accepted.
     std::uint64_t fencingSurplus = 0; ///< Added to the count after refusals for a fencing number.
     bool isCoordinating = false;
+    bool hasYielded = false; ///< The last period ended as another host stated that it orders.
     std::optional<OrderingEnd> end; ///< Why the last period of ordering ended, until it is logged.
 };
 
@@ -76,6 +78,10 @@
 /// overtake each other inside an engine; an outdated one would show slots as free that are not.
 bool isOutdated(const OrderRights &rights, const EngineState &engine);
 
+/// Whether an update of another host shows the engine as it was before, or an earlier start of it.
+/// Only the engine itself is believed that its start has stepped back.
+bool isOutdatedUpdate(const OrderRights &rights, const EngineState &engine);
+
 /// Updates \a rights from a report of the engine that was requested at \a requestedAt.
 void recordReport(OrderRights &rights, const EngineState &engine, Instant requestedAt, Instant now);
 
--- a/packages/gateway/src/engine_orders.cpp
+++ b/packages/gateway/src/engine_orders.cpp
@@ -37,10 +37,10 @@
                 const ModelName &model, bool isLoad, Actions &actions)
 {
     engine.pendingOrder = model;
-    engine.rights.fencing = nextFencing(engine.rights, state.self.id);
+    engine.rights.sentFencing = nextFencing(engine.rights, state.self.id);
     const std::uint64_t version = isLoad ? declaredVersion(state.versions, model) : 0;
     actions.orders.push_back({ upstream.listed.id, upstream.listed.address, isLoad, model, version,
-                               engine.rights.expectedOrders, engine.rights.fencing });
+                               engine.rights.expectedOrders, engine.rights.sentFencing });
 }
 
 /// Orders the base model load of an engine that started empty. Returns whether an order was given.
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -249,6 +249,7 @@
     sender.incarnation = message.incarnation;
     sender.lastMessageAt = now;
     sender.lastAliveAt = now;
+    sender.heardAt = now;
     if (message.heardAgo)
         sender.heardByAt = now - *message.heardAgo;
     sender.isLeaving = message.isLeaving;
@@ -305,7 +306,7 @@
     OrderRights &rights = state.engines[update.engine].rights;
     if (update.isOrdering)
         recordClaim(rights, now);
-    if (isOutdated(rights, update.state))
+    if (isOutdatedUpdate(rights, update.state))
         return;
     recordEngineUpdate(rights, update.state, now);
     recordStart(state, upstream, update.state.start, update.state.seenAt);
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -112,8 +112,8 @@
         else
             member->nextEngineUpdateAt = now + engineIntervalTo(state, *member);
         addMembers(state, message, maxMembersTo(state, *member, now), now);
-        if (member->lastMessageAt.micros != 0)
-            message.heardAgo = now - member->lastMessageAt;
+        if (member->heardAt.micros != 0)
+            message.heardAgo = now - member->heardAt;
         if (isNewHere(state, *member, now))
             message.crashes = severeSuspicions(state.quarantine);
         message.adapterUses = usesAtEnginesOf(state, member->id, now);
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -50,6 +50,15 @@
             && now - rights.claimedElsewhereAt < takeoverWait(terms);
 }
 
+/// Whether an unanswered first order may still arrive: the engine would carry it out whatever it
+/// has accepted meanwhile, as it checks no count.
+bool isFirstOrderOpen(const OrderRights &rights, Instant now)
+{
+    constexpr Span maxTransit = std::chrono::milliseconds(2500);
+    return rights.expectedOrders == 0 && rights.doubtedAt.micros != 0
+            && now - rights.doubtedAt < maxTransit;
+}
+
 /// Time in which the other hosts hear that this one orders, and stop. A heartbeat may be lost.
 Span claimLead(const Members &members)
 {
@@ -64,10 +73,14 @@
 
 void recordSeen(OrderRights &rights, const EngineState &engine)
 {
-    rights.seenOrders = engine.start == rights.start
-            ? std::max(rights.seenOrders, engine.ordersTaken)
-            : engine.ordersTaken;
+    if (engine.start == rights.start) {
+        rights.seenOrders = std::max(rights.seenOrders, engine.ordersTaken);
+        return;
+    }
     rights.start = engine.start;
+    rights.seenOrders = engine.ordersTaken;
+    rights.fencing = FencingNumber{};
+    rights.fencingSurplus = 0;
 }
 
 } // namespace
@@ -107,6 +120,11 @@
     return engine.start == rights.start && engine.ordersTaken < rights.seenOrders;
 }
 
+bool isOutdatedUpdate(const OrderRights &rights, const EngineState &engine)
+{
+    return engine.start < rights.start || isOutdated(rights, engine);
+}
+
 void recordReport(OrderRights &rights, const EngineState &engine, Instant requestedAt, Instant now)
 {
     const bool isRestarted = engine.start != rights.start;
@@ -143,15 +161,16 @@
 void recordClaim(OrderRights &rights, Instant now)
 {
     rights.claimedElsewhereAt = now;
-    if (!rights.isCoordinating)
-        return;
-    rights.unchangedSince = now;
+    rights.hasYielded = rights.hasYielded || rights.isCoordinating;
+    if (rights.hasYielded)
+        rights.unchangedSince = now;
     endOrdering(rights, OrderingEnd::ClaimSeen);
 }
 
 void recordOrderAccepted(OrderRights &rights, Instant sentAt)
 {
     ++rights.expectedOrders;
+    rights.fencing = std::max(rights.fencing, rights.sentFencing);
     rights.lastOrderAt = std::max(rights.lastOrderAt, sentAt);
 }
 
@@ -159,8 +178,9 @@
 {
     if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Unknown)
         rights.doubtedAt = std::max(rights.doubtedAt, now);
+    constexpr std::uint64_t maxSurplus = 1ULL << 30U;
     if (outcome == OrderOutcome::OldFencing)
-        rights.fencingSurplus = std::max<std::uint64_t>(1, 2 * rights.fencingSurplus);
+        rights.fencingSurplus = std::clamp<std::uint64_t>(2 * rights.fencingSurplus, 1, maxSurplus);
 }
 
 FencingNumber nextFencing(const OrderRights &rights, const HostId &host)
@@ -192,7 +212,7 @@
     }
     if (rights.unchangedSince.micros == 0 || now - rights.confirmedAt > reportValidity)
         return false;
-    if (rights.confirmedAt < rights.doubtedAt)
+    if (rights.confirmedAt < rights.doubtedAt || isFirstOrderOpen(rights, now))
         return false;
     if (rights.isCoordinating && now - rights.lastOrderAt < maxOrderGap)
         return true;
@@ -212,6 +232,7 @@
         return false;
     if (!std::exchange(rights.isCoordinating, true))
         rights.coordinatingSince = now;
+    rights.hasYielded = false;
     return isClaimHeard(rights, members, now);
 }
 
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -209,6 +209,65 @@
     EXPECT_TRUE(this->mayOrderNow());
 }
 
+// Guards against a host that begins again every few seconds beside one that orders and does not
+// hear it.
+TEST_F(OrderRightsTest, DoNotBeginWhileAnotherHostGoesOnToStateThatItOrders)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    ASSERT_TRUE(this->mayOrderNow());
+    for (int claims = 0; claims < 20; ++claims) {
+        recordClaim(this->rights, this->now);
+        EXPECT_FALSE(this->mayOrderNow());
+        this->advance(std::chrono::milliseconds(500), true, 5);
+    }
+    this->advance(takeoverWait(this->terms), true, 5);
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
+// Guards against an unanswered first order that arrives after the next one and is carried out, too.
+TEST_F(OrderRightsTest, WaitForAnUnansweredFirstOrder)
+{
+    this->advance(std::chrono::seconds(5), true, 0);
+    this->mayOrderNow();
+    this->advance(std::chrono::seconds(1), true, 0);
+    ASSERT_TRUE(this->mayOrderNow());
+    recordOrderFailed(this->rights, OrderOutcome::Unknown, this->now);
+    this->advance(std::chrono::seconds(2), true, 0);
+    EXPECT_FALSE(this->mayOrderNow());
+    this->advance(std::chrono::seconds(1), true, 0);
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
+// Guards against numbers of an earlier start of the engine, or of refused orders, that stay ahead
+// of those that other hosts derive from the engine's count.
+TEST_F(OrderRightsTest, GiveNumbersThatFollowFromAcceptedOrdersOfThisStartOnly)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    OrderRights other = this->rights;
+    for (int tries = 0; tries < 80; ++tries)
+        recordOrderFailed(this->rights, OrderOutcome::OldFencing, this->now);
+    constexpr std::uint64_t maxExactInJson = 1ULL << 53U;
+    EXPECT_LT(nextFencing(this->rights, this->members.self).value, maxExactInJson);
+    this->rights.sentFencing = nextFencing(this->rights, this->members.self);
+    this->engineStart += 5000;
+    this->advance(std::chrono::seconds(5), true, 0);
+    other.start = this->engineStart;
+    other.expectedOrders = 1;
+    EXPECT_LT(nextFencing(this->rights, this->members.self), nextFencing(other, this->others[0]));
+}
+
+// Guards against updates of another host that show an earlier process of the engine.
+TEST_F(OrderRightsTest, DoNotFollowAnUpdateOfAnEarlierStart)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    EngineState state;
+    state.start = this->engineStart - 1;
+    state.ordersTaken = 9;
+    EXPECT_TRUE(isOutdatedUpdate(this->rights, state));
+    state.start = this->engineStart;
+    EXPECT_FALSE(isOutdatedUpdate(this->rights, state));
+}
+
 // Guards against first orders of two hosts, of which the engine checks neither.
 TEST_F(OrderRightsTest, BeginAtAnEngineWithoutOrdersOnlyAfterOthersHaveHeardOfIt)
 {
