Ordering: a lost or regained path of another host is a change that reports must follow

Trace: h0 ends a pause of 3.8 s with a load at 1009.142; 5 ms later half of the hosts lose the engines. h0 notices and tells the others, h3 ranks first at 1009.200 and begins 40 ms later on a report that was 20 ms old and, as reports are some 100 ms behind, did not show the order. Its load of the same adapter is answered as done, which checks no count.

Cause: the wait until reports show the last orders of others began when a host became reachable or unreachable, not when it lost or regained its path, nor when it ceased to be alive by the news of third hosts. The rank follows from all of them. Now everything that may change the rank begins the wait.

Ruled out: the counted order itself (expected 4, count 5: a load not held would have been refused); claims (both were first orders of a period at an engine that had counted some).

The new unit test fails without the change.

--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -87,8 +87,8 @@
     DeadlineQueue<HostId> heartbeats; ///< When this host sends each member the next heartbeat.
     bool isPlanStale = false; ///< Hosts were added, removed or moved since `plan` was computed.
     Instant lastUpdateAt;     ///< Time of the last updateMembers().
-    Instant changedAt;        ///< When a host last became reachable or unreachable, or this process
-                              ///< resumed after a pause.
+    Instant changedAt;        ///< When a host was last found, lost or back, or reached other
+                              ///< services, or this process resumed after a pause.
     std::vector<HostId> reachabilityChanges; ///< Hosts that were lost or came back; to be logged.
     /// Incremented when the set of live hosts, or the services they reach, may have changed.
     std::uint64_t generation = 1;
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -93,6 +93,13 @@
     return next;
 }
 
+/// Records that another host may rank first for engines than before.
+void recordChange(Members &members, Instant now)
+{
+    ++members.generation;
+    members.changedAt = std::max(members.changedAt, now);
+}
+
 void updateReachability(Members &members, Member &member, Instant now)
 {
     const bool isReachableNow = !member.isLeaving && isMemberReachable(members, member, now);
@@ -104,7 +111,7 @@
     member.wasReachable = isReachableNow;
     const bool isAliveNow = isAlive(members, member, now);
     if (isAliveNow != member.wasAlive)
-        ++members.generation;
+        recordChange(members, now);
     member.wasAlive = isAliveNow;
 }
 
@@ -217,7 +224,7 @@
     const bool hasChanged = isNew || before.isLeaving != member.isLeaving
             || before.zone != member.zone;
     if (hasChanged || before.unreachableServices != member.unreachableServices)
-        ++members.generation;
+        recordChange(members, member.lastMessageAt);
     // For all other members the next check can only move later.
     if (hasChanged || !before.wasReachable || !before.wasAlive)
         members.checks.bringForward(member.id, member.lastMessageAt);
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -224,6 +224,26 @@
     EXPECT_TRUE(this->mayOrderNow());
 }
 
+// Guards against an order on the report of a moment before, when the host that ordered has just lost
+// its path to the upstreams and this one becomes first.
+TEST_F(OrderRightsTest, BeginOnlyAfterReportsFromAfterTheOtherHostLostItsPath)
+{
+    std::swap(this->members.self, this->others.front());
+    this->members.others.clear();
+    this->advance(std::chrono::seconds(5), true, 5);
+    ASSERT_FALSE(this->mayOrderNow());
+    Member first = this->memberNamed(this->others.front().value);
+    first.unreachableServices.insert(this->engine.listed.service);
+    recordMember(this->members, first);
+    EXPECT_FALSE(this->mayOrderNow());
+    for (int ticks = 0; ticks < 10; ++ticks) {
+        this->advance(std::chrono::milliseconds(100), false, 5);
+        first.lastMessageAt = this->now;
+        recordMember(this->members, first);
+    }
+    EXPECT_TRUE(this->mayOrderNow());
+}
+
 // Guards against an unanswered first order that arrives after the next one and is carried out, too.
 TEST_F(OrderRightsTest, WaitForAnUnansweredFirstOrder)
 {
