Customers' limits: share them with hosts that hear this one, not with all that are heard

Callers could get more than their rate and burst while messages are lost in one direction: a host that hears all others, and is heard by none, admitted the whole limit, and the others kept only its share back.

The new unit test failed before (9,450 where half, 4,725, is allowed) and passes now. A host counts only the use and the shares of hosts with which it is linked both ways; before the first echo a host counts as linked, as before.

What remains: the time until a host knows that it is not heard (a heartbeat timeout and one interval).

--- a/packages/gateway/src/customer_meter.cpp
+++ b/packages/gateway/src/customer_meter.cpp
@@ -74,7 +74,7 @@
 struct Used
 {
     double byAll = 0;
-    double byReachable = 0; ///< By this host and the reachable ones.
+    double byLinked = 0; ///< By this host and those linked with it.
 };
 
 Used usedIn(CustomerMeter &meter, const Members &members, Span window, Instant now)
@@ -84,8 +84,10 @@
     for (auto &[id, use] : meter.others) {
         slide(use.window, window, now);
         used.byAll += use.window.sum;
-        if (isAlive(members, id, now))
-            used.byReachable += use.window.sum;
+        const auto member = members.others.find(id);
+        if (member != members.others.end() && !member->second.isLeaving
+            && isMemberLinked(members, member->second, now))
+            used.byLinked += use.window.sum;
     }
     return used;
 }
@@ -122,11 +124,11 @@
     if (customer.rate.perSecond <= 0)
         return std::nullopt;
     const double capacity = capacityOf(customer, limits);
-    const double reachable = static_cast<double>(countReachable(members, now) + 1);
-    const double known = static_cast<double>(countKnown(members) + 1);
+    const ReachCounts hosts = countReach(members, now);
+    const double linkedShare = static_cast<double>(hosts.linked) / static_cast<double>(hosts.known);
     const Used used = usedIn(meter, members, limits.window, now);
     const bool isWithinCapacity = used.byAll + cost <= capacity
-            && used.byReachable + cost <= capacity * reachable / known
+            && used.byLinked + cost <= capacity * linkedShare
             && isWithinRestartAllowance(meter.admittedSinceStart + cost, capacity, limits, start,
                                         now);
     if (!isWithinCapacity) {
--- a/packages/gateway/tests/customer_meter_test.cpp
+++ b/packages/gateway/tests/customer_meter_test.cpp
@@ -23,17 +23,12 @@
         this->members.self.value = "h0";
     }
 
-    void receiveFrom(const std::string &name, bool isLeaving = false)
+    Member receiveFrom(const std::string &name, bool isLeaving = false)
     {
-        recordMember(this->members,
-                     { HostId{ name },
-                       ZoneId{ "z" },
-                       { name, 1 },
-                       Incarnation{ 1 },
-                       this->now,
-                       this->now,
-                       isLeaving,
-                       false });
+        Member member{ HostId{ name }, ZoneId{ "z" }, { name, 1 }, Incarnation{ 1 },
+                       this->now,      this->now,     isLeaving,   false };
+        recordMember(this->members, member);
+        return member;
     }
 
     /// Admits requests of \a size until one is refused; returns the tokens admitted.
@@ -91,6 +86,19 @@
     EXPECT_LE(this->admitAll(meter, 50), 9000 * maxUseFactor / 2);
 }
 
+// Guards against exceeding the limit when messages are lost in one direction: the other host counts
+// this one as unreachable and hears of nothing that it admits.
+TEST_F(CustomerMeterTest, ReservesShareOfHostThatDoesNotHearThisOne)
+{
+    CustomerMeter meter;
+    Member other = this->receiveFrom("h1");
+    other.heardByAt = this->now;
+    this->now = this->now + std::chrono::seconds(3);
+    other.lastMessageAt = this->now;
+    recordMember(this->members, other);
+    EXPECT_LE(this->admitAll(meter, 50), 9000 * maxUseFactor / 2);
+}
+
 TEST_F(CustomerMeterTest, UsesShareOfHostThatAnnouncedLeaving)
 {
     CustomerMeter meter;
