Stated limits: hosts that are cut off, or not heard, issue part of the permits

Upstreams got more requests than the limit that they stated, and its tolerance, while a third of the hosts was heard by nobody: each of them took itself for the one that issues all permits, beside the one that the others had chosen. Permits for cold upstreams were shared by hosts that are heard; those for stated limits were not shared at all.

Hosts that are linked with at most half of all, or less than half of their zone, issue a part of the permits; the others all of them, so that hosts that were lost cost no capacity: the tolerance of half of the limit bears both.

Not tested: larger fleets, limits in a partition.

--- a/packages/gateway/src/warmup.cpp
+++ b/packages/gateway/src/warmup.cpp
@@ -39,50 +39,51 @@
 /// they reach no host.
 constexpr double shareOfOtherZones = 0.2;
 
-/// Hosts of one zone, with this host if it is its own.
-struct ZoneHosts
+double partOf(std::size_t some, std::size_t all)
 {
-    double known = 0;
-    double reachable = 0;
-};
-
-ZoneHosts hostsOf(const GatewayState &state, const ZoneId &zone, Instant now)
-{
-    ZoneHosts hosts;
-    if (zone == state.self.zone)
-        hosts = { 1, 1 };
-    for (const auto &[id, member] : state.members.others) {
-        if (member.zone != zone || member.isLeaving)
-            continue;
-        hosts.known += 1;
-        hosts.reachable += isMemberReachable(state.members, member, now) ? 1 : 0;
-    }
-    return hosts;
+    return static_cast<double>(some) / static_cast<double>(all);
 }
 
 /// Whether this host is on the smaller side of a partition, as far as it knows. The loss of its own
 /// zone is noticed first.
-bool isCutOff(const GatewayState &state, Instant now)
+bool isCutOff(const GatewayState &state, const ReachCounts &all, Instant now)
+{
+    const ReachCounts own = countReach(state.members, state.self.zone, now);
+    return 2 * own.linked < own.known || 2 * all.linked <= all.known;
+}
+
+/// The part of the permits for upstreams of a zone with \a hosts that this host may issue if it is
+/// cut off.
+double shareOfCutOff(const ReachCounts &hosts, const ReachCounts &all)
 {
-    const ZoneHosts own = hostsOf(state, state.self.zone, now);
-    const double all = static_cast<double>(countKnown(state.members) + 1);
-    const double reachable = static_cast<double>(countReachable(state.members, now) + 1);
-    return 2 * own.reachable < own.known || 2 * reachable <= all;
+    if (hosts.linked > 0)
+        return partOf(hosts.linked, hosts.known) * shareOfMinority;
+    return partOf(all.linked, all.known) * shareOfOtherZones;
 }
 
-/// The part of the permits for upstreams of \a zone that this host may issue.
+/// The part of the permits for cold upstreams of \a zone that this host may issue.
 double shareOfPermits(const GatewayState &state, const ZoneId &zone, Instant now)
 {
-    const ZoneHosts hosts = hostsOf(state, zone, now);
-    if (hosts.known == 0 || hosts.reachable >= wholeZone * hosts.known)
+    const ReachCounts hosts = countReach(state.members, zone, now);
+    if (hosts.known == 0)
+        return 1;
+    const double linked = partOf(hosts.linked, hosts.known);
+    if (linked >= wholeZone)
+        return 1;
+    const ReachCounts all = countReach(state.members, now);
+    if (isCutOff(state, all, now))
+        return shareOfCutOff(hosts, all);
+    return linked > 1 - wholeZone ? 1 - shareOfMinority * (1 - linked) : shareOfLostZone;
+}
+
+/// The part of a stated limit that this host may issue permits for. The limit's tolerance bears
+/// what cut-off hosts issue beside all permits of the others.
+double shareOfStatedLimit(const GatewayState &state, const ZoneId &zone, Instant now)
+{
+    const ReachCounts all = countReach(state.members, now);
+    if (!isCutOff(state, all, now))
         return 1;
-    const double reachable = hosts.reachable / hosts.known;
-    if (!isCutOff(state, now))
-        return reachable > 1 - wholeZone ? 1 - shareOfMinority * (1 - reachable) : shareOfLostZone;
-    if (hosts.reachable > 0)
-        return reachable * shareOfMinority;
-    const double all = static_cast<double>(countKnown(state.members) + 1);
-    return static_cast<double>(countReachable(state.members, now) + 1) / all * shareOfOtherZones;
+    return shareOfCutOff(countReach(state.members, zone, now), all);
 }
 
 const Service *serviceOf(const GatewayState &state, const Upstream &upstream)
@@ -127,7 +128,9 @@
 
 double permitsPerSecond(const GatewayState &state, const Upstream &upstream, Instant now)
 {
-    const double stated = isInForce(upstream.limit, now) ? upstream.limit.perSecond : 0;
+    const double stated = isInForce(upstream.limit, now)
+            ? upstream.limit.perSecond * shareOfStatedLimit(state, upstream.listed.zone, now)
+            : 0;
     const double cold = isCold(upstream, now) ? warmupLimitOf(state, upstream, now).perSecond : 0;
     if (stated > 0 && cold > 0)
         return std::min(stated, cold);
--- a/tests/gateway_world/stated_limit_test.cpp
+++ b/tests/gateway_world/stated_limit_test.cpp
@@ -89,6 +89,27 @@
     expectLimitsKept(world, perSecond);
 }
 
+// Guards against hosts that issue the permits of the whole fleet while others, who do not hear
+// them, issue them, too.
+TEST(StatedLimitsWorld, AreKeptWhileSomeHostsAreNotHeard)
+{
+    constexpr double perSecond = 2;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        WorldSettings settings;
+        settings.seed = seed;
+        settings.requestsPerSecond = 60;
+        World world{ settings };
+        world.runFor(std::chrono::seconds(8));
+        limitAllEngines(world, perSecond);
+        world.runFor(std::chrono::seconds(4));
+        for (std::size_t host = 0; host < world.hostCount(); host += 3)
+            world.muteHost(host, true);
+        world.runFor(std::chrono::seconds(8));
+        SCOPED_TRACE(seed);
+        expectLimitsKept(world, perSecond);
+    }
+}
+
 // Guards against two hosts that both grant permits, and against none doing so, when the granting
 // host is killed, paused or restarted.
 TEST(StatedLimitsWorld, AreKeptWhenHostsAreReplaced)
