Ordering: name the parts of the right to order; state what a quorum does not show

mayOrder() was one function of twelve conditions: whether the count is confirmed and whether a period may begin are functions of their own now. The comment that of two hosts that do not hear each other at most one qualifies was wrong: links are no votes. One test is formatted.

--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-/// Whether this host and enough others hear each other for it to order at \a engine while some do
-/// not. Of hosts that do not hear each other at most one qualifies: it is linked with more than
-/// half of the engine's zone, or exactly half of it and more than half of all hosts. A host of
-/// another zone qualifies only if no host of the engine's zone may be alive: hosts of a partitioned
-/// zone reach each other and keep ordering, and the engine may be reachable from both sides.
+/// Whether this host and enough others hear each other for it to order at an engine while some do
+/// not: more than half of the engine's zone, or exactly half of it and more than half of all hosts.
+/// At most one side of a partition qualifies. This is no vote: if only single pairs of hosts do not
+/// hear each other, both hosts of a pair may qualify. A host of another zone qualifies only if no
+/// host of the engine's zone may be alive: hosts of a partitioned zone reach each other and keep
+/// ordering, and the engine may be reachable from both sides.
 bool hasQuorum(const ReachCounts &zone, const ReachCounts &all, bool isInZone)
 {
     const bool isMajority = 2 * all.linked > all.known;
@@ -71,6 +72,29 @@
     return rights.expectedOrders != 0 || now - rights.coordinatingSince >= claimLead(members);
 }
 
+/// Whether a recent report has shown the order count that this host's next order states.
+bool isCountConfirmed(const OrderRights &rights, Instant now)
+{
+    if (rights.unchangedSince.micros == 0 || now - rights.confirmedAt > reportValidity)
+        return false;
+    return rights.confirmedAt >= rights.doubtedAt && !isFirstOrderOpen(rights, now);
+}
+
+/// Whether this host may begin to order: long enough after the last order of another host, or after
+/// the first start of the system.
+bool mayBegin(const OrderRights &rights, const Members &members, const OrderTerms &terms,
+              Instant now)
+{
+    const bool isFirst = terms.isFirst && rights.expectedOrders == 0
+            && now < terms.startedAt + firstStartWindow;
+    const Instant firstClaimAt = terms.startedAt + firstStartDelay - claimLead(members);
+    const bool isUnchanged = now - rights.unchangedSince >= takeoverWait(terms);
+    const bool isDue = isFirst ? now >= firstClaimAt : isUnchanged;
+    const bool isTooEarlyAlone = rights.expectedOrders == 0 && terms.isAlone
+            && now < terms.startedAt + aloneWait;
+    return isDue && !isTooEarlyAlone && !isClaimedElsewhere(rights, terms, now);
+}
+
 void recordSeen(OrderRights &rights, const EngineState &engine)
 {
     if (engine.start == rights.start) {
@@ -210,9 +234,7 @@
         endOrdering(rights, OrderingEnd::OutOfRank);
         return false;
     }
-    if (rights.unchangedSince.micros == 0 || now - rights.confirmedAt > reportValidity)
-        return false;
-    if (rights.confirmedAt < rights.doubtedAt || isFirstOrderOpen(rights, now))
+    if (!isCountConfirmed(rights, now))
         return false;
     if (rights.isCoordinating && now - rights.lastOrderAt < maxOrderGap)
         return true;
@@ -220,15 +242,7 @@
         return false;
     if (!hasQuorum(engine, members, now))
         return false;
-    const bool isFirst = terms.isFirst && rights.expectedOrders == 0
-            && now < terms.startedAt + firstStartWindow;
-    const bool isUnchanged = now - rights.unchangedSince >= takeoverWait(terms);
-    const Instant firstClaimAt = terms.startedAt + firstStartDelay - claimLead(members);
-    const bool isDue = isFirst ? now >= firstClaimAt : isUnchanged;
-    const bool mayBeginAlone = rights.expectedOrders != 0 || !terms.isAlone
-            || now >= terms.startedAt + aloneWait;
-    if (!rights.isCoordinating
-        && (!isDue || !mayBeginAlone || isClaimedElsewhere(rights, terms, now)))
+    if (!rights.isCoordinating && !mayBegin(rights, members, terms, now))
         return false;
     if (!std::exchange(rights.isCoordinating, true))
         rights.coordinatingSince = now;
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -224,8 +224,8 @@
     EXPECT_TRUE(this->mayOrderNow());
 }
 
-// Guards against an order on the report of a moment before, when the host that ordered has just lost
-// its path to the upstreams and this one becomes first.
+// Guards against an order on the report of a moment before, when the host that ordered has just
+// lost its path to the upstreams and this one becomes first.
 TEST_F(OrderRightsTest, BeginOnlyAfterReportsFromAfterTheOtherHostLostItsPath)
 {
     std::swap(this->members.self, this->others.front());
