Ordering: keep the fencing number for a period of ordering

The engine answers a load of what is loaded before it checks any count, so the order is judged with its low number.

A host's number is now that of the count at which its period began, and stays for the period; the next orderer's is higher as soon as one order of the period was accepted. Three unit tests set the count at the period's begin in place of the expected one; what they demand is unchanged.

What remains: a late order of a host after another one's takeover, 3.5 s after the last order that was seen, if the adapter is loaded; two hosts whose periods begin at one count.

--- a/packages/gateway/include/azurewell/gateway/order_rights.h
+++ b/packages/gateway/include/azurewell/gateway/order_rights.h
@@ -57,6 +57,7 @@
     Instant doubtedAt;          ///< Reports requested before do not confirm the count.
     FencingNumber sentFencing;  ///< Of the last order that was sent.
     FencingNumber fencing;      ///< Highest of this host's orders that this engine start accepted.
+    std::uint64_t ordersAtBegin = 0;  ///< Order count when the current period of ordering began.
     std::uint64_t fencingSurplus = 0; ///< Added to the count after refusals for a fencing number.
     bool isCoordinating = false;
     bool hasYielded = false; ///< The last period ended as another host stated that it orders.
@@ -99,8 +100,9 @@
 void recordOrderFailed(OrderRights &rights, OrderOutcome outcome, Instant now);
 
 /// Returns the fencing number of the next order of \a host. It follows from the start of the engine
-/// and its order count, so that it is higher than that of any accepted order before without the
-/// host knowing of that order; clocks of hosts play no part.
+/// and its order count when the period of ordering began, so that it is higher than that of any
+/// accepted order of another host before, without this host knowing of that order; clocks of hosts
+/// play no part. It stays for the period: orders of one host may overtake each other.
 FencingNumber nextFencing(const OrderRights &rights, const HostId &host);
 
 /// What the right to order depends on apart from the engine and the other hosts.
--- a/packages/gateway/src/order_rights.cpp
+++ b/packages/gateway/src/order_rights.cpp
@@ -104,6 +104,7 @@
     rights.start = engine.start;
     rights.seenOrders = engine.ordersTaken;
     rights.fencing = FencingNumber{};
+    rights.ordersAtBegin = 0;
     rights.fencingSurplus = 0;
 }
 
@@ -214,7 +215,7 @@
     // its next start are higher. All fit into the 53 bits that JSON readers keep.
     constexpr std::uint64_t hostSuffixes = 4096;
     const std::uint64_t start = rights.start > 0 ? static_cast<std::uint64_t>(rights.start) : 0;
-    const std::uint64_t count = start + rights.expectedOrders + rights.fencingSurplus;
+    const std::uint64_t count = start + rights.ordersAtBegin + rights.fencingSurplus;
     const FencingNumber next{ count * hostSuffixes + stableHash(host.value) % hostSuffixes };
     return std::max(rights.fencing, next);
 }
@@ -244,8 +245,10 @@
         return false;
     if (!rights.isCoordinating && !mayBegin(rights, members, terms, now))
         return false;
-    if (!std::exchange(rights.isCoordinating, true))
+    if (!std::exchange(rights.isCoordinating, true)) {
         rights.coordinatingSince = now;
+        rights.ordersAtBegin = rights.expectedOrders;
+    }
     rights.hasYielded = false;
     return isClaimHeard(rights, members, now);
 }
--- a/packages/gateway/tests/order_rights_test.cpp
+++ b/packages/gateway/tests/order_rights_test.cpp
@@ -272,7 +272,7 @@
     this->engineStart += 5000;
     this->advance(std::chrono::seconds(5), true, 0);
     other.start = this->engineStart;
-    other.expectedOrders = 1;
+    other.ordersAtBegin = 1;
     EXPECT_LT(nextFencing(this->rights, this->members.self), nextFencing(other, this->others[0]));
 }
 
@@ -338,21 +338,38 @@
     OrderRights other;
     other.start = this->engineStart;
     for (std::uint64_t orders = 0; orders < 100; ++orders) {
-        other.expectedOrders = orders;
+        other.ordersAtBegin = orders;
         this->rights.start = this->engineStart;
-        this->rights.expectedOrders = orders + 1;
+        this->rights.ordersAtBegin = orders + 1;
         EXPECT_LT(nextFencing(other, this->others[0]),
                   nextFencing(this->rights, this->members.self));
     }
 }
 
+// Guards against an order that was held up and reaches the engine with a lower number than the
+// orders after it.
+TEST_F(OrderRightsTest, KeepTheFencingNumberWhileThisHostOrders)
+{
+    this->advance(std::chrono::seconds(5), true, 5);
+    ASSERT_TRUE(this->mayOrderNow());
+    const FencingNumber first = nextFencing(this->rights, this->members.self);
+    recordOrderAccepted(this->rights, this->now);
+    this->advance(std::chrono::seconds(1), true, 6);
+    ASSERT_TRUE(this->mayOrderNow());
+    EXPECT_EQ(nextFencing(this->rights, this->members.self), first);
+    recordEngineUpdate(this->rights, { .start = this->engineStart, .ordersTaken = 7 }, this->now);
+    this->advance(std::chrono::seconds(5), true, 7);
+    ASSERT_TRUE(this->mayOrderNow());
+    EXPECT_GT(nextFencing(this->rights, this->members.self), first);
+}
+
 // Guards against a fencing number of an engine's earlier process that is higher than that of its
 // next one.
 TEST_F(OrderRightsTest, GiveHigherFencingNumbersAfterARestartOfTheEngine)
 {
     OrderRights before;
     before.start = this->engineStart;
-    before.expectedOrders = 900;
+    before.ordersAtBegin = 900;
     OrderRights after;
     after.start = this->engineStart + 1000;
     EXPECT_LT(nextFencing(before, this->others[0]), nextFencing(after, this->others[1]));
--- a/tests/gateway_world/one_orderer_test.cpp
+++ b/tests/gateway_world/one_orderer_test.cpp
@@ -151,6 +151,18 @@
     });
 }
 
+// Guards against orders that are carried out long after their host took them for unanswered.
+TEST_P(OneOrderer, IsAloneWhenUnansweredOrdersArriveSecondsLater)
+{
+    this->playSeeds([](WorldSettings settings) {
+        settings.heldUpOrderFraction = 0.3;
+        settings.maxHoldUp = std::chrono::seconds(4);
+        World world{ settings };
+        world.runFor(std::chrono::seconds(40));
+        return world;
+    });
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, OneOrderer,
                          testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
                                          FleetSize{ 3, 23, 24, 300, 2 },
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -224,8 +224,10 @@
                                     ///< and are not answered.
     double slowOrderFraction = 0;   ///< Of orders; these reach their engine after 200 to 500 ms.
     Span maxOrderDelay{};           ///< Of any order, in addition.
-    Span reportLagJitter{};         ///< The age of each report is up to this longer than reportLag.
-    Span firstStartSpread{};        ///< Hosts start for the first time within this time.
+    double heldUpOrderFraction = 0; ///< Of orders; these reach their engine up to `maxHoldUp` late.
+    Span maxHoldUp{};
+    Span reportLagJitter{};   ///< The age of each report is up to this longer than reportLag.
+    Span firstStartSpread{};  ///< Hosts start for the first time within this time.
     double faultFraction = 0; ///< Fraction of requests that engines fail at once with an internal
                               ///< error, whether or not the adapter is loaded.
     std::size_t crashingRequestCount = 0; ///< Each is sent repeatedly, to random hosts.
@@ -452,6 +454,8 @@
                 std::size_t engine, const ModelName &model);
     void sendOrder(std::size_t index, const OrderEngine &engineOrder);
     bool dropOrder(std::size_t index, const OrderEngine &engineOrder);
+    void endUnanswered(std::size_t index, const OrderEngine &engineOrder);
+    Span orderLatency();
     void endOrder(std::size_t index, std::uint64_t incarnation, const OrderEnded &ended);
     void executeOrder(std::size_t index, const OrderEngine &engineOrder, FakeEngine &engine,
                       OrderEnded &ended);
--- a/tests/gateway_world/world_orders.cpp
+++ b/tests/gateway_world/world_orders.cpp
@@ -8,6 +8,9 @@
 
 constexpr Span slowOrderLatency = std::chrono::milliseconds(200);
 
+/// Time after which a host takes an order for unanswered.
+constexpr Span orderTimeout = std::chrono::milliseconds(1200);
+
 /// Orders of two hosts to one engine within this time violate the lease.
 constexpr Span leaseLength = std::chrono::milliseconds(3000);
 
@@ -102,18 +105,34 @@
 /// path to the engine. Its host is notified of the timeout after orderTimeout.
 bool World::dropOrder(std::size_t index, const OrderEngine &engineOrder)
 {
-    constexpr Span orderTimeout = std::chrono::milliseconds(1200);
     const bool isLostBaseOrder = engineOrder.model.isBase() && this->settings.lostBaseOrders > 0;
     if (!this->isCut(index) && !isLostBaseOrder)
         return false;
     this->settings.lostBaseOrders -= isLostBaseOrder ? 1 : 0;
+    this->endUnanswered(index, engineOrder);
+    return true;
+}
+
+void World::endUnanswered(std::size_t index, const OrderEngine &engineOrder)
+{
     const std::uint64_t incarnation = this->hosts[index].incarnation;
     const OrderEnded ended{ engineOrder.engine,  engineOrder.model, engineOrder.isLoad,
                             engineOrder.version, this->now,         OrderOutcome::Unknown };
     this->schedule(this->now + orderTimeout, [this, index, incarnation, ended] {
         this->endOrder(index, incarnation, ended);
     });
-    return true;
+}
+
+Span World::orderLatency()
+{
+    std::uniform_real_distribution<double> part(0, 1);
+    const bool isSlow = this->settings.slowOrderFraction > 0
+            && part(this->random) < this->settings.slowOrderFraction;
+    const Span latency = this->delayUpTo(this->settings.maxOrderDelay)
+            + (isSlow ? slowOrderLatency + fromSeconds(part(this->random) * 0.3) : networkLatency);
+    const bool isHeldUp = this->settings.heldUpOrderFraction > 0
+            && part(this->random) < this->settings.heldUpOrderFraction;
+    return isHeldUp ? latency + this->delayUpTo(this->settings.maxHoldUp) : latency;
 }
 
 void World::endOrder(std::size_t index, std::uint64_t incarnation, const OrderEnded &ended)
@@ -131,26 +150,28 @@
         return;
     const std::uint64_t incarnation = this->hosts[index].incarnation;
     const Instant sentAt = this->now;
-    std::uniform_real_distribution<double> part(0, 1);
-    const bool isSlow = this->settings.slowOrderFraction > 0
-            && part(this->random) < this->settings.slowOrderFraction;
-    const Span latency = this->delayUpTo(this->settings.maxOrderDelay)
-            + (isSlow ? slowOrderLatency + fromSeconds(part(this->random) * 0.3) : networkLatency);
-    this->schedule(this->now + latency, [this, index, incarnation, engineOrder, sentAt] {
-        FakeEngine &engine = *this->findEngine(engineOrder.engine);
-        if (!engine.isUp)
-            return;
-        OrderEnded ended{ engineOrder.engine,
-                          engineOrder.model,
-                          engineOrder.isLoad,
-                          engineOrder.version,
-                          sentAt,
-                          OrderOutcome::Refused };
-        this->executeOrder(index, engineOrder, engine, ended);
-        this->schedule(this->now + networkLatency, [this, index, incarnation, ended] {
-            this->endOrder(index, incarnation, ended);
-        });
-    });
+    const Span latency = this->orderLatency();
+    const bool isAnswered = latency < orderTimeout;
+    if (!isAnswered)
+        this->endUnanswered(index, engineOrder);
+    this->schedule(
+            this->now + latency, [this, index, incarnation, engineOrder, sentAt, isAnswered] {
+                FakeEngine &engine = *this->findEngine(engineOrder.engine);
+                if (!engine.isUp)
+                    return;
+                OrderEnded ended{ engineOrder.engine,
+                                  engineOrder.model,
+                                  engineOrder.isLoad,
+                                  engineOrder.version,
+                                  sentAt,
+                                  OrderOutcome::Refused };
+                this->executeOrder(index, engineOrder, engine, ended);
+                if (!isAnswered)
+                    return;
+                this->schedule(this->now + networkLatency, [this, index, incarnation, ended] {
+                    this->endOrder(index, incarnation, ended);
+                });
+            });
 }
 
 EngineState World::stateOf(const FakeEngine &engine) const
