--- a/tests/gateway_world/one_orderer_test.cpp
+++ b/tests/gateway_world/one_orderer_test.cpp
@@ -163,10 +163,36 @@
     });
 }
 
+class OneOrdererAfterLongPartitions : public OneOrderer
+{
+};
+
+// Guards against two sides of a long partition that have forgotten each other and both order at
+// engines that restart.
+TEST_P(OneOrdererAfterLongPartitions, IsAloneWhenEnginesRestart)
+{
+    this->playSeeds([](const WorldSettings &settings) {
+        World world{ settings };
+        world.runFor(settling);
+        for (std::size_t host = 0; host < world.hostCount(); ++host)
+            world.moveToSide(host, isDisturbed(host, settings.seed) ? 1 : 0);
+        world.runFor(std::chrono::seconds(50));
+        for (std::size_t engine = 0; engine < world.engineCount(); ++engine) {
+            world.crashEngine(engine);
+            world.runFor(std::chrono::milliseconds(700));
+        }
+        world.runFor(std::chrono::seconds(8));
+        return world;
+    });
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, OneOrderer,
                          testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
                                          FleetSize{ 3, 23, 24, 300, 2 },
                                          FleetSize{ 5, 39, 24, 400, 1 }));
 
+INSTANTIATE_TEST_SUITE_P(Fleets, OneOrdererAfterLongPartitions,
+                         testing::Values(FleetSize{ 3, 2, 3, 40, 40 }));
+
 } // namespace
 } // namespace azurewell::gateway
