--- a/packages/gateway/tests/quarantined_requests_test.cpp
+++ b/packages/gateway/tests/quarantined_requests_test.cpp
@@ -347,6 +347,20 @@
             sent += this->sendRequest(content).dispatches.size();
         return sent;
     }
+
+    /// Sends requests that go on, then one whose streams are broken off at three upstreams. Returns
+    /// the others.
+    std::vector<Dispatch> breakOffThreeBesideOthers()
+    {
+        std::vector<Dispatch> others;
+        for (std::uint64_t content = 2; content < 60; ++content)
+            others.push_back(this->sendRequest(content).dispatches.front());
+        std::set<UpstreamId> upstreams;
+        while (upstreams.size() < 3)
+            upstreams.insert(this->breakOff(1));
+        this->runFor(std::chrono::milliseconds(300), upstreams);
+        return others;
+    }
 };
 
 // Guards against good requests that are refused because living upstreams broke off others like
@@ -386,13 +400,7 @@
 // Guards against refusals where no new connection can be opened, but older ones go on.
 TEST_F(BrokenStreamsTest, AreRefutedByAnswersThatGoOn)
 {
-    std::vector<Dispatch> others;
-    for (std::uint64_t content = 2; content < 60; ++content)
-        others.push_back(this->sendRequest(content).dispatches.front());
-    std::set<UpstreamId> upstreams;
-    while (upstreams.size() < 3)
-        upstreams.insert(this->breakOff(1));
-    this->runFor(std::chrono::milliseconds(300), upstreams);
+    const std::vector<Dispatch> others = this->breakOffThreeBesideOthers();
     EXPECT_EQ(this->countSent(1, 20), 0U);
     for (const Dispatch &other : others)
         this->endAttempt(other, AttemptOutcome::Done);
@@ -402,13 +410,7 @@
 // Guards against an answer that a crash ended, too, and that only seems to be whole.
 TEST_F(BrokenStreamsTest, AreNotRefutedByAnswersThatEndWithTheirConnection)
 {
-    std::vector<Dispatch> others;
-    for (std::uint64_t content = 2; content < 60; ++content)
-        others.push_back(this->sendRequest(content).dispatches.front());
-    std::set<UpstreamId> upstreams;
-    while (upstreams.size() < 3)
-        upstreams.insert(this->breakOff(1));
-    this->runFor(std::chrono::milliseconds(300), upstreams);
+    const std::vector<Dispatch> others = this->breakOffThreeBesideOthers();
     for (const Dispatch &other : others) {
         AttemptEnded ended{ other.request, other.attempt };
         ended.isEndShown = false;
