--- a/tests/ordering_soak/listener.cpp
+++ b/tests/ordering_soak/listener.cpp
@@ -30,7 +30,10 @@
 void answer(const SessionRef &session, int status, const std::vector<HttpHeader> &headers,
             const std::string &body)
 {
-    if (CallerConnection *connection = connectionOf(session))
+    CallerConnection *connection = connectionOf(session);
+    if (connection && status == 0)
+        connection->abort();
+    else if (connection)
         connection->answer(status, reasonPhrase(status), headers, body, monotonicNow());
 }
 
--- a/tests/ordering_soak/listener.h
+++ b/tests/ordering_soak/listener.h
@@ -22,7 +22,8 @@
 /// The connection behind \a session, if it can still be answered.
 CallerConnection *connectionOf(const SessionRef &session);
 
-/// Sends a whole answer to the current request of \a session, if it can still be answered.
+/// Sends a whole answer to the current request of \a session, if it can still be answered; with
+/// \a status 0, resets the connection instead.
 void answer(const SessionRef &session, int status, const std::vector<HttpHeader> &headers,
             const std::string &body);
 
--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -244,8 +244,8 @@
     const SessionRef reference = session;
     this->store.read(
             session->connection->request().target,
-            [reference](int status, const std::string &body) {
-                answer(reference, status, { { "Content-Type", "application/json" } }, body);
+            [reference](const StoreAnswer &given) {
+                answer(reference, given.status, given.headers, given.body);
             },
             monotonicNow());
 }
--- a/tests/sockets/caller.cpp
+++ b/tests/sockets/caller.cpp
@@ -106,12 +106,12 @@
     return positions;
 }
 
-Caller::Caller(std::uint16_t port)
+Caller::Caller(std::uint16_t port, const QString &ip)
 {
     this->socket.setProxy(QNetworkProxy::NoProxy);
     QObject::connect(&this->socket, &QTcpSocket::readyRead, &this->socket,
                      [this] { this->received += this->socket.readAll(); });
-    this->socket.connectToHost("127.0.0.1", port);
+    this->socket.connectToHost(ip, port);
     waitUntil([this] {
         return this->socket.state() != QAbstractSocket::ConnectingState
                 && this->socket.state() != QAbstractSocket::HostLookupState;
--- a/tests/sockets/caller.h
+++ b/tests/sockets/caller.h
@@ -38,7 +38,7 @@
 class Caller
 {
 public:
-    explicit Caller(std::uint16_t port);
+    explicit Caller(std::uint16_t port, const QString &ip = "127.0.0.1");
     ~Caller();
 
     void write(const QByteArray &bytes);
