--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -93,12 +93,18 @@
   2: i64 revision
   3: bool deleted
   4: binary value
+  /** Of the store, to which the revision belongs; absent: the store states none. */
+  5: optional i64 era
 }
 
 struct Changes {
   1: i64 after
   2: i64 upTo
   3: list<Item> items
+  4: optional i64 afterEra
+  5: optional i64 upToEra
+  /** The items are of an earlier era, and the sender holds them until they are written again. */
+  6: optional bool held
 }
 
 /**
@@ -125,6 +131,10 @@
   /** Of the whole value. */
   6: i32 size
   7: binary bytes
+  8: optional i64 afterEra
+  9: optional i64 upToEra
+  10: optional i64 era
+  11: optional bool held
 }
 
 /** Requests a second that an upstream takes from all hosts together; 0: it states none any more. */
@@ -223,4 +233,10 @@
   33: optional list<StreamOrigin> origins
   34: optional list<OriginQuestion> originQuestions
   35: optional list<OriginAnswer> originAnswers
+  /** Of the store, to which `revision` belongs; absent: the store states none. */
+  36: optional i64 era
+  /** Absent: the same as `era`. */
+  37: optional i64 newestChangeEra
+  38: optional bool holdsItems
+  39: optional bool wantsHeld
 }
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -170,10 +170,10 @@
 };
 
 /// Published changes that other hosts have and this host does not.
-struct RevisionLag
+struct ChangesLag
 {
-    std::uint64_t latestRevision = 0; ///< Highest revision that another host has.
-    Instant since;                    ///< When this host was first known to lag behind.
+    StorePosition latest; ///< Newest position that another host has.
+    Instant since;        ///< When this host was first known to lag behind.
 };
 
 /// Counts of what hosts know and ask about who began streams.
@@ -241,10 +241,11 @@
     std::set<UpstreamId>
             enginesWithNewPrompts; ///< Engines with prompts that were not yet sent as updates.
     Instant nextChangesRequestAt;
+    Instant nextHeldRequestAt;
     PlatformReader platformReader;
     PlatformView platform = PlatformView::NotRead;
     Instant platformFailedAt; ///< Time of the platform's last failure; zero: none.
-    RevisionLag revisionLag;
+    ChangesLag changesLag;
 
     std::map<CustomerId, CustomerMeter> meters;
     std::map<ServiceId, RetryBudget> retryBudgets;
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/crash_quarantine.h"
 #include "azurewell/gateway/members.h"
+#include "azurewell/gateway/store_position.h"
 #include "azurewell/gateway/stream_origins.h"
 #include "azurewell/gateway/upstreams.h"
 
@@ -103,30 +104,33 @@
 struct PublishedItem
 {
     std::string key;
-    std::uint64_t revision = 0;
+    StorePosition position;
     bool isDeleted = false;
     std::string value;
 };
 
-/// Changes of published items in the order of their revisions. Contains every change after revision
+/// Changes of published items in the order of their revisions. Contains every change after
 /// `after` up to and including `upTo`.
 struct PublishedChanges
 {
-    std::uint64_t after = 0;
-    std::uint64_t upTo = 0;
+    StorePosition after;
+    StorePosition upTo;
     std::vector<PublishedItem> items;
+    /// The items are of an earlier era than `upTo`, and the sender holds them (see published.h).
+    bool isHeld = false;
 };
 
 /// A part of an item that is too large for one message.
 struct ItemPart
 {
-    std::uint64_t after = 0; ///< As in PublishedChanges; the item is the only one.
-    std::uint64_t upTo = 0;
+    StorePosition after; ///< As in PublishedChanges; the item is the only one.
+    StorePosition upTo;
     std::string key;
-    std::uint64_t revision = 0;
+    StorePosition position;
     std::size_t offset = 0;
     std::size_t size = 0; ///< Size of the whole packed value in bytes.
     std::string bytes;
+    bool isHeld = false; ///< As in PublishedChanges.
 };
 
 /// To whom the receiver of a message relays its updates.
@@ -187,12 +191,14 @@
     Span runningFor{}; ///< Time since the sender's process started.
     bool isLeaving = false;
     PlatformView platform = PlatformView::NotRead;
-    std::uint64_t revision = 0;     ///< The sender knows all published changes up to this revision.
-    std::uint64_t newestChange = 0; ///< Revision of the newest item known to the sender.
-    bool wantsChanges = false;      ///< Requests the changes after `revision` from the receiver.
-    std::optional<Span> heardAgo;   ///< Since the sender last received a message of the receiver;
-                                    ///< stated in heartbeats.
-    std::uint32_t linkMbps = 0;     ///< Link speed of the sender in Mbit/s; 0: unknown.
+    StorePosition position;       ///< The sender knows all published changes up to here.
+    StorePosition newestChange;   ///< Position of the newest item known to the sender.
+    bool wantsChanges = false;    ///< Requests the changes after `position` from the receiver.
+    bool holdsItems = false;      ///< The sender holds items of an earlier era of the store.
+    bool wantsHeld = false;       ///< Requests these items from the receiver.
+    std::optional<Span> heardAgo; ///< Since the sender last received a message of the receiver;
+                                  ///< stated in heartbeats.
+    std::uint32_t linkMbps = 0;   ///< Link speed of the sender in Mbit/s; 0: unknown.
     RelayScope relayTo = RelayScope::None;
     std::vector<RelayedUpdate> relayed;
     std::vector<MemberUpdate> members;
--- a/packages/gateway/include/azurewell/gateway/item_parts.h
+++ b/packages/gateway/include/azurewell/gateway/item_parts.h
@@ -20,7 +20,7 @@
 {
     struct PartialItem
     {
-        std::uint64_t revision = 0;
+        StorePosition position;
         std::string value;
         std::set<std::size_t> offsets; ///< Offsets of the received parts.
     };
@@ -35,9 +35,9 @@
     HostId id;
     ZoneId zone;
     Endpoint address;
-    std::uint64_t revision = 0;     ///< It knows every change up to this revision.
-    std::uint64_t newestChange = 0; ///< Revision of the newest change that it knows.
-    Instant expiresAt;              ///< It requests them again then, perhaps from another host.
+    StorePosition position;     ///< It knows every change up to here.
+    StorePosition newestChange; ///< Position of the newest change that it knows.
+    Instant expiresAt;          ///< It requests them again then, perhaps from another host.
 };
 
 /// If no part arrives within this time, the rest is requested again.
@@ -47,7 +47,7 @@
 struct PackedItem
 {
     std::string key;
-    std::uint64_t revision = 0;
+    StorePosition position;
     std::string bytes;
     /// Hosts that wait for parts, oldest first. Without them, hosts whose requests arrive while the
     /// link is busy get no answer as long as others request sooner.
--- a/packages/gateway/include/azurewell/gateway/platform_reader.h
+++ b/packages/gateway/include/azurewell/gateway/platform_reader.h
@@ -16,6 +16,7 @@
     ConnectionFailed, ///< The connection was refused, reset or closed.
     Rejected,         ///< The store answered with an error status.
     Unreadable,       ///< The body violates the store's protocol.
+    OlderEra,         ///< Another copy of the store answered, older than the one that is known.
 };
 
 std::string_view nameOf(ReadFailure failure);
--- a/packages/gateway/include/azurewell/gateway/published.h
+++ b/packages/gateway/include/azurewell/gateway/published.h
@@ -9,41 +9,99 @@
 
 namespace azurewell::gateway {
 
-/// Revisions that this host skipped because it read a new listing. Items created and deleted within
+/// Positions that this host skipped because it read a new listing. Items created and deleted within
 /// the gap are unknown; items that existed before `from` and were deleted are known.
-struct RevisionGap
+struct PositionGap
 {
-    std::uint64_t from = 0;
-    std::uint64_t to = 0;
+    StorePosition from;
+    StorePosition to;
 };
 
-/// The items published by the platform, as bytes, with the revision of each change.
+/// How the content of an item compares with what was known of its key in another era.
+enum class ContentOrder : std::uint8_t {
+    Older,
+    Same,
+    Newer,
+    Unknown, ///< The contents do not tell.
+};
+
+/// Compares \a next with \a known, which have the same key and are not deleted.
+using CompareContent
+        = std::function<ContentOrder(const PublishedItem &known, const PublishedItem &next)>;
+
+/// How long after a new era began an item stays as it was known before, although the store shows
+/// another content, or none if \a isMissing. After that time it counts as not written again.
+using HoldTime = std::function<Span(const PublishedItem &known, bool isMissing)>;
+
+ContentOrder compareEqualOnly(const PublishedItem &known, const PublishedItem &next);
+Span defaultHoldTime(const PublishedItem &known, bool isMissing);
+
+/// An item that stays as it was known in an earlier era.
+struct HeldItem
+{
+    PublishedItem listed; ///< What the new era shows; deleted if it shows nothing.
+    bool isOlder = false; ///< The content of `listed` is older, so it never replaces the known one.
+    Instant until;
+};
+
+/// The items published by the platform, as bytes, with the position of each change.
 ///
-/// A host that the platform rejects continues with this state from the other hosts. An item is
-/// never replaced by an older revision, so the configuration in force never goes back.
+/// A host that the platform rejects continues with this state from the other hosts. Within an era
+/// an item is never replaced by an older revision. When the store comes back from an older copy, an
+/// item stays as it was known until it is written again, so that what was in force stays in force.
 struct PublishedState
 {
     std::map<std::string, PublishedItem> items; ///< By key, including deleted items.
-    std::uint64_t revision = 0; ///< Every change up to this revision is known; 0: nothing is known.
-    std::uint64_t newestChange = 0; ///< Revision of the newest item.
-    /// Every change after this revision is known, except in `gaps`: the first listing does not show
+    StorePosition position;     ///< Every change up to here is known; zero: nothing is known.
+    StorePosition newestChange; ///< Position of the newest item.
+    /// Every change after this position is known, except in `gaps`: the first listing does not show
     /// what was created and deleted before it.
-    std::uint64_t completeSince = 0;
-    std::vector<RevisionGap> gaps; ///< Gaps after `completeSince`, in ascending order.
+    StorePosition completeSince;
+    std::vector<PositionGap> gaps; ///< Gaps after `completeSince`, in ascending order.
+
+    CompareContent compare = compareEqualOnly;
+    HoldTime holdTime = defaultHoldTime;
+    std::uint64_t era = 0;           ///< The newest era that is known.
+    Instant eraSince;                ///< When this host learned of it.
+    StorePosition positionBeforeEra; ///< `position` then; zero: nothing was known.
+    StorePosition firstListing;      ///< Position of the first listing of the newest listed era.
+    bool isListingDue = false;       ///< What this host knows in part belongs to an earlier era.
+    std::map<std::string, HeldItem> held;
+    /// Messages with held items that this host still expects: it has started in this era, and knows
+    /// nothing of the one before.
+    std::uint32_t heldMessagesWanted = 0;
+    std::uint64_t eraChanges = 0; ///< Since the start of the process.
 };
 
-/// Applies a full listing whose first page was read at \a revision: items missing from it were
-/// deleted. Later pages can contain later changes, but others between the pages may be missing, so
-/// the listing is complete up to its first page only. Returns the changed items.
+/// Applies a full listing whose first page was read at \a position: items missing from it were
+/// deleted, or, in a new era, may be written again. Later pages can contain later changes, but
+/// others between the pages may be missing, so the listing is complete up to its first page only.
+/// Returns the changed items.
 std::vector<PublishedItem> applyListing(PublishedState &state,
                                         const std::vector<PublishedItem> &items,
-                                        std::uint64_t revision);
+                                        const StorePosition &position, Instant now);
+
+/// Applies changes that this host read from the store.
+std::vector<PublishedItem> applyEvents(PublishedState &state, const PublishedChanges &changes,
+                                       Instant now);
 
 /// Applies changes received from another host and returns the changed items. Nothing is applied if
 /// changes in between are missing. If nothing was known, they may be the first part of the state of
-/// a sender that has all changes up to \a senderRevision; deletions before that are not among them.
+/// a sender that has all changes up to \a senderPosition; deletions before that are not among them.
 std::vector<PublishedItem> applyChanges(PublishedState &state, const PublishedChanges &changes,
-                                        std::uint64_t senderRevision = 0);
+                                        const StorePosition &senderPosition, Instant now);
+
+/// Ends the holds whose time is over: what the era shows of these items becomes valid. Returns the
+/// changed items.
+std::vector<PublishedItem> endHolds(PublishedState &state, Instant now);
+
+/// The held items as they were known, for a host that knows all changes up to \a position and has
+/// started after they were lost from the store.
+PublishedChanges heldChanges(const PublishedState &state, const StorePosition &position);
+
+/// Whether this host has to read a listing, because a new era began. Hosts of different \a turn
+/// list at different moments of the first second, so that they do not all call at once.
+bool needsListing(const PublishedState &state, std::uint64_t turn, Instant now);
 
 /// Removes from a series of changes, oldest first, those that \a hasChanged reports as no change.
 /// \a hasChanged compares with the state before the series, so once a key has changed in the
@@ -51,19 +109,19 @@
 void removeUnchanged(std::vector<PublishedItem> &items,
                      const std::function<bool(const PublishedItem &)> &hasChanged);
 
-/// Whether every change after \a revision is known. A host that has read a listing does not know
+/// Whether every change after \a position is known. A host that has read a listing does not know
 /// all earlier deletions, and a host that took its changes as complete would use a deleted upstream
-/// for as long as it runs. Revision 0 is always complete: a host that knows nothing has nothing to
-/// delete.
-bool isCompleteAfter(const PublishedState &state, std::uint64_t revision);
+/// for as long as it runs. The zero position is always complete: a host that knows nothing has
+/// nothing to delete.
+bool isCompleteAfter(const PublishedState &state, const StorePosition &position);
 
-/// Returns the changes, oldest first, that are missing at a host that knows all up to \a revision.
-PublishedChanges changesAfter(const PublishedState &state, std::uint64_t revision);
+/// Returns the changes, oldest first, that are missing at a host that knows all up to \a position.
+PublishedChanges changesAfter(const PublishedState &state, const StorePosition &position);
 
-/// The same for a host to which this one cannot send all deletions since \a revision: returns the
-/// changes after \a newestChange, the newest change that host knows. It stays at \a revision, and
+/// The same for a host to which this one cannot send all deletions since \a position: returns the
+/// changes after \a newestChange, the newest change that host knows. It stays at \a position, and
 /// keeps requesting changes from others.
-PublishedChanges newestChanges(const PublishedState &state, std::uint64_t revision,
-                               std::uint64_t newestChange);
+PublishedChanges newestChanges(const PublishedState &state, const StorePosition &position,
+                               const StorePosition &newestChange);
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -35,10 +35,22 @@
 /// hosts that send them may not have all of them.
 constexpr Span fallbackReadDelay = std::chrono::milliseconds(600);
 
+/// A host that starts beside others gives them this time to tell what is in force before it reads
+/// from the platform, which may lack what it has confirmed.
+constexpr Span peersFirstTime = std::chrono::milliseconds(600);
+
+bool awaitsPeers(const GatewayState &state, Instant now)
+{
+    const bool isBesideOthers = !state.self.isFirstStart && !state.self.seeds.empty();
+    const bool knowsNothing = state.configuration.version == 0 && !isKnown(state.published.position)
+            && state.platformReader.calls == 0;
+    return isBesideOthers && knowsNothing && now < state.startedAt + peersFirstTime;
+}
+
 bool isLagging(const GatewayState &state, Instant now)
 {
-    return state.revisionLag.latestRevision > state.published.revision
-            && now - state.revisionLag.since >= fallbackReadDelay;
+    return state.changesLag.latest > state.published.position
+            && now - state.changesLag.since >= fallbackReadDelay;
 }
 
 /// Whether \a entry was written before \a known. Entries can arrive out of order; a late one could
@@ -219,8 +231,11 @@
 
 bool readsPlatform(GatewayState &state, Instant now)
 {
+    if (awaitsPeers(state, now))
+        return false;
     const bool isNeeded = state.configuration.version == 0
-            || countHigherRankedReaders(state, now) < readersPerZone || isLagging(state, now);
+            || countHigherRankedReaders(state, now) < readersPerZone || isLagging(state, now)
+            || needsListing(state.published, stableHash(state.self.id.value), now);
     if (!isNeeded)
         state.platform = PlatformView::NotRead;
     return isNeeded;
@@ -246,6 +261,8 @@
 
 void tick(GatewayState &state, Instant now, Actions &actions)
 {
+    const std::vector<PublishedItem> ended = endHolds(state.published, now);
+    state.undecoded.insert(state.undecoded.end(), ended.begin(), ended.end());
     removeExpiredUpstreams(state, now);
     removeExpiredSuspicions(state.quarantine, now);
     updateMembers(state.members, now);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -261,15 +261,38 @@
              ageOf(member.silentFor) };
 }
 
+std::int64_t revisionOf(const StorePosition &position)
+{
+    return static_cast<std::int64_t>(position.revision);
+}
+
+std::int64_t eraOf(const StorePosition &position)
+{
+    return static_cast<std::int64_t>(position.era);
+}
+
+StorePosition positionOf(std::int64_t era, std::int64_t revision)
+{
+    return { static_cast<std::uint64_t>(era), static_cast<std::uint64_t>(revision) };
+}
+
 wire::Changes toWire(const PublishedChanges &changes)
 {
     wire::Changes out;
-    out.after = static_cast<std::int64_t>(changes.after);
-    out.upTo = static_cast<std::int64_t>(changes.upTo);
+    out.after = revisionOf(changes.after);
+    out.upTo = revisionOf(changes.upTo);
+    if (changes.after.era != 0)
+        out.__set_afterEra(eraOf(changes.after));
+    if (changes.upTo.era != 0)
+        out.__set_upToEra(eraOf(changes.upTo));
+    if (changes.isHeld)
+        out.__set_held(true);
     for (const PublishedItem &item : changes.items) {
         wire::Item &to = out.items.emplace_back();
         to.key = item.key;
-        to.revision = static_cast<std::int64_t>(item.revision);
+        to.revision = revisionOf(item.position);
+        if (item.position.era != 0)
+            to.__set_era(eraOf(item.position));
         to.deleted = item.isDeleted;
         to.value = item.value;
     }
@@ -278,12 +301,13 @@
 
 PublishedChanges fromWire(const wire::Changes &changes)
 {
-    PublishedChanges out{ static_cast<std::uint64_t>(changes.after),
-                          static_cast<std::uint64_t>(changes.upTo),
-                          {} };
+    PublishedChanges out{ positionOf(changes.afterEra, changes.after),
+                          positionOf(changes.upToEra, changes.upTo),
+                          {},
+                          changes.held };
     for (const wire::Item &item : changes.items) {
         out.items.push_back(
-                { item.key, static_cast<std::uint64_t>(item.revision), item.deleted, item.value });
+                { item.key, positionOf(item.era, item.revision), item.deleted, item.value });
     }
     return out;
 }
@@ -291,10 +315,18 @@
 wire::ItemPart toWire(const ItemPart &part)
 {
     wire::ItemPart out;
-    out.after = static_cast<std::int64_t>(part.after);
-    out.upTo = static_cast<std::int64_t>(part.upTo);
+    out.after = revisionOf(part.after);
+    out.upTo = revisionOf(part.upTo);
     out.key = part.key;
-    out.revision = static_cast<std::int64_t>(part.revision);
+    out.revision = revisionOf(part.position);
+    if (part.after.era != 0)
+        out.__set_afterEra(eraOf(part.after));
+    if (part.upTo.era != 0)
+        out.__set_upToEra(eraOf(part.upTo));
+    if (part.position.era != 0)
+        out.__set_era(eraOf(part.position));
+    if (part.isHeld)
+        out.__set_held(true);
     out.offset = static_cast<std::int32_t>(part.offset);
     out.size = static_cast<std::int32_t>(part.size);
     out.bytes = part.bytes;
@@ -303,13 +335,14 @@
 
 ItemPart fromWire(const wire::ItemPart &part)
 {
-    return { static_cast<std::uint64_t>(part.after),
-             static_cast<std::uint64_t>(part.upTo),
+    return { positionOf(part.afterEra, part.after),
+             positionOf(part.upToEra, part.upTo),
              part.key,
-             static_cast<std::uint64_t>(part.revision),
+             positionOf(part.era, part.revision),
              static_cast<std::size_t>(std::max(part.offset, 0)),
              static_cast<std::size_t>(std::max(part.size, 0)),
-             part.bytes };
+             part.bytes,
+             part.held };
 }
 
 wire::StreamOrigin toWire(const StreamOriginUpdate &update, Instant now)
@@ -381,6 +414,21 @@
     }
 }
 
+void addPositions(wire::Message &out, const Gossip &message)
+{
+    out.revision = revisionOf(message.position);
+    out.newestChange = revisionOf(message.newestChange);
+    if (message.position.era != 0)
+        out.__set_era(eraOf(message.position));
+    if (message.newestChange.era != message.position.era)
+        out.__set_newestChangeEra(eraOf(message.newestChange));
+    out.wantsChanges = message.wantsChanges;
+    if (message.holdsItems)
+        out.__set_holdsItems(true);
+    if (message.wantsHeld)
+        out.__set_wantsHeld(true);
+}
+
 wire::Message toWire(const Gossip &message, Instant now)
 {
     wire::Message out;
@@ -390,9 +438,7 @@
     out.port = message.address.port;
     out.incarnation = static_cast<std::int64_t>(message.incarnation.value);
     out.leaving = message.isLeaving;
-    out.revision = static_cast<std::int64_t>(message.revision);
-    out.newestChange = static_cast<std::int64_t>(message.newestChange);
-    out.wantsChanges = message.wantsChanges;
+    addPositions(out, message);
     out.platform = static_cast<std::int32_t>(message.platform);
     out.runningFor = message.runningFor.count();
     for (const MemberUpdate &member : message.members)
@@ -479,9 +525,13 @@
     out.address = { message.ip, static_cast<std::uint16_t>(message.port) };
     out.incarnation.value = static_cast<std::uint64_t>(message.incarnation);
     out.isLeaving = message.leaving;
-    out.revision = static_cast<std::uint64_t>(message.revision);
-    out.newestChange = static_cast<std::uint64_t>(message.newestChange);
+    out.position = positionOf(message.era, message.revision);
+    const std::int64_t newestEra = message.__isset.newestChangeEra ? message.newestChangeEra
+                                                                   : message.era;
+    out.newestChange = positionOf(newestEra, message.newestChange);
     out.wantsChanges = message.wantsChanges;
+    out.holdsItems = message.holdsItems;
+    out.wantsHeld = message.wantsHeld;
     out.platform = platformView(message.platform);
     out.runningFor = ageOf(message.runningFor);
     for (const wire::Member &member : message.members)
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -24,15 +24,14 @@
 /// rejects the whole zone, only other zones have them.
 void requestChanges(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
-    if (message.newestChange <= state.published.revision)
+    if (message.newestChange <= state.published.position)
         return;
-    if (state.revisionLag.latestRevision <= state.published.revision)
-        state.revisionLag.since = now;
-    state.revisionLag.latestRevision = std::max(state.revisionLag.latestRevision,
-                                                message.newestChange);
+    if (state.changesLag.latest <= state.published.position)
+        state.changesLag.since = now;
+    state.changesLag.latest = std::max(state.changesLag.latest, message.newestChange);
     const bool isDue = isSmallFleet(state) || message.zone == state.self.zone
             || state.platform == PlatformView::Failing || state.configuration.version == 0
-            || now - state.revisionLag.since >= zoneUpdateTimeout;
+            || now - state.changesLag.since >= zoneUpdateTimeout;
     const bool isPartPending = !state.partialItems.byKey.empty()
             && now < state.partialItems.lastPartAt + nextPartTimeout;
     if (!isDue || isPartPending || now < state.nextChangesRequestAt)
@@ -65,50 +64,59 @@
     packed.waiting.push_back(requester);
 }
 
-/// Applies published changes from a host that knows all changes up to \a senderRevision.
+/// Applies published changes from a host that knows all changes up to \a senderPosition.
 void takePublished(GatewayState &state, const PublishedChanges &changes,
-                   std::uint64_t senderRevision)
+                   const StorePosition &senderPosition, Instant now)
 {
-    const std::vector<PublishedItem> items = applyChanges(state.published, changes, senderRevision);
+    const std::vector<PublishedItem> items = applyChanges(state.published, changes, senderPosition,
+                                                          now);
     state.undecoded.insert(state.undecoded.end(), items.begin(), items.end());
 }
 
-void takePart(GatewayState &state, const ItemPart &part, std::uint64_t senderRevision, Instant now)
+void takePart(GatewayState &state, const ItemPart &part, const StorePosition &senderPosition,
+              Instant now)
 {
     state.partialItems.lastPartAt = now;
     const std::optional<PublishedChanges> whole = addPart(state.partialItems, part);
     if (whole)
-        takePublished(state, *whole, senderRevision);
+        takePublished(state, *whole, senderPosition, now);
 }
 
-/// The changes that \a requester lacks, limited to what fits into one message.
-PublishedChanges nextChangesFor(const GatewayState &state, const ChangesRequester &requester)
+/// The number of items, at least one, that fit into a message.
+std::size_t countFitting(const std::vector<PublishedItem> &items)
 {
-    const bool isComplete = isCompleteAfter(state.published, requester.revision);
-    PublishedChanges changes = isComplete
-            ? changesAfter(state.published, requester.revision)
-            : newestChanges(state.published, requester.revision, requester.newestChange);
     std::size_t bytes = 0;
-    std::size_t kept = 0;
-    while (kept < changes.items.size()) {
-        bytes += changes.items[kept].value.size() + changes.items[kept].key.size();
-        if (kept > 0 && bytes > maxChangeBytes)
+    std::size_t count = 0;
+    while (count < items.size()) {
+        bytes += items[count].value.size() + items[count].key.size();
+        if (count > 0 && bytes > maxChangeBytes)
             break;
-        ++kept;
+        ++count;
     }
+    return count;
+}
+
+/// The changes that \a requester lacks, limited to what fits into one message.
+PublishedChanges nextChangesFor(const GatewayState &state, const ChangesRequester &requester)
+{
+    const bool isComplete = isCompleteAfter(state.published, requester.position);
+    PublishedChanges changes = isComplete
+            ? changesAfter(state.published, requester.position)
+            : newestChanges(state.published, requester.position, requester.newestChange);
+    const std::size_t kept = countFitting(changes.items);
     if (kept < changes.items.size()) {
         changes.items.resize(kept);
         if (isComplete)
-            changes.upTo = changes.items.back().revision;
+            changes.upTo = changes.items.back().position;
     }
     return changes;
 }
 
-/// Sends published changes to a host that requested them, or lets it wait until the link is free.
-void sendChanges(GatewayState &state, const ChangesRequester &requester, Instant now,
-                 Actions &actions)
+/// Sends changes that fit into one message, or one large item, for which the requester may have to
+/// wait until the link is free.
+void sendItems(GatewayState &state, const ChangesRequester &requester, PublishedChanges changes,
+               Instant now, Actions &actions)
 {
-    PublishedChanges changes = nextChangesFor(state, requester);
     if (changes.items.empty())
         return;
     if (changes.items.front().value.size() > maxChangeBytes) {
@@ -124,12 +132,48 @@
          actions);
 }
 
+/// Sends published changes to a host that requested them.
+void sendChanges(GatewayState &state, const ChangesRequester &requester, Instant now,
+                 Actions &actions)
+{
+    sendItems(state, requester, nextChangesFor(state, requester), now, actions);
+}
+
+/// Requests the items of an earlier era that the sender of \a message holds: this host has started
+/// since they were lost from the store.
+void requestHeld(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
+{
+    if (!message.holdsItems || message.position.era != state.published.era
+        || state.published.heldMessagesWanted == 0 || now < state.nextHeldRequestAt)
+        return;
+    state.nextHeldRequestAt = now + changesInterval;
+    Gossip request = messageHeader(state, now);
+    request.wantsHeld = true;
+    send(state, message.address, message.zone, MessageKind::ChangesRequest, std::move(request),
+         actions);
+}
+
+void answerHeldRequest(GatewayState &state, const Gossip &from, Instant now, Actions &actions)
+{
+    if (!from.wantsHeld)
+        return;
+    const ChangesRequester requester{ from.from,     from.zone,         from.address,
+                                      from.position, from.newestChange, now + changesInterval };
+    PublishedChanges rest = heldChanges(state.published, from.position);
+    while (!rest.items.empty()) {
+        const auto end = rest.items.begin() + static_cast<std::ptrdiff_t>(countFitting(rest.items));
+        PublishedChanges part{ rest.after, rest.upTo, { rest.items.begin(), end }, true };
+        rest.items.erase(rest.items.begin(), end);
+        sendItems(state, requester, std::move(part), now, actions);
+    }
+}
+
 void answerChangesRequest(GatewayState &state, const Gossip &from, Instant now, Actions &actions)
 {
-    if (!from.wantsChanges || from.revision >= state.published.newestChange)
+    if (!from.wantsChanges || from.position >= state.published.newestChange)
         return;
     sendChanges(state,
-                { from.from, from.zone, from.address, from.revision, from.newestChange,
+                { from.from, from.zone, from.address, from.position, from.newestChange,
                   now + changesInterval },
                 now, actions);
 }
@@ -358,9 +402,9 @@
     for (const LoadRefusal &refusal : message.loadRefusals)
         takeRefusal(state, refusal, now, actions);
     for (const PublishedChanges &changes : message.changes)
-        takePublished(state, changes, message.revision);
+        takePublished(state, changes, message.position, now);
     for (const ItemPart &part : message.itemParts)
-        takePart(state, part, message.revision, now);
+        takePart(state, part, message.position, now);
     for (const EngineUpdate &update : message.engines)
         placeWaitingAt(state, update.engine, now, actions);
     for (const RelayedUpdate &relayed : message.relayed) {
@@ -371,6 +415,8 @@
         placeWaiting(state, now, actions);
     requestChanges(state, message, now, actions);
     answerChangesRequest(state, message, now, actions);
+    requestHeld(state, message, now, actions);
+    answerHeldRequest(state, message, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/item_parts.cpp
+++ b/packages/gateway/src/item_parts.cpp
@@ -63,10 +63,10 @@
 
 void packItem(PackedItem &packed, const PublishedItem &item)
 {
-    if (packed.key == item.key && packed.revision == item.revision)
+    if (packed.key == item.key && packed.position == item.position)
         return;
     packed.key = item.key;
-    packed.revision = item.revision;
+    packed.position = item.position;
     packed.bytes = packBytes(item.value);
 }
 
@@ -74,8 +74,9 @@
 {
     std::vector<ItemPart> parts;
     for (std::size_t offset = 0; offset < packed.bytes.size(); offset += partBytes) {
-        parts.push_back({ changes.after, changes.upTo, packed.key, packed.revision, offset,
-                          packed.bytes.size(), packed.bytes.substr(offset, partBytes) });
+        parts.push_back({ changes.after, changes.upTo, packed.key, packed.position, offset,
+                          packed.bytes.size(), packed.bytes.substr(offset, partBytes),
+                          changes.isHeld });
     }
     return parts;
 }
@@ -95,10 +96,10 @@
     if (partial.byKey.size() >= maxPartialItems && !partial.byKey.contains(part.key))
         partial.byKey.clear(); // they are requested again
     PartialItems::PartialItem &item = partial.byKey[part.key];
-    if (part.revision < item.revision)
+    if (part.position < item.position)
         return std::nullopt;
-    if (part.revision > item.revision || item.value.size() != part.size)
-        item = { part.revision, std::string(part.size, 0), {} };
+    if (part.position > item.position || item.value.size() != part.size)
+        item = { part.position, std::string(part.size, 0), {} };
     std::copy(part.bytes.begin(), part.bytes.end(),
               item.value.begin() + static_cast<std::ptrdiff_t>(part.offset));
     item.offsets.insert(part.offset);
@@ -108,8 +109,8 @@
     partial.byKey.erase(part.key);
     if (!value)
         return std::nullopt;
-    PublishedChanges whole{ part.after, part.upTo, {} };
-    whole.items.push_back({ part.key, part.revision, false, std::move(*value) });
+    PublishedChanges whole{ part.after, part.upTo, {}, part.isHeld };
+    whole.items.push_back({ part.key, part.position, false, std::move(*value) });
     return whole;
 }
 
--- a/packages/gateway/src/platform_reader.cpp
+++ b/packages/gateway/src/platform_reader.cpp
@@ -62,6 +62,8 @@
         return "turned_away";
     case ReadFailure::Unreadable:
         return "unreadable";
+    case ReadFailure::OlderEra:
+        return "older_era";
     }
     return "unreadable";
 }
--- a/packages/gateway/src/sending.cpp
+++ b/packages/gateway/src/sending.cpp
@@ -32,8 +32,9 @@
     message.isLeaving = isStopping(state);
     message.runningFor = now - state.startedAt;
     message.platform = state.platform;
-    message.revision = state.published.revision;
+    message.position = state.published.position;
     message.newestChange = state.published.newestChange;
+    message.holdsItems = !state.published.held.empty();
     message.mixedServices = mixedServices(state, now);
     message.unreachableServices = state.members.unreachableServices;
     return message;
--- a/packages/gateway/tests/fleet_exchange_test.cpp
+++ b/packages/gateway/tests/fleet_exchange_test.cpp
@@ -1,6 +1,8 @@
 #include "azurewell/gateway/gateway.h"
 #include "azurewell/gateway/gossip_codec.h"
 
+#include "store_positions.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -115,10 +117,10 @@
     configuration.version = 1;
     setConfiguration(this->state, configuration);
     Gossip elsewhere = this->messageOf(1);
-    elsewhere.newestChange = 7;
+    elsewhere.newestChange = at(7);
     EXPECT_FALSE(requestsChanges(this->take(elsewhere)));
     Gossip inZone = this->messageOf(3);
-    inZone.newestChange = 7;
+    inZone.newestChange = at(7);
     EXPECT_TRUE(requestsChanges(this->take(inZone)));
 }
 
@@ -134,7 +136,7 @@
     configuration.version = 1;
     setConfiguration(small, configuration);
     Gossip elsewhere = this->messageOf(1);
-    elsewhere.newestChange = 7;
+    elsewhere.newestChange = at(7);
     Actions actions;
     handle(small, elsewhere, this->now, actions);
     EXPECT_TRUE(requestsChanges(actions));
@@ -148,7 +150,7 @@
     configuration.version = 1;
     setConfiguration(this->state, configuration);
     Gossip elsewhere = this->messageOf(1);
-    elsewhere.newestChange = 7;
+    elsewhere.newestChange = at(7);
     this->take(elsewhere);
     this->advance(std::chrono::milliseconds(700));
     EXPECT_TRUE(requestsChanges(this->take(elsewhere)));
@@ -156,10 +158,10 @@
 
 TEST_F(FleetExchangeTest, RequesterGetsMissingChanges)
 {
-    applyListing(this->state.published, {}, 4);
-    applyChanges(this->state.published, { 4, 9, { { "k", 7, false, "v" } } });
+    applyListing(this->state.published, {}, at(4), this->now);
+    applyEvents(this->state.published, { at(4), at(9), { { "k", at(7), false, "v" } } }, this->now);
     Gossip request = this->messageOf(3);
-    request.revision = 5;
+    request.position = at(5);
     EXPECT_TRUE(this->take(request).gossip.empty());
     request.wantsChanges = true;
     const Actions answer = this->take(request);
@@ -197,14 +199,14 @@
     Configuration configuration;
     configuration.version = 1;
     setConfiguration(this->state, configuration);
-    applyListing(this->state.published, {}, 5);
+    applyListing(this->state.published, {}, at(5), this->now);
     Gossip ahead = this->messageOf(3);
-    ahead.newestChange = 7;
+    ahead.newestChange = at(7);
     this->take(ahead);
     EXPECT_FALSE(readsPlatform(this->state, this->now));
     this->advance(std::chrono::milliseconds(700));
     EXPECT_TRUE(readsPlatform(this->state, this->now));
-    applyListing(this->state.published, {}, 7);
+    applyListing(this->state.published, {}, at(7), this->now);
     EXPECT_FALSE(readsPlatform(this->state, this->now));
 }
 
@@ -215,10 +217,11 @@
     std::string large(70'000, 'x');
     for (char &one : large)
         one = static_cast<char>(random());
-    applyListing(this->state.published, {}, 5);
-    applyChanges(this->state.published, { 5, 9, { { "k", 7, false, large } } });
+    applyListing(this->state.published, {}, at(5), this->now);
+    applyEvents(this->state.published, { at(5), at(9), { { "k", at(7), false, large } } },
+                this->now);
     Gossip request = this->messageOf(3);
-    request.revision = 5;
+    request.position = at(5);
     request.wantsChanges = true;
     const Actions answer = this->take(request);
     EXPECT_EQ(answer.gossip.size(), 5U);
@@ -233,8 +236,8 @@
     }
     ASSERT_TRUE(whole);
     EXPECT_EQ(whole->items.front().value, large);
-    EXPECT_EQ(whole->after, 5U);
-    EXPECT_EQ(whole->upTo, 9U);
+    EXPECT_EQ(whole->after, at(5));
+    EXPECT_EQ(whole->upTo, at(9));
 }
 
 TEST_F(FleetExchangeTest, EntryWithOnlyNewLoadedAdaptersIsNoChange)
@@ -253,15 +256,28 @@
     EXPECT_FALSE(isSameListing(before, after));
 }
 
+// Guards against a host that starts after the platform has lost changes, and serves without what
+// its peers know to be confirmed.
+TEST_F(FleetExchangeTest, AHostThatStartsBesideOthersHearsThemBeforeItReadsThePlatform)
+{
+    this->state.self.seeds = { { "2", 1 } };
+    EXPECT_FALSE(readsPlatform(this->state, this->now));
+    this->advance(std::chrono::milliseconds(700));
+    EXPECT_TRUE(readsPlatform(this->state, this->now)) << "it has heard nobody";
+    this->state.self.seeds.clear();
+    this->state.startedAt = this->now;
+    EXPECT_TRUE(readsPlatform(this->state, this->now)) << "there is nobody to hear";
+}
+
 TEST_F(FleetExchangeTest, AHostWithoutConfigurationReadsThePlatform)
 {
     EXPECT_TRUE(readsPlatform(this->state, this->now));
 }
 
-/// Returns the revision up to which \a answer to \a request claims to be complete.
-std::uint64_t completeUpTo(const Actions &answer, const Gossip &request)
+/// Returns the position up to which \a answer to \a request claims to be complete.
+StorePosition completeUpTo(const Actions &answer, const Gossip &request)
 {
-    std::uint64_t upTo = request.revision;
+    StorePosition upTo = request.position;
     for (const SendGossip &sent : answer.gossip) {
         for (const PublishedChanges &changes : sent.message->changes)
             upTo = std::max(upTo, changes.upTo);
@@ -274,17 +290,19 @@
 TEST_F(FleetExchangeTest, HostThatJoinedLaterClaimsNoEarlierChanges)
 {
     constexpr std::uint64_t joinedAt = 50;
-    applyListing(this->state.published, { { "a", joinedAt - 2, false, "1" } }, joinedAt);
+    applyListing(this->state.published, { { "a", at(joinedAt - 2), false, "1" } }, at(joinedAt),
+                 this->now);
     Gossip request = this->messageOf(3);
     request.wantsChanges = true;
-    request.revision = joinedAt - 10;
-    EXPECT_EQ(completeUpTo(this->take(request), request), request.revision);
-    applyChanges(this->state.published,
-                 { joinedAt, joinedAt + 5, { { "a", joinedAt + 5, false, "2" } } });
-    request.revision = joinedAt;
-    EXPECT_EQ(completeUpTo(this->take(request), request), joinedAt + 5);
-    request.revision = 0;
-    EXPECT_EQ(completeUpTo(this->take(request), request), joinedAt + 5);
+    request.position = at(joinedAt - 10);
+    EXPECT_EQ(completeUpTo(this->take(request), request), request.position);
+    applyEvents(this->state.published,
+                { at(joinedAt), at(joinedAt + 5), { { "a", at(joinedAt + 5), false, "2" } } },
+                this->now);
+    request.position = at(joinedAt);
+    EXPECT_EQ(completeUpTo(this->take(request), request), at(joinedAt + 5));
+    request.position = {};
+    EXPECT_EQ(completeUpTo(this->take(request), request), at(joinedAt + 5));
 }
 
 // Guards against a host that read a new listing, because the platform dropped its history, sending
@@ -292,14 +310,14 @@
 // receivers.
 TEST_F(FleetExchangeTest, HostThatListedAgainClaimsNoChangesInTheGap)
 {
-    applyListing(this->state.published, { { "a", 8, false, "1" } }, 10);
-    applyListing(this->state.published, { { "a", 38, false, "2" } }, 40);
+    applyListing(this->state.published, { { "a", at(8), false, "1" } }, at(10), this->now);
+    applyListing(this->state.published, { { "a", at(38), false, "2" } }, at(40), this->now);
     Gossip request = this->messageOf(3);
     request.wantsChanges = true;
-    request.revision = 30;
-    EXPECT_EQ(completeUpTo(this->take(request), request), request.revision);
-    request.revision = 10;
-    EXPECT_EQ(completeUpTo(this->take(request), request), 40U)
+    request.position = at(30);
+    EXPECT_EQ(completeUpTo(this->take(request), request), request.position);
+    request.position = at(10);
+    EXPECT_EQ(completeUpTo(this->take(request), request), at(40))
             << "the host knows the deletions that it found itself";
 }
 
@@ -307,19 +325,22 @@
 // others have read new listings and none can send them every change.
 TEST_F(FleetExchangeTest, HostSendsNewestChangesIfItCannotSendAll)
 {
-    applyListing(this->state.published, { { "a", 38, false, "2" } }, 40);
+    applyListing(this->state.published, { { "a", at(38), false, "2" } }, at(40), this->now);
     Gossip request = this->messageOf(3);
     request.wantsChanges = true;
-    request.revision = 30;
-    request.newestChange = 29;
+    request.position = at(30);
+    request.newestChange = at(29);
     const Actions answer = this->take(request);
     ASSERT_EQ(answer.gossip.size(), 1U);
     PublishedState asker;
-    applyListing(asker, { { "a", 29, false, "1" }, { "b", 20, false, "1" } }, 30);
-    EXPECT_EQ(applyChanges(asker, answer.gossip.front().message->changes.front()).size(), 1U);
-    EXPECT_EQ(asker.items.at("a").revision, 38U);
-    EXPECT_EQ(asker.revision, 30U) << "the requester stays behind and keeps requesting";
-    request.newestChange = 38;
+    applyListing(asker, { { "a", at(29), false, "1" }, { "b", at(20), false, "1" } }, at(30),
+                 this->now);
+    EXPECT_EQ(applyChanges(asker, answer.gossip.front().message->changes.front(), {}, this->now)
+                      .size(),
+              1U);
+    EXPECT_EQ(asker.items.at("a").position, at(38));
+    EXPECT_EQ(asker.position, at(30)) << "the requester stays behind and keeps requesting";
+    request.newestChange = at(38);
     EXPECT_TRUE(this->take(request).gossip.empty())
             << "the requester already has the newest change";
 }
--- a/packages/gateway/tests/item_parts_test.cpp
+++ b/packages/gateway/tests/item_parts_test.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/gateway/item_parts.h"
 
+#include "store_positions.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -12,9 +14,9 @@
 {
     std::mt19937 random(static_cast<std::uint32_t>(revision)); // random bytes do not compress
     std::string value(bytes, 'a');
-    for (std::size_t at = 0; at < bytes; ++at)
-        value[at] = static_cast<char>(random());
-    return { 3, 9, { { "k", revision, false, value } } };
+    for (std::size_t offset = 0; offset < bytes; ++offset)
+        value[offset] = static_cast<char>(random());
+    return { at(3), at(9), { { "k", at(revision), false, value } } };
 }
 
 std::vector<ItemPart> partsOf(const PublishedChanges &changes)
@@ -27,7 +29,9 @@
 // Guards against saturating the links of small hosts with configurations.
 TEST(ItemParts, AreCompressedAndPacedByLinkSpeed)
 {
-    const PublishedChanges changes{ 3, 9, { { "k", 7, false, std::string(300'000, 'x') } } };
+    const PublishedChanges changes{ at(3),
+                                    at(9),
+                                    { { "k", at(7), false, std::string(300'000, 'x') } } };
     EXPECT_EQ(partsOf(changes).size(), 1U);
     EXPECT_EQ(linkPauseAfter(125'000, 10), Span(std::chrono::milliseconds(200)));
 }
@@ -37,7 +41,8 @@
 {
     PartialItems partial;
     for (int key = 0; key < 100; ++key)
-        addPart(partial, { 0, 1, std::to_string(key), 1, 0, 20'000, std::string(16'384, 'x') });
+        addPart(partial,
+                { {}, at(1), std::to_string(key), at(1), 0, 20'000, std::string(16'384, 'x') });
     EXPECT_LE(partial.byKey.size(), 4U);
 }
 
@@ -46,8 +51,8 @@
 {
     PartialItems partial;
     const std::string junk(1000, 'j');
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 0, junk.size(), junk }));
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 0, 2, "xx" }));
+    EXPECT_FALSE(addPart(partial, { {}, at(1), "k", at(1), 0, junk.size(), junk }));
+    EXPECT_FALSE(addPart(partial, { {}, at(1), "k", at(1), 0, 2, "xx" }));
     EXPECT_TRUE(partial.byKey.empty());
 }
 
@@ -86,10 +91,12 @@
 TEST(ItemParts, InconsistentPartsAreDropped)
 {
     PartialItems partial;
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 0, 1ULL << 40U, std::string(16'384, 'x') }));
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 16'384, 20'000, std::string(16'384, 'x') }));
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 7, 20'000, "x" }));
-    EXPECT_FALSE(addPart(partial, { 0, 1, "k", 1, 0, 0, {} }));
+    EXPECT_FALSE(
+            addPart(partial, { {}, at(1), "k", at(1), 0, 1ULL << 40U, std::string(16'384, 'x') }));
+    EXPECT_FALSE(
+            addPart(partial, { {}, at(1), "k", at(1), 16'384, 20'000, std::string(16'384, 'x') }));
+    EXPECT_FALSE(addPart(partial, { {}, at(1), "k", at(1), 7, 20'000, "x" }));
+    EXPECT_FALSE(addPart(partial, { {}, at(1), "k", at(1), 0, 0, {} }));
     EXPECT_TRUE(partial.byKey.empty());
 }
 
--- a/packages/gateway/tests/published_test.cpp
+++ b/packages/gateway/tests/published_test.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/gateway/adapter_uses.h"
 #include "azurewell/gateway/gossip_codec.h"
 #include "azurewell/gateway/published.h"
+#include "store_positions.h"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +14,7 @@
 
 PublishedItem item(const std::string &key, std::uint64_t revision, const std::string &value)
 {
-    return { key, revision, false, value };
+    return { key, at(revision), false, value };
 }
 
 TEST(PublishedState, NeverGoesBackToAnOlderRevision)
@@ -21,8 +22,8 @@
     // Guards against a withdrawn key that works again because a host receives a change from another
     // host and then reads a stale answer of the platform.
     PublishedState state;
-    applyChanges(state, { 0, 9, { item("k", 9, "new") } });
-    EXPECT_TRUE(applyChanges(state, { 0, 9, { item("k", 7, "old") } }).empty());
+    applyChanges(state, { {}, at(9), { item("k", 9, "new") } }, {}, now);
+    EXPECT_TRUE(applyChanges(state, { {}, at(9), { item("k", 7, "old") } }, {}, now).empty());
     EXPECT_EQ(state.items["k"].value, "new");
 }
 
@@ -31,15 +32,16 @@
     // Guards against missing a change between two pages of a listing: if the listing counted as
     // complete up to the newest item, the watch would begin after the change and never report it.
     PublishedState state;
-    applyListing(state, { item("a", 3, "1"), item("z", 12, "2") }, 10);
-    EXPECT_EQ(state.revision, 10U);
+    applyListing(state, { item("a", 3, "1"), item("z", 12, "2") }, at(10), now);
+    EXPECT_EQ(state.position, at(10));
 }
 
 TEST(PublishedState, ListingDeletesMissingItems)
 {
     PublishedState state;
-    applyListing(state, { item("a", 3, "1"), item("b", 4, "2") }, 5);
-    const std::vector<PublishedItem> changed = applyListing(state, { item("a", 3, "1") }, 9);
+    applyListing(state, { item("a", 3, "1"), item("b", 4, "2") }, at(5), now);
+    const std::vector<PublishedItem> changed = applyListing(state, { item("a", 3, "1") }, at(9),
+                                                            now);
     ASSERT_EQ(changed.size(), 1U);
     EXPECT_EQ(changed.front().key, "b");
     EXPECT_TRUE(changed.front().isDeleted);
@@ -48,31 +50,31 @@
 TEST(PublishedState, SendsMissingChangesToAnotherHost)
 {
     PublishedState state;
-    applyListing(state, { item("a", 3, "1"), item("b", 8, "2") }, 10);
-    const PublishedChanges changes = changesAfter(state, 5);
+    applyListing(state, { item("a", 3, "1"), item("b", 8, "2") }, at(10), now);
+    const PublishedChanges changes = changesAfter(state, at(5));
     ASSERT_EQ(changes.items.size(), 1U);
     PublishedState other;
-    applyListing(other, { item("a", 3, "1") }, 5);
-    EXPECT_EQ(applyChanges(other, changes).size(), 1U);
-    EXPECT_EQ(other.revision, 10U);
+    applyListing(other, { item("a", 3, "1") }, at(5), now);
+    EXPECT_EQ(applyChanges(other, changes, {}, now).size(), 1U);
+    EXPECT_EQ(other.position, at(10));
 }
 
 // Guards against never using an upstream again after its entry expired and was restored unchanged.
 TEST(PublishedState, EntryDeletedAndRestoredInOneSeriesIsKept)
 {
     PublishedState state;
-    applyListing(state, { item("upstream", 3, "1"), item("other", 4, "2") }, 5);
+    applyListing(state, { item("upstream", 3, "1"), item("other", 4, "2") }, at(5), now);
     const auto hasChanged = [&state](const PublishedItem &next) {
         return next.isDeleted || state.items[next.key].value != next.value;
     };
-    PublishedChanges changes{ 5, 9, {} };
-    changes.items = { { "upstream", 6, true, {} },
+    PublishedChanges changes{ at(5), at(9), {} };
+    changes.items = { { "upstream", at(6), true, {} },
                       item("other", 7, "2"),
                       item("upstream", 8, "1") };
     removeUnchanged(changes.items, hasChanged);
-    applyChanges(state, changes);
+    applyChanges(state, changes, {}, now);
     EXPECT_FALSE(state.items["upstream"].isDeleted);
-    EXPECT_EQ(state.items["other"].revision, 4U);
+    EXPECT_EQ(state.items["other"].position, at(4));
 }
 
 // Guards against hosts that all read a new listing at once and then cannot send changes to any
@@ -80,14 +82,14 @@
 TEST(PublishedState, KnowsDeletionsOfEarlierItemsAcrossAListing)
 {
     PublishedState state;
-    applyListing(state, { item("a", 3, "1"), item("b", 4, "2") }, 10);
-    applyListing(state, { item("a", 3, "1") }, 20);
-    EXPECT_FALSE(isCompleteAfter(state, 9));
-    EXPECT_TRUE(isCompleteAfter(state, 10));
-    EXPECT_FALSE(isCompleteAfter(state, 15))
+    applyListing(state, { item("a", 3, "1"), item("b", 4, "2") }, at(10), now);
+    applyListing(state, { item("a", 3, "1") }, at(20), now);
+    EXPECT_FALSE(isCompleteAfter(state, at(9)));
+    EXPECT_TRUE(isCompleteAfter(state, at(10)));
+    EXPECT_FALSE(isCompleteAfter(state, at(15)))
             << "items created and deleted within the gap are unknown";
-    EXPECT_TRUE(isCompleteAfter(state, 20));
-    const PublishedChanges changes = changesAfter(state, 10);
+    EXPECT_TRUE(isCompleteAfter(state, at(20)));
+    const PublishedChanges changes = changesAfter(state, at(10));
     ASSERT_EQ(changes.items.size(), 1U);
     EXPECT_TRUE(changes.items.front().isDeleted);
 }
@@ -97,19 +99,19 @@
 TEST(PublishedState, IsCompleteSinceTheFirstSendersRevision)
 {
     PublishedState state;
-    applyChanges(state, { 0, 7, { item("a", 7, "1") } }, 50);
-    applyChanges(state, { 7, 30, { item("b", 30, "1") } }, 50);
-    EXPECT_FALSE(isCompleteAfter(state, 30));
-    applyListing(state, { item("a", 7, "1") }, 60);
-    EXPECT_FALSE(isCompleteAfter(state, 30)) << "the state before the listing was incomplete";
-    EXPECT_TRUE(isCompleteAfter(state, 60));
+    applyChanges(state, { {}, at(7), { item("a", 7, "1") } }, at(50), now);
+    applyChanges(state, { at(7), at(30), { item("b", 30, "1") } }, at(50), now);
+    EXPECT_FALSE(isCompleteAfter(state, at(30)));
+    applyListing(state, { item("a", 7, "1") }, at(60), now);
+    EXPECT_FALSE(isCompleteAfter(state, at(30))) << "the state before the listing was incomplete";
+    EXPECT_TRUE(isCompleteAfter(state, at(60)));
 }
 
 TEST(PublishedState, RejectsChangesAfterAGap)
 {
     PublishedState state;
-    EXPECT_TRUE(applyChanges(state, { 5, 9, { item("k", 9, "v") } }).empty());
-    EXPECT_EQ(state.revision, 0U);
+    EXPECT_TRUE(applyChanges(state, { at(5), at(9), { item("k", 9, "v") } }, {}, now).empty());
+    EXPECT_EQ(state.position, StorePosition{});
 }
 
 TEST(AdapterUses, AreSentUntilTheyEnd)
@@ -147,7 +149,7 @@
     message.zone.value = "z";
     message.address = { "10.0.0.1", 7600 };
     message.incarnation.value = 5;
-    message.revision = 77;
+    message.position = at(77);
     message.heardAgo = std::chrono::milliseconds(120);
     message.members.push_back({ HostId{ "h2" },
                                 ZoneId{ "z" },
@@ -167,7 +169,7 @@
     message.promptWork.push_back({ UpstreamId{ "e" }, 1800 });
     message.loadRequests.push_back({ UpstreamId{ "e" }, { "m", "b" } });
     message.loadRefusals.push_back({ UpstreamId{ "e" }, { "m", "b" }, true });
-    message.changes.push_back({ 70, 77, { item("k", 77, "v") } });
+    message.changes.push_back({ at(70), at(77), { item("k", 77, "v") } });
     return message;
 }
 
--- a/packages/gateway/tests/reading_fleet.h
+++ b/packages/gateway/tests/reading_fleet.h
@@ -92,7 +92,7 @@
     static bool knows(const PublishedState &published, std::uint64_t revision)
     {
         const auto found = published.items.find("k");
-        return found != published.items.end() && found->second.revision >= revision;
+        return found != published.items.end() && found->second.position.revision >= revision;
     }
 
     struct Host
@@ -139,7 +139,7 @@
         if (readsPlatform(state, this->now)) {
             const std::optional<ReadCall> call = beginRead(state.platformReader, true, this->now);
             if (call) {
-                host.requestedAfter = state.published.revision;
+                host.requestedAfter = state.published.position.revision;
                 host.answerAt = this->store.answerAt(this->now, call->wait, host.requestedAfter);
                 host.giveUpAt = call->callDeadline;
                 host.isRejected = this->store.rejects(index, this->now);
@@ -167,13 +167,15 @@
         recordPlatformAnswer(state, isNew, this->now);
         if (!this->store.hasHistoryAfter(host.requestedAfter, this->now)) {
             const std::string value(this->store.valueBytes, 'v');
-            applyListing(state.published, { { "k", revision, false, value } }, revision);
+            applyListing(state.published, { { "k", { 0, revision }, false, value } },
+                         { 0, revision }, this->now);
             return;
         }
-        PublishedChanges changes{ host.requestedAfter, revision, {} };
+        PublishedChanges changes{ { 0, host.requestedAfter }, { 0, revision }, {} };
         for (std::uint64_t next = host.requestedAfter + 1; next <= revision; ++next)
-            changes.items.push_back({ "k", next, false, std::string(this->store.valueBytes, 'v') });
-        applyChanges(state.published, changes);
+            changes.items.push_back(
+                    { "k", { 0, next }, false, std::string(this->store.valueBytes, 'v') });
+        applyEvents(state.published, changes, this->now);
     }
 
     const FakeStore &store;
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -191,7 +191,11 @@
     addHistogram(out, "azurewell_report_seconds", metrics.reportDuration);
     addGauge(out, "azurewell_configuration_version",
              static_cast<double>(state.configuration.version));
-    addGauge(out, "azurewell_known_revision", static_cast<double>(state.published.revision));
+    addGauge(out, "azurewell_known_revision",
+             static_cast<double>(state.published.position.revision));
+    addGauge(out, "azurewell_store_era", static_cast<double>(state.published.era));
+    addGauge(out, "azurewell_store_items_held", static_cast<double>(state.published.held.size()));
+    addCounter(out, "azurewell_store_era_changes_total", state.published.eraChanges);
     addPlatformReads(out, state.platformReader, now);
     addGauge(out, "azurewell_hosts_heard",
              static_cast<double>(gateway::countReachable(state.members, now)));
