http: a chunk's size line and trailer fields of an answer are bounded

Cause: the parser takes a chunk's size line with its extension, and the last chunk with its trailer fields, only as a whole, and the reader left what was unfinished in its buffer without a bound.

The parser is offered no more than the bound at a time, so a part that arrives in one block is refused like one that arrives byte by byte. Over it the connection is closed, the exchange fails as Oversized (broken, not cut off), and it is counted.

--- a/packages/http/include/azurewell/http/message_readers.h
+++ b/packages/http/include/azurewell/http/message_readers.h
@@ -56,7 +56,8 @@
     ResponseReader &operator=(ResponseReader &&) noexcept;
 
     /// Consumes bytes from the front of \a buffer. Returns true once the response is complete.
-    /// Errors: UpstreamFailed if the bytes are not a valid response.
+    /// Errors: UpstreamFailed if the bytes are not a valid response; AnswerOversized if a part that
+    /// is no body exceeds its bound (message_bounds.h).
     Result<bool> read(std::string &buffer);
 
     /// To be called when the connection has closed in an orderly way. Returns true if that
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -19,6 +19,7 @@
     CutOff,    ///< The connection closed before the end of the response; the request may have run.
     Truncated, ///< The response ended in order, but inside an event; the request may have run.
     Malformed, ///< The bytes received are not a valid response; the request may have run.
+    Oversized, ///< A part of the response exceeds its bound; the request may have run.
 };
 
 /// Callbacks of an exchange. Each may destroy the object that started the exchange, but not the
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/http/message_readers.h"
 
+#include "azurewell/http/message_bounds.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,10 +18,6 @@
 namespace beast = boost::beast;
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
-/// The parser never holds a complete response body, so only the head needs a limit. Observed heads
-/// of upstreams are under 1 KiB.
-constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
-
 std::string toString(beast::string_view text)
 {
     return std::string(text.data(), text.size());
@@ -78,23 +76,38 @@
     return ResultCode::MalformedRequest;
 }
 
+/// What feed() has found.
+struct Fed
+{
+    beast::error_code error;
+    bool isChunkFramingTooLong = false;
+};
+
 /// Feeds \a buffer to \a parser until it needs more bytes or is done; erases the consumed bytes.
+/// The parser consumes a head, a chunk's size line and the last chunk with its trailer fields only
+/// as a whole. It is offered no more than their bounds at a time, so that what is refused doesn't
+/// depend on how the bytes arrive. \a headBytes: the parser's own limit.
 template <typename Parser>
-beast::error_code feed(Parser &parser, std::string &buffer)
+Fed feed(Parser &parser, std::string &buffer, std::size_t headBytes)
 {
     std::size_t consumed = 0;
-    beast::error_code error;
+    Fed fed;
     while (consumed < buffer.size() && !parser.is_done()) {
-        const std::size_t used = parser.put(
-                boost::asio::buffer(buffer.data() + consumed, buffer.size() - consumed), error);
+        const bool isInBody = parser.is_header_done();
+        const std::size_t bound = isInBody ? maxChunkFramingBytes : headBytes;
+        const std::size_t offered = std::min(buffer.size() - consumed, bound);
+        parser.eager(isInBody);
+        const std::size_t used = parser.put(boost::asio::buffer(buffer.data() + consumed, offered),
+                                            fed.error);
         consumed += used;
-        if (error == beast::http::error::need_more)
-            error = {};
-        if (error || used == 0)
+        if (fed.error == beast::http::error::need_more)
+            fed.error = {};
+        fed.isChunkFramingTooLong = !fed.error && used == 0 && isInBody && offered == bound;
+        if (fed.error || used == 0)
             break;
     }
     buffer.erase(0, consumed);
-    return error;
+    return fed;
 }
 
 } // namespace
@@ -111,7 +124,6 @@
     : impl(std::make_unique<Impl>())
 {
     this->impl->headBytes = limits.headBytes;
-    this->impl->parser.eager(true);
     this->impl->parser.header_limit(limits.headBytes);
     this->impl->parser.body_limit(limits.bodyBytes);
 }
@@ -135,9 +147,9 @@
             return Error{ ResultCode::MalformedRequest,
                           "request head contains a folded header line" };
     }
-    const beast::error_code error = feed(self.parser, buffer);
-    if (error)
-        return Error{ codeOf(error), error.message() };
+    const Fed fed = feed(self.parser, buffer, self.headBytes);
+    if (fed.error)
+        return Error{ codeOf(fed.error), fed.error.message() };
     if (!self.head && self.parser.is_header_done()) {
         const auto &message = self.parser.get();
         RequestHead line;
@@ -187,8 +199,7 @@
 ResponseReader::ResponseReader(bool isHeadOnly)
     : impl(std::make_unique<Impl>())
 {
-    this->impl->parser.eager(true);
-    this->impl->parser.header_limit(maxResponseHeadBytes);
+    this->impl->parser.header_limit(maxAnswerHeadBytes);
     this->impl->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     this->impl->parser.skip(isHeadOnly);
 }
@@ -200,9 +211,13 @@
 Result<bool> ResponseReader::read(std::string &buffer)
 {
     Impl &self = *this->impl;
-    const beast::error_code error = feed(self.parser, buffer);
-    if (error)
-        return Error{ ResultCode::UpstreamFailed, error.message() };
+    const Fed fed = feed(self.parser, buffer, maxAnswerHeadBytes);
+    if (fed.error == beast::http::error::header_limit)
+        return Error{ ResultCode::AnswerOversized, "the head of an answer exceeds its bound" };
+    if (fed.error)
+        return Error{ ResultCode::UpstreamFailed, fed.error.message() };
+    if (fed.isChunkFramingTooLong)
+        return Error{ ResultCode::AnswerOversized, "a size line or trailer exceeds its bound" };
     if (!self.head && self.parser.is_header_done()) {
         const auto &message = self.parser.get();
         ResponseHead head;
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -116,7 +116,8 @@
     Exchange &current = *this->exchange;
     const Result<bool> isWhole = current.reader.read(this->stream->received());
     if (!isWhole) {
-        this->fail(ExchangeFailure::Malformed);
+        const bool isOversized = isWhole.error().code == ResultCode::AnswerOversized;
+        this->fail(isOversized ? ExchangeFailure::Oversized : ExchangeFailure::Malformed);
         return false;
     }
     if (current.reader.isHeadRead() && !current.isHeadDelivered) {
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -162,6 +162,7 @@
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addByFraming(out, metrics.answersByFraming);
     addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
+    addCounter(out, "azurewell_answers_oversized_total", metrics.oversizedAnswers);
     addCounter(out, "azurewell_stream_origins_recorded_total", counters.origins.recorded);
     addCounter(out, "azurewell_stream_origins_sent_total", counters.origins.sent);
     addCounter(out, "azurewell_origin_questions_total", counters.origins.questions);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -306,6 +306,7 @@
     if (found == this->open.end())
         return;
     found->second.isAtUpstream = false;
+    this->metrics.oversizedAnswers += failure == ExchangeFailure::Oversized ? 1 : 0;
     if (found->second.isAtPeer) {
         this->failForward(number, failure);
         return;
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -55,6 +55,7 @@
     UpstreamsPaused = 411,
     StreamOriginUnknown = 412,
     StreamVersionGone = 413,
+    AnswerOversized = 414,
 
     // 5xx: calls that must not run twice.
     OutcomeUnknown = 500,
--- a/packages/units/src/result_code.cpp
+++ b/packages/units/src/result_code.cpp
@@ -77,6 +77,8 @@
                     "It is not known which software version began the stream." },
     ResultCodeInfo{ StreamVersionGone, "stream_version_gone", 503,
                     "No back end of the software version that began the stream can go on." },
+    ResultCodeInfo{ AnswerOversized, "answer_oversized", 502,
+                    "The back end sent more than this host accepts of a part of an answer." },
     ResultCodeInfo{ OutcomeUnknown, "outcome_unknown", 502,
                     "The call may have run; it was not sent again." },
     ResultCodeInfo{ CallInProgress, "call_in_progress", 409,
