http: answers before the final one are bounded in number and bytes

Cause: interim answers, and answers to an earlier request, were discarded without a bound. A server that sent `100 Continue` again and again held its caller until the deadline (504 after 4.0 s), with some 40 MB read.

Allowed are 64 of both together, 64 KiB of interim answers and 4 MiB of strays, which have bodies. Over it the exchange fails as Oversized.

--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -15,4 +15,14 @@
 /// A chunk's size line with its extension, or the last chunk with the trailer fields.
 inline constexpr std::size_t maxChunkFramingBytes = 16ULL * 1024;
 
+/// Answers on a connection that precede the final answer to a request: interim ones, and strays to
+/// an earlier request. A server that says from time to time that it still works stays below it.
+inline constexpr std::uint32_t maxAnswersBefore = 64;
+
+/// All interim answers to a request together.
+inline constexpr std::size_t maxInterimAnswerBytes = maxAnswerHeadBytes;
+
+/// All strays before an answer together; they have bodies.
+inline constexpr std::size_t maxStrayAnswerBytes = 4ULL * 1024 * 1024;
+
 } // namespace azurewell
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -88,9 +88,13 @@
         bool isHeadDelivered = false;
         bool isUnrelated = false; ///< The current response is interim or to another request.
         std::optional<EventStreamScanner> events; ///< Of a response that is an event stream.
+        std::uint32_t answersBefore = 0;          ///< Unrelated ones.
+        std::size_t interimBytes = 0;
+        std::size_t strayBytes = 0; ///< Of answers to other requests.
 
         void begin();
         bool isTruncated() const;
+        bool countUnrelated(std::size_t bytes);
     };
 
     void handleOpened();
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/http/upstream_connection.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message_bounds.h"
 
 #include <charconv>
 
@@ -70,6 +71,15 @@
     return !this->events->isBetweenEvents() || (isUnframed && this->events->eventCount() == 0);
 }
 
+/// Counts \a bytes of the current response, which is unrelated. Whether its kind stays within its
+/// bounds.
+bool UpstreamConnection::Exchange::countUnrelated(std::size_t bytes)
+{
+    (isInterim(this->reader.head()) ? this->interimBytes : this->strayBytes) += bytes;
+    return this->answersBefore <= maxAnswersBefore && this->interimBytes <= maxInterimAnswerBytes
+            && this->strayBytes <= maxStrayAnswerBytes;
+}
+
 void UpstreamConnection::abandon()
 {
     this->exchange.reset();
@@ -114,6 +124,7 @@
 {
     const std::shared_ptr<bool> destroyed = this->isDestroyed;
     Exchange &current = *this->exchange;
+    const std::size_t bytesBefore = this->stream->received().size();
     const Result<bool> isWhole = current.reader.read(this->stream->received());
     if (!isWhole) {
         const bool isOversized = isWhole.error().code == ResultCode::AnswerOversized;
@@ -125,6 +136,11 @@
         if (*destroyed || !this->exchange)
             return false;
     }
+    const std::size_t bytesRead = bytesBefore - this->stream->received().size();
+    if (current.isUnrelated && !current.countUnrelated(bytesRead)) {
+        this->fail(ExchangeFailure::Oversized);
+        return false;
+    }
     std::string body = current.reader.takeBody();
     if (current.events)
         current.events->read(body);
@@ -151,8 +167,10 @@
     const ResponseHead &head = current.reader.head();
     current.isHeadDelivered = true;
     current.isUnrelated = isInterim(head) || !current.handlers.matchesRequest(head);
-    if (current.isUnrelated)
+    if (current.isUnrelated) {
+        ++current.answersBefore;
         return;
+    }
     if (!current.isHeadOnly && isEventStream(head.headers))
         current.events.emplace();
     this->keepAlive = keepAliveOf(head);
--- a/packages/http/tests/upstream_connections_test.cpp
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/http/clock.h"
 #include "azurewell/http/listen_socket.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/http/upstream_connections.h"
 
 #include <QtCore/QCoreApplication>
@@ -12,6 +13,9 @@
 #include <sys/socket.h>
 
 #include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
 
 namespace azurewell {
 namespace {
@@ -169,6 +173,80 @@
     EXPECT_EQ(second.body, "two");
 }
 
+std::string repeated(const std::string &text, std::size_t count)
+{
+    std::string all;
+    for (std::size_t i = 0; i < count; ++i)
+        all += text;
+    return all;
+}
+
+/// Answers that are no final answer to the request.
+struct AnswersBefore
+{
+    const char *name;
+    std::string answers;
+    bool isAllowed;
+};
+
+std::ostream &operator<<(std::ostream &out, const AnswersBefore &before)
+{
+    return out << before.name;
+}
+
+std::vector<AnswersBefore> answersBefore()
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string longInterim = "HTTP/1.1 103 Early Hints\r\nLink: " + std::string(15000, 'a')
+            + "\r\n\r\n";
+    const std::string stray = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\none";
+    const std::string straySizes = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: ";
+    const auto longStray = [&straySizes](std::size_t bytes) {
+        return straySizes + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'a');
+    };
+    return {
+        { "AllowedInterimAnswers", repeated(interim, maxAnswersBefore), true },
+        { "InterimAnswersWithoutEnd", repeated(interim, maxAnswersBefore + 1), false },
+        { "LongInterimAnswers", repeated(longInterim, 4), true },
+        { "LongInterimAnswersWithoutEnd", repeated(longInterim, 5), false },
+        { "AllowedStrayAnswers", repeated(stray, maxAnswersBefore), true },
+        { "StrayAnswersWithoutEnd", repeated(stray, maxAnswersBefore + 1), false },
+        { "LongStrayAnswer", longStray(maxStrayAnswerBytes - 100), true },
+        { "StrayAnswerWithoutEnd", longStray(maxStrayAnswerBytes + 1), false },
+    };
+}
+
+class UnrelatedAnswers : public testing::TestWithParam<AnswersBefore>
+{
+};
+
+// Guards against a server that holds a request until its deadline with answers that are not its
+// final one.
+TEST_P(UnrelatedAnswers, AreReadUpToTheirBound)
+{
+    ScriptedServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    const std::string bytes = GetParam().answers
+            + "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+    std::size_t sent = 0;
+    server.processEventsUntil([&] {
+        const ssize_t count = ::send(server.peer.get(), bytes.data() + sent, bytes.size() - sent,
+                                     MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        return outcome.isFinished();
+    });
+    EXPECT_EQ(outcome.isComplete, GetParam().isAllowed);
+    if (!GetParam().isAllowed)
+        EXPECT_EQ(outcome.failure, ExchangeFailure::Oversized);
+    EXPECT_EQ(connections.count(), GetParam().isAllowed ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, UnrelatedAnswers, testing::ValuesIn(answersBefore()),
+                         [](const auto &testInfo) { return std::string(testInfo.param.name); });
+
 TEST(UpstreamConnections, ConnectionWithUnsolicitedBytesIsNotReused)
 {
     // Guards against reading excess bytes after a complete response as the start of the next
