http: a chunk's size line and trailer fields of a request are bounded

Cause: as with answers, what a caller sent of a size line or of trailer fields stayed in the buffer without a bound until the head's timeout.

--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -150,6 +150,8 @@
     const Fed fed = feed(self.parser, buffer, self.headBytes);
     if (fed.error)
         return Error{ codeOf(fed.error), fed.error.message() };
+    if (fed.isChunkFramingTooLong)
+        return Error{ ResultCode::BodyTooLarge, "a size line or trailer exceeds its bound" };
     if (!self.head && self.parser.is_header_done()) {
         const auto &message = self.parser.get();
         RequestHead line;
--- a/packages/http/tests/flood_test.cpp
+++ b/packages/http/tests/flood_test.cpp
@@ -186,6 +186,36 @@
                          testing::Combine(testing::ValuesIn(headFloods()), allArrivals),
                          caseName<AnswerHeadFlood::ParamType>);
 
-// REQUESTS
+const std::string requestStart = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::vector<Flood> requestFloods()
+{
+    std::vector<Flood> floods = answerFloods();
+    for (Flood &flood : floods)
+        flood.start.replace(0, answerStart.size(), requestStart);
+    return floods;
+}
+
+class RequestFlood : public testing::TestWithParam<std::tuple<Flood, Arrival>>
+{
+};
+
+// Guards against a caller that fills the host's memory with bytes that are no body.
+TEST_P(RequestFlood, IsRefusedAtItsBound)
+{
+    const auto &[flood, arrival] = GetParam();
+    RequestReader reader{ RequestLimits{} };
+    const Reading reading = readPieces(reader, bytesOf(flood), arrival);
+    EXPECT_TRUE(reading.isFailed);
+    EXPECT_EQ(reading.code, ResultCode::BodyTooLarge);
+    const std::size_t bound = flood.start.size() + maxChunkFramingBytes;
+    EXPECT_LE(reading.bytes, bound + pieceBytes(arrival));
+    EXPECT_LE(reading.heldMost, maxChunkFramingBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, RequestFlood,
+                         testing::Combine(testing::ValuesIn(requestFloods()), allArrivals),
+                         caseName<RequestFlood::ParamType>);
+
 } // namespace
 } // namespace azurewell
