http: a caller's bytes behind an open request are held back

Two faults of what a caller sends before its request is answered. It was read into the buffer without a bound: the new test's caller could send all of its 8 MiB. And each request that is answered at once began the next one on the stack: of 8 MiB of requests of 18 bytes behind an open one the test program crashed (exit code 139) once that one was answered.

Now the connection isn't read from while more than 64 KiB wait behind an open request, and requests in the buffer are read in a loop.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -84,6 +84,8 @@
 
 private:
     void receive();
+    bool readRequest();
+    void pauseReading(bool paused);
     void handleDrained();
     void startNextRequest(Instant now);
     bool keepsConnection() const;
@@ -98,6 +100,8 @@
     bool isClosing = false;
     bool isDisconnected = false;
     bool isContinueSent = false;
+    bool isReceiving = false; ///< receive() is on the stack.
+    bool isPaused = false;    ///< The caller sends too much before its request is answered.
 };
 
 } // namespace azurewell
--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -25,4 +25,8 @@
 /// All strays before an answer together; they have bodies.
 inline constexpr std::size_t maxStrayAnswerBytes = 4ULL * 1024 * 1024;
 
+/// What a caller may send behind a request that isn't answered yet; beyond it the connection isn't
+/// read from until the answer is complete.
+inline constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
+
 } // namespace azurewell
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -1,5 +1,9 @@
 #include "azurewell/http/caller_connection.h"
 
+#include "azurewell/http/message_bounds.h"
+
+#include <utility>
+
 namespace azurewell {
 
 namespace {
@@ -39,28 +43,50 @@
 
 void CallerConnection::receive()
 {
-    if (this->isInRequest)
-        return; // The next request stays in the buffer until this one is answered.
+    // A handler that answers at once starts the next request: without this loop each request in the
+    // buffer would take a part of the stack.
+    if (this->isReceiving)
+        return;
+    this->isReceiving = true;
+    bool isMoreExpected = true;
+    while (isMoreExpected && !this->isInRequest && !this->stream->received().empty())
+        isMoreExpected = this->readRequest();
+    this->isReceiving = false;
+    // While the connection isn't read from, an end of it isn't seen either, so this is done only
+    // where there is far more than a caller sends in advance.
+    this->pauseReading(this->isInRequest && this->stream->received().size() > maxPipelinedBytes);
+}
+
+/// Continues to read the current request. Returns whether the next one may be in the buffer.
+bool CallerConnection::readRequest()
+{
     if (this->isClosing) {
         this->stream->received().clear();
-        return;
+        return false;
     }
     const Result<bool> isWhole = this->reader.read(this->stream->received());
     if (!isWhole) {
         this->isInRequest = true;
         this->isClosing = true;
         this->handlers.onBadRequest(isWhole.error());
-        return;
+        return true;
     }
     if (isWhole.value()) {
         this->isInRequest = true;
         this->handlers.onRequest();
-        return;
+        return true;
     }
     if (this->reader.isHeadRead() && this->reader.head().expectsContinue && !this->isContinueSent) {
         this->isContinueSent = true;
         this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    return false;
+}
+
+void CallerConnection::pauseReading(bool paused)
+{
+    if (std::exchange(this->isPaused, paused) != paused)
+        this->stream->pauseReading(paused);
 }
 
 bool CallerConnection::keepsConnection() const
@@ -117,6 +143,7 @@
 {
     this->isInRequest = false;
     this->isContinueSent = false;
+    this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
         if (this->stream->unsentBytes() == 0)
@@ -124,8 +151,7 @@
         return;
     }
     this->reader = RequestReader(this->limits);
-    if (!this->stream->received().empty())
-        this->receive();
+    this->receive();
 }
 
 void CallerConnection::close(bool isNow)
--- /dev/null
+++ b/packages/http/tests/caller_flood_test.cpp
@@ -0,0 +1,143 @@
+#include "azurewell/http/caller_connection.h"
+#include "azurewell/http/clock.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QElapsedTimer>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace azurewell {
+namespace {
+
+/// A caller's connection with the caller's end of it.
+class CallerFlood : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        int ends[2] = { -1, -1 };
+        ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends), 0);
+        this->caller = UniqueFd(ends[0]);
+        CallerConnection::Handlers handlers;
+        handlers.onRequest = [this] {
+            ++this->requests;
+            if (this->isAnsweredAtOnce)
+                this->answer();
+        };
+        handlers.onBadRequest = [this](const Error &error) {
+            this->refusal = error.code;
+        };
+        handlers.onDisconnected = [this] {
+            this->isDisconnected = true;
+        };
+        handlers.onDrained = [] {
+        };
+        this->connection = std::make_unique<CallerConnection>(
+                UniqueFd(ends[1]), RequestLimits{}, std::move(handlers), monotonicNow());
+    }
+
+    /// Sends \a text again and again until the connection has taken no byte for a while, or \a most
+    /// bytes. Returns the bytes taken.
+    std::size_t flood(const std::string &text, std::size_t most)
+    {
+        constexpr qint64 patienceMillis = 200;
+        QElapsedTimer sinceTaken;
+        sinceTaken.start();
+        std::size_t taken = 0;
+        while (taken < most && sinceTaken.elapsed() < patienceMillis) {
+            const std::size_t at = taken % text.size();
+            const ssize_t count = ::send(this->caller.get(), text.data() + at,
+                                         std::min(text.size() - at, most - taken), MSG_NOSIGNAL);
+            if (count > 0) {
+                taken += static_cast<std::size_t>(count);
+                sinceTaken.restart();
+            }
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        }
+        return taken;
+    }
+
+    void answer()
+    {
+        this->connection->answer(200, "OK", {}, "", monotonicNow());
+    }
+
+    UniqueFd caller;
+    std::unique_ptr<CallerConnection> connection;
+    std::optional<ResultCode> refusal;
+    std::size_t requests = 0;
+    bool isDisconnected = false;
+    bool isAnsweredAtOnce = false;
+};
+
+constexpr std::size_t manyBytes = 8ULL * 1024 * 1024;
+/// What the kernel and the host may hold of a connection that isn't read from.
+constexpr std::size_t maxHeldBytes = 1024ULL * 1024;
+const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n";
+
+// Guards against a caller that fills the host's memory while its first request is being answered.
+TEST_F(CallerFlood, BytesBehindAnOpenRequestAreHeldBack)
+{
+    EXPECT_EQ(this->flood(next, next.size()), next.size());
+    EXPECT_LT(this->flood(next, manyBytes), maxHeldBytes);
+    EXPECT_EQ(this->requests, 1U);
+    EXPECT_FALSE(this->refusal);
+}
+
+// Guards against a connection that stays paused after the answer.
+TEST_F(CallerFlood, RequestsThatWereHeldBackAreRead)
+{
+    const std::size_t sent = this->flood(next, manyBytes);
+    const std::size_t whole = sent / next.size();
+    QElapsedTimer timer;
+    timer.start();
+    while (this->requests < whole && timer.elapsed() < 5000) {
+        if (this->connection->isAnswering())
+            this->answer();
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        char block[4096];
+        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {
+        }
+    }
+    EXPECT_EQ(this->requests, whole);
+}
+
+// Guards against a stack that overflows, as each request that is answered at once begins the next.
+TEST_F(CallerFlood, ShortRequestsBehindAnOpenOneAreAnsweredInALoop)
+{
+    const std::string shortest = "GET / HTTP/1.1\r\n\r\n";
+    const std::size_t sent = this->flood(shortest, manyBytes);
+    this->isAnsweredAtOnce = true;
+    this->answer();
+    std::vector<char> block(256ULL * 1024);
+    QElapsedTimer timer;
+    timer.start();
+    while (this->requests < sent / shortest.size() && timer.elapsed() < 5000) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        while (::recv(this->caller.get(), block.data(), block.size(), 0) > 0) {
+        }
+    }
+    EXPECT_EQ(this->requests, sent / shortest.size());
+}
+
+// Guards against a host that doesn't notice that a caller with pipelined requests has left.
+TEST_F(CallerFlood, ACallerWithSomePipelinedRequestsIsSeenToLeave)
+{
+    this->flood(next + next + next, 3 * next.size());
+    this->caller = UniqueFd();
+    QElapsedTimer timer;
+    timer.start();
+    while (!this->isDisconnected && timer.elapsed() < 3000)
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    EXPECT_TRUE(this->isDisconnected);
+}
+
+} // namespace
+} // namespace azurewell
