--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/gateway/gossip_codec.h"
 
+#include "published_codec.h"
 #include "thrift_codec.h"
 
 #include <gossip_types.h>
@@ -261,90 +262,6 @@
              ageOf(member.silentFor) };
 }
 
-std::int64_t revisionOf(const StorePosition &position)
-{
-    return static_cast<std::int64_t>(position.revision);
-}
-
-std::int64_t eraOf(const StorePosition &position)
-{
-    return static_cast<std::int64_t>(position.era);
-}
-
-StorePosition positionOf(std::int64_t era, std::int64_t revision)
-{
-    return { static_cast<std::uint64_t>(era), static_cast<std::uint64_t>(revision) };
-}
-
-wire::Changes toWire(const PublishedChanges &changes)
-{
-    wire::Changes out;
-    out.after = revisionOf(changes.after);
-    out.upTo = revisionOf(changes.upTo);
-    if (changes.after.era != 0)
-        out.__set_afterEra(eraOf(changes.after));
-    if (changes.upTo.era != 0)
-        out.__set_upToEra(eraOf(changes.upTo));
-    if (changes.isHeld)
-        out.__set_held(true);
-    for (const PublishedItem &item : changes.items) {
-        wire::Item &to = out.items.emplace_back();
-        to.key = item.key;
-        to.revision = revisionOf(item.position);
-        if (item.position.era != 0)
-            to.__set_era(eraOf(item.position));
-        to.deleted = item.isDeleted;
-        to.value = item.value;
-    }
-    return out;
-}
-
-PublishedChanges fromWire(const wire::Changes &changes)
-{
-    PublishedChanges out{ positionOf(changes.afterEra, changes.after),
-                          positionOf(changes.upToEra, changes.upTo),
-                          {},
-                          changes.held };
-    for (const wire::Item &item : changes.items) {
-        out.items.push_back(
-                { item.key, positionOf(item.era, item.revision), item.deleted, item.value });
-    }
-    return out;
-}
-
-wire::ItemPart toWire(const ItemPart &part)
-{
-    wire::ItemPart out;
-    out.after = revisionOf(part.after);
-    out.upTo = revisionOf(part.upTo);
-    out.key = part.key;
-    out.revision = revisionOf(part.position);
-    if (part.after.era != 0)
-        out.__set_afterEra(eraOf(part.after));
-    if (part.upTo.era != 0)
-        out.__set_upToEra(eraOf(part.upTo));
-    if (part.position.era != 0)
-        out.__set_era(eraOf(part.position));
-    if (part.isHeld)
-        out.__set_held(true);
-    out.offset = static_cast<std::int32_t>(part.offset);
-    out.size = static_cast<std::int32_t>(part.size);
-    out.bytes = part.bytes;
-    return out;
-}
-
-ItemPart fromWire(const wire::ItemPart &part)
-{
-    return { positionOf(part.afterEra, part.after),
-             positionOf(part.upToEra, part.upTo),
-             part.key,
-             positionOf(part.era, part.revision),
-             static_cast<std::size_t>(std::max(part.offset, 0)),
-             static_cast<std::size_t>(std::max(part.size, 0)),
-             part.bytes,
-             part.held };
-}
-
 wire::StreamOrigin toWire(const StreamOriginUpdate &update, Instant now)
 {
     wire::StreamOrigin out;
@@ -414,21 +331,6 @@
     }
 }
 
-void addPositions(wire::Message &out, const Gossip &message)
-{
-    out.revision = revisionOf(message.position);
-    out.newestChange = revisionOf(message.newestChange);
-    if (message.position.era != 0)
-        out.__set_era(eraOf(message.position));
-    if (message.newestChange.era != message.position.era)
-        out.__set_newestChangeEra(eraOf(message.newestChange));
-    out.wantsChanges = message.wantsChanges;
-    if (message.holdsItems)
-        out.__set_holdsItems(true);
-    if (message.wantsHeld)
-        out.__set_wantsHeld(true);
-}
-
 wire::Message toWire(const Gossip &message, Instant now)
 {
     wire::Message out;
@@ -496,7 +398,7 @@
         out.loadRefusals.back().storeBusy = refusal.isStoreBusy;
     }
     for (const PublishedChanges &changes : message.changes)
-        out.changes.push_back(toWire(changes));
+        out.changes.push_back(encodeChanges(changes));
     if (!message.crashes.empty())
         out.__set_crashes(toWire(message.crashes, now));
     if (!message.limits.empty())
@@ -512,7 +414,7 @@
     }
     out.__isset.itemParts = !message.itemParts.empty();
     for (const ItemPart &part : message.itemParts)
-        out.itemParts.push_back(toWire(part));
+        out.itemParts.push_back(encodePart(part));
     addOrigins(out, message, now);
     return out;
 }
@@ -525,13 +427,7 @@
     out.address = { message.ip, static_cast<std::uint16_t>(message.port) };
     out.incarnation.value = static_cast<std::uint64_t>(message.incarnation);
     out.isLeaving = message.leaving;
-    out.position = positionOf(message.era, message.revision);
-    const std::int64_t newestEra = message.__isset.newestChangeEra ? message.newestChangeEra
-                                                                   : message.era;
-    out.newestChange = positionOf(newestEra, message.newestChange);
-    out.wantsChanges = message.wantsChanges;
-    out.holdsItems = message.holdsItems;
-    out.wantsHeld = message.wantsHeld;
+    takePositions(out, message);
     out.platform = platformView(message.platform);
     out.runningFor = ageOf(message.runningFor);
     for (const wire::Member &member : message.members)
@@ -576,11 +472,11 @@
                 { UpstreamId{ place.engine }, { place.model, place.adapter }, place.storeBusy });
     }
     for (const wire::Changes &changes : message.changes)
-        out.changes.push_back(fromWire(changes));
+        out.changes.push_back(decodeChanges(changes));
     out.crashes = fromWire(message.crashes, now);
     out.limits = fromWire(message.limits, now);
     for (const wire::ItemPart &part : message.itemParts)
-        out.itemParts.push_back(fromWire(part));
+        out.itemParts.push_back(decodePart(part));
     for (const wire::LeavingUpstream &leaving : message.leavingUpstreams)
         out.leavingUpstreams.push_back({ UpstreamId{ leaving.upstream }, leaving.start });
     for (const std::string &service : message.unreachableServices)
