Tests: rejected hosts, removed and restarted servers, and no eras, after the store returns

Four more tests with real host processes; each host has its own address of the store, which can reject it alone. Seen on, one run of each: three fail and are listed; a store that states no era at all passes. - Neither the rejected host nor its peers follow the new era. - A server is used 2 s after its entry was removed in the new era; one whose removal was lost isn't. - A server that starts again under its id in the new era gets no request.

--- a/tests/sockets/node_fleet.cpp
+++ b/tests/sockets/node_fleet.cpp
@@ -19,6 +19,7 @@
 constexpr const char *zone = "centro";
 constexpr std::size_t firstServer = 20;
 constexpr std::uint16_t serverPort = 9000;
+constexpr std::uint16_t firstStorePort = 8225;
 constexpr Span allowedTime = std::chrono::seconds(1);
 
 /// The beginning of the loopback addresses of this process, which tests at the same time don't use.
@@ -41,10 +42,13 @@
 
 NodeFleet::NodeFleet()
     : net(netOfProcess())
-    , storeListener(std::make_unique<soak::Listener>(
-              Endpoint{ this->ip(0), 8225 },
-              [this](const std::shared_ptr<soak::Session> &session) { this->readStore(session); }))
 {
+    for (std::size_t host = 0; host < size; ++host) {
+        this->storeListeners.push_back(std::make_unique<soak::Listener>(
+                this->storeFor(host), [this, host](const std::shared_ptr<soak::Session> &session) {
+                    this->readStore(host, session);
+                }));
+    }
     QObject::connect(&this->storeTimer, &QTimer::timeout,
                      [this] { this->store.tick(monotonicNow()); });
     this->storeTimer.start(std::chrono::milliseconds(20));
@@ -65,6 +69,11 @@
     return fmt::format("{}.{}", this->net, index + 1);
 }
 
+Endpoint NodeFleet::storeFor(std::size_t host) const
+{
+    return { this->ip(0), static_cast<std::uint16_t>(firstStorePort + host) };
+}
+
 void NodeFleet::addServer(const std::string &service)
 {
     this->servers.push_back(std::make_unique<PlainServer>());
@@ -92,8 +101,12 @@
     this->store.write(configurationKey(), configurationText(configuration), monotonicNow());
 }
 
-void NodeFleet::readStore(const std::shared_ptr<soak::Session> &session)
+void NodeFleet::readStore(std::size_t host, const std::shared_ptr<soak::Session> &session)
 {
+    if (this->isRejected[host]) {
+        soak::answer(session, 503, {}, {});
+        return;
+    }
     const soak::SessionRef reference = session;
     this->store.read(
             session->connection->request().target,
@@ -126,7 +139,7 @@
     settings.ip = this->ip(host + 1);
     for (std::size_t seed = 0; seed < size; ++seed)
         settings.seedIps.push_back(this->ip(seed + 1));
-    settings.store = { this->ip(0), 8225 };
+    settings.store = this->storeFor(host);
     settings.isFirstStart = isFirstStart;
     const QString path = this->logs.filePath(QString::fromStdString(settings.name));
     QFile file(path + ".conf");
--- a/tests/sockets/node_fleet.h
+++ b/tests/sockets/node_fleet.h
@@ -55,16 +55,18 @@
     int status(std::size_t host, const std::string &prefix, const std::string &key = {});
 
     platform::testing::StoreStandin store;
+    std::array<bool, size> isRejected{}; ///< Hosts whose calls the store rejects.
     std::vector<std::unique_ptr<PlainServer>> servers;
     QTemporaryDir logs;
 
 private:
     std::string ip(std::size_t index) const;
-    void readStore(const std::shared_ptr<soak::Session> &session);
+    Endpoint storeFor(std::size_t host) const;
+    void readStore(std::size_t host, const std::shared_ptr<soak::Session> &session);
     static void answerRequest(PlainServer &server, const std::shared_ptr<soak::Session> &session);
 
     std::string net;
-    std::unique_ptr<soak::Listener> storeListener;
+    std::vector<std::unique_ptr<soak::Listener>> storeListeners; ///< One for each host.
     QTimer storeTimer;
     std::array<std::unique_ptr<QProcess>, size> hosts;
     std::uint64_t requests = 0;
--- a/tests/sockets/store_return_test.cpp
+++ b/tests/sockets/store_return_test.cpp
@@ -177,6 +177,24 @@
         EXPECT_EQ(this->takeFaults(), "") << "version " << version << " must be in force";
     }
 
+    /// Sends requests through all hosts; returns how many of them \a server got.
+    std::uint64_t requestsTo(PlainServer &server)
+    {
+        constexpr int requestsOfHost = 8;
+        server.requests = 0;
+        for (std::size_t host = 0; host < NodeFleet::size; ++host) {
+            for (int i = 0; i < requestsOfHost; ++i)
+                this->probe(host, keptPrefix, 200);
+        }
+        EXPECT_EQ(this->takeFaults(), "");
+        return server.requests;
+    }
+
+    void removeEntry(const PlainServer &server)
+    {
+        this->fleet.store.remove(engineKey(server.statement.id), monotonicNow());
+    }
+
     /// What probes have shown, with their numbers; empty if nothing was wrong.
     std::string takeFaults()
     {
@@ -318,6 +336,77 @@
     this->expectInForce(3);
 }
 
+// Guards against a host that the store rejects and that takes what its peers forward of the new era
+// for older than what it knows.
+TEST_F(StoreReturn, AHostThatTheStoreRejectsFollowsItsPeers)
+{
+    ASSERT_NO_FATAL_FAILURE(this->startHosts(NodeFleet::size));
+    ASSERT_NO_FATAL_FAILURE(this->confirmLostChanges());
+    this->fleet.isRejected.back() = true;
+    this->loseChanges(Absence::Reset);
+    this->writeLostChangesAgain();
+    this->expectInForce(3);
+    this->expectInForce(4);
+}
+
+// Guards against a server that is used again since the copy still lists it, and against one that
+// is used on although its removal is confirmed in the new era.
+TEST_F(StoreReturn, ARemovedServerIsNotUsed)
+{
+    PlainServer &lost = *this->fleet.servers[0];
+    PlainServer &removedLater = *this->fleet.servers[1];
+    this->fleet.addServer(service);
+    this->fleet.writeEntry(*this->fleet.servers.back());
+    ASSERT_NO_FATAL_FAILURE(this->startHosts(NodeFleet::size));
+    EXPECT_GT(this->requestsTo(lost), 0U);
+    this->copy = this->fleet.store.copy();
+    for (int i = 0; i < 20; ++i)
+        this->fleet.writeEntry(removedLater);
+    this->removeEntry(lost);
+    runUntil(monotonicNow() + propagationBound);
+    ASSERT_EQ(this->requestsTo(lost), 0U);
+    this->loseChanges(Absence::Reset);
+    for (int i = 0; i < 4; ++i) {
+        runUntil(monotonicNow() + absenceLength);
+        EXPECT_EQ(this->requestsTo(lost), 0U) << "its removal was confirmed before the return";
+    }
+    this->removeEntry(lost);
+    this->fleet.writeEntry(removedLater);
+    EXPECT_GT(this->requestsTo(removedLater), 0U);
+    this->removeEntry(removedLater);
+    runUntil(monotonicNow() + propagationBound);
+    EXPECT_EQ(this->requestsTo(lost), 0U);
+    EXPECT_EQ(this->requestsTo(removedLater), 0U) << "its removal was confirmed after the return";
+}
+
+// Guards against a server that stays unused for good: it had said that it leaves, and has started
+// again under its id since, with counts that start anew.
+TEST_F(StoreReturn, AServerThatStartsAgainAfterItIsUsed)
+{
+    PlainServer &server = this->leavingServer();
+    ASSERT_NO_FATAL_FAILURE(this->startHosts(NodeFleet::size));
+    ASSERT_NO_FATAL_FAILURE(this->confirmLostChanges());
+    this->loseChanges(Absence::Reset);
+    this->writeLostChangesAgain();
+    runUntil(monotonicNow() + propagationBound);
+    EXPECT_EQ(this->requestsTo(server), 0U);
+    server.statement.isLeaving = false;
+    server.statement.start = static_cast<std::int64_t>(wallMillis());
+    server.statement.count = 0;
+    this->fleet.writeEntry(server);
+    runUntil(monotonicNow() + propagationBound);
+    EXPECT_GT(this->requestsTo(server), 0U);
+}
+
+// Guards against hosts that demand an era of a store that states none.
+TEST_F(StoreReturn, AChangeIsInForceAtAStoreThatStatesNoEra)
+{
+    this->fleet.store.era = 0;
+    ASSERT_NO_FATAL_FAILURE(this->startHosts(NodeFleet::size));
+    ASSERT_NO_FATAL_FAILURE(this->confirmLostChanges());
+    this->expectInForce(3);
+}
+
 // Guards against the use of an answer that was overtaken by one of a newer era.
 TEST_F(StoreReturn, AnAnswerOfAnOlderEraIsNotUsed)
 {
