--- a/tests/ordering_soak/main.cpp
+++ b/tests/ordering_soak/main.cpp
@@ -2,6 +2,7 @@
 #include "engines.h"
 #include "ordering_faults.h"
 #include "relay.h"
+#include "store_returns.h"
 #include "store_standin.h"
 
 #include "azurewell/http/clock.h"
@@ -46,6 +47,7 @@
     int busyProcesses = 0;
     std::vector<std::string> only;
     bool hasNoFaults = false;
+    bool hasStoreReturns = false;
     int maxReportLagMillis = 300;
     bool checksDoneUnloads = false;
     bool reportsStepBack = false;
@@ -74,6 +76,8 @@
     app.add_option("--only", options.only,
                    "Injects only faults of these names, which are those in the figures");
     app.add_flag("--no-faults", options.hasNoFaults, "No faults at all");
+    app.add_flag("--store-returns", options.hasStoreReturns,
+                 "The store is away at times and comes back from a copy that is some seconds old");
     app.add_option("--max-report-lag", options.maxReportLagMillis,
                    "Reports of engines are 100 ms up to this many milliseconds old");
     app.add_flag("--check-done-unloads", options.checksDoneUnloads,
@@ -140,6 +144,7 @@
         , relay(this->addresses, given.hosts)
         , faults({ given.seed, given.only }, this->fleet, this->relay, this->judge,
                  this->engineIds())
+        , storeReturns(given.seed, this->store, [this] { this->writeConfiguration(); })
         , storeListener(
                   this->addresses.store(),
                   [this](const std::shared_ptr<Session> &session) { this->readStore(session); })
@@ -163,6 +168,7 @@
     std::vector<Endpoint> callerEndpoints() const;
     void createEngines();
     void readStore(const std::shared_ptr<Session> &session);
+    void writeConfiguration();
     void writeEntries();
     void startHosts();
     void startBusyProcesses();
@@ -177,6 +183,7 @@
     Relay relay;
     OrderingFaults faults;
     StoreStandin store;
+    StoreReturns storeReturns;
     Listener storeListener;
     std::vector<std::unique_ptr<EngineStandin>> engines;
     Callers callers;
@@ -220,11 +227,7 @@
                                                                 this->judge, this->counts,
                                                                 this->options.seed * 1000 + index));
     }
-    this->store.write(configurationKey(),
-                      configurationText({ static_cast<std::uint32_t>(this->options.adapters),
-                                          EngineSettings{}.batchSlots, this->options.places,
-                                          std::chrono::seconds(8) }),
-                      monotonicNow());
+    this->writeConfiguration();
     this->writeEntries();
     QObject::connect(&this->entryTimer, &QTimer::timeout, [this] { this->writeEntries(); });
     this->entryTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(entryInterval));
@@ -233,6 +236,15 @@
     this->storeTimer.start(std::chrono::milliseconds(100));
 }
 
+void Run::writeConfiguration()
+{
+    this->store.write(configurationKey(),
+                      configurationText({ static_cast<std::uint32_t>(this->options.adapters),
+                                          EngineSettings{}.batchSlots, this->options.places,
+                                          std::chrono::seconds(8) }),
+                      monotonicNow());
+}
+
 void Run::writeEntries()
 {
     for (const std::unique_ptr<EngineStandin> &engine : this->engines)
@@ -290,8 +302,11 @@
     this->runFor(untilFaults);
     if (!this->options.hasNoFaults)
         this->faults.start();
+    if (this->options.hasStoreReturns)
+        this->storeReturns.start();
     this->runFor(fromSeconds(this->options.seconds) - untilFaults);
     this->faults.stop();
+    this->storeReturns.stop();
     this->callers.stop();
     const Instant until = monotonicNow() + std::chrono::seconds(9);
     while (!this->callers.isIdle() && monotonicNow() < until)
@@ -332,6 +347,8 @@
                this->judge.violations.size(), byKind[ViolationKind::LowerNumber],
                byKind[ViolationKind::SameNumber], byKind[ViolationKind::EarlyTurn],
                byKind[ViolationKind::BeyondPlaces], ofDoneOrders);
+    if (this->options.hasStoreReturns)
+        fmt::print("  returns of the store {}\n", this->storeReturns.count);
     fmt::print("  requests {}, served {:.3f}, refused {}, broken off {}, misdirected {}\n",
                calls.requests, share, calls.refused, calls.brokenOff, this->counts.misdirected);
     fmt::print("  datagrams {}, lost {}; this process late by up to {} ms, at {:.1f} s\n",
