Store: state what was written again in a new era to other hosts

Cause: an item that was written again with the content that was known kept its position of the earlier era. A host that follows such a host skipped the write and took the item for not written again, or kept what it had listed.

--- a/packages/gateway/src/published.cpp
+++ b/packages/gateway/src/published.cpp
@@ -101,11 +101,31 @@
     return source == ItemSource::HeldByPeer && replacesLaterEra(state, known, next);
 }
 
+/// Records that what is known was written again in a later era: other hosts may know less of it,
+/// and take it for known from a host that states a later position.
+bool takeRewritten(PublishedState &state, PublishedItem &known, const PublishedItem &next,
+                   ItemSource source)
+{
+    // What a first listing of an era shows may be as old as the copy, and is in all listings.
+    const bool isRewritten = source == ItemSource::Event || source == ItemSource::Peer
+            || (source == ItemSource::Listing && state.position.era == next.position.era
+                && next.position > state.position);
+    if (!isRewritten || next.position.era <= known.position.era
+        || compareItems(state, known, next) != ContentOrder::Same)
+        return false;
+    known.position = next.position;
+    state.held.erase(known.key);
+    state.newestChange = std::max(state.newestChange, next.position);
+    return true;
+}
+
 /// Applies one change. Returns false if what is known is the same or newer.
 bool takeItem(PublishedState &state, const PublishedItem &item, ItemSource source, Instant now)
 {
     const auto [found, isNew] = state.items.try_emplace(item.key, item);
     PublishedItem &known = found->second;
+    if (!isNew && takeRewritten(state, known, item, source))
+        return false;
     if (isNew && source == ItemSource::HeldByPeer)
         hold(state, known, { item.key, state.position, true, {} }, false);
     if (!isNew && !replaces(state, known, item, source, now))
