Store: tell hosts what is given up, and hold nothing across eras by mistake

It asks holders, also for what they gave up. - What was held over two eras was given up although the newest era shows it as it is known, and a hold ended before the listing of the newer era. - A host that learned the era from others stated all changes up to their position as known, and sent them on as complete; this is a gap now. - A hold ended while the store was away again; its time begins again then.

--- a/packages/gateway/include/azurewell/gateway/published.h
+++ b/packages/gateway/include/azurewell/gateway/published.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
     StorePosition firstListing;      ///< Position of the first listing of the newest listed era.
     bool isListingDue = false;       ///< What this host knows in part belongs to an earlier era.
     std::map<std::string, HeldItem> held;
+    /// Items whose hold ended in this era. A host that the store turns away does not know what the
+    /// era shows, and may state a later position than that of the end of the hold.
+    std::set<std::string> givenUp;
     /// Messages with held items that this host still expects: it has started in this era, and knows
     /// nothing of the one before.
     std::uint32_t heldMessagesWanted = 0;
@@ -95,10 +99,17 @@
 /// changed items.
 std::vector<PublishedItem> endHolds(PublishedState &state, Instant now);
 
-/// The held items as they were known, for a host that knows all changes up to \a position and has
-/// started after they were lost from the store.
+/// Begins the time of all holds again: the store is away, so nothing can be written again.
+void postponeHolds(PublishedState &state, Instant now);
+
+/// The held items as they were known, and what is valid instead of those that were held, for a host
+/// that knows all changes up to \a position.
 PublishedChanges heldChanges(const PublishedState &state, const StorePosition &position);
 
+/// Whether this host has to ask others for what they hold or have held: it has started after items
+/// were lost from the store, or it could not list the era.
+bool wantsHeld(const PublishedState &state, Instant now);
+
 /// Whether this host has to read a listing, because a new era began. Hosts of different \a turn
 /// list at different moments of the first second, so that they do not all call at once.
 bool needsListing(const PublishedState &state, std::uint64_t turn, Instant now);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -112,6 +112,22 @@
     return static_cast<std::size_t>(readers);
 }
 
+/// Whether the store answers no host that is known to call it.
+bool isStoreAway(const GatewayState &state, Instant now)
+{
+    if (state.published.held.empty() || state.platform == PlatformView::Answering)
+        return false;
+    bool isFailing = state.platform == PlatformView::Failing;
+    for (const auto &[id, member] : state.members.others) {
+        if (!isMemberReachable(state.members, member, now))
+            continue;
+        if (member.platform == PlatformView::Answering)
+            return false;
+        isFailing = isFailing || member.platform == PlatformView::Failing;
+    }
+    return isFailing;
+}
+
 void logReachability(Members &members, Instant now, Actions &actions)
 {
     for (const HostId &id : std::exchange(members.reachabilityChanges, {})) {
@@ -261,6 +277,8 @@
 
 void tick(GatewayState &state, Instant now, Actions &actions)
 {
+    if (isStoreAway(state, now))
+        postponeHolds(state.published, now);
     const std::vector<PublishedItem> ended = endHolds(state.published, now);
     state.undecoded.insert(state.undecoded.end(), ended.begin(), ended.end());
     removeExpiredUpstreams(state, now);
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -139,12 +139,11 @@
     sendItems(state, requester, nextChangesFor(state, requester), now, actions);
 }
 
-/// Requests the items of an earlier era that the sender of \a message holds: this host has started
-/// since they were lost from the store.
+/// Requests the items of an earlier era that the sender of \a message holds or has held.
 void requestHeld(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
     if (!message.holdsItems || message.position.era != state.published.era
-        || state.published.heldMessagesWanted == 0 || now < state.nextHeldRequestAt)
+        || !wantsHeld(state.published, now) || now < state.nextHeldRequestAt)
         return;
     state.nextHeldRequestAt = now + changesInterval;
     Gossip request = messageHeader(state, now);
--- a/packages/gateway/src/published.cpp
+++ b/packages/gateway/src/published.cpp
@@ -26,6 +26,9 @@
 /// Listings of all hosts in a new era are spread over this time.
 constexpr Span listingSpread = std::chrono::milliseconds(1000);
 
+/// By then all hosts have ended their holds, and a host that could not list the era has been told.
+constexpr Span givenUpKnownAfter = std::chrono::seconds(8);
+
 /// One of two may be lost.
 constexpr std::uint32_t heldMessages = 2;
 
@@ -40,6 +43,9 @@
     state.positionBeforeEra = state.position;
     state.isListingDue = isKnown(state.position);
     state.heldMessagesWanted = isKnown(state.position) ? 0 : heldMessages;
+    state.givenUp.clear();
+    // The store may have lost again what has been written since the last return.
+    postponeHolds(state, now);
 }
 
 void hold(PublishedState &state, const PublishedItem &known, const PublishedItem &listed,
@@ -126,12 +132,13 @@
     PublishedItem &known = found->second;
     if (!isNew && takeRewritten(state, known, item, source))
         return false;
-    if (isNew && source == ItemSource::HeldByPeer)
+    const bool isOfEarlierEra = item.position.era < state.era;
+    if (isNew && source == ItemSource::HeldByPeer && isOfEarlierEra)
         hold(state, known, { item.key, state.position, true, {} }, false);
     if (!isNew && !replaces(state, known, item, source, now))
         return false;
     known = item;
-    if (source != ItemSource::HeldByPeer)
+    if (source != ItemSource::HeldByPeer || !isOfEarlierEra)
         state.held.erase(item.key);
     state.newestChange = std::max(state.newestChange, item.position);
     return true;
@@ -148,25 +155,34 @@
 
 constexpr std::size_t maxGaps = 16;
 
+void addGap(PublishedState &state, const StorePosition &to)
+{
+    state.gaps.push_back({ state.position, to });
+    if (state.gaps.size() > maxGaps) {
+        state.completeSince = state.gaps.front().to;
+        state.gaps.erase(state.gaps.begin());
+    }
+}
+
 /// Records that a listing has shown all items that existed at \a position.
 void recordListing(PublishedState &state, const StorePosition &position)
 {
-    if (position.era > state.firstListing.era || !isKnown(state.firstListing))
+    const bool isFirst = position.era > state.firstListing.era || !isKnown(state.firstListing);
+    if (isFirst)
         state.firstListing = position;
     state.isListingDue = false;
-    if (position <= state.position)
+    // Deletions between the position that other hosts have stated and the listing are known to the
+    // store only; the watch continues there.
+    const bool isPositionInEra = isKnown(state.position) && state.position.era == position.era;
+    if (position <= state.position || (isFirst && isPositionInEra))
         return;
     const bool wasComplete = isKnown(state.position) && state.position >= state.completeSince;
     if (wasComplete) {
-        state.gaps.push_back({ state.position, position });
+        addGap(state, position);
     } else {
         state.gaps.clear();
         state.completeSince = position;
     }
-    if (state.gaps.size() > maxGaps) {
-        state.completeSince = state.gaps.front().to;
-        state.gaps.erase(state.gaps.begin());
-    }
     state.position = position;
 }
 
@@ -214,8 +230,12 @@
             changed.push_back(item);
     }
     for (auto &[key, item] : state.items) {
-        if (listed.contains(key) || item.isDeleted || item.position >= position)
+        if (listed.contains(key) || item.position >= position)
+            continue;
+        if (item.isDeleted) {
+            state.held.erase(key);
             continue;
+        }
         const PublishedItem missing{ key, position, true, {} };
         if (mayReturn(state, item, position, now)) {
             hold(state, item, missing, false);
@@ -263,6 +283,8 @@
     }
     if (!isKnown(state.position))
         state.completeSince = std::max(changes.upTo, senderPosition);
+    else if (changes.upTo.era > state.position.era)
+        addGap(state, changes.upTo); // the sender may have begun the era with a listing
     state.position = std::max(state.position, changes.upTo);
     return changed;
 }
@@ -281,6 +303,7 @@
             item = held.listed;
             item.position = std::max(item.position, state.position);
             state.newestChange = std::max(state.newestChange, item.position);
+            state.givenUp.insert(item.key);
             changed.push_back(item);
         }
         entry = state.held.erase(entry);
@@ -293,9 +316,26 @@
     PublishedChanges changes{ position, position, {}, true };
     for (const auto &[key, held] : state.held)
         changes.items.push_back(state.items.at(key));
+    for (const std::string &key : state.givenUp)
+        changes.items.push_back(state.items.at(key));
     return changes;
 }
 
+bool wantsHeld(const PublishedState &state, Instant now)
+{
+    const bool isWithoutListing = state.firstListing.era < state.era
+            && now < state.eraSince + givenUpKnownAfter;
+    return state.heldMessagesWanted > 0 || isWithoutListing;
+}
+
+void postponeHolds(PublishedState &state, Instant now)
+{
+    for (auto &[key, held] : state.held) {
+        const Span holdTime = state.holdTime(state.items.at(key), held.listed.isDeleted);
+        held.until = std::max(held.until, now + holdTime);
+    }
+}
+
 bool needsListing(const PublishedState &state, std::uint64_t turn, Instant now)
 {
     if (!state.isListingDue)
--- a/packages/gateway/src/sending.cpp
+++ b/packages/gateway/src/sending.cpp
@@ -34,7 +34,7 @@
     message.platform = state.platform;
     message.position = state.published.position;
     message.newestChange = state.published.newestChange;
-    message.holdsItems = !state.published.held.empty();
+    message.holdsItems = !state.published.held.empty() || !state.published.givenUp.empty();
     message.mixedServices = mixedServices(state, now);
     message.unreachableServices = state.members.unreachableServices;
     return message;
