Streams: the version of an entry older than the server's start is not known

Cause: a host that knew by a report of a later start still took the version of the earlier start's entry, for the choice of the server, for the comparison at the first event and for the record. Now the version is unknown until the entry of that start is there: no stream goes on at the server, one that begins there is served but not recorded, and the service counts as mixed, so that nobody takes a version for the only one. Entries that state no start are taken as before.

Ruled out by reading: a host's own resumption within one answer (there is none).

--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -195,6 +195,11 @@
 /// The other requests that wait for the adapter may be sent.
 void recordLoadDone(Upstream &upstream, const ModelName &adapter);
 
+/// Whether the entry of \a upstream, and so its software version, is of the process that was last
+/// reported. Another start may have brought another version; its entry comes later, or not at all
+/// while the platform answers nobody.
+bool isVersionKnown(const Upstream &upstream);
+
 /// Start of the current process of \a upstream, as far as this host knows.
 std::int64_t startOf(const Upstream &upstream);
 
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -68,7 +68,9 @@
     return upstream.listed.service == need.service && isUsable(upstream, now)
             && now >= upstream.pausedUntil && !need.excluded.contains(upstream.listed.id)
             && !(need.isSentWithoutAdmission && isRateLimited(upstream, now))
-            && (!need.softwareVersion || upstream.listed.softwareVersion == *need.softwareVersion)
+            && (!need.softwareVersion
+                || (isVersionKnown(upstream)
+                    && upstream.listed.softwareVersion == *need.softwareVersion))
             && !need.heldVersions.contains(upstream.listed.softwareVersion)
             && (upstream.terminatedAt == never || now + need.duration < upstream.terminatedAt);
 }
--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -259,7 +259,7 @@
     return !search.isOtherService
             && std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
                    const Upstream &upstream = entry.second;
-                   return upstream.listed.service == record.service
+                   return upstream.listed.service == record.service && isVersionKnown(upstream)
                            && upstream.listed.softwareVersion == search.version
                            && isUsable(upstream, now);
                });
@@ -491,7 +491,11 @@
     if (!isResumableStream(record) || record.phase != RequestPhase::AtUpstream
         || upstream == state.upstreams.end())
         return true;
-    if (upstream->second.listed.softwareVersion == record.sentVersion) {
+    const bool isKnown = isVersionKnown(upstream->second);
+    // A stream that begins at an unknown version is served, but nobody can go on with it.
+    if (!isKnown && record.originSearch.step != OriginStep::Known)
+        return true;
+    if (isKnown && upstream->second.listed.softwareVersion == record.sentVersion) {
         recordStream(state, record, now);
         return true;
     }
@@ -531,15 +535,20 @@
     if (streamLifetime(state) == Span{})
         return;
     std::set<SoftwareVersion> listed;
+    bool isAnyUnknown = false;
     for (const auto &[id, upstream] : state.upstreams) {
-        if (upstream.listed.service == service)
-            listed.insert(upstream.listed.softwareVersion);
+        if (upstream.listed.service != service)
+            continue;
+        listed.insert(upstream.listed.softwareVersion);
+        isAnyUnknown = isAnyUnknown || !isVersionKnown(upstream);
     }
     if (listed.empty())
         return;
     const bool wasMixed = isServiceMixed(state, service, now);
     ServiceVersions &versions = versionsOf(state, service, now);
     updateVersions(versions, listed, now, now + holdTime(state));
+    if (isAnyUnknown)
+        versions.mixedAt = now;
     state.heldVersions[service] = heldVersionsOf(state, service, versions, now);
     if (wasMixed || !isServiceMixed(state, service, now))
         return;
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -146,6 +146,13 @@
     return std::max(upstream.listed.engine.start, upstream.engine.start);
 }
 
+bool isVersionKnown(const Upstream &upstream)
+{
+    const std::int64_t entry = upstream.listed.engine.start;
+    // Entries of some deployments state no start.
+    return entry == 0 || entry >= std::max(upstream.reportedStart, upstream.engine.start);
+}
+
 bool isStatedLeaving(const Upstream &upstream)
 {
     return upstream.leavingStart == startOf(upstream);
--- a/packages/gateway/tests/stream_origins_test.cpp
+++ b/packages/gateway/tests/stream_origins_test.cpp
@@ -142,10 +142,11 @@
         this->hear("i");
     }
 
-    void list(const std::string &id, const std::string &version)
+    void list(const std::string &id, const std::string &version, std::int64_t start = 1)
     {
         ListedUpstream listed;
         listed.id.value = id;
+        listed.engine.start = start;
         listed.service.value = "s";
         listed.address = { id, 1 };
         listed.softwareVersion.value = version;
@@ -176,6 +177,18 @@
         return actions;
     }
 
+    /// A host has seen by a report that the server runs since \a start.
+    void report(const std::string &id, std::int64_t start)
+    {
+        Gossip message;
+        EngineUpdate update;
+        update.engine.value = id;
+        update.state.start = start;
+        update.state.seenAt = this->now;
+        message.engines.push_back(update);
+        this->hear("g", message);
+    }
+
     std::string versionAt(const Actions &actions)
     {
         return actions.dispatches.empty()
@@ -293,6 +306,67 @@
     EXPECT_FALSE(this->state.requests.at(RequestNumber{ 2 }).hasAnswerStarted);
 }
 
+// Guards against a resumption at a server whose entry is of an earlier start: it may have another
+// version now, and while the platform answers nobody no entry says so.
+TEST_F(StreamResumptionTest, GoesToNoServerThatHasStartedAgainSinceItsEntry)
+{
+    this->report("2a", 2);
+    this->report("2b", 2);
+    this->arrive(2, "b", this->resumption);
+    const Actions refused = this->hear("g", this->answerOf("2"));
+    EXPECT_TRUE(refused.dispatches.empty());
+    ASSERT_EQ(refused.refusals.size(), 1U);
+    EXPECT_EQ(refused.refusals.front().code, ResultCode::StreamVersionGone);
+    this->list("2a", "2", 2);
+    this->arrive(2, "c", this->resumption);
+    const Actions sent = this->hear("g", this->answerOf("2"));
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    EXPECT_EQ(sent.dispatches.front().upstream.value, "2a");
+}
+
+// Guards against passing on the first event of a server that, by a report, has started again since
+// the request was sent.
+TEST_F(StreamResumptionTest, IsRepeatedWhenItsServerHasStartedAgainByTheFirstEvent)
+{
+    for (std::uint64_t number = 10; number < 30; ++number)
+        this->arrive(number, std::to_string(number)); // They earn a retry.
+    this->arrive(2, "b", this->resumption);
+    const Actions sent = this->hear("g", this->answerOf("2"));
+    const std::string first = sent.dispatches.at(0).upstream.value;
+    this->report(first, 2);
+    Actions actions;
+    handle(this->state, AnswerBegan{ RequestNumber{ 2 }, 1 }, this->now, actions);
+    EXPECT_EQ(actions.cancels.size(), 1U);
+    ASSERT_EQ(actions.dispatches.size(), 1U);
+    EXPECT_EQ(this->versionAt(actions), "2");
+    EXPECT_NE(actions.dispatches.at(0).upstream.value, first);
+}
+
+// Guards against a record of the entry's version for a stream that a later start has begun, and
+// against a version that counts as the only one beside it.
+TEST_F(StreamResumptionTest, IsRefusedIfAServerBeganItWhoseVersionIsNotKnown)
+{
+    for (const char *id : { "1b", "2a", "2b" })
+        this->state.upstreams.erase(UpstreamId{ id });
+    this->state.serviceVersions.clear();
+    Actions actions;
+    for (int second = 0; second < 60; ++second) {
+        this->now = this->now + std::chrono::seconds(1);
+        this->hear("g");
+        this->hear("i");
+        tick(this->state, this->now, actions);
+    }
+    this->report("1a", 2);
+    this->now = this->now + std::chrono::milliseconds(300);
+    tick(this->state, this->now, actions);
+    EXPECT_EQ(this->arrive(1, "a").dispatches.size(), 1U);
+    handle(this->state, AnswerBegan{ RequestNumber{ 1 }, 1 }, this->now, actions);
+    EXPECT_TRUE(this->state.requests.at(RequestNumber{ 1 }).hasAnswerStarted);
+    EXPECT_TRUE(this->state.origins.records.empty());
+    this->list("1b", "1");
+    EXPECT_TRUE(this->arrive(2, "b", this->resumption).dispatches.empty());
+}
+
 // Guards against refusals to callers that never name an attempt, by a host that has just started or
 // has lost the others, while one version serves.
 TEST_F(StreamResumptionTest, GoesOnWithoutTheAttemptWhileOneVersionIsKnown)
