--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -10,7 +10,7 @@
 /// its deadline. docs/design/bounded-messages.md lists where each applies.
 
 /// The status line and the fields of an answer. Observed heads of upstreams are under 1 KiB.
-inline constexpr std::uint32_t maxAnswerHeadBytes = 64 * 1024;
+inline constexpr std::uint32_t maxAnswerHeadBytes = 32 * 1024;
 
 /// A chunk's size line with its extension, or the last chunk with the trailer fields.
 inline constexpr std::size_t maxChunkFramingBytes = 16ULL * 1024;
@@ -20,7 +20,7 @@
 inline constexpr std::uint32_t maxAnswersBefore = 64;
 
 /// All interim answers to a request together.
-inline constexpr std::size_t maxInterimAnswerBytes = maxAnswerHeadBytes;
+inline constexpr std::size_t maxInterimAnswerBytes = 64ULL * 1024;
 
 /// All strays before an answer together; they have bodies.
 inline constexpr std::size_t maxStrayAnswerBytes = 4ULL * 1024 * 1024;
--- a/packages/http/tests/caller_flood_test.cpp
+++ b/packages/http/tests/caller_flood_test.cpp
@@ -39,8 +39,8 @@
         };
         handlers.onDrained = [] {
         };
-        this->connection = std::make_unique<CallerConnection>(
-                UniqueFd(ends[1]), RequestLimits{}, std::move(handlers), monotonicNow());
+        this->connection = std::make_unique<CallerConnection>(UniqueFd(ends[1]), RequestLimits{},
+                                                              std::move(handlers), monotonicNow());
     }
 
     /// Sends \a text again and again until the connection has taken no byte for a while, or \a most
@@ -80,7 +80,8 @@
 constexpr std::size_t manyBytes = 8ULL * 1024 * 1024;
 /// What the kernel and the host may hold of a connection that isn't read from.
 constexpr std::size_t maxHeldBytes = 1024ULL * 1024;
-const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n";
+const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x')
+        + "\r\n\r\n";
 
 // Guards against a caller that fills the host's memory while its first request is being answered.
 TEST_F(CallerFlood, BytesBehindAnOpenRequestAreHeldBack)
@@ -103,8 +104,7 @@
             this->answer();
         QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
         char block[4096];
-        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {
-        }
+        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {}
     }
     EXPECT_EQ(this->requests, whole);
 }
@@ -121,8 +121,7 @@
     timer.start();
     while (this->requests < sent / shortest.size() && timer.elapsed() < 5000) {
         QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
-        while (::recv(this->caller.get(), block.data(), block.size(), 0) > 0) {
-        }
+        while (::recv(this->caller.get(), block.data(), block.size(), 0) > 0) {}
     }
     EXPECT_EQ(this->requests, sent / shortest.size());
 }
