proxy: answers that are held whole for a call are bounded

Cause: the body of an engine's report, of the answer to an order and of the store's answer was collected without a bound until the call's deadline.

Now it ends at its bound, the connection is closed and the call is counted. The core sees a call without an answer, as if the connection had failed.

--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -29,4 +29,11 @@
 /// read from until the answer is complete.
 inline constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
 
+/// The body of an engine's answer to a report or order call, which is held whole.
+inline constexpr std::size_t maxReportBytes = 1024ULL * 1024;
+
+/// The body of one answer of the platform's store, which is held whole: a page of the listing, or
+/// the changes of a watch.
+inline constexpr std::size_t maxStoreAnswerBytes = 16ULL * 1024 * 1024;
+
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/http_call.h
+++ b/packages/proxy/include/azurewell/proxy/http_call.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/http/upstream_connections.h"
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <optional>
@@ -21,7 +22,7 @@
 class HttpCalls
 {
 public:
-    /// Called once; empty if no complete answer arrived before the deadline.
+    /// Called once; empty if no complete answer within its bound arrived before the deadline.
     using Handler = std::function<void(std::optional<CallAnswer>)>;
 
     explicit HttpCalls(UpstreamConnections &shared)
@@ -30,27 +31,38 @@
     }
 
     /// Sends \a request. The handler is called at the first cancelOverdue() after \a deadline at
-    /// the latest. A new connection must open within \a connectTimeout.
-    void start(const Endpoint &to, const std::string &request, Instant deadline, Handler handler,
-               Instant now, Span connectTimeout = defaultConnectTimeout);
+    /// the latest. An answer with a body of more than \a maxBodyBytes ends the call. A new
+    /// connection must open within \a connectTimeout.
+    void start(const Endpoint &to, const std::string &request, Instant deadline,
+               std::size_t maxBodyBytes, Handler handler, Instant now,
+               Span connectTimeout = defaultConnectTimeout);
 
     /// Fails calls whose deadline has passed and closes their connections, so that an unresponsive
     /// connection is not reused.
     void cancelOverdue(Instant now);
 
+    /// Calls that ended as a part of their answer exceeded its bound.
+    std::uint64_t oversizedAnswers() const
+    {
+        return this->oversized;
+    }
+
 private:
     struct Call
     {
         UpstreamConnections::Exchange exchange = 0;
         Instant deadline;
+        std::size_t maxBodyBytes = 0;
         CallAnswer answer;
         Handler handler;
     };
 
+    void addBody(std::list<Call>::iterator call, const std::string &body);
     void finish(std::list<Call>::iterator call, bool isWhole);
 
     UpstreamConnections &connections;
     std::list<Call> calls;
+    std::uint64_t oversized = 0;
 };
 
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -33,8 +33,9 @@
     TimeHistogram timeToDispatch;    ///< From arrival to the first dispatch to an upstream.
     TimeHistogram reportDuration;    ///< Engine reports: from the request to the answer.
     std::map<BodyFraming, std::uint64_t> answersByFraming; ///< Heads received, also of other hosts.
-    std::uint64_t truncatedAnswers = 0; ///< Streams that ended in order, but inside an event.
-    std::uint64_t oversizedAnswers = 0; ///< Of which a part exceeded its bound.
+    std::uint64_t truncatedAnswers = 0;     ///< Streams that ended in order, but inside an event.
+    std::uint64_t oversizedAnswers = 0;     ///< Of which a part exceeded its bound.
+    std::uint64_t oversizedCallAnswers = 0; ///< The same of reports, orders and the store.
     std::uint64_t callersAccepted = 0;
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
--- a/packages/proxy/src/http_call.cpp
+++ b/packages/proxy/src/http_call.cpp
@@ -3,22 +3,24 @@
 namespace azurewell {
 
 void HttpCalls::start(const Endpoint &to, const std::string &request, Instant deadline,
-                      Handler handler, Instant now, Span connectTimeout)
+                      std::size_t maxBodyBytes, Handler handler, Instant now, Span connectTimeout)
 {
     const auto call = this->calls.emplace(this->calls.end());
     call->deadline = deadline;
+    call->maxBodyBytes = maxBodyBytes;
     call->handler = std::move(handler);
     ExchangeHandlers handlers;
     handlers.onHead = [call](const ResponseHead &head) {
         call->answer.head = head;
     };
-    handlers.onBody = [call](const std::string &body) {
-        call->answer.body += body;
+    handlers.onBody = [this, call](const std::string &body) {
+        this->addBody(call, body);
     };
     handlers.onComplete = [this, call] {
         this->finish(call, true);
     };
-    handlers.onFailure = [this, call](ExchangeFailure) {
+    handlers.onFailure = [this, call](ExchangeFailure failure) {
+        this->oversized += failure == ExchangeFailure::Oversized ? 1 : 0;
         this->finish(call, false);
     };
     handlers.matchesRequest = [](const ResponseHead &) {
@@ -28,6 +30,16 @@
                                              connectTimeout);
 }
 
+void HttpCalls::addBody(std::list<Call>::iterator call, const std::string &body)
+{
+    call->answer.body += body;
+    if (call->answer.body.size() <= call->maxBodyBytes)
+        return;
+    ++this->oversized;
+    this->connections.cancel(call->exchange);
+    this->finish(call, false);
+}
+
 void HttpCalls::finish(std::list<Call>::iterator call, bool isWhole)
 {
     const Handler handler = std::move(call->handler);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -183,6 +183,7 @@
     CallerConnection &session = *this->monitoringSessions.at(id);
     const Instant now = monotonicNow();
     if (session.request().target.ends_with("/metrics")) {
+        this->metrics.oversizedCallAnswers = this->httpCalls.oversizedAnswers();
         session.answer(200, "OK", { { "Content-Type", "text/plain; version=0.0.4" } },
                        metricsText(this->core, this->metrics, this->connections.count(),
                                    this->sessions.size(), now),
--- a/packages/proxy/src/proxy_engines.cpp
+++ b/packages/proxy/src/proxy_engines.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/proxy/proxy.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/logging/log.h"
 #include "text.h"
 
@@ -46,7 +47,7 @@
         this->run(actions);
     };
     this->httpCalls.start(toGive.address, this->format.orderRequest(toGive, this->settings.self.id),
-                          now + callTimeout, onAnswer, now, orderConnectTimeout);
+                          now + callTimeout, maxReportBytes, onAnswer, now, orderConnectTimeout);
 }
 
 void Proxy::probe(const ProbeUpstream &toProbe)
@@ -84,7 +85,7 @@
         this->run(actions);
     };
     this->httpCalls.start(ask.address, this->format.reportRequest(ask), askedAt + callTimeout,
-                          onAnswer, askedAt);
+                          maxReportBytes, onAnswer, askedAt);
 }
 
 } // namespace azurewell
