http: a stream without the end of an event is broken off at 4 MiB

Cause: an event that doesn't end was passed on until the request's deadline.

The new test of the connection fails the exchange as Oversized at 4 MiB; its counterpart reads 8 MiB of short events and comments whole.

--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -36,4 +36,8 @@
 /// the changes of a watch.
 inline constexpr std::size_t maxStoreAnswerBytes = 16ULL * 1024 * 1024;
 
+/// The bytes of a stream since the end of its last event. They are passed on, not held; a stream
+/// that goes on beyond this isn't one of events.
+inline constexpr std::size_t maxEventBytes = 4ULL * 1024 * 1024;
+
 } // namespace azurewell
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -88,6 +88,7 @@
         bool isHeadDelivered = false;
         bool isUnrelated = false; ///< The current response is interim or to another request.
         std::optional<EventStreamScanner> events; ///< Of a response that is an event stream.
+        std::size_t openEventBytes = 0;           ///< Since the end of the last event.
         std::uint32_t answersBefore = 0;          ///< Unrelated ones.
         std::size_t interimBytes = 0;
         std::size_t strayBytes = 0; ///< Of answers to other requests.
@@ -95,6 +96,7 @@
         void begin();
         bool isTruncated() const;
         bool countUnrelated(std::size_t bytes);
+        bool readEvents(const std::string &body);
     };
 
     void handleOpened();
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -59,6 +59,7 @@
     this->isHeadDelivered = false;
     this->isUnrelated = false;
     this->events.reset();
+    this->openEventBytes = 0;
 }
 
 /// Whether the response, whose body has ended as its framing says, misses its end. Nothing but an
@@ -80,6 +81,19 @@
             && this->strayBytes <= maxStrayAnswerBytes;
 }
 
+/// Reads the next part of an event stream. Whether the event that it leaves open, if any, is within
+/// its bound.
+bool UpstreamConnection::Exchange::readEvents(const std::string &body)
+{
+    const std::uint64_t eventsBefore = this->events->eventCount();
+    this->events->read(body);
+    if (this->events->eventCount() != eventsBefore || this->events->isBetweenEvents())
+        this->openEventBytes = 0;
+    else
+        this->openEventBytes += body.size();
+    return this->openEventBytes <= maxEventBytes;
+}
+
 void UpstreamConnection::abandon()
 {
     this->exchange.reset();
@@ -142,8 +156,10 @@
         return false;
     }
     std::string body = current.reader.takeBody();
-    if (current.events)
-        current.events->read(body);
+    if (current.events && !current.readEvents(body)) {
+        this->fail(ExchangeFailure::Oversized);
+        return false;
+    }
     if (!body.empty() && !current.isUnrelated) {
         // The handler may abandon the exchange, which deletes it.
         const std::function<void(std::string)> onBody = current.handlers.onBody;
--- a/packages/http/tests/upstream_connections_test.cpp
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -247,6 +247,55 @@
 INSTANTIATE_TEST_SUITE_P(Kinds, UnrelatedAnswers, testing::ValuesIn(answersBefore()),
                          [](const auto &testInfo) { return std::string(testInfo.param.name); });
 
+/// Sends \a head and then \a repeated until the exchange has ended, or \a most bytes.
+void streamUntilEnd(ScriptedServer &server, const Outcome &outcome, const std::string &head,
+                    const std::string &repeatedText, std::size_t most)
+{
+    server.send(head);
+    std::string unsent;
+    std::size_t sent = 0;
+    server.processEventsUntil([&] {
+        if (unsent.empty())
+            unsent = repeated(repeatedText, 16384 / repeatedText.size());
+        const ssize_t count = ::send(server.peer.get(), unsent.data(), unsent.size(),
+                                     MSG_NOSIGNAL | MSG_DONTWAIT);
+        unsent.erase(0, count > 0 ? static_cast<std::size_t>(count) : 0);
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        return outcome.isFinished() || sent >= most;
+    });
+}
+
+const std::string eventStreamHead
+        = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n\r\n";
+
+// Guards against a stream that goes on until its deadline without an event.
+TEST(UpstreamConnections, AnEventWithoutEndIsAFailure)
+{
+    ScriptedServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    streamUntilEnd(server, outcome, eventStreamHead + "data: a\n\ndata: ", "a", 4 * maxEventBytes);
+    EXPECT_EQ(outcome.failure, ExchangeFailure::Oversized);
+    EXPECT_LE(outcome.body.size(), maxEventBytes + 100);
+}
+
+// Guards against long streams that are broken off although their events are short.
+TEST(UpstreamConnections, AStreamOfManyEventsIsReadWhole)
+{
+    ScriptedServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request, false, handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(request.size());
+    streamUntilEnd(server, outcome, eventStreamHead, "data: a\n\n: waiting\n\n", 2 * maxEventBytes);
+    server.close();
+    server.processEventsUntil([&] { return outcome.isFinished(); });
+    EXPECT_TRUE(outcome.isComplete || outcome.failure != ExchangeFailure::Oversized);
+    EXPECT_GE(outcome.body.size(), 2 * maxEventBytes);
+}
+
 TEST(UpstreamConnections, ConnectionWithUnsolicitedBytesIsNotReused)
 {
     // Guards against reading excess bytes after a complete response as the start of the next
--- a/tests/sockets/floods_test.cpp
+++ b/tests/sockets/floods_test.cpp
@@ -399,6 +399,28 @@
     EXPECT_LE(this->growth(), maxGrowthBytes);
 }
 
+const std::string endlessEvent = signedHead
+        + "Content-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: ";
+
+// Guards against a stream that holds its caller until the deadline without an event.
+TEST_F(OtherFloods, AnEventWithoutEndIsBrokenOff)
+{
+    this->addServer({ wholeAnswer, "", false });
+    this->startHost();
+    FloodingServer &flooding = this->addServer({ endlessEvent, "a", false });
+    Span longest{};
+    for (int round = 0; round < 200 && flooding.requests() == 0; ++round) {
+        for (const Got &got : this->askAll(10, "/stream/x")) {
+            longest = std::max(longest, got.after);
+            EXPECT_EQ(got.status, 200);
+        }
+    }
+    this->print("event", longest);
+    EXPECT_GT(flooding.requests(), 0U);
+    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis / 2));
+    EXPECT_LE(this->growth(), maxGrowthBytes);
+}
+
 // Guards against a host that holds what callers don't read.
 TEST_F(OtherFloods, ACallerThatDoesNotReadHoldsTheServerBack)
 {
