proxy: answers that are held back until they are whole are bounded

Cause: the body of an answer that a retry may replace was collected without a bound. A server that sent chunks without end took a host to +477 MB with one request and to +323 MB with 13 of 50 in 4 s, and its callers got 504.

Now 8 MiB a request, and 10 MiB a host, over which the attempt with the longest body ends.

--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -113,6 +113,8 @@
     void applyStatements(const UpstreamId &upstream, const gateway::UpstreamStatements &statements);
     void applyAnswerFacts(const OpenRequest &request);
     void handleBody(gateway::RequestNumber request, const std::string &body);
+    void holdBody(gateway::RequestNumber request, const std::string &body);
+    void endOversized(gateway::RequestNumber request);
     bool mayBeginAnswer(gateway::RequestNumber number, Instant now);
     void complete(gateway::RequestNumber request);
     void fail(gateway::RequestNumber request, ExchangeFailure failure);
@@ -150,6 +152,7 @@
     std::map<SessionId, std::unique_ptr<CallerConnection>> monitoringSessions;
     std::map<SessionId, gateway::RequestNumber> requestOf;
     std::unordered_map<gateway::RequestNumber, OpenRequest> open;
+    std::size_t heldSinceSum = 0; ///< Bytes held back since all held bodies were added up.
     std::function<void()> onTick;
     QTimer ticker;
     SessionId nextSession = 1;
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "azurewell/gateway/request_digest.h"
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/logging/log.h"
 #include "forward_headers.h"
 #include "text.h"
@@ -17,6 +18,9 @@
 /// Unsent bytes to a slow caller above which reading from its upstream is paused.
 constexpr std::size_t maxUnsentBytes = 128ULL * 1024;
 
+/// All bodies that are held back are added up once for so many new bytes.
+constexpr std::size_t heldBytesBetweenSums = 64ULL * 1024;
+
 /// The status that the caller gets. A status that implies that the request has not run is used only
 /// if that is certain.
 int statusOf(const Refuse &refusal)
@@ -173,7 +177,7 @@
         return;
     OpenRequest &request = found->second;
     if (request.isHeldBack) {
-        request.body += body;
+        this->holdBody(number, body);
         return;
     }
     CallerConnection &session = *this->sessions.at(request.session);
@@ -199,6 +203,43 @@
         this->connections.pauseReading(request.exchange, true);
 }
 
+/// Adds \a body to the answer that is held back for \a number. An answer over its bound, or the
+/// longest one if the host holds too much, ends its attempt.
+void Proxy::holdBody(RequestNumber number, const std::string &body)
+{
+    OpenRequest &request = this->open.at(number);
+    request.body += body;
+    this->heldSinceSum += body.size();
+    if (request.body.size() > maxHeldBodyBytes) {
+        this->endOversized(number);
+        return;
+    }
+    if (this->heldSinceSum < heldBytesBetweenSums)
+        return;
+    this->heldSinceSum = 0;
+    std::size_t held = 0;
+    std::size_t longest = 0;
+    RequestNumber longestOf = number;
+    for (const auto &[other, waiting] : this->open) {
+        held += waiting.body.size();
+        if (waiting.isAtUpstream && waiting.body.size() > longest) {
+            longest = waiting.body.size();
+            longestOf = other;
+        }
+    }
+    if (held > maxHeldBytesOfHost)
+        this->endOversized(longestOf);
+}
+
+/// Ends the attempt of \a number, whose answer is too long.
+void Proxy::endOversized(RequestNumber number)
+{
+    OpenRequest &request = this->open.at(number);
+    this->connections.cancel(request.exchange);
+    std::string().swap(request.body);
+    this->fail(number, ExchangeFailure::Oversized);
+}
+
 /// Whether the core lets the answer of the current attempt begin. If not, it has repeated or
 /// refused the request.
 bool Proxy::mayBeginAnswer(RequestNumber number, Instant now)
--- a/tests/sockets/floods_test.cpp
+++ b/tests/sockets/floods_test.cpp
@@ -399,6 +399,48 @@
     EXPECT_LE(this->growth(), maxGrowthBytes);
 }
 
+const std::string chunk = "4\r\nbody\r\n";
+
+// Guards against a server in trouble that fills a host's memory with an answer that is held until
+// it is whole.
+TEST_F(OtherFloods, ABodyWithoutEndIsReplacedByAnotherAnswer)
+{
+    this->addServer({ wholeAnswer, "", false });
+    this->startHost();
+    FloodingServer &flooding = this->addServer({ chunkedHead, chunk, false });
+    Span longest{};
+    for (int round = 0; round < 200 && flooding.requests() == 0; ++round) {
+        for (const Got &got : this->askAll(50, "/again/x")) {
+            longest = std::max(longest, got.after);
+            EXPECT_EQ(got.status, 200);
+        }
+    }
+    this->print("body", longest);
+    EXPECT_GT(flooding.requests(), 0U);
+    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis / 2));
+    EXPECT_LE(this->growth(), maxGrowthBytes);
+}
+
+// A body that comes byte by byte is one of a slow server, so its request's deadline ends it.
+TEST_F(OtherFloods, ABodyThatComesByteByByteFillsNoMemory)
+{
+    this->addServer({ wholeAnswer, "", false });
+    this->startHost();
+    FloodingServer &flooding = this->addServer({ chunkedHead, chunk, true });
+    Span longest{};
+    for (int round = 0; round < 200 && flooding.requests() == 0; ++round) {
+        for (const Got &got : this->askAll(50, "/again/x")) {
+            longest = std::max(longest, got.after);
+            EXPECT_TRUE(got.status == 200 || got.status == 504) << got.status;
+            EXPECT_FALSE(got.isNotRun);
+        }
+    }
+    this->print("slow body", longest);
+    EXPECT_GT(flooding.requests(), 0U);
+    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis + 500));
+    EXPECT_LE(this->growth(), maxGrowthBytes);
+}
+
 const std::string endlessEvent = signedHead
         + "Content-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: ";
 
