--- a/tests/sockets/floods_test.cpp
+++ b/tests/sockets/floods_test.cpp
@@ -15,7 +15,6 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -35,15 +34,14 @@
 
 namespace {
 
-using Json = nlohmann::json;
 using standins::Flood;
 using standins::FloodingServer;
 
 constexpr std::int64_t maxGrowthBytes = 20LL * 1000 * 1000;
 constexpr Span maxAnswerTime = std::chrono::milliseconds(500);
-constexpr int requestTimeoutMillis = 4000;
+constexpr Span requestTimeout = std::chrono::seconds(4);
 
-const std::string signedHead = "HTTP/1.1 200 OK\r\nX-Server-Signature: 3e1b.07\r\n";
+const std::string signedHead = platform::testing::plainAnswerStart();
 const std::string chunkedHead = signedHead + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string wholeAnswer = signedHead + "Content-Length: 4\r\n\r\ndone";
 
@@ -123,15 +121,9 @@
     FloodingServer &addServer(const Flood &flood)
     {
         FloodingServer &server = this->servers.emplace_back(flood);
-        const Json entry{
-            { "service", "s" },     { "address", fmt::format("127.0.0.1:{}", server.port()) },
-            { "zone", "z" },        { "version", "1" },
-            { "slots", 64 },        { "state", "ready" },
-            { "sequence", 1 },      { "born", 1 },
-            { "warmup-left-ms", 0 }
-        };
+        const std::string entry = platform::testing::plainEntryText({ "127.0.0.1", server.port() });
         this->store.write(platform::testing::engineKey(fmt::format("s{}", this->servers.size())),
-                          entry.dump(), monotonicNow());
+                          entry, monotonicNow());
         return server;
     }
 
@@ -151,28 +143,8 @@
     /// Starts a host whose servers are not asked for anything; waits until it knows them.
     void startHostUnasked()
     {
-        const auto route = [](const char *prefix, const char *type) {
-            return Json{ { "name", prefix },
-                         { "host", "h.example" },
-                         { "prefix", prefix },
-                         { "route-type", type },
-                         { "public", true },
-                         { "service", "s" },
-                         { "timeout-ms", requestTimeoutMillis },
-                         { "target-latency-ms", 1000 },
-                         { "priority", 0 },
-                         { "max-attempts", 3 } };
-        };
-        const Json service{ { "name", "s" },
-                            { "health-path", "/healthz" },
-                            { "max-connections", 2000 } };
-        const Json configuration{ { "version", 1 },
-                                  { "routes",
-                                    { route("/again/", "idempotent"),
-                                      route("/stream/", "streaming"),
-                                      route("/once/", "non-idempotent") } },
-                                  { "services", Json::array({ service }) } };
-        this->store.write(platform::testing::configurationKey(), configuration.dump(),
+        this->store.write(platform::testing::configurationKey(),
+                          platform::testing::plainConfigurationText(requestTimeout),
                           monotonicNow());
         this->storeListener = std::make_unique<soak::Listener>(
                 Endpoint{ this->ip, 8225 }, [this](const std::shared_ptr<soak::Session> &session) {
@@ -417,7 +389,7 @@
     }
     this->print("body", longest);
     EXPECT_GT(flooding.requests(), 0U);
-    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis / 2));
+    EXPECT_LE(longest, requestTimeout / 2);
     EXPECT_LE(this->growth(), maxGrowthBytes);
 }
 
@@ -437,7 +409,7 @@
     }
     this->print("slow body", longest);
     EXPECT_GT(flooding.requests(), 0U);
-    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis + 500));
+    EXPECT_LE(longest, requestTimeout + std::chrono::milliseconds(500));
     EXPECT_LE(this->growth(), maxGrowthBytes);
 }
 
@@ -459,7 +431,7 @@
     }
     this->print("event", longest);
     EXPECT_GT(flooding.requests(), 0U);
-    EXPECT_LE(longest, std::chrono::milliseconds(requestTimeoutMillis / 2));
+    EXPECT_LE(longest, requestTimeout / 2);
     EXPECT_LE(this->growth(), maxGrowthBytes);
 }
 
