--- a/tests/sockets/floods_test.cpp
+++ b/tests/sockets/floods_test.cpp
@@ -29,6 +29,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace azurewell::tests {
 
@@ -53,7 +54,7 @@
     Span after{};
 };
 
-/// A connection to the host at \a ip. Blocks.
+/// A connection to the host at \a ip; none if it accepts no connection. Blocks.
 UniqueFd connectTo(const std::string &ip)
 {
     UniqueFd connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -61,8 +62,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(platform::testing::callerPort);
     ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    ::connect(connection.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    return connection;
+    const int result = ::connect(connection.get(), reinterpret_cast<const sockaddr *>(&address),
+                                 sizeof address);
+    return result == 0 ? std::move(connection) : UniqueFd();
 }
 
 std::string requestFor(const std::string &path)
@@ -84,7 +86,7 @@
     Got got;
     sendAll(connection, requestFor(path));
     std::string received;
-    std::array<char, 16 * 1024> block;
+    std::array<char, 16384> block;
     ssize_t count = 0;
     while ((count = ::recv(connection.get(), block.data(), block.size(), 0)) > 0) {
         // What is beyond a head and a refusal is of no interest.
