Node: pass on each first write of an entry in a new era

An entry on a later page of a first listing was written again after the listing's position; the event that followed was removed as no change, so the item kept its position of the earlier era and hosts that follow this one skipped the write.

--- a/packages/gateway/tests/store_return_fleet.cpp
+++ b/packages/gateway/tests/store_return_fleet.cpp
@@ -626,7 +626,8 @@
         const auto before = published.items.find(item.key);
         const auto known = this->servers.find(item.key);
         if (before == published.items.end() || before->second.isDeleted
-            || published.held.contains(item.key) || known == this->servers.end())
+            || before->second.position.era != item.position.era || published.held.contains(item.key)
+            || known == this->servers.end())
             return true;
         const ServerEntry next = readEntry(item.value);
         return next.start != known->second.entry.start
