Store: end holds only after the store has answered since

Seen in the simulated fleets: live servers dropped for up to a second when the store was away again before they could write; hosts noticed this only after the holds had ended.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -47,6 +47,10 @@
     return isBesideOthers && knowsNothing && now < state.startedAt + peersFirstTime;
 }
 
+/// Hosts that read the platform notice within this time that it does not answer any more, and
+/// others hear of it.
+constexpr Span storeSilenceKnownAfter = std::chrono::milliseconds(1700);
+
 bool isLagging(const GatewayState &state, Instant now)
 {
     return state.changesLag.latest > state.published.position
@@ -128,6 +132,14 @@
     return isFailing;
 }
 
+/// Until when the store is known to have been there: a hold that ends later may end because the
+/// store is away again.
+Instant storeSeenAt(const GatewayState &state, Instant now)
+{
+    return state.platform == PlatformView::Answering ? state.platformReader.answeredAt
+                                                     : now - storeSilenceKnownAfter;
+}
+
 void logReachability(Members &members, Instant now, Actions &actions)
 {
     for (const HostId &id : std::exchange(members.reachabilityChanges, {})) {
@@ -279,7 +291,7 @@
 {
     if (isStoreAway(state, now))
         postponeHolds(state.published, now);
-    const std::vector<PublishedItem> ended = endHolds(state.published, now);
+    const std::vector<PublishedItem> ended = endHolds(state.published, storeSeenAt(state, now));
     state.undecoded.insert(state.undecoded.end(), ended.begin(), ended.end());
     removeExpiredUpstreams(state, now);
     removeExpiredSuspicions(state.quarantine, now);
