--- a/tests/sockets/floods_test.cpp
+++ b/tests/sockets/floods_test.cpp
@@ -233,8 +233,8 @@
     void readStore(const std::shared_ptr<soak::Session> &session)
     {
         const soak::SessionRef reference = session;
-        const auto answer = [reference](int status, const std::string &body) {
-            soak::answer(reference, status, { { "Content-Type", "application/json" } }, body);
+        const auto answer = [reference](const platform::testing::StoreAnswer &given) {
+            soak::answer(reference, given.status, given.headers, given.body);
         };
         this->store.read(session->connection->request().target, answer, monotonicNow());
     }
