--- a/packages/gateway/tests/store_return_test.cpp
+++ b/packages/gateway/tests/store_return_test.cpp
@@ -196,8 +196,7 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, StoreReturnTest,
                          testing::Values(FleetCase{ 2, std::chrono::seconds(2), 40 },
                                          FleetCase{ 23, std::chrono::seconds(3), 4 },
-                                         FleetCase{ 65, std::chrono::seconds(4), 1 }),
-                         testing::PrintToStringParamName());
+                                         FleetCase{ 65, std::chrono::seconds(4), 1 }));
 
 } // namespace
 } // namespace azurewell::gateway
