Log and count callers that leave by where their requests stood

Nothing told the hypotheses of the incident RECOVER, GONE apart: one counter summed up all callers that left while a request was open; those that had left before the host came to read them weren't counted at all, and no line named a request whose caller had left.

--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -50,6 +50,7 @@
 struct CallerDisconnected
 {
     RequestNumber request;
+    bool isSent = true; ///< False: the dispatch or forward that was last returned was not sent.
 };
 
 /// Outcome of one attempt at an upstream.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "azurewell/charts/known_charts.h"
 #include "azurewell/gateway/adapter_uses.h"
+#include "azurewell/gateway/caller_stage.h"
 #include "azurewell/gateway/choose_upstream.h"
 #include "azurewell/gateway/crash_quarantine.h"
 #include "azurewell/gateway/customer_meter.h"
@@ -200,7 +201,7 @@
     std::uint64_t answered = 0;
     std::uint64_t unreadableParts
             = 0; ///< Requests that state their prompt's parts in another form.
-    std::uint64_t callersDisconnected = 0;
+    std::map<CallerStage, std::uint64_t> callersLeft; ///< Before their answers were complete.
     std::uint64_t loadsOrdered = 0;
     std::uint64_t unloadsOrdered = 0;
     std::uint64_t baseLoadsOrdered = 0;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -195,8 +195,56 @@
     place(state, record, now, actions);
 }
 
+CallerStage stageOf(const RequestRecord &record, bool isSent)
+{
+    if (!isSent)
+        return CallerStage::Waiting;
+    if (record.hasAnswerStarted)
+        return CallerStage::Answering;
+    switch (record.phase) {
+    case RequestPhase::AtUpstream:
+        return CallerStage::AtUpstream;
+    case RequestPhase::AtPeer:
+        return CallerStage::AtPeer;
+    case RequestPhase::Waiting:
+        break;
+    }
+    return CallerStage::Waiting;
+}
+
+void logCallerLeft(const RequestRecord &record, CallerStage stage, Instant now, Actions &actions)
+{
+    actions.logEvents.push_back(
+            { "caller_left",
+              { { "request", record.arrivedRequest.callerId },
+                { "digest", inHex(record.digest) },
+                { "stage", std::string(nameOf(stage)) },
+                { "upstream", record.upstream.value },
+                { "path", record.arrivedRequest.path },
+                { "adapter", record.arrivedRequest.model.adapter },
+                { "attempts", std::to_string(record.attempt) },
+                { "after_ms", std::to_string(inMilliseconds(now - record.arrivedAt)) } } });
+}
+
 } // namespace
 
+std::string_view nameOf(CallerStage stage)
+{
+    switch (stage) {
+    case CallerStage::NotBegun:
+        return "not_begun";
+    case CallerStage::Waiting:
+        return "waiting";
+    case CallerStage::AtUpstream:
+        return "at_upstream";
+    case CallerStage::AtPeer:
+        return "at_host";
+    case CallerStage::Answering:
+        break;
+    }
+    return "answering";
+}
+
 Span timeoutOf(const Route &route)
 {
     return route.timeout > Span{} ? route.timeout : defaultRequestTimeout;
@@ -320,12 +368,14 @@
     place(state, record, now, actions);
 }
 
-void handle(GatewayState &state, const CallerDisconnected &event, Instant, Actions &actions)
+void handle(GatewayState &state, const CallerDisconnected &event, Instant now, Actions &actions)
 {
     const auto found = state.requests.find(event.request);
     if (found == state.requests.end())
         return;
-    ++state.counters.callersDisconnected;
+    const CallerStage stage = stageOf(found->second, event.isSent);
+    ++state.counters.callersLeft[stage];
+    logCallerLeft(found->second, stage, now, actions);
     if (found->second.phase != RequestPhase::Waiting)
         actions.cancels.push_back({ event.request });
     detachFromUpstream(state, found->second);
--- a/packages/gateway/tests/forwarding_test.cpp
+++ b/packages/gateway/tests/forwarding_test.cpp
@@ -265,6 +265,7 @@
     handle(this->state, CallerDisconnected{ sent.request }, this->now, actions);
     ASSERT_EQ(actions.cancels.size(), 1U);
     EXPECT_EQ(actions.cancels[0].request, sent.request);
+    EXPECT_EQ(this->state.counters.callersLeft.at(CallerStage::AtPeer), 1U);
 }
 
 // Guards against a host without a path that goes on to order loads at engines it cannot reach.
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -235,6 +235,9 @@
     handle(this->state, CallerDisconnected{ sent.dispatches.front().request }, this->now, left);
     EXPECT_EQ(left.cancels.size(), 1U);
     EXPECT_EQ(this->state.upstreams.at(UpstreamId{ "e1" }).requestsInFlight, 0U);
+    EXPECT_EQ(this->state.counters.callersLeft.at(CallerStage::AtUpstream), 1U);
+    ASSERT_EQ(left.logEvents.size(), 1U);
+    EXPECT_EQ(left.logEvents.front().event, "caller_left");
 }
 
 // Guards against an engine that seems idle because an attempt that failed for good was subtracted
--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -70,6 +70,11 @@
     {
         return this->isInRequest;
     }
+    /// Whether a part of a request has been read, or the whole, which has not been begun.
+    bool isReadingRequest() const
+    {
+        return !this->isInRequest && !this->isClosing && this->hasBegun();
+    }
     bool hasBegun() const
     {
         return this->reader.hasBegun();
--- a/packages/logging/include/azurewell/logging/request_summary.h
+++ b/packages/logging/include/azurewell/logging/request_summary.h
@@ -23,7 +23,8 @@
     std::map<std::string, Counts> byPath; ///< Outcomes by first path segment, see outcomeOf().
     Counts failuresByUpstream; ///< Late or refused requests by the upstream they were sent to.
     Counts failuresByAdapter;  ///< Late or refused requests by adapter.
-    std::uint64_t unparsedLines = 0; ///< Lines that could not be parsed.
+    std::uint64_t leftBeforeBegin = 0; ///< Callers that left before their requests were begun.
+    std::uint64_t unparsedLines = 0;   ///< Lines that could not be parsed.
 };
 
 /// The outcome of the request that \a line ends; empty if it ends none:
@@ -34,6 +35,7 @@
 /// - `late_pause`: a pause between two events was too long.
 /// - `refused_CODE_early`: refused within an eighth of the target for the first event.
 /// - `refused_CODE_waited`: refused later.
+/// - `left_STAGE`: the caller left, where its request stood.
 std::string outcomeOf(const LogLine &line, const LatencyTargets &expected);
 
 /// Counts one log line.
--- a/packages/logging/src/request_summary.cpp
+++ b/packages/logging/src/request_summary.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/logging/request_summary.h"
 
+#include <algorithm>
+
 namespace azurewell {
 
 namespace {
@@ -41,6 +43,8 @@
         return outcomeOfAnswer(line, expected);
     if (line.event == "request_refused")
         return outcomeOfRefusal(line, expected);
+    if (line.event == "caller_left")
+        return "left_" + std::string(fieldOf(line, "stage"));
     return {};
 }
 
@@ -51,6 +55,11 @@
         ++summary.unparsedLines;
         return;
     }
+    if (line->event == "callers_left_not_begun") {
+        const long count = std::max(numberOf(*line, "count"), 0L);
+        summary.leftBeforeBegin += static_cast<std::uint64_t>(count);
+        return;
+    }
     const std::string outcome = outcomeOf(*line, expected);
     if (outcome.empty())
         return;
--- a/packages/logging/tests/request_summary_test.cpp
+++ b/packages/logging/tests/request_summary_test.cpp
@@ -65,5 +65,17 @@
     EXPECT_EQ(summary.unparsedLines, 1U);
 }
 
+TEST(RequestSummary, CountsCallersThatLeftByStage)
+{
+    RequestSummary summary;
+    const LatencyTargets expected;
+    addLine(summary, "t info caller_left request=1 stage=waiting path=/s/17 upstream=e1", expected);
+    addLine(summary, "t info callers_left_not_begun count=7", expected);
+    addLine(summary, "t info callers_left_not_begun count=3", expected);
+    EXPECT_EQ(summary.byPath.at("/s/").at("left_waiting"), 1U);
+    EXPECT_EQ(summary.leftBeforeBegin, 10U);
+    EXPECT_EQ(summary.unparsedLines, 0U);
+}
+
 } // namespace
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -96,6 +96,8 @@
     void handleRequest(SessionId id);
     void refuseMalformed(SessionId id, const Error &error);
     void handleCallerDisconnect(SessionId id);
+    void countLeftBeforeBegin();
+    void logLeftBeforeBegin();
     void handleCallerDrained(SessionId id);
 
     void beginAttempt(OpenRequest &request, std::uint32_t attempt, bool isBuffered, Instant now);
@@ -152,7 +154,8 @@
     std::map<SessionId, std::unique_ptr<CallerConnection>> monitoringSessions;
     std::map<SessionId, gateway::RequestNumber> requestOf;
     std::unordered_map<gateway::RequestNumber, OpenRequest> open;
-    std::size_t heldSinceSum = 0; ///< Bytes held back since all held bodies were added up.
+    std::uint64_t leftSinceLogged = 0; ///< Callers that left before their requests were begun.
+    std::size_t heldSinceSum = 0;      ///< Bytes held back since all held bodies were added up.
     std::function<void()> onTick;
     QTimer ticker;
     SessionId nextSession = 1;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -125,6 +125,7 @@
     this->probes.endOverdue(now);
     this->connections.closeExpired(now);
     this->closeTimedOutCallers(now);
+    this->logLeftBeforeBegin();
     flushLog();
     if (isStopping(this->core))
         this->continueStop(now);
--- a/packages/proxy/src/proxy_callers.cpp
+++ b/packages/proxy/src/proxy_callers.cpp
@@ -79,16 +79,34 @@
 void Proxy::handleCallerDisconnect(SessionId id)
 {
     const auto request = this->requestOf.find(id);
-    if (request == this->requestOf.end())
+    if (request == this->requestOf.end()) {
+        if (this->sessions.at(id)->isReadingRequest())
+            this->countLeftBeforeBegin();
         return;
+    }
     const RequestNumber number = request->second;
     Actions actions;
-    handle(this->core, CallerDisconnected{ number }, monotonicNow(), actions);
+    handle(this->core, CallerDisconnected{ number, this->open.at(number).isAtUpstream },
+           monotonicNow(), actions);
     this->run(actions);
     this->open.erase(number);
     this->requestOf.erase(id);
 }
 
+void Proxy::countLeftBeforeBegin()
+{
+    ++this->core.counters.callersLeft[CallerStage::NotBegun];
+    ++this->leftSinceLogged;
+}
+
+/// One line for all of a tick, since a host that reads late has many of them.
+void Proxy::logLeftBeforeBegin()
+{
+    const std::uint64_t count = std::exchange(this->leftSinceLogged, 0);
+    if (count > 0)
+        writeLog(LogLevel::Info, "callers_left_not_begun", { { "count", std::to_string(count) } });
+}
+
 void Proxy::handleCallerDrained(SessionId id)
 {
     const auto request = this->requestOf.find(id);
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -36,14 +36,21 @@
                        count);
 }
 
+template <typename Value>
+void addByLabel(std::string &out, std::string_view name, std::string_view label,
+                const std::map<Value, std::uint64_t> &counts)
+{
+    fmt::format_to(std::back_inserter(out), "# TYPE {} counter\n", name);
+    for (const auto &[value, count] : counts)
+        fmt::format_to(std::back_inserter(out), "{}{{{}=\"{}\"}} {}\n", name, label,
+                       gateway::nameOf(value), count);
+}
+
 template <typename Reason>
 void addByReason(std::string &out, std::string_view name,
                  const std::map<Reason, std::uint64_t> &counts)
 {
-    fmt::format_to(std::back_inserter(out), "# TYPE {} counter\n", name);
-    for (const auto &[reason, count] : counts)
-        fmt::format_to(std::back_inserter(out), "{}{{reason=\"{}\"}} {}\n", name,
-                       gateway::nameOf(reason), count);
+    addByLabel(out, name, "reason", counts);
 }
 
 void addByFraming(std::string &out, const std::map<BodyFraming, std::uint64_t> &counts)
@@ -134,7 +141,7 @@
     addCounter(out, "azurewell_requests_total", counters.requests);
     addCounter(out, "azurewell_dispatches_total", counters.dispatched);
     addCounter(out, "azurewell_answers_total", counters.answered);
-    addCounter(out, "azurewell_callers_left_total", counters.callersDisconnected);
+    addByLabel(out, "azurewell_callers_left_total", "stage", counters.callersLeft);
     addCounter(out, "azurewell_crash_suspicions_total", state.quarantine.suspicionsRecorded);
     addCounter(out, "azurewell_crash_suspicions_refuted_total", state.quarantine.suspicionsRefuted);
     addCounter(out, "azurewell_prompt_parts_unreadable_total", counters.unreadableParts);
--- a/programs/azurewellctl/explain_command.cpp
+++ b/programs/azurewellctl/explain_command.cpp
@@ -49,6 +49,8 @@
         printCounts(path.empty() ? "(no path)" : path, counts, counts.size());
     printCounts("lost, by upstream", summary.failuresByUpstream, maxListed);
     printCounts("lost, by adapter", summary.failuresByAdapter, maxListed);
+    if (summary.leftBeforeBegin > 0)
+        fmt::print("{:>8}  left_not_begun\n", summary.leftBeforeBegin);
     if (summary.unparsedLines > 0)
         fmt::print(stderr, "{} lines could not be parsed as log lines\n", summary.unparsedLines);
 }
