Begin and send no request whose caller has left

What callers saw: nothing of it, but servers worked for nobody. A host that is short of processor time reads a request only after its caller has given up. The close waits in the socket behind the request; the host sent the request on and saw the close with its next read. Requests that had waited at a host (for a load, a permit, a repeat) were sent likewise while the close was unread.

Ruled out: news of the leaving that gets lost between hosts (the forwarding host resets its connection; tested before and now).

Class: the order in which events are read is taken for the state of the world. Now the kernel is asked whether the peer has left (POLLRDHUP, which needs no reading) before a request is begun, so that it takes nothing from its customer's rate either, and again before each send that comes more than 5 ms later. Cost: one call of poll a request.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -27,7 +27,8 @@
 public:
     struct Handlers
     {
-        std::function<void()> onRequest;                 ///< request() and body() are complete.
+        /// request() and body() are complete, and the caller has not left.
+        std::function<void()> onRequest;
         std::function<void(const Error &)> onBadRequest; ///< Answer it; the connection then closes.
         std::function<void()> onDisconnected;            ///< The caller has closed the connection.
         std::function<void()> onDrained;                 ///< All written bytes have been sent.
@@ -66,6 +67,10 @@
     /// Whether a timeout has expired while waiting for a request.
     bool isTimedOut(const CallerTimeouts &timeouts, Instant now) const;
 
+    /// Looks whether the caller has left, which is seen in order of arrival else, after the bytes
+    /// that are still unread. If so, calls onDisconnected.
+    bool detectLeaving();
+
     bool isAnswering() const
     {
         return this->isInRequest;
@@ -93,6 +98,7 @@
     void pauseReading(bool paused);
     void handleDrained();
     void startNextRequest(Instant now);
+    void handleEnd();
     bool keepsConnection() const;
 
     RequestLimits limits;
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -65,6 +65,9 @@
     {
         return this->descriptor.get() >= 0 && !this->isConnecting;
     }
+    /// Whether the peer has closed or reset the connection, or its direction of it, even if bytes
+    /// before that are still unread. Asks the kernel.
+    bool hasPeerLeft() const;
 
     /// Stops reading while \a paused; TCP flow control then slows the sender down.
     void pauseReading(bool paused);
@@ -84,6 +87,7 @@
 
     TcpStream() = default;
     void createNotifiers();
+    short pendingEvents(short asked) const;
     void handleReadable();
     void handleWritable();
     void flush();
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -22,8 +22,7 @@
     , idleSince(now)
 {
     const std::function<void(StreamEnd)> onEnded = [this](StreamEnd) {
-        this->isDisconnected = true;
-        this->handlers.onDisconnected();
+        this->handleEnd();
     };
     this->stream = TcpStream::adopt(std::move(descriptor),
                                     { {},
@@ -34,6 +33,19 @@
                                       } });
 }
 
+void CallerConnection::handleEnd()
+{
+    if (!std::exchange(this->isDisconnected, true))
+        this->handlers.onDisconnected();
+}
+
+bool CallerConnection::detectLeaving()
+{
+    if (!this->isDisconnected && this->stream->hasPeerLeft())
+        this->handleEnd();
+    return this->isDisconnected;
+}
+
 void CallerConnection::handleDrained()
 {
     if (this->isClosing && !this->isInRequest)
@@ -60,7 +72,7 @@
 /// Continues to read the current request. Returns whether the next one may be in the buffer.
 bool CallerConnection::readRequest()
 {
-    if (this->isClosing) {
+    if (this->isClosing || this->isDisconnected) {
         this->stream->received().clear();
         return false;
     }
@@ -72,6 +84,10 @@
         return true;
     }
     if (isWhole.value()) {
+        // The end of the connection may wait behind the request: one that was read late is not
+        // begun for a caller that has left.
+        if (this->detectLeaving())
+            return false;
         this->isInRequest = true;
         this->handlers.onRequest();
         return true;
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -195,6 +196,19 @@
         ended(how);
 }
 
+/// Those of \a asked, and POLLHUP and POLLERR, that apply to the connection.
+short TcpStream::pendingEvents(short asked) const
+{
+    constexpr int withoutWaiting = 0;
+    pollfd question{ this->descriptor.get(), asked, 0 };
+    return ::poll(&question, 1, withoutWaiting) > 0 ? question.revents : short{};
+}
+
+bool TcpStream::hasPeerLeft() const
+{
+    return this->isEnded || (this->pendingEvents(POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void TcpStream::pauseReading(bool paused)
 {
     if (!this->isEnded && !this->isConnecting)
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -100,6 +100,7 @@
     void logLeftBeforeBegin();
     void handleCallerDrained(SessionId id);
 
+    bool hasCallerLeft(const OpenRequest &request, Instant now);
     void beginAttempt(OpenRequest &request, std::uint32_t attempt, bool isBuffered, Instant now);
     ExchangeHandlers handlersFor(gateway::RequestNumber number, const OpenRequest &request);
     void dispatch(const gateway::Dispatch &dispatch);
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -70,6 +70,8 @@
         return;
     OpenRequest &request = found->second;
     const Instant now = monotonicNow();
+    if (this->hasCallerLeft(request, now))
+        return;
     CallerConnection &session = *this->sessions.at(request.session);
     const RequestHead &line = session.request();
     this->beginAttempt(request, toSend.attempt, toSend.isBuffered, now);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// A request is begun only once its caller was seen to be there; for this time it counts as seen.
+constexpr Span maxSinceCallerSeen = std::chrono::milliseconds(5);
+
 /// Unsent bytes to a slow caller above which reading from its upstream is paused.
 constexpr std::size_t maxUnsentBytes = 128ULL * 1024;
 
@@ -73,6 +76,8 @@
         return;
     OpenRequest &request = found->second;
     const Instant now = monotonicNow();
+    if (this->hasCallerLeft(request, now))
+        return;
     CallerConnection &session = *this->sessions.at(request.session);
     const RequestHead &line = session.request();
     this->beginAttempt(request, toSend.attempt, toSend.isBuffered, now);
@@ -86,6 +91,14 @@
                                                this->handlersFor(toSend.request, request), now);
 }
 
+/// Whether the caller of \a request, which is about to be sent, has left. If so, the request has
+/// been ended.
+bool Proxy::hasCallerLeft(const OpenRequest &request, Instant now)
+{
+    return now >= request.arrivedAt + maxSinceCallerSeen
+            && this->sessions.at(request.session)->detectLeaving();
+}
+
 void Proxy::beginAttempt(OpenRequest &request, std::uint32_t attempt, bool isBuffered, Instant now)
 {
     request.attempt = attempt;
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -154,6 +154,25 @@
     this->descriptor = UniqueFd();
 }
 
+void Peer::shutdownWriting()
+{
+    ::shutdown(this->descriptor.get(), SHUT_WR);
+}
+
+std::size_t Peer::countReceived(const std::string &text)
+{
+    std::size_t before = 0;
+    do {
+        before = this->received.size();
+        this->read();
+    } while (this->received.size() != before);
+    std::size_t count = 0;
+    for (std::size_t at = this->received.find(text); at != std::string::npos;
+         at = this->received.find(text, at + text.size()))
+        ++count;
+    return count;
+}
+
 void Peer::reset()
 {
     const linger now{ 1, 0 };
@@ -210,6 +229,11 @@
     }
 }
 
+Endpoint TwoHostsTest::upstreamAddress() const
+{
+    return { loopback, portOf(this->listening) };
+}
+
 void TwoHostsTest::configure(GatewayState &state)
 {
     Configuration configuration;
@@ -225,7 +249,7 @@
     ListedUpstream listed;
     listed.id = upstreamId;
     listed.service = deskService;
-    listed.address = { loopback, portOf(this->listening) };
+    listed.address = this->upstreamAddress();
     listUpstream(state, listed, monotonicNow());
 }
 
@@ -239,16 +263,28 @@
     return caller;
 }
 
+bool TwoHostsTest::acceptNext(Peer &connection)
+{
+    const int fd = ::accept4(this->listening.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0)
+        connection = Peer(UniqueFd(fd));
+    return fd >= 0;
+}
+
 bool TwoHostsTest::acceptAtUpstream(const std::string &end)
 {
-    const auto isAccepted = [this] {
-        const int fd = ::accept4(this->listening.get(), nullptr, nullptr,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd >= 0)
-            this->upstream = Peer(UniqueFd(fd));
-        return fd >= 0;
-    };
-    return waitFor(isAccepted) && this->upstream.receives(end);
+    return waitFor([this] { return this->acceptNext(this->upstream); })
+            && this->upstream.receives(end);
+}
+
+bool TwoHostsTest::acceptAllAtUpstream(std::size_t count)
+{
+    return waitFor([this, count] {
+        Peer connection;
+        while (this->acceptNext(connection))
+            this->upstreams.push_back(std::move(connection));
+        return this->upstreams.size() >= count;
+    });
 }
 
 } // namespace azurewell
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace azurewell {
 
@@ -34,6 +35,9 @@
     /// Waits until \a text was received.
     bool receives(const std::string &text);
 
+    /// Reads what has arrived. How often all that was received contains \a text.
+    std::size_t countReceived(const std::string &text);
+
     bool isClosedByOtherEnd();
 
     /// Closes in an orderly way: the other end reads an end of file.
@@ -41,6 +45,9 @@
 
     void reset();
 
+    /// Closes one direction in an orderly way; the other end can still send.
+    void shutdownWriting();
+
     std::string received;
     bool isReset = false;
 
@@ -64,11 +71,20 @@
     /// Accepts the connection at the upstream and waits for the whole request.
     bool acceptAtUpstream(const std::string &end = "body");
 
+    /// Accepts connections at the upstream until \a count were accepted in all, then those that
+    /// wait.
+    bool acceptAllAtUpstream(std::size_t count);
+
+    Endpoint upstreamAddress() const;
+
     std::unique_ptr<Proxy> cutOff;  ///< Called "cut".
     std::unique_ptr<Proxy> serving; ///< Called "serving".
     Peer upstream;
+    std::vector<Peer> upstreams; ///< Of acceptAllAtUpstream().
 
 private:
+    bool acceptNext(Peer &connection);
+
     void startHost(std::unique_ptr<Proxy> &host, const std::string &name);
     void configure(gateway::GatewayState &state);
 
