See callers leave although their connections aren't read from

What callers saw: nothing; servers worked on for callers that had left, and then for their next request, too. With more than 64 KiB behind an open request the connection isn't read from, and an end is known only by reading: work went on for 129 of 129 such callers, and the second request was sent for 129.

Class: an event that is known only by reading, on a connection that isn't read from. Now each paused connection is asked once a tick whether its peer has left. An end behind bytes that the caller's kernel still holds has not arrived, so more is read: held up to 1 MiB a connection and 4 MiB a host, beyond it dropped, with the connection closed after its open answer, and reset beyond 16 MiB.

New tests: 50 callers at once leave behind 1 byte, 64 KiB, 300 KB and 8 MiB, by close, reset and half-close, direct and through another host: all servers' connections closed within 0.5 s, 0 second requests. Sound pipelined callers beside them get all answers in order.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/http/message_readers.h"
 #include "azurewell/http/tcp_stream.h"
 #include "azurewell/units/time.h"
@@ -71,6 +72,19 @@
     /// that are still unread. If so, calls onDisconnected.
     bool detectLeaving();
 
+    /// Whether the connection isn't read from, as too much has come behind the open request.
+    bool isReadingPaused() const
+    {
+        return this->isPaused;
+    }
+    /// Bytes that have come behind the open request.
+    std::size_t bytesBehind() const;
+    /// Reads up to \a bytes more behind the open request.
+    void readMoreBehind(std::size_t bytes);
+    /// Drops what has come and comes behind the open request; the connection closes after the
+    /// response. The end of the connection, which is behind it, is seen so.
+    void dropBehind();
+
     bool isAnswering() const
     {
         return this->isInRequest;
@@ -96,6 +110,7 @@
     void receive();
     bool readRequest();
     void pauseReading(bool paused);
+    void dropReceived();
     void handleDrained();
     void startNextRequest(Instant now);
     void handleEnd();
@@ -106,6 +121,8 @@
     RequestReader reader;
     std::unique_ptr<TcpStream> stream;
     Instant idleSince;
+    std::size_t maxBehind = maxPipelinedBytes; ///< Bytes behind the open request that are read.
+    std::size_t droppedBytes = 0;
     BodyFraming bodyFraming = BodyFraming::Chunked; ///< Of the response that beginBody() started.
     bool isInRequest = false;
     bool isClosing = false;
@@ -113,6 +130,7 @@
     bool isContinueSent = false;
     bool isReceiving = false; ///< receive() is on the stack.
     bool isPaused = false;    ///< The caller sends too much before its request is answered.
+    bool isDropping = false;  ///< See dropBehind().
 };
 
 } // namespace azurewell
--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -26,9 +26,20 @@
 inline constexpr std::size_t maxStrayAnswerBytes = 4ULL * 1024 * 1024;
 
 /// What a caller may send behind a request that isn't answered yet; beyond it the connection isn't
-/// read from until the answer is complete.
+/// read from until the host allows more.
 inline constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
 
+/// What the host then allows at a time, and at most for one connection.
+inline constexpr std::size_t pipelinedBytesStep = 512ULL * 1024;
+inline constexpr std::size_t maxPipelinedBytesExtended = 1024ULL * 1024;
+
+/// All bytes behind open requests that a host holds beyond maxPipelinedBytes a connection.
+inline constexpr std::size_t maxPipelinedBytesOfHost = 4ULL * 1024 * 1024;
+
+/// What is read and dropped of a connection that closes with the answer to its open request, so
+/// that its end is seen; beyond it the connection is reset.
+inline constexpr std::size_t maxDroppedBytes = 16ULL * 1024 * 1024;
+
 /// The body of an engine's answer to a report or order call, which is held whole.
 inline constexpr std::size_t maxReportBytes = 1024ULL * 1024;
 
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -72,6 +72,10 @@
     /// Stops reading while \a paused; TCP flow control then slows the sender down.
     void pauseReading(bool paused);
 
+    /// Reads a connection that has been reset to its end, even while paused: nothing more can come
+    /// than the kernel holds. Asks the kernel.
+    void readOnIfReset();
+
     /// Closes the write direction; the peer sees an orderly close.
     void shutdownWriting();
 
@@ -102,6 +106,7 @@
     bool isConnecting = false;
     bool hasSentBytes = false;
     bool isEnded = false;
+    bool isPausable = true;
     /// Set by the destructor, so that a member function can detect that a handler has destroyed the
     /// object.
     std::shared_ptr<bool> isDestroyed = std::make_shared<bool>(false);
--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -61,6 +61,11 @@
         this->stream->pauseReading(paused);
     }
 
+    void readOnIfReset()
+    {
+        this->stream->readOnIfReset();
+    }
+
     bool isConnectOverdue(Instant now) const
     {
         return !this->isOpen() && now >= this->connectDeadline;
--- a/packages/http/include/azurewell/http/upstream_connections.h
+++ b/packages/http/include/azurewell/http/upstream_connections.h
@@ -31,6 +31,9 @@
 
     void pauseReading(Exchange exchange, bool paused);
 
+    /// Reads what is left of \a exchange, although paused, if its connection has been reset.
+    void readOnIfReset(Exchange exchange);
+
     /// Closes connections that have been idle for so long that the upstream might close them while
     /// the next request is being sent, which would leave that request's outcome unknown. Also
     /// closes those that did not open in time (an upstream that is switched off does not even
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -1,7 +1,5 @@
 #include "azurewell/http/caller_connection.h"
 
-#include "azurewell/http/message_bounds.h"
-
 #include <utility>
 
 namespace azurewell {
@@ -64,9 +62,37 @@
     while (isMoreExpected && !this->isInRequest && !this->stream->received().empty())
         isMoreExpected = this->readRequest();
     this->isReceiving = false;
-    // While the connection isn't read from, an end of it isn't seen either, so this is done only
-    // where there is far more than a caller sends in advance.
-    this->pauseReading(this->isInRequest && this->stream->received().size() > maxPipelinedBytes);
+    if (this->isInRequest && this->isDropping)
+        this->dropReceived();
+    this->pauseReading(this->bytesBehind() > this->maxBehind);
+}
+
+std::size_t CallerConnection::bytesBehind() const
+{
+    return this->isInRequest ? this->stream->received().size() : 0;
+}
+
+void CallerConnection::readMoreBehind(std::size_t bytes)
+{
+    this->maxBehind += bytes;
+    this->receive();
+}
+
+void CallerConnection::dropBehind()
+{
+    this->isDropping = true;
+    this->isClosing = true;
+    this->receive();
+}
+
+void CallerConnection::dropReceived()
+{
+    this->droppedBytes += this->stream->received().size();
+    std::string().swap(this->stream->received());
+    if (this->droppedBytes <= maxDroppedBytes)
+        return;
+    this->stream->abort();
+    this->handleEnd();
 }
 
 /// Continues to read the current request. Returns whether the next one may be in the buffer.
@@ -159,6 +185,7 @@
 {
     this->isInRequest = false;
     this->isContinueSent = false;
+    this->maxBehind = maxPipelinedBytes;
     this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -209,10 +209,18 @@
     return this->isEnded || (this->pendingEvents(POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void TcpStream::readOnIfReset()
+{
+    if (this->isEnded || this->isConnecting || (this->pendingEvents(0) & POLLERR) == 0)
+        return;
+    this->isPausable = false;
+    this->pauseReading(false);
+}
+
 void TcpStream::pauseReading(bool paused)
 {
     if (!this->isEnded && !this->isConnecting)
-        this->readNotifier->setEnabled(!paused);
+        this->readNotifier->setEnabled(!paused || !this->isPausable);
 }
 
 void TcpStream::shutdownWriting()
--- a/packages/http/src/upstream_connections.cpp
+++ b/packages/http/src/upstream_connections.cpp
@@ -68,6 +68,13 @@
         this->connections.at(found->second).connection->pauseReading(paused);
 }
 
+void UpstreamConnections::readOnIfReset(Exchange exchange)
+{
+    const auto found = this->exchanges.find(exchange);
+    if (found != this->exchanges.end())
+        this->connections.at(found->second).connection->readOnIfReset();
+}
+
 void UpstreamConnections::markIdle(std::uint64_t id)
 {
     Entry &entry = this->connections.at(id);
--- a/packages/http/tests/caller_flood_test.cpp
+++ b/packages/http/tests/caller_flood_test.cpp
@@ -138,5 +138,77 @@
     EXPECT_TRUE(this->isDisconnected);
 }
 
+// Guards against callers whose leaving nobody sees, as their connections aren't read from.
+TEST_F(CallerFlood, ACallerIsSeenToLeaveWhileItsConnectionIsNotReadFrom)
+{
+    this->flood(next, manyBytes);
+    ASSERT_TRUE(this->connection->isReadingPaused());
+    EXPECT_FALSE(this->connection->detectLeaving());
+    this->caller = UniqueFd();
+    EXPECT_TRUE(this->connection->detectLeaving());
+    EXPECT_TRUE(this->isDisconnected);
+    this->answer();
+    EXPECT_EQ(this->requests, 1U);
+}
+
+// Guards against an end that nobody sees, as the caller's kernel still holds bytes before it.
+TEST_F(CallerFlood, AnEndBehindDroppedBytesIsSeen)
+{
+    this->flood(next, manyBytes);
+    this->connection->dropBehind();
+    EXPECT_EQ(this->flood(next, manyBytes), manyBytes);
+    EXPECT_FALSE(this->isDisconnected);
+    EXPECT_EQ(this->connection->bytesBehind(), 0U);
+    this->caller = UniqueFd();
+    QElapsedTimer timer;
+    timer.start();
+    while (!this->isDisconnected && timer.elapsed() < 3000)
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    EXPECT_TRUE(this->isDisconnected);
+    EXPECT_EQ(this->requests, 1U);
+}
+
+// Guards against requests that are begun on a connection that is to be closed.
+TEST_F(CallerFlood, NothingIsBegunBehindDroppedBytes)
+{
+    this->flood(next, manyBytes);
+    this->connection->dropBehind();
+    this->flood(next, 3 * next.size());
+    this->answer();
+    this->flood(next, 3 * next.size());
+    EXPECT_EQ(this->requests, 1U);
+    EXPECT_FALSE(this->connection->isAnswering());
+}
+
+// Guards against a caller that sends without end behind an open request.
+TEST_F(CallerFlood, ACallerThatSendsOnAfterTheBoundIsDisconnected)
+{
+    this->flood(next, manyBytes);
+    this->connection->dropBehind();
+    EXPECT_LT(this->flood(next, 4 * manyBytes), 3 * manyBytes);
+    EXPECT_TRUE(this->isDisconnected);
+}
+
+TEST_F(CallerFlood, MoreBehindAnOpenRequestIsReadWhereTheHostAllowsIt)
+{
+    const std::size_t before = this->flood(next, manyBytes);
+    this->connection->readMoreBehind(pipelinedBytesStep);
+    const std::size_t more = this->flood(next, manyBytes);
+    EXPECT_GE(more, pipelinedBytesStep / 2);
+    EXPECT_LT(more, 2 * maxHeldBytes);
+    EXPECT_TRUE(this->connection->isReadingPaused());
+    this->isAnsweredAtOnce = true;
+    this->answer();
+    QElapsedTimer timer;
+    timer.start();
+    const std::size_t whole = (before + more) / next.size();
+    while (this->requests < whole && timer.elapsed() < 5000) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        char block[4096];
+        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {}
+    }
+    EXPECT_EQ(this->requests, whole);
+}
+
 } // namespace
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -96,6 +96,8 @@
     void handleRequest(SessionId id);
     void refuseMalformed(SessionId id, const Error &error);
     void handleCallerDisconnect(SessionId id);
+    void watchPausedCallers();
+    void watchPausedUpstreams();
     void countLeftBeforeBegin();
     void logLeftBeforeBegin();
     void handleCallerDrained(SessionId id);
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -40,7 +40,8 @@
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
-    std::uint64_t wakeUps = 0; ///< Wake-ups of the control thread's event loop.
+    std::uint64_t pipelinedDropped = 0; ///< Connections that close after their open request.
+    std::uint64_t wakeUps = 0;          ///< Wake-ups of the control thread's event loop.
 };
 
 /// The metrics in the Prometheus text format (docs/METRICS.md).
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -124,6 +124,8 @@
     this->httpCalls.cancelOverdue(now);
     this->probes.endOverdue(now);
     this->connections.closeExpired(now);
+    this->watchPausedCallers();
+    this->watchPausedUpstreams();
     this->closeTimedOutCallers(now);
     this->logLeftBeforeBegin();
     flushLog();
--- a/packages/proxy/src/proxy_callers.cpp
+++ b/packages/proxy/src/proxy_callers.cpp
@@ -1,10 +1,13 @@
 #include "azurewell/proxy/proxy.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/logging/log.h"
 #include "content_digest.h"
 #include "text.h"
 
+#include <algorithm>
+
 namespace azurewell {
 
 using namespace gateway;
@@ -93,6 +96,44 @@
     this->requestOf.erase(id);
 }
 
+/// Nobody sees the end of a connection that isn't read from. So it is asked for, and more is read:
+/// an end behind bytes that the caller's kernel still holds has not arrived here.
+void Proxy::watchPausedCallers()
+{
+    std::size_t held = 0;
+    std::vector<CallerConnection *> paused;
+    for (const auto &[id, session] : this->sessions) {
+        held += std::max(session->bytesBehind(), maxPipelinedBytes) - maxPipelinedBytes;
+        if (session->isReadingPaused())
+            paused.push_back(session.get());
+    }
+    for (CallerConnection *session : paused) {
+        if (session->detectLeaving())
+            continue;
+        const bool isLong = session->bytesBehind() + pipelinedBytesStep > maxPipelinedBytesExtended;
+        if (isLong || held + pipelinedBytesStep > maxPipelinedBytesOfHost) {
+            ++this->metrics.pipelinedDropped;
+            session->dropBehind();
+            continue;
+        }
+        held += pipelinedBytesStep;
+        session->readMoreBehind(pipelinedBytesStep);
+    }
+}
+
+/// A caller that reads slowly stops the reading from its upstream, too. What is left of an answer
+/// that was reset is read, so that the caller sees the break; it may also be whole.
+void Proxy::watchPausedUpstreams()
+{
+    std::vector<UpstreamConnections::Exchange> paused;
+    for (const auto &[number, request] : this->open) {
+        if (request.isPaused)
+            paused.push_back(request.exchange);
+    }
+    for (const UpstreamConnections::Exchange exchange : paused)
+        this->connections.readOnIfReset(exchange);
+}
+
 void Proxy::countLeftBeforeBegin()
 {
     ++this->core.counters.callersLeft[CallerStage::NotBegun];
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -167,6 +167,7 @@
                      countQuarantined(state.quarantine, gateway::SuspectKind::PromptPart)));
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
+    addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
     addByFraming(out, metrics.answersByFraming);
     addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
     addCounter(out, "azurewell_answers_oversized_total", metrics.oversizedAnswers);
--- a/packages/proxy/tests/leaving_callers_test.cpp
+++ b/packages/proxy/tests/leaving_callers_test.cpp
@@ -140,6 +140,149 @@
     EXPECT_EQ(proxy.state().counters.callersLeft.size(), 1U);
 }
 
+/// A caller that sends far more than its request.
+struct Sender
+{
+    Peer peer;
+    std::string unsent;
+};
+
+class PipeliningCallersTest : public LeavingCallersTest
+{
+protected:
+    /// Lets callers send a request, the next whole one and \a behind bytes more, for some time.
+    std::vector<Sender> sendBehind(std::size_t behind)
+    {
+        constexpr Span sendingTime = std::chrono::milliseconds(400);
+        std::vector<Sender> senders;
+        for (std::size_t i = 0; i < callersAtOnce; ++i) {
+            senders.push_back({ this->ask(this->host(), "/file"),
+                                "POST /file HTTP/1.1\r\nHost: h\r\nKey: secret\r\n"
+                                "Content-Length: 0\r\n\r\n"
+                                        + std::string(behind, 'x') });
+        }
+        const Instant until = monotonicNow() + sendingTime;
+        waitFor([&] {
+            for (Sender &sender : senders)
+                sender.unsent.erase(0, sender.peer.sendWhatFits(sender.unsent));
+            return monotonicNow() >= until;
+        });
+        return senders;
+    }
+
+    /// The upstream's connection on which the request with \a body arrives.
+    Peer *findAtUpstream(const std::string &body)
+    {
+        Peer *found = nullptr;
+        waitFor([&] {
+            this->acceptAllAtUpstream(0);
+            for (Peer &connection : this->upstreams)
+                found = connection.countReceived(body) > 0 ? &connection : found;
+            return found != nullptr;
+        });
+        return found;
+    }
+
+    void expectNoWorkForLeaving(std::size_t behind)
+    {
+        std::vector<Sender> senders = this->sendBehind(behind);
+        ASSERT_TRUE(this->acceptAllAtUpstream(callersAtOnce));
+        EXPECT_EQ(this->countAtUpstream(), callersAtOnce);
+        for (Sender &sender : senders)
+            leave(sender.peer, this->how());
+        const Instant leftAt = monotonicNow();
+        for (Peer &connection : this->upstreams)
+            EXPECT_TRUE(connection.isClosedByOtherEnd());
+        EXPECT_LE(monotonicNow() - leftAt, maxWorkAfterLeaving);
+        runFor(maxWorkAfterLeaving);
+        this->acceptAllAtUpstream(0);
+        EXPECT_EQ(this->countAtUpstream(), callersAtOnce);
+    }
+};
+
+// Guard against work that goes on for callers that have left, as their connections aren't read
+// from, and against requests of theirs that are then begun.
+TEST_P(PipeliningCallersTest, AreSeenToLeaveBehindOneByte)
+{
+    this->expectNoWorkForLeaving(1);
+}
+
+TEST_P(PipeliningCallersTest, AreSeenToLeaveBehind64KiB)
+{
+    this->expectNoWorkForLeaving(64ULL * 1024);
+}
+
+TEST_P(PipeliningCallersTest, AreSeenToLeaveBehind300KB)
+{
+    this->expectNoWorkForLeaving(300ULL * 1000);
+}
+
+TEST_P(PipeliningCallersTest, AreSeenToLeaveBehind8MiB)
+{
+    this->expectNoWorkForLeaving(8ULL * 1024 * 1024);
+}
+
+// Guards against sound callers that lose answers, or get them in another order, as others leave.
+TEST_P(PipeliningCallersTest, DoNotDisturbSoundOnes)
+{
+    const std::string path = "/file";
+    Peer sound = this->ask(this->host(), path, "first");
+    ASSERT_TRUE(this->acceptAllAtUpstream(1));
+    ASSERT_TRUE(this->upstreams.front().receives("first"));
+    const std::string long1(300ULL * 1000, 'y');
+    std::string unsent;
+    for (const std::string &body : { long1 + "second", std::string("third") })
+        unsent += "POST " + path + " HTTP/1.1\r\nHost: h\r\nKey: secret\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body;
+    ASSERT_TRUE(waitFor([&] {
+        unsent.erase(0, sound.sendWhatFits(unsent));
+        return unsent.empty();
+    }));
+    std::vector<Sender> senders = this->sendBehind(300ULL * 1000);
+    for (Sender &sender : senders)
+        leave(sender.peer, this->how());
+    for (const char *body : { "first", "second", "third" }) {
+        Peer *connection = this->findAtUpstream(body);
+        ASSERT_TRUE(connection);
+        connection->send("HTTP/1.1 200 OK\r\nSignature: s\r\nKeep-Alive: timeout=30\r\n"
+                         "Content-Length: "
+                         + std::to_string(std::string(body).size()) + "\r\n\r\n" + body);
+        EXPECT_TRUE(sound.receives(body));
+    }
+    EXPECT_LT(sound.received.find("first"), sound.received.find("second"));
+    EXPECT_LT(sound.received.find("second"), sound.received.find("third"));
+}
+
+/// An upstream whose answer a slow caller holds back.
+class SlowCallersTest : public LeavingCallersTest
+{
+};
+
+// Guards against answers that are held open although their upstream has reset the connection, as
+// it isn't read from.
+TEST_P(SlowCallersTest, AnUpstreamIsSeenToResetWhileItIsNotReadFrom)
+{
+    constexpr Span sendingTime = std::chrono::milliseconds(600);
+    Proxy &proxy = this->host() == "serving" ? *this->serving : *this->cutOff;
+    const Peer caller = this->ask(this->host(), "/stream");
+    ASSERT_TRUE(this->acceptAtUpstream());
+    this->upstream.send("HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    std::string unsent;
+    const Instant until = monotonicNow() + sendingTime;
+    waitFor([&] {
+        if (unsent.size() < chunk.size())
+            unsent += chunk;
+        unsent.erase(0, this->upstream.sendWhatFits(unsent));
+        return monotonicNow() >= until;
+    });
+    ASSERT_EQ(proxy.state().requests.size(), 1U);
+    this->upstream.reset();
+    const Instant resetAt = monotonicNow();
+    EXPECT_TRUE(waitFor([&] { return proxy.state().requests.empty(); }));
+    EXPECT_LE(monotonicNow() - resetAt, maxWorkAfterLeaving);
+}
+
 std::string nameOfCase(const testing::TestParamInfo<LeavingCallersTest::ParamType> &given)
 {
     const auto &[how, way] = given.param;
@@ -151,5 +294,10 @@
         testing::Values(Way::Direct, Way::Forwarded));
 
 INSTANTIATE_TEST_SUITE_P(Ways, LeavingCallersTest, ways, nameOfCase);
+INSTANTIATE_TEST_SUITE_P(Ways, PipeliningCallersTest, ways, nameOfCase);
+INSTANTIATE_TEST_SUITE_P(Ways, SlowCallersTest,
+                         testing::Combine(testing::Values(Leaving::Reset),
+                                          testing::Values(Way::Direct, Way::Forwarded)),
+                         nameOfCase);
 
 } // namespace azurewell
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -133,6 +133,13 @@
     ::send(this->descriptor.get(), text.data(), text.size(), MSG_NOSIGNAL);
 }
 
+std::size_t Peer::sendWhatFits(const std::string &text)
+{
+    const ssize_t count = ::send(this->descriptor.get(), text.data(), text.size(),
+                                 MSG_NOSIGNAL | MSG_DONTWAIT);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 bool Peer::receives(const std::string &text)
 {
     return waitFor([&] {
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -32,6 +32,9 @@
 
     void send(const std::string &text);
 
+    /// Sends as much as can be sent without waiting; the number of bytes.
+    std::size_t sendWhatFits(const std::string &text);
+
     /// Waits until \a text was received.
     bool receives(const std::string &text);
 
