Close new connections unread beyond a host's processor time

Cause: a host accepted all connections and read them in order of arrival. At twice its processor time each waits longer than the one before, until each is read as its caller gives up; those who gave up come again. Class: metastable overload, a queue whose work is for callers that have left.

AcceptLimit bounds how many new connections a pass of the event loop keeps, only after two passes in a row over 200 ms, and never below one; one long pass is a pause of the process. Connections that are already open, of other hosts, of health checks and of metrics are not limited. docs/design/overload.md has what was weighed.

--- a/packages/http/include/azurewell/http/listen_socket.h
+++ b/packages/http/include/azurewell/http/listen_socket.h
@@ -44,6 +44,14 @@
     int fd = -1;
 };
 
+/// Whether the peer of \a connection has closed or reset it, or its direction of it, even if bytes
+/// before that are still unread. Asks the kernel.
+bool hasPeerLeft(const UniqueFd &connection);
+
+/// Whether \a connection has been reset, even if bytes before that are still unread. Asks the
+/// kernel.
+bool isReset(const UniqueFd &connection);
+
 /// Opens a listening TCP socket with SO_REUSEPORT: several threads can listen on the same address,
 /// and the kernel distributes connections over them. Errors: SettingsInvalid if the address cannot
 /// be bound.
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -91,7 +91,6 @@
 
     TcpStream() = default;
     void createNotifiers();
-    short pendingEvents(short asked) const;
     void handleReadable();
     void handleWritable();
     void flush();
@@ -116,13 +115,16 @@
 class TcpAcceptor
 {
 public:
-    TcpAcceptor(UniqueFd listening, std::function<void(UniqueFd)> onAccepted);
+    /// Takes an accepted connection; false if it has closed it instead.
+    using Handler = std::function<bool(UniqueFd)>;
+
+    TcpAcceptor(UniqueFd listening, Handler onAccepted);
 
 private:
     void acceptPending();
 
     UniqueFd descriptor;
-    std::function<void(UniqueFd)> handler;
+    Handler handler;
     QSocketNotifier notifier;
 };
 
--- a/packages/http/src/listen_socket.cpp
+++ b/packages/http/src/listen_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +23,14 @@
                           + std::strerror(errno) };
 }
 
+/// Those of \a asked, and POLLHUP and POLLERR, that apply to \a connection.
+short pendingEvents(const UniqueFd &connection, short asked)
+{
+    constexpr int withoutWaiting = 0;
+    pollfd question{ connection.get(), asked, 0 };
+    return ::poll(&question, 1, withoutWaiting) > 0 ? question.revents : short{};
+}
+
 } // namespace
 
 UniqueFd::~UniqueFd()
@@ -50,6 +59,16 @@
     return socket;
 }
 
+bool hasPeerLeft(const UniqueFd &connection)
+{
+    return (pendingEvents(connection, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool isReset(const UniqueFd &connection)
+{
+    return (pendingEvents(connection, 0) & POLLERR) != 0;
+}
+
 std::string peerIpOf(const UniqueFd &connection)
 {
     sockaddr_in address{};
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -5,7 +5,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -18,8 +17,11 @@
 /// Bytes read per call. A complete request of the observed sizes (5 KB) fits.
 constexpr std::size_t readBlockBytes = 16ULL * 1024;
 
-/// Connections accepted per event, so that a connection flood cannot delay responses.
-constexpr int maxAcceptsPerEvent = 32;
+/// Connections kept per event, so that a connection flood cannot delay responses.
+constexpr int maxKeptPerEvent = 32;
+
+/// Connections taken off the listening socket per event; closing one costs far less than keeping.
+constexpr int maxAcceptsPerEvent = 1024;
 
 /// Time after which unacknowledged data closes the connection, in milliseconds. A host that is
 /// partitioned sends no reset: without this timeout a write to it would hang until the request's
@@ -196,22 +198,14 @@
         ended(how);
 }
 
-/// Those of \a asked, and POLLHUP and POLLERR, that apply to the connection.
-short TcpStream::pendingEvents(short asked) const
-{
-    constexpr int withoutWaiting = 0;
-    pollfd question{ this->descriptor.get(), asked, 0 };
-    return ::poll(&question, 1, withoutWaiting) > 0 ? question.revents : short{};
-}
-
 bool TcpStream::hasPeerLeft() const
 {
-    return this->isEnded || (this->pendingEvents(POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return this->isEnded || azurewell::hasPeerLeft(this->descriptor);
 }
 
 void TcpStream::readOnIfReset()
 {
-    if (this->isEnded || this->isConnecting || (this->pendingEvents(0) & POLLERR) == 0)
+    if (this->isEnded || this->isConnecting || !isReset(this->descriptor))
         return;
     this->isPausable = false;
     this->pauseReading(false);
@@ -241,7 +235,7 @@
     this->descriptor = UniqueFd();
 }
 
-TcpAcceptor::TcpAcceptor(UniqueFd listening, std::function<void(UniqueFd)> onAccepted)
+TcpAcceptor::TcpAcceptor(UniqueFd listening, Handler onAccepted)
     : descriptor(std::move(listening))
     , handler(std::move(onAccepted))
     , notifier(this->descriptor.get(), QSocketNotifier::Read)
@@ -252,12 +246,13 @@
 
 void TcpAcceptor::acceptPending()
 {
-    for (int i = 0; i < maxAcceptsPerEvent; ++i) {
+    int kept = 0;
+    for (int i = 0; i < maxAcceptsPerEvent && kept < maxKeptPerEvent; ++i) {
         const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        this->handler(UniqueFd(fd));
+        kept += this->handler(UniqueFd(fd)) ? 1 : 0;
     }
 }
 
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/gateway/gateway.h"
+#include "azurewell/http/accept_limit.h"
 #include "azurewell/http/caller_connection.h"
 #include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/gossip_socket.h"
@@ -89,7 +90,7 @@
         Span longestPause{}; ///< Longest time between two chunks of a stream.
     };
 
-    void accept(UniqueFd descriptor);
+    bool accept(UniqueFd descriptor);
     void acceptPeer(UniqueFd descriptor);
     SessionId openSession(UniqueFd descriptor, const RequestLimits &limits);
     Result<gateway::RequestArrived> readArrival(SessionId id);
@@ -99,7 +100,7 @@
     void watchPausedCallers();
     void watchPausedUpstreams();
     void countLeftBeforeBegin();
-    void logLeftBeforeBegin();
+    void logUnservedCallers();
     void handleCallerDrained(SessionId id);
 
     bool hasCallerLeft(const OpenRequest &request, Instant now);
@@ -157,8 +158,10 @@
     std::map<SessionId, std::unique_ptr<CallerConnection>> monitoringSessions;
     std::map<SessionId, gateway::RequestNumber> requestOf;
     std::unordered_map<gateway::RequestNumber, OpenRequest> open;
-    std::uint64_t leftSinceLogged = 0; ///< Callers that left before their requests were begun.
-    std::size_t heldSinceSum = 0;      ///< Bytes held back since all held bodies were added up.
+    AcceptLimit acceptLimit;               ///< Of callers' connections.
+    std::uint64_t rejectedSinceLogged = 0; ///< Connections that were closed unread.
+    std::uint64_t leftSinceLogged = 0;     ///< Callers that left before their requests were begun.
+    std::size_t heldSinceSum = 0;          ///< Bytes held back since all held bodies were added up.
     std::function<void()> onTick;
     QTimer ticker;
     SessionId nextSession = 1;
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -37,6 +37,7 @@
     std::uint64_t oversizedAnswers = 0;     ///< Of which a part exceeded its bound.
     std::uint64_t oversizedCallAnswers = 0; ///< The same of reports, orders and the store.
     std::uint64_t callersAccepted = 0;
+    std::uint64_t connectionsRejected = 0; ///< Closed unread, for want of processor time.
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -49,18 +49,21 @@
     if (!callerSocket)
         return callerSocket.error();
     this->callers = std::make_unique<TcpAcceptor>(
-            std::move(callerSocket.value()), [this](UniqueFd fd) { this->accept(std::move(fd)); });
+            std::move(callerSocket.value()),
+            [this](UniqueFd fd) { return this->accept(std::move(fd)); });
     Result<UniqueFd> peerSocket = openListenSocket(this->settings.self.address);
     if (!peerSocket)
         return peerSocket.error();
     this->peers = std::make_unique<TcpAcceptor>(std::move(peerSocket.value()), [this](UniqueFd fd) {
         this->acceptPeer(std::move(fd));
+        return true;
     });
     Result<UniqueFd> readinessSocket = openListenSocket(this->settings.readiness);
     if (!readinessSocket)
         return readinessSocket.error();
     const auto onMonitoring = [this](UniqueFd fd) {
         this->acceptMonitoring(std::move(fd));
+        return true;
     };
     this->readiness = std::make_unique<TcpAcceptor>(std::move(readinessSocket.value()),
                                                     onMonitoring);
@@ -118,6 +121,7 @@
     if (this->onTick)
         this->onTick();
     const Instant now = monotonicNow();
+    beginPass(this->acceptLimit, now);
     Actions actions;
     gateway::tick(this->core, now, actions);
     this->run(actions);
@@ -127,7 +131,7 @@
     this->watchPausedCallers();
     this->watchPausedUpstreams();
     this->closeTimedOutCallers(now);
-    this->logLeftBeforeBegin();
+    this->logUnservedCallers();
     flushLog();
     if (isStopping(this->core))
         this->continueStop(now);
--- a/packages/proxy/src/proxy_callers.cpp
+++ b/packages/proxy/src/proxy_callers.cpp
@@ -12,11 +12,23 @@
 
 using namespace gateway;
 
-void Proxy::accept(UniqueFd descriptor)
+/// Whether the connection is kept. Beyond what this host has processor time for, it is closed with
+/// its request unread, so that the caller can send the request to another host.
+bool Proxy::accept(UniqueFd descriptor)
 {
+    if (isLimited(this->acceptLimit) && hasPeerLeft(descriptor)) {
+        this->countLeftBeforeBegin();
+        return false;
+    }
+    if (!takeAccept(this->acceptLimit)) {
+        ++this->metrics.connectionsRejected;
+        ++this->rejectedSinceLogged;
+        return false;
+    }
     ++this->metrics.callersAccepted;
     const CallerLimits &limits = this->core.configuration.limits;
     this->openSession(std::move(descriptor), { limits.headBytes, limits.bodyBytes });
+    return true;
 }
 
 Proxy::SessionId Proxy::openSession(UniqueFd descriptor, const RequestLimits &limits)
@@ -141,11 +153,16 @@
 }
 
 /// One line for all of a tick, since a host that reads late has many of them.
-void Proxy::logLeftBeforeBegin()
+void Proxy::logUnservedCallers()
 {
-    const std::uint64_t count = std::exchange(this->leftSinceLogged, 0);
-    if (count > 0)
-        writeLog(LogLevel::Info, "callers_left_not_begun", { { "count", std::to_string(count) } });
+    const std::uint64_t left = std::exchange(this->leftSinceLogged, 0);
+    if (left > 0)
+        writeLog(LogLevel::Info, "callers_left_not_begun", { { "count", std::to_string(left) } });
+    const std::uint64_t rejected = std::exchange(this->rejectedSinceLogged, 0);
+    if (rejected > 0)
+        writeLog(LogLevel::Warning, "connections_closed_unread",
+                 { { "count", std::to_string(rejected) },
+                   { "max_in_pass", std::to_string(this->acceptLimit.maxInPass) } });
 }
 
 void Proxy::handleCallerDrained(SessionId id)
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -166,6 +166,7 @@
              static_cast<double>(
                      countQuarantined(state.quarantine, gateway::SuspectKind::PromptPart)));
     addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
+    addCounter(out, "azurewell_connections_closed_unread_total", metrics.connectionsRejected);
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
     addByFraming(out, metrics.answersByFraming);
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -42,6 +42,10 @@
     std::size_t countReceived(const std::string &text);
 
     bool isClosedByOtherEnd();
+    bool hasEnded() const
+    {
+        return this->isEnded;
+    }
 
     /// Closes in an orderly way: the other end reads an end of file.
     void close();
@@ -80,6 +84,9 @@
 
     Endpoint upstreamAddress() const;
 
+    /// Processor time that reading a request takes at the hosts.
+    static void setRequestCost(Span cost);
+
     std::unique_ptr<Proxy> cutOff;  ///< Called "cut".
     std::unique_ptr<Proxy> serving; ///< Called "serving".
     Peer upstream;
