Ordering soak: callers that leave with more sent behind their requests

No request of theirs may reach an engine over 0.5 s later.

A close can't arrive while the host's kernel takes no more of what is before it, so such callers now leave by a reset, which arrives at once; the bound is the same.

--- a/tests/ordering_soak/callers.h
+++ b/tests/ordering_soak/callers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "departures.h"
+
 #include "azurewell/http/message_readers.h"
 #include "azurewell/http/tcp_stream.h"
 #include "azurewell/units/time.h"
@@ -19,6 +21,7 @@
     double requestsPerSecond = 100;
     std::size_t adapters = 60;
     std::uint64_t seed = 0;
+    double leavingShare = 0; ///< Of requests whose callers leave, with bytes sent behind them.
     Span quiet{}; ///< Between two waves of requests there are none for so long; zero: no waves.
 };
 
@@ -27,6 +30,7 @@
     std::uint64_t requests = 0;
     std::uint64_t served = 0;
     std::uint64_t refused = 0;   ///< The last attempt was refused, or no host was reached.
+    std::uint64_t left = 0;      ///< The caller left before the answer.
     std::uint64_t brokenOff = 0; ///< A stream that ended before its end, or did not come.
 };
 
@@ -46,6 +50,7 @@
     }
 
     CallerCounts counts;
+    Departures departures;
 
 private:
     struct Request
@@ -64,6 +69,9 @@
         bool isClosed = false;
         Request request;
         Instant answerDeadline;
+        Instant leavesAt;     ///< Zero: the caller stays.
+        std::string nextId;   ///< Of the request behind, if the caller leaves.
+        bool isReset = false; ///< How it leaves.
     };
 
     void tick();
@@ -73,6 +81,9 @@
     Instant afterQuiet(Instant at) const;
     std::string drawAdapter(Instant now);
     void send(Request request);
+    bool drawsLeaving();
+    void sendBehind(Connection &connection, Instant now);
+    void leave(Connection &connection, Instant now);
     Connection &connectionTo(std::size_t host);
     void receive(Connection &connection);
     void handleEnd(Connection &connection);
