Answer monitors that close their direction once they have asked

Found by reading the change again: since a request whose caller has left isn't begun, a monitor that closes its direction of the connection after its question (as `nc -N` does) got no answer from the readiness and metrics sockets. Those are answered at once, at no server's cost, so they are begun all the same.

Callers keep the other rule: a half-close means that they have left, as before.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -28,7 +28,8 @@
 public:
     struct Handlers
     {
-        /// request() and body() are complete, and the caller has not left.
+        /// request() and body() are complete. The caller has not left, unless its requests are
+        /// answered at once.
         std::function<void()> onRequest;
         std::function<void(const Error &)> onBadRequest; ///< Answer it; the connection then closes.
         std::function<void()> onDisconnected;            ///< The caller has closed the connection.
@@ -38,6 +39,13 @@
     CallerConnection(UniqueFd descriptor, const RequestLimits &limits, Handlers handlers,
                      Instant now);
 
+    /// All requests are answered from within onRequest, so that a caller may close its direction
+    /// once it has asked.
+    void setAnsweredAtOnce()
+    {
+        this->isAnsweredAtOnce = true;
+    }
+
     const RequestHead &request() const
     {
         return this->reader.head();
@@ -68,8 +76,8 @@
     /// Whether a timeout has expired while waiting for a request.
     bool isTimedOut(const CallerTimeouts &timeouts, Instant now) const;
 
-    /// Looks whether the caller has left, which is seen in order of arrival else, after the bytes
-    /// that are still unread. If so, calls onDisconnected.
+    /// Asks the kernel whether the caller has left, which reading shows only after the bytes that
+    /// are still unread. If so, calls onDisconnected.
     bool detectLeaving();
 
     /// Whether the connection isn't read from, as too much has come behind the open request.
@@ -130,7 +138,8 @@
     bool isContinueSent = false;
     bool isReceiving = false; ///< receive() is on the stack.
     bool isPaused = false;    ///< The caller sends too much before its request is answered.
-    bool isDropping = false;  ///< See dropBehind().
+    bool isAnsweredAtOnce = false;
+    bool isDropping = false; ///< See dropBehind().
 };
 
 } // namespace azurewell
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -112,7 +112,7 @@
     if (isWhole.value()) {
         // The end of the connection may wait behind the request: one that was read late is not
         // begun for a caller that has left.
-        if (this->detectLeaving())
+        if (!this->isAnsweredAtOnce && this->detectLeaving())
             return false;
         this->isInRequest = true;
         this->handlers.onRequest();
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -181,8 +181,10 @@
     };
     handlers.onDrained = [] {
     };
-    this->monitoringSessions[id] = std::make_unique<CallerConnection>(
-            std::move(descriptor), RequestLimits{}, std::move(handlers), monotonicNow());
+    std::unique_ptr<CallerConnection> &session = this->monitoringSessions[id];
+    session = std::make_unique<CallerConnection>(std::move(descriptor), RequestLimits{},
+                                                 std::move(handlers), monotonicNow());
+    session->setAnsweredAtOnce();
 }
 
 void Proxy::answerMonitoring(SessionId id)
--- a/packages/proxy/tests/leaving_callers_test.cpp
+++ b/packages/proxy/tests/leaving_callers_test.cpp
@@ -149,6 +149,15 @@
     EXPECT_EQ(proxy.state().counters.callersLeft.size(), 1U);
 }
 
+// Guards against monitors that get no answer, as they close their direction once they have asked.
+TEST_F(TwoHostsTest, AMonitorThatHasClosedItsDirectionIsAnswered)
+{
+    Peer monitor = Peer::connectTo(this->readiness("serving"));
+    monitor.send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+    monitor.shutdownWriting();
+    EXPECT_TRUE(monitor.receives("HTTP/1.1 "));
+}
+
 /// A caller that sends far more than its request.
 struct Sender
 {
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -239,6 +239,7 @@
         if (!candidate->start())
             continue;
         this->callersOf[name] = settings.callers;
+        this->readinessOf[name] = settings.readiness;
         this->configure(candidate->state());
         host = std::move(candidate);
         return;
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -83,6 +83,10 @@
     bool acceptAllAtUpstream(std::size_t count);
 
     Endpoint upstreamAddress() const;
+    Endpoint readiness(const std::string &host) const
+    {
+        return this->readinessOf.at(host);
+    }
 
     /// Processor time that reading a request takes at the hosts.
     static void setRequestCost(Span cost);
@@ -100,6 +104,7 @@
 
     UniqueFd listening;
     std::map<std::string, Endpoint> callersOf;
+    std::map<std::string, Endpoint> readinessOf;
 };
 
 } // namespace azurewell
