--- a/packages/proxy/tests/leaving_callers_test.cpp
+++ b/packages/proxy/tests/leaving_callers_test.cpp
@@ -177,6 +177,11 @@
             senders.push_back({ this->ask(this->host(), "/file"),
                                 requestWith({}) + std::string(behind, 'x') });
         }
+        // A host that is short of processor time would close connections unread.
+        waitFor([this] {
+            this->acceptAllAtUpstream(0);
+            return this->countAtUpstream() >= callersAtOnce;
+        });
         const Instant until = monotonicNow() + sendingTime;
         waitFor([&] {
             for (Sender &sender : senders)
