--- a/packages/http/tests/caller_flood_test.cpp
+++ b/packages/http/tests/caller_flood_test.cpp
@@ -69,6 +69,32 @@
         this->connection->answer(200, "OK", {}, "", monotonicNow());
     }
 
+    /// Answers requests until there were \a count in all, at most for some seconds. The caller
+    /// reads the answers.
+    void serve(std::size_t count)
+    {
+        constexpr qint64 maxMillis = 5000;
+        std::vector<char> block(256ULL * 1024);
+        QElapsedTimer timer;
+        timer.start();
+        while (this->requests < count && timer.elapsed() < maxMillis) {
+            if (!this->isAnsweredAtOnce && this->connection->isAnswering())
+                this->answer();
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+            while (::recv(this->caller.get(), block.data(), block.size(), 0) > 0) {}
+        }
+    }
+
+    /// Waits until the caller is seen to have left, at most for some seconds.
+    void waitForEnd()
+    {
+        constexpr qint64 maxMillis = 3000;
+        QElapsedTimer timer;
+        timer.start();
+        while (!this->isDisconnected && timer.elapsed() < maxMillis)
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    }
+
     UniqueFd caller;
     std::unique_ptr<CallerConnection> connection;
     std::optional<ResultCode> refusal;
@@ -97,15 +123,7 @@
 {
     const std::size_t sent = this->flood(next, manyBytes);
     const std::size_t whole = sent / next.size();
-    QElapsedTimer timer;
-    timer.start();
-    while (this->requests < whole && timer.elapsed() < 5000) {
-        if (this->connection->isAnswering())
-            this->answer();
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
-        char block[4096];
-        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {}
-    }
+    this->serve(whole);
     EXPECT_EQ(this->requests, whole);
 }
 
@@ -116,13 +134,7 @@
     const std::size_t sent = this->flood(shortest, manyBytes);
     this->isAnsweredAtOnce = true;
     this->answer();
-    std::vector<char> block(256ULL * 1024);
-    QElapsedTimer timer;
-    timer.start();
-    while (this->requests < sent / shortest.size() && timer.elapsed() < 5000) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
-        while (::recv(this->caller.get(), block.data(), block.size(), 0) > 0) {}
-    }
+    this->serve(sent / shortest.size());
     EXPECT_EQ(this->requests, sent / shortest.size());
 }
 
@@ -131,10 +143,7 @@
 {
     this->flood(next + next + next, 3 * next.size());
     this->caller = UniqueFd();
-    QElapsedTimer timer;
-    timer.start();
-    while (!this->isDisconnected && timer.elapsed() < 3000)
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    this->waitForEnd();
     EXPECT_TRUE(this->isDisconnected);
 }
 
@@ -160,10 +169,7 @@
     EXPECT_FALSE(this->isDisconnected);
     EXPECT_EQ(this->connection->bytesBehind(), 0U);
     this->caller = UniqueFd();
-    QElapsedTimer timer;
-    timer.start();
-    while (!this->isDisconnected && timer.elapsed() < 3000)
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    this->waitForEnd();
     EXPECT_TRUE(this->isDisconnected);
     EXPECT_EQ(this->requests, 1U);
 }
@@ -199,14 +205,8 @@
     EXPECT_TRUE(this->connection->isReadingPaused());
     this->isAnsweredAtOnce = true;
     this->answer();
-    QElapsedTimer timer;
-    timer.start();
     const std::size_t whole = (before + more) / next.size();
-    while (this->requests < whole && timer.elapsed() < 5000) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
-        char block[4096];
-        while (::recv(this->caller.get(), block, sizeof block, 0) > 0) {}
-    }
+    this->serve(whole);
     EXPECT_EQ(this->requests, whole);
 }
 
