Ask whether the caller is still there as its connection to the upstream opens

A request whose connection had to be opened was sent as it opened, whatever its caller did meanwhile: after a pause of the host, or a first packet that was lost (a second or three later). The end of the caller's connection and the opening are events of one pass of the loop, in no order.

The unit test fails without the step: the request's bytes arrive, and the connection stays.

--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -34,6 +34,9 @@
     /// and the next one on the connection is read: an upstream may send a response twice, and the
     /// duplicate then precedes the response to the following request.
     std::function<bool(const ResponseHead &)> matchesRequest;
+    /// May be empty: the connection has opened, and the request is about to be sent unless it is
+    /// cancelled now.
+    std::function<void()> beforeSending{};
 };
 
 /// One connection to an upstream. Carries one exchange at a time.
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -112,11 +112,17 @@
 
 /// A process that was paused while its connection opened may resume with a request that must no
 /// longer be sent: an order from a host that is no longer the coordinator, or a request past its
-/// deadline.
+/// deadline, or one of a caller that has left.
 void UpstreamConnection::handleOpened()
 {
-    if (monotonicNow() >= this->connectDeadline)
+    if (monotonicNow() >= this->connectDeadline) {
         this->failConnect();
+        return;
+    }
+    if (!this->exchange || !this->exchange->handlers.beforeSending)
+        return;
+    const std::function<void()> beforeSending = this->exchange->handlers.beforeSending;
+    beforeSending();
 }
 
 void UpstreamConnection::receive()
--- a/packages/http/tests/upstream_connections_test.cpp
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -328,6 +328,29 @@
     EXPECT_EQ(connections.count(), 0U);
 }
 
+// Guards against sending a request whose caller has left while its connection opened.
+TEST(UpstreamConnections, NothingIsSentIfTheRequestIsCancelledAsItsConnectionOpens)
+{
+    constexpr Span watchedFor = std::chrono::milliseconds(200);
+    ScriptedServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    ExchangeHandlers handlers = handlersFor(outcome, "1");
+    UpstreamConnections::Exchange exchange = 0;
+    int asked = 0;
+    handlers.beforeSending = [&] {
+        ++asked;
+        connections.cancel(exchange);
+    };
+    exchange = connections.start(server.endpoint, request, false, handlers, monotonicNow());
+    const Instant until = monotonicNow() + watchedFor;
+    server.processEventsUntil([&] { return monotonicNow() >= until; });
+    EXPECT_EQ(asked, 1);
+    EXPECT_EQ(server.acceptAndRead(0), "");
+    EXPECT_FALSE(outcome.isFinished());
+    EXPECT_EQ(connections.count(), 0U);
+}
+
 TEST(UpstreamConnections, RequestToAClosedPortIsReportedAsNotSent)
 {
     ScriptedServer server;
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -126,6 +126,11 @@
     handlers.onFailure = [this, number](ExchangeFailure failure) {
         this->fail(number, failure);
     };
+    handlers.beforeSending = [this, number] {
+        const auto found = this->open.find(number);
+        if (found != this->open.end())
+            this->hasCallerLeft(found->second, monotonicNow());
+    };
     handlers.matchesRequest = [this, callerId = request.callerId](const ResponseHead &head) {
         return this->format.isAnswerTo(head, callerId);
     };
