Go on if a caller has left as its request is repeated after a fault

Cause: complete() hands the answer to the core. After an upstream's fault the core may repeat the request; the repeat is not sent if its caller is seen to have left, and the request is forgotten. complete() then took the missing record for a request that is done and delivered it. A 504 of an upstream at its deadline comes just when callers leave.

The new test fails before for the three direct ways (out_of_range thrown into the event loop) and passes now. Looked for elsewhere: the other places that go on after running the core's actions either look the request up again or do nothing with it.

--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -342,8 +342,9 @@
     const AttemptOutcome outcome = request.facts.isFault ? AttemptOutcome::FaultStated
                                                          : AttemptOutcome::Done;
     this->endAttempt(number, outcome);
-    if (this->core.requests.contains(number))
-        return; // The core has sent it to another upstream.
+    // The core has sent it to another upstream, or was about to as its caller was seen to have left.
+    if (this->core.requests.contains(number) || !this->open.contains(number))
+        return;
     this->deliver(number);
 }
 
--- a/packages/proxy/tests/leaving_callers_test.cpp
+++ b/packages/proxy/tests/leaving_callers_test.cpp
@@ -270,6 +270,30 @@
     EXPECT_LT(sound.received.find("second"), sound.received.find("third"));
 }
 
+// Guards against a host that ends, as a caller has left just when its request is to be repeated
+// after a fault of the upstream.
+TEST_P(PipeliningCallersTest, MayLeaveAsTheirRequestIsRepeated)
+{
+    this->listAtUpstream(this->serving->state(), UpstreamId{ "d2" });
+    this->serving->state().retryBudgets[deskService].tokens = 1;
+    Peer caller = this->ask(this->host(), "/look");
+    ASSERT_TRUE(this->acceptAllAtUpstream(1));
+    ASSERT_TRUE(this->upstreams.front().receives("body"));
+    std::string behind = requestWith({}) + std::string(300ULL * 1000, 'x');
+    waitFor([&] {
+        behind.erase(0, caller.sendWhatFits(behind));
+        return behind.empty();
+    });
+    runFor(std::chrono::milliseconds(20));
+    leave(caller, this->how());
+    this->upstreams.front().send("HTTP/1.1 504 Late\r\nSignature: s\r\nId: 7\r\n"
+                                 "Content-Length: 4\r\n\r\nlate");
+    runFor(maxWorkAfterLeaving);
+    this->acceptAllAtUpstream(0);
+    EXPECT_EQ(this->countAtUpstream(), 1U);
+    EXPECT_TRUE(this->serving->state().requests.empty());
+}
+
 /// An upstream whose answer a slow caller holds back.
 class SlowCallersTest : public LeavingCallersTest
 {
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -54,6 +54,7 @@
         [](const ResponseHead &head) {
             ReplyFacts facts;
             facts.isAttested = headerCount(head.headers, "Signature") > 0;
+            facts.isFault = head.status >= 500;
             return facts;
         },
         [](const ResponseHead &, const UpstreamId &) { return UpstreamStatements(); },
@@ -89,6 +90,7 @@
     route.repeat = repeat;
     route.timeout = std::chrono::seconds(4);
     route.objective = std::chrono::seconds(1);
+    route.maxAttempts = repeat == RepeatPolicy::Idempotent ? 2 : 1;
     route.services = { { deskService, 1.0 } };
     return route;
 }
@@ -261,15 +263,21 @@
     Configuration configuration;
     configuration.version = 1;
     configuration.routes = { routeOf("/file", RepeatPolicy::NonIdempotent),
-                             routeOf("/stream", RepeatPolicy::Stream) };
+                             routeOf("/stream", RepeatPolicy::Stream),
+                             routeOf("/look", RepeatPolicy::Idempotent) };
     configuration.services = { { deskService, {}, 0, {} } };
     Customer customer;
     customer.id.value = "c";
     customer.keys = { KeyHash{ "secret" } };
     configuration.customers = { customer };
     setConfiguration(state, configuration);
+    this->listAtUpstream(state, upstreamId);
+}
+
+void TwoHostsTest::listAtUpstream(GatewayState &state, const UpstreamId &id) const
+{
     ListedUpstream listed;
-    listed.id = upstreamId;
+    listed.id = id;
     listed.service = deskService;
     listed.address = this->upstreamAddress();
     listUpstream(state, listed, monotonicNow());
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -83,6 +83,9 @@
     bool acceptAllAtUpstream(std::size_t count);
 
     Endpoint upstreamAddress() const;
+
+    /// Lists one more upstream, which listens at the same address.
+    void listAtUpstream(gateway::GatewayState &state, const UpstreamId &id) const;
     Endpoint readiness(const std::string &host) const
     {
         return this->readinessOf.at(host);
