Read unread callers in order, as many as can be answered while they wait

What callers saw: at a host near its limit callers were closed unread whom it would have answered (98 to 250 of some 2,100 with 2 s to wait), as the limit of connections was set by the length of the event loop's passes. Far beyond the limit few were told anything, and work for each caller grew with the number of sessions.

New connections are accepted at once and wait in a queue that is as long as callers wait at the rate of reading: learned are the rate, the usual deadline and objective, the time of an answer and how long callers stay unread. Beyond that callers are told (503 host_overloaded, Retry-After) or closed. A queue that stands for longer than callers wait becomes short. The wait is taken off the time that a caller allows. Other hosts forward last to a host that turns callers away. The walks over all sessions and open requests each tick are gone (sets of those with much behind, of paused upstreams, of left ones), the lines of unserved callers are logged once a second.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -239,4 +239,6 @@
   37: optional i64 newestChangeEra
   38: optional bool holdsItems
   39: optional bool wantsHeld
+  /** The sender turns callers away, as it has no processor time for them. */
+  40: optional bool overloaded
 }
--- a/packages/gateway/include/azurewell/gateway/forwarding.h
+++ b/packages/gateway/include/azurewell/gateway/forwarding.h
@@ -46,8 +46,9 @@
 /// serve the request.
 bool isRefusalOfHost(ResultCode code);
 
-/// A reachable host with a path to the upstreams of \a service, if possible in this host's zone;
-/// null if none is known. \a salt spreads requests over the hosts.
+/// A reachable host with a path to the upstreams of \a service, if possible one that turns no
+/// callers away, and in this host's zone; null if none is known. \a salt spreads requests over the
+/// hosts.
 const Member *choosePeer(const Members &members, const ServiceId &service,
                          const std::set<HostId> &excluded, std::uint64_t salt, Instant now);
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -97,6 +97,7 @@
     std::uint32_t maxAttempts = 1;
     Instant arrivedAt;
     Instant deadline; ///< The caller gets a final answer by this time.
+    Instant wantedBy; ///< The objective of its route.
     RequestPhase phase = RequestPhase::Waiting;
     Instant placementDeadline; ///< The request is refused if it is still waiting then.
     UpstreamId upstream;
@@ -226,7 +227,8 @@
     KnownCharts charts;
     std::mt19937_64 random;
     Instant startedAt;
-    Instant stopAskedAt; ///< Zero: no stop was requested.
+    Instant stopAskedAt;       ///< Zero: no stop was requested.
+    bool isOverloaded = false; ///< This host turns callers away, as it has no time for them.
 
     Configuration configuration;
     DeclaredVersions versions;
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -190,6 +190,7 @@
     Incarnation incarnation;
     Span runningFor{}; ///< Time since the sender's process started.
     bool isLeaving = false;
+    bool isOverloaded = false; ///< The sender turns callers away.
     PlatformView platform = PlatformView::NotRead;
     StorePosition position;       ///< The sender knows all published changes up to here.
     StorePosition newestChange;   ///< Position of the newest item known to the sender.
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -31,6 +31,7 @@
     Instant lastAliveAt;       ///< The latest time at which this host or, as reported, another host
                                ///< received a message from it.
     bool isLeaving = false;    ///< It announced that it is shutting down.
+    bool isOverloaded = false; ///< It turns callers away, as it states.
     bool wasReachable = false; ///< Reachability at the last check; see Members::changedAt.
     PlatformView platform = PlatformView::NotRead;
     Instant startedAt;     ///< Start of its process, as it reports.
--- a/packages/gateway/src/forwarding.cpp
+++ b/packages/gateway/src/forwarding.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <span>
+#include <tuple>
 #include <utility>
 
 namespace azurewell::gateway {
@@ -100,12 +101,14 @@
                          const std::set<HostId> &excluded, std::uint64_t salt, Instant now)
 {
     const Member *best = nullptr;
-    std::pair<bool, std::uint64_t> highest; ///< Whether it is in this host's zone, and its weight.
+    /// Whether it has time for its callers, whether it is in this host's zone, and its weight.
+    std::tuple<bool, bool, std::uint64_t> highest;
     for (const auto &[id, member] : members.others) {
         if (member.isLeaving || !isMemberReachable(members, member, now) || excluded.contains(id)
             || member.unreachableServices.contains(service))
             continue;
-        const std::pair rank{ member.zone == members.zone, rendezvousMix(salt, member.idHash) };
+        const std::tuple rank{ !member.isOverloaded, member.zone == members.zone,
+                               rendezvousMix(salt, member.idHash) };
         if (best && rank <= highest)
             continue;
         best = &member;
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -340,6 +340,8 @@
     out.port = message.address.port;
     out.incarnation = static_cast<std::int64_t>(message.incarnation.value);
     out.leaving = message.isLeaving;
+    if (message.isOverloaded)
+        out.__set_overloaded(true);
     addPositions(out, message);
     out.platform = static_cast<std::int32_t>(message.platform);
     out.runningFor = message.runningFor.count();
@@ -427,6 +429,7 @@
     out.address = { message.ip, static_cast<std::uint16_t>(message.port) };
     out.incarnation.value = static_cast<std::uint64_t>(message.incarnation);
     out.isLeaving = message.leaving;
+    out.isOverloaded = message.overloaded;
     takePositions(out, message);
     out.platform = platformView(message.platform);
     out.runningFor = ageOf(message.runningFor);
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -296,6 +296,7 @@
     if (message.heardAgo)
         sender.heardByAt = now - *message.heardAgo;
     sender.isLeaving = message.isLeaving;
+    sender.isOverloaded = message.isOverloaded;
     sender.platform = message.platform;
     sender.startedAt = now - message.runningFor;
     sender.linkMbps = message.linkMbps;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -345,6 +345,7 @@
         return;
     }
     record.deadline = now + timeAllowed(*route, event);
+    record.wantedBy = now + route->objective;
     state.requestDeadlines.set(event.request, record.deadline);
     record.placementDeadline = std::min(record.deadline,
                                         now + route->objective * adapterWaitPercent / 100);
--- a/packages/gateway/src/sending.cpp
+++ b/packages/gateway/src/sending.cpp
@@ -30,6 +30,7 @@
     message.incarnation = state.self.incarnation;
     message.linkMbps = state.self.linkMbps;
     message.isLeaving = isStopping(state);
+    message.isOverloaded = state.isOverloaded;
     message.runningFor = now - state.startedAt;
     message.platform = state.platform;
     message.position = state.published.position;
--- a/packages/gateway/tests/forwarding_test.cpp
+++ b/packages/gateway/tests/forwarding_test.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/gateway/forwarding.h"
 #include "azurewell/gateway/gateway.h"
+#include "azurewell/gateway/gossip_codec.h"
 
 #include <gtest/gtest.h>
 
@@ -91,13 +92,15 @@
         return route;
     }
 
-    void hear(const std::string &id, const std::string &zone, bool isCutOff = false)
+    void hear(const std::string &id, const std::string &zone, bool isCutOff = false,
+              bool isOverloaded = false)
     {
         Gossip message;
         message.from.value = id;
         message.zone.value = zone;
         message.address = { id, 7 };
         message.incarnation.value = 1;
+        message.isOverloaded = isOverloaded;
         if (isCutOff)
             message.unreachableServices = { this->service };
         Actions actions;
@@ -171,6 +174,29 @@
     EXPECT_TRUE(actions.refusals[0].isNotRun);
 }
 
+// Guards against forwards that take the time of hosts which turn their own callers away.
+TEST_F(ForwardingTest, SparesHostsThatTurnCallersAway)
+{
+    this->losePath();
+    this->hear("near", "z", false, true);
+    EXPECT_EQ(this->ask("/look/").forwards.at(0).address.ip, "far");
+    this->hear("far", "y", false, true);
+    EXPECT_EQ(this->ask("/look/").forwards.at(0).address.ip, "near");
+    this->hear("far", "y");
+    EXPECT_EQ(this->ask("/look/").forwards.at(0).address.ip, "far");
+}
+
+TEST_F(ForwardingTest, HostsAreToldThatThisOneTurnsCallersAway)
+{
+    this->state.isOverloaded = true;
+    this->now = this->now + std::chrono::seconds(2);
+    Actions actions;
+    tick(this->state, this->now, actions);
+    ASSERT_FALSE(actions.gossip.empty());
+    const std::string sent = encodeGossip(*actions.gossip.front().message, this->now);
+    EXPECT_TRUE(decodeGossip(sent, this->now).value().isOverloaded);
+}
+
 // Guards against requests that circle between hosts.
 TEST_F(ForwardingTest, DoesNotForwardAForwardedRequest)
 {
--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -34,6 +34,8 @@
         std::function<void(const Error &)> onBadRequest; ///< Answer it; the connection then closes.
         std::function<void()> onDisconnected;            ///< The caller has closed the connection.
         std::function<void()> onDrained;                 ///< All written bytes have been sent.
+        /// May be empty: much has come behind the open request (true), and it was answered (false).
+        std::function<void(bool)> onMuchBehind{};
     };
 
     CallerConnection(UniqueFd descriptor, const RequestLimits &limits, Handlers handlers,
@@ -55,6 +57,12 @@
         return this->reader.body();
     }
 
+    /// Reads what has come, before the event loop says so.
+    void readNow()
+    {
+        this->stream->readNow();
+    }
+
     /// Writes a complete response and starts to read the next request.
     void answer(int status, std::string_view reason, const std::vector<HttpHeader> &headers,
                 std::string_view body, Instant now);
@@ -118,6 +126,7 @@
     void receive();
     bool readRequest();
     void pauseReading(bool paused);
+    void reportMuchBehind(bool isMuch);
     void dropReceived();
     void handleDrained();
     void startNextRequest(Instant now);
@@ -136,8 +145,9 @@
     bool isClosing = false;
     bool isDisconnected = false;
     bool isContinueSent = false;
-    bool isReceiving = false; ///< receive() is on the stack.
-    bool isPaused = false;    ///< The caller sends too much before its request is answered.
+    bool isReceiving = false;  ///< receive() is on the stack.
+    bool isPaused = false;     ///< The caller sends too much before its request is answered.
+    bool isMuchBehind = false; ///< As last reported.
     bool isAnsweredAtOnce = false;
     bool isDropping = false; ///< See dropBehind().
 };
--- a/packages/http/include/azurewell/http/listen_socket.h
+++ b/packages/http/include/azurewell/http/listen_socket.h
@@ -4,6 +4,7 @@
 #include "azurewell/units/result.h"
 
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace azurewell {
@@ -52,6 +53,10 @@
 /// kernel.
 bool isReset(const UniqueFd &connection);
 
+/// Sends \a answer to the request that waits unread on \a connection, which is to be closed then.
+/// False: none waits, or it is too long to be dropped, or the answer could not be sent.
+bool answerUnread(const UniqueFd &connection, std::string_view answer);
+
 /// Opens a listening TCP socket with SO_REUSEPORT: several threads can listen on the same address,
 /// and the kernel distributes connections over them. Errors: SettingsInvalid if the address cannot
 /// be bound.
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -45,6 +45,12 @@
     TcpStream &operator=(const TcpStream &) = delete;
 
     void write(std::string_view bytes);
+
+    /// Reads what has come before the event loop says so.
+    void readNow()
+    {
+        this->handleReadable();
+    }
     void setHandlers(Handlers newHandlers);
 
     /// Bytes received and not yet consumed; the user erases what it consumes.
@@ -115,7 +121,7 @@
 class TcpAcceptor
 {
 public:
-    /// Takes an accepted connection; false if it has closed it instead.
+    /// Takes an accepted connection; false if that was cheap, so that more can be taken at once.
     using Handler = std::function<bool(UniqueFd)>;
 
     TcpAcceptor(UniqueFd listening, Handler onAccepted);
--- /dev/null
+++ b/packages/http/src/accept_queue.cpp
@@ -0,0 +1,198 @@
+#include "azurewell/http/accept_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurewell {
+
+namespace {
+
+/// Shares of the usual wait and deadline until which a request can be read and answered in time,
+/// and the share of that for which the queue may be long. The rest is for errors of the estimates.
+constexpr double readableShareOfWait = 0.9;
+constexpr double readableShareOfDeadline = 0.95;
+constexpr double usedShareOfReadable = 0.8;
+constexpr Span shortestReadable = std::chrono::milliseconds(20);
+
+/// Descriptors are limited, too.
+constexpr std::size_t maxWaiting = 1024;
+
+/// Time over which the rate of reading is averaged, and without which it counts as not known: a
+/// process that shares its processor runs in turns of up to a tenth of a second.
+constexpr double averagingSeconds = 1;
+constexpr double minSecondsKnown = 0.2;
+
+/// The rate may be another one when callers wait again.
+constexpr Span rateValidity = std::chrono::seconds(2);
+
+constexpr std::uint32_t maxTellable = 64;
+
+/// Shares of the usual objective and wait that a queue may stand at.
+constexpr double standingShareOfObjective = 0.5;
+constexpr double standingShareOfWait = 0.25;
+
+/// Steps by which the usual deadline follows those of callers. Their proportion makes it the value
+/// that a tenth of them are below.
+constexpr double deadlineStepUp = 1.01;
+constexpr double deadlineStepDown = 0.91;
+
+/// The same for the time of answers, of which nine of ten are below it.
+constexpr double answerStepUp = 1.09;
+constexpr double answerStepDown = 0.99;
+
+/// Callers whose waits are judged together. If more of them than a tenth have left, the usual wait
+/// falls; if none has, it rises, by no more in a second than shows in the queue by then.
+constexpr std::uint32_t sampleSize = 20;
+constexpr std::uint32_t maxLeftOfSample = 2;
+constexpr double waitStepDown = 0.7;
+constexpr double waitRisePerSecond = 0.1;
+constexpr Span shortestUsualWait = std::chrono::milliseconds(50);
+
+Span scaled(Span span, double factor)
+{
+    return fromSeconds(toSeconds(span) * factor);
+}
+
+Span waitAfterLeaving(const AcceptQueue &queue)
+{
+    const Span shorter = scaled(queue.sample.shortestLeaving, readableShareOfWait);
+    const Span least = std::max(shorter, shortestUsualWait);
+    const Span lower = std::max(scaled(queue.usualWait, waitStepDown), least);
+    return std::min(lower, queue.usualWait);
+}
+
+Span waitAfterStaying(const AcceptQueue &queue, Instant now)
+{
+    const double rise = waitRisePerSecond * toSeconds(now - queue.sample.beganAt);
+    return std::min(queue.usualWait + fromSeconds(rise), queue.usualDeadline);
+}
+
+/// The time after its connection at which a request can still be read and answered in time.
+Span readableWait(const AcceptQueue &queue)
+{
+    const Span beforeAnswer = scaled(queue.usualDeadline, readableShareOfDeadline)
+            - queue.usualAnswer;
+    const Span beforeLeaving = scaled(queue.usualWait, readableShareOfWait);
+    return std::max(std::min(beforeAnswer, beforeLeaving), shortestReadable);
+}
+
+/// Moves \a usual towards \a span of one caller.
+void follow(Span &usual, Span span)
+{
+    usual = usual <= Span{} ? span
+                            : scaled(usual, span < usual ? deadlineStepDown : deadlineStepUp);
+}
+
+/// The wait at which the queue may stand.
+Span standingWait(const AcceptQueue &queue)
+{
+    return std::min(scaled(queue.usualObjective, standingShareOfObjective),
+                    scaled(queue.usualWait, standingShareOfWait));
+}
+
+/// Connections that can be read within \a wait; maxWaiting if that isn't known.
+double capacityIn(const AcceptQueue &queue, Span wait, Instant now)
+{
+    const bool isRateKnown = queue.readingSeconds >= minSecondsKnown && now < queue.rateKnownUntil;
+    if (!isRateKnown || queue.usualWait <= Span{})
+        return maxWaiting;
+    const double rate = queue.read / queue.readingSeconds;
+    return std::min<double>(rate * toSeconds(wait), maxWaiting);
+}
+
+} // namespace
+
+void learnDeadline(AcceptQueue &queue, Span objective, Span deadline)
+{
+    const bool isFirst = queue.usualDeadline <= Span{};
+    follow(queue.usualObjective, objective);
+    follow(queue.usualDeadline, deadline);
+    queue.usualWait = isFirst ? deadline : std::min(queue.usualWait, queue.usualDeadline);
+}
+
+void learnAnswer(AcceptQueue &queue, Span span)
+{
+    const double step = span > queue.usualAnswer ? answerStepUp : answerStepDown;
+    queue.usualAnswer = queue.usualAnswer <= Span{} ? span : scaled(queue.usualAnswer, step);
+}
+
+void learnWait(AcceptQueue &queue, Span waited, bool hasLeft, Instant now)
+{
+    if (waited <= standingWait(queue) / 2)
+        queue.standingSince = Instant{};
+    else if (queue.standingSince.micros == 0)
+        queue.standingSince = now;
+    WaitSample &sample = queue.sample;
+    if (sample.stayed + sample.left == 0)
+        sample = { 0, 0, Span{}, waited, now };
+    if (hasLeft) {
+        ++sample.left;
+        sample.shortestLeaving = std::min(sample.shortestLeaving, waited);
+    } else {
+        ++sample.stayed;
+        sample.longestStay = std::max(sample.longestStay, waited);
+    }
+    if (sample.stayed + sample.left < sampleSize)
+        return;
+    if (sample.left > maxLeftOfSample)
+        queue.usualWait = waitAfterLeaving(queue);
+    else if (sample.left == 0 && sample.longestStay * 2 >= queue.usualWait)
+        queue.usualWait = waitAfterStaying(queue, now);
+    sample = {};
+}
+
+bool hasRoom(const AcceptQueue &queue, Instant now)
+{
+    const auto length = static_cast<double>(queue.waiting.size());
+    const Span longest = scaled(readableWait(queue), usedShareOfReadable);
+    const bool isStanding = queue.standingSince.micros != 0
+            && now > queue.standingSince + queue.usualWait;
+    const Span wait = isStanding ? std::min(standingWait(queue), longest) : longest;
+    return queue.waiting.empty() || length < capacityIn(queue, wait, now);
+}
+
+std::size_t countExcess(const AcceptQueue &queue, Instant now)
+{
+    const double most = std::max(capacityIn(queue, readableWait(queue), now), 1.0);
+    const auto length = static_cast<double>(queue.waiting.size());
+    return length <= most ? 0 : static_cast<std::size_t>(length - most);
+}
+
+bool isOverdue(const AcceptQueue &queue, const UnreadCaller &caller, Instant now)
+{
+    return queue.usualWait > Span{} && now > caller.acceptedAt + readableWait(queue);
+}
+
+void endSlice(AcceptQueue &queue, std::uint32_t read, Instant now)
+{
+    queue.tellable = std::min(queue.tellable + read, maxTellable);
+    if (queue.backloggedSince.micros != 0) {
+        const double seconds = toSeconds(now - queue.backloggedSince);
+        const bool isRecent = now < queue.rateKnownUntil;
+        const double kept = isRecent ? std::exp(-seconds / averagingSeconds) : 0;
+        queue.read = queue.read * kept + read;
+        queue.readingSeconds = queue.readingSeconds * kept + seconds;
+        queue.rateKnownUntil = now + rateValidity;
+    }
+    queue.backloggedSince = queue.waiting.empty() ? Instant{} : now;
+    if (queue.waiting.empty())
+        queue.standingSince = Instant{};
+}
+
+bool takeTelling(AcceptQueue &queue)
+{
+    if (queue.tellable == 0)
+        return false;
+    --queue.tellable;
+    return true;
+}
+
+Span expectedWait(const AcceptQueue &queue)
+{
+    if (queue.read <= 0)
+        return Span{};
+    const auto length = static_cast<double>(queue.waiting.size());
+    return fromSeconds(length * queue.readingSeconds / queue.read);
+}
+
+} // namespace azurewell
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -64,7 +64,16 @@
     this->isReceiving = false;
     if (this->isInRequest && this->isDropping)
         this->dropReceived();
-    this->pauseReading(this->bytesBehind() > this->maxBehind);
+    const bool isTooMuch = this->bytesBehind() > this->maxBehind;
+    if (isTooMuch)
+        this->reportMuchBehind(true);
+    this->pauseReading(isTooMuch);
+}
+
+void CallerConnection::reportMuchBehind(bool isMuch)
+{
+    if (std::exchange(this->isMuchBehind, isMuch) != isMuch && this->handlers.onMuchBehind)
+        this->handlers.onMuchBehind(isMuch);
 }
 
 std::size_t CallerConnection::bytesBehind() const
@@ -186,6 +195,7 @@
     this->isInRequest = false;
     this->isContinueSent = false;
     this->maxBehind = maxPipelinedBytes;
+    this->reportMuchBehind(false);
     this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
--- a/packages/http/src/listen_socket.cpp
+++ b/packages/http/src/listen_socket.cpp
@@ -16,6 +16,9 @@
 
 constexpr int backlog = 1024;
 
+/// Requests below this are dropped with one call to the kernel.
+constexpr std::size_t maxDroppedRequestBytes = 16ULL * 1024;
+
 Error failure(const Endpoint &endpoint, const char *what)
 {
     return Error{ ResultCode::SettingsInvalid,
@@ -69,6 +72,18 @@
     return (pendingEvents(connection, 0) & POLLERR) != 0;
 }
 
+bool answerUnread(const UniqueFd &connection, std::string_view answer)
+{
+    // A connection that is closed with bytes unread is reset, and the caller may lose the answer.
+    std::array<char, maxDroppedRequestBytes> request;
+    const ssize_t count = ::recv(connection.get(), request.data(), request.size(), MSG_DONTWAIT);
+    if (count <= 0 || static_cast<std::size_t>(count) == request.size())
+        return false;
+    const ssize_t sent = ::send(connection.get(), answer.data(), answer.size(),
+                                MSG_DONTWAIT | MSG_NOSIGNAL);
+    return sent == static_cast<ssize_t>(answer.size());
+}
+
 std::string peerIpOf(const UniqueFd &connection)
 {
     sockaddr_in address{};
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -17,10 +17,10 @@
 /// Bytes read per call. A complete request of the observed sizes (5 KB) fits.
 constexpr std::size_t readBlockBytes = 16ULL * 1024;
 
-/// Connections kept per event, so that a connection flood cannot delay responses.
-constexpr int maxKeptPerEvent = 32;
+/// Connections opened per event, so that a connection flood cannot delay responses.
+constexpr int maxOpenedPerEvent = 32;
 
-/// Connections taken off the listening socket per event; closing one costs far less than keeping.
+/// Connections taken off the listening socket per event; to queue or close one is cheap.
 constexpr int maxAcceptsPerEvent = 1024;
 
 /// Time after which unacknowledged data closes the connection, in milliseconds. A host that is
@@ -246,13 +246,13 @@
 
 void TcpAcceptor::acceptPending()
 {
-    int kept = 0;
-    for (int i = 0; i < maxAcceptsPerEvent && kept < maxKeptPerEvent; ++i) {
+    int opened = 0;
+    for (int i = 0; i < maxAcceptsPerEvent && opened < maxOpenedPerEvent; ++i) {
         const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        kept += this->handler(UniqueFd(fd)) ? 1 : 0;
+        opened += this->handler(UniqueFd(fd)) ? 1 : 0;
     }
 }
 
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "azurewell/gateway/gateway.h"
-#include "azurewell/http/accept_limit.h"
+#include "azurewell/http/accept_queue.h"
 #include "azurewell/http/caller_connection.h"
 #include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/gossip_socket.h"
@@ -84,6 +84,7 @@
         std::string body; ///< The buffered body while isHeldBack.
         UpstreamId upstream;
         Instant arrivedAt;
+        Span unreadWait{}; ///< From its connection to its reading, if the connection was queued.
         Instant sentAt;
         Instant firstByteAt; ///< First body bytes of a stream sent to the caller.
         Instant lastChunkAt; ///< Most recent body bytes of a stream received.
@@ -91,6 +92,16 @@
     };
 
     bool accept(UniqueFd descriptor);
+    SessionId openCaller(UniqueFd descriptor);
+    void serveUnread();
+    void readUnread(UnreadCaller caller, Instant now);
+    void turnAway(UniqueFd connection, Instant now);
+    std::string busyAnswer() const;
+    void learnFrom(gateway::RequestNumber number, Instant now);
+    void learnFromLeaving(const OpenRequest &request);
+    void learnUnreadWait(Span waited, bool hasLeft);
+    void countLeftBeforeBegin();
+    void logUnservedCallers(Instant now);
     void acceptPeer(UniqueFd descriptor);
     SessionId openSession(UniqueFd descriptor, const RequestLimits &limits);
     Result<gateway::RequestArrived> readArrival(SessionId id);
@@ -99,8 +110,6 @@
     void handleCallerDisconnect(SessionId id);
     void watchPausedCallers();
     void watchPausedUpstreams();
-    void countLeftBeforeBegin();
-    void logUnservedCallers();
     void handleCallerDrained(SessionId id);
 
     bool hasCallerLeft(const OpenRequest &request, Instant now);
@@ -127,6 +136,7 @@
     void endAttempt(gateway::RequestNumber request, gateway::AttemptOutcome outcome,
                     bool isCutOff = false);
     void deliver(gateway::RequestNumber number);
+    void recordFirstByte(const OpenRequest &request, Instant now);
     void answerBuffered(OpenRequest &open);
     bool isUnframed(const OpenRequest &request) const;
     void recordAnswer(const OpenRequest &request);
@@ -137,6 +147,7 @@
     void probe(const gateway::ProbeUpstream &toProbe);
     void tick();
     void closeTimedOutCallers(Instant now);
+    void endSession(SessionId id);
     void continueStop(Instant now);
     void acceptMonitoring(UniqueFd descriptor);
     void answerMonitoring(SessionId id);
@@ -158,12 +169,21 @@
     std::map<SessionId, std::unique_ptr<CallerConnection>> monitoringSessions;
     std::map<SessionId, gateway::RequestNumber> requestOf;
     std::unordered_map<gateway::RequestNumber, OpenRequest> open;
-    AcceptLimit acceptLimit;               ///< Of callers' connections.
-    std::uint64_t rejectedSinceLogged = 0; ///< Connections that were closed unread.
-    std::uint64_t leftSinceLogged = 0;     ///< Callers that left before their requests were begun.
-    std::size_t heldSinceSum = 0;          ///< Bytes held back since all held bodies were added up.
+    std::set<SessionId> muchBehind;      ///< Those with much behind their open requests.
+    std::vector<SessionId> leftSessions; ///< Whose callers have left.
+    std::set<gateway::RequestNumber> pausedUpstreams; ///< Their answers aren't read from upstreams.
+    AcceptQueue unread;                               ///< Callers' connections.
+    std::uint32_t openedInPass = 0; ///< New connections that didn't wait in the queue.
+    Span unreadWait{};              ///< Of the caller whose request is being read.
+    Instant overloadedUntil;
+    Instant nextCountsLogAt;
+    Instant nextTimeoutsAt;
+    std::uint64_t turnedAwaySinceLogged = 0; ///< Callers whose requests were not read.
+    std::uint64_t leftSinceLogged = 0; ///< Callers that left before their requests were begun.
+    std::size_t heldSinceSum = 0;      ///< Bytes held back since all held bodies were added up.
     std::function<void()> onTick;
     QTimer ticker;
+    QTimer sliceTimer; ///< Runs while callers wait unread.
     SessionId nextSession = 1;
     std::uint64_t nextRequest = 1;
 };
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -38,6 +38,8 @@
     std::uint64_t oversizedCallAnswers = 0; ///< The same of reports, orders and the store.
     std::uint64_t callersAccepted = 0;
     std::uint64_t connectionsRejected = 0; ///< Closed unread, for want of processor time.
+    std::size_t callersUnread = 0;         ///< Connections that wait to be read.
+    Span usualUnreadWait{};                ///< See AcceptQueue::usualWait.
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -73,7 +73,11 @@
     this->metricsListener = std::make_unique<TcpAcceptor>(std::move(metricsSocket.value()),
                                                           onMonitoring);
     QObject::connect(QAbstractEventDispatcher::instance(), &QAbstractEventDispatcher::awake,
-                     &this->ticker, [this] { ++this->metrics.wakeUps; });
+                     &this->ticker, [this] {
+                         ++this->metrics.wakeUps;
+                         this->openedInPass = 0;
+                     });
+    QObject::connect(&this->sliceTimer, &QTimer::timeout, [this] { this->serveUnread(); });
     QObject::connect(&this->ticker, &QTimer::timeout, [this] { this->tick(); });
     this->ticker.setTimerType(Qt::PreciseTimer);
     this->ticker.start(std::chrono::duration_cast<std::chrono::milliseconds>(tickInterval));
@@ -121,7 +125,7 @@
     if (this->onTick)
         this->onTick();
     const Instant now = monotonicNow();
-    beginPass(this->acceptLimit, now);
+    this->core.isOverloaded = now < this->overloadedUntil;
     Actions actions;
     gateway::tick(this->core, now, actions);
     this->run(actions);
@@ -131,7 +135,7 @@
     this->watchPausedCallers();
     this->watchPausedUpstreams();
     this->closeTimedOutCallers(now);
-    this->logUnservedCallers();
+    this->logUnservedCallers(now);
     flushLog();
     if (isStopping(this->core))
         this->continueStop(now);
@@ -193,6 +197,8 @@
     const Instant now = monotonicNow();
     if (session.request().target.ends_with("/metrics")) {
         this->metrics.oversizedCallAnswers = this->httpCalls.oversizedAnswers();
+        this->metrics.callersUnread = this->unread.waiting.size();
+        this->metrics.usualUnreadWait = this->unread.usualWait;
         session.answer(200, "OK", { { "Content-Type", "text/plain; version=0.0.4" } },
                        metricsText(this->core, this->metrics, this->connections.count(),
                                    this->sessions.size(), now),
--- a/packages/proxy/src/proxy_callers.cpp
+++ b/packages/proxy/src/proxy_callers.cpp
@@ -12,25 +12,20 @@
 
 using namespace gateway;
 
-/// Whether the connection is kept. Beyond what this host has processor time for, it is closed with
-/// its request unread, so that the caller can send the request to another host.
-bool Proxy::accept(UniqueFd descriptor)
+namespace {
+
+/// Callers' timeouts are whole seconds.
+constexpr Span timeoutsInterval = std::chrono::milliseconds(250);
+
+/// What is left of the time that a caller \a allowed, if it stated any, after it has waited.
+Span withoutWait(Span allowed, Span waited)
 {
-    if (isLimited(this->acceptLimit) && hasPeerLeft(descriptor)) {
-        this->countLeftBeforeBegin();
-        return false;
-    }
-    if (!takeAccept(this->acceptLimit)) {
-        ++this->metrics.connectionsRejected;
-        ++this->rejectedSinceLogged;
-        return false;
-    }
-    ++this->metrics.callersAccepted;
-    const CallerLimits &limits = this->core.configuration.limits;
-    this->openSession(std::move(descriptor), { limits.headBytes, limits.bodyBytes });
-    return true;
+    constexpr Span least = std::chrono::milliseconds(1);
+    return allowed > Span{} ? std::max(allowed - waited, least) : allowed;
 }
 
+} // namespace
+
 Proxy::SessionId Proxy::openSession(UniqueFd descriptor, const RequestLimits &limits)
 {
     const SessionId id = this->nextSession++;
@@ -47,6 +42,12 @@
     handlers.onDrained = [this, id] {
         this->handleCallerDrained(id);
     };
+    handlers.onMuchBehind = [this, id](bool isMuch) {
+        if (isMuch)
+            this->muchBehind.insert(id);
+        else
+            this->muchBehind.erase(id);
+    };
     this->sessions[id] = std::make_unique<CallerConnection>(std::move(descriptor), limits,
                                                             std::move(handlers), monotonicNow());
     return id;
@@ -63,6 +64,7 @@
     }
     const RequestNumber number{ this->nextRequest++ };
     facts.value().request = number;
+    facts.value().allowed = withoutWait(facts.value().allowed, this->unreadWait);
     facts.value().content = contentDigest(session.request().target, session.body());
     this->requestOf[id] = number;
     OpenRequest &request = this->open[number];
@@ -72,10 +74,12 @@
     request.model = facts.value().model;
     request.promptTokens = facts.value().promptTokens;
     request.arrivedAt = now;
+    request.unreadWait = this->unreadWait;
     if (isStopping(this->core))
         session.close(false);
     Actions actions;
     handle(this->core, facts.value(), now, actions);
+    this->learnFrom(number, now);
     this->run(actions);
 }
 
@@ -93,6 +97,7 @@
 
 void Proxy::handleCallerDisconnect(SessionId id)
 {
+    this->leftSessions.push_back(id);
     const auto request = this->requestOf.find(id);
     if (request == this->requestOf.end()) {
         if (this->sessions.at(id)->isReadingRequest())
@@ -100,6 +105,9 @@
         return;
     }
     const RequestNumber number = request->second;
+    const OpenRequest &left = this->open.at(number);
+    if (!left.isHeadSent)
+        this->learnFromLeaving(left);
     Actions actions;
     handle(this->core, CallerDisconnected{ number, this->open.at(number).isAtUpstream },
            monotonicNow(), actions);
@@ -114,10 +122,11 @@
 {
     std::size_t held = 0;
     std::vector<CallerConnection *> paused;
-    for (const auto &[id, session] : this->sessions) {
-        held += std::max(session->bytesBehind(), maxPipelinedBytes) - maxPipelinedBytes;
-        if (session->isReadingPaused())
-            paused.push_back(session.get());
+    for (const SessionId id : this->muchBehind) {
+        CallerConnection &session = *this->sessions.at(id);
+        held += std::max(session.bytesBehind(), maxPipelinedBytes) - maxPipelinedBytes;
+        if (session.isReadingPaused())
+            paused.push_back(&session);
     }
     for (CallerConnection *session : paused) {
         if (session->detectLeaving())
@@ -137,32 +146,13 @@
 /// that was reset is read, so that the caller sees the break; it may also be whole.
 void Proxy::watchPausedUpstreams()
 {
-    std::vector<UpstreamConnections::Exchange> paused;
-    for (const auto &[number, request] : this->open) {
-        if (request.isPaused)
-            paused.push_back(request.exchange);
+    for (const RequestNumber number : std::exchange(this->pausedUpstreams, {})) {
+        const auto request = this->open.find(number);
+        if (request == this->open.end() || !request->second.isPaused)
+            continue;
+        this->pausedUpstreams.insert(number);
+        this->connections.readOnIfReset(request->second.exchange);
     }
-    for (const UpstreamConnections::Exchange exchange : paused)
-        this->connections.readOnIfReset(exchange);
-}
-
-void Proxy::countLeftBeforeBegin()
-{
-    ++this->core.counters.callersLeft[CallerStage::NotBegun];
-    ++this->leftSinceLogged;
-}
-
-/// One line for all of a tick, since a host that reads late has many of them.
-void Proxy::logUnservedCallers()
-{
-    const std::uint64_t left = std::exchange(this->leftSinceLogged, 0);
-    if (left > 0)
-        writeLog(LogLevel::Info, "callers_left_not_begun", { { "count", std::to_string(left) } });
-    const std::uint64_t rejected = std::exchange(this->rejectedSinceLogged, 0);
-    if (rejected > 0)
-        writeLog(LogLevel::Warning, "connections_closed_unread",
-                 { { "count", std::to_string(rejected) },
-                   { "max_in_pass", std::to_string(this->acceptLimit.maxInPass) } });
 }
 
 void Proxy::handleCallerDrained(SessionId id)
@@ -175,20 +165,33 @@
         this->connections.pauseReading(waiting.exchange, false);
 }
 
+/// Ends sessions whose callers have left, and from time to time those that have timed out.
 void Proxy::closeTimedOutCallers(Instant now)
 {
+    for (const SessionId id : std::exchange(this->leftSessions, {}))
+        this->endSession(id);
+    if (now < this->nextTimeoutsAt)
+        return;
+    this->nextTimeoutsAt = now + timeoutsInterval;
     const CallerLimits &limits = this->core.configuration.limits;
     const CallerTimeouts timeouts{ limits.headTimeout, limits.idleTimeout };
-    std::erase_if(this->sessions, [&](const auto &entry) {
-        const bool isOver = entry.second->isFinished(now)
-                || entry.second->isTimedOut(timeouts, now);
-        if (isOver)
-            this->peerSessions.erase(entry.first);
-        return isOver;
-    });
+    std::vector<SessionId> over;
+    for (const auto &[id, session] : this->sessions) {
+        if (session->isFinished(now) || session->isTimedOut(timeouts, now))
+            over.push_back(id);
+    }
+    for (const SessionId id : over)
+        this->endSession(id);
     std::erase_if(this->monitoringSessions, [&](const auto &entry) {
         return entry.second->isFinished(now) || entry.second->isTimedOut(timeouts, now);
     });
 }
 
+void Proxy::endSession(SessionId id)
+{
+    this->muchBehind.erase(id);
+    this->peerSessions.erase(id);
+    this->sessions.erase(id);
+}
+
 } // namespace azurewell
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -103,6 +103,16 @@
     });
 }
 
+void addCallers(std::string &out, const ProxyMetrics &metrics)
+{
+    addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
+    addCounter(out, "azurewell_connections_closed_unread_total", metrics.connectionsRejected);
+    addGauge(out, "azurewell_callers_unread", static_cast<double>(metrics.callersUnread));
+    addGauge(out, "azurewell_usual_unread_wait_seconds", toSeconds(metrics.usualUnreadWait));
+    addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
+    addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
+}
+
 void addHistogram(std::string &out, std::string_view name, const TimeHistogram &histogram)
 {
     fmt::format_to(std::back_inserter(out), "# TYPE {} histogram\n", name);
@@ -165,10 +175,7 @@
     addGauge(out, "azurewell_prompt_parts_quarantined",
              static_cast<double>(
                      countQuarantined(state.quarantine, gateway::SuspectKind::PromptPart)));
-    addCounter(out, "azurewell_callers_accepted_total", metrics.callersAccepted);
-    addCounter(out, "azurewell_connections_closed_unread_total", metrics.connectionsRejected);
-    addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
-    addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
+    addCallers(out, metrics);
     addByFraming(out, metrics.answersByFraming);
     addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
     addCounter(out, "azurewell_answers_oversized_total", metrics.oversizedAnswers);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -211,14 +211,16 @@
             return;
         request.isHeadSent = true;
         request.firstByteAt = now;
-        this->metrics.timeToFirstByte.add(now - request.arrivedAt);
+        this->recordFirstByte(request, now);
         const bool isChunked = !this->isUnframed(request) && session.request().acceptsChunks;
         session.beginBody(request.head.status, request.head.reason, this->answerHeaders(request),
                           isChunked ? BodyFraming::Chunked : BodyFraming::Close);
     }
     session.sendBody(body);
-    if (session.unsentBytes() > maxUnsentBytes && !std::exchange(request.isPaused, true))
+    if (session.unsentBytes() > maxUnsentBytes && !std::exchange(request.isPaused, true)) {
+        this->pausedUpstreams.insert(number);
         this->connections.pauseReading(request.exchange, true);
+    }
 }
 
 /// Adds \a body to the answer that is held back for \a number. An answer over its bound, or the
@@ -280,10 +282,16 @@
             && !this->peerSessions.contains(request.session);
 }
 
+void Proxy::recordFirstByte(const OpenRequest &request, Instant now)
+{
+    this->metrics.timeToFirstByte.add(now - request.arrivedAt);
+    learnAnswer(this->unread, now - request.arrivedAt);
+}
+
 void Proxy::answerBuffered(OpenRequest &request)
 {
     const Instant now = monotonicNow();
-    this->metrics.timeToFirstByte.add(now - request.arrivedAt);
+    this->recordFirstByte(request, now);
     CallerConnection &session = *this->sessions.at(request.session);
     request.isHeadSent = true;
     const std::vector<HttpHeader> headers = this->answerHeaders(request);
@@ -342,7 +350,8 @@
     const AttemptOutcome outcome = request.facts.isFault ? AttemptOutcome::FaultStated
                                                          : AttemptOutcome::Done;
     this->endAttempt(number, outcome);
-    // The core has sent it to another upstream, or was about to as its caller was seen to have left.
+    // The core has sent it to another upstream, or was about to as its caller was seen to have
+    // left.
     if (this->core.requests.contains(number) || !this->open.contains(number))
         return;
     this->deliver(number);
--- a/packages/units/include/azurewell/units/result_code.h
+++ b/packages/units/include/azurewell/units/result_code.h
@@ -70,6 +70,7 @@
     CallerGone = 602,
     InternalError = 603,
     HostWithoutNews = 604,
+    HostOverloaded = 605,
 
     // 7xx: settings and tickets.
     SettingsInvalid = 700,
--- a/packages/units/src/result_code.cpp
+++ b/packages/units/src/result_code.cpp
@@ -97,6 +97,8 @@
     ResultCodeInfo{ InternalError, "internal_error", 500, "This host failed." },
     ResultCodeInfo{ HostWithoutNews, "host_without_news", 503,
                     "This host is cut off and cannot tell whether the key is still valid." },
+    ResultCodeInfo{ HostOverloaded, "host_overloaded", 503,
+                    "This host has more callers than it can serve; another host may serve you." },
     ResultCodeInfo{ SettingsInvalid, "settings_invalid", 500, "The settings file is not valid." },
     ResultCodeInfo{ TicketInvalid, "ticket_invalid", 500, "The ticket is not valid." },
     ResultCodeInfo{ TicketOutOfOrder, "ticket_out_of_order", 500,
--- a/tests/sockets/node_fleet.cpp
+++ b/tests/sockets/node_fleet.cpp
@@ -41,7 +41,8 @@
 }
 
 NodeFleet::NodeFleet()
-    : net(netOfProcess())
+    : program(AZUREWELLD)
+    , net(netOfProcess())
 {
     for (std::size_t host = 0; host < size; ++host) {
         this->storeListeners.push_back(std::make_unique<soak::Listener>(
@@ -153,7 +154,14 @@
     process.setStandardOutputFile(path + ".log", QIODevice::Append);
     process.setStandardErrorFile(path + ".log", QIODevice::Append);
     process.setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
-    process.start(AZUREWELLD, { "node", "--settings", path + ".conf" });
+    process.start(this->program, { "node", "--settings", path + ".conf" });
+}
+
+void NodeFleet::killHost(std::size_t host)
+{
+    this->hosts[host]->kill();
+    this->hosts[host]->waitForFinished();
+    this->hosts[host].reset();
 }
 
 bool NodeFleet::isReady(std::size_t host) const
--- a/tests/sockets/node_fleet.h
+++ b/tests/sockets/node_fleet.h
@@ -49,6 +49,16 @@
     /// Starts the process; whether it becomes ready is seen by isReady(). \a isFirstStart: together
     /// with the whole system.
     void startHost(std::size_t host, bool isFirstStart);
+    /// Ends the process at once.
+    void killHost(std::size_t host);
+    std::string hostIp(std::size_t host) const
+    {
+        return this->ip(host + 1);
+    }
+    qint64 processId(std::size_t host) const
+    {
+        return this->hosts[host]->processId();
+    }
     bool isReady(std::size_t host) const;
     /// The status with which \a host answers a request on the route of \a prefix, 0 without an
     /// answer.
@@ -58,6 +68,7 @@
     std::array<bool, size> isRejected{}; ///< Hosts whose calls the store rejects.
     std::vector<std::unique_ptr<PlainServer>> servers;
     QTemporaryDir logs;
+    QString program; ///< Of hosts that are started from now on.
 
 private:
     std::string ip(std::size_t index) const;
