Judge how late a request can be read by each caller's time to spare

The tenth part of the deadlines was set against the tenth part of the times of answers, of whatever callers: where callers with 0.6 s to wait share a host with streams whose first event takes a second, hardly anybody would have been let wait. What counts is the difference of both, for each request. The new test has such callers, half of each kind; with the earlier figures the queue would have been 0 s long, now 1.2 to 1.5.

--- a/packages/http/include/azurewell/http/accept_queue.h
+++ b/packages/http/include/azurewell/http/accept_queue.h
@@ -41,7 +41,7 @@
     std::deque<UnreadCaller> waiting; ///< Oldest first.
     Span usualObjective{};            ///< Nine of ten callers want no earlier answer.
     Span usualDeadline{};             ///< Nine of ten callers have more time; 0: not known.
-    Span usualAnswer{};               ///< Nine of ten requests are answered sooner once read.
+    Span usualSpare{};                ///< Nine of ten could be read later, and answered in time.
     Span usualWait{};                 ///< Nine of ten callers wait longer unread; 0: not known.
     WaitSample sample;                ///< From which the usual wait is learned.
     double read = 0;                  ///< Requests begun while other callers waited.
@@ -56,8 +56,8 @@
 /// after \a deadline.
 void learnDeadline(AcceptQueue &queue, Span objective, Span deadline);
 
-/// Notes that a request was answered \a span after it was read.
-void learnAnswer(AcceptQueue &queue, Span span);
+/// Notes that a request could have been read after \a span in the queue and answered in time.
+void learnSpare(AcceptQueue &queue, Span span);
 
 /// Notes that the request of a caller was read after \a waited, or that the caller \a hasLeft
 /// before it was read.
--- a/packages/http/src/accept_queue.cpp
+++ b/packages/http/src/accept_queue.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// Shares of the usual wait and deadline until which a request can be read and answered in time,
-/// and the share of that for which the queue may be long. The rest is for errors of the estimates.
-constexpr double readableShareOfWait = 0.9;
-constexpr double readableShareOfDeadline = 0.95;
+/// Share of the usual wait and time to spare until which a request is read, and the share of that
+/// for which the queue may be long. The rest is for errors of the estimates.
+constexpr double readableShare = 0.9;
 constexpr double usedShareOfReadable = 0.8;
 constexpr Span shortestReadable = std::chrono::milliseconds(20);
 
@@ -31,14 +30,10 @@
 constexpr double standingShareOfObjective = 0.5;
 constexpr double standingShareOfWait = 0.25;
 
-/// Steps by which the usual deadline follows those of callers. Their proportion makes it the value
-/// that a tenth of them are below.
-constexpr double deadlineStepUp = 1.01;
-constexpr double deadlineStepDown = 0.91;
-
-/// The same for the time of answers, of which nine of ten are below it.
-constexpr double answerStepUp = 1.09;
-constexpr double answerStepDown = 0.99;
+/// Steps by which a usual span follows those of callers. Their proportion makes it the value that a
+/// tenth of them are below.
+constexpr double stepUp = 1.01;
+constexpr double stepDown = 0.91;
 
 /// Callers whose waits are judged together. If more of them than a tenth have left, the usual wait
 /// falls; if none has, it rises, by no more in a second than shows in the queue by then.
@@ -55,7 +50,7 @@
 
 Span waitAfterLeaving(const AcceptQueue &queue)
 {
-    const Span shorter = scaled(queue.sample.shortestLeaving, readableShareOfWait);
+    const Span shorter = scaled(queue.sample.shortestLeaving, readableShare);
     const Span least = std::max(shorter, shortestUsualWait);
     const Span lower = std::max(scaled(queue.usualWait, waitStepDown), least);
     return std::min(lower, queue.usualWait);
@@ -70,17 +65,14 @@
 /// The time after its connection at which a request can still be read and answered in time.
 Span readableWait(const AcceptQueue &queue)
 {
-    const Span beforeAnswer = scaled(queue.usualDeadline, readableShareOfDeadline)
-            - queue.usualAnswer;
-    const Span beforeLeaving = scaled(queue.usualWait, readableShareOfWait);
-    return std::max(std::min(beforeAnswer, beforeLeaving), shortestReadable);
+    const Span wait = scaled(std::min(queue.usualWait, queue.usualSpare), readableShare);
+    return std::max(wait, shortestReadable);
 }
 
 /// Moves \a usual towards \a span of one caller.
 void follow(Span &usual, Span span)
 {
-    usual = usual <= Span{} ? span
-                            : scaled(usual, span < usual ? deadlineStepDown : deadlineStepUp);
+    usual = usual <= Span{} ? span : scaled(usual, span < usual ? stepDown : stepUp);
 }
 
 /// The wait at which the queue may stand.
@@ -108,12 +100,13 @@
     follow(queue.usualObjective, objective);
     follow(queue.usualDeadline, deadline);
     queue.usualWait = isFirst ? deadline : std::min(queue.usualWait, queue.usualDeadline);
+    if (isFirst)
+        queue.usualSpare = deadline;
 }
 
-void learnAnswer(AcceptQueue &queue, Span span)
+void learnSpare(AcceptQueue &queue, Span span)
 {
-    const double step = span > queue.usualAnswer ? answerStepUp : answerStepDown;
-    queue.usualAnswer = queue.usualAnswer <= Span{} ? span : scaled(queue.usualAnswer, step);
+    follow(queue.usualSpare, std::max(span, shortestReadable));
 }
 
 void learnWait(AcceptQueue &queue, Span waited, bool hasLeft, Instant now)
--- a/packages/http/tests/accept_queue_test.cpp
+++ b/packages/http/tests/accept_queue_test.cpp
@@ -231,6 +231,25 @@
     EXPECT_LE(queue.usualWait, queue.usualDeadline);
 }
 
+// Guards against callers in a hurry who are read too late, and against slow answers to patient
+// callers for which those in a hurry would be turned away.
+TEST(AcceptQueue, FollowsTheTimeToSpareOfEachCaller)
+{
+    AcceptQueue queue;
+    learn(queue, std::chrono::seconds(15));
+    for (int i = 0; i < 1000; ++i) {
+        const bool isPatient = i % 2 == 0;
+        learn(queue, isPatient ? std::chrono::seconds(15) : std::chrono::milliseconds(1500));
+        const Span answer = std::chrono::milliseconds(isPatient ? 3000 : 100);
+        learnSpare(
+                queue,
+                (isPatient ? Span(std::chrono::seconds(15)) : Span(std::chrono::milliseconds(1500)))
+                        - answer);
+    }
+    EXPECT_GE(queue.usualSpare, std::chrono::milliseconds(1200));
+    EXPECT_LE(queue.usualSpare, std::chrono::milliseconds(1500));
+}
+
 // Guards against a queue that is too long for callers who leave earlier than they state, and
 // against some in a hurry, for whom others would be turned away.
 TEST(AcceptQueue, FollowsHowLongCallersStay)
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -84,6 +84,7 @@
         std::string body; ///< The buffered body while isHeldBack.
         UpstreamId upstream;
         Instant arrivedAt;
+        Instant deadline;  ///< Of the answer.
         Span unreadWait{}; ///< From its connection to its reading, if the connection was queued.
         Instant sentAt;
         Instant firstByteAt; ///< First body bytes of a stream sent to the caller.
@@ -98,6 +99,7 @@
     void turnAway(UniqueFd connection, Instant now);
     std::string busyAnswer() const;
     void learnFrom(gateway::RequestNumber number, Instant now);
+    void learnFromAnswer(const OpenRequest &request, Instant now);
     void learnFromLeaving(const OpenRequest &request);
     void learnUnreadWait(Span waited, bool hasLeft);
     void countLeftBeforeBegin();
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -118,17 +118,24 @@
     const auto record = this->core.requests.find(number);
     if (record == this->core.requests.end() || record->second.arrivedRequest.forwarded)
         return;
+    this->open.at(number).deadline = record->second.deadline;
     learnDeadline(this->unread, record->second.wantedBy - now,
                   record->second.deadline - now + this->unreadWait);
     this->learnUnreadWait(this->unreadWait, false);
 }
 
+/// Learns from a caller whose answer begins.
+void Proxy::learnFromAnswer(const OpenRequest &request, Instant now)
+{
+    if (request.deadline.micros != 0)
+        learnSpare(this->unread, request.deadline - now + request.unreadWait);
+}
+
 /// Learns from a caller that has left before its request was answered.
 void Proxy::learnFromLeaving(const OpenRequest &request)
 {
-    const Span waited = monotonicNow() - request.arrivedAt + request.unreadWait;
     if (request.unreadWait > Span{})
-        learnDeadline(this->unread, waited, waited);
+        learnSpare(this->unread, request.unreadWait / 2);
 }
 
 /// Learns from a caller whose request has been read, or that has left before it was.
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -285,7 +285,7 @@
 void Proxy::recordFirstByte(const OpenRequest &request, Instant now)
 {
     this->metrics.timeToFirstByte.add(now - request.arrivedAt);
-    learnAnswer(this->unread, now - request.arrivedAt);
+    this->learnFromAnswer(request, now);
 }
 
 void Proxy::answerBuffered(OpenRequest &request)
