--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -160,7 +160,7 @@
     for (const auto &[id, session] : this->sessions)
         session->close(!session->hasBegun());
     const bool isLast = waited >= this->settings.self.stopGrace - exitMargin;
-    const bool isSettled = this->open.empty()
+    const bool isSettled = this->open.empty() && this->unread.waiting.empty()
             && waited >= loadBalancerDelay + loadBalancerDelay / 3;
     if (!isLast && !isSettled)
         return;
