--- a/packages/http/src/accept_queue.cpp
+++ b/packages/http/src/accept_queue.cpp
@@ -11,7 +11,10 @@
 /// for which the queue may be long. The rest is for errors of the estimates.
 constexpr double readableShare = 0.9;
 constexpr double usedShareOfReadable = 0.8;
-constexpr Span shortestReadable = std::chrono::milliseconds(20);
+
+/// A host that is short of processor time may stand still for a tenth of a second at a time: with a
+/// shorter queue it would have nothing to read when it runs.
+constexpr Span shortestReadable = std::chrono::milliseconds(200);
 
 /// Descriptors are limited, too.
 constexpr std::size_t maxWaiting = 1024;
@@ -27,8 +30,8 @@
 constexpr std::uint32_t maxTellable = 64;
 
 /// Shares of the usual objective and wait that a queue may stand at.
-constexpr double standingShareOfObjective = 0.5;
-constexpr double standingShareOfWait = 0.25;
+constexpr double standingShareOfObjective = 1;
+constexpr double standingShareOfWait = 0.5;
 
 /// Steps by which a usual span follows those of callers. Their proportion makes it the value that a
 /// tenth of them are below.
@@ -41,7 +44,6 @@
 constexpr std::uint32_t maxLeftOfSample = 2;
 constexpr double waitStepDown = 0.7;
 constexpr double waitRisePerSecond = 0.1;
-constexpr Span shortestUsualWait = std::chrono::milliseconds(50);
 
 Span scaled(Span span, double factor)
 {
@@ -51,7 +53,7 @@
 Span waitAfterLeaving(const AcceptQueue &queue)
 {
     const Span shorter = scaled(queue.sample.shortestLeaving, readableShare);
-    const Span least = std::max(shorter, shortestUsualWait);
+    const Span least = std::max(shorter, shortestReadable);
     const Span lower = std::max(scaled(queue.usualWait, waitStepDown), least);
     return std::min(lower, queue.usualWait);
 }
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -131,11 +131,13 @@
         learnSpare(this->unread, request.deadline - now + request.unreadWait);
 }
 
-/// Learns from a caller that has left before its request was answered.
+/// Learns from a caller that has left before its request was answered, if that was due to its wait
+/// in the queue rather than to the answer.
 void Proxy::learnFromLeaving(const OpenRequest &request)
 {
-    if (request.unreadWait > Span{})
-        learnSpare(this->unread, request.unreadWait / 2);
+    const Span sinceRead = monotonicNow() - request.arrivedAt;
+    if (request.unreadWait > sinceRead)
+        learnSpare(this->unread, request.unreadWait * 3 / 4);
 }
 
 /// Learns from a caller whose request has been read, or that has left before it was.
