--- a/packages/proxy/tests/overload_test.cpp
+++ b/packages/proxy/tests/overload_test.cpp
@@ -30,6 +30,8 @@
     std::size_t answered = 0;
     std::size_t closedUnread = 0;
     std::size_t givenUp = 0;
+    std::size_t told = 0;           ///< At any time, that the host has no time for them.
+    std::size_t toldIncomplete = 0; ///< Without saying that it has not run, or when to come back.
 };
 
 } // namespace
@@ -67,6 +69,12 @@
         request.isOver = isAnswered || isClosed || isGivenUp;
         if (!request.isOver)
             return;
+        if (request.caller.countReceived("host_overloaded") > 0) {
+            const bool isWhole = request.caller.countReceived("HTTP/1.1 503 ") > 0
+                    && request.caller.countReceived("Retry-After: ") > 0
+                    && request.caller.countReceived("\"not_run\"") > 0;
+            ++(isWhole ? outcomes.told : outcomes.toldIncomplete);
+        }
         request.caller.close();
         if (request.askedAt < this->startedAt + settlingTime)
             return;
@@ -115,4 +123,14 @@
     EXPECT_GE(outcomes.answered * requestCost, (duration - settlingTime) / 2);
 }
 
+// Guards against callers that are turned away by a closed connection alone, although the host has
+// time to tell them.
+TEST_F(OverloadTest, CallersAreToldThatTheirRequestsHaveNotRun)
+{
+    const Outcomes outcomes = this->play();
+    EXPECT_GE(outcomes.told * 4, outcomes.answered);
+    EXPECT_EQ(outcomes.toldIncomplete, 0U);
+    EXPECT_EQ(this->serving->state().counters.refusals[ResultCode::HostOverloaded], outcomes.told);
+}
+
 } // namespace azurewell
