Priorities and load figures between hosts: types, messages and the header towards engines

Cause: priorities of routes and customers were decoded and used nowhere, a missing priority of a customer counted as 0, the most urgent, and hosts had no message by which an engine's coordinator hears that a prompt was read.

Change: Priority is a type of its own and optional; requests to engines carry X-Priority-Class where the configuration states more than one priority for a service. Messages between hosts have optional fields for the customer, priority, objective and longest pause of a prompt, for what a coordinator learns about an engine, and a report that a prompt was read.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -37,6 +37,14 @@
   10: i32 waiting
   /** The sender may order at the engine. */
   11: optional bool ordering
+  /** Prompt tokens that the engine reads a second, as learnt by the sender. */
+  12: optional i32 tokensPerSecond
+  /** Places for adapters that a load could use now. */
+  13: optional i32 openPlaces
+  /** Prompt tokens that were granted and are not read yet. */
+  14: optional i32 unreadTokens
+  /** How long work takes there now, in percent of the usual. */
+  15: optional i32 slowdownPercent
 }
 
 struct AdapterUse {
@@ -69,6 +77,13 @@
   6: optional bool givenBack
   /** Requests a second that the upstream takes; absent: it states none. */
   7: optional double limit
+  8: optional string customer
+  /** 0 is the most urgent; absent: the configuration states none. */
+  9: optional i32 priority
+  /** Time until the objective of the request's route. */
+  10: optional i32 objectiveLeftMillis
+  /** Longest pause between events that the route allows. */
+  11: optional i32 maxPauseMillis
 }
 
 struct PromptAnswer {
@@ -77,6 +92,22 @@
   3: bool copyWanted
   /** It counts against the limit that the upstream states. */
   4: optional bool permit
+  /** The prompt waits at the sender; a further answer grants or refuses it. */
+  5: optional bool queued
+  /** The engine cannot read the prompt in time. */
+  6: optional bool unservable
+}
+
+/** The first event of the answer to an admitted prompt, or the end of its attempt. */
+struct PromptRead {
+  1: string engine
+  2: i64 request
+  /** Since the prompt was sent to the engine. */
+  3: i32 elapsedMillis
+  /** The attempt ended without a first event. */
+  4: optional bool failed
+  /** How long work takes at the engine, in percent of the usual, as it stated it. */
+  5: optional i32 slowdownPercent
 }
 
 struct Member {
@@ -241,4 +272,5 @@
   39: optional bool wantsHeld
   /** The sender turns callers away, as it has no processor time for them. */
   40: optional bool overloaded
+  41: optional list<PromptRead> promptsRead
 }
--- a/packages/gateway/include/azurewell/gateway/configuration.h
+++ b/packages/gateway/include/azurewell/gateway/configuration.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "azurewell/units/ids.h"
+#include "azurewell/units/priority.h"
 #include "azurewell/units/time.h"
 #include "azurewell/units/tokens.h"
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,11 +36,12 @@
     std::string host;
     std::string prefix; ///< Begins and ends with a slash.
     RepeatPolicy repeat = RepeatPolicy::NonIdempotent;
-    bool isResumable = false;      ///< A broken stream may be resumed at another upstream.
-    bool isPublic = false;         ///< Requires no key.
-    Span timeout{};                ///< The caller gets a final answer within this time.
-    Span objective{};              ///< Target time to the answer (of a stream: to its first event).
-    std::uint32_t priority = 0;    ///< 0 is the most urgent.
+    bool isResumable = false; ///< A broken stream may be resumed at another upstream.
+    bool isPublic = false;    ///< Requires no key.
+    Span timeout{};           ///< The caller gets a final answer within this time.
+    Span objective{};         ///< Target time to the answer (of a stream: to its first event).
+    std::optional<Priority> priority; ///< Empty: not stated.
+    Span maxPause{};               ///< Longest pause between two events of a stream; 0: not stated.
     std::uint32_t maxAttempts = 1; ///< Maximum number of upstreams at which one request may run.
     std::vector<WeightedService> services;
 };
@@ -75,7 +78,7 @@
 struct Customer
 {
     CustomerId id;
-    std::uint32_t priority = 0;
+    std::optional<Priority> priority; ///< Goes before that of the route; empty: not stated.
     std::vector<KeyHash> keys;
     TokenRate rate; ///< 0: no limit.
     Tokens burst;
@@ -101,11 +104,22 @@
     std::vector<Customer> customers;
     CallerLimits limits;
     std::unordered_map<KeyHash, std::size_t> customerOfKey; ///< Filled by indexKeys().
+    /// Services whose requests have more than one priority; filled by indexPriorities().
+    std::set<ServiceId> rankedServices;
 };
 
 /// Fills customerOfKey.
 void indexKeys(Configuration &configuration);
 
+/// Fills rankedServices.
+void indexPriorities(Configuration &configuration);
+
+/// The priority of a request of \a customer (null: of nobody) on \a route: that of the customer if
+/// it states one, else that of the route. Empty if neither states one, or if all requests to
+/// \a service have the same one, so that there is nothing to order.
+std::optional<Priority> priorityOf(const Configuration &configuration, const Route &route,
+                                   const Customer *customer, const ServiceId &service);
+
 /// The route of \a host with the longest prefix of \a path; null if there is none.
 const Route *findRoute(const Configuration &configuration, std::string_view host,
                        std::string_view path);
@@ -114,6 +128,7 @@
 
 /// The customer that owns \a key; null if there is none.
 const Customer *findCustomer(const Configuration &configuration, const KeyHash &key);
+const Customer *findCustomer(const Configuration &configuration, const CustomerId &id);
 
 /// Picks the service for a request of \a route by weight. \a draw is uniform in [0, 1).
 const ServiceId *pickService(const Route &route, double draw);
--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -5,6 +5,8 @@
 #include "azurewell/gateway/gossip.h"
 #include "azurewell/gateway/message_kind.h"
 #include "azurewell/gateway/upstreams.h"
+#include "azurewell/units/priority.h"
+#include "azurewell/units/priority.h"
 #include "azurewell/units/result_code.h"
 
 #include <memory>
@@ -201,6 +203,7 @@
     Span allowed{};
     /// Buffer the whole answer before forwarding it, so that a broken one can be replaced.
     bool isBuffered = false;
+    std::optional<Priority> priority{}; ///< Of a request to an engine; empty: none is stated.
 };
 
 /// Forward a request to another host, and the answer to the caller.
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -92,6 +92,9 @@
     RequestDigest digest;
     std::vector<RequestDigest> partDigests; ///< Of the parts of its prompt, without the last.
     ServiceId service;
+    std::optional<Priority>
+            priority; ///< Empty: the configuration ranks no requests of the service.
+    Span maxPause{};  ///< Longest pause between events; 0: not stated.
     RepeatPolicy repeat = RepeatPolicy::NonIdempotent;
     bool isResumable = false;
     std::uint32_t maxAttempts = 1;
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -5,6 +5,7 @@
 #include "azurewell/gateway/store_position.h"
 #include "azurewell/gateway/stream_origins.h"
 #include "azurewell/gateway/upstreams.h"
+#include "azurewell/units/priority.h"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,10 @@
     UpstreamId engine;
     EngineState state;       ///< `seenAt` is in the receiver's time, from the age in the message.
     bool isOrdering = false; ///< The sender may order at the engine.
+    std::uint32_t tokensPerSecond = 0;         ///< Prompt tokens that it reads; 0: not known.
+    std::optional<std::uint32_t> openPlaces{}; ///< Adapters that could be loaded now.
+    std::uint32_t unreadTokens = 0;            ///< Granted to hosts and not read yet.
+    double slowdown = 0; ///< How long work takes now, relative to the usual; 0: not known.
 };
 
 /// The sender's requests that use an adapter at an engine.
@@ -55,6 +60,10 @@
     double tokens = 0;
     bool isReturned = false; ///< Returns an admission that is not used.
     double limit = 0; ///< Rate limit stated by the upstream, in requests per second; 0: none.
+    CustomerId customer{};
+    std::optional<Priority> priority{}; ///< Empty: the configuration states none.
+    Span objectiveLeft{}; ///< Time until the objective of the request's route; 0: none or past.
+    Span maxPause{};      ///< Longest pause between events that the route allows; 0: not stated.
 };
 
 struct AdmissionReply
@@ -63,6 +72,19 @@
     Span wait{};
     bool isCopyWanted = false;
     bool isPermit = false;
+    bool isQueued = false;     ///< The prompt waits at the sender; a further reply follows.
+    bool isUnservable = false; ///< The engine cannot read the prompt in time.
+};
+
+/// Reports the first event of the answer to an admitted prompt, or the end of its attempt, to the
+/// coordinator of the engine.
+struct PromptRead
+{
+    UpstreamId engine;
+    std::uint64_t request = 0; ///< Request number at the sender.
+    Span elapsed{};            ///< Since the prompt was sent to the engine.
+    bool isFailed = false;     ///< The attempt ended without a first event.
+    double slowdown = 0;       ///< As the engine last stated it; 0: not stated.
 };
 
 /// The rate limit that an upstream states for the requests of all hosts together.
@@ -209,6 +231,7 @@
     std::vector<PromptWork> promptWork;
     std::vector<AdmissionRequest> admissionRequests;
     std::vector<AdmissionReply> admissionReplies;
+    std::vector<PromptRead> promptsRead;
     std::vector<LoadRequest> loadRequests;
     std::vector<LoadRefusal> loadRefusals;
     std::vector<PublishedChanges> changes; ///< At most one.
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -95,6 +95,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    double slowdown = 0; ///< How long work takes now, relative to the usual; 0: not stated.
 };
 
 /// A load in progress, as tracked by this host.
--- a/packages/gateway/src/configuration.cpp
+++ b/packages/gateway/src/configuration.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/gateway/configuration.h"
 
+#include <map>
+
 namespace azurewell::gateway {
 
 void indexKeys(Configuration &configuration)
@@ -11,6 +13,36 @@
     }
 }
 
+void indexPriorities(Configuration &configuration)
+{
+    std::set<Priority> ofCustomers;
+    for (const Customer &customer : configuration.customers) {
+        if (customer.priority)
+            ofCustomers.insert(*customer.priority);
+    }
+    std::map<ServiceId, std::set<Priority>> priorities;
+    for (const Route &route : configuration.routes) {
+        for (const WeightedService &weighted : route.services) {
+            std::set<Priority> &ofService = priorities[weighted.service];
+            ofService.insert(route.priority.value_or(defaultPriority));
+            ofService.insert(ofCustomers.begin(), ofCustomers.end());
+        }
+    }
+    configuration.rankedServices.clear();
+    for (const auto &[service, ofService] : priorities) {
+        if (ofService.size() > 1)
+            configuration.rankedServices.insert(service);
+    }
+}
+
+std::optional<Priority> priorityOf(const Configuration &configuration, const Route &route,
+                                   const Customer *customer, const ServiceId &service)
+{
+    if (!configuration.rankedServices.contains(service))
+        return std::nullopt;
+    return customer && customer->priority ? customer->priority : route.priority;
+}
+
 const Route *findRoute(const Configuration &configuration, std::string_view host,
                        std::string_view path)
 {
@@ -40,6 +72,15 @@
                                                       : &configuration.customers[found->second];
 }
 
+const Customer *findCustomer(const Configuration &configuration, const CustomerId &id)
+{
+    for (const Customer &customer : configuration.customers) {
+        if (customer.id == id)
+            return &customer;
+    }
+    return nullptr;
+}
+
 const ServiceId *pickService(const Route &route, double draw)
 {
     double total = 0;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -180,6 +180,7 @@
     if (configuration.version <= state.configuration.version)
         return;
     indexKeys(configuration);
+    indexPriorities(configuration);
     state.configuration = std::move(configuration);
     for (auto &[id, upstream] : state.upstreams) {
         // An entry that was read before the configuration counts as cold whatever its service is.
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -6,6 +6,7 @@
 #include <gossip_types.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace azurewell::gateway {
@@ -16,6 +17,11 @@
 
 constexpr Span millisecond = std::chrono::milliseconds(1);
 
+std::int32_t inMillis(Span span)
+{
+    return static_cast<std::int32_t>(span / millisecond);
+}
+
 /// Converts an age from the wire. Negative ages, which would lie in the future, become 0.
 Span ageOf(std::int64_t micros)
 {
@@ -75,7 +81,7 @@
         if (adapter.name.model != defaultName)
             to.model = adapter.name.model;
         to.adapter = adapter.name.adapter;
-        to.__set_loadingForMillis(static_cast<std::int32_t>((now - adapter.since) / millisecond));
+        to.__set_loadingForMillis(inMillis(now - adapter.since));
         if (adapter.isInHostMemory)
             to.__set_heldLately(true);
     }
@@ -95,6 +101,18 @@
     return out;
 }
 
+constexpr double percent = 0.01;
+
+std::int32_t toPercent(double factor)
+{
+    return static_cast<std::int32_t>(std::lround(factor / percent));
+}
+
+double fromPercent(std::int32_t percents)
+{
+    return std::max(percents, 0) * percent;
+}
+
 wire::EngineNews toWire(const EngineUpdate &update, Instant now)
 {
     wire::EngineNews out;
@@ -110,6 +128,14 @@
     out.waiting = static_cast<std::int32_t>(update.state.waiting);
     if (update.isOrdering)
         out.__set_ordering(true);
+    if (update.tokensPerSecond > 0)
+        out.__set_tokensPerSecond(static_cast<std::int32_t>(update.tokensPerSecond));
+    if (update.openPlaces)
+        out.__set_openPlaces(static_cast<std::int32_t>(*update.openPlaces));
+    if (update.unreadTokens > 0)
+        out.__set_unreadTokens(static_cast<std::int32_t>(update.unreadTokens));
+    if (update.slowdown > 0)
+        out.__set_slowdownPercent(toPercent(update.slowdown));
     return out;
 }
 
@@ -127,6 +153,11 @@
     out.state.running = static_cast<std::uint32_t>(update.running);
     out.state.waiting = static_cast<std::uint32_t>(update.waiting);
     out.isOrdering = update.ordering;
+    out.tokensPerSecond = static_cast<std::uint32_t>(std::max(update.tokensPerSecond, 0));
+    if (update.__isset.openPlaces)
+        out.openPlaces = static_cast<std::uint32_t>(std::max(update.openPlaces, 0));
+    out.unreadTokens = static_cast<std::uint32_t>(std::max(update.unreadTokens, 0));
+    out.slowdown = fromPercent(update.slowdownPercent);
     return out;
 }
 
@@ -331,6 +362,19 @@
     }
 }
 
+wire::PromptRead toWire(const PromptRead &read)
+{
+    wire::PromptRead out;
+    out.engine = read.engine.value;
+    out.request = static_cast<std::int64_t>(read.request);
+    out.elapsedMillis = inMillis(read.elapsed);
+    if (read.isFailed)
+        out.__set_failed(true);
+    if (read.slowdown > 0)
+        out.__set_slowdownPercent(toPercent(read.slowdown));
+    return out;
+}
+
 wire::Message toWire(const Gossip &message, Instant now)
 {
     wire::Message out;
@@ -350,7 +394,7 @@
     for (const CustomerUse &use : message.uses)
         out.uses.push_back(toWire(use));
     if (message.heardAgo)
-        out.__set_heardMillisAgo(static_cast<std::int32_t>(*message.heardAgo / millisecond));
+        out.__set_heardMillisAgo(inMillis(*message.heardAgo));
     if (message.linkMbps > 0)
         out.__set_linkMbps(static_cast<std::int32_t>(message.linkMbps));
     if (message.relayTo != RelayScope::None)
@@ -384,15 +428,30 @@
             to.__set_givenBack(true);
         if (admission.limit > 0)
             to.__set_limit(admission.limit);
+        if (!admission.customer.value.empty())
+            to.__set_customer(admission.customer.value);
+        if (admission.priority)
+            to.__set_priority(admission.priority->level);
+        if (admission.objectiveLeft > Span{})
+            to.__set_objectiveLeftMillis(inMillis(admission.objectiveLeft));
+        if (admission.maxPause > Span{})
+            to.__set_maxPauseMillis(inMillis(admission.maxPause));
     }
     for (const AdmissionReply &answer : message.admissionReplies) {
         wire::PromptAnswer &to = out.promptAnswers.emplace_back();
         to.request = static_cast<std::int64_t>(answer.request);
-        to.waitMillis = static_cast<std::int32_t>(answer.wait / millisecond);
+        to.waitMillis = inMillis(answer.wait);
         to.copyWanted = answer.isCopyWanted;
         if (answer.isPermit)
             to.__set_permit(true);
+        if (answer.isQueued)
+            to.__set_queued(true);
+        if (answer.isUnservable)
+            to.__set_unservable(true);
     }
+    out.__isset.promptsRead = !message.promptsRead.empty();
+    for (const PromptRead &read : message.promptsRead)
+        out.promptsRead.push_back(toWire(read));
     for (const LoadRequest &request : message.loadRequests)
         out.loadRequests.push_back(toWire(request));
     for (const LoadRefusal &refusal : message.loadRefusals) {
@@ -421,6 +480,30 @@
     return out;
 }
 
+AdmissionRequest fromWire(const wire::PromptAsk &ask)
+{
+    AdmissionRequest out;
+    out.engine.value = ask.engine;
+    out.adapter = { ask.model, ask.adapter };
+    out.request = static_cast<std::uint64_t>(ask.request);
+    out.tokens = static_cast<double>(std::max(ask.tokens, 0));
+    out.isReturned = ask.givenBack;
+    out.limit = std::max(ask.limit, 0.0);
+    out.customer.value = ask.customer;
+    if (ask.__isset.priority)
+        out.priority = priorityOfRank(static_cast<std::uint32_t>(std::max(ask.priority, 0)));
+    out.objectiveLeft = millisecond * std::max(ask.objectiveLeftMillis, 0);
+    out.maxPause = millisecond * std::max(ask.maxPauseMillis, 0);
+    return out;
+}
+
+PromptRead fromWire(const wire::PromptRead &read)
+{
+    return { UpstreamId{ read.engine }, static_cast<std::uint64_t>(read.request),
+             millisecond * std::max(read.elapsedMillis, 0), read.failed,
+             fromPercent(read.slowdownPercent) };
+}
+
 Gossip fromWire(const wire::Message &message, Instant now)
 {
     Gossip out;
@@ -455,18 +538,15 @@
         out.promptWork.push_back(
                 { UpstreamId{ work.engine }, static_cast<double>(std::max(work.tokens, 0)) });
     }
-    for (const wire::PromptAsk &admission : message.promptAsks) {
-        out.admissionRequests.push_back({ UpstreamId{ admission.engine },
-                                          { admission.model, admission.adapter },
-                                          static_cast<std::uint64_t>(admission.request),
-                                          static_cast<double>(std::max(admission.tokens, 0)),
-                                          admission.givenBack,
-                                          std::max(admission.limit, 0.0) });
-    }
+    for (const wire::PromptAsk &admission : message.promptAsks)
+        out.admissionRequests.push_back(fromWire(admission));
+    for (const wire::PromptRead &read : message.promptsRead)
+        out.promptsRead.push_back(fromWire(read));
     for (const wire::PromptAnswer &answer : message.promptAnswers) {
         out.admissionReplies.push_back({ static_cast<std::uint64_t>(answer.request),
                                          millisecond * std::max(answer.waitMillis, 0),
-                                         answer.copyWanted, answer.permit });
+                                         answer.copyWanted, answer.permit, answer.queued,
+                                         answer.unservable });
     }
     for (const wire::AdapterAt &place : message.loadRequests)
         out.loadRequests.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -284,7 +284,8 @@
     actions.dispatches.push_back({ record.arrivedRequest.request, record.attempt, id,
                                    upstream.listed.address, record.customer,
                                    isVersioned ? version : 0, record.deadline - now,
-                                   record.repeat != RepeatPolicy::Stream });
+                                   record.repeat != RepeatPolicy::Stream,
+                                   model.model.empty() ? std::nullopt : record.priority });
 }
 
 void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions)
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -337,6 +337,9 @@
     record.digest = digestOf(record.customer, event.content);
     for (const PromptPartId &part : event.promptParts)
         record.partDigests.push_back(digestOf(part));
+    const Customer *owner = customer ? customer : findCustomer(configuration, record.customer);
+    record.priority = priorityOf(configuration, *route, owner, record.service);
+    record.maxPause = route->maxPause;
     record.repeat = route->repeat;
     record.isResumable = route->isResumable;
     record.maxAttempts = attemptsLeft(*route, event);
