Priorities: the customer's is compared first, the route's among equal customers

Cause: on the deployments played all customers have the same priority.

Change: the class of a request is the rank of the pair (customer's priority, route's priority) among those that the configuration states for the service.

--- a/packages/gateway/include/azurewell/gateway/configuration.h
+++ b/packages/gateway/include/azurewell/gateway/configuration.h
@@ -6,8 +6,8 @@
 #include "azurewell/units/tokens.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -78,7 +78,7 @@
 struct Customer
 {
     CustomerId id;
-    std::optional<Priority> priority; ///< Goes before that of the route; empty: not stated.
+    std::optional<Priority> priority; ///< Compared before that of the route; empty: not stated.
     std::vector<KeyHash> keys;
     TokenRate rate; ///< 0: no limit.
     Tokens burst;
@@ -95,6 +95,17 @@
     Span idleTimeout = std::chrono::seconds(15);
 };
 
+/// Urgency of a request as the configuration states it. The priority of the customer is compared
+/// first, that of the route among requests of equal customers: where all customers have the same
+/// priority, it must not hide the priorities of the routes.
+struct StatedUrgency
+{
+    Priority ofCustomer = defaultPriority;
+    Priority ofRoute = defaultPriority;
+
+    auto operator<=>(const StatedUrgency &) const = default;
+};
+
 /// One complete version of the operator's configuration.
 struct Configuration
 {
@@ -104,19 +115,19 @@
     std::vector<Customer> customers;
     CallerLimits limits;
     std::unordered_map<KeyHash, std::size_t> customerOfKey; ///< Filled by indexKeys().
-    /// Services whose requests have more than one priority; filled by indexPriorities().
-    std::set<ServiceId> rankedServices;
+    /// Filled by indexPriorities(); only services whose requests differ in urgency.
+    std::map<ServiceId, std::vector<StatedUrgency>> urgencies;
 };
 
 /// Fills customerOfKey.
 void indexKeys(Configuration &configuration);
 
-/// Fills rankedServices.
+/// Fills urgencies.
 void indexPriorities(Configuration &configuration);
 
-/// The priority of a request of \a customer (null: of nobody) on \a route: that of the customer if
-/// it states one, else that of the route. Empty if neither states one, or if all requests to
-/// \a service have the same one, so that there is nothing to order.
+/// The priority of a request of \a customer (null: of nobody) on \a route among all requests to
+/// \a service: the rank of its stated urgency. Empty if all requests to the service have the same,
+/// so that there is nothing to order.
 std::optional<Priority> priorityOf(const Configuration &configuration, const Route &route,
                                    const Customer *customer, const ServiceId &service);
 
--- a/packages/gateway/src/configuration.cpp
+++ b/packages/gateway/src/configuration.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/gateway/configuration.h"
 
-#include <map>
+#include <algorithm>
+#include <set>
 
 namespace azurewell::gateway {
 
@@ -16,31 +17,38 @@
 void indexPriorities(Configuration &configuration)
 {
     std::set<Priority> ofCustomers;
-    for (const Customer &customer : configuration.customers) {
-        if (customer.priority)
-            ofCustomers.insert(*customer.priority);
-    }
-    std::map<ServiceId, std::set<Priority>> priorities;
+    for (const Customer &customer : configuration.customers)
+        ofCustomers.insert(customer.priority.value_or(defaultPriority));
+    std::map<ServiceId, std::set<StatedUrgency>> urgencies;
     for (const Route &route : configuration.routes) {
+        const Priority ofRoute = route.priority.value_or(defaultPriority);
         for (const WeightedService &weighted : route.services) {
-            std::set<Priority> &ofService = priorities[weighted.service];
-            ofService.insert(route.priority.value_or(defaultPriority));
-            ofService.insert(ofCustomers.begin(), ofCustomers.end());
+            std::set<StatedUrgency> &ofService = urgencies[weighted.service];
+            if (route.isPublic || ofCustomers.empty())
+                ofService.insert({ defaultPriority, ofRoute });
+            for (const Priority &ofCustomer : ofCustomers)
+                ofService.insert({ ofCustomer, ofRoute });
         }
     }
-    configuration.rankedServices.clear();
-    for (const auto &[service, ofService] : priorities) {
+    configuration.urgencies.clear();
+    for (const auto &[service, ofService] : urgencies) {
         if (ofService.size() > 1)
-            configuration.rankedServices.insert(service);
+            configuration.urgencies[service] = { ofService.begin(), ofService.end() };
     }
 }
 
 std::optional<Priority> priorityOf(const Configuration &configuration, const Route &route,
                                    const Customer *customer, const ServiceId &service)
 {
-    if (!configuration.rankedServices.contains(service))
+    const auto found = configuration.urgencies.find(service);
+    if (found == configuration.urgencies.end())
         return std::nullopt;
-    return customer && customer->priority ? customer->priority : route.priority;
+    const std::optional<Priority> ofCustomer = customer ? customer->priority : std::nullopt;
+    const StatedUrgency urgency{ ofCustomer.value_or(defaultPriority),
+                                 route.priority.value_or(defaultPriority) };
+    const std::vector<StatedUrgency> &ranked = found->second;
+    const auto rank = std::lower_bound(ranked.begin(), ranked.end(), urgency) - ranked.begin();
+    return priorityOfRank(static_cast<std::uint32_t>(rank));
 }
 
 const Route *findRoute(const Configuration &configuration, std::string_view host,
