--- a/packages/scheduling/include/azurewell/scheduling/fair_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/fair_queue.h
@@ -110,6 +110,19 @@
 /// Removes \a request, whose caller disconnected. Returns false if it is not in the queue.
 bool remove(FairQueue &queue, const RequestId &request);
 
+/// Removes \a request of \a requester; request ids of different hosts may be equal.
+std::optional<WaitingRequest> takeRequest(FairQueue &queue, const HostId &requester,
+                                          const RequestId &request);
+
+/// The request that takeNext() would take if any adapter may run; null if the queue is empty.
+const WaitingRequest *peekNext(const FairQueue &queue);
+
+/// Removes the newest request of the customer with the most waiting tokens, without a charge.
+std::optional<WaitingRequest> takeNewestOfLargest(FairQueue &queue);
+
+/// The earliest latest start of the waiting requests; the largest Instant if none waits.
+Instant earliestExpiry(const FairQueue &queue);
+
 /// Drops customers without waiting requests whose counter no longer affects the order.
 void dropIdleCustomers(FairQueue &queue);
 
--- a/packages/scheduling/src/fair_queue.cpp
+++ b/packages/scheduling/src/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/scheduling/fair_queue.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace azurewell {
 
@@ -59,6 +60,27 @@
     return least ? std::min(least->served, queue.virtualTime) : queue.virtualTime;
 }
 
+/// Removes the first request that \a isWanted accepts, without a charge.
+template <typename IsWanted>
+std::optional<WaitingRequest> takeFirst(FairQueue &queue, const IsWanted &isWanted)
+{
+    for (CustomerQueue &customer : queue.customers) {
+        for (std::size_t adapterIndex = 0; adapterIndex < customer.adapters.size();
+             ++adapterIndex) {
+            std::deque<WaitingRequest> &waiting = customer.adapters[adapterIndex].waiting;
+            const auto found = std::find_if(waiting.begin(), waiting.end(), isWanted);
+            if (found == waiting.end())
+                continue;
+            WaitingRequest taken = std::move(*found);
+            waiting.erase(found);
+            subtractRemoved(queue, customer, taken);
+            dropIfEmpty(customer, adapterIndex);
+            return taken;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void enqueue(FairQueue &queue, WaitingRequest request)
@@ -90,22 +112,68 @@
 
 bool remove(FairQueue &queue, const RequestId &request)
 {
+    const auto isRequest = [&request](const WaitingRequest &entry) {
+        return entry.request == request;
+    };
+    return takeFirst(queue, isRequest).has_value();
+}
+
+std::optional<WaitingRequest> takeRequest(FairQueue &queue, const HostId &requester,
+                                          const RequestId &request)
+{
+    const auto isRequest = [&](const WaitingRequest &entry) {
+        return entry.request == request && entry.requester == requester;
+    };
+    return takeFirst(queue, isRequest);
+}
+
+const WaitingRequest *peekNext(const FairQueue &queue)
+{
+    const CustomerQueue *least = nullptr;
+    for (const CustomerQueue &customer : queue.customers) {
+        if (!customer.adapters.empty() && (!least || customer.served < least->served))
+            least = &customer;
+    }
+    if (!least)
+        return nullptr;
+    const auto anyMayRun = [](const AdapterRef &) {
+        return true;
+    };
+    return &least->adapters[oldestRunnable(*least, anyMayRun)].waiting.front();
+}
+
+std::optional<WaitingRequest> takeNewestOfLargest(FairQueue &queue)
+{
+    CustomerQueue *largest = nullptr;
     for (CustomerQueue &customer : queue.customers) {
-        for (std::size_t adapterIndex = 0; adapterIndex < customer.adapters.size();
-             ++adapterIndex) {
-            std::deque<WaitingRequest> &waiting = customer.adapters[adapterIndex].waiting;
-            const auto found = std::find_if(
-                    waiting.begin(), waiting.end(),
-                    [&request](const WaitingRequest &entry) { return entry.request == request; });
-            if (found == waiting.end())
-                continue;
-            subtractRemoved(queue, customer, *found);
-            waiting.erase(found);
-            dropIfEmpty(customer, adapterIndex);
-            return true;
+        const bool isLarger = !largest || customer.queuedTokens > largest->queuedTokens;
+        if (!customer.adapters.empty() && isLarger)
+            largest = &customer;
+    }
+    if (!largest)
+        return std::nullopt;
+    const auto newest = std::max_element(largest->adapters.begin(), largest->adapters.end(),
+                                         [](const AdapterQueue &left, const AdapterQueue &right) {
+                                             return left.waiting.back().order
+                                                     < right.waiting.back().order;
+                                         });
+    WaitingRequest taken = std::move(newest->waiting.back());
+    newest->waiting.pop_back();
+    subtractRemoved(queue, *largest, taken);
+    dropIfEmpty(*largest, static_cast<std::size_t>(newest - largest->adapters.begin()));
+    return taken;
+}
+
+Instant earliestExpiry(const FairQueue &queue)
+{
+    Instant earliest{ std::numeric_limits<std::int64_t>::max() };
+    for (const CustomerQueue &customer : queue.customers) {
+        for (const AdapterQueue &adapter : customer.adapters) {
+            for (const WaitingRequest &request : adapter.waiting)
+                earliest = std::min(earliest, request.latestStart);
         }
     }
-    return false;
+    return earliest;
 }
 
 void dropIdleCustomers(FairQueue &queue)
