Prompts are admitted within a window of unread tokens and queued by priority and customer

Change: the coordinator admits at once while the window has room, queues what can be read in time, and rejects the rest for its engine; hosts report the first event of each admitted prompt. A host whose prompt is rejected asks one other engine and then refuses the request with 503, not run, and a jittered Retry-After. Engine updates carry the learnt rate and the unread tokens. Answers name the engine, as a prompt may be queued at one while another is asked.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -96,6 +96,8 @@
   5: optional bool queued
   /** The engine cannot read the prompt in time. */
   6: optional bool unservable
+  /** The engine that was asked for; a prompt may be queued for one while another is asked. */
+  7: optional string engine
 }
 
 /** The first event of the answer to an admitted prompt, or the end of its attempt. */
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -60,14 +60,30 @@
 };
 
 /// State of the admission request that was sent to the engine's coordinator.
-enum class PromptAdmissionState : std::uint8_t { NotRequested, AwaitingAnswer, Answered };
+enum class PromptAdmissionState : std::uint8_t {
+    NotRequested,
+    AwaitingAnswer,
+    Queued, ///< At the coordinator; a further answer follows.
+    Answered,
+    Unservable, ///< No engine that was asked can read the prompt in time.
+};
 
-/// Time at which a prompt may be sent to an engine.
+/// The admission of a prompt at an engine.
 struct EngineAdmission
 {
+    PromptAdmissionState state = PromptAdmissionState::NotRequested;
     UpstreamId engine;
-    Instant at;
-    bool isPermit = false;
+    HostId coordinator;    ///< The host that was asked.
+    Instant at;            ///< When the prompt may be sent; before the final answer: if none comes.
+    Instant expectedAt;    ///< When the prompt is expected to be sent, by the last answer.
+    bool isPermit = false; ///< It counts against the rate limit of the upstream.
+};
+
+/// An admission that was requested from \a coordinator and is not used.
+struct ReturnedAdmission
+{
+    HostId coordinator;
+    AdmissionRequest request;
 };
 
 enum class OriginStep : std::uint8_t { NotBegun, Asking, Known };
@@ -116,13 +132,12 @@
     bool isEarlyAttempt = false; ///< Sent before a report shows that its adapter is loaded.
     OriginSearch originSearch;   ///< Of a stream that is taken up again.
     SoftwareVersion sentVersion; ///< Of the upstream that it was last sent to.
-    PromptAdmissionState admissionState = PromptAdmissionState::NotRequested;
-    UpstreamId admissionEngine;                    ///< The engine that admission was requested for.
+    EngineAdmission admission;   ///< Of the engine that was asked last.
     std::optional<EngineAdmission> firstAdmission; ///< Set while a second engine is asked.
-    bool isPermit = false; ///< The admission counts against the rate limit of the upstream.
-    Span permitWait{};     ///< Shortest wait for a permit that came too late; 0: none did.
-    Instant admissionAt;   ///< When the prompt may be sent; while the request is unanswered: its
-                           ///< timeout.
+    Span permitWait{}; ///< Shortest wait for a permit that came too late; 0: none did.
+    std::uint32_t unservableAnswers = 0; ///< Engines that can't read the prompt in time.
+    Span unservableWait{};               ///< Shortest wait that they estimated.
+    bool isReadAwaited = false;          ///< Sent as admitted, and no first event was reported yet.
 };
 
 /// A load that requests of this host wait for.
@@ -144,7 +159,6 @@
     /// The engine's order count after this host's last order for an adapter; without those that
     /// reports show.
     std::map<AdapterRef, std::uint64_t> orderCounts;
-    PromptPacer pacer;
     PermitPacer permits;
     PermitPacer burstPermits; ///< Bounds the requests within a second; see warmup.h.
     PermitPacer ownShare;     ///< Requests of this host while the coordinator does not answer.
@@ -212,6 +226,7 @@
     std::map<OrderingEnd, std::uint64_t> orderingEnds;
     std::map<OrderOutcome, std::uint64_t> orderOutcomes;
     OriginCounters origins;
+    PacingCounters pacing;
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
@@ -267,9 +282,13 @@
     std::map<ServiceId, PrefillRate> prefillRates;
     std::map<std::string, LoadTimes> loadTimes; ///< Load times of adapters, by base model.
     std::map<UpstreamId, OrderedEngine> engines;
-    DeadlineQueue<UpstreamId> enginePolls;   ///< Next time at which each engine is polled.
-    std::uint64_t enginePollsGeneration = 0; ///< Generation of the members when last polled.
-    std::set<UpstreamId> ownEngines;         ///< Engines for which this host ranks first.
+    DeadlineQueue<UpstreamId> enginePolls;    ///< Next time at which each engine is polled.
+    std::uint64_t enginePollsGeneration = 0;  ///< Generation of the members when last polled.
+    std::set<UpstreamId> ownEngines;          ///< Engines for which this host ranks first.
+    std::map<UpstreamId, PromptPacer> pacers; ///< Of engines whose prompts this host admits.
+    std::set<UpstreamId> enginesToAdmit;      ///< Their queued prompts may have room.
+    std::vector<ReturnedAdmission> returnedAdmissions; ///< Not sent to their coordinators yet.
+    std::vector<PromptRead> promptsRead;               ///< Likewise.
     std::set<UpstreamId> changedEngines; ///< Engines whose changes have to be sent to other hosts.
     std::set<UpstreamId> earlyAttemptEngines; ///< Engines with requests that were sent before a
                                               ///< report shows the load as done.
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -74,6 +74,7 @@
     bool isPermit = false;
     bool isQueued = false;     ///< The prompt waits at the sender; a further reply follows.
     bool isUnservable = false; ///< The engine cannot read the prompt in time.
+    UpstreamId engine{};       ///< Empty: from a host that does not state it.
 };
 
 /// Reports the first event of the answer to an admitted prompt, or the end of its attempt, to the
--- a/packages/gateway/include/azurewell/gateway/message_kind.h
+++ b/packages/gateway/include/azurewell/gateway/message_kind.h
@@ -15,6 +15,7 @@
     AdapterUses,
     AdmissionRequest,
     AdmissionReply,
+    PromptsRead, ///< Reports on admitted prompts, and admissions that are returned.
     LoadRequest,
     LoadRefusal,
     ChangesRequest,
--- a/packages/gateway/src/engine_reports.cpp
+++ b/packages/gateway/src/engine_reports.cpp
@@ -201,6 +201,7 @@
     updateView(upstream, engine, *event.state, state.lastEngines, event.queriedAt, now);
     upstream.load = { event.state->running, event.state->waiting, upstream.listed.slots };
     upstream.loadAt = event.queriedAt;
+    correctWindow(state, upstream, event.state->waiting, event.queriedAt, now);
     const bool isChanged = before.ready != upstream.engine.ready
             || before.models != upstream.engine.models || before.start != upstream.engine.start;
     if (!isChanged)
--- a/packages/gateway/src/forwards.cpp
+++ b/packages/gateway/src/forwards.cpp
@@ -170,8 +170,7 @@
     record.peer = peer->id;
     record.sentAt = now;
     record.hasAnswerStarted = false;
-    record.admissionState = PromptAdmissionState::NotRequested;
-    record.isPermit = false;
+    returnAdmissions(state, record);
     ++record.attempt;
     ++state.counters.forwarded;
     logForward(record, actions);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -95,6 +95,7 @@
         return !state.upstreams.contains(entry.first);
     };
     std::erase_if(state.engines, isRemoved);
+    removeUnusedPacers(state, now);
     std::erase_if(state.coordinators.entries, isRemoved);
     std::erase_if(state.ownEngines,
                   [&state](const UpstreamId &id) { return !state.upstreams.contains(id); });
@@ -304,6 +305,7 @@
     runOrigins(state, now, actions);
     placeWaiting(state, now, actions);
     endOverdue(state, now, actions);
+    runAllAdmissions(state, now, actions);
     dropUnneededLoads(state);
     pollEngines(state, now, actions);
     runGossip(state, now, actions);
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -448,6 +448,8 @@
             to.__set_queued(true);
         if (answer.isUnservable)
             to.__set_unservable(true);
+        if (!answer.engine.value.empty())
+            to.__set_engine(answer.engine.value);
     }
     out.__isset.promptsRead = !message.promptsRead.empty();
     for (const PromptRead &read : message.promptsRead)
@@ -546,7 +548,7 @@
         out.admissionReplies.push_back({ static_cast<std::uint64_t>(answer.request),
                                          millisecond * std::max(answer.waitMillis, 0),
                                          answer.copyWanted, answer.permit, answer.queued,
-                                         answer.unservable });
+                                         answer.unservable, UpstreamId{ answer.engine } });
     }
     for (const wire::AdapterAt &place : message.loadRequests)
         out.loadRequests.push_back({ UpstreamId{ place.engine }, { place.model, place.adapter } });
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -244,37 +244,25 @@
     const auto found = state.upstreams.find(admission.engine);
     if (found == state.upstreams.end())
         return;
-    OrderedEngine &engine = state.engines[admission.engine];
     if (admission.isReturned) {
-        releaseAdmission(state, engine, admission, from.from);
+        releaseAdmission(state, admission, from.from);
         return;
     }
+    OrderedEngine &engine = state.engines[admission.engine];
     if (!admission.adapter.isBase()) {
         const Span updateInterval = heartbeatInterval(state.members,
                                                       state.members.others.at(from.from));
         recordRemoteUse(engine.remoteUses, refOf(admission.adapter), from.from, true,
                         updateInterval, now);
     }
-    const PromptAdmission turn = admitPromptAt(state, engine, found->second, admission, from.from,
-                                               now);
+    const PromptAdmission turn = admitPromptAt(state, found->second, admission, from.from, now);
     Gossip reply = messageHeader(state, now);
-    reply.admissionReplies.push_back(
-            { admission.request, turn.wait, turn.isCopyWanted, turn.isPermit });
+    reply.admissionReplies.push_back({ admission.request, turn.wait, turn.isCopyWanted,
+                                       turn.isPermit, turn.isQueued, turn.isUnservable,
+                                       admission.engine });
     send(state, from.address, from.zone, MessageKind::AdmissionReply, std::move(reply), actions);
 }
 
-void takeAnswer(GatewayState &state, const AdmissionReply &answer, Instant now, Actions &actions)
-{
-    const auto found = state.requests.find(RequestNumber{ answer.request });
-    if (found == state.requests.end() || found->second.phase != RequestPhase::Waiting
-        || found->second.admissionState != PromptAdmissionState::AwaitingAnswer)
-        return;
-    handleAdmission(state, found->second, { answer.wait, answer.isCopyWanted, answer.isPermit },
-                    now, actions);
-    if (found->second.admissionAt <= now || isPermitTooLate(found->second))
-        place(state, found->second, now, actions);
-}
-
 /// A host that is reachable again after a timeout may have missed suspicions.
 void notifyReturned(GatewayState &state, const HostId &from, Instant now)
 {
@@ -396,7 +384,9 @@
     for (const AdmissionRequest &admission : message.admissionRequests)
         answerPrompt(state, message, admission, now, actions);
     for (const AdmissionReply &answer : message.admissionReplies)
-        takeAnswer(state, answer, now, actions);
+        handleAdmissionReply(state, message.from, answer, now, actions);
+    for (const PromptRead &read : message.promptsRead)
+        handlePromptRead(state, message.from, read, now);
     for (const LoadRequest &request : message.loadRequests)
         answerLoadRequest(state, request, message, now, actions);
     for (const LoadRefusal &refusal : message.loadRefusals)
@@ -417,6 +407,7 @@
     answerChangesRequest(state, message, now, actions);
     requestHeld(state, message, now, actions);
     answerHeldRequest(state, message, now, actions);
+    runAdmissions(state, now, actions);
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/heartbeats.cpp
+++ b/packages/gateway/src/heartbeats.cpp
@@ -157,8 +157,9 @@
     std::erase_if(state.ownUses, [&](const auto &entry) {
         return entry.second.running == 0 && !state.upstreams.contains(entry.first.first);
     });
+    for (auto &[id, pacer] : state.pacers)
+        tidy(pacer, now);
     for (auto &[id, engine] : state.engines) {
-        tidy(engine.pacer, now);
         removeAbandoned(engine.wanted, now);
         std::erase_if(engine.requestingHosts,
                       [now](const auto &requester) { return now >= requester.second; });
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -56,7 +56,7 @@
 void requestAdmission(GatewayState &state, RequestRecord &record, const Upstream &engine,
                       Instant now, Actions &actions);
 
-/// Handles the answer to requestAdmission(). If the wait is long, requests admission at another
+/// Handles an answer to requestAdmission(). If the wait is long, requests admission at another
 /// engine as well.
 ///
 /// Load pattern: a popular adapter is on several engines, and each host sends a prompt to them only
@@ -65,19 +65,62 @@
 void handleAdmission(GatewayState &state, RequestRecord &record, const PromptAdmission &turn,
                      Instant now, Actions &actions);
 
+/// Handles an answer of a coordinator, or of this host if it is the coordinator. An admission that
+/// is not expected any more is returned.
+void handleAdmissionReply(GatewayState &state, const HostId &from, const AdmissionReply &reply,
+                          Instant now, Actions &actions);
+
 /// Whether the prompt of \a record, for which admission was requested, may be sent now. True after
 /// a timeout if no answer came.
-bool isAdmitted(RequestRecord &record, Instant now);
+bool isAdmitted(GatewayState &state, RequestRecord &record, Instant now);
+
+/// Whether the prompt of \a record waits at a host that no longer coordinates its engine, or for an
+/// engine that is gone.
+bool isQueueLost(GatewayState &state, const RequestRecord &record, Instant now);
+
+/// Whether prompts for \a model are admitted by the coordinators of engines.
+bool isPaced(const GatewayState &state, const ModelName &model);
+
+/// Returns the admissions of \a record, which are not used.
+void returnAdmissions(GatewayState &state, RequestRecord &record);
+
+/// Uses the admission of \a record at \a engine, if it has one, and returns others.
+void useAdmission(GatewayState &state, RequestRecord &record, const UpstreamId &engine);
+
+/// Reports the first event of the answer to \a record, or if \a isFailed the end of its attempt, to
+/// the coordinator that admitted its prompt.
+void reportRead(GatewayState &state, RequestRecord &record, bool isFailed, Instant now);
+
+/// Refuses \a record, whose prompt no engine can read in time.
+void refuseUnservable(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
+
+/// Handles the report of \a from about a prompt that this host admitted.
+void handlePromptRead(GatewayState &state, const HostId &from, const PromptRead &read, Instant now);
+
+/// Corrects what this host takes to be unread at \a engine, which it coordinates, by the number of
+/// requests that wait there according to a report of \a reportedAt.
+void correctWindow(GatewayState &state, const Upstream &engine, std::uint32_t waiting,
+                   Instant reportedAt, Instant now);
+
+/// Sends pending reports and returned admissions, and admits queued prompts that have room. Called
+/// at the end of events that may make room, as answers to requests of this host may end others.
+void runAdmissions(GatewayState &state, Instant now, Actions &actions);
+
+/// Admits queued prompts of all engines, whose estimates change with time. Called at each tick.
+void runAllAdmissions(GatewayState &state, Instant now, Actions &actions);
+
+/// Removes the pacers of engines that this host no longer coordinates or that are gone.
+void removeUnusedPacers(GatewayState &state, Instant now);
 
 /// Admits the prompt of \a request by \a requester at \a upstream, which this host coordinates,
 /// after the prompts ahead of it and within the rate limit of the upstream.
-PromptAdmission admitPromptAt(GatewayState &state, OrderedEngine &engine, const Upstream &upstream,
+PromptAdmission admitPromptAt(GatewayState &state, const Upstream &upstream,
                               const AdmissionRequest &request, const HostId &requester,
                               Instant now);
 
-/// Cancels an unused admission.
-void releaseAdmission(const GatewayState &state, OrderedEngine &engine,
-                      const AdmissionRequest &request, const HostId &requester);
+/// Cancels an unused admission of \a requester at an engine that this host coordinates.
+void releaseAdmission(GatewayState &state, const AdmissionRequest &request,
+                      const HostId &requester);
 
 /// Whether a request for \a model needs admission at \a upstream.
 bool needsAdmission(const GatewayState &state, const Upstream &upstream, const ModelName &model,
@@ -92,8 +135,7 @@
 
 /// Excludes \a limited, whose permit comes too late, and lets \a record be placed at another
 /// upstream.
-void excludeUpstream(GatewayState &state, RequestRecord &record, const UpstreamId &limited,
-                     Instant now, Actions &actions);
+void excludeUpstream(GatewayState &state, RequestRecord &record, const UpstreamId &limited);
 
 /// Requests a load of the adapter of \a need at one more engine.
 void loadCopy(GatewayState &state, const UpstreamNeed &need, Instant now, Actions &actions);
--- a/packages/gateway/src/message_kind.cpp
+++ b/packages/gateway/src/message_kind.cpp
@@ -17,6 +17,8 @@
         return "prompt_ask";
     case MessageKind::AdmissionReply:
         return "prompt_answer";
+    case MessageKind::PromptsRead:
+        return "prompts_read";
     case MessageKind::LoadRequest:
         return "load_request";
     case MessageKind::LoadRefusal:
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -92,10 +92,10 @@
 }
 
 /// Returns a permit that comes too late for \a record, and leaves its engine out from now on.
-void yieldLatePermit(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+void yieldLatePermit(GatewayState &state, RequestRecord &record, Instant now)
 {
-    record.permitWait = shorterOf(record.permitWait, record.admissionAt - now);
-    excludeUpstream(state, record, record.admissionEngine, now, actions);
+    record.permitWait = shorterOf(record.permitWait, record.admission.at - now);
+    excludeUpstream(state, record, record.admission.engine);
 }
 
 enum class EarlyAttempt : std::uint8_t { None, AwaitsPermit, Sent };
@@ -107,17 +107,17 @@
 {
     if (!limitsColdUpstreams(state, engine))
         return EarlyAttempt::Sent;
-    if (record.admissionState == PromptAdmissionState::NotRequested)
+    if (record.admission.state == PromptAdmissionState::NotRequested)
         requestAdmission(state, record, engine, now, actions);
     if (isPermitTooLate(record)) {
-        yieldLatePermit(state, record, now, actions);
+        yieldLatePermit(state, record, now);
         return EarlyAttempt::None;
     }
-    if (!isAdmitted(record, now))
+    if (!isAdmitted(state, record, now))
         return EarlyAttempt::AwaitsPermit;
     if (!lacksPermit(state, record, engine, now))
         return EarlyAttempt::Sent;
-    record.admissionState = PromptAdmissionState::NotRequested;
+    returnAdmissions(state, record);
     return EarlyAttempt::None;
 }
 
@@ -171,7 +171,7 @@
 const Upstream *admittedEngine(const GatewayState &state, const RequestRecord &record,
                                const UpstreamNeed &need, const Upstream &otherwise, Instant now)
 {
-    const auto found = state.upstreams.find(record.admissionEngine);
+    const auto found = state.upstreams.find(record.admission.engine);
     const bool isGood = found != state.upstreams.end() && fits(found->second, need, now)
             && now >= found->second.avoidedUntil
             && isReadyFor(found->second, need.model, state.versions);
@@ -217,7 +217,9 @@
 /// Places a waiting request, or refuses it if it has waited too long.
 void placeOrRefuse(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
-    if (record.admissionState != PromptAdmissionState::NotRequested && now < record.admissionAt)
+    if (isQueueLost(state, record, now))
+        returnAdmissions(state, record);
+    if (record.admission.state != PromptAdmissionState::NotRequested && now < record.admission.at)
         return;
     const Span grace = isLoadInProgress(state, record) ? loadInProgressGrace : Span{};
     const bool isOver = now >= std::min(record.placementDeadline + grace, record.deadline);
@@ -269,8 +271,7 @@
     record.upstream = id;
     record.sentVersion = upstream.listed.softwareVersion;
     record.hasAnswerStarted = false;
-    record.admissionState = PromptAdmissionState::NotRequested;
-    record.isPermit = false;
+    useAdmission(state, record, id);
     ++record.attempt;
     state.waiting.erase(record.arrivedRequest.request);
     if (!model.isBase()) {
@@ -355,6 +356,10 @@
         refuseQuarantined(state, record, now, actions);
         return;
     }
+    if (record.admission.state == PromptAdmissionState::Unservable) {
+        refuseUnservable(state, record, now, actions);
+        return;
+    }
     if (!findOutOrigin(state, record, now, actions))
         return;
     if (isPathLost(state, record.service)) {
@@ -366,26 +371,31 @@
                                             now);
     if (chosen && isEvacuated(*chosen))
         loadCopy(state, need, now, actions);
-    if (chosen && record.admissionState == PromptAdmissionState::NotRequested
-        && shouldHold(record, *chosen, need, now)) {
+    // The coordinator of a paced engine knows better how much it has to read.
+    if (chosen && record.admission.state == PromptAdmissionState::NotRequested
+        && !isPaced(state, need.model) && shouldHold(record, *chosen, need, now)) {
         markWaiting(state, record);
         return;
     }
     if (chosen && needsAdmission(state, *chosen, need.model, now)) {
-        if (record.admissionState == PromptAdmissionState::NotRequested)
+        if (record.admission.state == PromptAdmissionState::NotRequested)
             requestAdmission(state, record, *chosen, now, actions);
+        if (record.admission.state == PromptAdmissionState::Unservable) {
+            refuseUnservable(state, record, now, actions);
+            return;
+        }
         if (isPermitTooLate(record)) {
-            yieldLatePermit(state, record, now, actions);
+            yieldLatePermit(state, record, now);
             place(state, record, now, actions);
             return;
         }
-        if (!isAdmitted(record, now)) {
+        if (!isAdmitted(state, record, now)) {
             markWaiting(state, record);
             return;
         }
         chosen = admittedEngine(state, record, need, *chosen, now);
         if (lacksPermit(state, record, *chosen, now)) {
-            excludeUpstream(state, record, chosen->listed.id, now, actions);
+            excludeUpstream(state, record, chosen->listed.id);
             place(state, record, now, actions);
             return;
         }
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -226,6 +226,64 @@
                 { "after_ms", std::to_string(inMilliseconds(now - record.arrivedAt)) } } });
 }
 
+void endAttempt(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions)
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end() || found->second.attempt != event.attempt)
+        return;
+    RequestRecord &record = found->second;
+    reportRead(state, record, event.outcome != AttemptOutcome::Done, now);
+    detachFromUpstream(state, record);
+    if (event.outcome == AttemptOutcome::NotSent || event.isCutOff)
+        suspectPath(state, record.service, now);
+    const auto upstream = state.upstreams.find(record.upstream);
+    if (upstream != state.upstreams.end())
+        recordHealth(upstream->second, healthSignalOf(event.outcome), now);
+    if (event.isCutOff && event.outcome == AttemptOutcome::Failed)
+        recordConnectionLost(state, record, now, actions);
+    else if (hasAnswered(event.outcome))
+        recordAnswered(state, record, event.isEndShown, now);
+    if (event.outcome == AttemptOutcome::Done && event.isEndShown)
+        clearSuspicionsOf(state, record, now, actions);
+    if (record.isEarlyAttempt)
+        handleEarlyAttemptEnd(state, record, event.outcome, now);
+    if (record.isEarlyAttempt && isTurnedAway(event.outcome) && now < record.deadline) {
+        placeAfterEarlyAttempt(state, record, now, actions);
+        return;
+    }
+    if (std::exchange(record.isEarlyAttempt, false))
+        returnRetry(retryBudgetOf(state, record.service));
+    if (event.outcome == AttemptOutcome::FaultStated
+        && repeatAfterFault(state, record, now, actions))
+        return;
+    if (event.outcome == AttemptOutcome::Done || event.outcome == AttemptOutcome::FaultStated) {
+        ++state.counters.answered;
+        eraseRequest(state, event.request);
+        return;
+    }
+    record.hasAnswerStarted = record.hasAnswerStarted || event.hasAnswerStarted;
+    record.excluded.insert(record.upstream);
+    if (event.outcome == AttemptOutcome::Failed)
+        ++record.possibleRuns;
+    if (event.outcome == AttemptOutcome::NotThere)
+        handleNotThere(state, record, now);
+    const ResultCode cause = codeOf(event.outcome);
+    // An attempt that reached no upstream adds no load, so it costs no retry.
+    const bool isFree = event.outcome == AttemptOutcome::NotSent;
+    if (!mayRepeat(record, event.outcome) || now >= record.deadline) {
+        refuseAndForget(state, record, cause, shortRetryAfter, actions);
+        return;
+    }
+    if (!isFree && !takeRetry(retryBudgetOf(state, record.service))) {
+        refuseAndForget(state, record,
+                        record.possibleRuns > 0 ? cause : ResultCode::RetryBudgetSpent,
+                        shortRetryAfter, actions);
+        return;
+    }
+    ++state.counters.retries[cause];
+    place(state, record, now, actions);
+}
+
 } // namespace
 
 std::string_view nameOf(CallerStage stage)
@@ -252,6 +310,11 @@
 
 void eraseRequest(GatewayState &state, RequestNumber request)
 {
+    const auto found = state.requests.find(request);
+    if (found != state.requests.end()) {
+        returnAdmissions(state, found->second);
+        reportRead(state, found->second, true, found->second.sentAt);
+    }
     state.waiting.erase(request);
     state.requestDeadlines.erase(request);
     state.requests.erase(request);
@@ -384,6 +447,7 @@
         actions.cancels.push_back({ event.request });
     detachFromUpstream(state, found->second);
     eraseRequest(state, event.request);
+    runAdmissions(state, now, actions);
 }
 
 void handle(GatewayState &state, const AnswerBegan &event, Instant now, Actions &actions)
@@ -398,6 +462,8 @@
     record.answerStartedAt = now;
     if (record.phase != RequestPhase::AtUpstream)
         return;
+    reportRead(state, record, false, now);
+    runAdmissions(state, now, actions);
     recordAnswered(state, record, true, now);
     if (record.isEngineIdle && !record.arrivedRequest.model.model.empty()) {
         recordPrefill(state.prefillRates[record.service],
@@ -408,59 +474,8 @@
 
 void handle(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions)
 {
-    const auto found = state.requests.find(event.request);
-    if (found == state.requests.end() || found->second.attempt != event.attempt)
-        return;
-    RequestRecord &record = found->second;
-    detachFromUpstream(state, record);
-    if (event.outcome == AttemptOutcome::NotSent || event.isCutOff)
-        suspectPath(state, record.service, now);
-    const auto upstream = state.upstreams.find(record.upstream);
-    if (upstream != state.upstreams.end())
-        recordHealth(upstream->second, healthSignalOf(event.outcome), now);
-    if (event.isCutOff && event.outcome == AttemptOutcome::Failed)
-        recordConnectionLost(state, record, now, actions);
-    else if (hasAnswered(event.outcome))
-        recordAnswered(state, record, event.isEndShown, now);
-    if (event.outcome == AttemptOutcome::Done && event.isEndShown)
-        clearSuspicionsOf(state, record, now, actions);
-    if (record.isEarlyAttempt)
-        handleEarlyAttemptEnd(state, record, event.outcome, now);
-    if (record.isEarlyAttempt && isTurnedAway(event.outcome) && now < record.deadline) {
-        placeAfterEarlyAttempt(state, record, now, actions);
-        return;
-    }
-    if (std::exchange(record.isEarlyAttempt, false))
-        returnRetry(retryBudgetOf(state, record.service));
-    if (event.outcome == AttemptOutcome::FaultStated
-        && repeatAfterFault(state, record, now, actions))
-        return;
-    if (event.outcome == AttemptOutcome::Done || event.outcome == AttemptOutcome::FaultStated) {
-        ++state.counters.answered;
-        eraseRequest(state, event.request);
-        return;
-    }
-    record.hasAnswerStarted = record.hasAnswerStarted || event.hasAnswerStarted;
-    record.excluded.insert(record.upstream);
-    if (event.outcome == AttemptOutcome::Failed)
-        ++record.possibleRuns;
-    if (event.outcome == AttemptOutcome::NotThere)
-        handleNotThere(state, record, now);
-    const ResultCode cause = codeOf(event.outcome);
-    // An attempt that reached no upstream adds no load, so it costs no retry.
-    const bool isFree = event.outcome == AttemptOutcome::NotSent;
-    if (!mayRepeat(record, event.outcome) || now >= record.deadline) {
-        refuseAndForget(state, record, cause, shortRetryAfter, actions);
-        return;
-    }
-    if (!isFree && !takeRetry(retryBudgetOf(state, record.service))) {
-        refuseAndForget(state, record,
-                        record.possibleRuns > 0 ? cause : ResultCode::RetryBudgetSpent,
-                        shortRetryAfter, actions);
-        return;
-    }
-    ++state.counters.retries[cause];
-    place(state, record, now, actions);
+    endAttempt(state, event, now, actions);
+    runAdmissions(state, now, actions);
 }
 
 void handle(GatewayState &state, const LoadStated &event, Instant now)
--- a/packages/gateway/src/updates.cpp
+++ b/packages/gateway/src/updates.cpp
@@ -18,12 +18,28 @@
     }
 }
 
-EngineUpdate updateOf(const GatewayState &state, const Upstream &upstream)
+/// Adds what the coordinator has learnt from the prompts that it admitted.
+void addPacing(const GatewayState &state, const Upstream &upstream, EngineUpdate &update,
+               Instant now)
+{
+    const auto pacer = state.pacers.find(upstream.listed.id);
+    if (pacer == state.pacers.end())
+        return;
+    const ReadWindow &window = pacer->second.window;
+    const double rate = readRate(window, prefillRateOf(state, upstream.listed.service));
+    if (window.readSeconds > 0)
+        update.tokensPerSecond = static_cast<std::uint32_t>(rate);
+    update.unreadTokens = static_cast<std::uint32_t>(unreadTokens(window, rate, now));
+}
+
+EngineUpdate updateOf(const GatewayState &state, const Upstream &upstream, Instant now)
 {
     const auto engine = state.engines.find(upstream.listed.id);
     const bool isOrdering = engine != state.engines.end() && engine->second.rights.isCoordinating
             && !isStopping(state);
-    return { upstream.listed.id, upstream.engine, isOrdering };
+    EngineUpdate update{ upstream.listed.id, upstream.engine, isOrdering };
+    addPacing(state, upstream, update, now);
+    return update;
 }
 
 /// Returns the prompt tokens that this host recently sent to engines. Amounts below one small
@@ -55,7 +71,7 @@
             continue;
         if ((!isChangedOnly || state.changedEngines.contains(id))
             && isOwnEngine(state, upstream->second, now))
-            updates.push_back(updateOf(state, upstream->second));
+            updates.push_back(updateOf(state, upstream->second, now));
     }
     return updates;
 }
