--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -83,6 +83,29 @@
     }
 }
 
+void addPacing(std::string &out, const gateway::PacingCounters &pacing)
+{
+    using ByPriority = gateway::PacingCounters::ByPriority;
+    const std::pair<std::string_view, const ByPriority *> decisions[] = {
+        { "admitted", &pacing.admittedAtOnce },
+        { "queued", &pacing.queued },
+        { "admitted_later", &pacing.admittedFromQueue },
+        { "unservable", &pacing.unservable }
+    };
+    fmt::format_to(std::back_inserter(out), "# TYPE azurewell_prompt_admissions_total counter\n");
+    for (const auto &[name, counts] : decisions) {
+        for (std::size_t level = 0; level < counts->size(); ++level) {
+            if ((*counts)[level] > 0)
+                fmt::format_to(
+                        std::back_inserter(out),
+                        "azurewell_prompt_admissions_total{{decision=\"{}\",priority=\"{}\"}} {}\n",
+                        name, level, (*counts)[level]);
+        }
+    }
+    addCounter(out, "azurewell_prompt_admissions_reserved_total", pacing.reserved);
+    addCounter(out, "azurewell_prompt_reports_lost_total", pacing.expired);
+}
+
 std::ptrdiff_t countLimited(const gateway::GatewayState &state, Instant now)
 {
     return std::count_if(state.upstreams.begin(), state.upstreams.end(), [now](const auto &entry) {
@@ -189,6 +212,7 @@
     addCounter(out, "azurewell_resumptions_unknown_total", counters.origins.unknown);
     addCounter(out, "azurewell_resumptions_version_gone_total", counters.origins.versionsGone);
     addCounter(out, "azurewell_stream_versions_changed_total", counters.origins.changedVersions);
+    addPacing(out, counters.pacing);
     addByCode(out, "azurewell_refusals_total", counters.refusals);
     addByCode(out, "azurewell_retries_total", counters.retries);
     addCounter(out, "azurewell_adapter_loads_total", counters.loadsOrdered);
