--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -218,7 +218,8 @@
             : messages.emplace(host, messageHeader(state, now)).first->second;
 }
 
-void sendMessages(const GatewayState &state, MessagesByHost messages, MessageKind kind,
+/// Sends \a messages to those of their hosts that are known.
+void sendMessages(const GatewayState &state, MessagesByHost &messages, MessageKind kind,
                   Actions &actions)
 {
     for (auto &[host, message] : messages) {
@@ -248,7 +249,7 @@
         else
             messageTo(state, messages, coordinator, now).promptsRead.push_back(read);
     }
-    sendMessages(state, std::move(messages), MessageKind::PromptsRead, actions);
+    sendMessages(state, messages, MessageKind::PromptsRead, actions);
 }
 
 /// Until the prompt of \a request arrives at its engine, its adapter counts as in use.
@@ -531,7 +532,7 @@
             for (AdmissionReply &reply : admitWaiting(state, id, messages, now))
                 own.push_back(std::move(reply));
         }
-        sendMessages(state, std::move(messages), MessageKind::AdmissionReply, actions);
+        sendMessages(state, messages, MessageKind::AdmissionReply, actions);
         for (const AdmissionReply &reply : own)
             handleAdmissionReply(state, state.self.id, reply, now, actions);
     }
--- a/packages/gateway/tests/engine_admission_test.cpp
+++ b/packages/gateway/tests/engine_admission_test.cpp
@@ -279,6 +279,22 @@
     EXPECT_TRUE(this->isSent(queued));
 }
 
+// Guards against a queued prompt that is sent past the queue of the new coordinator.
+TEST_F(EngineAdmissionTest, APromptQueuedAtACoordinatorThatDiesAsksTheNextOne)
+{
+    for (GatewayState &state : this->states)
+        state.configuration.routes.front().objective = std::chrono::milliseconds(3500);
+    const std::size_t first = this->coordinator();
+    const RequestNumber queued = this->queuePrompt(otherThan(first, 1), otherThan(first, 2));
+    this->dead.insert(first);
+    this->advance(std::chrono::milliseconds(3000));
+    ASSERT_TRUE(this->isSent(queued));
+    const std::size_t second = this->coordinator();
+    ASSERT_LT(second, hosts);
+    ASSERT_TRUE(this->states[second].pacers.contains(this->engine));
+    EXPECT_EQ(this->states[second].counters.pacing.admittedAtOnce[defaultPriority.level], 1U);
+}
+
 // Failure of the link: reports are lost. The entries expire and the queue goes on.
 TEST_F(EngineAdmissionTest, TheQueueGoesOnWhenReportsAreLost)
 {
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -366,6 +366,127 @@
     EXPECT_EQ(sent.front().upstream, first.message->admissionRequests.front().engine);
 }
 
+Actions replyTo(GatewayState &state, const SendGossip &ask, const AdmissionReply &reply,
+                Instant now)
+{
+    Gossip answer;
+    answer.from.value = ask.to.ip;
+    answer.zone.value = "z";
+    answer.address = ask.to;
+    answer.incarnation.value = 1;
+    answer.admissionReplies.push_back(reply);
+    answer.admissionReplies.back().request = ask.message->admissionRequests.front().request;
+    answer.admissionReplies.back().engine = ask.message->admissionRequests.front().engine;
+    Actions actions;
+    handle(state, answer, now, actions);
+    return actions;
+}
+
+AdmissionReply queuedFor(Span wait)
+{
+    AdmissionReply reply;
+    reply.wait = wait;
+    reply.isQueued = true;
+    return reply;
+}
+
+AdmissionReply unservable(Span wait)
+{
+    AdmissionReply reply;
+    reply.wait = wait;
+    reply.isUnservable = true;
+    return reply;
+}
+
+// Guards against a prompt that is sent at the estimated time although its queue is slower.
+TEST_F(RequestsTest, AQueuedPromptIsSentWithTheAdmittingAnswer)
+{
+    this->list("e1", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip ask = lastAsk(this->ask("/draft/x"));
+    const Span wait = std::chrono::milliseconds(60);
+    EXPECT_TRUE(replyTo(this->state, ask, queuedFor(wait), this->now).dispatches.empty());
+    EXPECT_TRUE(this->tickAfter(wait * 2).empty());
+    EXPECT_EQ(replyTo(this->state, ask, {}, this->now).dispatches.size(), 1U);
+}
+
+// Guards against a prompt that keeps its place in the queue of an engine that it is not sent to.
+TEST_F(RequestsTest, AQueuedPromptLeavesTheQueueWhenAnotherEngineAdmitsIt)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const Actions asked = replyTo(this->state, first, queuedFor(std::chrono::milliseconds(100)),
+                                  this->now);
+    const Actions sent = replyTo(this->state, lastAsk(asked), {}, this->now);
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    const AdmissionRequest returned = lastAsk(sent).message->admissionRequests.front();
+    EXPECT_TRUE(returned.isReturned);
+    EXPECT_EQ(returned.engine, first.message->admissionRequests.front().engine);
+}
+
+TEST_F(RequestsTest, APromptThatTwoEnginesCannotReadInTimeIsRefusedAtOnce)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->list("e3", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const Span wait = std::chrono::milliseconds(900);
+    const Actions asked = replyTo(this->state, first, unservable(wait), this->now);
+    EXPECT_TRUE(asked.refusals.empty());
+    EXPECT_NE(lastAsk(asked).to, Endpoint{});
+    const Actions refused = replyTo(this->state, lastAsk(asked), unservable(wait * 2), this->now);
+    ASSERT_EQ(refused.refusals.size(), 1U);
+    EXPECT_TRUE(refused.refusals.front().isNotRun);
+    EXPECT_EQ(refused.refusals.front().code, ResultCode::QueueFull);
+    EXPECT_GE(refused.refusals.front().retryAfter, wait);
+    EXPECT_TRUE(
+            std::any_of(refused.logEvents.begin(), refused.logEvents.end(),
+                        [](const LogEvent &event) { return event.event == "prompt_unservable"; }));
+}
+
+// Guards against a prompt that is refused although its place in a queue is good.
+TEST_F(RequestsTest, AQueuedPromptStaysQueuedIfTheOtherEngineCannotReadIt)
+{
+    this->list("e1", "llm", "a1");
+    this->list("e2", "llm", "a1");
+    this->joinLargeFleet();
+    const SendGossip first = lastAsk(this->ask("/draft/x"));
+    const Span wait = std::chrono::milliseconds(100);
+    const Actions asked = replyTo(this->state, first, queuedFor(wait), this->now);
+    const Actions answered = replyTo(this->state, lastAsk(asked), unservable(wait), this->now);
+    EXPECT_TRUE(answered.refusals.empty());
+    EXPECT_TRUE(this->tickAfter(tickInterval).empty());
+    const Actions sent = replyTo(this->state, first, {}, this->now);
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    EXPECT_EQ(sent.dispatches.front().upstream, first.message->admissionRequests.front().engine);
+}
+
+// Guards against a report about a prompt that no coordinator has admitted.
+TEST_F(RequestsTest, TheFirstEventOfAnAdmittedPromptIsReportedOnce)
+{
+    this->list("e1", "llm", "a1");
+    this->joinLargeFleet();
+    const Actions sent = replyTo(this->state, lastAsk(this->ask("/draft/x")), {}, this->now);
+    ASSERT_EQ(sent.dispatches.size(), 1U);
+    const Dispatch &dispatch = sent.dispatches.front();
+    const auto countReads = [](const Actions &actions) {
+        return std::count_if(
+                actions.gossip.begin(), actions.gossip.end(),
+                [](const SendGossip &one) { return !one.message->promptsRead.empty(); });
+    };
+    Actions began;
+    handle(this->state, AnswerBegan{ dispatch.request, dispatch.attempt }, this->now, began);
+    EXPECT_EQ(countReads(began), 1);
+    EXPECT_EQ(countReads(this->end(dispatch, AttemptOutcome::Done, true)), 0);
+    EXPECT_TRUE(this->ask("/draft/x").dispatches.empty());
+    const std::vector<Dispatch> late = this->tickAfter(std::chrono::milliseconds(40));
+    ASSERT_EQ(late.size(), 1U);
+    EXPECT_EQ(countReads(this->end(late.front(), AttemptOutcome::Failed)), 0);
+}
+
 TEST_F(RequestsTest, APromptIsSentIfItsCoordinatorDoesNotAnswer)
 {
     // The coordinator of the engine has just died. Requests must not wait until that is noticed.
