Prompts whose answers are no streams count as read after the expected time

Cause: the first byte of an answer that is no stream comes when all of it is generated; as a report it would make the engine look many times slower.

Change: admission requests state whether the first event is reported; other prompts expire after the expected time, and the sample after them is void. Streams of the simulated fleet have a first event, as engines' streams do, except in worlds with crashing requests.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -84,6 +84,8 @@
   10: optional i32 objectiveLeftMillis
   /** Longest pause between events that the route allows. */
   11: optional i32 maxPauseMillis
+  /** The sender reports when the prompt was read. */
+  12: optional bool reported
 }
 
 struct PromptAnswer {
--- a/packages/gateway/include/azurewell/gateway/gossip.h
+++ b/packages/gateway/include/azurewell/gateway/gossip.h
@@ -64,6 +64,9 @@
     std::optional<Priority> priority{}; ///< Empty: the configuration states none.
     Span objectiveLeft{}; ///< Time until the objective of the request's route; 0: none or past.
     Span maxPause{};      ///< Longest pause between events that the route allows; 0: not stated.
+    /// The sender reports the first event. The first byte of an answer that is no stream comes when
+    /// all of it is generated, and says nothing about when the prompt was read.
+    bool isReported = false;
 };
 
 struct AdmissionReply
--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -436,6 +436,8 @@
             to.__set_objectiveLeftMillis(inMillis(admission.objectiveLeft));
         if (admission.maxPause > Span{})
             to.__set_maxPauseMillis(inMillis(admission.maxPause));
+        if (admission.isReported)
+            to.__set_reported(true);
     }
     for (const AdmissionReply &answer : message.admissionReplies) {
         wire::PromptAnswer &to = out.promptAnswers.emplace_back();
@@ -496,6 +498,7 @@
         out.priority = priorityOfRank(static_cast<std::uint32_t>(std::max(ask.priority, 0)));
     out.objectiveLeft = millisecond * std::max(ask.objectiveLeftMillis, 0);
     out.maxPause = millisecond * std::max(ask.maxPauseMillis, 0);
+    out.isReported = ask.reported;
     return out;
 }
 
--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -47,9 +47,16 @@
     request.priority = record.priority;
     request.objectiveLeft = std::max(record.wantedBy - now, Span{});
     request.maxPause = record.maxPause;
+    request.isReported = record.repeat == RepeatPolicy::Stream;
     return request;
 }
 
+/// Whether the first event of the answer to \a record is reported to the coordinator.
+bool reportsRead(const GatewayState &state, const RequestRecord &record)
+{
+    return isPaced(state, record.arrivedRequest.model) && record.repeat == RepeatPolicy::Stream;
+}
+
 /// Returns \a admission, which is not used, to the host that was asked for it. It is sent by
 /// runAdmissions().
 void returnAdmission(GatewayState &state, const RequestRecord &record,
@@ -168,7 +175,7 @@
     if (isHeld || (isThere && record->isReadAwaited))
         return;
     if (isThere && !reply.isQueued && !record->hasAnswerStarted) {
-        record->isReadAwaited = isPaced(state, record->arrivedRequest.model);
+        record->isReadAwaited = reportsRead(state, *record);
         return;
     }
     AdmissionRequest returned;
@@ -466,7 +473,7 @@
     // A late answer shows that the prompt was admitted.
     const bool isAnswerLate = isHere
             && record.admission.state == PromptAdmissionState::AwaitingAnswer;
-    record.isReadAwaited = isUsed && isPaced(state, record.arrivedRequest.model);
+    record.isReadAwaited = isUsed && reportsRead(state, record);
     if (isUsed || isAnswerLate)
         record.admission = {};
     returnAdmissions(state, record);
--- a/packages/gateway/src/prompt_pacing.cpp
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -94,6 +94,14 @@
     return wait >= copyWaitThreshold && perSecond > shareOfOneCopy * rate;
 }
 
+/// Counts the prompt of \a request, which is sent at \a sentAt, as unread.
+void admitPromptOf(PromptPacer &pacer, const AdmissionRequest &request, const HostId &requester,
+                   double rate, Instant sentAt, Instant now)
+{
+    admitUnread(pacer.window, requester, request.request, request.tokens, rate,
+                request.isReported ? ReadReport::Expected : ReadReport::None, sentAt, now);
+}
+
 /// Removes the prompt of \a holder from the prompts that wait for an answer.
 std::optional<QueuedAnswer> takeQueued(PromptPacer &pacer, const PermitHolder &holder)
 {
@@ -124,8 +132,7 @@
     std::optional<QueuedAnswer> answer = takeQueued(pacer, holderOf(*next));
     if (!answer)
         return;
-    const PermitHolder &holder = answer->holder;
-    admitUnread(pacer.window, holder.host, holder.request, answer->request.tokens, rate, now, now);
+    admitPromptOf(pacer, answer->request, answer->holder.host, rate, now, now);
     ++counters.admittedFromQueue[queuePriority(answer->request).level];
     answers.push_back(std::move(*answer));
 }
@@ -166,8 +173,7 @@
     if (isWithoutQueues(request)) {
         admission.wait = std::min(admission.wait, maxReservedWait);
         ++(admission.wait > Span{} ? counters.reserved : counters.admittedAtOnce[priority.level]);
-        admitUnread(pacer.window, requester, request.request, request.tokens, rate,
-                    now + admission.wait, now);
+        admitPromptOf(pacer, request, requester, rate, now + admission.wait, now);
         return admission;
     }
     const PermitHolder holder{ requester, request.request };
@@ -193,7 +199,7 @@
         pacer.dropped.push_back(holderOf(*result.dropped));
     if (hasRoomNow) {
         takeNext(pacer.queue);
-        admitUnread(pacer.window, requester, request.request, request.tokens, rate, now, now);
+        admitPromptOf(pacer, request, requester, rate, now, now);
         ++counters.admittedAtOnce[priority.level];
         return admission;
     }
--- a/packages/gateway/tests/prompt_pacing_test.cpp
+++ b/packages/gateway/tests/prompt_pacing_test.cpp
@@ -34,6 +34,7 @@
         request.priority = priority;
         request.objectiveLeft = objective;
         request.maxPause = std::chrono::milliseconds(400);
+        request.isReported = true;
         return request;
     }
 
--- a/packages/scheduling/include/azurewell/scheduling/read_window.h
+++ b/packages/scheduling/include/azurewell/scheduling/read_window.h
@@ -8,6 +8,12 @@
 
 namespace azurewell {
 
+/// Whether a host reports that a prompt was read.
+enum class ReadReport : std::uint8_t {
+    Expected,
+    None, ///< The prompt counts as read after the expected time.
+};
+
 /// A prompt that was admitted at an engine and is not known to be read (prefilled) yet.
 struct UnreadPrompt
 {
@@ -15,7 +21,8 @@
     std::uint64_t request = 0; ///< Its number at the requester.
     double tokens = 0;
     Instant admittedAt;
-    Instant expiresAt; ///< Counts as read then, as the report was presumably lost.
+    Instant expiresAt; ///< Counts as read then: without a report, or as it was presumably lost.
+    ReadReport report = ReadReport::Expected;
 };
 
 /// Limits the admitted unread prompts of one engine, and learns how fast it reads.
@@ -62,7 +69,7 @@
 
 /// Adds a prompt that is sent at \a sentAt.
 void admitUnread(ReadWindow &window, const HostId &requester, std::uint64_t request, double tokens,
-                 double rate, Instant sentAt, Instant now);
+                 double rate, ReadReport report, Instant sentAt, Instant now);
 
 /// Records that the engine has read a prompt. False if it is not unread here.
 bool recordRead(ReadWindow &window, const HostId &requester, std::uint64_t request,
@@ -72,7 +79,8 @@
 /// False if it is not unread here.
 bool removeUnread(ReadWindow &window, const HostId &requester, std::uint64_t request, bool wasSent);
 
-/// Removes the prompts whose reports were presumably lost, and returns their number.
+/// Removes the prompts that count as read without a report, and returns the number of those whose
+/// reports were presumably lost.
 std::size_t removeExpired(ReadWindow &window, Instant now);
 
 /// Estimates the unread prompts that were not admitted here from the number of requests that wait
--- a/packages/scheduling/src/read_window.cpp
+++ b/packages/scheduling/src/read_window.cpp
@@ -131,7 +131,7 @@
 }
 
 void admitUnread(ReadWindow &window, const HostId &requester, std::uint64_t request, double tokens,
-                 double rate, Instant sentAt, Instant now)
+                 double rate, ReadReport report, Instant sentAt, Instant now)
 {
     removeUnread(window, requester, request, false);
     if (window.unread.empty()) {
@@ -140,9 +140,11 @@
         window.isSampleVoid = false;
     }
     const Span expected = expectedRead(window, 0, tokens, rate, now);
-    const Instant expiresAt = sentAt + fromSeconds(toSeconds(expected) * expiryFactor)
-            + expiryDelay;
-    window.unread.push_back({ requester, request, tokens, sentAt, expiresAt });
+    const bool isReported = report == ReadReport::Expected;
+    const Instant expiresAt = !isReported
+            ? sentAt + expected
+            : sentAt + fromSeconds(toSeconds(expected) * expiryFactor) + expiryDelay;
+    window.unread.push_back({ requester, request, tokens, sentAt, expiresAt, report });
     window.unreadTokens += tokens;
     window.meanTokens = meanPrompt(window) * (1 - meanWeight) + tokens * meanWeight;
 }
@@ -180,18 +182,18 @@
 
 std::size_t removeExpired(ReadWindow &window, Instant now)
 {
-    std::size_t removed = 0;
+    std::size_t lost = 0;
     for (auto one = window.unread.begin(); one != window.unread.end();) {
         if (now < one->expiresAt) {
             ++one;
             continue;
         }
         const std::ptrdiff_t index = one - window.unread.begin();
+        lost += one->report == ReadReport::Expected ? 1 : 0;
         erase(window, one, true);
         one = window.unread.begin() + index;
-        ++removed;
     }
-    return removed;
+    return lost;
 }
 
 void correctByWaiting(ReadWindow &window, std::uint32_t waiting, double rate, Instant reportedAt,
--- a/packages/scheduling/tests/read_window_test.cpp
+++ b/packages/scheduling/tests/read_window_test.cpp
@@ -23,9 +23,9 @@
 void readPrompts(ReadWindow &window, int count, double tokens, int millis, Instant &now)
 {
     std::uint64_t request = 1000 + static_cast<std::uint64_t>(now.micros);
-    admitUnread(window, host, request, tokens, serviceRate, now, now);
+    admitUnread(window, host, request, tokens, serviceRate, ReadReport::Expected, now, now);
     for (int i = 0; i < count; ++i) {
-        admitUnread(window, host, request + 1, tokens, serviceRate, now, now);
+        admitUnread(window, host, request + 1, tokens, serviceRate, ReadReport::Expected, now, now);
         now = now + std::chrono::milliseconds(millis);
         recordRead(window, host, request++, serviceRate, now);
     }
@@ -36,7 +36,7 @@
 {
     ReadWindow window;
     EXPECT_TRUE(hasRoom(window, 50'000, serviceRate, maxPause, start));
-    admitUnread(window, host, 1, 7000, serviceRate, start, start);
+    admitUnread(window, host, 1, 7000, serviceRate, ReadReport::Expected, start, start);
     EXPECT_TRUE(hasRoom(window, 1500, serviceRate, maxPause, start));
     EXPECT_FALSE(hasRoom(window, 2500, serviceRate, maxPause, start));
 }
@@ -67,8 +67,8 @@
 TEST(ReadWindow, AnEntryWhoseReportWasLostExpires)
 {
     ReadWindow window;
-    admitUnread(window, host, 1, 1800, serviceRate, start, start);
-    admitUnread(window, host, 2, 1800, serviceRate, start, start);
+    admitUnread(window, host, 1, 1800, serviceRate, ReadReport::Expected, start, start);
+    admitUnread(window, host, 2, 1800, serviceRate, ReadReport::Expected, start, start);
     EXPECT_EQ(removeExpired(window, at(300)), 0U);
     const double before = readRate(window, serviceRate);
     EXPECT_EQ(removeExpired(window, at(1500)), 2U);
@@ -76,6 +76,19 @@
     EXPECT_EQ(readRate(window, serviceRate), before);
 }
 
+// Guards against answers that are no streams: their first byte comes when all is generated, and the
+// engine would look slow.
+TEST(ReadWindow, APromptWithoutAReportCountsAsReadAfterTheExpectedTime)
+{
+    ReadWindow window;
+    admitUnread(window, host, 1, 2200, serviceRate, ReadReport::None, start, start);
+    EXPECT_EQ(removeExpired(window, at(100)), 0U);
+    EXPECT_EQ(window.unread.size(), 1U);
+    EXPECT_EQ(removeExpired(window, at(150)), 0U);
+    EXPECT_TRUE(window.unread.empty());
+    EXPECT_EQ(readRate(window, serviceRate), serviceRate);
+}
+
 // Guards against a window that a new coordinator believes to be empty.
 TEST(ReadWindow, CountsWaitingPromptsThatWereNotAdmittedHere)
 {
@@ -90,7 +103,7 @@
 {
     ReadWindow window;
     for (std::uint64_t request = 1; request <= 3; ++request)
-        admitUnread(window, host, request, 1800, serviceRate, start, start);
+        admitUnread(window, host, request, 1800, serviceRate, ReadReport::Expected, start, start);
     recordRead(window, host, 1, serviceRate, at(90));
     correctByWaiting(window, 3, serviceRate, at(20), at(120));
     EXPECT_EQ(unreadTokens(window, serviceRate, at(120)), 3600.0);
@@ -217,7 +230,8 @@
             ++result.admitted;
             waits.push_back(now - next.arrivedAt);
             sent[next.request].second = now > next.arrivedAt;
-            admitUnread(window, host, next.request, next.tokens, rate, at(now), at(now));
+            admitUnread(window, host, next.request, next.tokens, rate, ReadReport::Expected,
+                        at(now), at(now));
             engine.prompts.push_back({ next.request, next.tokens, now + 3 });
         }
         engine.run(now);
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -450,7 +450,9 @@
             this->startCrashingRun(at);
             return;
         }
-        if (isReady && !this->crashingParts.empty())
+        // A stream has a first event, from which hosts and coordinators learn that its prompt was
+        // read. The runs of worlds with crashing requests are interrupted before it.
+        if (isReady && (this->crashingRequests.empty() || !this->crashingParts.empty()))
             this->beginAnswer({ index, incarnation, toSend }, at);
         this->schedule(this->now + duration + networkLatency,
                        [this, index, incarnation, toSend, at, isReady, isLoaded, fakeRequest,
