A late permit excludes its engine before it is returned

Cause: the engine was passed by reference from the admission that is cleared, so that an empty id was excluded and the request was placed again without end (StatedLimitsWorld crashed).

Change: the engine is excluded first.

--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -365,8 +365,9 @@
 
 void excludeUpstream(GatewayState &state, RequestRecord &record, const UpstreamId &limited)
 {
-    returnAdmissions(state, record);
+    // First, as limited may be the engine of the admission.
     record.excluded.insert(limited);
+    returnAdmissions(state, record);
 }
 
 void requestAdmission(GatewayState &state, RequestRecord &record, const Upstream &engine,
