Returned admissions are sent before the next one is requested

Cause: returned permits were held back until the end of the event, so that the requests placed meanwhile each reserved a later permit and gave it back: 150 of 288 permits were used (230 required) in StatedLimitsWorld.AreFullyUsedWhenEveryEngineStatesOne. A return that was sent after a new request to the same engine would also have cancelled the new admission.

Change: a request for admission first sends pending returns.

--- a/packages/gateway/src/prompt_admission.cpp
+++ b/packages/gateway/src/prompt_admission.cpp
@@ -373,6 +373,9 @@
 void requestAdmission(GatewayState &state, RequestRecord &record, const Upstream &engine,
                       Instant now, Actions &actions)
 {
+    // Returned permits are used by the next request, which may be this one, and a return that is
+    // sent later would cancel a new admission at the same engine.
+    sendReports(state, now, actions);
     record.admission = {};
     record.admission.state = PromptAdmissionState::AwaitingAnswer;
     record.admission.engine = engine.listed.id;
