Accept queue: only callers that left count for the shortest wait of those

Cause: the shortest wait of the callers of a sample that left began with the wait of its first caller, even if that one stayed. Among callers that leave after 800 ms, one that is read after 50 ms let the usual wait fall to its floor of 200 ms, so callers were turned away whom the host would have answered.

Change: it begins with the first caller that left.

Figures: with every second caller leaving after 800 ms and the others read after 50 ms, the usual wait was 200 ms and is now at least 720 ms. The new test failed before the change (200 ms instead of at least 720 ms).

--- a/packages/http/include/azurewell/http/accept_queue.h
+++ b/packages/http/include/azurewell/http/accept_queue.h
@@ -22,7 +22,7 @@
     std::uint32_t stayed = 0;
     std::uint32_t left = 0;
     Span longestStay{};
-    Span shortestLeaving{};
+    Span shortestLeaving{}; ///< Of those that left, if any.
     Instant beganAt;
 };
 
--- a/packages/http/src/accept_queue.cpp
+++ b/packages/http/src/accept_queue.cpp
@@ -119,10 +119,11 @@
         queue.standingSince = now;
     WaitSample &sample = queue.sample;
     if (sample.stayed + sample.left == 0)
-        sample = { 0, 0, Span{}, waited, now };
+        sample.beganAt = now;
     if (hasLeft) {
+        const bool isFirst = sample.left == 0;
         ++sample.left;
-        sample.shortestLeaving = std::min(sample.shortestLeaving, waited);
+        sample.shortestLeaving = isFirst ? waited : std::min(sample.shortestLeaving, waited);
     } else {
         ++sample.stayed;
         sample.longestStay = std::max(sample.longestStay, waited);
--- a/packages/http/tests/accept_queue_test.cpp
+++ b/packages/http/tests/accept_queue_test.cpp
@@ -294,6 +294,22 @@
     EXPECT_LE(queue.usualWait, patience * 4 / 3);
 }
 
+// Guards against a usual wait far below that of any caller that left, because another caller of the
+// sample was read soon and stayed.
+TEST(AcceptQueue, FallsNoLowerThanThoseThatLeftShow)
+{
+    constexpr Span patience = std::chrono::milliseconds(800);
+    AcceptQueue queue;
+    const Instant now{ 1'000'000 };
+    learn(queue, std::chrono::seconds(2));
+    for (int i = 0; i < 200; ++i) {
+        const bool hasLeft = i % 2 == 1;
+        learnWait(queue, hasLeft ? patience : std::chrono::milliseconds(50), hasLeft, now);
+    }
+    EXPECT_GE(queue.usualWait, patience * 9 / 10);
+    EXPECT_LE(queue.usualWait, patience);
+}
+
 // Guards against a host that turns callers away as if they were in a hurry, long after those who
 // were have gone.
 TEST(AcceptQueue, FollowsCallersWhoStayLongerAgain)
