Proxy: the response to callers that are turned away is formatted once a slice

Cause: Proxy::turnAway formatted the 503 anew for each caller that it may tell, also where no request waited to be answered. A host with several times the callers that it can read does so for as many callers as it reads.

Change: BusyAnswer keeps the formatted response for the longest slice, 100 ms. Its Retry-After, 1 to 4 s, may be older by that.

--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -3,6 +3,7 @@
 #include "azurewell/gateway/gateway.h"
 #include "azurewell/http/accept_queue.h"
 #include "azurewell/http/caller_connection.h"
+#include "azurewell/proxy/busy_answer.h"
 #include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/gossip_socket.h"
 #include "azurewell/proxy/http_call.h"
@@ -97,7 +98,6 @@
     void serveUnread();
     void readUnread(UnreadCaller caller, Instant now);
     void turnAway(UniqueFd connection, Instant now);
-    std::string busyAnswer() const;
     void learnFrom(gateway::RequestNumber number, Instant now);
     void learnFromAnswer(const OpenRequest &request, Instant now);
     void learnFromLeaving(const OpenRequest &request);
@@ -175,6 +175,7 @@
     std::vector<SessionId> leftSessions; ///< Whose callers have left.
     std::set<gateway::RequestNumber> pausedUpstreams; ///< Their answers aren't read from upstreams.
     AcceptQueue unread;                               ///< Callers' connections.
+    BusyAnswer busyAnswer;                            ///< To callers that are turned away.
     std::uint32_t openedInPass = 0; ///< New connections that didn't wait in the queue.
     Span unreadWait{};              ///< Of the caller whose request is being read.
     Instant overloadedUntil;
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -4,7 +4,7 @@
 #include "azurewell/logging/log.h"
 #include "text.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace azurewell {
 
@@ -22,9 +22,6 @@
 /// Time after the last caller was turned away for which other hosts are told not to forward here.
 constexpr Span overloadMemory = std::chrono::seconds(1);
 
-constexpr Span shortestRetryAfter = std::chrono::seconds(1);
-constexpr Span longestRetryAfter = std::chrono::seconds(4);
-
 constexpr Span countsLogInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -94,24 +91,13 @@
 {
     this->overloadedUntil = now + overloadMemory;
     ++this->turnedAwaySinceLogged;
-    if (takeTelling(this->unread) && answerUnread(connection, this->busyAnswer()))
+    if (takeTelling(this->unread)
+        && answerUnread(connection, currentBytes(this->busyAnswer, this->unread, now)))
         ++this->core.counters.refusals[ResultCode::HostOverloaded];
     else
         ++this->metrics.connectionsRejected;
 }
 
-std::string Proxy::busyAnswer() const
-{
-    const Span wait = std::clamp(expectedWait(this->unread), shortestRetryAfter, longestRetryAfter);
-    const std::string body = refusalBody(ResultCode::HostOverloaded, true);
-    const int status = infoOf(ResultCode::HostOverloaded).httpStatus;
-    const std::vector<HttpHeader> headers{ { "Content-Type", "application/json" },
-                                           { "Retry-After", inSeconds(wait) } };
-    return responseHeadBytes(status, reasonPhrase(status), headers, BodyFraming::Length,
-                             body.size(), false)
-            + body;
-}
-
 /// Learns how long callers wait from a request that has just begun.
 void Proxy::learnFrom(RequestNumber number, Instant now)
 {
