Accept queue: the rate of reading is worked out in one place

Cause: capacityIn and expectedWait each worked it out. Only the first checked that it is known, so callers could be told to come back by a rate of a tenth of a second of reading, or of an earlier overload, which the queue itself doesn't go by.

Change: readingRate gives it, for both, after 0.2 s of reading and for 2 s (docs/design/overload.md). Where it isn't known, Retry-After is the shortest, 1 s. A rate of 0 counts as not known for the expected wait, as before.

--- a/packages/http/include/azurewell/http/accept_queue.h
+++ b/packages/http/include/azurewell/http/accept_queue.h
@@ -80,6 +80,6 @@
 bool takeTelling(AcceptQueue &queue);
 
 /// The time in which what waits now will have been read; 0: not known.
-Span expectedWait(const AcceptQueue &queue);
+Span expectedWait(const AcceptQueue &queue, Instant now);
 
 } // namespace azurewell
--- a/packages/http/src/accept_queue.cpp
+++ b/packages/http/src/accept_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace azurewell {
 
@@ -84,14 +85,21 @@
                     scaled(queue.usualWait, standingShareOfWait));
 }
 
+/// Requests that the host reads in a second while callers wait, if that is known.
+std::optional<double> readingRate(const AcceptQueue &queue, Instant now)
+{
+    if (queue.readingSeconds < minSecondsKnown || now >= queue.rateKnownUntil)
+        return std::nullopt;
+    return queue.read / queue.readingSeconds;
+}
+
 /// Connections that can be read within \a wait; maxWaiting if that isn't known.
 double capacityIn(const AcceptQueue &queue, Span wait, Instant now)
 {
-    const bool isRateKnown = queue.readingSeconds >= minSecondsKnown && now < queue.rateKnownUntil;
-    if (!isRateKnown || queue.usualWait <= Span{})
+    const std::optional<double> rate = readingRate(queue, now);
+    if (!rate || queue.usualWait <= Span{})
         return maxWaiting;
-    const double rate = queue.read / queue.readingSeconds;
-    return std::min<double>(rate * toSeconds(wait), maxWaiting);
+    return std::min<double>(*rate * toSeconds(wait), maxWaiting);
 }
 
 } // namespace
@@ -183,12 +191,12 @@
     return true;
 }
 
-Span expectedWait(const AcceptQueue &queue)
+Span expectedWait(const AcceptQueue &queue, Instant now)
 {
-    if (queue.read <= 0)
+    const double rate = readingRate(queue, now).value_or(0);
+    if (rate <= 0)
         return Span{};
-    const auto length = static_cast<double>(queue.waiting.size());
-    return fromSeconds(length * queue.readingSeconds / queue.read);
+    return fromSeconds(static_cast<double>(queue.waiting.size()) / rate);
 }
 
 } // namespace azurewell
--- a/packages/http/tests/accept_queue_test.cpp
+++ b/packages/http/tests/accept_queue_test.cpp
@@ -327,6 +327,28 @@
     EXPECT_GE(queue.usualWait, std::chrono::seconds(1));
 }
 
+// Guards against callers that are told to wait by a rate of reading which the host itself doesn't
+// take as known any more, or not yet.
+TEST(AcceptQueue, ExpectsAWaitOnlyWhileItsRateIsKnown)
+{
+    const Instant now{ 5'000'000 };
+    AcceptQueue queue;
+    learn(queue, std::chrono::seconds(2));
+    queue.waiting.resize(50);
+    queue.backloggedSince = now - std::chrono::milliseconds(100);
+    endSlice(queue, 10, now);
+    EXPECT_EQ(expectedWait(queue, now), Span{});
+    EXPECT_TRUE(hasRoom(queue, now));
+    const Instant later = now + std::chrono::milliseconds(900);
+    endSlice(queue, 90, later);
+    EXPECT_GE(expectedWait(queue, later), std::chrono::milliseconds(450));
+    EXPECT_LE(expectedWait(queue, later), std::chrono::milliseconds(550));
+    EXPECT_EQ(expectedWait(queue, later + std::chrono::seconds(3)), Span{});
+    queue.waiting.resize(1000);
+    EXPECT_FALSE(hasRoom(queue, later));
+    EXPECT_TRUE(hasRoom(queue, later + std::chrono::seconds(3)));
+}
+
 // Guards against a host that spends its time on telling callers that it has none.
 TEST(AcceptQueue, TellsAsManyAsItReads)
 {
--- a/packages/proxy/src/busy_answer.cpp
+++ b/packages/proxy/src/busy_answer.cpp
@@ -32,7 +32,7 @@
 {
     if (now < answer.validUntil)
         return answer.bytes;
-    const Span wait = std::clamp(expectedWait(queue), shortestRetryAfter, longestRetryAfter);
+    const Span wait = std::clamp(expectedWait(queue, now), shortestRetryAfter, longestRetryAfter);
     answer.bytes = format(wait);
     answer.validUntil = now + validity;
     return answer.bytes;
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -154,7 +154,7 @@
         writeLog(LogLevel::Warning, "callers_turned_away",
                  { { "count", std::to_string(turnedAway) },
                    { "waiting", std::to_string(this->unread.waiting.size()) },
-                   { "expected_wait_ms", inMillis(expectedWait(this->unread)) },
+                   { "expected_wait_ms", inMillis(expectedWait(this->unread, now)) },
                    { "usual_wait_ms", inMillis(this->unread.usualWait) } });
 }
 
