Proxy: answers that are held back are bounded by the memory they take

Cause: the bound on the held answers of a host, 10 MiB, counted the bytes of their strings.

Change: HeldBody holds a body in blocks of up to 64 KiB that are never copied, and counts what it has allocated; the bound applies to that.

--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -54,7 +54,7 @@
 /// The body of an answer that is held until it is whole, so that another can replace it.
 inline constexpr std::size_t maxHeldBodyBytes = 8ULL * 1024 * 1024;
 
-/// All bodies that a host holds so. Beyond it the attempt with the longest one ends.
+/// The memory of all bodies that a host holds so. Beyond it the attempt with the longest one ends.
 inline constexpr std::size_t maxHeldBytesOfHost = 10ULL * 1024 * 1024;
 
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -3,6 +3,7 @@
 #include "azurewell/gateway/gateway.h"
 #include "azurewell/http/accept_queue.h"
 #include "azurewell/http/caller_connection.h"
+#include "azurewell/http/held_body.h"
 #include "azurewell/proxy/busy_answer.h"
 #include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/gossip_socket.h"
@@ -82,7 +83,7 @@
         bool isPaused = false;   ///< Reading from the upstream is paused, as the caller is slow.
         ReplyFacts facts;
         ResponseHead head;
-        std::string body; ///< The buffered body while isHeldBack.
+        HeldBody body; ///< The buffered body while isHeldBack.
         UpstreamId upstream;
         Instant arrivedAt;
         Instant deadline;  ///< Of the answer.
@@ -183,7 +184,7 @@
     Instant nextTimeoutsAt;
     std::uint64_t turnedAwaySinceLogged = 0; ///< Callers whose requests were not read.
     std::uint64_t leftSinceLogged = 0; ///< Callers that left before their requests were begun.
-    std::size_t heldSinceSum = 0;      ///< Bytes held back since all held bodies were added up.
+    std::size_t heldSinceSum = 0;      ///< Allocated for bodies since all held ones were added up.
     std::function<void()> onTick;
     QTimer ticker;
     QTimer sliceTimer; ///< Runs while callers wait unread.
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -21,7 +21,7 @@
 /// Unsent bytes to a slow caller above which reading from its upstream is paused.
 constexpr std::size_t maxUnsentBytes = 128ULL * 1024;
 
-/// All bodies that are held back are added up once for so many new bytes.
+/// All bodies that are held back are added up once for so many newly allocated bytes.
 constexpr std::size_t heldBytesBetweenSums = 64ULL * 1024;
 
 /// The status that the caller gets. A status that implies that the request has not run is used only
@@ -228,8 +228,7 @@
 void Proxy::holdBody(RequestNumber number, const std::string &body)
 {
     OpenRequest &request = this->open.at(number);
-    request.body += body;
-    this->heldSinceSum += body.size();
+    this->heldSinceSum += request.body.append(body);
     if (request.body.size() > maxHeldBodyBytes) {
         this->endOversized(number);
         return;
@@ -241,9 +240,10 @@
     std::size_t longest = 0;
     RequestNumber longestOf = number;
     for (const auto &[other, waiting] : this->open) {
-        held += waiting.body.size();
-        if (waiting.isAtUpstream && waiting.body.size() > longest) {
-            longest = waiting.body.size();
+        const std::size_t allocated = waiting.body.allocatedBytes();
+        held += allocated;
+        if (waiting.isAtUpstream && allocated > longest) {
+            longest = allocated;
             longestOf = other;
         }
     }
@@ -256,7 +256,7 @@
 {
     OpenRequest &request = this->open.at(number);
     this->connections.cancel(request.exchange);
-    std::string().swap(request.body);
+    request.body.clear();
     this->fail(number, ExchangeFailure::Oversized);
 }
 
@@ -295,12 +295,13 @@
     CallerConnection &session = *this->sessions.at(request.session);
     request.isHeadSent = true;
     const std::vector<HttpHeader> headers = this->answerHeaders(request);
+    const std::string body = request.body.take();
     if (!this->isUnframed(request)) {
-        session.answer(request.head.status, request.head.reason, headers, request.body, now);
+        session.answer(request.head.status, request.head.reason, headers, body, now);
         return;
     }
     session.beginBody(request.head.status, request.head.reason, headers, BodyFraming::Close);
-    session.sendBody(request.body);
+    session.sendBody(body);
     session.complete(now);
 }
 
