Overload benchmark: points for which the host got another share are marked

Cause: the benchmark stops and continues the host to give it 1 ms of each 80. On a busy machine its turns are longer, or other processes have the processors in them, so a point was played at another multiple of what the host can read, without a sign of that.

Change: each measurement and point states the share of a processor that the host could use: the time that it was continued, less the time that its main thread waited for a processor (/proc/PID/schedstat). Off by more than 20 % it is marked NOT VALID, and the program ends with 2. Turns begin by a fixed schedule, and the thread that gives them asks for exact timers.

The table has not been played.

--- a/benchmark/overload/main.cpp
+++ b/benchmark/overload/main.cpp
@@ -1,5 +1,6 @@
 #include "load_callers.h"
 #include "node_fleet.h"
+#include "processor_share.h"
 
 #include "azurewell/http/clock.h"
 
@@ -7,13 +8,17 @@
 #include <fmt/format.h>
 #include <QtCore/QCoreApplication>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <thread>
 
 // Plays callers against one host that gets only a share of a processor, for one or several builds
-// of azurewelld, and prints what became of the callers at each load and patience.
+// of azurewelld, and prints what became of the callers at each load and patience. Where other
+// processes had the processors in the turns of the host, a point is marked as not valid, and the
+// program ends with 2.
 
 namespace azurewell {
 
@@ -41,27 +46,63 @@
 class SharedProcessor
 {
 public:
-    SharedProcessor(qint64 process, const Turns &turns)
-        : thread([this, id = static_cast<pid_t>(process), turns] {
-            while (!this->isOver) {
-                ::kill(id, SIGCONT);
-                std::this_thread::sleep_for(turns.running);
-                ::kill(id, SIGSTOP);
-                std::this_thread::sleep_for(turns.period - turns.running);
-            }
-            ::kill(id, SIGCONT);
-        })
+    SharedProcessor(qint64 process, const Turns &given)
+        : id(static_cast<pid_t>(process))
+        , turns(given)
+        , thread([this] { this->run(); })
     {
     }
     ~SharedProcessor()
     {
-        this->isOver = true;
-        this->thread.join();
+        this->end();
     }
     SharedProcessor(const SharedProcessor &) = delete;
     SharedProcessor &operator=(const SharedProcessor &) = delete;
 
+    /// Ends the turns. Returns what the process got of them.
+    TurnsGot end()
+    {
+        this->isOver = true;
+        if (this->thread.joinable())
+            this->thread.join();
+        return this->got;
+    }
+
 private:
+    void run()
+    {
+        // The kernel may otherwise end each sleep 50 microseconds late, 5 % of a turn.
+        ::prctl(PR_SET_TIMERSLACK, 1UL);
+        const std::optional<ScheduledTime> before = scheduledTimeOf(this->id);
+        const Instant startedAt = monotonicNow();
+        for (Instant turnAt = startedAt; !this->isOver;) {
+            const Instant continuedAt = monotonicNow();
+            ::kill(this->id, SIGCONT);
+            sleepUntil(continuedAt + this->turns.running);
+            ::kill(this->id, SIGSTOP);
+            const Instant stoppedAt = monotonicNow();
+            this->got.continued += stoppedAt - continuedAt;
+            // A turn that begins late doesn't delay those after it.
+            turnAt = std::max(turnAt + this->turns.period, stoppedAt);
+            sleepUntil(turnAt);
+        }
+        this->got.elapsed = monotonicNow() - startedAt;
+        const std::optional<ScheduledTime> after = scheduledTimeOf(this->id);
+        if (before && after)
+            this->got.scheduled = { after->used - before->used, after->waited - before->waited };
+        ::kill(this->id, SIGCONT);
+    }
+
+    static void sleepUntil(Instant until)
+    {
+        const Span left = until - monotonicNow();
+        if (left > Span{})
+            std::this_thread::sleep_for(left);
+    }
+
+    pid_t id;
+    Turns turns;
+    TurnsGot got;
     std::atomic<bool> isOver{ false };
     std::thread thread;
 };
@@ -127,12 +168,27 @@
         return outcomes;
     }
 
+    /// Of the last measurement or play.
+    std::optional<double> share() const
+    {
+        return usableShare(this->lastTurns);
+    }
+    bool isValid() const
+    {
+        return isShareKept(this->share(), this->intendedShare());
+    }
+    double intendedShare() const
+    {
+        return toSeconds(this->turns.running) / toSeconds(this->turns.period);
+    }
+
 private:
     template <typename Work>
     void beside(Work work)
     {
-        const SharedProcessor shared(this->fleet.processId(0), this->turns);
+        SharedProcessor shared(this->fleet.processId(0), this->turns);
         runBeside(work);
+        this->lastTurns = shared.end();
     }
 
     Load loadOf(double perSecond, Span wait, Span length)
@@ -151,10 +207,20 @@
     }
 
     Turns turns;
+    TurnsGot lastTurns;
     NodeFleet fleet;
     std::uint32_t plays = 0;
 };
 
+/// The share of a processor that the host could use in the last measurement or play, and whether
+/// that is valid.
+std::string shareText(const OverloadBenchmark &benchmark)
+{
+    const std::optional<double> share = benchmark.share();
+    return fmt::format("{:>8} {}", share ? fmt::format("{:.2f} %", *share * 100) : "unknown",
+                       benchmark.isValid() ? "valid" : "NOT VALID");
+}
+
 /// Each caller that waits holds a descriptor.
 void allowManyDescriptors()
 {
@@ -189,6 +255,9 @@
     allowManyDescriptors();
     OverloadBenchmark benchmark(
             { fromSeconds(runningMillis / 1000), fromSeconds(periodMillis / 1000) });
+    constexpr int exitNotValid = 2;
+    std::uint32_t notValid = 0;
+    fmt::print("the host is to get {:.2f} % of a processor\n", benchmark.intendedShare() * 100);
     double capacity = 0;
     for (const std::string &program : programs) {
         if (!benchmark.start(program))
@@ -196,10 +265,11 @@
         const double perSecond = benchmark.capacity();
         benchmark.end();
         capacity = capacity > 0 ? capacity : perSecond;
-        fmt::print("{} reads {:.0f} a second\n", program, perSecond);
+        notValid += benchmark.isValid() ? 0 : 1;
+        fmt::print("{} reads {:.0f} a second, {}\n", program, perSecond, shareText(benchmark));
     }
-    fmt::print("{:>5} {:>5} {:>8} {:>7} {:>7} {:>7} {:>7} {:>7}\n", "load", "wait", "program",
-               "asked", "in time", "told", "closed", "gave up");
+    fmt::print("{:>5} {:>5} {:>8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}\n", "load", "wait", "program",
+               "asked", "in time", "told", "closed", "gave up", "share");
     for (const double load : loads) {
         for (const double wait : waits) {
             for (std::size_t i = 0; i < programs.size(); ++i) {
@@ -208,12 +278,17 @@
                 const LoadOutcomes outcomes = benchmark.play(capacity * load, fromSeconds(wait),
                                                              fromSeconds(seconds));
                 benchmark.end();
-                fmt::print("{:>5} {:>5} {:>8} {:>7} {:>7.3f} {:>7} {:>7} {:>7}\n", load, wait, i,
+                notValid += benchmark.isValid() ? 0 : 1;
+                fmt::print("{:>5} {:>5} {:>8} {:>7} {:>7.3f} {:>7} {:>7} {:>7} {}\n", load, wait, i,
                            outcomes.asked, static_cast<double>(outcomes.inTime) / outcomes.asked,
-                           outcomes.told, outcomes.closed, outcomes.givenUp);
+                           outcomes.told, outcomes.closed, outcomes.givenUp, shareText(benchmark));
                 std::fflush(stdout);
             }
         }
     }
-    return 0;
+    if (notValid == 0)
+        return 0;
+    fmt::print("{} measurements are not valid: the host got another share than intended\n",
+               notValid);
+    return exitNotValid;
 }
