Gateway: what is known of software versions has a file of its own

Change: the first job moved to known_versions.cpp, unchanged; its check in runOrigins has become checkVersionsIfDue. No change of behaviour, tests as they are.

--- /dev/null
+++ b/packages/gateway/src/known_versions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "azurewell/gateway/gateway.h"
+
+namespace azurewell::gateway {
+
+/// Callers take a stream up again until its deadline, and this much later if they are refused.
+inline constexpr Span triesAfterDeadline = std::chrono::seconds(10);
+
+/// Whether this host learns of upstreams that start again with another version: from the platform,
+/// or from other hosts.
+bool areEntriesFresh(const GatewayState &state, Instant now);
+
+/// What is known of the versions of \a service, which is created if there is nothing.
+ServiceVersions &versionsOf(GatewayState &state, const ServiceId &service, Instant now);
+
+/// Whether streams of \a service that may be taken up again were begun at several versions.
+bool isServiceMixed(const GatewayState &state, const ServiceId &service, Instant now);
+
+/// The version that has begun any stream of \a service; null if there may be several, or one that
+/// this host does not know of.
+const SoftwareVersion *onlyVersion(const GatewayState &state, const ServiceId &service,
+                                   Instant now);
+
+/// Checks the versions of all services, and whether this host is in touch. Call at each tick.
+void checkVersionsIfDue(GatewayState &state, Instant now);
+
+} // namespace azurewell::gateway
--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/routing/rendezvous.h"
 #include "internal.h"
+#include "known_versions.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,9 +16,6 @@
 /// for a moment in which others they know.
 constexpr std::size_t spareHolders = 1;
 
-/// Callers take a stream up again until its deadline, and this much later if they are refused.
-constexpr Span triesAfterDeadline = std::chrono::seconds(10);
-
 /// A question is answered within milliseconds; one that is lost, or comes before the record, is
 /// repeated, to one more host of each zone each time.
 constexpr Span questionInterval = std::chrono::milliseconds(40);
@@ -37,39 +35,6 @@
 /// Records in one message, of up to 300 bytes each.
 constexpr std::size_t maxOriginsInMessage = 150;
 
-/// A host that has heard nobody for this long is out of touch before its members time out: somebody
-/// sends to it every 250 ms or more often, in fleets of any size.
-constexpr Span maxSilence = std::chrono::milliseconds(600);
-
-constexpr Span versionCheckInterval = std::chrono::milliseconds(250);
-
-/// New streams do not begin at servers of a version that is new beside another one until each host
-/// either knows of it or has noticed that it is out of touch, and a little longer. Otherwise a host
-/// that knows of the other version only would go on with such a stream there.
-constexpr Span holdMargin = std::chrono::seconds(1);
-
-Span holdTime(const GatewayState &state)
-{
-    const HeartbeatPlan &plan = state.members.plan;
-    return std::max(plan.timeoutInZone, plan.timeoutElsewhere) + holdMargin;
-}
-
-bool isResumable(const Route &route)
-{
-    return route.repeat == RepeatPolicy::Stream && route.isResumable;
-}
-
-/// How long streams may be taken up after they began; 0: no route has such streams.
-Span streamLifetime(const GatewayState &state)
-{
-    Span longest{};
-    for (const Route &route : state.configuration.routes) {
-        if (isResumable(route))
-            longest = std::max(longest, timeoutOf(route) + triesAfterDeadline);
-    }
-    return longest;
-}
-
 bool isResumableStream(const RequestRecord &record)
 {
     return record.repeat == RepeatPolicy::Stream && record.isResumable;
@@ -82,79 +47,6 @@
              resumption ? resumption->begunBy : AttemptId{ record.arrivedRequest.callerId } };
 }
 
-bool isAnyHeard(const GatewayState &state, Instant now)
-{
-    const auto &others = state.members.others;
-    return others.empty() || std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-               return now - entry.second.lastMessageAt < maxSilence;
-           });
-}
-
-/// Whether \a member was heard when its last heartbeat was due. Its timeout is no measure of that:
-/// it is several heartbeats, and 16 s in a fleet of 200 hosts.
-bool isHeardWhenDue(const GatewayState &state, const Member &member, Instant now)
-{
-    const Span interval = heartbeatInterval(state.members, member);
-    return isMemberReachable(state.members, member, now)
-            && now - member.lastMessageAt < interval + maxSilence;
-}
-
-/// Whether this host reaches most of the hosts that it knows, or knew when it lost them. Only then
-/// it has heard of all versions that streams may have begun at.
-bool isInTouch(const GatewayState &state, Instant now)
-{
-    if (!isAnyHeard(state, now))
-        return false;
-    const auto &others = state.members.others;
-    const std::size_t heard = static_cast<std::size_t>(
-            std::count_if(others.begin(), others.end(), [&](const auto &entry) {
-                return !entry.second.isLeaving && isHeardWhenDue(state, entry.second, now);
-            }));
-    const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
-    return 2 * (heard + 1) > known;
-}
-
-/// Whether this host learns of upstreams that start again with another version: from the platform,
-/// or from other hosts.
-bool areEntriesFresh(const GatewayState &state, Instant now)
-{
-    if (state.platform == PlatformView::Answering)
-        return true;
-    if (!isAnyHeard(state, now))
-        return false;
-    const auto &others = state.members.others;
-    return isInTouch(state, now)
-            || std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-                   return entry.second.platform == PlatformView::Answering
-                           && isHeardWhenDue(state, entry.second, now);
-               });
-}
-
-ServiceVersions &versionsOf(GatewayState &state, const ServiceId &service, Instant now)
-{
-    const auto [entry, isNew] = state.serviceVersions.try_emplace(service);
-    if (isNew && !state.self.isFirstStart)
-        entry->second.since = now;
-    return entry->second;
-}
-
-bool isServiceMixed(const GatewayState &state, const ServiceId &service, Instant now)
-{
-    const auto found = state.serviceVersions.find(service);
-    return found != state.serviceVersions.end()
-            && isMixed(found->second, streamLifetime(state), now);
-}
-
-/// The version that has begun any stream of \a service; null if there may be several, or one that
-/// this host does not know of.
-const SoftwareVersion *onlyVersion(const GatewayState &state, const ServiceId &service, Instant now)
-{
-    const auto found = state.serviceVersions.find(service);
-    if (found == state.serviceVersions.end() || !isInTouch(state, now))
-        return nullptr;
-    return loneVersion(found->second, streamLifetime(state), now);
-}
-
 /// The hosts with a record of the stream \a key: the first of each of some zones by their weights,
 /// which are equal at all hosts. \a spare more of each zone follow.
 std::vector<HostId> holdersOf(const GatewayState &state, const StreamKey &key, std::size_t spare,
@@ -358,52 +250,6 @@
     }
 }
 
-/// The held versions of \a service, unless no server of another version is usable.
-std::set<SoftwareVersion> heldVersionsOf(const GatewayState &state, const ServiceId &service,
-                                         const ServiceVersions &versions, Instant now)
-{
-    std::set<SoftwareVersion> held;
-    for (const auto &[version, until] : versions.heldUntil) {
-        if (now < until)
-            held.insert(version);
-    }
-    if (held.empty())
-        return held;
-    const bool isOtherUsable = std::any_of(
-            state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
-                const ListedUpstream &listed = entry.second.listed;
-                return listed.service == service && !held.contains(listed.softwareVersion)
-                        && isUsable(entry.second, now);
-            });
-    return isOtherUsable ? held : std::set<SoftwareVersion>{};
-}
-
-void checkAllVersions(GatewayState &state, Instant now)
-{
-    std::set<ServiceId> services;
-    for (const auto &[id, upstream] : state.upstreams)
-        services.insert(upstream.listed.service);
-    for (const ServiceId &service : services)
-        checkVersions(state, service, now);
-}
-
-/// Records that this host has lost most others, or reaches them again. Versions that are held stay
-/// so until it has been in touch for long enough.
-void checkTouch(GatewayState &state, Instant now)
-{
-    if (isInTouch(state, now)) {
-        state.knownWhenLost = 0;
-        return;
-    }
-    state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
-    for (auto &[service, versions] : state.serviceVersions) {
-        for (auto &[version, until] : versions.heldUntil) {
-            if (now < until)
-                until = now + holdTime(state);
-        }
-    }
-}
-
 void answerQuestion(GatewayState &state, const Gossip &from, const OriginQuestion &question,
                     Instant now, Actions &actions)
 {
@@ -520,43 +366,6 @@
     return false;
 }
 
-std::vector<MixedService> mixedServices(const GatewayState &state, Instant now)
-{
-    std::vector<MixedService> mixed;
-    for (const auto &[service, versions] : state.serviceVersions) {
-        if (isServiceMixed(state, service, now))
-            mixed.push_back({ service, versions.mixedAt });
-    }
-    return mixed;
-}
-
-void checkVersions(GatewayState &state, const ServiceId &service, Instant now)
-{
-    if (streamLifetime(state) == Span{})
-        return;
-    std::set<SoftwareVersion> listed;
-    bool isAnyUnknown = false;
-    for (const auto &[id, upstream] : state.upstreams) {
-        if (upstream.listed.service != service)
-            continue;
-        listed.insert(upstream.listed.softwareVersion);
-        isAnyUnknown = isAnyUnknown || !isVersionKnown(upstream);
-    }
-    if (listed.empty())
-        return;
-    const bool wasMixed = isServiceMixed(state, service, now);
-    ServiceVersions &versions = versionsOf(state, service, now);
-    updateVersions(versions, listed, now, now + holdTime(state));
-    if (isAnyUnknown)
-        versions.mixedAt = now;
-    state.heldVersions[service] = heldVersionsOf(state, service, versions, now);
-    if (wasMixed || !isServiceMixed(state, service, now))
-        return;
-    // The others must know before a stream begins at the new version.
-    for (auto &[id, member] : state.members.others)
-        setHeartbeat(state.members, member, now);
-}
-
 void handleOrigins(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
     for (const MixedService &mixed : message.mixedServices) {
@@ -574,11 +383,7 @@
 void runOrigins(GatewayState &state, Instant now, Actions &actions)
 {
     dropExpiredOrigins(state.origins, now);
-    if (now >= state.nextVersionCheckAt) {
-        state.nextVersionCheckAt = now + versionCheckInterval;
-        checkAllVersions(state, now);
-        checkTouch(state, now);
-    }
+    checkVersionsIfDue(state, now);
     sendOrigins(state, state.knownWhenLost > 0, now, actions);
 }
 
