Urgency queue: allowances of customers instead of a bound by levels alone

Cause: what more urgent levels queue has to be bounded on arrival, or each grant by minimum share is an inversion; a bound that took no account of customers favoured those that send the most.

Change: offer() decides on arrival by estimate and by an allowance of each customer, which follows what its level may queue. An engine whose window empties takes prompts beyond the allowances.

--- a/packages/scheduling/include/azurewell/scheduling/fair_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/fair_queue.h
@@ -120,8 +120,8 @@
 /// Removes the newest request of the customer with the most waiting tokens, without a charge.
 std::optional<WaitingRequest> takeNewestOfLargest(FairQueue &queue);
 
-/// The earliest latest start of the waiting requests; the largest Instant if none waits.
-Instant earliestExpiry(const FairQueue &queue);
+/// The request with the earliest latest start; null if the queue is empty.
+const WaitingRequest *earliestToExpire(const FairQueue &queue);
 
 /// Drops customers without waiting requests whose counter no longer affects the order.
 void dropIdleCustomers(FairQueue &queue);
--- a/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
@@ -8,12 +8,12 @@
 
 namespace azurewell {
 
-/// Tokens a second that one customer offered at one level, as a decaying mean.
-struct OfferedByCustomer
+/// What a customer may queue at one level before its next prompt is rejected; refilled over time.
+struct CustomerAllowance
 {
     CustomerId customer;
-    double perSecond = 0;
-    double credit = 0; ///< Tokens that may be queued before the next rejection by share.
+    double tokens = 0;
+    Instant updatedAt;
 };
 
 /// Prompts of one priority.
@@ -24,11 +24,14 @@
     double offeredPerSecond = 0; ///< Decaying mean of the tokens offered, queued or not.
     double minimumShare = 0;     ///< Of the granted tokens.
     double availableShare = 1;   ///< Of the granted tokens, after more urgent levels.
+    double strictShare = 1;      ///< The same without what is kept for less urgent levels.
+    double tooLatePerSecond = 0; ///< Decaying mean of the tokens that could not be granted in time.
     double overdueTokens = 0;    ///< Owed by the minimum share while prompts wait.
-    /// Tokens a second that each customer may queue; customers that offer less get all of it.
-    double customerPerSecond = std::numeric_limits<double>::infinity();
-    std::vector<OfferedByCustomer> offers;
-    std::unordered_map<CustomerId, std::uint32_t> offerOf; ///< Index in \ref offers.
+    double queuedPerSecond = 0;  ///< Decaying mean of the tokens queued.
+    /// Refill of each customer's allowance; customers that offer less queue all of it.
+    double customerPerSecond = std::numeric_limits<double>::max();
+    std::vector<CustomerAllowance> allowances;                 ///< Only those that are not full.
+    std::unordered_map<CustomerId, std::uint32_t> allowanceOf; ///< Index in \ref allowances.
 };
 
 /// The prompts that wait for capacity at one engine: levels of fair queues, the more urgent first.
@@ -84,6 +87,13 @@
     std::optional<WaitingRequest> dropped;
 };
 
+/// What the coordinator knows about the engine when a prompt arrives.
+struct EngineCapacity
+{
+    TokenRate rate;        ///< Prompt tokens that it prefills.
+    double unreadPart = 1; ///< Of its window that admitted prompts occupy, 0 to 1.
+};
+
 /// The most prompts that wait at one engine. An engine that prefills 26 tokens a millisecond reads
 /// 47 prompts of 1,110 tokens in the longest objective (2 s); the bound leaves five times that for
 /// shorter prompts, and keeps 61 engines of one coordinator (3,900 engines, 64 hosts) near 10 MB.
@@ -93,8 +103,8 @@
 /// unless it is rejected. Every arriving prompt is offered, also if it can be granted at once:
 /// minimum shares follow from what is offered. A prompt that is offered to an empty queue is always
 /// queued, so that no capacity is lost by an estimate.
-OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request, TokenRate rate,
-                  Instant now);
+OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request,
+                  const EngineCapacity &engine, Instant now);
 
 /// Adds \a request without a decision. If the queue is full, drops and returns the newest prompt of
 /// the customer with the most waiting tokens in the least urgent level: it would be granted last,
--- a/packages/scheduling/src/fair_queue.cpp
+++ b/packages/scheduling/src/fair_queue.cpp
@@ -1,7 +1,6 @@
 #include "azurewell/scheduling/fair_queue.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace azurewell {
 
@@ -164,13 +163,15 @@
     return taken;
 }
 
-Instant earliestExpiry(const FairQueue &queue)
+const WaitingRequest *earliestToExpire(const FairQueue &queue)
 {
-    Instant earliest{ std::numeric_limits<std::int64_t>::max() };
+    const WaitingRequest *earliest = nullptr;
     for (const CustomerQueue &customer : queue.customers) {
         for (const AdapterQueue &adapter : customer.adapters) {
-            for (const WaitingRequest &request : adapter.waiting)
-                earliest = std::min(earliest, request.latestStart);
+            for (const WaitingRequest &request : adapter.waiting) {
+                if (!earliest || request.latestStart < earliest->latestStart)
+                    earliest = &request;
+            }
         }
     }
     return earliest;
--- a/packages/scheduling/src/urgency_queue.cpp
+++ b/packages/scheduling/src/urgency_queue.cpp
@@ -7,37 +7,52 @@
 
 namespace {
 
-/// Time constant of the means of offered tokens. At 46 prompts a second (an engine at twice its
-/// capacity) the means vary by 7 % of their value; shorter ones reject by noise.
-constexpr Span offeredMemory = std::chrono::seconds(2);
+/// Time constant of the decaying means. At 46 prompts a second (an engine at twice its capacity)
+/// they vary by about a tenth; with 2 s the more urgent levels queued more than their part.
+constexpr Span offeredMemory = std::chrono::seconds(3);
 
-/// Interval of updates of means and shares: each takes one pass over the customers.
+/// Interval of updates of means and shares: each takes one pass over the levels and customers.
 constexpr Span updateInterval = std::chrono::milliseconds(50);
 
-/// Minimum share of a level by its part of the demand: a quarter, and a fifth of that as a margin
+/// Minimum share of a level by its part of the demand: a quarter, and a third of that as a margin
 /// for the error of the means.
-constexpr double minimumPart = 0.3;
+constexpr double minimumPart = 0.33;
 
 /// What the most urgent level keeps of what it would get alone: 0.95, and a margin for the error of
 /// the means.
 constexpr double urgentPart = 0.96;
 
 /// How far a level's grants may fall behind its minimum share before it is granted ahead of more
-/// urgent levels, in seconds of its share. A level between bursts of more urgent ones catches up
-/// within this; half a second is under the shortest objective of a prompt (0.8 s).
-constexpr double overdueAfterSeconds = 0.5;
+/// urgent levels, in seconds of its share. With 0.5 s bursts of urgent prompts caused inversions
+/// (10 % of the grants at 4 times the capacity) and made urgent prompts expire.
+constexpr double overdueAfterSeconds = 2;
 
-/// The least urgent level of a busy queue may queue this much more than its share: capacity is lost
-/// if the means are too low, and what is too much is rejected by the estimate of its wait.
-constexpr double overfill = 1.1;
+/// Levels that offer less than this are treated as idle.
+constexpr double idlePerSecond = 1;
 
-/// A customer that offers less than this is forgotten.
-constexpr double forgottenPerSecond = 1;
+/// What a customer may queue at once, in seconds of its allowance. A customer that sends less than
+/// the allowance on average sends a prompt now and then, each worth several seconds of allowance.
+constexpr Span allowanceDepth = std::chrono::seconds(20);
 
-/// Lower bound of the share in estimates, for a level whose first prompt arrives between updates.
-constexpr double leastAvailable = 0.02;
+/// The most that a customer can owe, in multiples of the depth: it is repaid within seconds once
+/// the load ends, as the allowance of every customer then grows.
+constexpr double mostOwed = 10;
+
+/// A prompt is queued only if its expected wait is at most this part of what is left until its
+/// latest start: the expectation is a mean, and bursts of more urgent prompts multiply it.
+constexpr double longestExpected = 0.25;
+
+/// Part of a level's offers that may be too late before the allowances are reduced. A prompt that
+/// is too late is lost to small and large customers alike, so the allowances have to be the bound.
+constexpr double mostTooLate = 0.03;
 
-constexpr double noBound = std::numeric_limits<double>::infinity();
+/// Part of the window below which a prompt is queued whatever the estimates say, for a customer
+/// within its allowance, and for one that owes a full depth or more.
+constexpr double dryWindow = 1;
+constexpr double dryWindowOwing = 0.03;
+
+/// Lower bound of the share in estimates, for a level whose first prompt arrives between updates.
+constexpr double leastShare = 0.02;
 
 bool anyMayRun(const AdapterRef &)
 {
@@ -60,59 +75,66 @@
     dropIdleCustomers(level.queue);
 }
 
-OfferedByCustomer &offersOf(UrgencyLevel &level, const CustomerId &customer)
+/// The largest allowance of a customer of \a level, in tokens.
+double fullAllowance(const UrgencyLevel &level)
 {
-    const auto [entry, isNew] = level.offerOf.try_emplace(
-            customer, static_cast<std::uint32_t>(level.offers.size()));
+    return level.customerPerSecond * toSeconds(allowanceDepth);
+}
+
+double allowanceAt(const UrgencyLevel &level, const CustomerAllowance &allowance, Instant now)
+{
+    const double refill = level.customerPerSecond * toSeconds(now - allowance.updatedAt);
+    return std::min(fullAllowance(level), allowance.tokens + refill);
+}
+
+CustomerAllowance &allowanceOf(UrgencyLevel &level, const CustomerId &customer, Instant now)
+{
+    const auto [entry, isNew] = level.allowanceOf.try_emplace(
+            customer, static_cast<std::uint32_t>(level.allowances.size()));
     if (isNew)
-        level.offers.push_back({ customer, 0, 0 });
-    return level.offers[entry->second];
+        level.allowances.push_back({ customer, fullAllowance(level), now });
+    CustomerAllowance &allowance = level.allowances[entry->second];
+    allowance.tokens = allowanceAt(level, allowance, now);
+    allowance.updatedAt = now;
+    return allowance;
 }
 
-void decayOffers(UrgencyLevel &level, double factor)
+/// Forgets customers whose allowance is full again: they equal new ones.
+void dropFullAllowances(UrgencyLevel &level, Instant now)
 {
-    level.offeredPerSecond *= factor;
-    for (std::size_t index = level.offers.size(); index-- > 0;) {
-        OfferedByCustomer &offered = level.offers[index];
-        offered.perSecond *= factor;
-        if (offered.perSecond >= forgottenPerSecond)
+    for (std::size_t index = level.allowances.size(); index-- > 0;) {
+        CustomerAllowance &allowance = level.allowances[index];
+        if (allowanceAt(level, allowance, now) < fullAllowance(level))
             continue;
-        level.offerOf.erase(offered.customer);
-        if (index + 1 != level.offers.size()) {
-            offered = std::move(level.offers.back());
-            level.offerOf[offered.customer] = static_cast<std::uint32_t>(index);
+        level.allowanceOf.erase(allowance.customer);
+        if (index + 1 != level.allowances.size()) {
+            allowance = std::move(level.allowances.back());
+            level.allowanceOf[allowance.customer] = static_cast<std::uint32_t>(index);
         }
-        level.offers.pop_back();
+        level.allowances.pop_back();
     }
-    if (level.offers.empty())
-        level.offeredPerSecond = 0;
 }
 
-/// The largest amount for each customer with which all of them together offer at most \a perSecond:
-/// those that offer less than the amount leave their rest to the others.
-double amountForEach(const UrgencyLevel &level, double perSecond)
+/// Adjusts what each customer may queue, so that the level queues \a bound tokens a second: large
+/// customers queue the same amount, and small ones all that they offer.
+void updateAllowance(UrgencyLevel &level, double bound, TokenRate rate, Span elapsed)
 {
-    if (level.offeredPerSecond <= perSecond)
-        return noBound;
-    double amount = perSecond / static_cast<double>(level.offers.size());
-    constexpr int passes = 8; // each pass settles the customers below the amount
-    for (int pass = 0; pass < passes; ++pass) {
-        double left = perSecond;
-        std::size_t larger = 0;
-        for (const OfferedByCustomer &offered : level.offers) {
-            if (offered.perSecond <= amount)
-                left -= offered.perSecond;
-            else
-                ++larger;
-        }
-        if (larger == 0)
-            break;
-        const double next = left / static_cast<double>(larger);
-        if (next <= amount)
-            break;
-        amount = next;
-    }
-    return amount;
+    constexpr double largestStep = 4;
+    constexpr double opening = 1.3; // also where the means of offered and queued tokens agree
+    const bool isUnderBound = level.offeredPerSecond <= bound;
+    double step = bound / std::max(level.queuedPerSecond, 1.0);
+    step = std::clamp(step, 1 / largestStep, largestStep);
+    if (isUnderBound)
+        step = std::max(step, opening);
+    const double late = level.tooLatePerSecond / std::max(level.offeredPerSecond, 1.0);
+    if (late > mostTooLate)
+        step = std::min(step, std::exp(-std::min(1.0, largestStep * (late - mostTooLate))));
+    const double customers = static_cast<double>(std::max<std::size_t>(1, level.allowances.size()));
+    const double exponent = std::min(1.0, toSeconds(elapsed) / toSeconds(offeredMemory));
+    const double amount = std::min(level.customerPerSecond, rate.perSecond);
+    level.customerPerSecond = std::clamp(amount * std::pow(step, exponent),
+                                         bound / customers / largestStep,
+                                         isUnderBound ? rate.perSecond : bound);
 }
 
 void updateMinimumShares(UrgencyQueue &queue, TokenRate rate)
@@ -133,22 +155,18 @@
         level.minimumShare = &level == first ? 0 : part * level.offeredPerSecond / total;
 }
 
-void updateAvailableShares(UrgencyQueue &queue, TokenRate rate)
+void updateAvailableShares(UrgencyQueue &queue, TokenRate rate, Span elapsed)
 {
     double reserved = 0;
-    std::size_t last = 0;
-    for (std::size_t index = 0; index < queue.levels.size(); ++index) {
-        reserved += queue.levels[index].minimumShare;
-        if (queue.levels[index].offeredPerSecond > 0)
-            last = index;
-    }
+    for (const UrgencyLevel &level : queue.levels)
+        reserved += level.minimumShare;
     double left = 1;
-    for (std::size_t index = 0; index < queue.levels.size(); ++index) {
-        UrgencyLevel &level = queue.levels[index];
+    for (UrgencyLevel &level : queue.levels) {
         reserved = std::max(0.0, reserved - level.minimumShare);
         level.availableShare = std::max(left - reserved, level.minimumShare);
-        const double bound = level.availableShare * (index == last ? overfill : 1) * rate.perSecond;
-        level.customerPerSecond = amountForEach(level, bound);
+        level.strictShare = std::max(left, level.minimumShare);
+        const double bound = level.availableShare * rate.perSecond;
+        updateAllowance(level, bound, rate, elapsed);
         left -= std::min(level.offeredPerSecond / rate.perSecond, level.availableShare);
     }
 }
@@ -161,29 +179,16 @@
     queue.updatedAt = now;
     queue.rate = rate;
     const double factor = std::exp(-toSeconds(elapsed) / toSeconds(offeredMemory));
-    for (UrgencyLevel &level : queue.levels)
-        decayOffers(level, factor);
-    updateMinimumShares(queue, rate);
-    updateAvailableShares(queue, rate);
-}
-
-/// Records the offer. Returns whether the customer may queue it by its share of the level: the
-/// rejected ones are spread evenly over its prompts.
-bool recordOffer(UrgencyLevel &level, const WaitingRequest &request)
-{
-    const double tokens = tokensOf(request);
-    OfferedByCustomer &offered = offersOf(level, request.customer);
-    offered.perSecond += tokens / toSeconds(offeredMemory);
-    level.offeredPerSecond += tokens / toSeconds(offeredMemory);
-    if (offered.perSecond <= level.customerPerSecond) {
-        offered.credit = 0;
-        return true;
+    for (UrgencyLevel &level : queue.levels) {
+        level.offeredPerSecond *= factor;
+        level.queuedPerSecond *= factor;
+        level.tooLatePerSecond *= factor;
+        if (level.offeredPerSecond < idlePerSecond)
+            level.offeredPerSecond = 0;
+        dropFullAllowances(level, now);
     }
-    offered.credit += tokens * level.customerPerSecond / offered.perSecond;
-    if (offered.credit <= 0)
-        return false;
-    offered.credit -= tokens;
-    return true;
+    updateMinimumShares(queue, rate);
+    updateAvailableShares(queue, rate, elapsed);
 }
 
 /// The index of the level that is granted next; the number of levels if none waits.
@@ -234,23 +239,40 @@
     return std::nullopt;
 }
 
+/// Whether the engine may idle before further prompts arrive. A customer that owes part of its
+/// allowance waits for a window that is emptier, so that those within theirs come first.
+bool isRunningDry(const UrgencyQueue &queue, const UrgencyLevel &level,
+                  const CustomerAllowance &allowance, const EngineCapacity &engine)
+{
+    const double owed = std::clamp(-allowance.tokens / fullAllowance(level), 0.0, 1.0);
+    return queue.size == 0 && engine.unreadPart < std::max(dryWindowOwing, dryWindow * (1 - owed));
+}
+
 } // namespace
 
-OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request, TokenRate rate,
-                  Instant now)
+OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request,
+                  const EngineCapacity &engine, Instant now)
 {
     UrgencyLevel &level = queue.levels[priority.level];
-    const bool isWithinShare = recordOffer(level, request);
-    updateShares(queue, rate, now);
+    const double tokens = tokensOf(request);
+    level.offeredPerSecond += tokens / toSeconds(offeredMemory);
+    updateShares(queue, engine.rate, now);
+    CustomerAllowance &allowance = allowanceOf(level, request.customer, now);
     if (request.latestStart < now)
         return { OfferVerdict::TooLate, std::nullopt };
-    if (queue.size > 0 && rate.perSecond > 0) {
+    if (engine.rate.perSecond > 0 && !isRunningDry(queue, level, allowance, engine)) {
         const double ahead = tokensAhead(queue, priority, request.customer, request.weight);
-        if (toSeconds(request.latestStart - now) * rate.perSecond < ahead)
+        const double left = toSeconds(request.latestStart - now) * engine.rate.perSecond;
+        if (ahead > left * longestExpected) {
+            if (allowance.tokens > 0)
+                level.tooLatePerSecond += tokens / toSeconds(offeredMemory);
             return { OfferVerdict::TooLate, std::nullopt };
-        if (!isWithinShare)
+        }
+        if (allowance.tokens <= 0)
             return { OfferVerdict::OverShare, std::nullopt };
     }
+    allowance.tokens = std::max(allowance.tokens - tokens, -mostOwed * fullAllowance(level));
+    level.queuedPerSecond += tokens / toSeconds(offeredMemory);
     request.queuedAt = now;
     return { OfferVerdict::Queued, enqueue(queue, priority, std::move(request)) };
 }
@@ -306,9 +328,11 @@
     for (UrgencyLevel &level : queue.levels) {
         for (WaitingRequest &request : takeExpired(level.queue, now)) {
             subtractRemoved(queue, level, request);
+            level.tooLatePerSecond += tokensOf(request) / toSeconds(offeredMemory);
             expired.push_back(std::move(request));
         }
-        queue.nextExpiry = std::min(queue.nextExpiry, earliestExpiry(level.queue));
+        if (const WaitingRequest *earliest = earliestToExpire(level.queue))
+            queue.nextExpiry = std::min(queue.nextExpiry, earliest->latestStart);
     }
     return expired;
 }
@@ -320,7 +344,7 @@
     double ahead = tokensAhead(level.queue, customer, weight);
     for (std::size_t index = 0; index < priority.level; ++index)
         ahead += queue.levels[index].queuedTokens;
-    return ahead / std::max(level.availableShare, leastAvailable);
+    return ahead / std::max(level.strictShare, leastShare);
 }
 
 } // namespace azurewell
