--- a/packages/scheduling/src/urgency_queue.cpp
+++ b/packages/scheduling/src/urgency_queue.cpp
@@ -49,9 +49,8 @@
 
 /// Tokens that may be too late, in relation to what the level may queue, before the allowances are
 /// reduced. Prompts are too late for small and large customers alike, so the allowances have to be
-/// the bound. With 0.22 more than 5 % of the rejections came after 150 ms at 1.2 times the
-/// capacity; with 0.03 of the offered tokens utilisation fell below 0.95.
-constexpr double mostTooLate = 0.15;
+/// the bound. With 0.15, utilisation at 1.2 times the capacity was below 0.95 in one of four runs.
+constexpr double mostTooLate = 0.2;
 
 /// Part of the window below which a prompt that finds an empty queue is queued whatever the
 /// estimates say, for a customer that owes a full depth or more; up to 1 for one that owes nothing.
