--- a/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
@@ -4,7 +4,6 @@
 #include "azurewell/units/priority.h"
 
 #include <array>
-#include <limits>
 
 namespace azurewell {
 
@@ -29,8 +28,8 @@
     double overdueTokens = 0;    ///< Owed by the minimum share while prompts wait.
     double queuedPerSecond = 0;  ///< Decaying mean of the tokens queued.
     /// Refill of each customer's allowance; customers that offer less queue all of it.
-    double customerPerSecond = std::numeric_limits<double>::max();
-    std::vector<CustomerAllowance> allowances;                 ///< Only those that are not full.
+    double customerPerSecond = 1e9;            // no bound until the rate of the engine is known
+    std::vector<CustomerAllowance> allowances; ///< Only those that are not full.
     std::unordered_map<CustomerId, std::uint32_t> allowanceOf; ///< Index in \ref allowances.
 };
 
@@ -47,10 +46,9 @@
 ///   level whose share is overdue is granted before more urgent ones (the arrival rates are
 ///   estimates, and lag behind a change by offeredMemory).
 /// - What a level may not queue is rejected for the customers that offer the most: each has the
-/// same
-///   allowance, refilled at a rate at which the level queues what it may. FairQueue alone can't do
-///   this, as only a few prompts can wait until their latest start (five at a quarter of an
-///   engine).
+///   same allowance, refilled at a rate at which the level queues what it may. FairQueue alone
+///   can't do this, as only a few prompts can wait until their latest start (five at a quarter of
+///   an engine).
 ///
 /// Minimum shares. Let d(i) be the fraction of the demand that is of level i, L the demand in
 /// multiples of the capacity, and 0 the most urgent level with demand. The overall served fraction
--- a/packages/scheduling/src/urgency_queue.cpp
+++ b/packages/scheduling/src/urgency_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace azurewell {
 
