--- a/packages/gateway/src/prompt_pacing.cpp
+++ b/packages/gateway/src/prompt_pacing.cpp
@@ -187,7 +187,7 @@
         result.verdict = OfferVerdict::TooLate;
     } else {
         result = offer(pacer.queue, priority, waitingOf(request, requester, offeredStart, now),
-                       TokenRate{ rate }, now);
+                       { TokenRate{ rate }, std::clamp(unread / windowSize, 0.0, 1.0) }, now);
     }
     if (result.verdict != OfferVerdict::Queued
         || (result.dropped && holderOf(*result.dropped) == holder)) {
--- a/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
+++ b/packages/scheduling/include/azurewell/scheduling/urgency_queue.h
@@ -4,16 +4,15 @@
 #include "azurewell/units/priority.h"
 
 #include <array>
-#include <limits>
 
 namespace azurewell {
 
-/// Tokens a second that one customer offered at one level, as a decaying mean.
-struct OfferedByCustomer
+/// What a customer may queue at one level before its next prompt is rejected; refilled over time.
+struct CustomerAllowance
 {
     CustomerId customer;
-    double perSecond = 0;
-    double credit = 0; ///< Tokens that may be queued before the next rejection by share.
+    double tokens = 0;
+    Instant updatedAt;
 };
 
 /// Prompts of one priority.
@@ -24,11 +23,14 @@
     double offeredPerSecond = 0; ///< Decaying mean of the tokens offered, queued or not.
     double minimumShare = 0;     ///< Of the granted tokens.
     double availableShare = 1;   ///< Of the granted tokens, after more urgent levels.
+    double strictShare = 1;      ///< The same without what is kept for less urgent levels.
+    double tooLatePerSecond = 0; ///< Decaying mean of the tokens that could not be granted in time.
     double overdueTokens = 0;    ///< Owed by the minimum share while prompts wait.
-    /// Tokens a second that each customer may queue; customers that offer less get all of it.
-    double customerPerSecond = std::numeric_limits<double>::infinity();
-    std::vector<OfferedByCustomer> offers;
-    std::unordered_map<CustomerId, std::uint32_t> offerOf; ///< Index in \ref offers.
+    double queuedPerSecond = 0;  ///< Decaying mean of the tokens queued.
+    /// Refill of each customer's allowance; customers that offer less queue all of it.
+    double customerPerSecond = 1e9;            // no bound until the rate of the engine is known
+    std::vector<CustomerAllowance> allowances; ///< Only those that are not full.
+    std::unordered_map<CustomerId, std::uint32_t> allowanceOf; ///< Index in \ref allowances.
 };
 
 /// The prompts that wait for capacity at one engine: levels of fair queues, the more urgent first.
@@ -43,7 +45,10 @@
 ///   others leave, so that the queue drains to the less urgent levels without inversions. Only a
 ///   level whose share is overdue is granted before more urgent ones (the arrival rates are
 ///   estimates, and lag behind a change by offeredMemory).
-/// - What a level may not queue is rejected for the customers that offer the most.
+/// - What a level may not queue is rejected for the customers that offer the most: each has the
+///   same allowance, refilled at a rate at which the level queues what it may. FairQueue alone
+///   can't do this, as only a few prompts can wait until their latest start (five at a quarter of
+///   an engine).
 ///
 /// Minimum shares. Let d(i) be the fraction of the demand that is of level i, L the demand in
 /// multiples of the capacity, and 0 the most urgent level with demand. The overall served fraction
@@ -66,6 +71,7 @@
     std::array<UrgencyLevel, leastUrgent.level + 1> levels;
     std::size_t size = 0;
     Instant updatedAt;    ///< When the decaying means were updated.
+    Instant forgottenAt;  ///< When idle customers were forgotten.
     TokenRate rate;       ///< Of the engine, at the last update.
     Instant nextExpiry{}; ///< No waiting prompt expires earlier.
 };
@@ -84,6 +90,13 @@
     std::optional<WaitingRequest> dropped;
 };
 
+/// What the coordinator knows about the engine when a prompt arrives.
+struct EngineCapacity
+{
+    TokenRate rate;        ///< Prompt tokens that it prefills.
+    double unreadPart = 1; ///< Of its window that admitted prompts occupy, 0 to 1.
+};
+
 /// The most prompts that wait at one engine. An engine that prefills 26 tokens a millisecond reads
 /// 47 prompts of 1,110 tokens in the longest objective (2 s); the bound leaves five times that for
 /// shorter prompts, and keeps 61 engines of one coordinator (3,900 engines, 64 hosts) near 10 MB.
@@ -91,10 +104,10 @@
 
 /// Decides at \a now about a prompt that arrives at an engine which prefills \a rate, and queues it
 /// unless it is rejected. Every arriving prompt is offered, also if it can be granted at once:
-/// minimum shares follow from what is offered. A prompt that is offered to an empty queue is always
-/// queued, so that no capacity is lost by an estimate.
-OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request, TokenRate rate,
-                  Instant now);
+/// minimum shares follow from what is offered. If the queue is empty and the engine's window
+/// empties too, a prompt is queued whatever the estimates say, so that no capacity is lost by them.
+OfferResult offer(UrgencyQueue &queue, Priority priority, WaitingRequest request,
+                  const EngineCapacity &engine, Instant now);
 
 /// Adds \a request without a decision. If the queue is full, drops and returns the newest prompt of
 /// the customer with the most waiting tokens in the least urgent level: it would be granted last,
@@ -117,8 +130,8 @@
 std::vector<WaitingRequest> takeExpired(UrgencyQueue &queue, Instant now);
 
 /// Tokens that are granted before a new prompt of \a customer with \a weight would be: those that
-/// wait in more urgent levels and before it in its own, and what arrives for more urgent levels, or
-/// is granted to less urgent ones by their minimum shares, in the meantime.
+/// wait in more urgent levels and before it in its own, and those that more urgent levels queue in
+/// the meantime, which the minimum share of the level bounds.
 double tokensAhead(const UrgencyQueue &queue, Priority priority, const CustomerId &customer,
                    double weight);
 
