--- a/packages/gateway/include/azurewell/gateway/choose_upstream.h
+++ b/packages/gateway/include/azurewell/gateway/choose_upstream.h
@@ -26,7 +26,9 @@
     Span duration{}; ///< Expected duration; upstreams that are terminated before its end are
                      ///< excluded.
     ZoneId zone;     ///< Zone of this host.
-    double prefillTokensPerSecond = 1;   ///< Prompt tokens that an engine reads per second.
+    double prefillTokensPerSecond = 1; ///< Prompt tokens that an engine reads per second.
+    double promptTokens = 0;           ///< Of the request itself.
+    double answerSeconds = 0; ///< Usual time of an answer of a plain service; 0: not known.
     bool isSentWithoutAdmission = false; ///< Excludes upstreams with a rate limit.
     /// Excludes upstreams of other versions, as the request takes up a stream that this one began.
     std::optional<SoftwareVersion> softwareVersion{};
@@ -39,9 +41,9 @@
 /// Estimate of the prompt tokens that were sent to \a upstream and not read yet.
 double queuedPromptTokens(const Upstream &upstream, Instant now);
 
-/// Expected time in seconds until \a upstream starts a new request, if it reads
+/// Expected time in seconds until \a upstream starts a new request, if engines of its service read
 /// \a prefillTokensPerSecond prompt tokens a second. Includes the load that the upstream last
-/// stated and what this host has sent since.
+/// stated, what this host has sent since, and the speed of the upstream.
 double expectedWait(const Upstream &upstream, double prefillTokensPerSecond, Instant now);
 
 /// Whether \a upstream has the model, and the adapter in its declared version, in memory.
@@ -50,6 +52,10 @@
 /// The usable upstream with the shortest wait; null if none can start the request now. Upstreams
 /// that failed recently are chosen only if there is no other. \a draw is uniform in [0, 1) and
 /// breaks ties, so that hosts with the same view do not all choose the same upstream.
+///
+/// Load pattern: four to six plain servers behind 83 hosts, each of which hears of a server every
+/// 3 s. Hosts that choose the least of such old loads all choose the same server. Where servers
+/// state their slowdown, a server is drawn with a probability that falls with its expected time.
 const Upstream *chooseUpstream(const UpstreamMap &upstreams, const UpstreamNeed &need,
                                const DeclaredVersions &versions, double draw, Instant now);
 
--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -215,10 +215,11 @@
     SentCounts sent;               ///< Messages to other hosts.
     std::uint64_t enginePolls = 0; ///< How often engines were polled for due work.
     std::uint64_t gossipReceived = 0;
-    std::uint64_t leavingStated = 0;    ///< Upstreams that stated in an answer that they leave.
-    std::uint64_t pausesStated = 0;     ///< Rejections that asked for a pause.
-    std::uint64_t forwarded = 0;        ///< To other hosts.
-    std::uint64_t forwardsReceived = 0; ///< From other hosts.
+    std::uint64_t leavingStated = 0;     ///< Upstreams that stated in an answer that they leave.
+    std::uint64_t ignoredLoadValues = 0; ///< Stated by upstreams or sent by coordinators.
+    std::uint64_t pausesStated = 0;      ///< Rejections that asked for a pause.
+    std::uint64_t forwarded = 0;         ///< To other hosts.
+    std::uint64_t forwardsReceived = 0;  ///< From other hosts.
     std::uint64_t probes = 0;      ///< Connections that were opened to probe paths to upstreams.
     std::uint64_t crashChecks = 0; ///< To check whether an upstream that cut off a request runs.
 };
@@ -265,7 +266,8 @@
     std::map<ModelName, AwaitedLoad> awaitedLoads;
     LastEngines lastEngines;
     std::map<ServiceId, PrefillRate> prefillRates;
-    std::map<std::string, LoadTimes> loadTimes; ///< Load times of adapters, by base model.
+    std::map<ServiceId, DecayedSamples> answerTimes; ///< Logarithms of seconds, of plain services.
+    std::map<std::string, LoadTimes> loadTimes;      ///< Load times of adapters, by base model.
     std::map<UpstreamId, OrderedEngine> engines;
     DeadlineQueue<UpstreamId> enginePolls;   ///< Next time at which each engine is polled.
     std::uint64_t enginePollsGeneration = 0; ///< Generation of the members when last polled.
@@ -284,7 +286,8 @@
                            ///< message.
     Instant nextTidyAt;
     Instant nextRemovalCheckAt;
-    Instant nextUsesAt; ///< Next update on customers near their limit, in a large fleet.
+    Instant nextSlowdownsAt; ///< When changed slowdowns of own engines may be sent again.
+    Instant nextUsesAt;      ///< Next update on customers near their limit, in a large fleet.
     ZoneRelay relay;
     Instant nextFullUpdateAt;              ///< When the full state is next sent to the other zones.
     std::map<CustomerId, double> sentUses; ///< Admitted tokens as last sent to a relay.
--- a/packages/gateway/include/azurewell/gateway/prefill_rate.h
+++ b/packages/gateway/include/azurewell/gateway/prefill_rate.h
@@ -26,6 +26,10 @@
     double perSecond = 0;
 };
 
+/// Expected time in seconds to the first event of a prompt of \a tokens, at an engine with little
+/// else to read.
+double expectedSeconds(const PrefillRate &rate, double tokens);
+
 /// Records that a prompt of \a tokens got its first event \a elapsed after it was sent to an engine
 /// with little else to read.
 void recordPrefill(PrefillRate &rate, double tokens, Span elapsed);
--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/gateway/stated_limit.h"
+#include "azurewell/routing/upstream_speed.h"
 #include "azurewell/units/endpoint.h"
 #include "azurewell/units/ids.h"
 #include "azurewell/units/time.h"
@@ -153,6 +154,10 @@
     std::uint32_t requestsInFlight = 0;        ///< Requests of this host in progress there.
     DecayedSum ownPrompts;                     ///< Prompt tokens sent by this host.
     std::map<HostId, DecayedSum> otherPrompts; ///< Prompt tokens sent by other hosts.
+    UpstreamSpeed speed; ///< Of the current process; a restarted upstream starts anew.
+    /// `ownPrompts` as the coordinator's figures arrived, which include them.
+    DecayedSum ownPromptsReported;
+    double sentSlowdown = 0; ///< As this host, the coordinator, last sent it.
     std::uint32_t failuresInARow = 0;
     std::int64_t reportedStart = 0; ///< Process start that the upstream, or a host, last reported.
     Instant reportedAt;             ///< Latest time at which that process was known to run.
--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -3,6 +3,7 @@
 #include "azurewell/routing/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <compare>
 
 namespace azurewell::gateway {
@@ -38,6 +39,17 @@
 /// same upstream.
 constexpr double tieBreakRange = 0.025;
 
+/// Usual time of an answer of a plain service that has answered nothing yet, in seconds.
+constexpr double initialAnswerSeconds = 0.06;
+
+/// Differences of expected times by this share of the usual time change the probability of a server
+/// by a factor of e. An old load says too little for a larger preference.
+constexpr double spreadShare = 1.0 / 3;
+
+/// Time for which the coordinator's figure of unread tokens replaces the prompts that other hosts
+/// state.
+constexpr Span unreadValidity = std::chrono::milliseconds(1500);
+
 /// Rank of an engine as a place for an adapter; the highest is chosen.
 struct LoadRank
 {
@@ -48,13 +60,64 @@
     auto operator<=>(const LoadRank &) const = default;
 };
 
-double cost(const Upstream &upstream, const UpstreamNeed &need, Instant now)
+/// Cost in seconds of what is wrong with \a upstream for \a need, apart from its load.
+double penalty(const Upstream &upstream, const UpstreamNeed &need)
 {
-    return expectedWait(upstream, need.prefillTokensPerSecond, now)
-            + upstream.failureRate * failurePenalty
+    return upstream.failureRate * failurePenalty
             + (upstream.listed.zone == need.zone ? 0 : otherZonePenalty);
 }
 
+/// Expected time in seconds that the request itself takes at \a upstream: until its prompt is read,
+/// or its whole time at a plain service.
+double ownTime(const Upstream &upstream, const UpstreamNeed &need, Instant now)
+{
+    if (need.model.model.empty())
+        return need.answerSeconds * expectedFactor(upstream.speed, now);
+    return need.promptTokens
+            / expectedTokensPerSecond(upstream.speed, need.prefillTokensPerSecond, now);
+}
+
+double cost(const Upstream &upstream, const UpstreamNeed &need, Instant now)
+{
+    return expectedWait(upstream, need.prefillTokensPerSecond, now) + ownTime(upstream, need, now)
+            + penalty(upstream, need);
+}
+
+/// The cost of a plain server less a random part: the server with the lowest result is one drawn
+/// with weights slots * exp(-cost / scale) (the Gumbel-max method). \a uniform is in [0, 1).
+double spreadCost(const Upstream &upstream, const UpstreamNeed &need, double uniform, Instant now)
+{
+    const double usual = need.answerSeconds > 0 ? need.answerSeconds : initialAnswerSeconds;
+    const double slots = std::max<double>(upstream.listed.slots, 1);
+    const double stated = expectedOccupancy(upstream.speed, usual, now);
+    const double occupancy = std::max(stated, upstream.requestsInFlight / slots);
+    const double queued = std::max(0.0, occupancy + 1 / slots - 1);
+    const double time = usual * expectedFactor(upstream.speed, now) * (1 + queued);
+    const double gumbel = -std::log(-std::log(std::clamp(uniform, 1e-12, 1 - 1e-12)));
+    return time + penalty(upstream, need) + expectedLimitWait(upstream.limit, now)
+            + (isCold(upstream, now) ? coldDelay : 0)
+            - usual * spreadShare * (gumbel + std::log(slots));
+}
+
+/// Whether the servers of a plain service state their slowdown.
+bool isSpread(const UpstreamMap &upstreams, const UpstreamNeed &need)
+{
+    return need.model.model.empty()
+            && std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+                   return statesSlowdown(entry.second.speed)
+                           && entry.second.listed.service == need.service;
+               });
+}
+
+/// The sum of the prompts that this host and others sent.
+double sentPromptTokens(const Upstream &upstream, Instant now)
+{
+    double prompts = valueAt(upstream.ownPrompts, promptDecayTime, now);
+    for (const auto &[host, tokens] : upstream.otherPrompts)
+        prompts += valueAt(tokens, promptDecayTime, now);
+    return prompts;
+}
+
 } // namespace
 
 std::uint64_t declaredVersion(const DeclaredVersions &versions, const ModelName &adapter)
@@ -77,10 +140,16 @@
 
 double queuedPromptTokens(const Upstream &upstream, Instant now)
 {
-    double prompts = valueAt(upstream.ownPrompts, promptDecayTime, now);
-    for (const auto &[host, tokens] : upstream.otherPrompts)
-        prompts += valueAt(tokens, promptDecayTime, now);
-    return prompts;
+    const CoordinatorFigures &figures = upstream.speed.coordinator;
+    const bool isReported = figures.tokensPerSecond > 0 && now - figures.at < unreadValidity;
+    if (!isReported)
+        return sentPromptTokens(upstream, now);
+    // The reported tokens include the own prompts of before the report. Prompts that need no
+    // admission are not among them.
+    const double own = valueAt(upstream.ownPrompts, promptDecayTime, now);
+    const double ownSince = own - valueAt(upstream.ownPromptsReported, promptDecayTime, now);
+    const double reported = valueAt({ figures.unreadTokens, figures.at }, promptDecayTime, now);
+    return std::max(own, reported + ownSince);
 }
 
 double expectedWait(const Upstream &upstream, double prefillTokensPerSecond, Instant now)
@@ -89,8 +158,10 @@
     const bool isCurrent = now - upstream.loadAt < statedLoadValidity;
     const StatedLoad stated = isCurrent ? upstream.load : StatedLoad{};
     const double runningRequests = std::max<double>(stated.running, upstream.requestsInFlight);
-    return queuedPromptTokens(upstream, now) / prefillTokensPerSecond
-            + stated.waiting * waitPerQueuedRequest + fullBatchDelay * runningRequests / slots
+    return queuedPromptTokens(upstream, now)
+            / expectedTokensPerSecond(upstream.speed, prefillTokensPerSecond, now)
+            + (stated.waiting * waitPerQueuedRequest + fullBatchDelay * runningRequests / slots)
+            * expectedFactor(upstream.speed, now)
             + expectedLimitWait(upstream.limit, now) + (isCold(upstream, now) ? coldDelay : 0);
 }
 
@@ -115,6 +186,7 @@
     const Upstream *best = nullptr;
     bool isBestAvoided = false;
     double minCost = 0;
+    const bool isDrawn = isSpread(upstreams, need);
     const std::uint64_t salt = static_cast<std::uint64_t>(draw * 1e9);
     for (const auto &[id, upstream] : upstreams) {
         if (!fits(upstream, need, now) || !isReadyFor(upstream, need.model, versions))
@@ -122,7 +194,8 @@
         const bool isAvoided = now < upstream.avoidedUntil || isEvacuated(upstream);
         const double tieBreak = static_cast<double>(rendezvousMix(salt, stableHash(id.value)) >> 11)
                 * 0x1p-53;
-        const double ownCost = cost(upstream, need, now) + tieBreak * tieBreakRange;
+        const double ownCost = isDrawn ? spreadCost(upstream, need, tieBreak, now)
+                                       : cost(upstream, need, now) + tieBreak * tieBreakRange;
         const bool isBetter = !best || (isBestAvoided && !isAvoided)
                 || (isBestAvoided == isAvoided && ownCost < minCost);
         if (!isBetter)
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -211,6 +211,7 @@
         upstream.avoidedUntil = Instant{};
         upstream.failuresInARow = 0;
         upstream.failureRate = 0;
+        upstream.speed = {};
     }
     if (!upstream.engine.isSeen() || isRestarted) {
         upstream.engine = listed.engine;
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -338,6 +338,21 @@
     }
 }
 
+namespace {
+
+/// Records what the coordinator of \a upstream knows of its speed.
+void recordFigures(GatewayState &state, Upstream &upstream, const EngineUpdate &update, Instant now)
+{
+    if (update.slowdown > 0 && !recordSlowdown(upstream.speed, update.slowdown, now))
+        ++state.counters.ignoredLoadValues;
+    if (update.tokensPerSecond == 0)
+        return;
+    recordCoordinator(upstream.speed, update.tokensPerSecond, update.unreadTokens, now);
+    upstream.ownPromptsReported = { valueAt(upstream.ownPrompts, promptDecayTime, now), now };
+}
+
+} // namespace
+
 void handleEngineUpdate(GatewayState &state, const HostId &from, const EngineUpdate &update,
                         Instant now)
 {
@@ -357,6 +372,7 @@
     if (update.state.seenAt < upstream.engine.seenAt)
         return;
     setEngine(upstream, update.state, state.lastEngines, now);
+    recordFigures(state, upstream, update, now);
     if (update.state.seenAt > upstream.loadAt) {
         upstream.load = { update.state.running, update.state.waiting, upstream.listed.slots };
         upstream.loadAt = update.state.seenAt;
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -39,6 +39,24 @@
 void handleEarlyAttemptEnd(GatewayState &state, const RequestRecord &record, AttemptOutcome outcome,
                            Instant now);
 
+/// Records that an upstream stated \a slowdown, to this host or to another one that reports it to
+/// the engine's coordinator.
+void recordStatedSlowdown(GatewayState &state, const UpstreamId &id, double slowdown, Instant now);
+
+/// Learns from the first event of \a record how fast engines read prompts, and this one relative to
+/// its service.
+void recordFirstEventTime(GatewayState &state, const RequestRecord &record, Instant now);
+
+/// Learns from a complete answer how fast a plain server is relative to its service.
+void recordAnswerTime(GatewayState &state, const RequestRecord &record, Instant now);
+
+/// The usual time in seconds of an answer of the plain \a service; 0: not known.
+double answerSecondsOf(const GatewayState &state, const ServiceId &service);
+
+/// Has the states of engines that have become slower or faster sent to other hosts, within a bound
+/// of the bandwidth.
+void markSlowedEngines(GatewayState &state, Instant now);
+
 /// The learnt prefill rate of the engines of \a service, in prompt tokens per second.
 double prefillRateOf(const GatewayState &state, const ServiceId &service);
 
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -247,6 +247,8 @@
     need.duration = expectedRequestDuration;
     need.zone = state.self.zone;
     need.prefillTokensPerSecond = prefillRateOf(state, record.service);
+    need.promptTokens = static_cast<double>(record.arrivedRequest.promptTokens.count);
+    need.answerSeconds = answerSecondsOf(state, record.service);
     addVersionNeed(state, record, need);
     return need;
 }
--- a/packages/gateway/src/prefill_rate.cpp
+++ b/packages/gateway/src/prefill_rate.cpp
@@ -43,13 +43,6 @@
     return variance > 0 ? covariance / variance : 0;
 }
 
-double expectedSeconds(const PrefillRate &rate, double tokens)
-{
-    const double slope = 1 / rate.perSecond;
-    const double overhead = std::max(0.0, (rate.seconds - slope * rate.tokens) / rate.weight);
-    return overhead + slope * tokens;
-}
-
 } // namespace
 
 PrefillRate::PrefillRate()
@@ -59,6 +52,13 @@
         addSample(*this, initialWeight / 2, prompt, initialOverhead + prompt / initialPerSecond);
 }
 
+double expectedSeconds(const PrefillRate &rate, double tokens)
+{
+    const double slope = 1 / rate.perSecond;
+    const double overhead = std::max(0.0, (rate.seconds - slope * rate.tokens) / rate.weight);
+    return overhead + slope * tokens;
+}
+
 void recordPrefill(PrefillRate &rate, double tokens, Span elapsed)
 {
     if (tokens <= 0)
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -399,11 +399,7 @@
     if (record.phase != RequestPhase::AtUpstream)
         return;
     recordAnswered(state, record, true, now);
-    if (record.isEngineIdle && !record.arrivedRequest.model.model.empty()) {
-        recordPrefill(state.prefillRates[record.service],
-                      static_cast<double>(record.arrivedRequest.promptTokens.count),
-                      now - record.sentAt);
-    }
+    recordFirstEventTime(state, record, now);
 }
 
 void handle(GatewayState &state, const AttemptEnded &event, Instant now, Actions &actions)
@@ -412,6 +408,8 @@
     if (found == state.requests.end() || found->second.attempt != event.attempt)
         return;
     RequestRecord &record = found->second;
+    if (event.outcome == AttemptOutcome::Done && record.phase == RequestPhase::AtUpstream)
+        recordAnswerTime(state, record, now);
     detachFromUpstream(state, record);
     if (event.outcome == AttemptOutcome::NotSent || event.isCutOff)
         suspectPath(state, record.service, now);
@@ -463,15 +461,6 @@
     place(state, record, now, actions);
 }
 
-void handle(GatewayState &state, const LoadStated &event, Instant now)
-{
-    const auto found = state.upstreams.find(event.upstream);
-    if (found == state.upstreams.end())
-        return;
-    found->second.load = event.load;
-    found->second.loadAt = now;
-}
-
 void endOverdue(GatewayState &state, Instant now, Actions &actions)
 {
     while (const std::optional<RequestNumber> request = state.requestDeadlines.takeDue(now)) {
--- a/packages/gateway/src/updates.cpp
+++ b/packages/gateway/src/updates.cpp
@@ -54,8 +54,10 @@
         if (upstream == state.upstreams.end() || !upstream->second.engine.isSeen())
             continue;
         if ((!isChangedOnly || state.changedEngines.contains(id))
-            && isOwnEngine(state, upstream->second, now))
+            && isOwnEngine(state, upstream->second, now)) {
             updates.push_back(updateOf(state, upstream->second));
+            updates.back().slowdown = recentSlowdown(upstream->second.speed, now);
+        }
     }
     return updates;
 }
@@ -190,6 +192,7 @@
 
 void sendUpdates(GatewayState &state, Instant now, Actions &actions)
 {
+    markSlowedEngines(state, now);
     if (isSmallFleet(state))
         sendUpdatesDirectly(state, now, actions);
     else
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -115,8 +115,10 @@
 void setEngine(Upstream &upstream, EngineState state, LastEngines &lastEngines, Instant now)
 {
     const bool isRestarted = state.start != upstream.engine.start;
-    if (isRestarted)
+    if (isRestarted) {
         upstream.loads.clear();
+        upstream.speed = {};
+    }
     for (const LoadedAdapter &adapter : upstream.engine.ready) {
         if (!isRestarted && !state.findReady(adapter.name))
             recordLastEngine(lastEngines, adapter.name, upstream.listed.id);
--- a/packages/proxy/include/azurewell/proxy/wire_format.h
+++ b/packages/proxy/include/azurewell/proxy/wire_format.h
@@ -20,6 +20,7 @@
     bool isFault = false;       ///< The upstream reports an error of its own.
     bool isAttested = false;    ///< The upstream produced this answer itself: it is signed.
     std::optional<gateway::StatedLoad> load;
+    std::uint32_t ignoredLoadValues = 0; ///< Stated values that are malformed or not plausible.
 };
 
 /// The wire protocol towards callers and upstreams, as a table of functions over plain structs. A
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -157,6 +157,7 @@
     addCounter(out, "azurewell_prompt_parts_unreadable_total", counters.unreadableParts);
     addCounter(out, "azurewell_leaving_stated_total", counters.leavingStated);
     addCounter(out, "azurewell_statements_unreadable_total", metrics.malformedStatements);
+    addCounter(out, "azurewell_load_values_ignored_total", counters.ignoredLoadValues);
     addCounter(out, "azurewell_pauses_stated_total", counters.pausesStated);
     addGauge(out, "azurewell_upstreams_limited", static_cast<double>(countLimited(state, now)));
     addGauge(out, "azurewell_upstreams_cold", static_cast<double>(countCold(state, now)));
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -159,6 +159,7 @@
 
 void Proxy::applyAnswerFacts(const OpenRequest &request)
 {
+    this->core.counters.ignoredLoadValues += request.facts.ignoredLoadValues;
     if (request.facts.load)
         handle(this->core, LoadStated{ request.upstream, *request.facts.load }, monotonicNow());
     const UpstreamStatements statements = this->format.readStatements(request.head,
