--- a/packages/gateway/src/choose_upstream.cpp
+++ b/packages/gateway/src/choose_upstream.cpp
@@ -43,8 +43,8 @@
 constexpr double initialAnswerSeconds = 0.06;
 
 /// Weight of a queue at a plain server relative to what a known queue would cost: a mean occupancy
-/// hides the peaks. In trials with six servers and 300 requests a second the 99th percentile was 343
-/// ms with 6, and 370 ms with 3.
+/// hides the peaks. In trials with six servers and 300 requests a second the 99th percentile was
+/// 343 ms with 6, and 370 ms with 3.
 constexpr double queuedWeight = 6;
 
 /// Time for which the last stated load of a plain server is worth something, in times of an answer.
