--- a/packages/gateway/src/gossip_codec.cpp
+++ b/packages/gateway/src/gossip_codec.cpp
@@ -375,6 +375,48 @@
     return out;
 }
 
+wire::PromptAsk toWire(const AdmissionRequest &admission)
+{
+    wire::PromptAsk out;
+    out.engine = admission.engine.value;
+    out.model = admission.adapter.model;
+    out.adapter = admission.adapter.adapter;
+    out.request = static_cast<std::int64_t>(admission.request);
+    out.tokens = static_cast<std::int32_t>(admission.tokens);
+    if (admission.isReturned)
+        out.__set_givenBack(true);
+    if (admission.limit > 0)
+        out.__set_limit(admission.limit);
+    if (!admission.customer.value.empty())
+        out.__set_customer(admission.customer.value);
+    if (admission.priority)
+        out.__set_priority(admission.priority->level);
+    if (admission.objectiveLeft > Span{})
+        out.__set_objectiveLeftMillis(inMillis(admission.objectiveLeft));
+    if (admission.maxPause > Span{})
+        out.__set_maxPauseMillis(inMillis(admission.maxPause));
+    if (admission.isReported)
+        out.__set_reported(true);
+    return out;
+}
+
+wire::PromptAnswer toWire(const AdmissionReply &answer)
+{
+    wire::PromptAnswer out;
+    out.request = static_cast<std::int64_t>(answer.request);
+    out.waitMillis = inMillis(answer.wait);
+    out.copyWanted = answer.isCopyWanted;
+    if (answer.isPermit)
+        out.__set_permit(true);
+    if (answer.isQueued)
+        out.__set_queued(true);
+    if (answer.isUnservable)
+        out.__set_unservable(true);
+    if (!answer.engine.value.empty())
+        out.__set_engine(answer.engine.value);
+    return out;
+}
+
 wire::Message toWire(const Gossip &message, Instant now)
 {
     wire::Message out;
@@ -417,42 +459,10 @@
         to.engine = work.engine.value;
         to.tokens = static_cast<std::int32_t>(work.tokens);
     }
-    for (const AdmissionRequest &admission : message.admissionRequests) {
-        wire::PromptAsk &to = out.promptAsks.emplace_back();
-        to.engine = admission.engine.value;
-        to.model = admission.adapter.model;
-        to.adapter = admission.adapter.adapter;
-        to.request = static_cast<std::int64_t>(admission.request);
-        to.tokens = static_cast<std::int32_t>(admission.tokens);
-        if (admission.isReturned)
-            to.__set_givenBack(true);
-        if (admission.limit > 0)
-            to.__set_limit(admission.limit);
-        if (!admission.customer.value.empty())
-            to.__set_customer(admission.customer.value);
-        if (admission.priority)
-            to.__set_priority(admission.priority->level);
-        if (admission.objectiveLeft > Span{})
-            to.__set_objectiveLeftMillis(inMillis(admission.objectiveLeft));
-        if (admission.maxPause > Span{})
-            to.__set_maxPauseMillis(inMillis(admission.maxPause));
-        if (admission.isReported)
-            to.__set_reported(true);
-    }
-    for (const AdmissionReply &answer : message.admissionReplies) {
-        wire::PromptAnswer &to = out.promptAnswers.emplace_back();
-        to.request = static_cast<std::int64_t>(answer.request);
-        to.waitMillis = inMillis(answer.wait);
-        to.copyWanted = answer.isCopyWanted;
-        if (answer.isPermit)
-            to.__set_permit(true);
-        if (answer.isQueued)
-            to.__set_queued(true);
-        if (answer.isUnservable)
-            to.__set_unservable(true);
-        if (!answer.engine.value.empty())
-            to.__set_engine(answer.engine.value);
-    }
+    for (const AdmissionRequest &admission : message.admissionRequests)
+        out.promptAsks.push_back(toWire(admission));
+    for (const AdmissionReply &answer : message.admissionReplies)
+        out.promptAnswers.push_back(toWire(answer));
     out.__isset.promptsRead = !message.promptsRead.empty();
     for (const PromptRead &read : message.promptsRead)
         out.promptsRead.push_back(toWire(read));
