--- a/packages/gateway/include/azurewell/gateway/events.h
+++ b/packages/gateway/include/azurewell/gateway/events.h
@@ -6,7 +6,6 @@
 #include "azurewell/gateway/message_kind.h"
 #include "azurewell/gateway/upstreams.h"
 #include "azurewell/units/priority.h"
-#include "azurewell/units/priority.h"
 #include "azurewell/units/result_code.h"
 
 #include <memory>
