--- /dev/null
+++ b/review/engines.hh
@@ -0,0 +1,362 @@
+// Model servers of one service, as the pages describe them: reports that are 100 ms old, orders with
+// an expected sequence, adapters that load for some time, and streams.
+#pragma once
+
+#include "common.hh"
+
+#include <deque>
+
+namespace review {
+
+struct Run
+{
+    std::string id;
+    std::string engine;
+    std::string tenant;
+    double arrivedAt = 0;
+    double tokens = 0;
+};
+
+/// What the servers of a case have run.
+class Runs
+{
+public:
+    void add(const Run &run)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->list.push_back(run);
+    }
+    std::vector<Run> all()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->list;
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<Run> list;
+};
+
+/// The value of a text or number field in a flat JSON object; enough for orders.
+inline std::string jsonField(const std::string &json, const std::string &name)
+{
+    const std::size_t at = json.find("\"" + name + "\":");
+    if (at == std::string::npos)
+        return {};
+    std::size_t from = at + name.size() + 3;
+    if (json[from] == '"') {
+        ++from;
+        return json.substr(from, json.find('"', from) - from);
+    }
+    return json.substr(from, json.find_first_of(",}", from) - from);
+}
+
+/// Adapters that are on their way from the weight store to any server.
+inline std::atomic<int> &loadsUnderWay()
+{
+    static std::atomic<int> count{ 0 };
+    return count;
+}
+
+class Engine
+{
+public:
+    struct Options
+    {
+        double loadSeconds = 0.25;   ///< Of an adapter.
+        int fullSpeedLoads = 8;      ///< Beyond so many over all servers, loads take longer.
+        double readSeconds = 0.03;   ///< From the arrival of a request to its first token.
+        double eventSeconds = 0.007; ///< Between the events of a stream.
+        int events = 8;
+        std::size_t places = 5; ///< For adapters.
+    };
+
+    Engine(std::string engineId, std::string engineZone, const std::string &ip, int port,
+           std::string serviceName, const Options &given, Runs &runsOfAll)
+        : id(std::move(engineId))
+        , zone(std::move(engineZone))
+        , service(std::move(serviceName))
+        , options(given)
+        , born(wallMillis())
+        , runs(runsOfAll)
+        , server(ip, port, [this](Connection &connection) { this->serve(connection); })
+    {
+        this->snapshots.push_back({ -1, this->reportNow() });
+    }
+
+    bool isOpen() const
+    {
+        return this->server.isOpen();
+    }
+    std::string entry()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return "{\"service\":\"" + this->service + "\",\"address\":\"" + this->server.ip + ":"
+                + std::to_string(this->server.port) + "\",\"zone\":\"" + this->zone
+                + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"warmup-left-ms\":0,"
+                  "\"phase\":\"unified\",\"models\":"
+                + this->models() + ",\"born\":" + std::to_string(this->born)
+                + ",\"sequence\":" + std::to_string(++this->beats) + "}";
+    }
+
+    const std::string id;
+    const std::string zone;
+    /// May be empty: called with each answer to a request of a caller; whether the server sends it
+    /// a second time, late: at the point where the next answer on the connection is expected.
+    std::function<bool(const Message &, const std::string &)> isDoubled;
+
+private:
+    std::string models() const
+    {
+        std::string adapters;
+        for (const std::string &name : this->loaded)
+            adapters += (adapters.empty() ? "\"" : ",\"") + name + "@1\"";
+        return "[{\"name\":\"m0\",\"version\":1,\"adapters\":[" + adapters + "]}]";
+    }
+    std::string reportNow() const
+    {
+        std::string pending;
+        for (const auto &[name, at] : this->loading)
+            pending += (pending.empty() ? "\"m0/" : ",\"m0/") + name + "@1\"";
+        return "{\"phase\":\"unified\",\"models\":" + this->models()
+                + ",\"busy\":false,\"sequence\":" + std::to_string(this->sequence)
+                + ",\"queued\":0,\"active\":" + std::to_string(this->active)
+                + ",\"kv-usage\":0,\"kv-size\":129722,\"handles\":0,\"pending\":[" + pending
+                + "],\"born\":" + std::to_string(this->born) + "}";
+    }
+    /// Ends the loads that are done. Called with the lock.
+    void update()
+    {
+        std::vector<std::pair<double, std::string>> done;
+        for (const auto &[name, at] : this->loading) {
+            if (at <= now())
+                done.emplace_back(at, name);
+        }
+        std::sort(done.begin(), done.end());
+        for (const auto &[at, name] : done) {
+            this->loading.erase(name);
+            --loadsUnderWay();
+            this->loaded.insert(name);
+            this->snapshots.push_back({ at, this->reportNow() });
+        }
+    }
+    void changed()
+    {
+        this->snapshots.push_back({ now(), this->reportNow() });
+        while (this->snapshots.size() > 2 && this->snapshots[1].first < now() - 1)
+            this->snapshots.pop_front();
+    }
+    std::string report()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->update();
+        std::string body;
+        for (const auto &[at, text] : this->snapshots) {
+            if (at <= now() - 0.1)
+                body = text;
+        }
+        return answerText(200, this->headers(), body);
+    }
+    std::string headers() const
+    {
+        return "Content-Type: application/json\r\nX-Instance-Id: " + this->id + "\r\n";
+    }
+    std::string order(const Message &call)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->update();
+        const std::string adapter = jsonField(call.body, "adapter");
+        const bool isLoad = jsonField(call.body, "operation") == "loading";
+        const std::string expected = jsonField(call.body, "expect");
+        int status = 202;
+        if (!expected.empty() && std::strtoull(expected.c_str(), nullptr, 10) != this->sequence) {
+            status = 409;
+        } else if (adapter.empty() || (isLoad && this->loaded.contains(adapter))) {
+            status = 200;
+        } else if (isLoad && this->loading.contains(adapter)) {
+            status = 202;
+        } else if (isLoad && this->loaded.size() + this->loading.size() >= this->options.places) {
+            RECORD("%s is ordered to hold more than its places", this->id.c_str());
+            status = 400;
+        } else if (isLoad) {
+            const int underWay = ++loadsUnderWay();
+            const double factor = std::max(1.0, 1.0 * underWay / this->options.fullSpeedLoads);
+            this->loading[adapter] = now() + this->options.loadSeconds * factor;
+            ++this->sequence;
+        } else {
+            status = this->loaded.erase(adapter) > 0 || true ? 200 : 202;
+            ++this->sequence;
+        }
+        RECORD("%s order %s answer %d", this->id.c_str(), call.body.c_str(), status);
+        this->changed();
+        return answerText(status, this->headers(), "");
+    }
+    /// Whether a request may run; if not, the answer that says so.
+    std::string rejection(const Message &request)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->update();
+        const std::string model = request.header("X-Model");
+        const std::size_t slash = model.find('/');
+        const std::string adapter = slash == std::string::npos ? "" : model.substr(slash + 1);
+        if (adapter.empty() || this->loaded.contains(adapter))
+            return {};
+        const bool isLoading = this->loading.contains(adapter);
+        RECORD("%s rejects %s: %s", this->id.c_str(), request.header("X-Request-Id").c_str(),
+               isLoading ? "the adapter is loading" : "the adapter is not there");
+        return answerText(isLoading ? 503 : 421,
+                          "X-Instance-Id: " + this->id
+                                  + "\r\nX-Request-Id: " + request.header("X-Request-Id")
+                                  + "\r\nX-Not-Executed: 1\r\n",
+                          "");
+    }
+    void countActive(int by)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->active += by;
+    }
+    /// Runs \a request. False if the caller has left. \a answer: what was sent.
+    bool run(Connection &connection, const Message &request, std::string &answer)
+    {
+        const double arrivedAt = now();
+        sleepFor(this->options.readSeconds);
+        if (connection.hasPeerLeft())
+            return false;
+        double tokens = 0;
+        std::istringstream usage(request.header("X-Token-Usage"));
+        for (std::string part; std::getline(usage, part, ',');)
+            tokens += std::atof(part.c_str());
+        const std::string requestId = request.header("X-Request-Id");
+        this->runs.add({ requestId, this->id, request.header("X-Tenant"), arrivedAt, tokens });
+        RECORD("%s runs %s tenant %s tokens %.0f", this->id.c_str(), requestId.c_str(),
+               request.header("X-Tenant").c_str(), tokens);
+        const auto chunk = [](const std::string &bytes) {
+            char size[32];
+            std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+            return size + bytes + "\r\n";
+        };
+        const auto send = [&](const std::string &bytes) {
+            answer += bytes;
+            return connection.send(bytes);
+        };
+        if (!send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Instance-Id: "
+                             + this->id + "\r\nX-Request-Id: " + requestId
+                             + "\r\nX-Weight-Versions: 1\r\nX-Server-Signature: 3e1b." + this->id
+                             + "." + requestId + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
+            return false;
+        for (int i = 1; i <= this->options.events; ++i) {
+            const std::string event = "id: " + std::to_string(i) + "\ndata: " + requestId + " "
+                    + std::to_string(i) + " of " + std::to_string(this->options.events) + "\n\n";
+            if (!send(chunk(event)) || connection.hasPeerLeft()) {
+                RECORD("%s stops %s: its caller has left", this->id.c_str(), requestId.c_str());
+                return false;
+            }
+            sleepFor(this->options.eventSeconds);
+        }
+        return send("0\r\n\r\n");
+    }
+    void serve(Connection &connection)
+    {
+        while (const std::unique_ptr<Message> call = connection.read(false, now() + 60)) {
+            if (this->server.isStopped)
+                return;
+            if (!connection.extra.empty()) {
+                RECORD("%s sends a late extra answer before that to %s %s", this->id.c_str(),
+                       call->target().c_str(), call->header("X-Request-Id").c_str());
+                if (!connection.send(std::exchange(connection.extra, {})))
+                    return;
+            }
+            std::string answer;
+            const std::string expected = call->header("X-Expect-Instance");
+            if (!expected.empty() && expected != this->id)
+                answer = answerText(421, "X-Instance-Id: " + this->id + "\r\n", "");
+            else if (call->target() == "/report")
+                answer = this->report();
+            else if (call->target() == "/order")
+                answer = this->order(*call);
+            else if (call->target() == "/healthz")
+                answer = answerText(200, "X-Instance-Id: " + this->id + "\r\n", "");
+            else
+                answer = this->rejection(*call);
+            if (!answer.empty()) {
+                if (!connection.send(answer))
+                    return;
+            } else {
+                this->countActive(1);
+                const bool isDone = this->run(connection, *call, answer);
+                this->countActive(-1);
+                if (!isDone)
+                    return;
+            }
+            if (this->isDoubled && call->has("X-Request-Id") && this->isDoubled(*call, answer))
+                connection.extra = answer;
+        }
+    }
+
+    const std::string service;
+    const Options options;
+    const long long born;
+    Runs &runs;
+    std::mutex mutex;
+    std::set<std::string> loaded;
+    std::map<std::string, double> loading; ///< By name, with the time at which it is done.
+    std::deque<std::pair<double, std::string>> snapshots;
+    std::uint64_t sequence = 0;
+    std::uint64_t beats = 0;
+    int active = 0;
+    Server server;
+};
+
+/// Six engines, two in each zone.
+inline std::vector<std::unique_ptr<Engine>> makeEngines(const Setting &setting,
+                                                        const Engine::Options &options, Runs &runs,
+                                                        Store &store, int perZone = 2)
+{
+    std::vector<std::unique_ptr<Engine>> engines;
+    for (int zone = 0; zone < 3; ++zone) {
+        for (int i = 1; i <= perZone; ++i) {
+            engines.push_back(std::make_unique<Engine>(
+                    "i-" + std::to_string(zone) + std::to_string(i),
+                    std::string("bogota-") + static_cast<char>('a' + zone),
+                    setting.net + "." + std::to_string(64 + zone) + "." + std::to_string(i),
+                    Setting::serverPort, "redactor", options, runs));
+            if (!engines.back()->isOpen())
+                finish(couldNotRun);
+            store.write("servers/" + engines.back()->id, engines.back()->entry());
+        }
+    }
+    return engines;
+}
+
+/// The configuration of a route to the engines, as the pages show it.
+inline std::string engineConfiguration(long long perSecond, long long burst)
+{
+    return "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"ficu95.example\",\"prefix\":"
+           "\"/lohu930/\",\"route-type\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":"
+           "1000,\"priority\":1,\"service\":\"redactor\",\"max-attempts\":1,\"public\":false,"
+           "\"session-affinity\":true,\"resumable\":false,\"inter-token-ms\":400}],\"services\":[{"
+           "\"name\":\"redactor\",\"health-path\":\"/healthz\",\"max-connections\":360,"
+           "\"protocol\":\"h1\",\"tls\":false,\"runtime\":{\"slots\":64,\"kv-capacity\":129722,"
+           "\"models\":[{\"name\":\"m0\",\"weights-mb\":72700.0,\"load-time-s\":2.1,\"adapters\":"
+           "3000,\"adapter-mb\":66.0,\"warm-s\":0.63,\"disk-load-s\":0.84}],\"weights-mb\":74500.0,"
+           "\"max-adapters\":5,\"loads-per-s\":4.2}}],\"limits\":{\"max-header-bytes\":16384,"
+           "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
+           "\"tenants\":[{\"name\":\"hule930\",\"api-keys\":[\"i9n73hh2b9wu3fexd9dn\"],"
+           "\"priority\":1,\"unit\":\"tokens\",\"raw-tokens\":200,\"rate-per-s\":"
+            + std::to_string(perSecond) + ",\"burst\":" + std::to_string(burst) + "}]}";
+}
+
+/// A caller's request on that route.
+inline std::string engineRequest(const std::string &id, const std::string &model, int prompt,
+                                 int output, int deadlineMillis)
+{
+    const std::string body(200, 'x');
+    return "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: " + id
+            + "\r\nX-Model: " + model + "\r\nX-Token-Usage: " + std::to_string(prompt) + ","
+            + std::to_string(output) + "\r\nX-Prefix-Hash: " + id + ":" + std::to_string(prompt)
+            + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMillis)
+            + "\r\nX-Key: i9n73hh2b9wu3fexd9dn\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+}
+
+} // namespace review
