--- a/review/common.hh
+++ b/review/common.hh
@@ -474,6 +474,14 @@
         this->changed.notify_all();
     }
 
+    /// Cuts the watches that are waiting: their connections close without an answer.
+    void cutWatches()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        ++this->cuts;
+        this->changed.notify_all();
+    }
+
 private:
     static std::string base64(const std::string &bytes)
     {
@@ -510,10 +518,11 @@
     {
         while (const std::unique_ptr<Message> call = connection.read(false, now() + 60)) {
             const std::string target = call->target();
-            const std::string body = target.starts_with("/kv-watch") ? this->watch(target)
+            bool isCut = false;
+            const std::string body = target.starts_with("/kv-watch") ? this->watch(target, isCut)
                     : target.starts_with("/kv-range")                ? this->range(target)
                                                                      : std::string();
-            if (this->isStopped
+            if (this->isStopped || isCut
                 || !connection.send(answerText(body.empty() ? 404 : 200,
                                                "Content-Type: application/json\r\n", body)))
                 return;
@@ -531,14 +540,16 @@
         return "{\"items\":[" + list
                 + "],\"has-more\":false,\"at\":" + std::to_string(this->revision) + "}";
     }
-    std::string watch(const std::string &target)
+    std::string watch(const std::string &target, bool &isCut)
     {
         const std::uint64_t after = std::strtoull(query(target, "after").c_str(), nullptr, 10);
         const double wait = std::atof(query(target, "wait-ms").c_str()) / 1000;
         std::unique_lock<std::mutex> lock(this->mutex);
+        const int cutsBefore = this->cuts;
         this->changed.wait_for(lock, std::chrono::duration<double>(wait), [&] {
-            return this->revision > after || this->isStopped.load();
+            return this->revision > after || this->isStopped.load() || this->cuts != cutsBefore;
         });
+        isCut = this->cuts != cutsBefore;
         std::string list;
         for (const Item &item : this->history) {
             if (item.revision > after)
@@ -552,6 +563,7 @@
     std::map<std::string, Item> items;
     std::vector<Item> history;
     std::uint64_t revision = 100;
+    int cuts = 0;
     std::atomic<bool> isStopped{ false };
     Server server;
 };
