Review, case 3: hosts that never hear of each other order at one server

Cause: a host that knows no other one counts as a majority, and only postpones its first orders by 15 s.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,58 +1,63 @@
-// One tenant sends many times its usual. A moment after it has used its rate and burst, all
-// processes are killed and start again a second later.
+// The machines that the seeds name are lost before the others start, so that these never hear of
+// each other. Callers ask all of them for adapters that have to be loaded.
 #include "../engines.hh"
 
 using namespace review;
 
 namespace {
 
-constexpr double windowSeconds = 8;  ///< quota-window-s
-constexpr double overshoot = 0.25;   ///< quota-overshoot
-constexpr double tolerance = 17000;  ///< quota-tolerance
-constexpr double perSecond = 119769; ///< rate-per-s of the tenant, as the pages show one.
-constexpr double burst = 119769;
-constexpr double bound = (perSecond * windowSeconds + burst) * (1 + overshoot) + tolerance;
+constexpr double leaseSeconds = 3; ///< lease-ttl-ms
+constexpr double trafficFrom = 16;
+constexpr double trafficUntil = 104;
+constexpr int requestsInBurst = 3; ///< At each host.
 
-constexpr int prompt = 1800 + 568;
-constexpr int output = 2632;
-constexpr double tokens = prompt + output;
-/// A tenant's limit is 1.8 times its usual; it sends 7.5 times its usual.
-constexpr double hotPerSecond = perSecond / 1.8 * 7.5;
-constexpr double hotSeconds = 6.5;
-constexpr double killAfter = 2.6;
-constexpr double downSeconds = 1;
-
-struct Sent
+struct Order
 {
-    std::mutex mutex;
-    std::map<std::string, double> at; ///< By request id.
-    std::map<int, int> statuses;
+    double at = 0;
+    std::string engine;
+    std::string owner;
+    unsigned long long fencing = 0;
+    int status = 0;
+    std::string text;
 };
 
-std::string hexId(int number)
+struct Verdict
 {
-    char text[32];
-    std::snprintf(text, sizeof text, "%016x", number + 1);
-    return text;
-}
+    int orders = 0;
+    int turns = 0; ///< Of two holders within the lease.
+    int lower = 0; ///< Fencing tokens after a higher one of another holder.
+    int same = 0;  ///< Fencing tokens of two holders.
+};
 
-void call(const std::string &ip, int number, Sent &sent)
+/// Judges the orders to each server; \a isCarriedOut: only those that were carried out or held.
+Verdict judge(const std::vector<Order> &orders, bool isCarriedOut)
 {
-    const std::string id = hexId(number);
-    const double sentAt = now();
-    int status = 0;
-    if (const auto connection = connectTo(ip, Setting::callerPort, 1)) {
-        {
-            const std::lock_guard<std::mutex> lock(sent.mutex);
-            sent.at[id] = now();
+    Verdict verdict;
+    std::map<std::string, Order> last;
+    std::map<std::string, Order> highest;
+    for (const Order &order : orders) {
+        if (isCarriedOut && order.status != 200 && order.status != 202)
+            continue;
+        ++verdict.orders;
+        const auto before = last.find(order.engine);
+        if (before != last.end() && before->second.owner != order.owner
+            && order.at - before->second.at < leaseSeconds) {
+            ++verdict.turns;
+            if (isCarriedOut)
+                SAY("%s: order of %s %.3f s after one of %s: %s", order.engine.c_str(),
+                    order.owner.c_str(), order.at - before->second.at,
+                    before->second.owner.c_str(), order.text.c_str());
+        }
+        last[order.engine] = order;
+        const auto high = highest.find(order.engine);
+        if (high != highest.end() && high->second.owner != order.owner) {
+            verdict.lower += order.fencing < high->second.fencing ? 1 : 0;
+            verdict.same += order.fencing == high->second.fencing ? 1 : 0;
         }
-        connection->send(engineRequest(id, "m0", prompt, output, 4000));
-        const auto answer = connection->read(true, sentAt + 4);
-        status = answer ? answer->status() : 0;
+        if (high == highest.end() || order.fencing >= high->second.fencing)
+            highest[order.engine] = order;
     }
-    RECORD("request %s to %s sent %.3f status %d", id.c_str(), ip.c_str(), sentAt, status);
-    const std::lock_guard<std::mutex> lock(sent.mutex);
-    ++sent.statuses[status];
+    return verdict;
 }
 
 } // namespace
@@ -64,86 +69,67 @@
     if (!store.isOpen())
         finish(couldNotRun);
     Runs runs;
-    Engine::Options options;
-    options.events = 4;
-    const auto engines = makeEngines(setting, options, runs, store, 6);
-    store.write("op/config", engineConfiguration(static_cast<long long>(perSecond),
-                                                 static_cast<long long>(burst)));
-    const auto hosts = makeHosts(setting, { 3, 2, 2 });
+    const auto engines = makeEngines(setting, {}, runs, store);
+    std::mutex mutex;
+    std::vector<Order> orders;
+    for (const auto &engine : engines) {
+        engine->ordered = [&, id = engine->id](const std::string &body, int status) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            orders.push_back({ now(), id, jsonField(body, "owner"),
+                               std::strtoull(jsonField(body, "fencing-token").c_str(), nullptr, 10),
+                               status, body });
+        };
+    }
+    store.write("op/config", engineConfiguration(1000000, 1000000));
+    auto hosts = makeHosts(setting, { 3, 2, 2 });
+    if (setting.isTrouble)
+        std::erase_if(hosts, [](const auto &host) { return host->name.ends_with("-1"); });
     for (const auto &host : hosts)
         host->start();
     if (!areAllReady(hosts, now() + 15))
         finish(couldNotRun);
-    markRestarted(hosts);
-    sleepUntil(12);
-
-    Sent sent;
-    std::list<std::thread> callers;
     std::mt19937 random(setting.seed);
-    const double hotAt = now();
-    SAY("the tenant sends %.0f tokens a second, its rate is %.0f", hotPerSecond, perSecond);
-    std::thread killer([&] {
-        if (!setting.isTrouble)
-            return;
-        sleepUntil(hotAt + killAfter);
-        SAY("all processes are killed");
-        for (const auto &host : hosts)
-            host->signal(SIGKILL);
-        for (const auto &host : hosts)
-            host->killNow();
-    });
-    bool isDown = false;
+    std::list<std::thread> callers;
+    std::map<int, int> statuses;
     int number = 0;
-    for (double next = hotAt; next < hotAt + hotSeconds; next += tokens / hotPerSecond) {
-        // The process that starts hosts has to be this thread: they end with it.
-        if (setting.isTrouble && !isDown && next > hotAt + killAfter + downSeconds) {
-            isDown = true;
-            for (const auto &host : hosts)
-                host->start();
-            SAY("all processes start again");
+    for (double burst = trafficFrom; burst < trafficUntil;
+         burst += std::uniform_real_distribution<double>(4.6, 5.2)(random)) {
+        sleepUntil(burst);
+        for (int i = 0; i < requestsInBurst; ++i) {
+            const int adapter = 1 + ++number % 2000;
+            for (std::size_t h = 0; h < hosts.size(); ++h) {
+                // The hosts are asked for the same adapters, a moment apart.
+                callers.emplace_back([&, adapter, h, id = number * 100 + static_cast<int>(h)] {
+                    sleepFor(0.03 * static_cast<double>(h));
+                    char text[32];
+                    std::snprintf(text, sizeof text, "%016x", id);
+                    int status = 0;
+                    if (const auto connection = connectTo(hosts[h]->ip, Setting::callerPort, 1)) {
+                        connection->send(engineRequest(text, "m0/a" + std::to_string(adapter), 300,
+                                                       20, 4000));
+                        const auto answer = connection->read(true, now() + 4.5);
+                        status = answer ? answer->status() : 0;
+                    }
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    ++statuses[status];
+                });
+            }
+            sleepFor(0.2);
         }
-        sleepUntil(next);
-        const std::string &ip = hosts[random() % hosts.size()]->ip;
-        callers.emplace_back(call, ip, number++, std::ref(sent));
     }
     for (std::thread &caller : callers)
         caller.join();
-    killer.join();
-    sleepFor(0.5);
-
-    struct Counted
-    {
-        double sentAt;
-        double arrivedAt;
-        double tokens;
-    };
-    std::vector<Counted> counted;
-    double total = 0;
-    for (const Run &run : runs.all()) {
-        const auto at = sent.at.find(run.id);
-        if (at == sent.at.end())
-            finish(couldNotRun);
-        counted.push_back({ at->second, run.arrivedAt, run.tokens });
-        total += run.tokens;
-    }
-    double most = 0;
-    double mostFrom = 0;
-    for (const Counted &first : counted) {
-        double sum = 0;
-        for (const Counted &other : counted) {
-            if (other.sentAt >= first.sentAt && other.arrivedAt <= first.sentAt + windowSeconds)
-                sum += other.tokens;
-        }
-        if (sum > most) {
-            most = sum;
-            mostFrom = first.sentAt;
-        }
-    }
-    for (const auto &[status, count] : sent.statuses)
+    for (const auto &[status, count] : statuses)
         SAY("status %d: %d requests", status, count);
-    SAY("tokens that ran: %.0f; most in %.0f s: %.0f, from %.3f; bound %.0f", total, windowSeconds,
-        most, mostFrom, bound);
-    if (total < perSecond * 4)
+    const std::lock_guard<std::mutex> lock(mutex);
+    const Verdict carriedOut = judge(orders, true);
+    const Verdict arrived = judge(orders, false);
+    SAY("orders carried out or held already: %d; turns within the lease %d, lower tokens %d, same "
+        "tokens %d",
+        carriedOut.orders, carriedOut.turns, carriedOut.lower, carriedOut.same);
+    SAY("orders that arrived: %d; turns within the lease %d, lower tokens %d, same tokens %d",
+        arrived.orders, arrived.turns, arrived.lower, arrived.same);
+    if (carriedOut.orders < 100)
         finish(couldNotRun);
-    finish(most > bound ? broken : held);
+    finish(carriedOut.turns + carriedOut.lower + carriedOut.same > 0 ? broken : held);
 }
--- a/review/engines.hh
+++ b/review/engines.hh
@@ -104,6 +104,8 @@
     /// May be empty: called with each answer to a request of a caller; whether the server sends it
     /// a second time, late: at the point where the next answer on the connection is expected.
     std::function<bool(const Message &, const std::string &)> isDoubled;
+    /// May be empty: called with the body of each order and the status of its answer.
+    std::function<void(const std::string &, int)> ordered;
 
 private:
     std::string models() const
@@ -169,10 +171,13 @@
         const bool isLoad = jsonField(call.body, "operation") == "loading";
         const std::string expected = jsonField(call.body, "expect");
         int status = 202;
-        if (!expected.empty() && std::strtoull(expected.c_str(), nullptr, 10) != this->sequence) {
-            status = 409;
-        } else if (adapter.empty() || (isLoad && this->loaded.contains(adapter))) {
+        // An order that already holds changes nothing, whatever it expects.
+        if (adapter.empty() || (isLoad && this->loaded.contains(adapter))
+            || (!isLoad && !this->loaded.contains(adapter))) {
             status = 200;
+        } else if (!expected.empty()
+                   && std::strtoull(expected.c_str(), nullptr, 10) != this->sequence) {
+            status = 409;
         } else if (isLoad && this->loading.contains(adapter)) {
             status = 202;
         } else if (isLoad && this->loaded.size() + this->loading.size() >= this->options.places) {
@@ -184,10 +189,13 @@
             this->loading[adapter] = now() + this->options.loadSeconds * factor;
             ++this->sequence;
         } else {
-            status = this->loaded.erase(adapter) > 0 || true ? 200 : 202;
+            status = 200;
+            this->loaded.erase(adapter);
             ++this->sequence;
         }
         RECORD("%s order %s answer %d", this->id.c_str(), call.body.c_str(), status);
+        if (this->ordered)
+            this->ordered(call.body, status);
         this->changed();
         return answerText(status, this->headers(), "");
     }
