Review, case 1: late extra answers come in episodes of 5 s

Change: episodes of 5 s with 2 s between them, at most 3 in 100 answers of at most 0.6 of the servers in each. The servers of review/engines.hh now know versions of adapters, unloads that wait for runs and answers without a length, for other cases.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -6,9 +6,7 @@
 
 namespace {
 
-constexpr double trafficSeconds = 60;
-constexpr double garbledShare = 0.6;  ///< Of the servers.
-constexpr double doubledShare = 0.03; ///< Of the answers of these.
+constexpr double trafficSeconds = 90;
 
 struct Answers
 {
@@ -44,27 +42,14 @@
     Runs runs;
     Engine::Options options;
     const auto engines = makeEngines(setting, options, runs, store, 6);
-    struct Count
-    {
-        std::atomic<int> answers{ 0 };
-        std::atomic<int> doubled{ 0 };
-    };
-    Count total;
-    std::list<Count> counts;
-    const auto garbled = static_cast<std::size_t>(garbledShare * engines.size());
+    Garble garble(12);
+    const auto garbled = static_cast<std::size_t>(Garble::serverShare * engines.size());
     for (std::size_t i = 0; i < garbled; ++i) {
-        Count &own = counts.emplace_back();
-        // At most the stated share of all answers of the server, those among them that say "not
-        // run".
-        engines[i]->isDoubled = [&total, &own, &setting](const Message &, const std::string &answer) {
-            ++total.answers;
+        // At most the stated share of all answers, those among them that say "not run".
+        engines[i]->isDoubled = [&garble, &setting](const Message &, const std::string &answer) {
+            garble.countAnswer();
             const bool isRejection = answer.find("X-Not-Executed") != std::string::npos;
-            const bool isWithin = own.doubled + 1 <= doubledShare * ++own.answers;
-            if (!setting.isTrouble || !isRejection || !isWithin)
-                return false;
-            ++own.doubled;
-            ++total.doubled;
-            return true;
+            return setting.isTrouble && isRejection && garble.take();
         };
     }
     store.write("op/config", engineConfiguration(1000000, 1000000));
@@ -114,8 +99,8 @@
     }
     for (const auto &[status, count] : answers.counts)
         SAY("status %d: %d requests", status, count);
-    SAY("%zu requests ran; %d of %d answers of %zu servers were sent twice; TWICE %d, REFUSED %d",
-        ranAt.size(), total.doubled.load(), total.answers.load(), garbled, twice, refused);
+    SAY("%zu requests ran; %s of %zu of %zu servers were sent twice; TWICE %d, REFUSED %d",
+        ranAt.size(), garble.summary().c_str(), garbled, engines.size(), twice, refused);
     if (ranAt.size() < 100)
         finish(couldNotRun);
     finish(twice + refused > 0 ? broken : held);
--- a/review/engines.hh
+++ b/review/engines.hh
@@ -37,6 +37,62 @@
     std::vector<Run> list;
 };
 
+/// Servers that spoil some of their answers, in episodes with pauses between them.
+class Garble
+{
+public:
+    static constexpr double serverShare = 0.6; ///< Of the servers.
+    static constexpr double answerShare = 0.03; ///< Of the answers of these in an episode.
+    static constexpr double seconds = 5;        ///< An episode.
+    static constexpr double gap = 2;            ///< From the end of one to the beginning of the next.
+
+    explicit Garble(double firstEpisodeAt)
+        : firstAt(firstEpisodeAt)
+    {
+    }
+    void countAnswer()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (const int episode = this->number(); episode >= 0)
+            ++this->answers[episode];
+    }
+    /// Whether one more answer may be spoilt now; counts it.
+    bool take()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const int episode = this->number();
+        if (episode < 0 || this->spoilt[episode] + 1 > answerShare * this->answers[episode])
+            return false;
+        ++this->spoilt[episode];
+        return true;
+    }
+    std::string summary()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        int all = 0;
+        int bad = 0;
+        for (const auto &[episode, count] : this->answers)
+            all += count;
+        for (const auto &[episode, count] : this->spoilt)
+            bad += count;
+        return std::to_string(bad) + " of " + std::to_string(all) + " answers in "
+                + std::to_string(this->answers.size()) + " episodes";
+    }
+
+private:
+    int number() const
+    {
+        const double since = now() - this->firstAt;
+        const int episode = static_cast<int>(since / (seconds + gap));
+        return since >= 0 && since - episode * (seconds + gap) < seconds ? episode : -1;
+    }
+
+    const double firstAt;
+    std::mutex mutex;
+    std::map<int, int> answers;
+    std::map<int, int> spoilt;
+};
+
 /// The value of a text or number field in a flat JSON object; enough for orders.
 inline std::string jsonField(const std::string &json, const std::string &name)
 {
@@ -51,6 +107,38 @@
     return json.substr(from, json.find_first_of(",}", from) - from);
 }
 
+/// The newest versions of adapters in the weight store; 1 where nothing is said.
+class Versions
+{
+public:
+    static Versions &get()
+    {
+        static Versions versions;
+        return versions;
+    }
+    int raise(const std::string &adapter)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        int &version = this->newest.try_emplace(adapter, 1).first->second;
+        return ++version;
+    }
+    int of(const std::string &adapter)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const auto found = this->newest.find(adapter);
+        return found == this->newest.end() ? 1 : found->second;
+    }
+
+private:
+    std::mutex mutex;
+    std::map<std::string, int> newest;
+};
+
+inline int newestVersion(const std::string &adapter)
+{
+    return Versions::get().of(adapter);
+}
+
 /// Adapters that are on their way from the weight store to any server.
 inline std::atomic<int> &loadsUnderWay()
 {
@@ -69,6 +157,8 @@
         double eventSeconds = 0.007; ///< Between the events of a stream.
         int events = 8;
         std::size_t places = 5; ///< For adapters.
+        /// An unload of an adapter that requests use waits for them; until then it takes its place.
+        bool waitsForRuns = false;
     };
 
     Engine(std::string engineId, std::string engineZone, const std::string &ip, int port,
@@ -106,20 +196,39 @@
     std::function<bool(const Message &, const std::string &)> isDoubled;
     /// May be empty: called with the body of each order and the status of its answer.
     std::function<void(const std::string &, int)> ordered;
+    /// May be empty: called with an order and its answer, where the answer before it on the
+    /// connection was one to a caller's request; whether the server sends that one again first.
+    std::function<bool(const Message &, const std::string &)> isDoubledBefore;
+    /// May be empty: whether the answer to a request has no length and ends with its connection.
+    std::function<bool(const Message &)> isUnframed;
+    /// May be empty: called when an order exceeds the server's places, which crashes it.
+    std::function<void(const std::string &)> exceeded;
+
+    bool isDown() const
+    {
+        return this->isCrashed;
+    }
+    /// Ends the process of a server that has crashed.
+    void stop()
+    {
+        this->server.stop();
+    }
 
 private:
     std::string models() const
     {
         std::string adapters;
-        for (const std::string &name : this->loaded)
-            adapters += (adapters.empty() ? "\"" : ",\"") + name + "@1\"";
+        for (const auto &[name, version] : this->loaded)
+            adapters += (adapters.empty() ? "\"" : ",\"") + name + "@" + std::to_string(version)
+                    + "\"";
         return "[{\"name\":\"m0\",\"version\":1,\"adapters\":[" + adapters + "]}]";
     }
     std::string reportNow() const
     {
         std::string pending;
         for (const auto &[name, at] : this->loading)
-            pending += (pending.empty() ? "\"m0/" : ",\"m0/") + name + "@1\"";
+            pending += (pending.empty() ? "\"m0/" : ",\"m0/") + name + "@"
+                    + std::to_string(newestVersion(name)) + "\"";
         return "{\"phase\":\"unified\",\"models\":" + this->models()
                 + ",\"busy\":false,\"sequence\":" + std::to_string(this->sequence)
                 + ",\"queued\":0,\"active\":" + std::to_string(this->active)
@@ -138,7 +247,7 @@
         for (const auto &[at, name] : done) {
             this->loading.erase(name);
             --loadsUnderWay();
-            this->loaded.insert(name);
+            this->loaded[name] = newestVersion(name);
             this->snapshots.push_back({ at, this->reportNow() });
         }
     }
@@ -171,8 +280,10 @@
         const bool isLoad = jsonField(call.body, "operation") == "loading";
         const std::string expected = jsonField(call.body, "expect");
         int status = 202;
-        // An order that already holds changes nothing, whatever it expects.
-        if (adapter.empty() || (isLoad && this->loaded.contains(adapter))
+        if (this->unloading.contains(adapter)) {
+            status = isLoad ? 409 : 202;
+            // An order that already holds changes nothing, whatever it expects.
+        } else if (adapter.empty() || (isLoad && this->loaded.contains(adapter))
             || (!isLoad && !this->loaded.contains(adapter))) {
             status = 200;
         } else if (!expected.empty()
@@ -181,13 +292,21 @@
         } else if (isLoad && this->loading.contains(adapter)) {
             status = 202;
         } else if (isLoad && this->loaded.size() + this->loading.size() >= this->options.places) {
-            RECORD("%s is ordered to hold more than its places", this->id.c_str());
+            RECORD("%s is ordered to hold more than its places: it holds%s", this->id.c_str(),
+                   this->held().c_str());
             status = 400;
+            if (this->exceeded) {
+                this->isCrashed = true;
+                this->exceeded(call.body);
+            }
         } else if (isLoad) {
             const int underWay = ++loadsUnderWay();
             const double factor = std::max(1.0, 1.0 * underWay / this->options.fullSpeedLoads);
             this->loading[adapter] = now() + this->options.loadSeconds * factor;
             ++this->sequence;
+        } else if (this->options.waitsForRuns && this->running[adapter] > 0) {
+            this->unloading.insert(adapter);
+            ++this->sequence;
         } else {
             status = 200;
             this->loaded.erase(adapter);
@@ -207,22 +326,53 @@
         const std::string model = request.header("X-Model");
         const std::size_t slash = model.find('/');
         const std::string adapter = slash == std::string::npos ? "" : model.substr(slash + 1);
-        if (adapter.empty() || this->loaded.contains(adapter))
+        const bool isLoading = this->loading.contains(adapter) || this->unloading.contains(adapter);
+        const auto here = this->loaded.find(adapter);
+        const std::string wanted = request.header("X-Expect-Version");
+        const bool isOtherVersion = here != this->loaded.end() && !wanted.empty()
+                && std::atoi(wanted.c_str()) != here->second;
+        if (adapter.empty() || (here != this->loaded.end() && !isLoading && !isOtherVersion)) {
+            ++this->running[adapter];
             return {};
-        const bool isLoading = this->loading.contains(adapter);
+        }
         RECORD("%s rejects %s: %s", this->id.c_str(), request.header("X-Request-Id").c_str(),
-               isLoading ? "the adapter is loading" : "the adapter is not there");
+               isLoading ? "an order for the adapter is under way" : "the adapter is not there");
         return answerText(isLoading ? 503 : 421,
                           "X-Instance-Id: " + this->id
                                   + "\r\nX-Request-Id: " + request.header("X-Request-Id")
                                   + "\r\nX-Not-Executed: 1\r\n",
                           "");
     }
+    /// What the server holds and loads, for the record. Called with the lock.
+    std::string held() const
+    {
+        std::string text;
+        for (const auto &[name, version] : this->loaded) {
+            const auto runs = this->running.find(name);
+            text += " " + name + (this->unloading.contains(name) ? " (to be unloaded, " : " (")
+                    + std::to_string(runs == this->running.end() ? 0 : runs->second) + " run)";
+        }
+        for (const auto &[name, at] : this->loading)
+            text += " " + name + " (loading)";
+        return text;
+    }
     void countActive(int by)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
         this->active += by;
     }
+    /// A request for \a model has ended: an unload may have waited for it.
+    void endRun(const std::string &model)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const std::size_t slash = model.find('/');
+        const std::string adapter = slash == std::string::npos ? "" : model.substr(slash + 1);
+        if (--this->running[adapter] > 0 || this->unloading.erase(adapter) == 0)
+            return;
+        this->loaded.erase(adapter);
+        RECORD("%s has unloaded %s", this->id.c_str(), adapter.c_str());
+        this->changed();
+    }
     /// Runs \a request. False if the caller has left. \a answer: what was sent.
     bool run(Connection &connection, const Message &request, std::string &answer)
     {
@@ -238,7 +388,10 @@
         this->runs.add({ requestId, this->id, request.header("X-Tenant"), arrivedAt, tokens });
         RECORD("%s runs %s tenant %s tokens %.0f", this->id.c_str(), requestId.c_str(),
                request.header("X-Tenant").c_str(), tokens);
-        const auto chunk = [](const std::string &bytes) {
+        const bool isWithoutLength = this->isUnframed && this->isUnframed(request);
+        const auto chunk = [isWithoutLength](const std::string &bytes) {
+            if (isWithoutLength)
+                return bytes;
             char size[32];
             std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
             return size + bytes + "\r\n";
@@ -250,21 +403,30 @@
         if (!send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Instance-Id: "
                              + this->id + "\r\nX-Request-Id: " + requestId
                              + "\r\nX-Weight-Versions: 1\r\nX-Server-Signature: 3e1b." + this->id
-                             + "." + requestId + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
+                             + "." + requestId + "\r\n"
+                             + (isWithoutLength ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n"))
             return false;
         for (int i = 1; i <= this->options.events; ++i) {
             const std::string event = "id: " + std::to_string(i) + "\ndata: " + requestId + " "
                     + std::to_string(i) + " of " + std::to_string(this->options.events) + "\n\n";
+            if (this->isCrashed)
+                return false;
             if (!send(chunk(event)) || connection.hasPeerLeft()) {
                 RECORD("%s stops %s: its caller has left", this->id.c_str(), requestId.c_str());
                 return false;
             }
             sleepFor(this->options.eventSeconds);
         }
-        return send("0\r\n\r\n");
+        if (!isWithoutLength)
+            return send("0\r\n\r\n");
+        RECORD("%s has sent all of %s, which has no length", this->id.c_str(), requestId.c_str());
+        ::shutdown(connection.fd, SHUT_WR); // in order
+        connection.readMore(now() + 1);
+        return false;
     }
     void serve(Connection &connection)
     {
+        std::string lastToCaller;
         while (const std::unique_ptr<Message> call = connection.read(false, now() + 60)) {
             if (this->server.isStopped)
                 return;
@@ -286,6 +448,15 @@
                 answer = answerText(200, "X-Instance-Id: " + this->id + "\r\n", "");
             else
                 answer = this->rejection(*call);
+            if (this->isCrashed)
+                return;
+            if (!lastToCaller.empty() && call->target() == "/order" && this->isDoubledBefore
+                && this->isDoubledBefore(*call, answer)) {
+                RECORD("%s sends its answer before a second time, late, before that to the order",
+                       this->id.c_str());
+                if (!connection.send(lastToCaller))
+                    return;
+            }
             if (!answer.empty()) {
                 if (!connection.send(answer))
                     return;
@@ -293,9 +464,11 @@
                 this->countActive(1);
                 const bool isDone = this->run(connection, *call, answer);
                 this->countActive(-1);
+                this->endRun(call->header("X-Model"));
                 if (!isDone)
                     return;
             }
+            lastToCaller = call->has("X-Request-Id") ? answer : std::string();
             if (this->isDoubled && call->has("X-Request-Id") && this->isDoubled(*call, answer))
                 connection.extra = answer;
         }
@@ -306,7 +479,10 @@
     const long long born;
     Runs &runs;
     std::mutex mutex;
-    std::set<std::string> loaded;
+    std::map<std::string, int> loaded;     ///< Adapters, with their versions.
+    std::set<std::string> unloading;       ///< Of these, those whose unload waits for their runs.
+    std::map<std::string, int> running;    ///< Requests by adapter.
+    std::atomic<bool> isCrashed{ false };
     std::map<std::string, double> loading; ///< By name, with the time at which it is done.
     std::deque<std::pair<double, std::string>> snapshots;
     std::uint64_t sequence = 0;
