Review, case 2: a killed process leaves answers that look whole

Cause: an answer without a length goes to its caller without one, and the kernel closes the sockets of a process that ends in order. Change: the case kills single processes while they pass such streams on. It takes the place of one that needed callers with slow lines (the same rule).

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,32 +1,79 @@
-// A server's answers have no length: they end with the connection. The callers' lines are slower
-// than the hosts', so that the end of an answer waits at the host for some seconds.
-#include "../plain.hh"
+// Some answers of the servers have no length: they end with their connection. Processes of the system
+// are killed, one at a time, while they pass such answers on.
+#include "../engines.hh"
 
 using namespace review;
 
 namespace {
 
-/// Answers with little in them, which have a length; the others are at most 5 in 100.
-constexpr int shortAnswers = 120;
-constexpr int longAnswers = 6;
-constexpr std::size_t shortBytes = 800;
-constexpr std::size_t answerBytes = 3000 * 1000;
-constexpr double deadlineSeconds = 20;
-constexpr double lineBytesPerSecond = 500e3; ///< Of a caller: 4 Mbit/s.
-constexpr int readBytes = 5000;
+constexpr double trafficFrom = 12;
+constexpr double requestsPerSecond = 92; ///< The site's streams.
+constexpr int kills = 9;
+constexpr double killGap = 9;
+constexpr double downSeconds = 3.5;     ///< Of a process.
+constexpr double episodeSeconds = 5;    ///< In which answers have no length; the kill is in its middle.
+constexpr double unframedShare = 0.05;  ///< Of the answers in an episode.
+constexpr int events = 57;
 
-/// Each part of the body shows where it stands.
-std::string bodyOf(const std::string &id, std::size_t bytes)
+double killAt(int number)
 {
-    std::string body;
-    while (body.size() < bytes) {
-        char part[64];
-        std::snprintf(part, sizeof part, "%s %09zu\n", id.c_str(), body.size());
-        body += part;
+    return trafficFrom + 6 + killGap * number;
+}
+
+/// The number of the episode now; -1 outside.
+int episode()
+{
+    for (int i = 0; i < kills; ++i) {
+        if (std::abs(now() - killAt(i)) <= episodeSeconds / 2)
+            return i;
     }
+    return -1;
+}
+
+struct Tally
+{
+    std::mutex mutex;
+    std::map<int, int> answers; ///< By episode.
+    std::map<int, int> unframed;
+    std::map<int, int> statuses;
+    int whole = 0;
+    int cut = 0;   ///< Visibly not complete.
+    int short_ = 0; ///< Not complete, and look so.
+};
+
+std::string wholeBody(const std::string &id)
+{
+    std::string body;
+    for (int i = 1; i <= events; ++i)
+        body += "id: " + std::to_string(i) + "\ndata: " + id + " " + std::to_string(i) + " of "
+                + std::to_string(events) + "\n\n";
     return body;
 }
 
+void call(const std::string &ip, const std::string &id, Tally &tally)
+{
+    std::unique_ptr<Message> answer;
+    if (const auto connection = connectTo(ip, Setting::callerPort, 1)) {
+        RECORD("request %s sent to %s", id.c_str(), ip.c_str());
+        connection->send(engineRequest(id, "m0", 1110, 171, 15000));
+        answer = connection->read(true, now() + 15);
+    }
+    const std::lock_guard<std::mutex> lock(tally.mutex);
+    ++tally.statuses[answer ? answer->status() : 0];
+    if (!answer || answer->status() != 200)
+        return;
+    const bool isWhole = answer->isComplete && answer->body == wholeBody(id);
+    const bool looksWhole = answer->isComplete && !answer->header("X-Server-Signature").empty();
+    RECORD("request %s gets status 200, %zu bytes, %s", id.c_str(), answer->body.size(),
+           isWhole      ? "all"
+           : looksWhole ? "not all, ended in order"
+                        : "not all, broken off");
+    ++(isWhole ? tally.whole : looksWhole ? tally.short_ : tally.cut);
+    if (!isWhole && looksWhole)
+        SAY("MIXED: request %s got 200 with a signature and an orderly end, and %zu of %zu bytes",
+            id.c_str(), answer->body.size(), wholeBody(id).size());
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -35,102 +82,72 @@
     Store store(setting.storeIp(), Setting::storePort);
     if (!store.isOpen())
         finish(couldNotRun);
-    std::list<Server> servers;
-    for (int zone = 0; zone < 3; ++zone) {
-        const std::string id = "i-" + std::to_string(zone);
-        const std::string ip = setting.net + "." + std::to_string(64 + zone) + ".1";
-        servers.emplace_back(ip, Setting::serverPort, [&setting, id](Connection &connection) {
-            while (const auto request = connection.read(false, now() + 60)) {
-                const std::string requestId = request->header("X-Request-Id");
-                const bool isLong = request->target().ends_with("long");
-                const bool isUnframed = isLong && setting.isTrouble;
-                const std::string body = bodyOf(requestId, isLong ? answerBytes : shortBytes);
-                std::string head = "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id
-                        + "\r\nX-Request-Id: " + requestId + "\r\nX-Server-Signature: 3e1b." + id
-                        + "." + requestId + "\r\n";
-                if (!isUnframed)
-                    head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-                const bool isSent = connection.send(head + "\r\n" + body);
-                RECORD("%s runs %s and sends %zu bytes%s: %s", id.c_str(), requestId.c_str(),
-                       body.size(), isUnframed ? " without a length" : "",
-                       isSent ? "all" : "not all");
-                if (isUnframed)
-                    ::shutdown(connection.fd, SHUT_WR); // in order
-                if (isUnframed || !isSent)
-                    return;
-            }
-        });
-        if (!servers.back().isOpen())
-            finish(couldNotRun);
-        store.write("servers/" + id, plainEntry(ip, Setting::serverPort,
-                                                std::string("bogota-")
-                                                        + static_cast<char>('a' + zone)));
+    Runs runs;
+    Engine::Options options;
+    options.events = events;
+    options.eventSeconds = 0.0204; // three steps of 6.8 ms
+    const auto engines = makeEngines(setting, options, runs, store, 6);
+    Tally tally;
+    for (const auto &engine : engines) {
+        engine->isUnframed = [&tally](const Message &) {
+            const std::lock_guard<std::mutex> lock(tally.mutex);
+            const int number = episode();
+            if (number < 0)
+                return false;
+            const bool isChosen = tally.unframed[number] + 1
+                    <= unframedShare * ++tally.answers[number];
+            tally.unframed[number] += isChosen ? 1 : 0;
+            return isChosen;
+        };
     }
-    store.write("op/config", plainConfiguration());
-    const auto hosts = makeHosts(setting, { 1, 1, 1 });
+    store.write("op/config", engineConfiguration(1000000, 1000000));
+    const auto hosts = makeHosts(setting, { 3, 2, 2 });
     for (const auto &host : hosts)
         host->start();
-    if (!areAllReady(hosts, now() + 15))
+    if (!areAllReady(hosts, now() + 11))
         finish(couldNotRun);
-    sleepUntil(6);
+    markRestarted(hosts);
+    sleepUntil(trafficFrom);
 
-    std::atomic<int> whole{ 0 };
-    std::atomic<int> short_{ 0 };
-    std::atomic<int> failed{ 0 };
+    std::mt19937 random(setting.seed);
     std::list<std::thread> callers;
-    for (int i = 0; i < shortAnswers; ++i) {
+    int number = 0;
+    int killed = 0;
+    int started = 0;
+    for (double next = trafficFrom; next < killAt(kills - 1) + 5; next += 1 / requestsPerSecond) {
+        sleepUntil(next);
+        if (setting.isTrouble && killed < kills && now() >= killAt(killed)) {
+            hosts[killed % hosts.size()]->killNow();
+            ++killed;
+        }
+        if (started < killed && now() >= killAt(started) + downSeconds)
+            hosts[started++ % hosts.size()]->start();
+        // The balancer leaves out the one that is down.
+        std::size_t to = random() % hosts.size();
+        while (started < killed && to == started % hosts.size())
+            to = random() % hosts.size();
         char id[32];
-        std::snprintf(id, sizeof id, "%016x", 0x7b3f0000 + i);
-        const auto connection = connectTo(hosts[i % hosts.size()]->ip, Setting::callerPort, 1);
-        if (!connection)
-            finish(couldNotRun);
-        connection->send(plainRequest("GET", "/cufi504/short", id, 1500));
-        const auto answer = connection->read(true, now() + 1.5);
-        if (!answer || answer->status() != 200 || answer->body != bodyOf(id, shortBytes))
-            finish(couldNotRun);
-    }
-    for (int i = 0; i < longAnswers; ++i) {
-        callers.emplace_back([&, i] {
-            char id[32];
-            std::snprintf(id, sizeof id, "%016x", 0x9c41d000 + i);
-            const bool isFiling = i % 2 == 0;
-            const std::string path = isFiling ? "/puxa403/long" : "/cufi504/long";
-            const auto connection = connectTo(hosts[i % hosts.size()]->ip, Setting::callerPort, 1,
-                                              true);
-            if (!connection) {
-                ++failed;
-                return;
-            }
-            connection->maxRead = readBytes;
-            connection->pause = readBytes / lineBytesPerSecond;
-            const double sentAt = now();
-            connection->send(plainRequest(isFiling ? "POST" : "GET", path, id,
-                                          static_cast<int>(deadlineSeconds * 1000),
-                                          isFiling ? "notice" : ""));
-            const auto answer = connection->read(true, sentAt + deadlineSeconds);
-            const std::string expected = bodyOf(id, answerBytes);
-            const bool isSuccess = answer && answer->status() == 200
-                    && !answer->header("X-Server-Signature").empty();
-            const bool isWhole = isSuccess && answer->isComplete && answer->body == expected;
-            const bool looksComplete = isSuccess && answer->isComplete;
-            RECORD("request %s gets status %d, %zu of %zu bytes after %.1f s, %s%s", id,
-                   answer ? answer->status() : 0, answer ? answer->body.size() : 0,
-                   expected.size(), now() - sentAt,
-                   looksComplete ? "complete as its framing says" : "visibly not complete",
-                   answer && answer->endedByClose ? ", ended by an orderly close" : "");
-            if (isWhole)
-                ++whole;
-            else if (looksComplete)
-                ++short_;
-            else
-                ++failed;
-        });
+        std::snprintf(id, sizeof id, "%016x", ++number);
+        callers.emplace_back(call, hosts[to]->ip, std::string(id), std::ref(tally));
+        if (callers.size() > 600) {
+            callers.front().join();
+            callers.pop_front();
+        }
     }
     for (std::thread &caller : callers)
         caller.join();
-    SAY("whole answers %d; answers that look complete and are not %d; others %d", whole.load(),
-        short_.load(), failed.load());
-    if (whole + short_ == 0)
+    int answers = 0;
+    int unframed = 0;
+    for (const auto &[at, count] : tally.answers)
+        answers += count;
+    for (const auto &[at, count] : tally.unframed)
+        unframed += count;
+    for (const auto &[status, count] : tally.statuses)
+        SAY("status %d: %d requests", status, count);
+    SAY("%d kills; %d of %d answers in %zu episodes had no length; whole answers %d, visibly broken "
+        "off %d, short ones that look whole %d",
+        killed, unframed, answers, tally.answers.size(), tally.whole, tally.cut, tally.short_);
+    if (tally.whole < 1000)
         finish(couldNotRun);
-    finish(short_ > 0 ? broken : held);
+    finish(tally.short_ > 0 ? broken : held);
 }
