--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,77 +1,34 @@
-// Some answers of the servers have no length: they end with their connection. Processes of the system
-// are killed, one at a time, while they pass such answers on.
+// Servers send some of their answers twice; the second copy comes late, at the point where the next
+// answer on the connection is expected. Requests name adapters that have to be loaded first.
 #include "../engines.hh"
 
 using namespace review;
 
 namespace {
 
-constexpr double trafficFrom = 12;
-constexpr double requestsPerSecond = 92; ///< The site's streams.
-constexpr int kills = 9;
-constexpr double killGap = 9;
-constexpr double downSeconds = 3.5;     ///< Of a process.
-constexpr double episodeSeconds = 5;    ///< In which answers have no length; the kill is in its middle.
-constexpr double unframedShare = 0.05;  ///< Of the answers in an episode.
-constexpr int events = 57;
+constexpr double trafficSeconds = 90;
 
-double killAt(int number)
-{
-    return trafficFrom + 6 + killGap * number;
-}
-
-/// The number of the episode now; -1 outside.
-int episode()
-{
-    for (int i = 0; i < kills; ++i) {
-        if (std::abs(now() - killAt(i)) <= episodeSeconds / 2)
-            return i;
-    }
-    return -1;
-}
-
-struct Tally
+struct Answers
 {
     std::mutex mutex;
-    std::map<int, int> answers; ///< By episode.
-    std::map<int, int> unframed;
-    std::map<int, int> statuses;
-    int whole = 0;
-    int cut = 0;   ///< Visibly not complete.
-    int short_ = 0; ///< Not complete, and look so.
+    std::map<std::string, int> status; ///< By request id; 0: none.
+    std::map<int, int> counts;
 };
 
-std::string wholeBody(const std::string &id)
+void call(const std::string &ip, const std::string &id, const std::string &model, Answers &answers)
 {
-    std::string body;
-    for (int i = 1; i <= events; ++i)
-        body += "id: " + std::to_string(i) + "\ndata: " + id + " " + std::to_string(i) + " of "
-                + std::to_string(events) + "\n\n";
-    return body;
-}
-
-void call(const std::string &ip, const std::string &id, Tally &tally)
-{
-    std::unique_ptr<Message> answer;
+    int status = 0;
     if (const auto connection = connectTo(ip, Setting::callerPort, 1)) {
-        RECORD("request %s sent to %s", id.c_str(), ip.c_str());
-        connection->send(engineRequest(id, "m0", 1110, 171, 15000));
-        answer = connection->read(true, now() + 15);
+        RECORD("request %s for %s sent to %s", id.c_str(), model.c_str(), ip.c_str());
+        connection->send(engineRequest(id, model, 300, 20, 4000));
+        const auto answer = connection->read(true, now() + 4.5);
+        status = answer ? answer->status() : 0;
+        RECORD("request %s gets status %d%s", id.c_str(), status,
+               answer && !answer->isComplete ? ", not complete" : "");
     }
-    const std::lock_guard<std::mutex> lock(tally.mutex);
-    ++tally.statuses[answer ? answer->status() : 0];
-    if (!answer || answer->status() != 200)
-        return;
-    const bool isWhole = answer->isComplete && answer->body == wholeBody(id);
-    const bool looksWhole = answer->isComplete && !answer->header("X-Server-Signature").empty();
-    RECORD("request %s gets status 200, %zu bytes, %s", id.c_str(), answer->body.size(),
-           isWhole      ? "all"
-           : looksWhole ? "not all, ended in order"
-                        : "not all, broken off");
-    ++(isWhole ? tally.whole : looksWhole ? tally.short_ : tally.cut);
-    if (!isWhole && looksWhole)
-        SAY("MIXED: request %s got 200 with a signature and an orderly end, and %zu of %zu bytes",
-            id.c_str(), answer->body.size(), wholeBody(id).size());
+    const std::lock_guard<std::mutex> lock(answers.mutex);
+    answers.status[id] = status;
+    ++answers.counts[status];
 }
 
 } // namespace
@@ -84,70 +41,67 @@
         finish(couldNotRun);
     Runs runs;
     Engine::Options options;
-    options.events = events;
-    options.eventSeconds = 0.0204; // three steps of 6.8 ms
     const auto engines = makeEngines(setting, options, runs, store, 6);
-    Tally tally;
-    for (const auto &engine : engines) {
-        engine->isUnframed = [&tally](const Message &) {
-            const std::lock_guard<std::mutex> lock(tally.mutex);
-            const int number = episode();
-            if (number < 0)
-                return false;
-            const bool isChosen = tally.unframed[number] + 1
-                    <= unframedShare * ++tally.answers[number];
-            tally.unframed[number] += isChosen ? 1 : 0;
-            return isChosen;
+    Garble garble(12);
+    const auto garbled = static_cast<std::size_t>(Garble::serverShare * engines.size());
+    for (std::size_t i = 0; i < garbled; ++i) {
+        // At most the stated share of all answers, those among them that say "not run".
+        engines[i]->isDoubled = [&garble, &setting](const Message &, const std::string &answer) {
+            garble.countAnswer();
+            const bool isRejection = answer.find("X-Not-Executed") != std::string::npos;
+            return setting.isTrouble && isRejection && garble.take();
         };
     }
     store.write("op/config", engineConfiguration(1000000, 1000000));
     const auto hosts = makeHosts(setting, { 3, 2, 2 });
     for (const auto &host : hosts)
         host->start();
-    if (!areAllReady(hosts, now() + 11))
+    if (!areAllReady(hosts, now() + 15))
         finish(couldNotRun);
-    markRestarted(hosts);
-    sleepUntil(trafficFrom);
+    sleepUntil(10);
 
-    std::mt19937 random(setting.seed);
+    Answers answers;
     std::list<std::thread> callers;
+    constexpr double coldPerSecond = 30; ///< Requests for adapters that have to be loaded.
     int number = 0;
-    int killed = 0;
-    int started = 0;
-    for (double next = trafficFrom; next < killAt(kills - 1) + 5; next += 1 / requestsPerSecond) {
+    for (double next = 10; next < 10 + trafficSeconds; next += 1 / coldPerSecond) {
         sleepUntil(next);
-        if (setting.isTrouble && killed < kills && now() >= killAt(killed)) {
-            hosts[killed % hosts.size()]->killNow();
-            ++killed;
-        }
-        if (started < killed && now() >= killAt(started) + downSeconds)
-            hosts[started++ % hosts.size()]->start();
-        // The balancer leaves out the one that is down.
-        std::size_t to = random() % hosts.size();
-        while (started < killed && to == started % hosts.size())
-            to = random() % hosts.size();
         char id[32];
         std::snprintf(id, sizeof id, "%016x", ++number);
-        callers.emplace_back(call, hosts[to]->ip, std::string(id), std::ref(tally));
-        if (callers.size() > 600) {
+        const std::string &ip = hosts[number * 5 % hosts.size()]->ip;
+        const std::string model = "m0/a" + std::to_string(1 + number % 3000);
+        callers.emplace_back(call, ip, std::string(id), model, std::ref(answers));
+        if (callers.size() > 400) {
             callers.front().join();
             callers.pop_front();
         }
     }
     for (std::thread &caller : callers)
         caller.join();
-    int answers = 0;
-    int unframed = 0;
-    for (const auto &[at, count] : tally.answers)
-        answers += count;
-    for (const auto &[at, count] : tally.unframed)
-        unframed += count;
-    for (const auto &[status, count] : tally.statuses)
+    sleepFor(0.5);
+
+    std::map<std::string, std::vector<std::string>> ranAt;
+    for (const Run &run : runs.all())
+        ranAt[run.id].push_back(run.engine);
+    int twice = 0;
+    int refused = 0;
+    for (const auto &[id, at] : ranAt) {
+        const int status = answers.status[id];
+        if (at.size() > 1) {
+            ++twice;
+            SAY("TWICE: %s ran at %s and %s, status %d", id.c_str(), at[0].c_str(), at[1].c_str(),
+                status);
+        }
+        if (status == 503 || status == 429 || status == 408 || status == 421) {
+            ++refused;
+            SAY("REFUSED: %s got %d and ran at %s", id.c_str(), status, at[0].c_str());
+        }
+    }
+    for (const auto &[status, count] : answers.counts)
         SAY("status %d: %d requests", status, count);
-    SAY("%d kills; %d of %d answers in %zu episodes had no length; whole answers %d, visibly broken "
-        "off %d, short ones that look whole %d",
-        killed, unframed, answers, tally.answers.size(), tally.whole, tally.cut, tally.short_);
-    if (tally.whole < 1000)
+    SAY("%zu requests ran; %s of %zu of %zu servers were sent twice; TWICE %d, REFUSED %d",
+        ranAt.size(), garble.summary().c_str(), garbled, engines.size(), twice, refused);
+    if (ranAt.size() < 100)
         finish(couldNotRun);
-    finish(tally.short_ > 0 ? broken : held);
+    finish(twice + refused > 0 ? broken : held);
 }
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,63 +1,77 @@
-// The machines that the seeds name are lost before the others start, so that these never hear of
-// each other. Callers ask all of them for adapters that have to be loaded.
+// Some answers of the servers have no length: they end with their connection. Processes of the system
+// are killed, one at a time, while they pass such answers on.
 #include "../engines.hh"
 
 using namespace review;
 
 namespace {
 
-constexpr double leaseSeconds = 3; ///< lease-ttl-ms
-constexpr double trafficFrom = 16;
-constexpr double trafficUntil = 104;
-constexpr int requestsInBurst = 3; ///< At each host.
+constexpr double trafficFrom = 12;
+constexpr double requestsPerSecond = 92; ///< The site's streams.
+constexpr int kills = 9;
+constexpr double killGap = 9;
+constexpr double downSeconds = 3.5;     ///< Of a process.
+constexpr double episodeSeconds = 5;    ///< In which answers have no length; the kill is in its middle.
+constexpr double unframedShare = 0.05;  ///< Of the answers in an episode.
+constexpr int events = 57;
 
-struct Order
+double killAt(int number)
 {
-    double at = 0;
-    std::string engine;
-    std::string owner;
-    unsigned long long fencing = 0;
-    int status = 0;
-    std::string text;
-};
+    return trafficFrom + 6 + killGap * number;
+}
 
-struct Verdict
+/// The number of the episode now; -1 outside.
+int episode()
 {
-    int orders = 0;
-    int turns = 0; ///< Of two holders within the lease.
-    int lower = 0; ///< Fencing tokens after a higher one of another holder.
-    int same = 0;  ///< Fencing tokens of two holders.
+    for (int i = 0; i < kills; ++i) {
+        if (std::abs(now() - killAt(i)) <= episodeSeconds / 2)
+            return i;
+    }
+    return -1;
+}
+
+struct Tally
+{
+    std::mutex mutex;
+    std::map<int, int> answers; ///< By episode.
+    std::map<int, int> unframed;
+    std::map<int, int> statuses;
+    int whole = 0;
+    int cut = 0;   ///< Visibly not complete.
+    int short_ = 0; ///< Not complete, and look so.
 };
 
-/// Judges the orders to each server; \a isCarriedOut: only those that were carried out or held.
-Verdict judge(const std::vector<Order> &orders, bool isCarriedOut)
+std::string wholeBody(const std::string &id)
 {
-    Verdict verdict;
-    std::map<std::string, Order> last;
-    std::map<std::string, Order> highest;
-    for (const Order &order : orders) {
-        if (isCarriedOut && order.status != 200 && order.status != 202)
-            continue;
-        ++verdict.orders;
-        const auto before = last.find(order.engine);
-        if (before != last.end() && before->second.owner != order.owner
-            && order.at - before->second.at < leaseSeconds) {
-            ++verdict.turns;
-            if (isCarriedOut)
-                SAY("%s: order of %s %.3f s after one of %s: %s", order.engine.c_str(),
-                    order.owner.c_str(), order.at - before->second.at,
-                    before->second.owner.c_str(), order.text.c_str());
-        }
-        last[order.engine] = order;
-        const auto high = highest.find(order.engine);
-        if (high != highest.end() && high->second.owner != order.owner) {
-            verdict.lower += order.fencing < high->second.fencing ? 1 : 0;
-            verdict.same += order.fencing == high->second.fencing ? 1 : 0;
-        }
-        if (high == highest.end() || order.fencing >= high->second.fencing)
-            highest[order.engine] = order;
+    std::string body;
+    for (int i = 1; i <= events; ++i)
+        body += "id: " + std::to_string(i) + "\ndata: " + id + " " + std::to_string(i) + " of "
+                + std::to_string(events) + "\n\n";
+    return body;
+}
+
+void call(const std::string &ip, const std::string &id, Tally &tally)
+{
+    std::unique_ptr<Message> answer;
+    if (const auto connection = connectTo(ip, Setting::callerPort, 1)) {
+        RECORD("request %s sent to %s", id.c_str(), ip.c_str());
+        connection->send(engineRequest(id, "m0", 1110, 171, 15000));
+        answer = connection->read(true, now() + 15);
     }
-    return verdict;
+    const std::lock_guard<std::mutex> lock(tally.mutex);
+    ++tally.statuses[answer ? answer->status() : 0];
+    if (!answer || answer->status() != 200)
+        return;
+    const bool isWhole = answer->isComplete && answer->body == wholeBody(id);
+    const bool looksWhole = answer->isComplete && !answer->header("X-Server-Signature").empty();
+    RECORD("request %s gets status 200, %zu bytes, %s", id.c_str(), answer->body.size(),
+           isWhole      ? "all"
+           : looksWhole ? "not all, ended in order"
+                        : "not all, broken off");
+    ++(isWhole ? tally.whole : looksWhole ? tally.short_ : tally.cut);
+    if (!isWhole && looksWhole)
+        SAY("MIXED: request %s got 200 with a signature and an orderly end, and %zu of %zu bytes",
+            id.c_str(), answer->body.size(), wholeBody(id).size());
 }
 
 } // namespace
@@ -69,67 +83,71 @@
     if (!store.isOpen())
         finish(couldNotRun);
     Runs runs;
-    const auto engines = makeEngines(setting, {}, runs, store);
-    std::mutex mutex;
-    std::vector<Order> orders;
+    Engine::Options options;
+    options.events = events;
+    options.eventSeconds = 0.0204; // three steps of 6.8 ms
+    const auto engines = makeEngines(setting, options, runs, store, 6);
+    Tally tally;
     for (const auto &engine : engines) {
-        engine->ordered = [&, id = engine->id](const std::string &body, int status) {
-            const std::lock_guard<std::mutex> lock(mutex);
-            orders.push_back({ now(), id, jsonField(body, "owner"),
-                               std::strtoull(jsonField(body, "fencing-token").c_str(), nullptr, 10),
-                               status, body });
+        engine->isUnframed = [&tally](const Message &) {
+            const std::lock_guard<std::mutex> lock(tally.mutex);
+            const int number = episode();
+            if (number < 0)
+                return false;
+            const bool isChosen = tally.unframed[number] + 1
+                    <= unframedShare * ++tally.answers[number];
+            tally.unframed[number] += isChosen ? 1 : 0;
+            return isChosen;
         };
     }
     store.write("op/config", engineConfiguration(1000000, 1000000));
-    auto hosts = makeHosts(setting, { 3, 2, 2 });
-    if (setting.isTrouble)
-        std::erase_if(hosts, [](const auto &host) { return host->name.ends_with("-1"); });
+    const auto hosts = makeHosts(setting, { 3, 2, 2 });
     for (const auto &host : hosts)
         host->start();
-    if (!areAllReady(hosts, now() + 15))
+    if (!areAllReady(hosts, now() + 11))
         finish(couldNotRun);
+    markRestarted(hosts);
+    sleepUntil(trafficFrom);
+
     std::mt19937 random(setting.seed);
     std::list<std::thread> callers;
-    std::map<int, int> statuses;
     int number = 0;
-    for (double burst = trafficFrom; burst < trafficUntil;
-         burst += std::uniform_real_distribution<double>(4.6, 5.2)(random)) {
-        sleepUntil(burst);
-        for (int i = 0; i < requestsInBurst; ++i) {
-            const int adapter = 1 + ++number % 2000;
-            for (std::size_t h = 0; h < hosts.size(); ++h) {
-                // The hosts are asked for the same adapters, a moment apart.
-                callers.emplace_back([&, adapter, h, id = number * 100 + static_cast<int>(h)] {
-                    sleepFor(0.03 * static_cast<double>(h));
-                    char text[32];
-                    std::snprintf(text, sizeof text, "%016x", id);
-                    int status = 0;
-                    if (const auto connection = connectTo(hosts[h]->ip, Setting::callerPort, 1)) {
-                        connection->send(engineRequest(text, "m0/a" + std::to_string(adapter), 300,
-                                                       20, 4000));
-                        const auto answer = connection->read(true, now() + 4.5);
-                        status = answer ? answer->status() : 0;
-                    }
-                    const std::lock_guard<std::mutex> lock(mutex);
-                    ++statuses[status];
-                });
-            }
-            sleepFor(0.2);
+    int killed = 0;
+    int started = 0;
+    for (double next = trafficFrom; next < killAt(kills - 1) + 5; next += 1 / requestsPerSecond) {
+        sleepUntil(next);
+        if (setting.isTrouble && killed < kills && now() >= killAt(killed)) {
+            hosts[killed % hosts.size()]->killNow();
+            ++killed;
+        }
+        if (started < killed && now() >= killAt(started) + downSeconds)
+            hosts[started++ % hosts.size()]->start();
+        // The balancer leaves out the one that is down.
+        std::size_t to = random() % hosts.size();
+        while (started < killed && to == started % hosts.size())
+            to = random() % hosts.size();
+        char id[32];
+        std::snprintf(id, sizeof id, "%016x", ++number);
+        callers.emplace_back(call, hosts[to]->ip, std::string(id), std::ref(tally));
+        if (callers.size() > 600) {
+            callers.front().join();
+            callers.pop_front();
         }
     }
     for (std::thread &caller : callers)
         caller.join();
-    for (const auto &[status, count] : statuses)
+    int answers = 0;
+    int unframed = 0;
+    for (const auto &[at, count] : tally.answers)
+        answers += count;
+    for (const auto &[at, count] : tally.unframed)
+        unframed += count;
+    for (const auto &[status, count] : tally.statuses)
         SAY("status %d: %d requests", status, count);
-    const std::lock_guard<std::mutex> lock(mutex);
-    const Verdict carriedOut = judge(orders, true);
-    const Verdict arrived = judge(orders, false);
-    SAY("orders carried out or held already: %d; turns within the lease %d, lower tokens %d, same "
-        "tokens %d",
-        carriedOut.orders, carriedOut.turns, carriedOut.lower, carriedOut.same);
-    SAY("orders that arrived: %d; turns within the lease %d, lower tokens %d, same tokens %d",
-        arrived.orders, arrived.turns, arrived.lower, arrived.same);
-    if (carriedOut.orders < 100)
+    SAY("%d kills; %d of %d answers in %zu episodes had no length; whole answers %d, visibly broken "
+        "off %d, short ones that look whole %d",
+        killed, unframed, answers, tally.answers.size(), tally.whole, tally.cut, tally.short_);
+    if (tally.whole < 1000)
         finish(couldNotRun);
-    finish(carriedOut.turns + carriedOut.lower + carriedOut.same > 0 ? broken : held);
+    finish(tally.short_ > 0 ? broken : held);
 }
