Review: cases beside each other take different addresses

Cause: one of five plays beside each other couldn't run: cases drew their loopback addresses among 200 and two of them seem to have drawn the same. Change: a case binds an address of its net first and draws again if another case has it.

--- a/review/common.hh
+++ b/review/common.hh
@@ -810,6 +810,18 @@
             .count();
 }
 
+/// Takes the addresses of \a net for this case as long as it runs, so that cases may run beside each
+/// other. False if another one has them.
+inline bool takeAddresses(const std::string &net)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = addressOf(net + ".250.1", Setting::storePort);
+    if (::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0)
+        return true; // never closed
+    ::close(fd);
+    return false;
+}
+
 /// Reads the words of the command line: ROOT FOLDER RECORD COMMAND...
 inline Setting begin(int argc, char **argv)
 {
@@ -824,8 +836,13 @@
     const char *trouble = std::getenv("TROUBLE");
     setting.isTrouble = !trouble || std::string(trouble) != "0";
     std::random_device device;
-    setting.seed = device();
-    setting.net = "127." + std::to_string(20 + setting.seed % 200);
+    int triesLeft = 1000;
+    do {
+        setting.seed = device();
+        setting.net = "127." + std::to_string(20 + setting.seed % 200);
+        if (--triesLeft == 0)
+            std::exit(couldNotRun);
+    } while (!takeAddresses(setting.net));
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, onEnd);
     std::signal(SIGINT, onEnd);
