Streams: after a start, a version is not the only one because no other is known

Callers saw streams joined from two software versions: the hosts had all been lost just after the servers of one version had left, and the caller took its stream up long after, or named no attempt.

Cause: "no second version is known" was taken for "there was none". A host took the version that it lists for the only one a route's timeout and 10 s after its start, and at once for callers that name no attempt. A timeout bounds one attempt, not how long a caller goes on to try.

Change: one version counts as the only one only at a host that has known the versions since the first start, or for ten minutes. Others ask, and send the records of their streams, as with two versions. A refusal that would be repeated states the rest of the caller's time as Retry-After.

GoesOnWithoutTheAttemptWhileOneVersionIsKnown demanded the fault (a host that has just started). It is replaced by three: such a host asks and goes on if another host knows one version only, refuses if none does, and asks nobody if the system has just started for the first time.

--- a/packages/gateway/include/azurewell/gateway/stream_origins.h
+++ b/packages/gateway/include/azurewell/gateway/stream_origins.h
@@ -68,7 +68,8 @@
     std::map<SoftwareVersion, Instant> heldUntil;
     Instant mixedAt; ///< When two versions were last known side by side, here or at another host;
                      ///< zero: never.
-    Instant since;   ///< Since when this host knows the service's versions.
+    Instant since;   ///< Since when this host knows the service's versions; zero: since the system
+                     ///< started for the first time.
 };
 
 /// Updates \a versions by those that are \a listed now. A version that is new beside others is held
@@ -77,10 +78,11 @@
                     Instant heldUntil);
 
 /// Whether versions are mixed, or were so recently that streams of a version that is gone may still
-/// be taken up again. Streams last no longer than \a lifetime.
-bool isMixed(const ServiceVersions &versions, Span lifetime, Instant now);
+/// be taken up again. Callers take streams up within \a window after they began.
+bool isMixed(const ServiceVersions &versions, Span window, Instant now);
 
 /// The only version that can have begun a stream which is taken up now; null if there may be two.
-const SoftwareVersion *loneVersion(const ServiceVersions &versions, Span lifetime, Instant now);
+/// That none is known is no sign of it until this host has known the versions for \a window.
+const SoftwareVersion *loneVersion(const ServiceVersions &versions, Span window, Instant now);
 
 } // namespace azurewell::gateway
--- a/packages/gateway/src/known_versions.cpp
+++ b/packages/gateway/src/known_versions.cpp
@@ -26,20 +26,16 @@
     return std::max(plan.timeoutInZone, plan.timeoutElsewhere) + holdMargin;
 }
 
-bool isResumable(const Route &route)
-{
-    return route.repeat == RepeatPolicy::Stream && route.isResumable;
-}
+/// How long after it began a stream may be taken up again. A route's timeout bounds one attempt,
+/// not how long a caller goes on to try.
+constexpr Span resumptionWindow = maxOriginAge;
 
-/// How long streams may be taken up after they began; 0: no route has such streams.
-Span streamLifetime(const GatewayState &state)
+bool hasResumableStreams(const GatewayState &state)
 {
-    Span longest{};
-    for (const Route &route : state.configuration.routes) {
-        if (isResumable(route))
-            longest = std::max(longest, timeoutOf(route) + triesAfterDeadline);
-    }
-    return longest;
+    const std::vector<Route> &routes = state.configuration.routes;
+    return std::any_of(routes.begin(), routes.end(), [](const Route &route) {
+        return route.repeat == RepeatPolicy::Stream && route.isResumable;
+    });
 }
 
 bool isAnyHeard(const GatewayState &state, Instant now)
@@ -136,6 +132,15 @@
                });
 }
 
+bool isAnyHostMissing(const GatewayState &state, Instant now)
+{
+    const auto &others = state.members.others;
+    return !isInTouch(state, now)
+            || std::any_of(others.begin(), others.end(), [&](const auto &entry) {
+                   return !entry.second.isLeaving && !isHeardWhenDue(state, entry.second, now);
+               });
+}
+
 ServiceVersions &versionsOf(GatewayState &state, const ServiceId &service, Instant now)
 {
     const auto [entry, isNew] = state.serviceVersions.try_emplace(service);
@@ -147,8 +152,18 @@
 bool isServiceMixed(const GatewayState &state, const ServiceId &service, Instant now)
 {
     const auto found = state.serviceVersions.find(service);
-    return found != state.serviceVersions.end()
-            && isMixed(found->second, streamLifetime(state), now);
+    return found != state.serviceVersions.end() && hasResumableStreams(state)
+            && isMixed(found->second, resumptionWindow, now);
+}
+
+std::set<ServiceId> servicesWithoutLoneVersion(const GatewayState &state, Instant now)
+{
+    std::set<ServiceId> services;
+    for (const auto &[service, versions] : state.serviceVersions) {
+        if (!loneVersion(versions, resumptionWindow, now))
+            services.insert(service);
+    }
+    return services;
 }
 
 const SoftwareVersion *onlyVersion(const GatewayState &state, const ServiceId &service, Instant now)
@@ -156,7 +171,7 @@
     const auto found = state.serviceVersions.find(service);
     if (found == state.serviceVersions.end() || !isInTouch(state, now))
         return nullptr;
-    return loneVersion(found->second, streamLifetime(state), now);
+    return loneVersion(found->second, resumptionWindow, now);
 }
 
 std::vector<MixedService> mixedServices(const GatewayState &state, Instant now)
@@ -171,7 +186,7 @@
 
 void checkVersions(GatewayState &state, const ServiceId &service, Instant now)
 {
-    if (streamLifetime(state) == Span{})
+    if (!hasResumableStreams(state))
         return;
     std::set<SoftwareVersion> listed;
     bool isAnyUnknown = false;
--- a/packages/gateway/src/known_versions.h
+++ b/packages/gateway/src/known_versions.h
@@ -2,9 +2,12 @@
 
 #include "azurewell/gateway/gateway.h"
 
+#include <set>
+
 namespace azurewell::gateway {
 
-/// Callers take a stream up again until its deadline, and this much later if they are refused.
+/// Records of streams are kept until their deadline and this much longer: most callers that are
+/// refused have come back by then.
 inline constexpr Span triesAfterDeadline = std::chrono::seconds(10);
 
 /// Whether this host learns of upstreams that start again with another version: from the platform,
@@ -17,6 +20,12 @@
 /// Whether streams of \a service that may be taken up again were begun at several versions.
 bool isServiceMixed(const GatewayState &state, const ServiceId &service, Instant now);
 
+/// The services of which streams may have been begun at several versions, as far as is known here.
+std::set<ServiceId> servicesWithoutLoneVersion(const GatewayState &state, Instant now);
+
+/// Whether a host that may know who began a stream is not reached at the moment.
+bool isAnyHostMissing(const GatewayState &state, Instant now);
+
 /// The version that has begun any stream of \a service; null if there may be several, or one that
 /// this host does not know of.
 const SoftwareVersion *onlyVersion(const GatewayState &state, const ServiceId &service,
--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -25,11 +25,11 @@
 constexpr int waitPercentOfObjective = 25;
 constexpr Span defaultOriginWait = std::chrono::milliseconds(250);
 
-/// Retry-after time if it is not known who began a stream: a record that is on its way, or a host
-/// that stands still, is there after two heartbeats.
+/// Retry-after time if it may be known soon who began a stream: a host that is out of touch reaches
+/// the others again, or a host that stands still goes on, after two heartbeats.
 constexpr Span unknownRetryAfter = std::chrono::milliseconds(600);
 
-/// Retry-after time if no server of a version is left: one that has crashed may be back.
+/// Retry-after time if no server of a version can be used: one that is still listed may be back.
 constexpr Span goneRetryAfter = std::chrono::seconds(1);
 
 /// Records in one message, of up to 300 bytes each.
@@ -97,6 +97,8 @@
     search.nextQuestionAt = now + questionInterval;
 }
 
+/// Refuses a resumption of which no host that was reached knows who began the stream. If all were,
+/// none will know later: the caller is told not to come back with the same stream in its time.
 void refuseUnknown(GatewayState &state, RequestRecord &record, std::string_view reason, Instant now,
                    Actions &actions)
 {
@@ -109,7 +111,10 @@
                 { "reason", std::string(reason) },
                 { "rounds", std::to_string(record.originSearch.rounds) },
                 { "after_ms", std::to_string(inMilliseconds(now - record.arrivedAt)) } } });
-    refuseAndForget(state, record, ResultCode::StreamOriginUnknown, unknownRetryAfter, actions);
+    const Span retryAfter = isAnyHostMissing(state, now)
+            ? unknownRetryAfter
+            : std::max(record.deadline - now, unknownRetryAfter);
+    refuseAndForget(state, record, ResultCode::StreamOriginUnknown, retryAfter, actions);
 }
 
 /// Lets the request go on at the version of \a origin only. False if it was refused.
@@ -157,6 +162,27 @@
                });
 }
 
+/// Refuses a resumption whose version has no server left. If none is listed, none will come: the
+/// caller is told not to come back with the same stream in its time.
+void refuseGone(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
+{
+    const SoftwareVersion &version = record.originSearch.version;
+    ++state.counters.origins.versionsGone;
+    actions.logEvents.push_back({ "stream_version_gone",
+                                  { { "request", record.arrivedRequest.callerId },
+                                    { "service", record.service.value },
+                                    { "version", version.value } } });
+    const bool isListed = std::any_of(
+            state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
+                const ListedUpstream &listed = entry.second.listed;
+                return listed.service == record.service && listed.softwareVersion == version
+                        && !listed.isLeaving;
+            });
+    const Span retryAfter = isListed ? goneRetryAfter
+                                     : std::max(record.deadline - now, goneRetryAfter);
+    refuseAndForget(state, record, ResultCode::StreamVersionGone, retryAfter, actions);
+}
+
 /// Begins to find out who began the stream of \a record. False if it was refused.
 bool beginSearch(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
@@ -172,7 +198,8 @@
         return true;
     }
     const StreamKey key = keyOf(record);
-    if (key.begunBy.value.empty()) {
+    // Without the attempt no record can be found, but another host may know of one version only.
+    if (key.begunBy.value.empty() && isServiceMixed(state, record.service, now)) {
         refuseUnknown(state, record, "not_stated", now, actions);
         return false;
     }
@@ -219,20 +246,19 @@
 }
 
 /// Sends the records of streams that this host began, and that others may have to know, to their
-/// holders. While a service has one version only, they stay here until a second one appears.
+/// holders. While a service is known to have one version only, they stay here until a second one
+/// appears.
 void sendOrigins(GatewayState &state, bool isTouchLost, Instant now, Actions &actions)
 {
     std::map<HostId, std::vector<StreamOriginUpdate>> toSend;
-    std::set<ServiceId> mixed;
-    for (const auto &[service, versions] : state.serviceVersions) {
-        if (isTouchLost || isServiceMixed(state, service, now))
-            mixed.insert(service);
-    }
-    if (mixed.empty() || state.origins.unsent.empty())
+    if (state.origins.unsent.empty())
+        return;
+    const std::set<ServiceId> unsure = servicesWithoutLoneVersion(state, now);
+    if (unsure.empty() && !isTouchLost)
         return;
     std::erase_if(state.origins.unsent, [&](const StreamKey &key) {
         const StreamOrigin &origin = state.origins.records.at(key);
-        if (!mixed.contains(origin.service))
+        if (!isTouchLost && !unsure.contains(origin.service))
             return false;
         for (const HostId &holder : holdersOf(state, key, 0, false, now))
             toSend[holder].push_back({ key, origin });
@@ -293,9 +319,6 @@
 {
     if (!record.arrivedRequest.resumption || !isResumableStream(record))
         return true;
-    // Callers that never name an attempt are served as long as no second version is known.
-    if (keyOf(record).begunBy.value.empty() && !isServiceMixed(state, record.service, now))
-        return true;
     if (!areEntriesFresh(state, now)) {
         refuseUnknown(state, record, "out_of_touch", now, actions);
         return false;
@@ -309,12 +332,7 @@
     }
     if (isVersionLeft(state, record, now))
         return true;
-    ++state.counters.origins.versionsGone;
-    actions.logEvents.push_back({ "stream_version_gone",
-                                  { { "request", record.arrivedRequest.callerId },
-                                    { "service", record.service.value },
-                                    { "version", search.version.value } } });
-    refuseAndForget(state, record, ResultCode::StreamVersionGone, goneRetryAfter, actions);
+    refuseGone(state, record, now, actions);
     return false;
 }
 
--- a/packages/gateway/src/stream_origins.cpp
+++ b/packages/gateway/src/stream_origins.cpp
@@ -93,15 +93,16 @@
         versions.mixedAt = now;
 }
 
-bool isMixed(const ServiceVersions &versions, Span lifetime, Instant now)
+bool isMixed(const ServiceVersions &versions, Span window, Instant now)
 {
-    return versions.mixedAt.micros != 0 && now < versions.mixedAt + lifetime;
+    return versions.mixedAt.micros != 0 && now < versions.mixedAt + window;
 }
 
-const SoftwareVersion *loneVersion(const ServiceVersions &versions, Span lifetime, Instant now)
+const SoftwareVersion *loneVersion(const ServiceVersions &versions, Span window, Instant now)
 {
-    const bool isLone = versions.heldUntil.size() == 1 && now >= versions.since + lifetime
-            && !isMixed(versions, lifetime, now);
+    const bool isKnownLongEnough = versions.since.micros == 0 || now >= versions.since + window;
+    const bool isLone = versions.heldUntil.size() == 1 && isKnownLongEnough
+            && !isMixed(versions, window, now);
     return isLone ? &versions.heldUntil.begin()->first : nullptr;
 }
 
--- a/packages/gateway/tests/stream_origins_test.cpp
+++ b/packages/gateway/tests/stream_origins_test.cpp
@@ -367,19 +367,93 @@
     EXPECT_TRUE(this->arrive(2, "b", this->resumption).dispatches.empty());
 }
 
-// Guards against refusals to callers that never name an attempt, by a host that has just started or
-// has lost the others, while one version serves.
-TEST_F(StreamResumptionTest, GoesOnWithoutTheAttemptWhileOneVersionIsKnown)
+/// All hosts were lost as the servers of one version had left: none knows of it.
+class ResumptionAfterLossOfAllHosts : public StreamResumptionTest
 {
-    for (const char *id : { "2a", "2b" })
-        this->state.upstreams.erase(UpstreamId{ id });
+protected:
+    ResumptionAfterLossOfAllHosts()
+    {
+        for (const char *id : { "2a", "2b" })
+            this->state.upstreams.erase(UpstreamId{ id });
+        this->state.serviceVersions.clear();
+        this->passTime(std::chrono::milliseconds(300));
+    }
+
+    Actions passTime(Span span)
+    {
+        Actions actions;
+        const Instant end = this->now + span;
+        while (this->now < end) {
+            this->now = this->now + std::chrono::milliseconds(100);
+            this->hear("g");
+            this->hear("i");
+            tick(this->state, this->now, actions);
+        }
+        return actions;
+    }
+
+    void expectRefusedWithoutInvitation(const Actions &actions)
+    {
+        EXPECT_TRUE(actions.dispatches.empty());
+        ASSERT_EQ(actions.refusals.size(), 1U);
+        EXPECT_EQ(actions.refusals.front().code, ResultCode::StreamOriginUnknown);
+        EXPECT_TRUE(actions.refusals.front().isNotRun);
+        EXPECT_GE(actions.refusals.front().retryAfter, std::chrono::seconds(3));
+    }
+
+    const StreamResumption unnamed{ {}, EventId{ "3" } };
+};
+
+// Guards against a stream of two versions: that no second version is known after a start is no
+// sign that there was none.
+TEST_F(ResumptionAfterLossOfAllHosts, IsRefusedWithoutTheAttemptThatBeganTheStream)
+{
+    EXPECT_TRUE(this->arrive(2, "b", this->unnamed).dispatches.empty());
+    this->expectRefusedWithoutInvitation(this->passTime(std::chrono::milliseconds(300)));
+}
+
+// Guards against a stream of two versions whose caller comes back later than a request may last.
+TEST_F(ResumptionAfterLossOfAllHosts, IsRefusedLongAfterTheStart)
+{
+    this->passTime(std::chrono::minutes(2));
+    EXPECT_TRUE(this->arrive(2, "b", this->resumption).dispatches.empty());
+    this->expectRefusedWithoutInvitation(this->passTime(std::chrono::milliseconds(300)));
+}
+
+// Guards against refusals to callers that never name an attempt, by a host that has just started,
+// while another host knows of one version only.
+TEST_F(ResumptionAfterLossOfAllHosts, GoesOnWithoutTheAttemptIfAnotherHostKnowsOneVersionOnly)
+{
+    EXPECT_TRUE(this->arrive(2, "b", this->unnamed).dispatches.empty());
+    Gossip answer = this->answerOf("1");
+    answer.originAnswers.front().update.key.begunBy = {};
+    answer.originAnswers.front().isLoneVersion = true;
+    EXPECT_EQ(this->versionAt(this->hear("g", answer)), "1");
+}
+
+// Guards against refusals to callers that never name an attempt while all hosts have known one
+// version only since the system started.
+TEST_F(ResumptionAfterLossOfAllHosts, GoesOnWithoutTheAttemptWhileThereWasOneVersionOnly)
+{
+    this->state.self.isFirstStart = true;
     this->state.serviceVersions.clear();
-    this->now = this->now + std::chrono::seconds(5);
-    const Actions actions = this->arrive(2, "b", StreamResumption{ {}, EventId{ "3" } });
+    this->passTime(std::chrono::seconds(5));
+    const Actions actions = this->arrive(2, "b", this->unnamed);
     EXPECT_TRUE(actions.refusals.empty());
     EXPECT_EQ(this->versionAt(actions), "1");
 }
 
+// Guards against streams that nobody can go on with as hosts that started keep their records.
+TEST_F(ResumptionAfterLossOfAllHosts, RecordsOfNewStreamsAreSentToOtherHosts)
+{
+    this->arrive(1, "a");
+    Actions actions;
+    handle(this->state, AnswerBegan{ RequestNumber{ 1 }, 1 }, this->now, actions);
+    actions = this->passTime(std::chrono::milliseconds(100));
+    EXPECT_TRUE(std::any_of(actions.gossip.begin(), actions.gossip.end(),
+                            [](const SendGossip &sent) { return !sent.message->origins.empty(); }));
+}
+
 // Guards against a resumption that states no attempt and is sent anywhere.
 TEST_F(StreamResumptionTest, IsRefusedWithoutTheAttemptThatBeganIt)
 {
--- a/tests/gateway_world/stream_versions_test.cpp
+++ b/tests/gateway_world/stream_versions_test.cpp
@@ -242,6 +242,37 @@
     });
 }
 
+// Guards against hosts that start after all were lost, list one version and go on there with
+// streams that a version which has left began, however late and whether or not the caller names its
+// attempt.
+TEST_P(StreamVersions, AreNeverMixedAfterAllHostsWereLost)
+{
+    std::uint64_t resumptions = 0;
+    for (std::uint64_t seed = 1; seed <= std::min<std::uint64_t>(GetParam().seeds, 8); ++seed) {
+        WorldSettings settings = streamSettingsOf(GetParam(), seed);
+        settings.softwareVersions = 1;
+        settings.unnamedResumptions = 0.5;
+        settings.maxTimeToResume = std::chrono::seconds(25);
+        World world{ settings };
+        world.runFor(std::chrono::seconds(20));
+        for (std::size_t server = 0; server < world.engineCount(); ++server)
+            world.releaseEngine(server, "v2");
+        world.runFor(std::chrono::milliseconds(4000 + 100 * seed));
+        for (std::size_t host = 0; host < world.hostCount(); ++host)
+            world.killHost(host);
+        world.runFor(std::chrono::seconds(1));
+        const std::uint64_t resumedBefore = world.resumptionsSent;
+        world.newStreams = {};
+        for (std::size_t host = 0; host < world.hostCount(); ++host)
+            world.startHost(host, false);
+        world.runFor(std::chrono::seconds(40));
+        EXPECT_EQ(world.streamsOfTwoVersions, 0U) << "seed " << seed;
+        EXPECT_GE(world.newStreams.share(), minShareThatGoesOn);
+        resumptions += world.resumptionsSent - resumedBefore;
+    }
+    EXPECT_GE(resumptions, 20U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, StreamVersions,
                          testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
                                          FleetSize{ 3, 23, 6, 100, 1 },
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -301,8 +301,10 @@
     const FakeStream &stream = this->streams[fakeRequest.stream];
     request.callerId = "s" + std::to_string(fakeRequest.stream) + "-"
             + std::to_string(fakeRequest.streamAttempt);
-    if (!stream.begunBy.empty())
-        request.resumption = StreamResumption{ AttemptId{ stream.begunBy }, EventId{ "1" } };
+    if (!stream.begunBy.empty()) {
+        const AttemptId begunBy{ this->namesAttempt(fakeRequest.stream) ? stream.begunBy : "" };
+        request.resumption = StreamResumption{ begunBy, EventId{ "1" } };
+    }
     return request;
 }
 
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -239,7 +239,9 @@
     std::uint32_t maxSends = 1; ///< Attempts of a caller whose answers are interrupted.
     /// The service is a plain one with streams that may be resumed, in place of engines.
     bool servesStreams = false;
-    double brokenStreams = 0.1;       ///< Share of the streams' attempts that break after an event.
+    double brokenStreams = 0.1; ///< Share of the streams' attempts that break after an event.
+    Span maxTimeToResume = std::chrono::milliseconds(150); ///< Until a caller takes one up again.
+    double unnamedResumptions = 0;    ///< Share of the callers that never name the earlier attempt.
     std::size_t softwareVersions = 2; ///< Of the servers at the start, in turn.
     bool countsBytes = false;         ///< Each message is encoded and decoded as on the wire.
 };
@@ -446,6 +448,8 @@
     void takeFirstEvent(const FakeRun &run, const std::string &version);
     void continueStream(const FakeRun &run, std::size_t engine, std::int64_t start);
     void breakStream(std::uint64_t stream, std::uint64_t attempt, Span delay);
+    /// Whether the caller of \a stream names the earlier attempt when it takes the stream up again.
+    bool namesAttempt(std::uint64_t stream) const;
     void refuseStream(const FakeRequest &request, const Refuse &refusal);
     void relistLater(std::size_t engine);
     void relistAt(std::size_t host, std::size_t engine, Span delay);
--- a/tests/gateway_world/world_versions.cpp
+++ b/tests/gateway_world/world_versions.cpp
@@ -24,8 +24,8 @@
 constexpr Span maxTimeToBreak = std::chrono::milliseconds(600);
 constexpr Span maxStreamTime = std::chrono::milliseconds(1500);
 
-/// A caller takes a broken stream up again within this time, or later than stated by a refusal.
-constexpr Span maxTimeToResume = std::chrono::milliseconds(150);
+/// A caller that reaches no host tries the next one within this time.
+constexpr Span maxTimeToNextHost = std::chrono::milliseconds(150);
 
 /// A caller that gets no event gives its attempt up after this time.
 constexpr Span callersPatience = std::chrono::seconds(2);
@@ -126,7 +126,7 @@
     const std::size_t at = this->random() % this->hosts.size();
     FakeHost &host = this->hosts[at];
     if (!host.isUp) {
-        this->sendStreamLater(index, this->randomDelay(maxTimeToResume));
+        this->sendStreamLater(index, this->randomDelay(maxTimeToNextHost));
         return;
     }
     FakeRequest fakeRequest;
@@ -168,7 +168,13 @@
 void World::breakStream(std::uint64_t stream, std::uint64_t attempt, Span delay)
 {
     if (this->streams[stream].attempts == attempt)
-        this->sendStreamLater(stream, delay + this->randomDelay(maxTimeToResume));
+        this->sendStreamLater(stream, delay + this->randomDelay(this->settings.maxTimeToResume));
+}
+
+bool World::namesAttempt(std::uint64_t stream) const
+{
+    constexpr std::uint64_t percent = 100;
+    return static_cast<double>(stream % percent) >= this->settings.unnamedResumptions * percent;
 }
 
 void World::refuseStream(const FakeRequest &request, const Refuse &refusal)
