Answers without framing reach callers in chunks

Callers got a part of a stream with 200 and an orderly end ("ends as complete after piece # of #, to the close"), as their host was killed. The server had sent the stream without a length or chunks, and so had the host; a kernel closes the sockets of a process that ends in order.

Cause: the end of a connection was taken for the end of an answer. Passing on no framing was meant to claim no more than the upstream did; but it lets the end of the host claim it as well.

Change: every HTTP/1.1 caller gets chunks, the last one only after the upstream's orderly end; an answer that is held back gets a length once it is whole. A caller without chunked coding is reset if its host ends first (SO_LINGER while the answer is open), as its connection is the only framing.

Two tests of UnframedAnswerTest demanded that such an answer reaches its caller without framing. They are replaced by stricter ones: nothing says that the answer has ended before the upstream has ended it, whichever host ends first, direct and forwarded.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -132,6 +132,7 @@
     void startNextRequest(Instant now);
     void handleEnd();
     bool keepsConnection() const;
+    void endWriting();
 
     RequestLimits limits;
     Handlers handlers;
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -88,6 +88,10 @@
     /// Closes with a reset, so that the peer cannot take a partial message for a complete one.
     void abort();
 
+    /// Lets the kernel reset the connection, rather than close it in an orderly way, if it is
+    /// closed now, also by the end of the process.
+    void setResetOnClose(bool isOn);
+
 private:
     /// Defers deletion: the stream may be closed from within the notifier's own signal.
     struct NotifierDeleter
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -1,5 +1,8 @@
 #include "azurewell/http/caller_connection.h"
 
+#include "azurewell/http/clock.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace azurewell {
@@ -47,8 +50,9 @@
 void CallerConnection::handleDrained()
 {
     if (this->isClosing && !this->isInRequest)
-        this->stream->shutdownWriting();
+        this->endWriting();
     this->handlers.onDrained();
+    this->idleSince = monotonicNow();
 }
 
 void CallerConnection::receive()
@@ -173,6 +177,9 @@
         this->stream->write(chunkBytes(data));
     else
         this->stream->write(data);
+    // The end of the connection is the end of the body: it must not look so if the host ends first.
+    if (framing == BodyFraming::Close)
+        this->stream->setResetOnClose(true);
 }
 
 void CallerConnection::complete(Instant now)
@@ -199,8 +206,16 @@
     this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
+/// All bytes of the last response are with the kernel, which delivers them also if the process
+/// ends.
+void CallerConnection::endWriting()
+{
+    this->stream->setResetOnClose(false);
+    this->stream->shutdownWriting();
+}
+
         if (this->stream->unsentBytes() == 0)
-            this->stream->shutdownWriting();
+            this->endWriting();
         return;
     }
     this->reader = RequestReader(this->limits);
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -230,8 +230,7 @@
     this->writeNotifier.reset();
     if (this->descriptor.get() < 0)
         return;
-    const linger reset{ 1, 0 };
-    setsockopt(this->descriptor.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    this->setResetOnClose(true);
     this->descriptor = UniqueFd();
 }
 
@@ -246,6 +245,13 @@
 
 void TcpAcceptor::acceptPending()
 {
+void TcpStream::setResetOnClose(bool isOn)
+{
+    const linger mode{ isOn ? 1 : 0, 0 };
+    if (this->descriptor.get() >= 0)
+        setsockopt(this->descriptor.get(), SOL_SOCKET, SO_LINGER, &mode, sizeof mode);
+}
+
     int opened = 0;
     for (int i = 0; i < maxAcceptsPerEvent && opened < maxOpenedPerEvent; ++i) {
         const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -141,7 +141,6 @@
     void deliver(gateway::RequestNumber number);
     void recordFirstByte(const OpenRequest &request, Instant now);
     void answerBuffered(OpenRequest &open);
-    bool isUnframed(const OpenRequest &request) const;
     void recordAnswer(const OpenRequest &request);
 
     void refuse(const gateway::Refuse &refusal);
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -213,7 +213,9 @@
         request.isHeadSent = true;
         request.firstByteAt = now;
         this->recordFirstByte(request, now);
-        const bool isChunked = !this->isUnframed(request) && session.request().acceptsChunks;
+        // Also where the upstream's answer ends with its connection: the last chunk says that the
+        // upstream has ended it, and without one the end of this host would say the same.
+        const bool isChunked = session.request().acceptsChunks;
         session.beginBody(request.head.status, request.head.reason, this->answerHeaders(request),
                           isChunked ? BodyFraming::Chunked : BodyFraming::Close);
     }
@@ -274,15 +276,6 @@
             && found->second.isAtUpstream;
 }
 
-/// Whether the caller gets the answer without framing: this host cannot tell whether it has the
-/// whole, so it claims no more than the upstream did. Other hosts get framing, which shows them
-/// that this host ends early, and a header.
-bool Proxy::isUnframed(const OpenRequest &request) const
-{
-    return request.head.framing == BodyFraming::Close
-            && !this->peerSessions.contains(request.session);
-}
-
 void Proxy::recordFirstByte(const OpenRequest &request, Instant now)
 {
     this->metrics.timeToFirstByte.add(now - request.arrivedAt);
@@ -296,14 +289,7 @@
     CallerConnection &session = *this->sessions.at(request.session);
     request.isHeadSent = true;
     const std::vector<HttpHeader> headers = this->answerHeaders(request);
-    const std::string body = request.body.take();
-    if (!this->isUnframed(request)) {
-        session.answer(request.head.status, request.head.reason, headers, body, now);
-        return;
-    }
-    session.beginBody(request.head.status, request.head.reason, headers, BodyFraming::Close);
-    session.sendBody(body);
-    session.complete(now);
+    session.answer(request.head.status, request.head.reason, headers, request.body.take(), now);
 }
 
 void Proxy::recordAnswer(const OpenRequest &request)
--- a/packages/proxy/tests/answer_framing_test.cpp
+++ b/packages/proxy/tests/answer_framing_test.cpp
@@ -93,35 +93,79 @@
     EXPECT_TRUE(caller.received.ends_with("\r\n\r\ndata: a\n\n"));
 }
 
+// Guards against a stream that looks complete to a caller without chunked coding as its host ends.
+TEST_F(TwoHostsTest, ACallerWithoutChunkedCodingIsResetWhenItsHostEnds)
+{
+    Peer caller = this->ask("serving", "/stream", "body", "HTTP/1.0");
+    ASSERT_TRUE(this->acceptAtUpstream());
+    this->upstream.send(streamHead + std::string("\r\ndata: a\n\n"));
+    ASSERT_TRUE(caller.receives("data: a\n\n"));
+    this->serving.reset();
+    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    EXPECT_TRUE(caller.isReset);
+}
+
 class UnframedAnswerTest : public AnswerFramingTest
 {
 protected:
-    static void expectUnframed(const std::string &received)
+    /// A caller that has the first event of a stream, which goes on.
+    Peer streaming()
+    {
+        Peer caller = this->ask(GetParam().host, "/stream");
+        EXPECT_TRUE(this->acceptAtUpstream());
+        this->upstream.send(framed(streamHead, Framing::Close, "id: 1\ndata: a\n\n"));
+        EXPECT_TRUE(caller.receives("data: a\n\n"));
+        return caller;
+    }
+
+    static void expectBrokenOff(Peer &caller)
     {
-        EXPECT_EQ(received.find("Content-Length"), std::string::npos);
-        EXPECT_EQ(received.find("Transfer-Encoding"), std::string::npos);
-        EXPECT_NE(received.find("Connection: close"), std::string::npos);
+        EXPECT_TRUE(caller.isClosedByOtherEnd());
+        EXPECT_NE(caller.received.find("Transfer-Encoding: chunked"), std::string::npos);
+        EXPECT_EQ(caller.received.find(lastChunk), std::string::npos);
     }
 };
 
-// Guards against a stream that is announced as complete although nothing shows that it is.
-TEST_P(UnframedAnswerTest, AStreamReachesItsCallerUnframed)
+// Guards against a part of a stream that looks complete as the kernel closes the sockets of its
+// host.
+TEST_P(UnframedAnswerTest, AStreamIsBrokenOffWhenItsHostEnds)
 {
-    Peer caller = this->answered("/stream", streamHead, "id: 1\ndata: a\n\n");
-    EXPECT_TRUE(caller.isClosedByOtherEnd());
+    Peer caller = this->streaming();
+    const bool isForwarded = std::string(GetParam().host) == "cut";
+    (isForwarded ? this->cutOff : this->serving).reset();
+    expectBrokenOff(caller);
+}
+
+// Guards against the end of the host with the upstream that is taken for the end of the stream.
+TEST_P(UnframedAnswerTest, AStreamIsBrokenOffWhenTheHostBeforeTheUpstreamEnds)
+{
+    Peer caller = this->streaming();
+    this->serving.reset();
+    expectBrokenOff(caller);
+}
+
+// Guards against a stream whose end is stated before its upstream has ended it.
+TEST_P(UnframedAnswerTest, AStreamEndsWithItsUpstream)
+{
+    Peer caller = this->streaming();
+    EXPECT_EQ(caller.received.find(lastChunk), std::string::npos);
+    this->upstream.close();
+    EXPECT_TRUE(caller.receives(std::string(lastChunk)));
     EXPECT_FALSE(caller.isReset);
-    expectUnframed(caller.received);
-    EXPECT_TRUE(caller.received.ends_with("\r\n\r\nid: 1\ndata: a\n\n"));
 }
 
 // Guards against a part of an answer that is announced with its own length as the whole.
-TEST_P(UnframedAnswerTest, AnAnswerThatIsNoStreamReachesItsCallerUnframed)
+TEST_P(UnframedAnswerTest, AnAnswerThatIsNoStreamIsAnnouncedOnceItsUpstreamHasEndedIt)
 {
-    Peer caller = this->answered("/file", plainHead, "{\"done\":true}");
-    EXPECT_TRUE(caller.isClosedByOtherEnd());
-    EXPECT_FALSE(caller.isReset);
-    expectUnframed(caller.received);
-    EXPECT_TRUE(caller.received.ends_with("\r\n\r\n{\"done\":true}"));
+    Peer caller = this->ask(GetParam().host, "/file");
+    ASSERT_TRUE(this->acceptAtUpstream());
+    this->upstream.send(framed(plainHead, Framing::Close, "{\"done\":"));
+    int rounds = 0;
+    waitFor([&rounds] { return ++rounds > 20; });
+    EXPECT_EQ(caller.countReceived("HTTP/1.1"), 0U);
+    this->upstream.send("true}");
+    this->upstream.close();
+    EXPECT_TRUE(caller.receives("Content-Length: 13\r\n\r\n{\"done\":true}"));
 }
 
 // Guards against an upstream that crashed before its first event and counts as having answered.
