An answer belongs to one sending

Callers saw requests that must run once run twice, and requests refused as not run that had run. A server gave its answer to the first sending of a request a second time, late; it came where the answer to the second sending was due, on the same connection, with the same request id, and said "not run". The request was sent a third time, or refused. In the same way a late second answer to a caller passed for the answer to the next order, so that an unload that waits for its runs counted as done.

Cause: an answer was matched to a request, and that of an order to nothing, instead of to the sending.

Change: a request that is sent to an address again takes a new connection, where no late answer to its earlier sending can come. A connection on which an answer to another request came is not used again once its exchange has ended: another one may follow. An answer that names a request is no answer to an order, a report or another call of a host, which name none.

--- a/packages/http/include/azurewell/http/upstream_connection.h
+++ b/packages/http/include/azurewell/http/upstream_connection.h
@@ -124,6 +124,9 @@
     Span keepAlive{};
     bool isClosed = false;
     bool keepsConnection = true;
+    /// An answer to another request has come: the next one may be late as well, and belong to a
+    /// request that can't be told from the one that is open then.
+    bool hasReadStray = false;
     std::shared_ptr<bool> isDestroyed = std::make_shared<bool>(false);
 
 public:
--- a/packages/http/include/azurewell/http/upstream_connections.h
+++ b/packages/http/include/azurewell/http/upstream_connections.h
@@ -2,9 +2,11 @@
 
 #include "azurewell/http/upstream_connection.h"
 
+#include <cstdint>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace azurewell {
 
@@ -12,6 +14,14 @@
 /// peer, or its SYN was lost, which TCP resends only after 1 s.
 inline constexpr Span defaultConnectTimeout = std::chrono::milliseconds(400);
 
+/// Which connection an exchange may use.
+enum class ConnectionChoice : std::uint8_t {
+    Any,
+    /// A new one. A request that is sent to an address again takes it: a late second answer to the
+    /// earlier sending bears the same id, and may come on the connection of that sending.
+    New,
+};
+
 /// The pool of connections from this host to all upstreams. Idle connections are reused.
 class UpstreamConnections
 {
@@ -19,11 +29,12 @@
     /// Handle of an exchange in progress.
     using Exchange = std::uint64_t;
 
-    /// Sends \a request to \a to on an idle connection, or on a new one that must open within
-    /// \a connectTimeout. Handlers are never called from within start().
+    /// Sends \a request to \a to on an idle connection, if \a choice allows it, or on a new one
+    /// that must open within \a connectTimeout. Handlers are never called from within start().
     Exchange start(const Endpoint &to, const std::string &request, bool isHeadOnly,
                    ExchangeHandlers handlers, Instant now,
-                   Span connectTimeout = defaultConnectTimeout);
+                   Span connectTimeout = defaultConnectTimeout,
+                   ConnectionChoice choice = ConnectionChoice::Any);
 
     /// Ends an exchange and closes its connection, so that the upstream can stop processing the
     /// request.
@@ -58,6 +69,8 @@
     };
 
     Entry &open(const Endpoint &to, Instant connectDeadline);
+    std::optional<std::uint64_t> takeIdle(const Endpoint &to, Instant now);
+    void eraseIdle(const Endpoint &to, std::uint64_t id);
     void markIdle(std::uint64_t id);
     void remove(std::uint64_t id);
 
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -191,6 +191,7 @@
     current.isUnrelated = isInterim(head) || !current.handlers.matchesRequest(head);
     if (current.isUnrelated) {
         ++current.answersBefore;
+        this->hasReadStray = this->hasReadStray || !isInterim(head);
         return;
     }
     if (!current.isHeadOnly && isEventStream(head.headers))
@@ -215,8 +216,9 @@
     const std::unique_ptr<Exchange> done = std::move(this->exchange);
     // A response may arrive before the whole request was sent. The upstream would take the rest of
     // the request for the next one, and bytes after the response belong to no request.
-    const bool isReusable = this->keepsConnection && this->stream->unsentBytes() == 0
-            && this->stream->received().empty() && this->stream->isOpen();
+    const bool isReusable = this->keepsConnection && !this->hasReadStray
+            && this->stream->unsentBytes() == 0 && this->stream->received().empty()
+            && this->stream->isOpen();
     const std::shared_ptr<bool> destroyed = this->isDestroyed;
     done->handlers.onComplete();
     if (*destroyed || this->isClosed)
--- a/packages/http/src/upstream_connections.cpp
+++ b/packages/http/src/upstream_connections.cpp
@@ -30,23 +30,14 @@
 UpstreamConnections::Exchange UpstreamConnections::start(const Endpoint &to,
                                                          const std::string &request,
                                                          bool isHeadOnly, ExchangeHandlers handlers,
-                                                         Instant now, Span connectTimeout)
+                                                         Instant now, Span connectTimeout,
+                                                         ConnectionChoice choice)
 {
     this->lastKnownTime = now;
     this->closedConnections.clear();
-    std::uint64_t id = 0;
-    std::list<std::uint64_t> &idleIds = this->idle[to];
-    while (!idleIds.empty() && id == 0) {
-        const std::uint64_t candidate = idleIds.front();
-        idleIds.pop_front();
-        const Entry &entry = this->connections.at(candidate);
-        if (entry.connection->isOpen() && now < entry.idleUntil)
-            id = candidate;
-        else
-            this->remove(candidate);
-    }
-    if (id == 0)
-        id = this->open(to, now + connectTimeout).exchange;
+    const bool mayReuse = choice == ConnectionChoice::Any;
+    std::optional<std::uint64_t> idleId = mayReuse ? this->takeIdle(to, now) : std::nullopt;
+    const std::uint64_t id = idleId ? *idleId : this->open(to, now + connectTimeout).exchange;
     const Exchange exchange = this->nextId++;
     this->connections.at(id).exchange = exchange;
     this->exchanges[exchange] = id;
@@ -54,6 +45,34 @@
     return exchange;
 }
 
+/// The connection to \a to that was used last and can be used again. Closes those that can't.
+std::optional<std::uint64_t> UpstreamConnections::takeIdle(const Endpoint &to, Instant now)
+{
+    while (true) {
+        const auto ids = this->idle.find(to);
+        if (ids == this->idle.end())
+            return std::nullopt;
+        const std::uint64_t id = ids->second.front();
+        const Entry &entry = this->connections.at(id);
+        if (entry.connection->isOpen() && now < entry.idleUntil) {
+            this->eraseIdle(to, id);
+            return id;
+        }
+        this->remove(id);
+    }
+}
+
+/// Removes \a id from the idle connections to \a to, of which there is no empty list.
+void UpstreamConnections::eraseIdle(const Endpoint &to, std::uint64_t id)
+{
+    const auto ids = this->idle.find(to);
+    if (ids == this->idle.end())
+        return;
+    ids->second.remove(id);
+    if (ids->second.empty())
+        this->idle.erase(ids);
+}
+
 void UpstreamConnections::cancel(Exchange exchange)
 {
     const auto found = this->exchanges.find(exchange);
@@ -91,12 +110,7 @@
     if (found == this->connections.end())
         return;
     this->exchanges.erase(found->second.exchange);
-    const auto idleIds = this->idle.find(found->second.to);
-    if (idleIds != this->idle.end()) {
-        idleIds->second.remove(id);
-        if (idleIds->second.empty())
-            this->idle.erase(idleIds);
-    }
+    this->eraseIdle(found->second.to, id);
     this->closedConnections.push_back(std::move(found->second.connection));
     this->connections.erase(found);
 }
--- a/packages/proxy/include/azurewell/proxy/http_call.h
+++ b/packages/proxy/include/azurewell/proxy/http_call.h
@@ -25,8 +25,13 @@
     /// Called once; empty if no complete answer within its bound arrived before the deadline.
     using Handler = std::function<void(std::optional<CallAnswer>)>;
 
-    explicit HttpCalls(UpstreamConnections &shared)
+    /// Whether a response with this head can be the answer to a call, which names no request.
+    using Matcher = bool (*)(const ResponseHead &head);
+
+    /// The connections are shared with the requests of callers: their late answers come on them.
+    HttpCalls(UpstreamConnections &shared, Matcher answerMatcher)
         : connections(shared)
+        , isAnswerToCall(answerMatcher)
     {
     }
 
@@ -61,6 +66,7 @@
     void finish(std::list<Call>::iterator call, bool isWhole);
 
     UpstreamConnections &connections;
+    Matcher isAnswerToCall;
     std::list<Call> calls;
     std::uint64_t oversized = 0;
 };
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -74,6 +74,7 @@
         gateway::ModelName model;
         Tokens promptTokens;
         std::uint32_t attempt = 0;
+        std::set<Endpoint> sentTo; ///< Upstreams and hosts, in any attempt.
         UpstreamConnections::Exchange exchange = 0;
         bool isAtUpstream = false;                      ///< Or at another host.
         bool isAtPeer = false;                          ///< Forwarded to another host.
@@ -117,6 +118,8 @@
 
     bool hasCallerLeft(const OpenRequest &request, Instant now);
     void beginAttempt(OpenRequest &request, std::uint32_t attempt, bool isBuffered, Instant now);
+    void send(gateway::RequestNumber number, OpenRequest &request, const Endpoint &to,
+              const std::vector<HttpHeader> &headers, Instant now);
     ExchangeHandlers handlersFor(gateway::RequestNumber number, const OpenRequest &request);
     void dispatch(const gateway::Dispatch &dispatch);
     void forward(const gateway::Forward &toSend);
@@ -158,7 +161,7 @@
     const WireFormat &format;
     gateway::GatewayState core;
     UpstreamConnections connections;
-    HttpCalls httpCalls{ connections };
+    HttpCalls httpCalls;
     ConnectProbes probes;
     ProxyMetrics metrics;
     std::unique_ptr<GossipSocket> gossip;
--- a/packages/proxy/include/azurewell/proxy/wire_format.h
+++ b/packages/proxy/include/azurewell/proxy/wire_format.h
@@ -40,6 +40,9 @@
     /// Whether an answer belongs to the request with \a callerId.
     bool (*isAnswerTo)(const ResponseHead &head, const std::string &callerId);
 
+    /// Whether an answer can belong to a call of this host, such as a report or an order.
+    bool (*isAnswerToCall)(const ResponseHead &head);
+
     ReplyFacts (*readReply)(const ResponseHead &head);
 
     /// What \a upstream states in any answer; nothing if another one has given the answer.
--- a/packages/proxy/src/http_call.cpp
+++ b/packages/proxy/src/http_call.cpp
@@ -23,9 +23,7 @@
         this->oversized += failure == ExchangeFailure::Oversized ? 1 : 0;
         this->finish(call, false);
     };
-    handlers.matchesRequest = [](const ResponseHead &) {
-        return true;
-    };
+    handlers.matchesRequest = this->isAnswerToCall;
     call->exchange = this->connections.start(to, request, false, std::move(handlers), now,
                                              connectTimeout);
 }
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -26,6 +26,7 @@
 Proxy::Proxy(ProxySettings given, const WireFormat &wireFormat)
     : settings(std::move(given))
     , format(wireFormat)
+    , httpCalls(this->connections, wireFormat.isAnswerToCall)
 {
 }
 
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -72,18 +72,14 @@
     const Instant now = monotonicNow();
     if (this->hasCallerLeft(request, now))
         return;
-    CallerConnection &session = *this->sessions.at(request.session);
-    const RequestHead &line = session.request();
+    const RequestHead &line = this->sessions.at(request.session)->request();
     this->beginAttempt(request, toSend.attempt, toSend.isBuffered, now);
     request.isAtPeer = true;
     request.upstream = {};
     request.refusal.reset();
     std::vector<HttpHeader> headers = withoutInternalHeaders(this->format.forwardHeaders(line));
     headers.push_back(forwardedHeaderOf(toSend.forwarded));
-    const std::string bytes = requestBytes(line.method, line.target, headers, session.body(),
-                                           line.hasBody);
-    request.exchange = this->connections.start(toSend.address, bytes, line.method == "HEAD",
-                                               this->handlersFor(toSend.request, request), now);
+    this->send(toSend.request, request, toSend.address, headers, now);
 }
 
 void Proxy::handleForwardHead(OpenRequest &request, const ResponseHead &head)
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -78,17 +78,26 @@
     const Instant now = monotonicNow();
     if (this->hasCallerLeft(request, now))
         return;
-    CallerConnection &session = *this->sessions.at(request.session);
-    const RequestHead &line = session.request();
+    const RequestHead &line = this->sessions.at(request.session)->request();
     this->beginAttempt(request, toSend.attempt, toSend.isBuffered, now);
     request.isAtPeer = false;
     request.upstream = toSend.upstream;
     const std::vector<HttpHeader> headers = withoutInternalHeaders(
             this->format.upstreamHeaders(line, toSend));
-    const std::string bytes = requestBytes(line.method, line.target, headers, session.body(),
-                                           line.hasBody);
-    request.exchange = this->connections.start(toSend.address, bytes, line.method == "HEAD",
-                                               this->handlersFor(toSend.request, request), now);
+    this->send(toSend.request, request, toSend.address, headers, now);
+}
+
+/// Sends the caller's request with \a headers to an upstream or another host.
+void Proxy::send(RequestNumber number, OpenRequest &request, const Endpoint &to,
+                 const std::vector<HttpHeader> &headers, Instant now)
+{
+    CallerConnection &session = *this->sessions.at(request.session);
+    const RequestHead &line = session.request();
+    const bool isFirst = request.sentTo.insert(to).second;
+    request.exchange = this->connections.start(
+            to, requestBytes(line.method, line.target, headers, session.body(), line.hasBody),
+            line.method == "HEAD", this->handlersFor(number, request), now, defaultConnectTimeout,
+            isFirst ? ConnectionChoice::Any : ConnectionChoice::New);
 }
 
 /// Whether the caller of \a request, which is about to be sent, has left. If so, the request has
