An upstream whose address another instance has is not chosen again for 30 s

Requests to plain servers came back with 421 from the instance that really has the address, again and again, and callers got 503 as the retries were used up: an entry of another writer, or one of a server that has gone, named the address.

Cause: a 421 made the upstream less preferred for a second only.

Change: it gets no new requests until its entry names another start or address, or for 30 s.

--- a/packages/gateway/include/azurewell/gateway/upstreams.h
+++ b/packages/gateway/include/azurewell/gateway/upstreams.h
@@ -162,7 +162,9 @@
     std::int64_t reportedStart = 0; ///< Process start that the upstream, or a host, last reported.
     Instant reportedAt;             ///< Latest time at which that process was known to run.
     Instant avoidedUntil;           ///< After failures, other upstreams are preferred until then.
-    double failureRate = 0;         ///< Moving average of the share of failed requests.
+    Instant replacedUntil;  ///< Another instance answers at its address; until then no new requests
+                            ///< are sent unless its entry changes.
+    double failureRate = 0; ///< Moving average of the share of failed requests.
 };
 
 using UpstreamMap = std::map<UpstreamId, Upstream>;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -208,6 +208,7 @@
     upstream.usableUntil = listed.isLeaving ? std::min(now, upstream.usableUntil) : never;
     upstream.terminatedAt = listed.remaining > Span{} ? now + listed.remaining : never;
     if (isRestarted || isMoved) {
+        upstream.replacedUntil = Instant{};
         upstream.pausedUntil = Instant{};
         upstream.avoidedUntil = Instant{};
         upstream.failuresInARow = 0;
--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -106,10 +106,20 @@
     return ResultCode::OutcomeUnknown;
 }
 
-/// How long an upstream whose address another one has taken is avoided: the platform's list is
-/// updated within this time.
+/// How long an engine whose address another instance may have taken is avoided: the platform's list
+/// is updated within this time.
 constexpr Span replacedUpstreamAvoidance = std::chrono::seconds(1);
 
+/// A plain upstream whose address another instance has is tried again after this time at the
+/// earliest, unless its entry changes. The entry may be another writer's and never change.
+constexpr Span replacedUpstreamTimeout = std::chrono::seconds(30);
+
+bool isEngineService(const GatewayState &state, const ServiceId &id)
+{
+    const Service *service = findService(state.configuration, id);
+    return service && service->engine;
+}
+
 /// Corrects the state of an upstream that did not have the model or adapter that this host
 /// expected.
 void handleNotThere(GatewayState &state, const RequestRecord &record, Instant now)
@@ -117,6 +127,10 @@
     const auto found = state.upstreams.find(record.upstream);
     if (found == state.upstreams.end())
         return;
+    if (!isEngineService(state, record.service)) {
+        found->second.replacedUntil = now + replacedUpstreamTimeout;
+        return;
+    }
     EngineState &engine = found->second.engine;
     if (engine.models.empty() || record.arrivedRequest.model.model.empty()) {
         found->second.avoidedUntil = now + replacedUpstreamAvoidance;
--- a/packages/gateway/src/upstreams.cpp
+++ b/packages/gateway/src/upstreams.cpp
@@ -163,7 +163,7 @@
 bool isUsable(const Upstream &upstream, Instant now)
 {
     return !isStatedLeaving(upstream) && now < upstream.usableUntil && now < upstream.terminatedAt
-            && now < upstream.zoneClosesAt;
+            && now < upstream.zoneClosesAt && now >= upstream.replacedUntil;
 }
 
 bool isRateLimited(const Upstream &upstream, Instant now)
--- a/packages/gateway/tests/requests_test.cpp
+++ b/packages/gateway/tests/requests_test.cpp
@@ -516,6 +516,34 @@
     EXPECT_EQ(this->ask("/draft/x").dispatches.size(), 1U);
 }
 
+// Guards against requests that are sent, and repeated, to an address of which another instance has
+// said that it has it.
+TEST_F(RequestsTest, AnUpstreamWhoseAddressAnotherHasIsNotChosenUntilItsEntryChanges)
+{
+    const Actions asked = this->ask("/file/x");
+    ASSERT_EQ(asked.dispatches.size(), 1U);
+    const UpstreamId replaced = asked.dispatches.front().upstream;
+    this->end(asked.dispatches.front(), AttemptOutcome::NotThere);
+    const auto isChosen = [&] {
+        bool isAny = false;
+        for (int request = 0; request < 40; ++request) {
+            const Actions sent = this->ask("/file/x");
+            for (const Dispatch &dispatch : sent.dispatches) {
+                isAny = isAny || dispatch.upstream == replaced;
+                this->end(dispatch, AttemptOutcome::Done);
+            }
+        }
+        return isAny;
+    };
+    this->now = this->now + std::chrono::seconds(5);
+    this->list(replaced.value, "desk"); // As it was.
+    EXPECT_FALSE(isChosen());
+    ListedUpstream moved = this->state.upstreams.at(replaced).listed;
+    moved.address = { "10.1.1.1", 80 };
+    listUpstream(this->state, moved, this->now);
+    EXPECT_TRUE(isChosen());
+}
+
 TEST_F(RequestsTest, ARequestSentBeforeItsLoadWasDoneIsSentAgain)
 {
     // The load takes longer than previous ones, and the engine rejects the request without running
