No length and no exception ends a process

Cause: the parser's body reserves the stated length at once, and nothing catches what that throws.

Evidence: UpstreamConnections.AnAnswerOfAnAbsurdLengthIsPassedOnUntilItIsCutOff threw before.

Change: bodies of requests and answers grow with what has come; the bounds on held and event bytes hold as before.

--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -95,6 +95,9 @@
 private:
     /// Defers deletion: the stream may be closed from within the notifier's own signal.
     struct NotifierDeleter
+    /// Connections of this process that ended as a handler threw.
+    static std::uint64_t faultCount();
+
     {
         void operator()(QSocketNotifier *notifier) const;
     };
@@ -107,6 +110,7 @@
     void reportEnd(StreamEnd how);
 
     UniqueFd descriptor;
+    void runGuarded(void (TcpStream::*action)());
     Handlers handlers;
     std::unique_ptr<QSocketNotifier, NotifierDeleter> readNotifier;
     std::unique_ptr<QSocketNotifier, NotifierDeleter> writeNotifier;
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -3,8 +3,8 @@
 #include "azurewell/http/message_bounds.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -16,7 +16,49 @@
 namespace {
 
 namespace beast = boost::beast;
-using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+
+/// A body that grows with what has come. Beast's own bodies reserve the stated length at once,
+/// which a faulty server may state as more than there is memory.
+struct GrowingBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool isRequest, typename Fields>
+        reader(beast::http::header<isRequest, Fields> &, std::string &text)
+            : body(text)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> &, beast::error_code &error)
+        {
+            error = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, beast::error_code &error)
+        {
+            error = {};
+            const std::size_t before = this->body.size();
+            for (const boost::asio::const_buffer part : beast::buffers_range_ref(buffers))
+                this->body.append(static_cast<const char *>(part.data()), part.size());
+            return this->body.size() - before;
+        }
+
+        void finish(beast::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        std::string &body;
+    };
+};
+
+using RequestParser = beast::http::request_parser<GrowingBody>;
+using ResponseParser = beast::http::response_parser<GrowingBody>;
 
 std::string toString(beast::string_view text)
 {
@@ -114,7 +156,7 @@
 
 struct RequestReader::Impl
 {
-    beast::http::request_parser<beast::http::string_body> parser;
+    RequestParser parser;
     std::optional<RequestHead> head;
     std::uint32_t headBytes;
     bool hasBegun = false;
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -1,5 +1,8 @@
 #include "azurewell/http/tcp_stream.h"
 
+#include "azurewell/http/clock.h"
+#include "azurewell/logging/log.h"
+
 #include <QtCore/QCoreApplication>
 
 #include <arpa/inet.h>
@@ -9,6 +12,7 @@
 
 #include <array>
 #include <cerrno>
+#include <exception>
 
 namespace azurewell {
 
@@ -36,6 +40,9 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
+/// Connections that ended as a callback threw. All are on one thread.
+std::uint64_t faults = 0;
+
 bool isTransient(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -112,13 +119,35 @@
     this->writeNotifier = decltype(this->writeNotifier)(
             new QSocketNotifier(fd, QSocketNotifier::Write));
     QObject::connect(this->readNotifier.get(), &QSocketNotifier::activated,
-                     [this] { this->handleReadable(); });
+                     [this] { this->runGuarded(&TcpStream::handleReadable); });
     QObject::connect(this->writeNotifier.get(), &QSocketNotifier::activated,
-                     [this] { this->handleWritable(); });
+                     [this] { this->runGuarded(&TcpStream::handleWritable); });
     this->readNotifier->setEnabled(!this->isConnecting);
     this->writeNotifier->setEnabled(this->isConnecting);
 }
 
+/// Runs a callback of the event loop. What it throws ends this connection, and not the process with
+/// all others.
+void TcpStream::runGuarded(void (TcpStream::*action)())
+{
+    const std::shared_ptr<bool> destroyed = this->isDestroyed;
+    try {
+        (this->*action)();
+    } catch (const std::exception &fault) {
+        ++faults;
+        writeLog(LogLevel::Error, "connection_fault", { { "detail", fault.what() } });
+        if (!*destroyed)
+            this->reportEnd(StreamEnd::Broken);
+        if (!*destroyed)
+            this->abort();
+    }
+}
+
+std::uint64_t TcpStream::faultCount()
+{
+    return faults;
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (this->isEnded)
--- a/packages/proxy/include/azurewell/proxy/gossip_socket.h
+++ b/packages/proxy/include/azurewell/proxy/gossip_socket.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace azurewell {
 
@@ -30,13 +32,15 @@
 private:
     GossipSocket(UniqueFd socket, std::function<void(const gateway::Gossip &)> onMessage);
     void receive();
+    void handleDatagram(std::string_view bytes);
+    void drop(const std::string &reason);
 
     UniqueFd descriptor;
     std::function<void(const gateway::Gossip &)> handler;
     QSocketNotifier notifier;
     std::shared_ptr<const gateway::Gossip> encoded; ///< The message that `bytes` encodes.
     std::string bytes;
-    std::uint64_t dropped = 0; ///< Messages that could not be sent or decoded.
+    std::uint64_t dropped = 0; ///< Messages that could not be sent, decoded or handled.
 };
 
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -36,6 +36,7 @@
     std::uint64_t truncatedAnswers = 0;     ///< Streams that ended in order, but inside an event.
     std::uint64_t oversizedAnswers = 0;     ///< Of which a part exceeded its bound.
     std::uint64_t oversizedCallAnswers = 0; ///< The same of reports, orders and the store.
+    std::uint64_t connectionFaults = 0;     ///< Connections that ended as a handler threw.
     std::uint64_t callersAccepted = 0;
     std::uint64_t connectionsRejected = 0; ///< Closed unread, for want of processor time.
     std::size_t callersUnread = 0;         ///< Connections that wait to be read.
--- a/packages/proxy/src/gossip_socket.cpp
+++ b/packages/proxy/src/gossip_socket.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <exception>
 
 namespace azurewell {
 
@@ -80,16 +81,28 @@
         const ssize_t count = ::recv(this->descriptor.get(), block.data(), block.size(), 0);
         if (count < 0)
             return;
-        const Result<gateway::Gossip> message = gateway::decodeGossip(
-                std::string_view(block.data(), static_cast<std::size_t>(count)), monotonicNow());
-        if (!message) {
-            ++this->dropped;
-            writeLog(LogLevel::Warning, "peer_message_dropped",
-                     { { "reason", message.error().detail } });
-            continue;
-        }
-        this->handler(message.value());
+        this->handleDatagram(std::string_view(block.data(), static_cast<std::size_t>(count)));
     }
 }
 
+/// What handling a message throws drops the message, and does not end the process.
+void GossipSocket::handleDatagram(std::string_view bytes)
+{
+    try {
+        const Result<gateway::Gossip> message = gateway::decodeGossip(bytes, monotonicNow());
+        if (message)
+            this->handler(message.value());
+        else
+            this->drop(message.error().detail);
+    } catch (const std::exception &fault) {
+        this->drop(fault.what());
+    }
+}
+
+void GossipSocket::drop(const std::string &reason)
+{
+    ++this->dropped;
+    writeLog(LogLevel::Warning, "peer_message_dropped", { { "reason", reason } });
+}
+
 } // namespace azurewell
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -205,6 +205,7 @@
                                    this->sessions.size(), now),
                        now);
         return;
+        this->metrics.connectionFaults = TcpStream::faultCount();
     }
     const int status = isReady(this->core) ? 200 : 503;
     session.answer(status, status == 200 ? "OK" : "Service Unavailable", {}, {}, now);
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -204,6 +204,7 @@
     addCounter(out, "azurewell_answers_truncated_total", metrics.truncatedAnswers);
     addCounter(out, "azurewell_answers_oversized_total", metrics.oversizedAnswers);
     addCounter(out, "azurewell_call_answers_oversized_total", metrics.oversizedCallAnswers);
+    addCounter(out, "azurewell_connection_faults_total", metrics.connectionFaults);
     addCounter(out, "azurewell_stream_origins_recorded_total", counters.origins.recorded);
     addCounter(out, "azurewell_stream_origins_sent_total", counters.origins.sent);
     addCounter(out, "azurewell_origin_questions_total", counters.origins.questions);
