--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -15,8 +15,7 @@
 /// Timeouts of a caller's connection.
 struct CallerTimeouts
 {
-    /// From the previous response, or from the start, until the next request is complete. Applies
-    /// once its first byte has arrived.
+    /// From the first byte of a request until it is complete.
     Span head{};
     /// From the previous response, or from the start, until the first byte of the next request.
     Span idle{};
@@ -118,10 +117,14 @@
     {
         return this->stream->unsentBytes();
     }
-    /// Whether the connection can be destroyed: the caller has disconnected, or the linger time
-    /// after the last response has passed.
+    /// Whether the connection can be destroyed: the caller has disconnected, the linger time after
+    /// the end of the last response has passed, or the caller has taken nothing of a response for
+    /// long.
     bool isFinished(Instant now) const;
 
+    /// Limits of the requests that begin from now on.
+    void setLimits(const RequestLimits &newLimits);
+
 private:
     void receive();
     bool readRequest();
@@ -129,16 +132,17 @@
     void reportMuchBehind(bool isMuch);
     void dropReceived();
     void handleDrained();
+    void endWriting();
     void startNextRequest(Instant now);
     void handleEnd();
     bool keepsConnection() const;
-    void endWriting();
 
     RequestLimits limits;
     Handlers handlers;
     RequestReader reader;
     std::unique_ptr<TcpStream> stream;
-    Instant idleSince;
+    Instant idleSince; ///< When the last response was written, or its last byte was sent.
+    Instant begunAt;   ///< When the first byte of the current request arrived; zero: it hasn't.
     std::size_t maxBehind = maxPipelinedBytes; ///< Bytes behind the open request that are read.
     std::size_t droppedBytes = 0;
     BodyFraming bodyFraming = BodyFraming::Chunked; ///< Of the response that beginBody() started.
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurewell/http/listen_socket.h"
+#include "azurewell/units/time.h"
 
 #include <QtCore/QSocketNotifier>
 
@@ -62,10 +63,15 @@
     {
         return this->output.size();
     }
+    /// When the kernel last took written bytes; zero: never.
+    Instant lastSentAt() const
+    {
+        return this->sentAt;
+    }
     /// Whether at least one written byte has been passed to the kernel.
     bool hasSent() const
     {
-        return this->hasSentBytes;
+        return this->sentAt.micros != 0;
     }
     bool isOpen() const
     {
@@ -82,42 +88,42 @@
     /// than the kernel holds. Asks the kernel.
     void readOnIfReset();
 
+    /// Lets the kernel reset the connection, rather than close it in an orderly way, if it is
+    /// closed now, also by the end of the process.
+    void setResetOnClose(bool isOn);
+
     /// Closes the write direction; the peer sees an orderly close.
     void shutdownWriting();
 
+    /// Connections of this process that ended as a handler threw.
+    static std::uint64_t faultCount();
+
     /// Closes with a reset, so that the peer cannot take a partial message for a complete one.
     void abort();
 
-    /// Lets the kernel reset the connection, rather than close it in an orderly way, if it is
-    /// closed now, also by the end of the process.
-    void setResetOnClose(bool isOn);
-
 private:
     /// Defers deletion: the stream may be closed from within the notifier's own signal.
     struct NotifierDeleter
-    /// Connections of this process that ended as a handler threw.
-    static std::uint64_t faultCount();
-
     {
         void operator()(QSocketNotifier *notifier) const;
     };
 
     TcpStream() = default;
     void createNotifiers();
+    void runGuarded(void (TcpStream::*action)());
     void handleReadable();
     void handleWritable();
     void flush();
     void reportEnd(StreamEnd how);
 
     UniqueFd descriptor;
-    void runGuarded(void (TcpStream::*action)());
     Handlers handlers;
     std::unique_ptr<QSocketNotifier, NotifierDeleter> readNotifier;
     std::unique_ptr<QSocketNotifier, NotifierDeleter> writeNotifier;
     std::string input;
     std::string output;
     bool isConnecting = false;
-    bool hasSentBytes = false;
+    Instant sentAt;
     bool isEnded = false;
     bool isPausable = true;
     /// Set by the destructor, so that a member function can detect that a handler has destroyed the
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -13,6 +13,9 @@
 /// are unread would reset the connection, and the caller could lose the response.
 constexpr Span lingerTimeout = std::chrono::milliseconds(1500);
 
+/// A caller that takes no byte of a written response for so long is given up.
+constexpr Span sendTimeout = std::chrono::seconds(10);
+
 } // namespace
 
 CallerConnection::CallerConnection(UniqueFd descriptor, const RequestLimits &requestLimits,
@@ -49,10 +52,10 @@
 
 void CallerConnection::handleDrained()
 {
+    this->idleSince = monotonicNow();
     if (this->isClosing && !this->isInRequest)
         this->endWriting();
     this->handlers.onDrained();
-    this->idleSince = monotonicNow();
 }
 
 void CallerConnection::receive()
@@ -116,6 +119,8 @@
         return false;
     }
     const Result<bool> isWhole = this->reader.read(this->stream->received());
+    if (this->begunAt.micros == 0)
+        this->begunAt = monotonicNow();
     if (!isWhole) {
         this->isInRequest = true;
         this->isClosing = true;
@@ -168,6 +173,9 @@
 {
     this->bodyFraming = framing;
     this->isClosing = framing == BodyFraming::Close || !this->keepsConnection();
+    // The end of the connection is the end of the body: it must not look so if the host ends first.
+    if (framing == BodyFraming::Close)
+        this->stream->setResetOnClose(true);
     this->stream->write(responseHeadBytes(status, reason, headers, framing, 0, !this->isClosing));
 }
 
@@ -177,9 +185,6 @@
         this->stream->write(chunkBytes(data));
     else
         this->stream->write(data);
-    // The end of the connection is the end of the body: it must not look so if the host ends first.
-    if (framing == BodyFraming::Close)
-        this->stream->setResetOnClose(true);
 }
 
 void CallerConnection::complete(Instant now)
@@ -197,23 +202,24 @@
     this->stream->abort();
 }
 
+/// All bytes of the last response are with the kernel, which delivers them also if the process
+/// ends.
+void CallerConnection::endWriting()
+{
+    this->stream->setResetOnClose(false);
+    this->stream->shutdownWriting();
+}
+
 void CallerConnection::startNextRequest(Instant now)
 {
     this->isInRequest = false;
+    this->begunAt = {};
     this->isContinueSent = false;
     this->maxBehind = maxPipelinedBytes;
     this->reportMuchBehind(false);
     this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
-/// All bytes of the last response are with the kernel, which delivers them also if the process
-/// ends.
-void CallerConnection::endWriting()
-{
-    this->stream->setResetOnClose(false);
-    this->stream->shutdownWriting();
-}
-
         if (this->stream->unsentBytes() == 0)
             this->endWriting();
         return;
@@ -222,6 +228,13 @@
     this->receive();
 }
 
+void CallerConnection::setLimits(const RequestLimits &newLimits)
+{
+    this->limits = newLimits;
+    if (!this->isInRequest && !this->hasBegun())
+        this->reader = RequestReader(newLimits);
+}
+
 void CallerConnection::close(bool isNow)
 {
     this->isClosing = this->isClosing || this->isInRequest || isNow || !this->hasBegun();
@@ -231,16 +244,21 @@
 
 bool CallerConnection::isTimedOut(const CallerTimeouts &timeouts, Instant now) const
 {
-    if (this->isInRequest || this->isClosing)
+    if (this->isInRequest || this->isClosing || this->unsentBytes() > 0)
         return false;
-    return now >= this->idleSince + (this->hasBegun() ? timeouts.head : timeouts.idle);
+    return this->hasBegun() ? now >= this->begunAt + timeouts.head
+                            : now >= this->idleSince + timeouts.idle;
 }
 
 bool CallerConnection::isFinished(Instant now) const
 {
     if (this->isDisconnected)
         return true;
-    return this->isClosing && !this->isInRequest && now >= this->idleSince + lingerTimeout;
+    if (this->isInRequest)
+        return false;
+    if (this->unsentBytes() > 0)
+        return now >= std::max(this->idleSince, this->stream->lastSentAt()) + sendTimeout;
+    return this->isClosing && now >= this->idleSince + lingerTimeout;
 }
 
 } // namespace azurewell
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -167,7 +167,7 @@
             continue;
         if (count <= 0)
             break; // Reading detects a broken connection, after the bytes received before it.
-        this->hasSentBytes = true;
+        this->sentAt = monotonicNow();
         sent += static_cast<std::size_t>(count);
     }
     this->output.erase(0, sent);
@@ -246,6 +246,13 @@
         this->readNotifier->setEnabled(!paused || !this->isPausable);
 }
 
+void TcpStream::setResetOnClose(bool isOn)
+{
+    const linger mode{ isOn ? 1 : 0, 0 };
+    if (this->descriptor.get() >= 0)
+        setsockopt(this->descriptor.get(), SOL_SOCKET, SO_LINGER, &mode, sizeof mode);
+}
+
 void TcpStream::shutdownWriting()
 {
     if (!this->isEnded && !this->isConnecting)
@@ -274,13 +281,6 @@
 
 void TcpAcceptor::acceptPending()
 {
-void TcpStream::setResetOnClose(bool isOn)
-{
-    const linger mode{ isOn ? 1 : 0, 0 };
-    if (this->descriptor.get() >= 0)
-        setsockopt(this->descriptor.get(), SOL_SOCKET, SO_LINGER, &mode, sizeof mode);
-}
-
     int opened = 0;
     for (int i = 0; i < maxAcceptsPerEvent && opened < maxOpenedPerEvent; ++i) {
         const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -107,7 +107,7 @@
     void countLeftBeforeBegin();
     void logUnservedCallers(Instant now);
     void acceptPeer(UniqueFd descriptor);
-    SessionId openSession(UniqueFd descriptor, const RequestLimits &limits);
+    SessionId openSession(UniqueFd descriptor, bool isOfPeer);
     Result<gateway::RequestArrived> readArrival(SessionId id);
     void handleRequest(SessionId id);
     void refuseMalformed(SessionId id, const Error &error);
@@ -154,6 +154,9 @@
     void closeTimedOutCallers(Instant now);
     void endSession(SessionId id);
     void continueStop(Instant now);
+    bool isAnyAnswerUnsent() const;
+    void applyLimits();
+    RequestLimits limitsOf(SessionId id) const;
     void acceptMonitoring(UniqueFd descriptor);
     void answerMonitoring(SessionId id);
 
@@ -184,6 +187,7 @@
     Instant overloadedUntil;
     Instant nextCountsLogAt;
     Instant nextTimeoutsAt;
+    std::uint64_t limitsVersion = 0;         ///< Configuration whose limits open connections have.
     std::uint64_t turnedAwaySinceLogged = 0; ///< Callers whose requests were not read.
     std::uint64_t leftSinceLogged = 0; ///< Callers that left before their requests were begun.
     std::size_t heldSinceSum = 0;      ///< Allocated for bodies since all held ones were added up.
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -127,6 +127,7 @@
         this->onTick();
     const Instant now = monotonicNow();
     this->core.isOverloaded = now < this->overloadedUntil;
+    this->applyLimits();
     Actions actions;
     gateway::tick(this->core, now, actions);
     this->run(actions);
@@ -162,7 +163,7 @@
         session->close(!session->hasBegun());
     const bool isLast = waited >= this->settings.self.stopGrace - exitMargin;
     const bool isSettled = this->open.empty() && this->unread.waiting.empty()
-            && waited >= loadBalancerDelay + loadBalancerDelay / 3;
+            && !this->isAnyAnswerUnsent() && waited >= loadBalancerDelay + loadBalancerDelay / 3;
     if (!isLast && !isSettled)
         return;
     writeLog(LogLevel::Info, "stopped", { { "open_requests", std::to_string(this->open.size()) } });
@@ -170,6 +171,13 @@
     QCoreApplication::quit();
 }
 
+/// Whether this host still holds bytes of an answer that its caller has not taken.
+bool Proxy::isAnyAnswerUnsent() const
+{
+    return std::any_of(this->sessions.begin(), this->sessions.end(),
+                       [](const auto &entry) { return entry.second->unsentBytes() > 0; });
+}
+
 void Proxy::acceptMonitoring(UniqueFd descriptor)
 {
     const SessionId id = this->nextSession++;
@@ -197,6 +205,7 @@
     CallerConnection &session = *this->monitoringSessions.at(id);
     const Instant now = monotonicNow();
     if (session.request().target.ends_with("/metrics")) {
+        this->metrics.connectionFaults = TcpStream::faultCount();
         this->metrics.oversizedCallAnswers = this->httpCalls.oversizedAnswers();
         this->metrics.callersUnread = this->unread.waiting.size();
         this->metrics.usualUnreadWait = this->unread.usualWait;
@@ -205,7 +214,6 @@
                                    this->sessions.size(), now),
                        now);
         return;
-        this->metrics.connectionFaults = TcpStream::faultCount();
     }
     const int status = isReady(this->core) ? 200 : 503;
     session.answer(status, status == 200 ? "OK" : "Service Unavailable", {}, {}, now);
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -48,8 +48,7 @@
 Proxy::SessionId Proxy::openCaller(UniqueFd descriptor)
 {
     ++this->metrics.callersAccepted;
-    const CallerLimits &limits = this->core.configuration.limits;
-    return this->openSession(std::move(descriptor), { limits.headBytes, limits.bodyBytes });
+    return this->openSession(std::move(descriptor), false);
 }
 
 /// Reads requests of callers that wait, the oldest first, for one slice of time.
--- a/packages/proxy/src/proxy_callers.cpp
+++ b/packages/proxy/src/proxy_callers.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Bytes that a forwarded request's head may be longer than that of the caller.
+constexpr std::uint32_t maxInternalHeaderBytes = 4096;
+
 /// Callers' timeouts are whole seconds.
 constexpr Span timeoutsInterval = std::chrono::milliseconds(250);
 
@@ -26,9 +29,11 @@
 
 } // namespace
 
-Proxy::SessionId Proxy::openSession(UniqueFd descriptor, const RequestLimits &limits)
+Proxy::SessionId Proxy::openSession(UniqueFd descriptor, bool isOfPeer)
 {
     const SessionId id = this->nextSession++;
+    if (isOfPeer)
+        this->peerSessions.insert(id);
     CallerConnection::Handlers handlers;
     handlers.onRequest = [this, id] {
         this->handleRequest(id);
@@ -48,11 +53,29 @@
         else
             this->muchBehind.erase(id);
     };
-    this->sessions[id] = std::make_unique<CallerConnection>(std::move(descriptor), limits,
-                                                            std::move(handlers), monotonicNow());
+    this->sessions[id] = std::make_unique<CallerConnection>(
+            std::move(descriptor), this->limitsOf(id), std::move(handlers), monotonicNow());
     return id;
 }
 
+/// Limits of requests on the connection \a id. A host that forwards a request adds a header.
+RequestLimits Proxy::limitsOf(SessionId id) const
+{
+    const CallerLimits &limits = this->core.configuration.limits;
+    const std::uint32_t added = this->peerSessions.contains(id) ? maxInternalHeaderBytes : 0;
+    return { limits.headBytes + added, limits.bodyBytes };
+}
+
+/// Brings the limits of a new configuration into force on the connections that are open.
+void Proxy::applyLimits()
+{
+    if (std::exchange(this->limitsVersion, this->core.configuration.version)
+        == this->core.configuration.version)
+        return;
+    for (const auto &[id, session] : this->sessions)
+        session->setLimits(this->limitsOf(id));
+}
+
 void Proxy::handleRequest(SessionId id)
 {
     const Instant now = monotonicNow();
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Bytes that a forwarded request's head may be longer than that of the caller.
-constexpr std::uint32_t maxInternalHeaderBytes = 4096;
-
 constexpr std::size_t maxPeerConnections = 1024;
 
 std::string_view nameOf(ForwardOutcome outcome)
@@ -43,10 +40,7 @@
                  { { "ip", ip }, { "reason", isFull ? "too_many" : "no_member" } });
         return;
     }
-    const CallerLimits &limits = this->core.configuration.limits;
-    const RequestLimits requestLimits{ limits.headBytes + maxInternalHeaderBytes,
-                                       limits.bodyBytes };
-    this->peerSessions.insert(this->openSession(std::move(descriptor), requestLimits));
+    this->openSession(std::move(descriptor), true);
 }
 
 Result<RequestArrived> Proxy::readArrival(SessionId id)
