What an answer says of a run counts only if it states the request's id

By reading: an answer without an id was taken for the answer to the open request. A late second answer to a report or an order has none, and a 421 among them would say of the request that it has not run.

A 421 without it proves nothing, like a 503.

--- a/packages/proxy/include/azurewell/proxy/wire_format.h
+++ b/packages/proxy/include/azurewell/proxy/wire_format.h
@@ -43,7 +43,8 @@
     /// Whether an answer can belong to a call of this host, such as a report or an order.
     bool (*isAnswerToCall)(const ResponseHead &head);
 
-    ReplyFacts (*readReply)(const ResponseHead &head);
+    /// Decodes the answer to the request with \a callerId.
+    ReplyFacts (*readReply)(const ResponseHead &head, const std::string &callerId);
 
     /// What \a upstream states in any answer; nothing if another one has given the answer.
     gateway::UpstreamStatements (*readStatements)(const ResponseHead &head,
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -154,7 +154,7 @@
     OpenRequest &request = found->second;
     request.head = head;
     request.head.headers = withoutInternalHeaders(request.head.headers);
-    request.facts = this->format.readReply(head);
+    request.facts = this->format.readReply(head, request.callerId);
     ++this->metrics.answersByFraming[head.framing];
     if (request.isAtPeer)
         this->handleForwardHead(request, head);
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -55,7 +55,7 @@
             return id.empty() || id == callerId;
         },
         [](const ResponseHead &head) { return headerCount(head.headers, "Id") == 0; },
-        [](const ResponseHead &head) {
+        [](const ResponseHead &head, const std::string &) {
             ReplyFacts facts;
             facts.isNotRun = headerCount(head.headers, "Not-Run") > 0;
             facts.isAttested = headerCount(head.headers, "Signature") > 0;
