--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -23,7 +23,7 @@
 {
     using value_type = std::string;
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that Beast looks for.
     {
     public:
         template <bool isRequest, typename Fields>
