A removed upstream gets nothing later than its removal allows

Cause: a sum of waits, each chosen alone: a cut watch delays the news of a removal by up to 0.9 s, and counted as an outage of the platform, for which the server was used for another 1.2 s.

Change: a removal came after the last complete view that this host had of the platform. The server is used until 150 ms before that view is as old as the propagation timeout, and no longer than before. If the view is older, nothing is known of the time, and the grace is as before: entries that expire in an outage come back within two seconds of its end.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -267,6 +267,7 @@
     PlatformReader platformReader;
     PlatformView platform = PlatformView::NotRead;
     Instant platformFailedAt; ///< Time of the platform's last failure; zero: none.
+    Instant platformViewAt; ///< This host has all that the platform confirmed before; zero: never.
     ChangesLag changesLag;
 
     std::map<CustomerId, CustomerMeter> meters;
@@ -345,6 +346,10 @@
 void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version);
 void recordPlatformFailure(GatewayState &state, Instant now);
 
+/// Records that this host has read all that the platform had confirmed at \a viewAt. To be called
+/// after what was read has been applied.
+void recordPlatformView(GatewayState &state, Instant viewAt);
+
 /// Records that the platform answered this host. \a isNew: the answer contains changes, which are
 /// sent to the zone without delay.
 void recordPlatformAnswer(GatewayState &state, bool isNew, Instant now);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -26,6 +26,10 @@
 constexpr Span outageRemovalGrace = std::chrono::milliseconds(1200);
 constexpr Span outageRecoveryTime = std::chrono::seconds(4);
 
+/// Time for a request that is sent to reach its upstream, and between the platform's confirmation
+/// and its answer.
+constexpr Span removalMargin = std::chrono::milliseconds(150);
+
 /// Hosts of a zone that read published state from the platform: two of them may be lost or
 /// unreachable before this is noticed.
 constexpr std::size_t readersPerZone = 3;
@@ -158,6 +162,19 @@
     }
 }
 
+/// Until when an upstream whose entry has been removed without notice gets new requests. It serves
+/// them for the propagation timeout after its removal, which came after this host's last view.
+Instant usableAfterRemoval(const GatewayState &state, Instant now)
+{
+    const bool isOutage = state.platformFailedAt.micros != 0
+            && now - state.platformFailedAt < outageRecoveryTime;
+    const Instant latest = now + (isOutage ? outageRemovalGrace : removalGrace);
+    const Instant deadline = state.platformViewAt + state.self.propagationTimeout - removalMargin;
+    // With an older view, nothing is known of the time of the removal.
+    const bool isBounded = state.platformViewAt.micros != 0 && now < deadline;
+    return isBounded ? std::min(latest, deadline) : latest;
+}
+
 } // namespace
 
 double draw(GatewayState &state)
@@ -228,11 +245,9 @@
     if (found == state.upstreams.end())
         return;
     Upstream &upstream = found->second;
-    const bool isOutage = state.platformFailedAt.micros != 0
-            && now - state.platformFailedAt < outageRecoveryTime;
     wakeEngine(state, id);
     if (upstream.usableUntil == never)
-        upstream.usableUntil = now + (isOutage ? outageRemovalGrace : removalGrace);
+        upstream.usableUntil = usableAfterRemoval(state, now);
 }
 
 void declareVersion(GatewayState &state, const ModelName &adapter, std::uint64_t version)
@@ -250,6 +265,11 @@
     state.platformFailedAt = now;
 }
 
+void recordPlatformView(GatewayState &state, Instant viewAt)
+{
+    state.platformViewAt = std::max(state.platformViewAt, viewAt);
+}
+
 void recordPlatformAnswer(GatewayState &state, bool isNew, Instant now)
 {
     state.platform = PlatformView::Answering;
