Known red: a stop cuts an answer that is read slowly on a kept connection

A caller with a kept connection that reads its answer slowly gets a part of it if the host stops meanwhile: close() ends the host's direction although bytes of the answer are still in the host's buffer.

--- a/packages/http/tests/caller_connection_test.cpp
+++ b/packages/http/tests/caller_connection_test.cpp
@@ -104,6 +104,21 @@
     EXPECT_TRUE(this->connection->isFinished(monotonicNow() + std::chrono::seconds(5)));
 }
 
+// Guards against a stop that cuts an answer which its caller still reads, on a connection that was
+// to be kept.
+TEST_F(CallerConnectionTest, ClosingItNowLeavesItsCallerTheWholeAnswer)
+{
+    ASSERT_TRUE(this->sendRequest());
+    this->connection->answer(200, "OK", {}, std::string(longBodyBytes, 'a'), monotonicNow());
+    EXPECT_GT(this->connection->unsentBytes(), 0U);
+    this->connection->close(true);
+    std::size_t got = 0;
+    EXPECT_TRUE(waitFor([&] {
+        got += this->read(longBodyBytes);
+        return got > longBodyBytes;
+    }));
+}
+
 // Guards against callers that never read their answers and hold the host's memory.
 TEST_F(CallerConnectionTest, EndsIfItsCallerTakesNothingForLong)
 {
