A stop leaves callers the whole answer on connections that were to be kept

Callers saw: an answer that was read slowly on a kept connection ended early when its host was stopped.

Cause: CallerConnection::close() ended the host's direction by itself although bytes of the last answer were still in the host's buffer; two other places asked first whether any were.

Change: one function, endWritingIfDone(), decides when writing ends: after the last request, and once nothing is unsent.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -132,7 +132,7 @@
     void reportMuchBehind(bool isMuch);
     void dropReceived();
     void handleDrained();
-    void endWriting();
+    void endWritingIfDone();
     void startNextRequest(Instant now);
     void handleEnd();
     bool keepsConnection() const;
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -53,8 +53,7 @@
 void CallerConnection::handleDrained()
 {
     this->idleSince = monotonicNow();
-    if (this->isClosing && !this->isInRequest)
-        this->endWriting();
+    this->endWritingIfDone();
     this->handlers.onDrained();
 }
 
@@ -202,10 +201,12 @@
     this->stream->abort();
 }
 
-/// All bytes of the last response are with the kernel, which delivers them also if the process
-/// ends.
-void CallerConnection::endWriting()
+/// Closes the direction to the caller once all bytes of the last response are with the kernel,
+/// which delivers them also if the process ends.
+void CallerConnection::endWritingIfDone()
 {
+    if (!this->isClosing || this->isInRequest || this->stream->unsentBytes() > 0)
+        return;
     this->stream->setResetOnClose(false);
     this->stream->shutdownWriting();
 }
@@ -220,8 +221,7 @@
     this->pauseReading(false);
     this->idleSince = now;
     if (this->isClosing) {
-        if (this->stream->unsentBytes() == 0)
-            this->endWriting();
+        this->endWritingIfDone();
         return;
     }
     this->reader = RequestReader(this->limits);
@@ -238,8 +238,8 @@
 void CallerConnection::close(bool isNow)
 {
     this->isClosing = this->isClosing || this->isInRequest || isNow || !this->hasBegun();
-    if (isNow && !this->isInRequest)
-        this->stream->shutdownWriting();
+    if (isNow)
+        this->endWritingIfDone();
 }
 
 bool CallerConnection::isTimedOut(const CallerTimeouts &timeouts, Instant now) const
