A host is in touch by the time at which messages were sent, not read

Cause: the kernel keeps datagrams for a process that stands still, the oldest ones if there are many. On going on it took each for a message of now, so that it counted as in touch, and its version as the only one, on the word of messages from before the release.

Change: each message states how long its sender has run; the quickest one of a process shows when that was by this host's clock, and any other how late it is. What a host needs to be in touch is counted from the sending. Reachability stays as it was: a host that lags must not take others for lost.

--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -34,7 +34,7 @@
     bool isOverloaded = false; ///< It turns callers away, as it states.
     bool wasReachable = false; ///< Reachability at the last check; see Members::changedAt.
     PlatformView platform = PlatformView::NotRead;
-    Instant startedAt;     ///< Start of its process, as it reports.
+    Instant startedAt;     ///< Start of its process, as its message with the least delay tells.
     bool wasAlive = false; ///< Result of isAlive() at the last check; see Members::generation.
     std::uint64_t idHash = 0;
     Instant firstKnownAt;    ///< When its current incarnation first sent a message, or was first
@@ -44,12 +44,14 @@
     Instant heardByAt;       ///< When it last received a message of this host, as it states; zero:
                              ///< it has stated nothing yet.
     Instant nextHeartbeatAt; ///< When this host sends it the next heartbeat.
-    std::uint32_t linkMbps = 0;              ///< Link speed in Mbit/s; 0: unknown.
-    std::set<ServiceId> unreachableServices; ///< It reaches none of their upstreams.
+    std::uint32_t linkMbps = 0;                 ///< Link speed in Mbit/s; 0: unknown.
+    std::set<ServiceId> unreachableServices;    ///< It reaches none of their upstreams.
     Instant relayRequestedAt;   ///< First relay request sent to it since its last message; zero:
                                 ///< none.
     Instant nextEngineUpdateAt; ///< When this host sends its engines' states again if nothing
                                 ///< changes.
+    Instant sentAt; ///< When its last message was sent, as its clock tells: messages wait for a
+                    ///< process that stands still.
 };
 
 /// If two calls of updateMembers() are further apart than this, the process was paused in between.
--- a/packages/gateway/src/known_versions.cpp
+++ b/packages/gateway/src/known_versions.cpp
@@ -42,7 +42,7 @@
 {
     const auto &others = state.members.others;
     return others.empty() || std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-               return now - entry.second.lastMessageAt < maxSilence;
+               return now - entry.second.sentAt < maxSilence;
            });
 }
 
@@ -52,7 +52,7 @@
 {
     const Span interval = heartbeatInterval(state.members, member);
     return isMemberReachable(state.members, member, now)
-            && now - member.lastMessageAt < interval + maxSilence;
+            && now - member.sentAt < interval + maxSilence;
 }
 
 /// Whether this host reaches most of the hosts that it knows, or knew when it lost them. Only then
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -22,6 +22,22 @@
 constexpr double missedInZone = 4.4;
 constexpr double missedElsewhere = 3.2;
 
+/// Clocks of two hosts drift apart by less than this.
+constexpr double maxClockDrift = 0.001;
+
+/// The start of the process of \a sender: the earliest that its messages tell, as each is delayed
+/// on its way or by this host.
+Instant earliestStart(const Member &before, const Member &sender)
+{
+    const bool isFirstMessage = before.heardAt.micros == 0
+            || before.incarnation != sender.incarnation;
+    if (isFirstMessage)
+        return sender.startedAt;
+    const Span sinceLast = sender.lastMessageAt - before.lastMessageAt;
+    const Instant latest = before.startedAt + fromSeconds(toSeconds(sinceLast) * maxClockDrift);
+    return std::min(sender.startedAt, latest);
+}
+
 Span intervalOf(std::size_t hosts, double maxPerSecond)
 {
     return std::max(minHeartbeatInterval, fromSeconds(static_cast<double>(hosts) / maxPerSecond));
@@ -206,6 +222,8 @@
         members.changedAt = member.lastMessageAt;
     known->second = member;
     known->second.lastAliveAt = std::max(member.lastMessageAt, before.lastAliveAt);
+    known->second.startedAt = isNew ? member.startedAt : earliestStart(before, member);
+    known->second.sentAt = member.lastMessageAt - (member.startedAt - known->second.startedAt);
     known->second.wasReachable = before.wasReachable;
     known->second.wasAlive = before.wasAlive;
     known->second.firstKnownAt = isNewIncarnation ? member.lastMessageAt : before.firstKnownAt;
