No stream begins at a new version while a host can take another one for the only one

Cause: a new version was held for a fixed time, but not if no server of another version was usable at the host that decides. Old servers that drain are not usable there, and are at the host that is cut off and has not noticed it yet.

Change: a version is held until all other hosts have said that they know of the mix; or until a host that does not know must have noticed that it is out of touch: after 600 ms and 400 ms if it is the only one, as it hears nobody who does not tell it, else after the longest heartbeat and 1 s from the moment when most know, as two majorities have a host in common. Hosts that learn of a mix tell all others at once, and again every 200 ms until those have said that they know.

The simulated fleet learns servers that join and leave, and messages that wait for a paused host.

--- a/packages/gateway/include/azurewell/gateway/gateway.h
+++ b/packages/gateway/include/azurewell/gateway/gateway.h
@@ -317,6 +317,8 @@
     std::map<ServiceId, ServiceVersions> serviceVersions;
     std::map<ServiceId, std::set<SoftwareVersion>> heldVersions; ///< Where no streams begin now.
     Instant nextVersionCheckAt;
+    Instant mixedToldAt;           ///< When this host last told all others that versions are mixed.
+    Instant nextTellAt;            ///< When it tells those again that have not said that they know.
     std::size_t knownWhenLost = 0; ///< Hosts known when this one lost most of them; 0: it has not.
     Counters counters;
 };
--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -46,6 +46,8 @@
     Instant nextHeartbeatAt; ///< When this host sends it the next heartbeat.
     std::uint32_t linkMbps = 0;                 ///< Link speed in Mbit/s; 0: unknown.
     std::set<ServiceId> unreachableServices;    ///< It reaches none of their upstreams.
+    std::map<ServiceId, Instant> mixedServices; ///< When their versions were last mixed, as it
+                                                ///< states.
     Instant relayRequestedAt;   ///< First relay request sent to it since its last message; zero:
                                 ///< none.
     Instant nextEngineUpdateAt; ///< When this host sends its engines' states again if nothing
--- a/packages/gateway/include/azurewell/gateway/stream_origins.h
+++ b/packages/gateway/include/azurewell/gateway/stream_origins.h
@@ -64,18 +64,21 @@
 /// The software versions of a service's upstreams, as far as this host knows.
 struct ServiceVersions
 {
-    /// The versions that are listed now. Before the time with them, new streams do not begin there.
-    std::map<SoftwareVersion, Instant> heldUntil;
+    /// The versions that are listed now, with the time since which new streams do not begin there;
+    /// zero: they do.
+    std::map<SoftwareVersion, Instant> heldSince;
+    Instant mostKnowAt; ///< Since when most hosts state that versions are mixed; zero: they do not.
+    Instant allButOneKnowAt; ///< Since when all other hosts, or all but one, state it.
     Instant mixedAt; ///< When two versions were last known side by side, here or at another host;
                      ///< zero: never.
     Instant since;   ///< Since when this host knows the service's versions; zero: since the system
                      ///< started for the first time.
 };
 
-/// Updates \a versions by those that are \a listed now. A version that is new beside others is held
-/// until \a heldUntil.
-void updateVersions(ServiceVersions &versions, const std::set<SoftwareVersion> &listed, Instant now,
-                    Instant heldUntil);
+/// Updates \a versions by those that are \a listed now. A version that is new beside others, or in
+/// their place, is held.
+void updateVersions(ServiceVersions &versions, const std::set<SoftwareVersion> &listed,
+                    Instant now);
 
 /// Whether versions are mixed, or were so recently that streams of a version that is gone may still
 /// be taken up again. Callers take streams up within \a window after they began.
--- a/packages/gateway/src/gossip_exchange.cpp
+++ b/packages/gateway/src/gossip_exchange.cpp
@@ -289,6 +289,8 @@
     sender.startedAt = now - message.runningFor;
     sender.linkMbps = message.linkMbps;
     sender.unreachableServices = message.unreachableServices;
+    for (const MixedService &mixed : message.mixedServices)
+        sender.mixedServices[mixed.service] = mixed.mixedAt;
     return sender;
 }
 
--- a/packages/gateway/src/known_versions.cpp
+++ b/packages/gateway/src/known_versions.cpp
@@ -13,17 +13,29 @@
 /// sends to it every 250 ms or more often, in fleets of any size.
 constexpr Span maxSilence = std::chrono::milliseconds(600);
 
+/// A message that tells of mixed versions is repeated after this time until it is confirmed.
+constexpr Span tellInterval = std::chrono::milliseconds(200);
+
 constexpr Span versionCheckInterval = std::chrono::milliseconds(250);
 
-/// New streams do not begin at servers of a version that is new beside another one until each host
-/// either knows of it or has noticed that it is out of touch, and a little longer. Otherwise a host
-/// that knows of the other version only would go on with such a stream there.
-constexpr Span holdMargin = std::chrono::seconds(1);
+/// Time for a message to arrive. It also covers hosts whose heartbeat plans differ.
+constexpr Span noticeMargin = std::chrono::milliseconds(400);
+
+/// A host that hears no message of most hosts for this long is out of touch.
+Span noticeTime(const GatewayState &state)
+{
+    const HeartbeatPlan &plan = state.members.plan;
+    return std::max(plan.inZone, plan.inOtherZones) + maxSilence + noticeMargin;
+}
+
+/// Where no other version is usable and most hosts are not reached, a version is held for this
+/// long: nothing would be served until those hosts are back or forgotten.
+constexpr Span loneHoldMargin = std::chrono::seconds(1);
 
-Span holdTime(const GatewayState &state)
+Span loneHoldTime(const GatewayState &state)
 {
     const HeartbeatPlan &plan = state.members.plan;
-    return std::max(plan.timeoutInZone, plan.timeoutElsewhere) + holdMargin;
+    return std::max(plan.timeoutInZone, plan.timeoutElsewhere) + loneHoldMargin;
 }
 
 /// How long after it began a stream may be taken up again. A route's timeout bounds one attempt,
@@ -70,24 +82,127 @@
     return 2 * (heard + 1) > known;
 }
 
-/// The held versions of \a service, unless no server of another version is usable.
+bool isOtherUsable(const GatewayState &state, const ServiceId &service,
+                   const std::set<SoftwareVersion> &held, Instant now)
+{
+    return std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
+        const ListedUpstream &listed = entry.second.listed;
+        return listed.service == service && !held.contains(listed.softwareVersion)
+                && isUsable(entry.second, now);
+    });
+}
+
+/// Whether \a member has stated that the versions of \a service are mixed, so that it does not take
+/// the one that it knows for the only one.
+bool knowsMixed(const GatewayState &state, const Member &member, const ServiceId &service,
+                Instant now)
+{
+    const auto stated = member.mixedServices.find(service);
+    return stated != member.mixedServices.end()
+            && now + noticeTime(state) < stated->second + resumptionWindow;
+}
+
+/// How many hosts know that the versions of a service are mixed.
+struct MixedKnowledge
+{
+    std::size_t uninformed = 0;  ///< Other hosts.
+    bool isInformedMost = false; ///< Of the hosts that have not announced that they leave.
+};
+
+MixedKnowledge mixedKnowledge(const GatewayState &state, const ServiceId &service, Instant now)
+{
+    MixedKnowledge knowledge;
+    std::size_t informed = 1;
+    for (const auto &[id, member] : state.members.others) {
+        const bool isInformed = knowsMixed(state, member, service, now);
+        knowledge.uninformed += isInformed ? 0 : 1;
+        informed += isInformed && !member.isLeaving ? 1 : 0;
+    }
+    const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
+    knowledge.isInformedMost = 2 * informed > known;
+    return knowledge;
+}
+
+/// Sets \a since to \a now if \a isTrue and was not before; to zero if it is not.
+void setSince(Instant &since, bool isTrue, Instant now)
+{
+    if (!isTrue)
+        since = Instant{};
+    else if (since.micros == 0)
+        since = now;
+}
+
+bool isTrueFor(Instant since, Span span, Instant now)
+{
+    return since.micros != 0 && now >= since + span;
+}
+
+bool isAnyHeld(const ServiceVersions &versions)
+{
+    return std::any_of(versions.heldSince.begin(), versions.heldSince.end(),
+                       [](const auto &entry) { return entry.second.micros != 0; });
+}
+
+/// Lets new streams begin at versions that were held, once no host can take another version for the
+/// only one. A host that does so has heard somebody a moment ago, and most hosts at their last
+/// heartbeats: the only one that does not know hears nobody, and several that hear each other do
+/// not hear most hosts.
+void endHolds(const GatewayState &state, const ServiceId &service, ServiceVersions &versions,
+              Instant now)
+{
+    if (!isAnyHeld(versions))
+        return;
+    const MixedKnowledge knowledge = mixedKnowledge(state, service, now);
+    setSince(versions.allButOneKnowAt, knowledge.uninformed <= 1, now);
+    setSince(versions.mostKnowAt, knowledge.isInformedMost, now);
+    const bool isOver = knowledge.uninformed == 0
+            || isTrueFor(versions.allButOneKnowAt, maxSilence + noticeMargin, now)
+            || isTrueFor(versions.mostKnowAt, noticeTime(state), now);
+    if (!isOver)
+        return;
+    for (auto &[version, since] : versions.heldSince)
+        since = Instant{};
+}
+
+/// The versions of \a service at which no new streams begin.
 std::set<SoftwareVersion> heldVersionsOf(const GatewayState &state, const ServiceId &service,
                                          const ServiceVersions &versions, Instant now)
 {
     std::set<SoftwareVersion> held;
-    for (const auto &[version, until] : versions.heldUntil) {
-        if (now < until)
-            held.insert(version);
+    std::set<SoftwareVersion> heldBriefly;
+    for (const auto &[version, since] : versions.heldSince) {
+        if (since.micros == 0)
+            continue;
+        held.insert(version);
+        if (now < since + loneHoldTime(state))
+            heldBriefly.insert(version);
+    }
+    return isOtherUsable(state, service, held, now) ? held : heldBriefly;
+}
+
+/// The others must know before a stream begins at a new version.
+void tellAll(GatewayState &state, Instant now)
+{
+    state.mixedToldAt = now;
+    state.nextTellAt = now + tellInterval;
+    for (auto &[id, member] : state.members.others)
+        setHeartbeat(state.members, member, now);
+}
+
+/// Tells hosts again that have not said that they know: the message, or theirs, may be lost.
+void tellUninformed(GatewayState &state, Instant now)
+{
+    if (now < state.nextTellAt)
+        return;
+    state.nextTellAt = now + tellInterval;
+    for (const auto &[service, versions] : state.serviceVersions) {
+        if (!isAnyHeld(versions))
+            continue;
+        for (auto &[id, member] : state.members.others) {
+            if (!knowsMixed(state, member, service, now))
+                setHeartbeat(state.members, member, now);
+        }
     }
-    if (held.empty())
-        return held;
-    const bool isOtherUsable = std::any_of(
-            state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
-                const ListedUpstream &listed = entry.second.listed;
-                return listed.service == service && !held.contains(listed.softwareVersion)
-                        && isUsable(entry.second, now);
-            });
-    return isOtherUsable ? held : std::set<SoftwareVersion>{};
 }
 
 void checkAllVersions(GatewayState &state, Instant now)
@@ -99,8 +214,7 @@
         checkVersions(state, service, now);
 }
 
-/// Records that this host has lost most others, or reaches them again. Versions that are held stay
-/// so until it has been in touch for long enough.
+/// Records that this host has lost most others, or reaches them again.
 void checkTouch(GatewayState &state, Instant now)
 {
     if (isInTouch(state, now)) {
@@ -108,12 +222,6 @@
         return;
     }
     state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
-    for (auto &[service, versions] : state.serviceVersions) {
-        for (auto &[version, until] : versions.heldUntil) {
-            if (now < until)
-                until = now + holdTime(state);
-        }
-    }
 }
 
 } // namespace
@@ -200,15 +308,48 @@
         return;
     const bool wasMixed = isServiceMixed(state, service, now);
     ServiceVersions &versions = versionsOf(state, service, now);
-    updateVersions(versions, listed, now, now + holdTime(state));
+    updateVersions(versions, listed, now);
     if (isAnyUnknown)
         versions.mixedAt = now;
+    endHolds(state, service, versions, now);
     state.heldVersions[service] = heldVersionsOf(state, service, versions, now);
-    if (wasMixed || !isServiceMixed(state, service, now))
-        return;
-    // The others must know before a stream begins at the new version.
-    for (auto &[id, member] : state.members.others)
-        setHeartbeat(state.members, member, now);
+    if (!wasMixed && isServiceMixed(state, service, now))
+        tellAll(state, now);
+}
+
+void takeMixedServices(GatewayState &state, const HostId &from,
+                       const std::vector<MixedService> &mixedServices, Instant now)
+{
+    Member &sender = state.members.others.at(from);
+    const bool hasHeard = sender.heardByAt.micros == 0 || sender.heardByAt >= state.mixedToldAt;
+    if (!mixedServices.empty() && !hasHeard)
+        setHeartbeat(state.members, sender, now);
+    for (const MixedService &mixed : mixedServices) {
+        const bool wasMixed = isServiceMixed(state, mixed.service, now);
+        ServiceVersions &versions = versionsOf(state, mixed.service, now);
+        versions.mixedAt = std::max(versions.mixedAt, std::min(mixed.mixedAt, now));
+        if (!wasMixed && isServiceMixed(state, mixed.service, now))
+            tellAll(state, now);
+        if (isAnyHeld(versions))
+            state.nextVersionCheckAt = now;
+    }
+}
+
+bool isOnlyHeldUsable(const GatewayState &state, const ServiceId &service, Instant now)
+{
+    const auto held = state.heldVersions.find(service);
+    if (held == state.heldVersions.end() || held->second.empty())
+        return false;
+    bool isHeldUsable = false;
+    for (const auto &[id, upstream] : state.upstreams) {
+        const ListedUpstream &listed = upstream.listed;
+        if (listed.service != service || !isUsable(upstream, now))
+            continue;
+        if (!held->second.contains(listed.softwareVersion))
+            return false;
+        isHeldUsable = true;
+    }
+    return isHeldUsable;
 }
 
 void checkVersionsIfDue(GatewayState &state, Instant now)
@@ -217,6 +358,7 @@
         return;
     state.nextVersionCheckAt = now + versionCheckInterval;
     checkAllVersions(state, now);
+    tellUninformed(state, now);
     checkTouch(state, now);
 }
 
--- a/packages/gateway/src/known_versions.h
+++ b/packages/gateway/src/known_versions.h
@@ -14,6 +14,14 @@
 /// or from other hosts.
 bool areEntriesFresh(const GatewayState &state, Instant now);
 
+/// Takes over of which services the host \a from knows that versions are mixed, or were recently.
+/// If it has not heard that this host knows it as well, it is told again.
+void takeMixedServices(GatewayState &state, const HostId &from,
+                       const std::vector<MixedService> &mixedServices, Instant now);
+
+/// Whether new streams of \a service can begin nowhere, as the only version that is usable is held.
+bool isOnlyHeldUsable(const GatewayState &state, const ServiceId &service, Instant now);
+
 /// What is known of the versions of \a service, which is created if there is nothing.
 ServiceVersions &versionsOf(GatewayState &state, const ServiceId &service, Instant now);
 
--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -183,6 +183,22 @@
     refuseAndForget(state, record, ResultCode::StreamVersionGone, retryAfter, actions);
 }
 
+Span originWait(const GatewayState &state, const RequestRecord &record)
+{
+    const Route *route = findRoute(state.configuration, record.arrivedRequest.host,
+                                   record.arrivedRequest.path);
+    const bool hasObjective = route && route->objective > Span{};
+    return hasObjective ? route->objective * waitPercentOfObjective / 100 : defaultOriginWait;
+}
+
+/// Whether the new stream of \a record waits until other hosts know of the only version that is
+/// usable.
+bool awaitsVersion(const GatewayState &state, const RequestRecord &record, Instant now)
+{
+    return isOnlyHeldUsable(state, record.service, now)
+            && now < std::min(record.arrivedAt + originWait(state, record), record.deadline);
+}
+
 /// Begins to find out who began the stream of \a record. False if it was refused.
 bool beginSearch(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
@@ -207,13 +223,8 @@
         ++state.counters.origins.ownAnswers;
         return takeOrigin(state, record, *origin, "own", now, actions);
     }
-    const Route *route = findRoute(state.configuration, record.arrivedRequest.host,
-                                   record.arrivedRequest.path);
-    const bool hasObjective = route && route->objective > Span{};
-    const Span wait = hasObjective ? route->objective * waitPercentOfObjective / 100
-                                   : defaultOriginWait;
     search.step = OriginStep::Asking;
-    search.givesUpAt = std::min(now + wait, record.deadline);
+    search.givesUpAt = std::min(now + originWait(state, record), record.deadline);
     return true;
 }
 
@@ -317,8 +328,15 @@
 
 bool findOutOrigin(GatewayState &state, RequestRecord &record, Instant now, Actions &actions)
 {
-    if (!record.arrivedRequest.resumption || !isResumableStream(record))
+    if (!isResumableStream(record))
         return true;
+    if (!record.arrivedRequest.resumption) {
+        if (!awaitsVersion(state, record, now))
+            return true;
+        record.phase = RequestPhase::Waiting;
+        state.waiting.insert(record.arrivedRequest.request);
+        return false;
+    }
     if (!areEntriesFresh(state, now)) {
         refuseUnknown(state, record, "out_of_touch", now, actions);
         return false;
@@ -386,10 +404,7 @@
 
 void handleOrigins(GatewayState &state, const Gossip &message, Instant now, Actions &actions)
 {
-    for (const MixedService &mixed : message.mixedServices) {
-        ServiceVersions &versions = versionsOf(state, mixed.service, now);
-        versions.mixedAt = std::max(versions.mixedAt, std::min(mixed.mixedAt, now));
-    }
+    takeMixedServices(state, message.from, message.mixedServices, now);
     for (const StreamOriginUpdate &update : message.origins)
         recordOrigin(state.origins, update.key, update.origin);
     for (const OriginQuestion &question : message.originQuestions)
--- a/packages/gateway/src/stream_origins.cpp
+++ b/packages/gateway/src/stream_origins.cpp
@@ -77,17 +77,16 @@
         eraseFirst(origins);
 }
 
-void updateVersions(ServiceVersions &versions, const std::set<SoftwareVersion> &listed, Instant now,
-                    Instant heldUntil)
+void updateVersions(ServiceVersions &versions, const std::set<SoftwareVersion> &listed, Instant now)
 {
-    const bool isFirst = versions.heldUntil.empty();
-    bool isChanged = listed.size() != versions.heldUntil.size();
+    const bool isFirst = versions.heldSince.empty();
+    bool isChanged = listed.size() != versions.heldSince.size();
     for (const SoftwareVersion &version : listed) {
-        const bool isNew = versions.heldUntil.try_emplace(version, isFirst ? Instant{} : heldUntil)
+        const bool isNew = versions.heldSince.try_emplace(version, isFirst ? Instant{} : now)
                                    .second;
         isChanged = isChanged || isNew;
     }
-    std::erase_if(versions.heldUntil,
+    std::erase_if(versions.heldSince,
                   [&](const auto &entry) { return !listed.contains(entry.first); });
     if (listed.size() > 1 || (isChanged && !isFirst))
         versions.mixedAt = now;
@@ -101,9 +100,9 @@
 const SoftwareVersion *loneVersion(const ServiceVersions &versions, Span window, Instant now)
 {
     const bool isKnownLongEnough = versions.since.micros == 0 || now >= versions.since + window;
-    const bool isLone = versions.heldUntil.size() == 1 && isKnownLongEnough
+    const bool isLone = versions.heldSince.size() == 1 && isKnownLongEnough
             && !isMixed(versions, window, now);
-    return isLone ? &versions.heldUntil.begin()->first : nullptr;
+    return isLone ? &versions.heldSince.begin()->first : nullptr;
 }
 
 } // namespace azurewell::gateway
--- a/packages/gateway/tests/stream_origins_test.cpp
+++ b/packages/gateway/tests/stream_origins_test.cpp
@@ -71,17 +71,17 @@
     const Instant start{ 1'000'000 };
     ServiceVersions versions;
     versions.since = start;
-    updateVersions(versions, { SoftwareVersion{ "1" } }, start, start);
+    updateVersions(versions, { SoftwareVersion{ "1" } }, start);
     EXPECT_FALSE(loneVersion(versions, lifetime, start));
     const Instant known = start + lifetime;
     EXPECT_EQ(*loneVersion(versions, lifetime, known), SoftwareVersion{ "1" });
-    updateVersions(versions, { SoftwareVersion{ "1" }, SoftwareVersion{ "2" } }, known, known);
+    updateVersions(versions, { SoftwareVersion{ "1" }, SoftwareVersion{ "2" } }, known);
     EXPECT_FALSE(loneVersion(versions, lifetime, known));
-    updateVersions(versions, { SoftwareVersion{ "2" } }, known, known);
+    updateVersions(versions, { SoftwareVersion{ "2" } }, known);
     EXPECT_FALSE(loneVersion(versions, lifetime, known + lifetime / 2));
     EXPECT_EQ(*loneVersion(versions, lifetime, known + lifetime), SoftwareVersion{ "2" });
     // All servers are replaced between two looks.
-    updateVersions(versions, { SoftwareVersion{ "3" } }, known + lifetime, known);
+    updateVersions(versions, { SoftwareVersion{ "3" } }, known + lifetime);
     EXPECT_FALSE(loneVersion(versions, lifetime, known + lifetime));
 }
 
--- a/tests/gateway_world/stream_versions_test.cpp
+++ b/tests/gateway_world/stream_versions_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <string>
 
 namespace azurewell::gateway {
 namespace {
@@ -273,6 +275,130 @@
     EXPECT_GE(resumptions, 20U);
 }
 
+/// How a host of the tests below is out of step while servers of another version join.
+enum class OutOfStep : std::uint8_t { Paused, Cut, CutWithoutStore, Unheard, ZoneCut };
+
+/// What the servers of the old version do meanwhile.
+enum class OldServers : std::uint8_t { Stay, DrainAtOnce, DrainOneByOne };
+constexpr std::uint64_t oldServersKinds = 3;
+
+struct OutOfStepPlay
+{
+    OutOfStep how;
+    OldServers old;
+    Span joinsAfter; ///< From the begin of the disturbance.
+    Span lasts;
+};
+
+void disturb(World &world, const WorldSettings &settings, const OutOfStepPlay &play, bool isBegin)
+{
+    const std::size_t disturbed = settings.seed % world.hostCount();
+    for (std::size_t host = 0; host < world.hostCount(); ++host) {
+        const bool isOfZone = play.how == OutOfStep::ZoneCut
+                && host % settings.zones == disturbed % settings.zones;
+        if (host != disturbed && !isOfZone)
+            continue;
+        if (play.how == OutOfStep::Paused && isBegin)
+            world.pauseHost(host, play.lasts);
+        if (play.how == OutOfStep::Unheard)
+            world.muteHost(host, isBegin);
+        if (play.how == OutOfStep::CutWithoutStore || play.how == OutOfStep::ZoneCut)
+            world.takeStoreAway(host, isBegin);
+        if (play.how != OutOfStep::Paused && play.how != OutOfStep::Unheard)
+            world.moveToSide(host, isBegin ? 1 : 0);
+    }
+}
+
+/// Servers of a second version join, and old ones leave, beside hosts that are out of step.
+World playOutOfStep(WorldSettings settings, const OutOfStepPlay &play)
+{
+    settings.softwareVersions = 1;
+    settings.brokenStreams = 0.5;
+    settings.unnamedResumptions = settings.seed % 2 == 0 ? 0.5 : 0;
+    settings.messageBuffer = 250;
+    settings.maxEntryDelay = std::chrono::milliseconds(100);
+    settings.requestsPerSecond *= 4;
+    World world{ settings };
+    world.runFor(std::chrono::seconds(20));
+    const std::size_t oldServers = world.engineCount();
+    disturb(world, settings, play, true);
+    world.runFor(play.joinsAfter);
+    for (std::size_t server = 0; server < oldServers; ++server)
+        world.joinEngine("v2");
+    for (std::size_t server = 0; server < oldServers && play.old != OldServers::Stay; ++server) {
+        if (play.old == OldServers::DrainOneByOne)
+            world.runFor((play.lasts - play.joinsAfter) / oldServers);
+        world.drainEngine(server);
+    }
+    if (play.old != OldServers::DrainOneByOne)
+        world.runFor(play.lasts - play.joinsAfter);
+    disturb(world, settings, play, false);
+    world.runFor(settling);
+    return world;
+}
+
+class StreamVersionsOutOfStep : public StreamVersions
+{
+protected:
+    void playAll(OutOfStep how)
+    {
+        std::uint64_t ofTwoVersions = 0;
+        StreamTries newStreams;
+        for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
+            const auto old = static_cast<OldServers>(seed % oldServersKinds);
+            // A host that is cut off notices it within a second.
+            const std::uint64_t step = how == OutOfStep::Paused ? 400 : 60;
+            const Span joinsAfter = std::chrono::milliseconds(20 + step * (seed % 5));
+            const Span lasts = joinsAfter + std::chrono::seconds(2 + seed % 4);
+            const World world = playOutOfStep(streamSettingsOf(GetParam(), seed),
+                                              { how, old, joinsAfter, lasts });
+            ofTwoVersions += world.streamsOfTwoVersions;
+            newStreams.sent += world.newStreams.sent;
+            newStreams.gotEvents += world.newStreams.gotEvents;
+        }
+        EXPECT_EQ(ofTwoVersions, 0U);
+        EXPECT_GE(newStreams.share(), minShareThatGoesOn)
+                << newStreams.gotEvents << " of " << newStreams.sent;
+        RecordProperty("new_streams_served", std::to_string(newStreams.share()));
+    }
+};
+
+// Guards against a host that stood still, takes messages from before for new ones and goes on with
+// streams of a version that it does not know of.
+TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatStoodStill)
+{
+    this->playAll(OutOfStep::Paused);
+}
+
+// Guards against streams that begin at a new version before a host that was just cut off has
+// noticed that it does not know all versions.
+TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatWasCutOff)
+{
+    this->playAll(OutOfStep::Cut);
+}
+
+// Guards against the same where the host reads no entries of servers meanwhile.
+TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatWasCutOffFromTheStoreAsWell)
+{
+    this->playAll(OutOfStep::CutWithoutStore);
+}
+
+// Guards against the same where messages are lost in one direction only.
+TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatIsNotHeard)
+{
+    this->playAll(OutOfStep::Unheard);
+}
+
+// Guards against the same in a zone whose hosts still hear each other.
+TEST_P(StreamVersionsOutOfStep, AreNeverMixedInAZoneThatWasCutOff)
+{
+    this->playAll(OutOfStep::ZoneCut);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, StreamVersionsOutOfStep,
+                         testing::Values(FleetSize{ 3, 2, 3, 40, 30 }, FleetSize{ 3, 23, 6, 60, 4 },
+                                         FleetSize{ 5, 39, 4, 60, 1 }));
+
 INSTANTIATE_TEST_SUITE_P(Fleets, StreamVersions,
                          testing::Values(FleetSize{ 3, 2, 3, 40, 40 },
                                          FleetSize{ 3, 23, 6, 100, 1 },
--- a/tests/gateway_world/world.cpp
+++ b/tests/gateway_world/world.cpp
@@ -161,6 +161,7 @@
     FakeHost &host = this->hosts[index];
     host.state = GatewayState{};
     host.isUp = true;
+    host.buffered.clear();
     host.stableSince = this->now;
     ++host.incarnation;
     Identity self;
@@ -177,8 +178,10 @@
         self.seeds.push_back(addressOf(seed));
     start(host.state, self, loadKnownCharts(AZUREWELL_CHARTS_DIR).value(), this->now);
     setConfiguration(host.state, configurationOf(this->settings));
-    for (const FakeEngine &engine : this->engines)
-        listUpstream(host.state, this->listedOf(engine), this->now);
+    for (const FakeEngine &engine : this->engines) {
+        if (!engine.isGone)
+            listUpstream(host.state, this->listedOf(engine), this->now);
+    }
     if (this->settings.servesStreams)
         recordPlatformAnswer(host.state, false, this->now);
     Actions actions;
@@ -216,6 +219,7 @@
 {
     this->hosts[index].pausedUntil = this->now + span;
     this->hosts[index].stableSince = this->now + span;
+    this->schedule(this->hosts[index].pausedUntil, [this, index] { this->readBuffered(index); });
 }
 
 void World::partitionHost(std::size_t index, bool isPartitioned)
@@ -368,8 +372,11 @@
         return;
     const std::uint64_t incarnation = this->hosts[to].incarnation;
     this->schedule(this->now + networkLatency, [this, to, incarnation, message = gossip.message] {
-        if (this->now < this->hosts[to].pausedUntil)
+        if (this->now < this->hosts[to].pausedUntil) {
+            if (this->hosts[to].buffered.size() < this->settings.messageBuffer)
+                this->hosts[to].buffered.push_back(message);
             return;
+        }
         this->whenScheduled(to, incarnation, [this, to, message] {
             Actions actions;
             handle(this->hosts[to].state, *message, this->now, actions);
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -181,6 +181,7 @@
     std::uint64_t highestFencing = 0;
     std::string softwareVersion;
     bool isDraining = false; ///< Its entry says that it leaves.
+    bool isGone = false;     ///< It has left for good, and its entry is removed.
     /// Oldest first; reports return the state of WorldSettings::reportLag ago.
     std::vector<std::pair<Instant, EngineState>> stateHistory;
 };
@@ -197,8 +198,9 @@
     bool wasPartitioned = false;
     std::size_t side = 0;     ///< Messages between hosts of different sides are lost.
     bool isStoreAway = false; ///< Entries of engines reach it only when this is over.
-    Span maxLag{};            ///< Longest time for which it gets no processor; 0: it always does.
-    Instant busyUntil;        ///< Events that arrive until then are handled then.
+    std::deque<std::shared_ptr<const Gossip>> buffered; ///< Arrived while it was paused.
+    Span maxLag{};     ///< Longest time for which it gets no processor; 0: it always does.
+    Instant busyUntil; ///< Events that arrive until then are handled then.
 };
 
 struct WorldSettings
@@ -243,7 +245,11 @@
     Span maxTimeToResume = std::chrono::milliseconds(150); ///< Until a caller takes one up again.
     double unnamedResumptions = 0;    ///< Share of the callers that never name the earlier attempt.
     std::size_t softwareVersions = 2; ///< Of the servers at the start, in turn.
-    bool countsBytes = false;         ///< Each message is encoded and decoded as on the wire.
+    /// An entry of a server reaches each host within this time.
+    Span maxEntryDelay = std::chrono::milliseconds(1500);
+    /// Messages that are kept for a paused host, the first ones, and read when it goes on; 0: none.
+    std::size_t messageBuffer = 0;
+    bool countsBytes = false; ///< Each message is encoded and decoded as on the wire.
 };
 
 /// Hosts, engines and callers in one process, on a virtual clock. Deterministic for a given seed.
@@ -309,6 +315,10 @@
 
     /// Replaces the server's software: it drains, ends, and starts again under its id.
     void releaseEngine(std::size_t index, const std::string &version);
+    /// A server of \a version joins in a random zone. Hosts learn of it one after the other.
+    void joinEngine(const std::string &version);
+    /// The server drains, and leaves for good while hosts without the store still list it.
+    void drainEngine(std::size_t index);
     /// Messages between hosts of different sides are lost.
     void moveToSide(std::size_t host, std::size_t side);
     /// Entries of engines reach the host only when the store is back.
@@ -453,6 +463,7 @@
     void refuseStream(const FakeRequest &request, const Refuse &refusal);
     void relistLater(std::size_t engine);
     void relistAt(std::size_t host, std::size_t engine, Span delay);
+    void readBuffered(std::size_t host);
     void endWithFault(std::size_t index, std::uint64_t incarnation, const Dispatch &sent);
     void finish(std::size_t index, std::uint64_t incarnation, const Dispatch &sent,
                 std::size_t engine, const ModelName &model);
--- a/tests/gateway_world/world_versions.cpp
+++ b/tests/gateway_world/world_versions.cpp
@@ -9,9 +9,6 @@
 /// A host is in touch if it has run undisturbed for this long.
 constexpr Span contactTime = std::chrono::seconds(4);
 
-/// An entry of a server reaches each host within this time.
-constexpr Span maxEntryDelay = std::chrono::milliseconds(1500);
-
 /// How often a host whose store is away asks for entries.
 constexpr Span storeInterval = std::chrono::milliseconds(200);
 
@@ -19,6 +16,9 @@
 constexpr Span drainTime = std::chrono::seconds(3);
 constexpr Span replacementTime = std::chrono::seconds(1);
 
+/// A draining server that leaves for good serves up to this much longer.
+constexpr Span maxLongerDrain = std::chrono::seconds(5);
+
 constexpr Span minTimeToFirstEvent = std::chrono::milliseconds(5);
 constexpr Span maxTimeToFirstEvent = std::chrono::milliseconds(60);
 constexpr Span maxTimeToBreak = std::chrono::milliseconds(600);
@@ -53,9 +53,14 @@
 
 void World::relistAt(std::size_t host, std::size_t engine, Span delay)
 {
+    // A host that stood still has to ask the store again.
+    if (this->now < this->hosts[host].pausedUntil)
+        delay += this->hosts[host].pausedUntil - this->now;
     this->notifyHost(host, delay, [this, host, engine](GatewayState &state, Actions &) {
         if (this->hosts[host].isStoreAway)
             this->relistAt(host, engine, storeInterval);
+        else if (this->engines[engine].isGone)
+            removeUpstream(state, this->engines[engine].id, this->now);
         else
             listUpstream(state, this->listedOf(this->engines[engine]), this->now);
     });
@@ -64,7 +69,7 @@
 void World::relistLater(std::size_t engine)
 {
     for (std::size_t host = 0; host < this->hosts.size(); ++host)
-        this->relistAt(host, engine, this->randomDelay(maxEntryDelay));
+        this->relistAt(host, engine, this->randomDelay(this->settings.maxEntryDelay));
 }
 
 void World::releaseEngine(std::size_t index, const std::string &version)
@@ -85,6 +90,30 @@
     });
 }
 
+void World::joinEngine(const std::string &version)
+{
+    FakeEngine engine;
+    engine.id.value = "e" + std::to_string(this->engines.size());
+    engine.zone.value = "z" + std::to_string(this->engines.size() % this->settings.zones);
+    engine.softwareVersion = version;
+    engine.start = this->now.micros / 1000;
+    this->engines.push_back(engine);
+    this->recordState(this->engines.back());
+    this->relistLater(this->engines.size() - 1);
+}
+
+void World::drainEngine(std::size_t index)
+{
+    this->engines[index].isDraining = true;
+    this->relistLater(index);
+    this->schedule(this->now + drainTime + this->randomDelay(maxLongerDrain), [this, index] {
+        this->engines[index].isUp = false;
+        this->engines[index].isGone = true;
+        this->engines[index].start = this->now.micros / 1000;
+        this->relistLater(index);
+    });
+}
+
 bool World::isInTouch(std::size_t host) const
 {
     const FakeHost &asked = this->hosts[host];
