Tests of resumptions: the messages of other hosts state how long these have run

ResumptionAfterLossOfAllHosts.IsRefusedLongAfterTheStart and GoesOnWithoutTheAttemptWhileThereWasOneVersionOnly failed since the time of sending counts ("A host is in touch by the time at which messages were sent"): each message of the fixture said that its sender had run for no time at all, so that it looked as old as the test. No host sends that. The fixture's messages now state a time that goes on; nothing that the tests demand has changed. 27 of 27 tests of the file and its neighbours pass.

--- a/packages/gateway/tests/stream_origins_test.cpp
+++ b/packages/gateway/tests/stream_origins_test.cpp
@@ -158,6 +158,7 @@
         message.from.value = host;
         message.zone.value = "zone of " + host;
         message.address = { host, 1 };
+        message.runningFor = this->now - Instant{};
         Actions actions;
         handle(this->state, message, this->now, actions);
         return actions;
