--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -66,6 +66,9 @@
 void dispatch(GatewayState &state, RequestRecord &record, const UpstreamId &id,
               const ModelName &model, Instant now, Actions &actions);
 
+/// Places the request of \a record again at each tick.
+void markWaiting(GatewayState &state, RequestRecord &record);
+
 /// Finds an upstream for a request that is not at one: sends it, requests a load of its adapter, or
 /// refuses it.
 void place(GatewayState &state, RequestRecord &record, Instant now, Actions &actions);
--- a/packages/gateway/src/known_versions.cpp
+++ b/packages/gateway/src/known_versions.cpp
@@ -67,6 +67,12 @@
             && now - member.sentAt < interval + maxSilence;
 }
 
+/// The hosts of the fleet, with this one: those that it knows, or knew when it lost most of them.
+std::size_t fleetSize(const GatewayState &state)
+{
+    return std::max(countKnown(state.members) + 1, state.knownWhenLost);
+}
+
 /// Whether this host reaches most of the hosts that it knows, or knew when it lost them. Only then
 /// it has heard of all versions that streams may have begun at.
 bool isInTouch(const GatewayState &state, Instant now)
@@ -78,16 +84,17 @@
             std::count_if(others.begin(), others.end(), [&](const auto &entry) {
                 return !entry.second.isLeaving && isHeardWhenDue(state, entry.second, now);
             }));
-    const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
-    return 2 * (heard + 1) > known;
+    return 2 * (heard + 1) > fleetSize(state);
 }
 
-bool isOtherUsable(const GatewayState &state, const ServiceId &service,
-                   const std::set<SoftwareVersion> &held, Instant now)
+/// Whether an upstream of \a service is usable whose version is among \a held, or is not, as
+/// \a isHeld says.
+bool isAnyUsable(const GatewayState &state, const ServiceId &service,
+                 const std::set<SoftwareVersion> &held, bool isHeld, Instant now)
 {
     return std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &entry) {
         const ListedUpstream &listed = entry.second.listed;
-        return listed.service == service && !held.contains(listed.softwareVersion)
+        return listed.service == service && held.contains(listed.softwareVersion) == isHeld
                 && isUsable(entry.second, now);
     });
 }
@@ -105,8 +112,8 @@
 /// How many hosts know that the versions of a service are mixed.
 struct MixedKnowledge
 {
-    std::size_t uninformed = 0;  ///< Other hosts.
-    bool isInformedMost = false; ///< Of the hosts that have not announced that they leave.
+    std::size_t uninformed = 0;      ///< Other hosts that have not stated it.
+    bool isMajorityInformed = false; ///< Among the hosts that have not announced that they leave.
 };
 
 MixedKnowledge mixedKnowledge(const GatewayState &state, const ServiceId &service, Instant now)
@@ -118,8 +125,7 @@
         knowledge.uninformed += isInformed ? 0 : 1;
         informed += isInformed && !member.isLeaving ? 1 : 0;
     }
-    const std::size_t known = std::max(countKnown(state.members) + 1, state.knownWhenLost);
-    knowledge.isInformedMost = 2 * informed > known;
+    knowledge.isMajorityInformed = 2 * informed > fleetSize(state);
     return knowledge;
 }
 
@@ -144,9 +150,10 @@
 }
 
 /// Lets new streams begin at versions that were held, once no host can take another version for the
-/// only one. A host that does so has heard somebody a moment ago, and most hosts at their last
-/// heartbeats: the only one that does not know hears nobody, and several that hear each other do
-/// not hear most hosts.
+/// only one. A host does that only while it has heard another host within maxSilence, and a
+/// majority within noticeTime(). So it cannot if all hosts are informed; if it is the only
+/// uninformed host, since whoever it hears informs it; or if a majority has been informed for
+/// noticeTime(), since two majorities have a host in common.
 void endHolds(const GatewayState &state, const ServiceId &service, ServiceVersions &versions,
               Instant now)
 {
@@ -154,7 +161,7 @@
         return;
     const MixedKnowledge knowledge = mixedKnowledge(state, service, now);
     setSince(versions.allButOneKnowAt, knowledge.uninformed <= 1, now);
-    setSince(versions.mostKnowAt, knowledge.isInformedMost, now);
+    setSince(versions.mostKnowAt, knowledge.isMajorityInformed, now);
     const bool isOver = knowledge.uninformed == 0
             || isTrueFor(versions.allButOneKnowAt, maxSilence + noticeMargin, now)
             || isTrueFor(versions.mostKnowAt, noticeTime(state), now);
@@ -177,7 +184,7 @@
         if (now < since + loneHoldTime(state))
             heldBriefly.insert(version);
     }
-    return isOtherUsable(state, service, held, now) ? held : heldBriefly;
+    return isAnyUsable(state, service, held, false, now) ? held : heldBriefly;
 }
 
 /// The others must know before a stream begins at a new version.
@@ -221,7 +228,7 @@
         state.knownWhenLost = 0;
         return;
     }
-    state.knownWhenLost = std::max(state.knownWhenLost, countKnown(state.members) + 1);
+    state.knownWhenLost = fleetSize(state);
 }
 
 } // namespace
@@ -338,18 +345,9 @@
 bool isOnlyHeldUsable(const GatewayState &state, const ServiceId &service, Instant now)
 {
     const auto held = state.heldVersions.find(service);
-    if (held == state.heldVersions.end() || held->second.empty())
-        return false;
-    bool isHeldUsable = false;
-    for (const auto &[id, upstream] : state.upstreams) {
-        const ListedUpstream &listed = upstream.listed;
-        if (listed.service != service || !isUsable(upstream, now))
-            continue;
-        if (!held->second.contains(listed.softwareVersion))
-            return false;
-        isHeldUsable = true;
-    }
-    return isHeldUsable;
+    return held != state.heldVersions.end() && !held->second.empty()
+            && !isAnyUsable(state, service, held->second, false, now)
+            && isAnyUsable(state, service, held->second, true, now);
 }
 
 void checkVersionsIfDue(GatewayState &state, Instant now)
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -222,7 +222,7 @@
         members.changedAt = member.lastMessageAt;
     known->second = member;
     known->second.lastAliveAt = std::max(member.lastMessageAt, before.lastAliveAt);
-    known->second.startedAt = isNew ? member.startedAt : earliestStart(before, member);
+    known->second.startedAt = earliestStart(before, member);
     known->second.sentAt = member.lastMessageAt - (member.startedAt - known->second.startedAt);
     known->second.wasReachable = before.wasReachable;
     known->second.wasAlive = before.wasAlive;
--- a/packages/gateway/src/origin_exchange.cpp
+++ b/packages/gateway/src/origin_exchange.cpp
@@ -238,8 +238,7 @@
     }
     if (now >= search.nextQuestionAt)
         ask(state, record, now, actions);
-    record.phase = RequestPhase::Waiting;
-    state.waiting.insert(record.arrivedRequest.request);
+    markWaiting(state, record);
 }
 
 void recordStream(GatewayState &state, const RequestRecord &record, Instant now)
@@ -333,8 +332,7 @@
     if (!record.arrivedRequest.resumption) {
         if (!awaitsVersion(state, record, now))
             return true;
-        record.phase = RequestPhase::Waiting;
-        state.waiting.insert(record.arrivedRequest.request);
+        markWaiting(state, record);
         return false;
     }
     if (!areEntriesFresh(state, now)) {
--- a/packages/gateway/src/placing.cpp
+++ b/packages/gateway/src/placing.cpp
@@ -178,12 +178,6 @@
     return isGood ? &found->second : &otherwise;
 }
 
-void markWaiting(GatewayState &state, RequestRecord &record)
-{
-    record.phase = RequestPhase::Waiting;
-    state.waiting.insert(record.arrivedRequest.request);
-}
-
 /// When the first pause ends if all usable upstreams of the request's service have asked for one;
 /// `never` otherwise.
 Instant pausedUntil(const GatewayState &state, const RequestRecord &record, Instant now)
@@ -232,6 +226,12 @@
 
 } // namespace
 
+void markWaiting(GatewayState &state, RequestRecord &record)
+{
+    record.phase = RequestPhase::Waiting;
+    state.waiting.insert(record.arrivedRequest.request);
+}
+
 double prefillRateOf(const GatewayState &state, const ServiceId &service)
 {
     const auto found = state.prefillRates.find(service);
--- a/tests/gateway_world/stream_versions_test.cpp
+++ b/tests/gateway_world/stream_versions_test.cpp
@@ -377,19 +377,19 @@
     this->playAll(OutOfStep::Cut);
 }
 
-// Guards against the same where the host reads no entries of servers meanwhile.
+// Guards against streams of two versions at a host that was just cut off from the store as well.
 TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatWasCutOffFromTheStoreAsWell)
 {
     this->playAll(OutOfStep::CutWithoutStore);
 }
 
-// Guards against the same where messages are lost in one direction only.
+// Guards against streams of two versions at a host whose messages are lost while it hears others.
 TEST_P(StreamVersionsOutOfStep, AreNeverMixedAtAHostThatIsNotHeard)
 {
     this->playAll(OutOfStep::Unheard);
 }
 
-// Guards against the same in a zone whose hosts still hear each other.
+// Guards against streams of two versions in a zone that was cut off, whose hosts hear each other.
 TEST_P(StreamVersionsOutOfStep, AreNeverMixedInAZoneThatWasCutOff)
 {
     this->playAll(OutOfStep::ZoneCut);
--- a/tests/gateway_world/world.h
+++ b/tests/gateway_world/world.h
@@ -247,7 +247,7 @@
     std::size_t softwareVersions = 2; ///< Of the servers at the start, in turn.
     /// An entry of a server reaches each host within this time.
     Span maxEntryDelay = std::chrono::milliseconds(1500);
-    /// Messages that are kept for a paused host, the first ones, and read when it goes on; 0: none.
+    /// Size in messages of a paused host's receive buffer; messages beyond it are lost. 0: all are.
     std::size_t messageBuffer = 0;
     bool countsBytes = false; ///< Each message is encoded and decoded as on the wire.
 };
