--- /dev/null
+++ b/tests/sockets/client_crowds_test.cpp
@@ -0,0 +1,227 @@
+#include "client_crowd.h"
+#include "node_fleet.h"
+
+#include "azurewell/http/clock.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace azurewell::tests {
+
+using namespace platform::testing;
+
+namespace {
+
+constexpr std::int64_t bytesInMegabyte = 1000LL * 1000;
+constexpr std::size_t maxBodyBytes = 4ULL * 1024 * 1024;
+constexpr std::uint16_t metricsPort = internalPort + 1;
+
+/// A machine of half the memory of the smallest one in use, so that a small crowd fills it.
+constexpr std::uint32_t memoryMegabytes = 64;
+
+/// Sockets that a process of a machine may have open, beside 200 descriptors for files.
+constexpr std::uint32_t maxSockets = 200;
+constexpr std::uint32_t fileDescriptors = 200;
+
+constexpr Span patience = std::chrono::seconds(20);
+
+std::string repeat(const std::string &text, std::size_t leastBytes)
+{
+    std::string repeated;
+    while (repeated.size() < leastBytes)
+        repeated += text;
+    return repeated;
+}
+
+std::string postHead(const std::string &path, const std::string &headers)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 00000000000000aa\r\n"
+            + headers + "\r\n";
+}
+
+std::string chunkOf(std::size_t bytes)
+{
+    return fmt::format("{:x}\r\n", bytes) + std::string(bytes, 'a') + "\r\n";
+}
+
+constexpr std::size_t blockBytes = 64ULL * 1024;
+const std::string block(blockBytes, 'a');
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+const std::string longest = fmt::format("Content-Length: {}\r\n", maxBodyBytes);
+const std::string farTooLong = "Content-Length: 4000000000\r\n";
+
+/// A crowd without its address.
+struct Case
+{
+    Crowd crowd;
+    std::uint16_t port = callerPort;
+};
+
+std::ostream &operator<<(std::ostream &out, const Case &given)
+{
+    return out << given.crowd.name;
+}
+
+std::vector<Case> cases()
+{
+    constexpr std::size_t clients = 24;
+    constexpr std::size_t manyClients = 384;
+    constexpr std::size_t shortOfEnd = maxBodyBytes - blockBytes;
+    constexpr std::size_t farOver = 4 * maxBodyBytes;
+    // Each 4 bytes of a body come as 9.
+    constexpr std::size_t shortOfEndInSmallChunks = shortOfEnd / 4 * 9;
+    const std::string largeChunk = chunkOf(blockBytes);
+    const std::string smallChunks = repeat(chunkOf(4), blockBytes);
+    const std::string get = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string body = postHead("/r/x", longest);
+    const std::string asking = postHead("/r/x", longest + "Expect: 100-continue\r\n");
+    const std::string toNobody = postHead("/silent/x", longest);
+    const std::string inChunks = postHead("/r/x", chunked);
+    return {
+        { { "LargeChunksShortOfTheirEnd", {}, clients, inChunks, largeChunk, shortOfEnd } },
+        { { "SmallChunksShortOfTheirEnd",
+            {},
+            clients,
+            inChunks,
+            smallChunks,
+            shortOfEndInSmallChunks } },
+        { { "BodiesShortOfTheirLength", {}, clients, body, block, shortOfEnd } },
+        { { "BodiesThatWereAskedFor", {}, 2 * clients, asking, block, shortOfEnd } },
+        { { "ChunksWithoutEnd", {}, clients, inChunks, largeChunk, farOver } },
+        { { "BodiesFarOverTheLimit", {}, clients, postHead("/r/x", farTooLong), block, farOver } },
+        { { "ManyBeginningsOfBodies", {}, manyClients, body, block, 4 * blockBytes } },
+        { { "WholeBodiesThatWaitForAServer", {}, clients, toNobody, block, maxBodyBytes } },
+        { { "BodiesSentToReadiness", {}, clients, body, block, shortOfEnd }, readinessPort },
+        { { "BodiesSentToMetrics", {}, clients, body, block, shortOfEnd }, metricsPort },
+        { { "UnreadMetrics", {}, 8, "", repeat(get, blockBytes), 2 * blockBytes }, metricsPort },
+        { { "UnreadLongAnswers",
+            {},
+            clients,
+            "GET /long/x HTTP/1.1\r\nHost: h.example\r\n\r\n",
+            "",
+            0,
+            true } },
+    };
+}
+
+} // namespace
+
+/// One host process that serves an ordinary route beside a crowd.
+class ClientCrowds : public testing::Test
+{
+protected:
+    void startHost()
+    {
+        PlainConfiguration configuration;
+        configuration.routes = { { "/r/", "s" }, { "/silent/", "silent" }, { "/long/", "long" } };
+        configuration.routeTimeout = patience;
+        configuration.requestTimeout = patience;
+        for (const char *service : { "s", "silent", "long" }) {
+            this->fleet.addServer(service);
+            this->fleet.writeEntry(*this->fleet.servers.back());
+        }
+        this->fleet.servers[1]->isSilent = true;
+        this->fleet.servers[2]->answerBytes = 2 * maxBodyBytes - blockBytes;
+        this->fleet.write(configuration);
+        this->fleet.startHost(0, true);
+        ASSERT_TRUE(waitUntil([this] { return this->fleet.status(0, "/r/") == 200; }));
+    }
+
+    /// Waits until \a crowd has sent, while the store and the servers answer.
+    static void await(const ClientCrowd &crowd)
+    {
+        while (!crowd.hasSent())
+            runUntil(monotonicNow() + std::chrono::milliseconds(20));
+    }
+
+    /// The status of one request with a body of \a bodyBytes on the ordinary route.
+    int ask(std::size_t bodyBytes) const
+    {
+        Caller caller(callerPort, QString::fromStdString(this->fleet.hostIp(0)));
+        const std::string length = fmt::format("Content-Length: {}\r\n", bodyBytes);
+        caller.write(QByteArray::fromStdString(postHead("/r/x", length)));
+        caller.write(QByteArray(static_cast<qsizetype>(bodyBytes), 'a'));
+        return caller.answer().status;
+    }
+
+    /// Waits until the connections of a crowd have ended at the host, too.
+    bool waitUntilAlone() const
+    {
+        constexpr std::size_t ownSockets = 12;
+        return waitUntil([this] {
+            const std::size_t count = openSockets(this->fleet.processId(0));
+            return count > 0 && count <= ownSockets;
+        });
+    }
+
+    std::int64_t peakBytes() const
+    {
+        return peakResidentBytes(this->fleet.processId(0));
+    }
+
+    NodeFleet fleet;
+};
+
+class MemoryOfAHost : public ClientCrowds, public testing::WithParamInterface<Case>
+{
+};
+
+// Guards against clients that end a process, as what it holds for them exceeds its machine's
+// memory, or that leave it nothing for ordinary callers.
+TEST_P(MemoryOfAHost, IsNotFilledBy)
+{
+    this->fleet.memoryMegabytes = memoryMegabytes;
+    ASSERT_NO_FATAL_FAILURE(this->startHost());
+    Crowd crowd = GetParam().crowd;
+    crowd.to = { this->fleet.hostIp(0), GetParam().port };
+    const std::int64_t before = this->peakBytes();
+    {
+        const ClientCrowd clients(crowd);
+        await(clients);
+        EXPECT_EQ(this->ask(0), 200);
+        EXPECT_TRUE(this->fleet.isReady(0));
+    }
+    EXPECT_TRUE(this->waitUntilAlone());
+    EXPECT_EQ(this->ask(maxBodyBytes), 200);
+    fmt::print("{}: {:.1f} MB at most, {:.1f} before\n", crowd.name,
+               static_cast<double>(this->peakBytes()) / 1e6, static_cast<double>(before) / 1e6);
+    EXPECT_GT(this->peakBytes(), 0);
+    EXPECT_LE(this->peakBytes(), memoryMegabytes * bytesInMegabyte);
+}
+
+INSTANTIATE_TEST_SUITE_P(Crowds, MemoryOfAHost, testing::ValuesIn(cases()),
+                         [](const auto &given) { return std::string(given.param.crowd.name); });
+
+class DescriptorsOfAHost : public ClientCrowds, public testing::WithParamInterface<std::uint16_t>
+{
+};
+
+// Guards against clients that take all descriptors of a process, so that no ordinary caller and no
+// server is reached.
+TEST_P(DescriptorsOfAHost, AreNotTakenByManyConnections)
+{
+    this->fleet.maxDescriptors = maxSockets + fileDescriptors;
+    ASSERT_NO_FATAL_FAILURE(this->startHost());
+    const ClientCrowd clients(Crowd{
+            "connections", { this->fleet.hostIp(0), GetParam() }, 2 * maxSockets, "G", "", 0 });
+    std::size_t most = 0;
+    const Instant until = monotonicNow() + std::chrono::seconds(2);
+    while (!clients.hasSent() || monotonicNow() < until) {
+        runUntil(monotonicNow() + std::chrono::milliseconds(20));
+        most = std::max(most, openSockets(this->fleet.processId(0)));
+    }
+    EXPECT_EQ(this->ask(0), 200);
+    EXPECT_TRUE(this->fleet.isReady(0));
+    fmt::print("{} sockets at most\n", most);
+    EXPECT_GT(openSockets(this->fleet.processId(0)), 0U);
+    EXPECT_LE(most, maxSockets);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ports, DescriptorsOfAHost,
+                         testing::Values(callerPort, readinessPort, metricsPort, internalPort),
+                         [](const auto &given) { return fmt::format("{}", given.param); });
+
+} // namespace azurewell::tests
--- a/tests/sockets/host_process.h
+++ b/tests/sockets/host_process.h
@@ -37,6 +37,10 @@
     bool start();
     void signal(int number) const;
     bool isRunning() const;
+    qint64 processId() const
+    {
+        return this->process.processId();
+    }
     /// Waits for its end. The exit code; -1 if it does not end or was ended by a signal.
     int exitCode();
     /// The log so far.
--- a/tests/sockets/node_fleet.cpp
+++ b/tests/sockets/node_fleet.cpp
@@ -128,7 +128,9 @@
         soak::answer(session, 421, notRunHeaders(head, id), {});
     } else {
         ++server.requests;
-        soak::answer(session, 200, serverHeaders(head, id), id);
+        const std::string body = server.answerBytes > 0 ? std::string(server.answerBytes, 'a') : id;
+        if (!server.isSilent)
+            soak::answer(session, 200, serverHeaders(head, id), body);
     }
 }
 
@@ -142,6 +144,8 @@
         settings.seedIps.push_back(this->ip(seed + 1));
     settings.store = this->storeFor(host);
     settings.isFirstStart = isFirstStart;
+    settings.memoryMegabytes = this->memoryMegabytes;
+    settings.maxDescriptors = this->maxDescriptors;
     const QString path = this->logs.filePath(QString::fromStdString(settings.name));
     QFile file(path + ".conf");
     if (!file.open(QIODevice::WriteOnly))
--- a/tests/sockets/node_fleet.h
+++ b/tests/sockets/node_fleet.h
@@ -24,7 +24,9 @@
 struct PlainServer
 {
     platform::testing::ServerStatement statement;
-    std::uint64_t requests = 0; ///< Without health checks.
+    std::uint64_t requests = 0;  ///< Without health checks.
+    bool isSilent = false;       ///< Reads requests and never answers.
+    std::size_t answerBytes = 0; ///< Length of its answers; 0: they are its id.
     std::unique_ptr<soak::Listener> listener;
 };
 
@@ -68,7 +70,9 @@
     std::array<bool, size> isRejected{}; ///< Hosts whose calls the store rejects.
     std::vector<std::unique_ptr<PlainServer>> servers;
     QTemporaryDir logs;
-    QString program; ///< Of hosts that are started from now on.
+    QString program;                   ///< Of hosts that are started from now on.
+    std::uint32_t memoryMegabytes = 0; ///< Stated to hosts that are started from now on, if not 0.
+    std::uint32_t maxDescriptors = 0;  ///< Likewise.
 
 private:
     std::string ip(std::size_t index) const;
--- /dev/null
+++ b/tests/sockets/own_host_crowds_test.cpp
@@ -0,0 +1,83 @@
+#include "client_crowd.h"
+#include "host_fixture.h"
+#include "host_process.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace azurewell::tests {
+
+namespace {
+
+/// The memory of the smallest machine in use: the settings of a host of its own don't state any.
+constexpr std::int64_t smallestMachineBytes = 120LL * 1000 * 1000;
+
+constexpr std::size_t clients = 150;
+constexpr std::size_t bodyBytes = 1024ULL * 1024;
+constexpr std::size_t blockBytes = 64ULL * 1024;
+
+/// Clients that send all of a long body but its last block.
+Crowd bodiesShortOfTheirEnd(std::uint16_t port)
+{
+    Crowd crowd;
+    crowd.name = "bodies";
+    crowd.to = { "127.0.0.1", port };
+    crowd.clients = clients;
+    crowd.start = fmt::format("POST /v1/completions HTTP/1.1\r\nHost: h.example\r\n"
+                              "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                              bodyBytes);
+    crowd.repeated = std::string(blockBytes, 'a');
+    crowd.sumBytes = bodyBytes - blockBytes;
+    return crowd;
+}
+
+} // namespace
+
+/// A host process with the product's own interface and default settings.
+class MemoryOfAHostOfItsOwn : public HostFixture
+{
+protected:
+    void SetUp() override
+    {
+        this->addEngine();
+        this->process = std::make_unique<HostProcess>(
+                makeHostConfig("h1", "centro", "http://" + this->platform.address()));
+        const HostConfig &config = this->process->config;
+        this->publish({ { { "id", "h1" },
+                          { "zone", "centro" },
+                          { "address", fmt::format("127.0.0.1:{}", config.peerPort) } } });
+        ASSERT_TRUE(this->process->start());
+        this->port = config.callerPort;
+        ASSERT_TRUE(this->isServing());
+    }
+
+    void expectBearsBodiesSentTo(std::uint16_t crowdedPort)
+    {
+        const ClientCrowd crowd(bodiesShortOfTheirEnd(crowdedPort));
+        EXPECT_TRUE(waitUntil([&crowd] { return crowd.hasSent(); }));
+        EXPECT_EQ(this->process->readyStatus(), 200);
+        EXPECT_TRUE(this->isServing());
+        const std::int64_t peak = peakResidentBytes(this->process->processId());
+        fmt::print("{:.1f} MB at most\n", static_cast<double>(peak) / 1e6);
+        EXPECT_TRUE(this->process->isRunning());
+        EXPECT_LE(peak, smallestMachineBytes);
+    }
+
+    std::unique_ptr<HostProcess> process;
+};
+
+// Guards against callers that end a host with bodies whose ends don't come.
+TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByBodiesOfCallers)
+{
+    this->expectBearsBodiesSentTo(this->process->config.callerPort);
+}
+
+// Guards against bodies, which no request for operations has, that end a host.
+TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByBodiesSentToOperations)
+{
+    this->expectBearsBodiesSentTo(this->process->config.operationsPort);
+}
+
+} // namespace azurewell::tests
