Answers that callers don't read count as what a host holds for callers

What callers saw: a host ended for want of memory while clients asked for long answers and read none. Cause: an answer has its bound (8 MiB) and all held ones theirs (10 MiB), but once delivered to a connection it was counted nowhere; a written answer was copied whole up to three times, and a reset kept its bytes. Change: unsent bytes are part of CallerMemory; over the limit the connection whose end frees most is reset if it is one with an unread answer.

--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -120,6 +120,7 @@
     void runGuarded(void (TcpStream::*action)());
     void handleReadable();
     void handleWritable();
+    std::size_t send(std::string_view bytes);
     void flush();
     void reportEnd(StreamEnd how);
 
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -16,6 +16,9 @@
 /// A caller that takes no byte of a written response for so long is given up.
 constexpr Span sendTimeout = std::chrono::seconds(10);
 
+/// A body up to this length is sent together with its head; a longer one isn't copied for that.
+constexpr std::size_t maxJoinedBytes = 16ULL * 1024;
+
 /// What a connection takes beside its buffers: the objects for it, here and in Qt.
 constexpr std::size_t connectionBytes = 4096;
 
@@ -183,9 +186,12 @@
     const bool isHeadOnly = this->reader.isHeadRead() && this->reader.head().method == "HEAD";
     std::string bytes = responseHeadBytes(status, reason, headers, BodyFraming::Length, body.size(),
                                           !this->isClosing);
-    if (!isHeadOnly)
+    const bool isLong = body.size() > maxJoinedBytes;
+    if (!isHeadOnly && !isLong)
         bytes += body;
     this->stream->write(bytes);
+    if (!isHeadOnly && isLong)
+        this->stream->write(body);
     this->startNextRequest(now);
 }
 
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -161,17 +161,20 @@
 {
     if (this->isEnded)
         return;
-    this->output += bytes;
+    // Most of it is sent at once, and not copied then.
+    const bool isSentNow = !this->isConnecting && this->output.empty();
+    this->output += bytes.substr(isSentNow ? this->send(bytes) : 0);
     if (!this->isConnecting)
         this->flush();
 }
 
-void TcpStream::flush()
+/// Returns how many of \a bytes the kernel has taken.
+std::size_t TcpStream::send(std::string_view bytes)
 {
     std::size_t sent = 0;
-    while (sent < this->output.size()) {
-        const ssize_t count = ::send(this->descriptor.get(), this->output.data() + sent,
-                                     this->output.size() - sent, MSG_NOSIGNAL);
+    while (sent < bytes.size()) {
+        const ssize_t count = ::send(this->descriptor.get(), bytes.data() + sent,
+                                     bytes.size() - sent, MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR)
             continue;
         if (count <= 0)
@@ -179,7 +182,12 @@
         this->sentAt = monotonicNow();
         sent += static_cast<std::size_t>(count);
     }
-    this->output.erase(0, sent);
+    return sent;
+}
+
+void TcpStream::flush()
+{
+    this->output.erase(0, this->send(this->output));
     releaseIfEmpty(this->output);
     this->writeNotifier->setEnabled(!this->output.empty());
 }
@@ -279,6 +287,8 @@
     this->isEnded = true;
     this->readNotifier.reset();
     this->writeNotifier.reset();
+    std::string().swap(this->input);
+    std::string().swap(this->output);
     if (this->descriptor.get() < 0)
         return;
     this->setResetOnClose(true);
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -114,6 +114,7 @@
     void refuseMalformed(SessionId id, const Error &error);
     void handleCallerDisconnect(SessionId id);
     void refuseForMemory(SessionId id);
+    void endUnreadAnswer(SessionId id);
     void logForMemory(const CallerConnection &session, std::string_view event) const;
     void relieveMemory();
     bool freeLargest();
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -44,9 +44,10 @@
     std::uint64_t malformedStatements = 0; ///< Of upstreams, in headers of answers.
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
-    std::uint64_t pipelinedDropped = 0; ///< Connections that close after their open request.
-    std::uint64_t refusedForMemory = 0; ///< Requests, whole or not, for want of memory.
-    std::size_t callerMemoryHeld = 0;   ///< See CallerMemory.
+    std::uint64_t pipelinedDropped = 0;   ///< Connections that close after their open request.
+    std::uint64_t refusedForMemory = 0;   ///< Requests, whole or not, for want of memory.
+    std::uint64_t unreadAnswersEnded = 0; ///< Connections that were reset for want of memory.
+    std::size_t callerMemoryHeld = 0;     ///< See CallerMemory.
     std::size_t callerMemoryLimit = 0;
     std::uint64_t wakeUps = 0; ///< Wake-ups of the control thread's event loop.
 };
--- a/packages/proxy/src/proxy_memory.cpp
+++ b/packages/proxy/src/proxy_memory.cpp
@@ -20,7 +20,7 @@
 {
     if (session.isReadingRequest())
         return session.heldBytes();
-    return session.bytesBehind();
+    return std::max(session.unsentBytes(), session.bytesBehind());
 }
 
 } // namespace
@@ -39,6 +39,15 @@
                            refusalBody(refusal.code, true), now);
 }
 
+/// Resets the connection of \a id, whose caller doesn't read its answer.
+void Proxy::endUnreadAnswer(SessionId id)
+{
+    ++this->metrics.unreadAnswersEnded;
+    this->logForMemory(*this->sessions.at(id), "unread_answer_ended");
+    this->handleCallerDisconnect(id);
+    this->sessions.at(id)->abort();
+}
+
 void Proxy::logForMemory(const CallerConnection &session, std::string_view event) const
 {
     std::string callerId;
@@ -73,6 +82,8 @@
     CallerConnection &session = *largest->second;
     if (session.isReadingRequest()) {
         this->refuseForMemory(largest->first);
+    } else if (session.unsentBytes() >= session.bytesBehind()) {
+        this->endUnreadAnswer(largest->first);
     } else {
         ++this->metrics.pipelinedDropped;
         session.dropBehind();
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -135,6 +135,7 @@
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
     addCounter(out, "azurewell_refused_for_memory_total", metrics.refusedForMemory);
+    addCounter(out, "azurewell_unread_answers_ended_total", metrics.unreadAnswersEnded);
     addGauge(out, "azurewell_caller_memory_bytes", static_cast<double>(metrics.callerMemoryHeld));
     addGauge(out, "azurewell_caller_memory_limit_bytes",
              static_cast<double>(metrics.callerMemoryLimit));
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -233,6 +233,7 @@
         this->pausedUpstreams.insert(number);
         this->connections.pauseReading(request.exchange, true);
     }
+    this->relieveMemory();
 }
 
 /// Adds \a body to the answer that is held back for \a number. An answer over its bound, or the
@@ -364,6 +365,7 @@
         this->sessions.at(session)->complete(monotonicNow());
     else
         this->answerBuffered(done);
+    this->relieveMemory();
 }
 
 void Proxy::fail(RequestNumber number, ExchangeFailure failure)
