A host limits its connections, so that descriptors are left for servers and ordinary callers

What callers saw: no connection, while clients held thousands open that sent one byte each; at the process's limit the host also reached no server, store or other host. Cause: no bound on connections of callers, readiness and metrics; where accept() fails for want of descriptors the listening socket stays readable, and the event loop did nothing else. After a failed accept() for want of descriptors the listener pauses for 20 ms; this has no test of its own.

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -134,6 +134,16 @@
     {
         return this->reader.hasBegun();
     }
+    /// Whether a request has been answered on this connection.
+    bool hasAnswered() const
+    {
+        return this->isAnswered;
+    }
+    /// When the current request began to arrive, or else the connection became idle.
+    Instant waitingSince() const
+    {
+        return this->begunAt.micros != 0 ? this->begunAt : this->idleSince;
+    }
     std::size_t unsentBytes() const
     {
         return this->stream->unsentBytes();
@@ -170,6 +180,7 @@
     std::size_t droppedBytes = 0;
     BodyFraming bodyFraming = BodyFraming::Chunked; ///< Of the response that beginBody() started.
     bool isInRequest = false;
+    bool isAnswered = false; ///< A request has been.
     bool isClosing = false;
     bool isDisconnected = false;
     bool isContinueSent = false;
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -150,6 +150,7 @@
 
 private:
     void acceptPending();
+    void pauseAccepting();
 
     UniqueFd descriptor;
     Handler handler;
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -253,6 +253,7 @@
 void CallerConnection::startNextRequest(Instant now)
 {
     this->isInRequest = false;
+    this->isAnswered = true;
     this->begunAt = {};
     this->isContinueSent = false;
     this->maxBehind = maxPipelinedBytes;
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -4,6 +4,7 @@
 #include "azurewell/logging/log.h"
 
 #include <QtCore/QCoreApplication>
+#include <QtCore/QTimer>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -32,6 +33,10 @@
 /// deadline.
 constexpr int userTimeoutMillis = 2500;
 
+/// Pause after a connection couldn't be accepted for want of descriptors or memory. The listening
+/// socket stays readable, so that the event loop would do nothing else.
+constexpr std::chrono::milliseconds acceptPause(20);
+
 void setSocketOptions(int fd)
 {
     const int on = 1;
@@ -52,6 +57,12 @@
         std::string().swap(buffer);
 }
 
+/// Whether \a error means that the process or the machine can have no more connections.
+bool isExhausted(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 bool isTransient(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -310,10 +321,19 @@
     for (int i = 0; i < maxAcceptsPerEvent && opened < maxOpenedPerEvent; ++i) {
         const int fd = ::accept4(this->descriptor.get(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0)
+        if (fd < 0) {
+            if (isExhausted(errno))
+                this->pauseAccepting();
             return;
+        }
         opened += this->handler(UniqueFd(fd)) ? 1 : 0;
     }
 }
 
+void TcpAcceptor::pauseAccepting()
+{
+    this->notifier.setEnabled(false);
+    QTimer::singleShot(acceptPause, &this->notifier, [this] { this->notifier.setEnabled(true); });
+}
+
 } // namespace azurewell
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -6,6 +6,7 @@
 #include "azurewell/http/held_body.h"
 #include "azurewell/proxy/busy_answer.h"
 #include "azurewell/proxy/connect_probes.h"
+#include "azurewell/proxy/connection_limits.h"
 #include "azurewell/proxy/gossip_socket.h"
 #include "azurewell/proxy/http_call.h"
 #include "azurewell/proxy/proxy_metrics.h"
@@ -29,7 +30,8 @@
     Endpoint readiness;
     Endpoint metrics;
     std::string chartsDirectory;
-    std::uint64_t machineBytes = 0; ///< Memory of the machine; 0: not known.
+    std::uint64_t machineBytes = 0;   ///< Memory of the machine; 0: not known.
+    std::uint32_t maxDescriptors = 0; ///< Of the process; 0: not stated.
 };
 
 /// The sockets of one host, which connect the gateway core to callers, upstreams and other hosts.
@@ -98,6 +100,7 @@
 
     bool accept(UniqueFd descriptor);
     SessionId openCaller(UniqueFd descriptor);
+    bool closeIdleCaller();
     void serveUnread();
     void readUnread(UnreadCaller caller, Instant now);
     void turnAway(UniqueFd connection, Instant now);
@@ -173,6 +176,7 @@
     HttpCalls httpCalls;
     ConnectProbes probes;
     ProxyMetrics metrics;
+    ConnectionLimits maxConnections;
     CallerMemory callerMemory; ///< Before the sessions, which are counted in it.
     std::unique_ptr<GossipSocket> gossip;
     std::unique_ptr<TcpAcceptor> callers;
--- a/packages/proxy/include/azurewell/proxy/proxy_metrics.h
+++ b/packages/proxy/include/azurewell/proxy/proxy_metrics.h
@@ -45,6 +45,7 @@
     std::uint64_t peerConnectionsRejected = 0;
     std::uint64_t badRequests = 0;
     std::uint64_t pipelinedDropped = 0;   ///< Connections that close after their open request.
+    std::uint64_t idleCallersClosed = 0;  ///< Connections that were closed for want of descriptors.
     std::uint64_t refusedForMemory = 0;   ///< Requests, whole or not, for want of memory.
     std::uint64_t unreadAnswersEnded = 0; ///< Connections that were reset for want of memory.
     std::size_t callerMemoryHeld = 0;     ///< See CallerMemory.
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -27,6 +27,7 @@
     : settings(std::move(given))
     , format(wireFormat)
     , httpCalls(this->connections, wireFormat.isAnswerToCall)
+    , maxConnections(connectionLimits(this->settings.maxDescriptors))
 {
     this->callerMemory.limit = callerMemoryLimit(this->settings.machineBytes,
                                                  RequestLimits{}.bodyBytes);
@@ -182,6 +183,9 @@
 
 void Proxy::acceptMonitoring(UniqueFd descriptor)
 {
+    // The oldest goes: a request for monitoring is answered as soon as it is read.
+    if (this->monitoringSessions.size() >= this->maxConnections.monitoring)
+        this->monitoringSessions.erase(this->monitoringSessions.begin());
     const SessionId id = this->nextSession++;
     CallerConnection::Handlers handlers;
     handlers.onRequest = [this, id] {
--- a/packages/proxy/src/proxy_accepting.cpp
+++ b/packages/proxy/src/proxy_accepting.cpp
@@ -30,6 +30,11 @@
 bool Proxy::accept(UniqueFd descriptor)
 {
     const Instant now = monotonicNow();
+    const std::size_t connected = this->sessions.size() + this->unread.waiting.size();
+    if (connected >= this->maxConnections.callers && !this->closeIdleCaller()) {
+        this->turnAway(std::move(descriptor), now);
+        return false;
+    }
     if (this->unread.waiting.empty() && this->openedInPass < maxOpenedInPass) {
         ++this->openedInPass;
         this->openCaller(std::move(descriptor));
@@ -45,6 +50,28 @@
     return false;
 }
 
+/// Closes the connection of a caller that waits for no answer: of those that have never had one,
+/// else of all, the one that has been so for longest. False if there is none.
+bool Proxy::closeIdleCaller()
+{
+    const auto rank = [](const CallerConnection &session) {
+        return std::make_pair(session.hasAnswered(), session.waitingSince());
+    };
+    auto first = this->sessions.end();
+    for (auto entry = this->sessions.begin(); entry != this->sessions.end(); ++entry) {
+        if (entry->second->isAnswering() || entry->second->unsentBytes() > 0
+            || this->peerSessions.contains(entry->first))
+            continue;
+        if (first == this->sessions.end() || rank(*entry->second) < rank(*first->second))
+            first = entry;
+    }
+    if (first == this->sessions.end())
+        return false;
+    ++this->metrics.idleCallersClosed;
+    this->endSession(first->first);
+    return true;
+}
+
 Proxy::SessionId Proxy::openCaller(UniqueFd descriptor)
 {
     ++this->metrics.callersAccepted;
--- a/packages/proxy/src/proxy_forwards.cpp
+++ b/packages/proxy/src/proxy_forwards.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::size_t maxPeerConnections = 1024;
-
 std::string_view nameOf(ForwardOutcome outcome)
 {
     switch (outcome) {
@@ -33,7 +31,7 @@
 void Proxy::acceptPeer(UniqueFd descriptor)
 {
     const std::string ip = peerIpOf(descriptor);
-    const bool isFull = this->peerSessions.size() >= maxPeerConnections;
+    const bool isFull = this->peerSessions.size() >= this->maxConnections.peers;
     if (isFull || !isMemberIp(this->core.members, ip)) {
         ++this->metrics.peerConnectionsRejected;
         writeLog(LogLevel::Warning, "peer_connection_rejected",
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -134,6 +134,7 @@
     addGauge(out, "azurewell_usual_unread_wait_seconds", toSeconds(metrics.usualUnreadWait));
     addCounter(out, "azurewell_bad_requests_total", metrics.badRequests);
     addCounter(out, "azurewell_pipelined_dropped_total", metrics.pipelinedDropped);
+    addCounter(out, "azurewell_idle_callers_closed_total", metrics.idleCallersClosed);
     addCounter(out, "azurewell_refused_for_memory_total", metrics.refusedForMemory);
     addCounter(out, "azurewell_unread_answers_ended_total", metrics.unreadAnswersEnded);
     addGauge(out, "azurewell_caller_memory_bytes", static_cast<double>(metrics.callerMemoryHeld));
