Requests wait until their caller reads the answers before

What callers saw: a host ended for want of memory, while clients sent short requests in a row and read no answer: 30 bytes are answered with all metrics, or with a refusal. Cause: the next request on a connection began however much of the answers before it was unsent; nothing bounded those. Change: no request begins while more than 64 KiB of answers are unsent; what comes meanwhile is bounded as bytes behind an open request. A connection on which nothing can be sent any more isn't asked for room to send again, and is read to its end even while paused: paused as it is now, it would have kept the event loop busy (by reading, no test).

--- a/packages/http/include/azurewell/http/caller_connection.h
+++ b/packages/http/include/azurewell/http/caller_connection.h
@@ -113,7 +113,8 @@
     {
         return this->isPaused;
     }
-    /// Bytes that have come behind the open request.
+    /// Bytes that have come behind the open request, or behind answers that the caller doesn't
+    /// read.
     std::size_t bytesBehind() const;
     /// Reads up to \a bytes more behind the open request.
     void readMoreBehind(std::size_t bytes);
@@ -159,6 +160,7 @@
 private:
     void receive();
     bool readRequest();
+    bool mayReadRequest() const;
     void pauseReading(bool paused);
     void reportMuchBehind(bool isMuch);
     void dropReceived();
--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -29,6 +29,10 @@
 /// read from until the host allows more.
 inline constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
 
+/// Unsent bytes of answers beyond which a caller's next request is not read: one that reads none of
+/// its answers would fill the host's memory with short requests.
+inline constexpr std::size_t maxUnsentAnswerBytes = 64ULL * 1024;
+
 /// What the host then allows at a time, and at most for one connection.
 inline constexpr std::size_t pipelinedBytesStep = 512ULL * 1024;
 inline constexpr std::size_t maxPipelinedBytesExtended = 1024ULL * 1024;
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -122,6 +122,7 @@
     void handleWritable();
     std::size_t send(std::string_view bytes);
     void flush();
+    void readToEnd();
     void reportEnd(StreamEnd how);
 
     UniqueFd descriptor;
@@ -134,6 +135,7 @@
     Instant sentAt;
     bool isEnded = false;
     bool isPausable = true;
+    bool isBroken = false; ///< Nothing can be sent any more; what has come is still read.
     /// Set by the destructor, so that a member function can detect that a handler has destroyed the
     /// object.
     std::shared_ptr<bool> isDestroyed = std::make_shared<bool>(false);
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -76,6 +76,8 @@
     this->endWritingIfDone();
     this->countMemory();
     this->handlers.onDrained();
+    if (!this->isInRequest)
+        this->receive();
 }
 
 void CallerConnection::receive()
@@ -86,7 +88,7 @@
         return;
     this->isReceiving = true;
     bool isMoreExpected = true;
-    while (isMoreExpected && !this->isInRequest && !this->stream->received().empty())
+    while (isMoreExpected && this->mayReadRequest() && !this->stream->received().empty())
         isMoreExpected = this->readRequest();
     this->isReceiving = false;
     if (this->isInRequest && this->isDropping)
@@ -100,6 +102,12 @@
         this->handlers.onMemoryShort();
 }
 
+/// Whether the next bytes are read as a request. Those of a closing connection are dropped.
+bool CallerConnection::mayReadRequest() const
+{
+    return !this->isInRequest && (this->isClosing || this->unsentBytes() <= maxUnsentAnswerBytes);
+}
+
 void CallerConnection::reportMuchBehind(bool isMuch)
 {
     if (std::exchange(this->isMuchBehind, isMuch) != isMuch && this->handlers.onMuchBehind)
@@ -108,7 +116,7 @@
 
 std::size_t CallerConnection::bytesBehind() const
 {
-    return this->isInRequest ? this->stream->received().size() : 0;
+    return this->mayReadRequest() ? 0 : this->stream->received().size();
 }
 
 void CallerConnection::readMoreBehind(std::size_t bytes)
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -188,6 +188,7 @@
                                      bytes.size() - sent, MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR)
             continue;
+        this->isBroken = this->isBroken || (count < 0 && !isTransient(errno));
         if (count <= 0)
             break; // Reading detects a broken connection, after the bytes received before it.
         this->sentAt = monotonicNow();
@@ -200,7 +201,9 @@
 {
     this->output.erase(0, this->send(this->output));
     releaseIfEmpty(this->output);
-    this->writeNotifier->setEnabled(!this->output.empty());
+    this->writeNotifier->setEnabled(!this->output.empty() && !this->isBroken);
+    if (this->isBroken)
+        this->readToEnd();
 }
 
 void TcpStream::releaseUnused()
@@ -268,8 +271,12 @@
 
 void TcpStream::readOnIfReset()
 {
-    if (this->isEnded || this->isConnecting || !isReset(this->descriptor))
-        return;
+    if (!this->isEnded && !this->isConnecting && isReset(this->descriptor))
+        this->readToEnd();
+}
+
+void TcpStream::readToEnd()
+{
     this->isPausable = false;
     this->pauseReading(false);
 }
--- a/packages/http/tests/caller_flood_test.cpp
+++ b/packages/http/tests/caller_flood_test.cpp
@@ -118,6 +118,22 @@
     EXPECT_FALSE(this->refusal);
 }
 
+// Guards against a caller that fills the host's memory with answers to short requests, of which it
+// reads none, and against requests that are lost as they wait meanwhile.
+TEST_F(CallerFlood, RequestsWaitUntilAnswersAreRead)
+{
+    const std::string shortest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string many;
+    while (many.size() < 64ULL * 1024)
+        many += shortest;
+    this->isAnsweredAtOnce = true;
+    const std::size_t sent = this->flood(many, manyBytes);
+    EXPECT_LT(sent, maxHeldBytes);
+    EXPECT_LT(this->connection->unsentBytes(), 2 * maxUnsentAnswerBytes);
+    this->serve(sent / shortest.size());
+    EXPECT_EQ(this->requests, sent / shortest.size());
+}
+
 // Guards against a connection that stays paused after the answer.
 TEST_F(CallerFlood, RequestsThatWereHeldBackAreRead)
 {
