Requests for readiness and metrics have no long bodies

What callers saw: a host ended for want of memory, while clients sent bodies to its readiness or metrics address. Cause: these took 4 MiB a connection, as a request of a caller, though no such request has a body. Change: 16 KiB a body, 413 beyond.

--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -21,6 +21,9 @@
 /// The process exits by itself this long before the grace period ends.
 constexpr Span exitMargin = std::chrono::milliseconds(250);
 
+/// Requests for readiness and metrics need no body.
+constexpr RequestLimits monitoringLimits{ 16 * 1024, 16ULL * 1024 };
+
 } // namespace
 
 Proxy::Proxy(ProxySettings given, const WireFormat &wireFormat)
@@ -201,7 +204,7 @@
     handlers.onDrained = [] {
     };
     std::unique_ptr<CallerConnection> &session = this->monitoringSessions[id];
-    session = std::make_unique<CallerConnection>(std::move(descriptor), RequestLimits{},
+    session = std::make_unique<CallerConnection>(std::move(descriptor), monitoringLimits,
                                                  std::move(handlers), monotonicNow());
     session->setAnsweredAtOnce();
 }
