Accepted connections have a receive buffer of 64 KiB

What callers saw: a host that ran out of memory after it had stood still, or while it read many fast senders. Cause: the kernel lets the buffer of a connection that sends fast grow to megabytes; these are the machine's memory, and where Qt reads a socket it takes all of them at once, before anything can be refused. Open: the sum over thousands of connections of a process that stands still isn't bounded by a small machine's memory.

--- a/packages/http/src/listen_socket.cpp
+++ b/packages/http/src/listen_socket.cpp
@@ -16,6 +16,10 @@
 
 constexpr int backlog = 1024;
 
+/// Receive buffer of an accepted connection. The kernel's own choice grows to megabytes for one
+/// that sends fast, and what is in it is memory of the machine, too.
+constexpr int receiveBufferBytes = 64 * 1024;
+
 /// Requests below this are dropped with one call to the kernel.
 constexpr std::size_t maxDroppedRequestBytes = 16ULL * 1024;
 
@@ -50,6 +54,9 @@
     const int on = 1;
     ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    // Before listen(), or the kernel has offered a larger window to a connection that it accepts.
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+                 sizeof receiveBufferBytes);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
