Long blocks that are freed go back to the system

What callers saw: after a crowd had left, its memory stayed with the process, and the next crowd's came on top. Cause: the allocator raises its threshold for blocks of their own with each one that is freed, up to 32 MiB; then they come from the heap and are kept.

--- a/packages/shell/src/run_host.cpp
+++ b/packages/shell/src/run_host.cpp
@@ -1,5 +1,6 @@
 #include "azurewell/shell/run_host.h"
 
+#include "azurewell/http/allocator.h"
 #include "azurewell/http/listen_socket.h"
 #include "azurewell/logging/log.h"
 #include "azurewell/shell/control_loop.h"
@@ -33,6 +34,7 @@
 
 int runHost(int argc, char **argv, const Settings &settings)
 {
+    giveBackFreedBlocks();
     std::signal(SIGPIPE, SIG_IGN);
     const UniqueFd stopSignals = openStopSignals();
     QCoreApplication application(argc, argv);
