Hosts of their own: requests of all callers together stay within a limit

What callers saw: the quickstart's host ended for want of memory, while clients held bodies open that stopped short. Cause: 4,096 connections with a body of 1 MiB each, and no limit on their sum; the HTTP server reads in a transaction, which keeps a second copy of each body, and its own copy doubles as it grows. Change: the new setting most_held_bytes (32 MiB); over a thread's share the longest unfinished request is refused as not run, with Retry-After. The guard ends the transaction before it reads on.

--- a/packages/shell/include/azurewell/shell/caller_guard.h
+++ b/packages/shell/include/azurewell/shell/caller_guard.h
@@ -22,8 +22,12 @@
 {
 public:
     using RefusalHandler = std::function<void(ResultCode)>;
+    /// Called when bytes of a request have come; it may refuse an unfinished one. Returns whether
+    /// there is room for a whole one.
+    using BytesHandler = std::function<bool(qint64)>;
 
-    CallerGuard(QTcpSocket *socket, const Settings &settings, RefusalHandler reportRefusal);
+    CallerGuard(QTcpSocket *socket, const Settings &settings, RefusalHandler reportRefusal,
+                BytesHandler onBytes);
 
     /// To be called once the response to the current request has been written completely.
     void responseSent();
@@ -36,6 +40,16 @@
     {
         return this->phase == Phase::Answering;
     }
+    /// Bytes of the current request that have come.
+    qint64 heldBytes() const
+    {
+        return this->requestBytes;
+    }
+    /// Whether a part of a request has come, but not all of it.
+    bool isReadingRequest() const
+    {
+        return this->phase == Phase::Head || this->phase == Phase::Body;
+    }
     /// Responds with \a error and closes the connection.
     void refuse(const Error &error);
     /// Closes the connection now, or after the pending response.
@@ -49,14 +63,17 @@
     void beginBody(qsizetype headBytes);
     void countBody(qsizetype bytes);
     void close();
+    void noteBytes(qsizetype bytes);
 
     QTcpSocket *socket;
     const Settings &settings;
     RefusalHandler reportRefusal;
+    BytesHandler handleBytes;
     Phase phase = Phase::Idle;
     Instant deadline;
     QByteArray head; ///< Head of the current request, until complete.
     qint64 remainingBodyBytes = 0;
+    qint64 requestBytes = 0; ///< Of the current request, until its response has been sent.
     bool closesAfterResponse = false;
 };
 
@@ -80,10 +97,15 @@
 
 private:
     void removeClosed();
+    bool countReceived(qint64 bytes);
+    bool refuseLongest();
+    qint64 heldBytes() const;
 
     const Settings &settings;
     CallerGuard::RefusalHandler reportRefusal;
     QList<QPointer<CallerGuard>> guards;
+    qint64 receivedSinceSum = 0; ///< Since all requests that are held were added up.
+    bool isFull = false;         ///< As last added up.
 };
 
 } // namespace azurewell
--- a/packages/shell/include/azurewell/shell/settings.h
+++ b/packages/shell/include/azurewell/shell/settings.h
@@ -29,12 +29,13 @@
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxHeadBytes = 0;
     std::uint32_t maxConnections = 0;
-    Span requestReadTimeout{};    ///< Limit for receiving a complete request.
-    Span keepAlive{};             ///< Idle caller connections are closed after this.
-    Span defaultRequestTimeout{}; ///< Timeout of a request that sets none.
-    Span callerReadTimeout{};     ///< Limit for a caller to read a paused stream.
-    Span drainGrace{};            ///< Requests are still served this long after a stop request.
-    Span upstreamIdleTimeout{};   ///< An attempt without data for this long has failed.
+    std::uint64_t maxHeldBytes = 0; ///< Of the requests of all callers that are held at a time.
+    Span requestReadTimeout{};      ///< Limit for receiving a complete request.
+    Span keepAlive{};               ///< Idle caller connections are closed after this.
+    Span defaultRequestTimeout{};   ///< Timeout of a request that sets none.
+    Span callerReadTimeout{};       ///< Limit for a caller to read a paused stream.
+    Span drainGrace{};              ///< Requests are still served this long after a stop request.
+    Span upstreamIdleTimeout{};     ///< An attempt without data for this long has failed.
 };
 
 /// Reads settings from JSON with comments. Errors: SettingsInvalid with the line or key, what is
--- a/packages/shell/src/caller_guard.cpp
+++ b/packages/shell/src/caller_guard.cpp
@@ -11,13 +11,20 @@
 
 constexpr const char *headEnd = "\r\n\r\n";
 
+/// The requests that are held are added up once for so many bytes that have come.
+constexpr qint64 bytesBetweenSums = 64LL * 1024;
+
+constexpr Span overloadRetryAfter = std::chrono::seconds(1);
+
 } // namespace
 
-CallerGuard::CallerGuard(QTcpSocket *callerSocket, const Settings &limits, RefusalHandler onRefused)
+CallerGuard::CallerGuard(QTcpSocket *callerSocket, const Settings &limits, RefusalHandler onRefused,
+                         BytesHandler onBytes)
     : QObject(callerSocket)
     , socket(callerSocket)
     , settings(limits)
     , reportRefusal(std::move(onRefused))
+    , handleBytes(std::move(onBytes))
     , deadline(monotonicNow() + limits.requestReadTimeout)
 {
     // Connected before QHttpServer, so that the guard sees each byte first.
@@ -26,7 +33,10 @@
 
 void CallerGuard::readyRead()
 {
-    // QHttpServer has consumed all earlier bytes, so all available bytes are new.
+    // QHttpServer has consumed all earlier bytes, so all available bytes are new. It reads in a
+    // transaction, which keeps a copy of them for protocols that this host doesn't speak.
+    if (this->socket->isTransactionStarted())
+        this->socket->commitTransaction();
     const QByteArray bytes = this->socket->peek(this->socket->bytesAvailable());
     if (bytes.isEmpty())
         return;
@@ -37,9 +47,11 @@
         [[fallthrough]];
     case Phase::Head:
         this->readHeadBytes(bytes);
+        this->noteBytes(bytes.size());
         return;
     case Phase::Body:
         this->countBody(bytes.size());
+        this->noteBytes(bytes.size());
         return;
     case Phase::Closing:
     case Phase::Answering:
@@ -49,6 +61,17 @@
     }
 }
 
+void CallerGuard::noteBytes(qsizetype bytes)
+{
+    if (this->phase == Phase::Closing)
+        return;
+    this->requestBytes += bytes;
+    const bool hasRoom = this->handleBytes(bytes);
+    // QHttpServer has not read the end of the request yet.
+    if (!hasRoom && this->phase == Phase::Answering)
+        this->refuse(Error{ ResultCode::HostOverloaded, {} });
+}
+
 void CallerGuard::readHeadBytes(const QByteArray &bytes)
 {
     this->head += bytes;
@@ -102,6 +125,7 @@
         return;
     }
     this->phase = Phase::Idle;
+    this->requestBytes = 0;
     this->deadline = monotonicNow() + this->settings.keepAlive;
 }
 
@@ -117,6 +141,7 @@
 void CallerGuard::close()
 {
     this->phase = Phase::Closing;
+    this->requestBytes = 0;
     this->deadline = monotonicNow() + this->settings.callerReadTimeout;
     this->socket->disconnectFromHost();
 }
@@ -147,8 +172,10 @@
     // caller would lose the response.
     QObject::connect(this->socket, &QTcpSocket::readyRead, this,
                      [this] { this->socket->readAll(); });
-    this->socket->write(
-            refusalAnswer(Refuse{ RequestId{}, error.code, RunState::NotRun, {}, error.detail }));
+    Refuse refusal{ RequestId{}, error.code, RunState::NotRun, {}, error.detail };
+    if (error.code == ResultCode::HostOverloaded)
+        refusal.retryAfter = overloadRetryAfter;
+    this->socket->write(refusalAnswer(refusal));
     this->close();
 }
 
@@ -180,12 +207,52 @@
         return;
     }
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    CallerGuard *guard = new CallerGuard(socket, this->settings, this->reportRefusal);
+    CallerGuard *guard = new CallerGuard(
+            socket, this->settings, this->reportRefusal,
+            [this](qint64 bytes) { return this->countReceived(bytes); });
     guard->setObjectName("guard");
     this->guards.push_back(guard);
     this->addPendingConnection(socket);
 }
 
+/// Refuses the longest unfinished requests while the callers of this thread hold too much. Returns
+/// whether they hold no more than they may.
+bool GuardedTcpServer::countReceived(qint64 bytes)
+{
+    this->receivedSinceSum += bytes;
+    if (this->receivedSinceSum < bytesBetweenSums && !this->isFull)
+        return true;
+    this->receivedSinceSum = 0;
+    const std::uint64_t share = this->settings.maxHeldBytes / this->settings.trafficThreads;
+    const std::uint64_t longest = this->settings.maxHeadBytes + this->settings.maxBodyBytes;
+    const auto limit = static_cast<qint64>(std::max(share, longest));
+    while (this->heldBytes() > limit && this->refuseLongest()) {}
+    this->isFull = this->heldBytes() > limit;
+    return !this->isFull;
+}
+
+qint64 GuardedTcpServer::heldBytes() const
+{
+    qint64 held = 0;
+    for (const QPointer<CallerGuard> &guard : this->guards)
+        held += guard ? guard->heldBytes() : 0;
+    return held;
+}
+
+/// False if no request is unfinished.
+bool GuardedTcpServer::refuseLongest()
+{
+    CallerGuard *longest = nullptr;
+    for (const QPointer<CallerGuard> &guard : std::as_const(this->guards)) {
+        const bool isUnfinished = guard && guard->isReadingRequest();
+        if (isUnfinished && (!longest || guard->heldBytes() > longest->heldBytes()))
+            longest = guard;
+    }
+    if (longest)
+        longest->refuse(Error{ ResultCode::HostOverloaded, {} });
+    return longest != nullptr;
+}
+
 CallerGuard *GuardedTcpServer::guardOf(QTcpSocket *socket)
 {
     return static_cast<CallerGuard *>(
--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -40,6 +40,8 @@
   "most_body_bytes": 1048576,
   "most_head_bytes": 16384,
   "most_connections": 4096,
+  // Bytes of all requests that a host holds at a time. In memory they take about twice as much.
+  "most_held_bytes": 33554432,
   "sender_patience_s": 10,
   "keep_alive_s": 60,
   "request_patience_s": 120,
@@ -105,6 +107,8 @@
             reader.number("most_head_bytes", 256, maxBytes, 16384));
     settings.maxConnections = static_cast<std::uint32_t>(
             reader.number("most_connections", 1, 1e6, 4096));
+    settings.maxHeldBytes = static_cast<std::uint64_t>(
+            reader.number("most_held_bytes", 1, maxBytes, 32 << 20));
     settings.requestReadTimeout = fromSeconds(
             reader.number("sender_patience_s", 0.1, maxSeconds, 10));
     settings.keepAlive = fromSeconds(reader.number("keep_alive_s", 0.1, maxSeconds, 60));
@@ -155,6 +159,7 @@
                        "most_body_bytes",
                        "most_head_bytes",
                        "most_connections",
+                       "most_held_bytes",
                        "sender_patience_s",
                        "keep_alive_s",
                        "request_patience_s",
