Hosts of their own: operators' requests are bounded

What callers saw: a host ended for want of memory, while clients sent bodies to its operations port. Cause: its HTTP server had no limit on heads, bodies, time or connections. Change: the callers' guard watches these connections, too: 16 KiB a head or body, 3 s to send one, 64 connections. Open: over 64 connections new ones are refused for as long as idle ones are kept (60 s).

--- a/packages/shell/include/azurewell/shell/operations_server.h
+++ b/packages/shell/include/azurewell/shell/operations_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "azurewell/shell/caller_guard.h"
 #include "azurewell/shell/settings.h"
 
 #include <QtCore/QByteArray>
+#include <QtCore/QTimer>
 #include <QtHttpServer/QAbstractHttpServer>
 
 #include <functional>
@@ -35,7 +37,12 @@
     void missingHandler(const QHttpServerRequest &request, QTcpSocket *socket) override;
 
 private:
+    static void answer(QTcpSocket *socket, const QByteArray &bytes);
+
     RequestHandler handlePath;
+    Settings limits; ///< Of operators' requests.
+    GuardedTcpServer *server = nullptr;
+    QTimer deadlineTimer;
 };
 
 } // namespace azurewell
