Hosts of their own: unfinished frames of all strangers are bounded

What callers saw: a host ended for want of memory, while strangers sent frames to its port for other hosts and stopped short of their ends. Cause: a frame may have 2 MiB and is authenticated when it is whole; 4,096 connections were allowed one each. Change: 32 MiB of frames whose ends have not come; over it the connection with the longest is dropped.

--- a/packages/shell/include/azurewell/shell/peer_links.h
+++ b/packages/shell/include/azurewell/shell/peer_links.h
@@ -57,6 +57,7 @@
     };
 
     void acceptConnections();
+    void limitUnfinished();
     void readFrames(QTcpSocket *socket);
     void handleFrame(QTcpSocket *socket, const QByteArray &content);
     void refuse(QTcpSocket *socket, const std::string &reason);
--- a/packages/shell/src/peer_links.cpp
+++ b/packages/shell/src/peer_links.cpp
@@ -22,6 +22,10 @@
 /// Limit of incoming connections: enough for ten times the planned fleet, while bounding abuse.
 constexpr qsizetype maxIncomingConnections = 4096;
 constexpr std::size_t maxSenders = 4096;
+/// Bytes of all incoming frames whose ends have not come; more is not authenticated yet.
+constexpr qint64 maxUnfinishedBytes = 32 << 20;
+/// An unfinished frame up to here is not looked at: heartbeats are far shorter.
+constexpr qint64 shortFrameBytes = 16 << 10;
 
 } // namespace
 
@@ -123,12 +127,32 @@
             return;
         hasRead = true;
     }
-    if (!hasRead)
+    if (socket->bytesAvailable() > shortFrameBytes)
+        this->limitUnfinished();
+    if (!hasRead || socket->state() != QAbstractSocket::ConnectedState)
         return;
     this->idleDeadlines[socket] = monotonicNow() + incomingIdleTimeout;
     socket->write(QByteArray(frameHeaderBytes, '\0'));
 }
 
+/// Drops the connections with the longest unfinished frames while these are too long together.
+void PeerLinks::limitUnfinished()
+{
+    while (true) {
+        qint64 sum = 0;
+        QTcpSocket *longest = nullptr;
+        for (auto entry = this->idleDeadlines.cbegin(); entry != this->idleDeadlines.cend();
+             ++entry) {
+            sum += entry.key()->bytesAvailable();
+            if (!longest || entry.key()->bytesAvailable() > longest->bytesAvailable())
+                longest = entry.key();
+        }
+        if (sum <= maxUnfinishedBytes)
+            return;
+        this->refuse(longest, "unfinished frames are too long together");
+    }
+}
+
 /// Whether the frame is a replay: a recorded frame passes authentication again.
 bool PeerLinks::isReplayed(const PeerMessage &message, std::uint64_t serial)
 {
--- a/tests/sockets/own_host_crowds_test.cpp
+++ b/tests/sockets/own_host_crowds_test.cpp
@@ -2,6 +2,8 @@
 #include "host_fixture.h"
 #include "host_process.h"
 
+#include "azurewell/fleet/codec.h"
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -33,6 +35,20 @@
     return crowd;
 }
 
+/// Clients that send all of a message between hosts of the greatest length but its last block.
+Crowd framesShortOfTheirEnd(std::uint16_t port)
+{
+    constexpr std::size_t senders = 80;
+    Crowd crowd;
+    crowd.name = "frames";
+    crowd.to = { "127.0.0.1", port };
+    crowd.clients = senders;
+    crowd.start = std::string("\0\x20\0\0", frameHeaderBytes);
+    crowd.repeated = std::string(blockBytes, 'a');
+    crowd.sumBytes = maxFrameBytes - blockBytes;
+    return crowd;
+}
+
 } // namespace
 
 /// A host process with the product's own interface and default settings.
@@ -53,9 +69,9 @@
         ASSERT_TRUE(this->isServing());
     }
 
-    void expectBearsBodiesSentTo(std::uint16_t crowdedPort)
+    void expectBears(const Crowd &what)
     {
-        const ClientCrowd crowd(bodiesShortOfTheirEnd(crowdedPort));
+        const ClientCrowd crowd(what);
         EXPECT_TRUE(waitUntil([&crowd] { return crowd.hasSent(); }));
         EXPECT_EQ(this->process->readyStatus(), 200);
         EXPECT_TRUE(this->isServing());
@@ -71,13 +87,19 @@
 // Guards against callers that end a host with bodies whose ends don't come.
 TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByBodiesOfCallers)
 {
-    this->expectBearsBodiesSentTo(this->process->config.callerPort);
+    this->expectBears(bodiesShortOfTheirEnd(this->process->config.callerPort));
 }
 
 // Guards against bodies, which no request for operations has, that end a host.
 TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByBodiesSentToOperations)
 {
-    this->expectBearsBodiesSentTo(this->process->config.operationsPort);
+    this->expectBears(bodiesShortOfTheirEnd(this->process->config.operationsPort));
+}
+
+// Guards against strangers that end a host with messages between hosts whose ends don't come.
+TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByFramesOfStrangers)
+{
+    this->expectBears(framesShortOfTheirEnd(this->process->config.peerPort));
 }
 
 } // namespace azurewell::tests
