A host knows at most 4096 others

Found by reading: messages between hosts on the platform name their senders freely, so that a stranger who reaches that port could make a host remember any number of hosts that don't exist, until it ran out of memory. Evidence: Members.AreLimitedInNumber; without the check all 10,000 made-up hosts are kept (by reading, not run). Change: a message of one host more than 4096, ten times the planned fleet, is dropped. Open: messages between hosts on the platform aren't authenticated; a stranger could still take the places of real hosts.

--- a/packages/gateway/include/azurewell/gateway/members.h
+++ b/packages/gateway/include/azurewell/gateway/members.h
@@ -114,7 +114,7 @@
 bool isMemberLinked(const Members &members, const Member &member, Instant now);
 
 /// Records a message received from \a member. Returns false if it is of an earlier incarnation than
-/// the known one.
+/// the known one, or of one host more than can be known.
 bool recordMember(Members &members, const Member &member);
 
 /// Records that another host received a message from \a member at its `lastMessageAt`. An unknown
--- a/packages/gateway/src/members.cpp
+++ b/packages/gateway/src/members.cpp
@@ -22,6 +22,10 @@
 constexpr double missedInZone = 4.4;
 constexpr double missedElsewhere = 3.2;
 
+/// Ten times the planned fleet. Messages name their senders freely, so that strangers who reach the
+/// port between hosts could make up any number of them.
+constexpr std::size_t maxMembers = 4096;
+
 /// Clocks of two hosts drift apart by less than this.
 constexpr double maxClockDrift = 0.001;
 
@@ -173,6 +177,11 @@
     members.plan = planHeartbeats(near, members.others.size() - near);
 }
 
+bool isOneTooMany(const Members &members, const HostId &id)
+{
+    return members.others.size() >= maxMembers && !members.others.contains(id);
+}
+
 } // namespace
 
 HeartbeatPlan planHeartbeats(std::size_t inZone, std::size_t elsewhere)
@@ -211,7 +220,7 @@
 
 bool recordMember(Members &members, const Member &member)
 {
-    if (member.id == members.self)
+    if (member.id == members.self || isOneTooMany(members, member.id))
         return false;
     const auto [known, isNew] = members.others.try_emplace(member.id, member);
     if (!isNew && member.incarnation < known->second.incarnation)
@@ -251,7 +260,7 @@
 
 void recordReportedMember(Members &members, const Member &member)
 {
-    if (member.id == members.self)
+    if (member.id == members.self || isOneTooMany(members, member.id))
         return;
     const auto [found, isNew] = members.others.try_emplace(member.id, member);
     Member &known = found->second;
--- a/packages/gateway/tests/members_test.cpp
+++ b/packages/gateway/tests/members_test.cpp
@@ -41,6 +41,26 @@
     EXPECT_GE(received(members, next, next).sentAt, next - std::chrono::milliseconds(10));
 }
 
+// Guards against strangers that fill a host's memory with messages of hosts that they make up.
+TEST(Members, AreLimitedInNumber)
+{
+    constexpr std::size_t largestFleet = 390;
+    constexpr std::size_t limit = 5000;
+    Members members;
+    Member sender = messageOf(begin, begin);
+    for (std::size_t i = 0; i < 2 * limit; ++i) {
+        sender.id.value = "made-up-" + std::to_string(i);
+        if (i % 2 == 0)
+            recordMember(members, sender);
+        else
+            recordReportedMember(members, sender);
+    }
+    EXPECT_GT(members.others.size(), largestFleet);
+    EXPECT_LT(members.others.size(), limit);
+    sender.id.value = "made-up-0";
+    EXPECT_TRUE(recordMember(members, sender));
+}
+
 // Guards against clocks that drift apart, so that messages without delay look older and older.
 TEST(Members, AMessageWithoutDelayIsNewThoughClocksDrift)
 {
