Freeing callers' memory ends where nothing is freed

Found by reading the change: a connection whose receive() is on the stack drops what is behind its request only later, so that relieveMemory(), called for another connection meanwhile, could have chosen it for ever. Not seen in a run; no test.

--- a/packages/proxy/src/proxy_memory.cpp
+++ b/packages/proxy/src/proxy_memory.cpp
@@ -5,6 +5,7 @@
 #include "text.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace azurewell {
 
@@ -67,7 +68,13 @@
 /// callers than may be.
 void Proxy::relieveMemory()
 {
-    while (this->callerMemory.held > this->callerMemory.limit && this->freeLargest()) {}
+    std::size_t before = SIZE_MAX;
+    // A connection that is reading just now drops what is behind its request only afterwards.
+    while (this->callerMemory.held > this->callerMemory.limit && this->callerMemory.held < before) {
+        before = this->callerMemory.held;
+        if (!this->freeLargest())
+            return;
+    }
 }
 
 /// Whether a connection was found that is worth ending, and has been ended or refused.
