Crowds of several kinds at once and one after the other, drawn by seeds

Guards what the tests of single crowds don't: three rounds of three kinds each at a machine of 64 MB, the bound of the others.

--- a/tests/sockets/client_crowds_test.cpp
+++ b/tests/sockets/client_crowds_test.cpp
@@ -7,7 +7,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <list>
 #include <ostream>
+#include <random>
+#include <vector>
 
 namespace azurewell::tests {
 
@@ -195,6 +198,44 @@
 INSTANTIATE_TEST_SUITE_P(Crowds, MemoryOfAHost, testing::ValuesIn(cases()),
                          [](const auto &given) { return std::string(given.param.crowd.name); });
 
+class CrowdsAtOnce : public ClientCrowds, public testing::WithParamInterface<unsigned>
+{
+};
+
+// Guards against what several crowds do together, or one after the other, though a host bears each.
+TEST_P(CrowdsAtOnce, LeaveRoomForOrdinaryCallers)
+{
+    constexpr int rounds = 3;
+    constexpr std::size_t crowdsOfRound = 3;
+    this->fleet.memoryMegabytes = memoryMegabytes;
+    ASSERT_NO_FATAL_FAILURE(this->startHost());
+    const std::size_t ownSockets = openSockets(this->fleet.processId(0));
+    std::mt19937 random(GetParam());
+    const std::vector<Case> kinds = cases();
+    for (int round = 0; round < rounds; ++round) {
+        std::list<ClientCrowd> crowds;
+        for (std::size_t i = 0; i < crowdsOfRound; ++i) {
+            const Case &kind = kinds[random() % kinds.size()];
+            Crowd crowd = kind.crowd;
+            crowd.to = { this->fleet.hostIp(0), kind.port };
+            fmt::print("{}\n", crowd.name);
+            crowds.emplace_back(crowd);
+        }
+        for (const ClientCrowd &crowd : crowds)
+            await(crowd);
+        EXPECT_EQ(this->ask(0), 200);
+        EXPECT_TRUE(this->fleet.isReady(0));
+    }
+    EXPECT_TRUE(this->waitUntilAlone(ownSockets));
+    EXPECT_EQ(this->ask(maxBodyBytes), 200);
+    fmt::print("{:.1f} MB at most\n", static_cast<double>(this->peakBytes()) / 1e6);
+    EXPECT_GT(this->peakBytes(), 0);
+    EXPECT_LE(this->peakBytes(), memoryMegabytes * bytesInMegabyte);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CrowdsAtOnce, testing::Range(1U, 5U),
+                         [](const auto &given) { return fmt::format("{}", given.param); });
+
 class DescriptorsOfAHost : public ClientCrowds, public testing::WithParamInterface<std::uint16_t>
 {
 };
