--- a/tests/sockets/client_crowds_test.cpp
+++ b/tests/sockets/client_crowds_test.cpp
@@ -50,6 +50,12 @@
     return fmt::format("{:x}\r\n", bytes) + std::string(bytes, 'a') + "\r\n";
 }
 
+QByteArray headerOf(const Answer &answer, const char *name)
+{
+    const auto found = answer.headers.find(name);
+    return found == answer.headers.end() ? QByteArray() : found->second;
+}
+
 constexpr std::size_t blockBytes = 64ULL * 1024;
 const std::string block(blockBytes, 'a');
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
@@ -198,6 +204,32 @@
 INSTANTIATE_TEST_SUITE_P(Crowds, MemoryOfAHost, testing::ValuesIn(cases()),
                          [](const auto &given) { return std::string(given.param.crowd.name); });
 
+// Guards against a refusal for want of memory that doesn't say that the request has not run, or of
+// a request that reaches a server all the same.
+TEST_F(ClientCrowds, ARefusedRequestHasNotRunAndIsToldSo)
+{
+    this->fleet.memoryMegabytes = memoryMegabytes;
+    ASSERT_NO_FATAL_FAILURE(this->startHost());
+    const std::uint64_t requestsBefore = this->fleet.servers.front()->requests;
+    Caller first(callerPort, QString::fromStdString(this->fleet.hostIp(0)));
+    first.write(QByteArray::fromStdString(postHead("/r/x", longest)));
+    first.write(QByteArray(static_cast<qsizetype>(maxBodyBytes - blockBytes), 'a'));
+    constexpr std::size_t clients = 24;
+    const ClientCrowd crowd(Crowd{ "shorter bodies",
+                                   { this->fleet.hostIp(0), callerPort },
+                                   clients,
+                                   postHead("/r/x", longest),
+                                   block,
+                                   maxBodyBytes / 2 });
+    await(crowd);
+    const Answer answer = first.answer();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.body.contains("not_run"));
+    EXPECT_GT(headerOf(answer, "retry-after").toDouble(), 0);
+    EXPECT_EQ(headerOf(answer, "connection"), "close");
+    EXPECT_EQ(this->fleet.servers.front()->requests, requestsBefore);
+}
+
 class CrowdsAtOnce : public ClientCrowds, public testing::WithParamInterface<unsigned>
 {
 };
