--- a/tests/sockets/client_crowds_test.cpp
+++ b/tests/sockets/client_crowds_test.cpp
@@ -279,7 +279,7 @@
     this->fleet.maxDescriptors = maxSockets + fileDescriptors;
     ASSERT_NO_FATAL_FAILURE(this->startHost());
     const ClientCrowd clients(Crowd{
-            "connections", { this->fleet.hostIp(0), GetParam() }, 2 * maxSockets, "G", "", 0 });
+            "connections", { this->fleet.hostIp(0), GetParam() }, 2ULL * maxSockets, "G", "", 0 });
     std::size_t most = 0;
     const Instant until = monotonicNow() + std::chrono::seconds(2);
     while (!clients.hasSent() || monotonicNow() < until) {
