Hosts of their own: idle connections make room for new ones

Change: at the limit the oldest connection that waits for no answer is ended; the new one is refused only where there is none.

--- a/packages/shell/include/azurewell/shell/caller_guard.h
+++ b/packages/shell/include/azurewell/shell/caller_guard.h
@@ -54,6 +54,8 @@
     void refuse(const Error &error);
     /// Closes the connection now, or after the pending response.
     void closeWhenIdle();
+    /// Ends the connection at once.
+    void abort();
 
 private:
     enum class Phase : std::uint8_t { Idle, Head, Body, Answering, Closing };
@@ -99,6 +101,7 @@
     void removeClosed();
     bool countReceived(qint64 bytes);
     bool refuseLongest();
+    bool endOldest();
     qint64 heldBytes() const;
 
     const Settings &settings;
--- a/packages/shell/src/caller_guard.cpp
+++ b/packages/shell/src/caller_guard.cpp
@@ -158,6 +158,13 @@
         this->refuse(Error{ ResultCode::SenderTooSlow, {} });
 }
 
+void CallerGuard::abort()
+{
+    this->phase = Phase::Closing;
+    this->requestBytes = 0;
+    this->socket->abort();
+}
+
 bool CallerGuard::hasUnsentBytes() const
 {
     return this->socket->bytesToWrite() > 0;
@@ -198,7 +205,7 @@
             1U, this->settings.maxConnections / this->settings.trafficThreads);
     if (static_cast<std::uint32_t>(this->guards.size()) >= maxPerThread)
         this->removeClosed();
-    if (static_cast<std::uint32_t>(this->guards.size()) >= maxPerThread) {
+    if (static_cast<std::uint32_t>(this->guards.size()) >= maxPerThread && !this->endOldest()) {
         this->reportRefusal(ResultCode::TooManyConnections);
         QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
         socket->write(refusalAnswer(
@@ -239,6 +246,21 @@
     return held;
 }
 
+/// Ends the oldest connection that has no whole request. False if there is none.
+bool GuardedTcpServer::endOldest()
+{
+    const auto isWithoutRequest = [](const QPointer<CallerGuard> &guard) {
+        return guard && !guard->isAwaitingResponse();
+    };
+    const auto oldest = std::find_if(this->guards.begin(), this->guards.end(), isWithoutRequest);
+    if (oldest == this->guards.end())
+        return false;
+    CallerGuard *guard = *oldest;
+    this->guards.erase(oldest);
+    guard->abort();
+    return true;
+}
+
 /// False if no request is unfinished.
 bool GuardedTcpServer::refuseLongest()
 {
--- a/tests/sockets/own_host_crowds_test.cpp
+++ b/tests/sockets/own_host_crowds_test.cpp
@@ -96,6 +96,17 @@
     this->expectBears(bodiesShortOfTheirEnd(this->process->config.operationsPort));
 }
 
+// Guards against idle connections that keep operators and load balancers out.
+TEST_F(MemoryOfAHostOfItsOwn, LeavesConnectionsForOperators)
+{
+    Crowd idle;
+    idle.name = "idle";
+    idle.to = { "127.0.0.1", this->process->config.operationsPort };
+    idle.clients = clients;
+    idle.start = "G";
+    this->expectBears(idle);
+}
+
 // Guards against strangers that end a host with messages between hosts whose ends don't come.
 TEST_F(MemoryOfAHostOfItsOwn, IsNotFilledByFramesOfStrangers)
 {
