--- a/review/kit-2/engine.hh
+++ b/review/kit-2/engine.hh
@@ -75,9 +75,12 @@
     std::string id, ip, zone;
     std::atomic<bool> isDown{ false };
 
-    void start()
+    /// Starts the server; one that starts again holds nothing.
+    void start(bool isAgain = false)
     {
         const Lock lock(this->mutex);
+        this->hasModel = !isAgain;
+        this->modelAt = 0;
         this->born = unixMs();
         this->sequence = 0;
         this->adapters.clear();
@@ -97,6 +100,7 @@
         this->isDown = true;
         std::thread([this] {
             this->server->stop();
+            sleepS(0.5);
             this->store.remove("servers/" + this->id);
         }).detach();
     }
@@ -122,10 +126,13 @@
             else
                 pending.push_back("m/" + name + "@" + std::to_string(adapter.version));
         }
+        Json models = Json::array();
+        if (this->hasModel)
+            models.push_back({ { "name", "m" }, { "version", 1 }, { "adapters", ready } });
         return Json{ { "phase", "unified" },
-                     { "models", Json::array({ Json{ { "name", "m" }, { "version", 1 }, { "adapters", ready } } }) },
+                     { "models", models },
                      { "pending", pending },
-                     { "busy", false },
+                     { "busy", this->modelAt > 0 },
                      { "sequence", this->sequence },
                      { "queued", 0 },
                      { "active", this->active },
@@ -138,6 +145,10 @@
     void snap()
     {
         const double now = nowS();
+        if (this->modelAt > 0 && now >= this->modelAt) {
+            this->hasModel = true;
+            this->modelAt = 0;
+        }
         for (auto &[name, adapter] : this->adapters)
             adapter.isReady = adapter.isReady || now >= adapter.readyAt;
         std::erase_if(this->adapters, [](const auto &one) { return one.second.isLeaving && one.second.runs == 0; });
@@ -211,8 +222,16 @@
                         + (adapter.isLeaving ? "(unloading, " + std::to_string(adapter.runs) + " runs)" : "");
             if (one.expect >= 0 && one.expect != this->sequence) {
                 one.status = 409;
+            } else if (this->modelAt > 0) {
+                one.status = 409;
             } else if (one.adapter.empty()) {
-                one.status = one.operation == "loading" ? 200 : 400;
+                one.status = one.operation != "loading" ? 400 : (this->hasModel ? 200 : 202);
+                if (one.status == 202) {
+                    this->modelAt = nowS() + 2.1;
+                    ++this->sequence;
+                }
+            } else if (!this->hasModel) {
+                one.status = 400;
             } else if (one.operation == "loading") {
                 if (found != this->adapters.end()) {
                     one.status = found->second.isLeaving ? 409 : 200;
@@ -384,6 +403,8 @@
     Store &store;
     Seen &seen;
     std::mutex mutex;
+    bool hasModel = true;
+    double modelAt = 0; ///< When the load of the model is done; 0: none is under way.
     std::int64_t born = 0, sequence = 0, beatCount = 0;
     int active = 0;
     double answersInTrouble = 0, garbledInTrouble = 0;
--- a/review/kit-2/kit.hh
+++ b/review/kit-2/kit.hh
@@ -471,9 +471,10 @@
         const Lock lock(this->mutex);
         for (const std::weak_ptr<Conn> &one : this->open_) {
             if (const std::shared_ptr<Conn> conn = one.lock()) {
-                const linger mode{ 1, 0 };
-                setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &mode, sizeof mode);
-                ::shutdown(conn->fd, SHUT_RDWR);
+                // Resets the connection, also while its thread reads from it.
+                sockaddr none{};
+                none.sa_family = AF_UNSPEC;
+                ::connect(conn->fd, &none, sizeof none);
             }
         }
         this->open_.clear();
@@ -562,7 +563,7 @@
         const std::size_t door = this->doors.size();
         this->doors.push_back(std::make_unique<std::atomic<Door>>(Door::Open));
         this->servers.push_back(std::make_unique<Server>(this->ip, 0, [this, door](Conn &conn) {
-            this->serve(conn, *this->doors[door]);
+            this->serve(conn, door);
         }));
         return this->servers.back()->port;
     }
@@ -573,6 +574,9 @@
             this->servers[door]->resetAll();
         this->changed.notify_all();
     }
+    /// What a host sees of a value on its door; empty: the value. For servers with a port a host.
+    std::function<std::string(const std::string &value, std::size_t door)> view;
+
     /// Returns when the store has acknowledged it.
     void write(const std::string &key, const std::string &value)
     {
@@ -612,16 +616,17 @@
         this->history.push_back(item);
         this->changed.notify_all();
     }
-    static Json jsonOf(const Item &item)
+    Json jsonOf(const Item &item, std::size_t door) const
     {
         if (item.isDeleted)
             return { { "key", item.key }, { "revision", item.revision }, { "deleted", true } };
-        return { { "key", item.key },           { "data", base64(item.value) },
+        return { { "key", item.key },           { "data", base64(this->view ? this->view(item.value, door) : item.value) },
                  { "revision", item.revision }, { "created", 1 },
                  { "lease-id", 0 } };
     }
-    void serve(Conn &conn, std::atomic<Door> &door)
+    void serve(Conn &conn, std::size_t number)
     {
+        std::atomic<Door> &door = *this->doors[number];
         while (const std::optional<Request> request = readRequest(conn)) {
             sleepS(0.004);
             const Door how = door;
@@ -637,15 +642,16 @@
                     return;
                 continue;
             }
-            const auto [status, body] = this->answer(*request, conn, door);
+            const auto [status, body] = this->answer(*request, conn, number);
             if (status == 0)
                 return conn.reset();
             if (!conn.send(answerBytes(status, { { "Content-Type", "application/json" } }, body)))
                 return;
         }
     }
-    std::pair<int, std::string> answer(const Request &request, Conn &conn, std::atomic<Door> &door)
+    std::pair<int, std::string> answer(const Request &request, Conn &conn, std::size_t number)
     {
+        const std::atomic<Door> &door = *this->doors[number];
         std::map<std::string, std::string> query = readQuery(request.query);
         const std::string prefix = query["prefix"];
         Lock lock(this->mutex);
@@ -659,7 +665,7 @@
                     hasMore = true;
                     break;
                 }
-                list.push_back(jsonOf(item));
+                list.push_back(jsonOf(item, number));
             }
             return { 200, Json{ { "items", list }, { "has-more", hasMore }, { "at", this->revision } }.dump() };
         }
@@ -667,7 +673,7 @@
             const auto found = this->items.find(query["key"]);
             if (found == this->items.end())
                 return { 404, "{}" };
-            Json json = jsonOf(found->second);
+            Json json = jsonOf(found->second, number);
             json["at"] = this->revision;
             return { 200, json.dump() };
         }
@@ -684,7 +690,7 @@
             Json events = Json::array();
             for (const Item &item : this->history) {
                 if (item.revision > after && item.key.starts_with(prefix))
-                    events.push_back(jsonOf(item));
+                    events.push_back(jsonOf(item, number));
             }
             const double left = until - nowS();
             if (!events.empty() || left <= 0)
