--- a/review/kit-2/engine.hh
+++ b/review/kit-2/engine.hh
@@ -19,6 +19,7 @@
     std::string engine;
     double at = 0;
     bool isWhole = false;
+    bool isCut = false; ///< The server crashed while it ran.
 };
 
 /// What all model servers have seen.
@@ -28,6 +29,7 @@
     std::vector<SeenOrder> orders;
     std::map<std::string, std::vector<Run>> runs;
     std::vector<std::string> broken; ///< Rules that were broken, with what was seen.
+    double brokenAt = 0;
     std::uint64_t answers = 0, garbled = 0;
 };
 
@@ -35,6 +37,8 @@
 {
     note("BROKEN " + what);
     const Lock lock(seen.mutex);
+    if (seen.broken.empty())
+        seen.brokenAt = nowS();
     seen.broken.push_back(what);
 }
 
@@ -63,6 +67,9 @@
     }
 
     int maxAdapters = 5;
+    double weightsMb = 74500; ///< For the model and the adapters together.
+    double modelMb = 72700;
+    double adapterMb = 66;
     double loadS = 0.25;
     double eventS = 0.06;
     std::function<int(const std::string &)> eventsOf = [](const std::string &) { return 30; };
@@ -71,6 +78,7 @@
     /// connection is expected (`garble`, how "extra late").
     std::atomic<bool> isGarbling{ false };
     double garbledShare = 0.03;
+    bool isAnyChosen = false; ///< Any answer may be the one, by chance.
 
     std::string id, ip, zone;
     std::atomic<bool> isDown{ false };
@@ -235,7 +243,9 @@
             } else if (one.operation == "loading") {
                 if (found != this->adapters.end()) {
                     one.status = found->second.isLeaving ? 409 : 200;
-                } else if (static_cast<int>(this->adapters.size()) >= this->maxAdapters) {
+                } else if (static_cast<int>(this->adapters.size()) >= this->maxAdapters
+                           || this->modelMb + this->adapterMb * static_cast<double>(this->adapters.size() + 1)
+                                   > this->weightsMb) {
                     one.status = 202;
                     isOver = true;
                 } else {
@@ -285,7 +295,12 @@
     /// trouble; here they are ones before an order to unload an adapter in use.
     bool mayRepeat(const Request &request)
     {
-        if (!this->isGarbling || request.target != "/order")
+        if (this->isGarbling && this->isAnyChosen && draw() < this->garbledShare) {
+            const Lock lock(this->seen.mutex);
+            ++this->seen.garbled;
+            return true;
+        }
+        if (!this->isGarbling || this->isAnyChosen || request.target != "/order")
             return false;
         const Json json = Json::parse(request.body, nullptr, false);
         if (!json.is_object() || json.value("operation", "") != "unloading")
@@ -368,7 +383,7 @@
         std::size_t run = 0;
         {
             const Lock lock(this->seen.mutex);
-            this->seen.runs[requestId].push_back({ this->id, nowS(), false });
+            this->seen.runs[requestId].push_back({ this->id, nowS(), false, false });
             run = this->seen.runs[requestId].size() - 1;
         }
         bool isSent = conn.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
@@ -392,6 +407,8 @@
         }
         if (this->isDown) {
             conn.reset();
+            const Lock lock(this->seen.mutex);
+            this->seen.runs[requestId][run].isCut = true;
             return false;
         }
         isSent = isSent && conn.send("0\r\n\r\n");
