--- a/review/kit-2/engine.hh
+++ b/review/kit-2/engine.hh
@@ -82,6 +82,7 @@
 
     std::string id, ip, zone;
     std::atomic<bool> isDown{ false };
+    std::atomic<double> crashedAt{ 0 };
 
     /// Starts the server; one that starts again holds nothing.
     void start(bool isAgain = false)
@@ -105,6 +106,7 @@
     void crash(const std::string &why)
     {
         note(this->id + " crashes: " + why);
+        this->crashedAt = nowS();
         this->isDown = true;
         std::thread([this] {
             this->server->stop();
