--- a/review/kit-2/engine.hh
+++ b/review/kit-2/engine.hh
@@ -382,6 +382,7 @@
         }
         if (version == 0)
             return conn.send(answerBytes(421, { { "X-Instance-Id", this->id }, { "X-Request-Id", requestId } }, ""));
+        note(this->id + " runs " + requestId + " on " + name + "@" + std::to_string(version));
         std::size_t run = 0;
         {
             const Lock lock(this->seen.mutex);
