An answer whose status is not one of the protocol is malformed

Callers saw: a server in trouble sent an answer with status 000, and they got it as "HTTP/1.1 0"; 099, 600 and 999 too. Cause: the parser takes any three digits as a status, and ResponseReader, at which the answers to callers' requests, forwards, reports, orders and the store's calls are read, handed them on. Change: ResponseReader refuses statuses outside 100 to 599; what a caller is sent states 502 instead of a status that can't end an exchange, whatever it was made from (CallerConnection, the head of packages/shell). Field names with blanks and control bytes, without name or colon, and blanks before the colon were refused before; their tests stay.

--- a/fuzz/message_readers_fuzz.cpp
+++ b/fuzz/message_readers_fuzz.cpp
@@ -1,3 +1,5 @@
+#include "broken_answers.h"
+
 #include "azurewell/http/message_bounds.h"
 #include "azurewell/http/message_readers.h"
 
@@ -45,6 +47,14 @@
         std::abort();
 }
 
+/// Aborts if an answer with a broken head is read as one because of what follows its head.
+void checkBroken(const BrokenAnswer &answer, const std::string &text, std::size_t pieceBytes)
+{
+    const std::string whole = bytesOf(answer, "", text);
+    if (!read(ResponseReader(false), whole, pieceBytes, maxAnswerHeadBytes).isFailed)
+        std::abort();
+}
+
 } // namespace
 
 /// The last byte of the input gives the size of the pieces, the one before it how many of the bytes
@@ -69,6 +79,8 @@
           std::max<std::size_t>(limits.headBytes, maxChunkFramingBytes));
     check([] { return ResponseReader(false); }, text, pieceBytes,
           std::max<std::size_t>(maxAnswerHeadBytes, maxChunkFramingBytes));
+    static const std::vector<BrokenAnswer> broken = brokenAnswers();
+    checkBroken(broken[data[size - 2] % broken.size()], text, pieceBytes);
     // Most inputs are no head, so each is also read as what follows one.
     const std::string head = "Transfer-Encoding: chunked\r\n\r\n";
     check([&limits] { return RequestReader(limits); }, "POST / HTTP/1.1\r\n" + head + text,
--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -46,6 +46,21 @@
     BodyFraming framing = BodyFraming::Length;
 };
 
+/// Whether \a status is one of the protocol (RFC 9110, 15). A parser takes any three digits.
+constexpr bool isValidStatus(int status)
+{
+    return status >= 100 && status < 600;
+}
+
+/// The status that is sent for \a status: itself, or 502 if it can't end an exchange, wherever it
+/// comes from.
+constexpr int finalStatus(int status)
+{
+    constexpr int firstFinal = 200;
+    constexpr int badGateway = 502;
+    return isValidStatus(status) && status >= firstFinal ? status : badGateway;
+}
+
 /// The value of the first header called \a name, ignoring letter case; empty if there is none.
 std::string_view headerValue(const std::vector<HttpHeader> &headers, std::string_view name);
 
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -190,6 +190,11 @@
                               const std::vector<HttpHeader> &headers, std::string_view body,
                               Instant now)
 {
+    const int sent = finalStatus(status);
+    if (sent != status) {
+        this->answer(sent, reasonPhrase(sent), {}, {}, now);
+        return;
+    }
     this->isClosing = !this->keepsConnection();
     const bool isHeadOnly = this->reader.isHeadRead() && this->reader.head().method == "HEAD";
     std::string bytes = responseHeadBytes(status, reason, headers, BodyFraming::Length, body.size(),
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -296,6 +296,9 @@
         head.headers = headersOf(message);
         head.keepsConnection = message.keep_alive();
         head.framing = framingOf(self.parser);
+        if (!isValidStatus(head.status))
+            return Error{ ResultCode::UpstreamFailed,
+                          "response status is not one of the protocol" };
         if (!hasUnambiguousFraming(head.headers))
             return Error{ ResultCode::UpstreamFailed, "response body length is ambiguous" };
         self.head = std::move(head);
--- a/packages/http/tests/caller_connection_test.cpp
+++ b/packages/http/tests/caller_connection_test.cpp
@@ -13,7 +13,6 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
-#include <vector>
 
 namespace azurewell {
 namespace {
@@ -73,9 +72,15 @@
     /// Reads up to \a most bytes. Returns how many were read.
     std::size_t read(std::size_t most)
     {
-        std::vector<char> block(most);
-        const ssize_t count = ::recv(this->caller.get(), block.data(), block.size(), 0);
-        return count > 0 ? static_cast<std::size_t>(count) : 0;
+        return this->readText(most).size();
+    }
+
+    std::string readText(std::size_t most = 1024)
+    {
+        std::string text(most, 0);
+        const ssize_t count = ::recv(this->caller.get(), text.data(), text.size(), 0);
+        text.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+        return text;
     }
 
     UniqueFd caller;
@@ -172,5 +177,16 @@
     EXPECT_EQ(this->requests, 1U);
 }
 
+// Guards against a status line that is none, whatever the answer was made from.
+TEST_F(CallerConnectionTest, SendsNoStatusThatIsNotFinal)
+{
+    for (const int status : { -1, 0, 7, 99, 100, 101, 199, 600, 999, 2000 }) {
+        ASSERT_TRUE(this->sendRequest()) << status;
+        this->connection->answer(status, "Broken", { { "A", "b" } }, "body", monotonicNow());
+        EXPECT_EQ(this->readText(), "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
+                << status;
+    }
+}
+
 } // namespace
 } // namespace azurewell
--- a/packages/shell/src/http_text.cpp
+++ b/packages/shell/src/http_text.cpp
@@ -30,8 +30,8 @@
 QByteArray answerHead(int status, const QByteArray &contentType, qsizetype bodyBytes,
                       const RequestId &request, const QByteArray &extraHeaders)
 {
-    QByteArray head = "HTTP/1.1 " + QByteArray::number(status) + ' ' + reasonPhrase(status)
-            + "\r\n";
+    const int sent = finalStatus(status);
+    QByteArray head = "HTTP/1.1 " + QByteArray::number(sent) + ' ' + reasonPhrase(sent) + "\r\n";
     head += "Content-Type: " + contentType + "\r\n";
     head += "Content-Length: " + QByteArray::number(bodyBytes) + "\r\n";
     if (!request.value.empty())
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -26,6 +26,15 @@
     EXPECT_EQ(settings.error().detail, "seat: must be a number from 0.0 to 1000.0");
 }
 
+// Guards against a status line that is none, such as that of a stored answer.
+TEST(HttpText, AnAnswerHasAFinalStatus)
+{
+    for (const int status : { -1, 0, 99, 100, 199, 600, 2000 })
+        EXPECT_TRUE(answerHead(status, "a/b", 0, RequestId{}).startsWith("HTTP/1.1 502 Bad"))
+                << status;
+    EXPECT_TRUE(answerHead(599, "a/b", 0, RequestId{}).startsWith("HTTP/1.1 599 "));
+}
+
 TEST(HttpText, ARefusalStatesWhetherTheRequestRan)
 {
     const QByteArray answer = refusalAnswer(Refuse{
