An answer with a folded header line is malformed

Callers saw (by test): a head with the line " Content-Length: 4", whose name begins with a blank, passed on as an answer with that line joined to the field before it, and with all that followed as the body until the connection ended. Cause: a folded line was refused in requests, and joined by the parser in answers. RFC 9112, 5.2 allows a gateway either. Change: ResponseReader refuses them as RequestReader does.

--- a/packages/http/include/azurewell/http/message_readers.h
+++ b/packages/http/include/azurewell/http/message_readers.h
@@ -48,6 +48,9 @@
 };
 
 /// Incremental parser for one response.
+///
+/// Rejects statuses outside 100 to 599, and folded lines: one that begins with a blank may be meant
+/// as a field, such as the length of the body.
 class ResponseReader
 {
 public:
--- a/packages/http/src/message_readers.cpp
+++ b/packages/http/src/message_readers.cpp
@@ -109,9 +109,12 @@
     return codings == 0 || isSameHeaderName(headerValue(headers, "Transfer-Encoding"), "chunked");
 }
 
-/// Whether the head at the front of \a buffer has a folded header line (obs-fold, RFC 9112, 5.2).
+/// Whether the head at the front of \a buffer, or what is left of it, has a folded header line
+/// (obs-fold, RFC 9112, 5.2).
 bool hasFoldedLine(std::string_view buffer)
 {
+    if (buffer.starts_with("\r\n"))
+        return false; // The head ends here.
     const std::size_t end = buffer.find("\r\n\r\n");
     const std::string_view head = buffer.substr(0, end);
     return head.find("\r\n ") != std::string_view::npos
@@ -281,6 +284,9 @@
 Result<bool> ResponseReader::read(std::string &buffer)
 {
     Impl &self = *this->impl;
+    // The parser consumes a line only with the byte behind it, so a folded one is still there.
+    if (!self.head && hasFoldedLine(buffer))
+        return Error{ ResultCode::UpstreamFailed, "response head contains a folded header line" };
     const Fed fed = feed(self.parser, buffer, maxAnswerHeadBytes);
     if (fed.error == beast::http::error::header_limit)
         return Error{ ResultCode::AnswerOversized, "the head of an answer exceeds its bound" };
--- a/packages/http/tests/broken_answers_test.cpp
+++ b/packages/http/tests/broken_answers_test.cpp
@@ -44,6 +44,23 @@
                                           testing::Values(1U, 7U, 4096U)),
                          caseName);
 
+// Guards against a body that is taken for a folded line, as the network cuts the message before it.
+TEST(ResponseReader, ReadsABodyThatBeginsWithABlank)
+{
+    for (const char *fields : { "", "A: b\r\n", "A: b\r\nContent-Length: 4\r\n" }) {
+        const std::string text = std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n 1\r\n\t2\r\n";
+        const std::size_t head = text.find("\r\n\r\n") + 4;
+        for (std::size_t cut = 1; cut < head; ++cut) {
+            ResponseReader reader{ false };
+            std::string buffer = text.substr(0, cut);
+            ASSERT_TRUE(reader.read(buffer)) << fields << cut;
+            buffer += text.substr(cut);
+            reader.read(buffer);
+            EXPECT_TRUE(reader.isHeadRead()) << fields << cut;
+        }
+    }
+}
+
 // Guards against sound answers that are refused with the broken ones.
 TEST(ResponseReader, ReadsEachStatusOfTheProtocol)
 {
