A part of an answer without a length is never whole if its server ended before it had the request

Callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written, and they got that part as the whole answer. Cause: sending finds the reset first and takes the kernel's only report of it; the next read then returns 0 bytes, which counted as an orderly end. A server that is ended without unread bytes closes in order even in mid-upload. Change: a stream that failed to send has no orderly end. An answer without a length is whole only if the peer's kernel has acknowledged the whole request (SIOCOUTQ). An answer with a length or in chunks shows its end, and is whole as before. A sound early answer without a length to a request that its server didn't take is now a failure: it can't be told from a part. The wait in the kernel of a real network, behind a close in order, was not played: loopback acknowledges at once; the question to the kernel has a test of its own.

--- a/packages/http/include/azurewell/http/listen_socket.h
+++ b/packages/http/include/azurewell/http/listen_socket.h
@@ -53,6 +53,10 @@
 /// kernel.
 bool isReset(const UniqueFd &connection);
 
+/// Bytes that were sent on \a connection and that the kernel of its peer has not acknowledged; 0 if
+/// the kernel doesn't tell.
+std::size_t unacknowledgedBytes(const UniqueFd &connection);
+
 /// Sends \a answer to the request that waits unread on \a connection, which is to be closed then.
 /// False: none waits, or it is too long to be dropped, or the answer could not be sent.
 bool answerUnread(const UniqueFd &connection, std::string_view answer);
--- a/packages/http/include/azurewell/http/tcp_stream.h
+++ b/packages/http/include/azurewell/http/tcp_stream.h
@@ -14,8 +14,8 @@
 
 /// How a connection ended.
 enum class StreamEnd : std::uint8_t {
-    Finished,      ///< Closed by the peer in an orderly way.
-    Broken,        ///< Reset by the peer, or a network error.
+    Finished,      ///< Closed by the peer in an orderly way; nothing failed to be sent before.
+    Broken,        ///< Reset by the peer, or a network error, found by reading or by sending.
     ConnectFailed, ///< Could not be opened; nothing was sent.
 };
 
@@ -88,6 +88,10 @@
     /// before that are still unread. Asks the kernel.
     bool hasPeerLeft() const;
 
+    /// Whether the kernel of the peer has all written bytes; its program may not have read them.
+    /// Asks the kernel.
+    bool isAllReceivedByPeer() const;
+
     /// Stops reading while \a paused; TCP flow control then slows the sender down.
     void pauseReading(bool paused);
 
--- a/packages/http/src/listen_socket.cpp
+++ b/packages/http/src/listen_socket.cpp
@@ -1,8 +1,10 @@
 #include "azurewell/http/listen_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,6 +81,13 @@
     return (pendingEvents(connection, 0) & POLLERR) != 0;
 }
 
+std::size_t unacknowledgedBytes(const UniqueFd &connection)
+{
+    int bytes = 0;
+    const bool isKnown = ::ioctl(connection.get(), SIOCOUTQ, &bytes) == 0;
+    return isKnown && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 bool answerUnread(const UniqueFd &connection, std::string_view answer)
 {
     // A connection that is closed with bytes unread is reset, and the caller may lose the answer.
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -247,7 +247,9 @@
     }
     if (count < 0 && isTransient(errno))
         return;
-    this->reportEnd(count == 0 ? StreamEnd::Finished : StreamEnd::Broken);
+    // After a reset that sending has found, the kernel reports an orderly end.
+    const bool isOrderly = count == 0 && !this->isBroken;
+    this->reportEnd(isOrderly ? StreamEnd::Finished : StreamEnd::Broken);
 }
 
 void TcpStream::reportEnd(StreamEnd how)
@@ -269,6 +271,11 @@
     return this->isEnded || azurewell::hasPeerLeft(this->descriptor);
 }
 
+bool TcpStream::isAllReceivedByPeer() const
+{
+    return this->output.empty() && unacknowledgedBytes(this->descriptor) == 0;
+}
+
 void TcpStream::readOnIfReset()
 {
     if (!this->isEnded && !this->isConnecting && isReset(this->descriptor))
--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -236,8 +236,10 @@
         return;
     }
     Exchange &current = *this->exchange;
+    // A server that ends while its request is still on the way has not ended its answer: nothing
+    // but the end of the connection shows where such an answer ends.
     if (how == StreamEnd::Finished && current.isHeadDelivered && !current.isUnrelated
-        && current.reader.finish()) {
+        && this->stream->isAllReceivedByPeer() && current.reader.finish()) {
         this->keepsConnection = false;
         this->end();
         return;
--- a/packages/http/tests/upstream_connections_test.cpp
+++ b/packages/http/tests/upstream_connections_test.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cstdint>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -52,6 +53,13 @@
         return text;
     }
 
+    /// Reads until nothing is left in the kernel.
+    void readWhatHasCome()
+    {
+        std::vector<char> block(1024ULL * 1024);
+        while (::recv(this->peer.get(), block.data(), block.size(), MSG_DONTWAIT) > 0) {}
+    }
+
     void send(const std::string &text)
     {
         ::send(this->peer.get(), text.data(), text.size(), MSG_NOSIGNAL);
@@ -138,6 +146,113 @@
     EXPECT_EQ(*outcome.failure, ExchangeFailure::CutOff);
 }
 
+/// How a server that has answered a part of a long request ends its connection.
+enum class EarlyEnd : std::uint8_t {
+    Reset,
+    CloseWithRequestUnread, ///< The kernel resets the connection.
+    CloseWithAllRead,       ///< All that has come so far; the kernel closes in an orderly way.
+};
+
+struct EarlyAnswer
+{
+    const char *name;
+    EarlyEnd end;
+    std::size_t requestBytes;
+};
+
+std::ostream &operator<<(std::ostream &out, const EarlyAnswer &answer)
+{
+    return out << answer.name;
+}
+
+class EarlyAnswers : public testing::TestWithParam<EarlyAnswer>
+{
+protected:
+    static void end(ScriptedServer &server)
+    {
+        if (GetParam().end == EarlyEnd::Reset) {
+            server.reset();
+            return;
+        }
+        if (GetParam().end == EarlyEnd::CloseWithAllRead)
+            server.readWhatHasCome();
+        server.close();
+    }
+};
+
+// Guards against a part of an answer without a length that counts as the whole: its server ends the
+// connection while the request is still being written, and writing takes the kernel's only report
+// of the reset.
+TEST_P(EarlyAnswers, WithoutLengthAreNeverComplete)
+{
+    constexpr int rounds = 300;
+    const std::string longRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+            + std::to_string(GetParam().requestBytes) + "\r\n\r\n"
+            + std::string(GetParam().requestBytes, 'a');
+    for (int round = 0; round < rounds; ++round) {
+        ScriptedServer server;
+        UpstreamConnections connections;
+        Outcome outcome;
+        connections.start(server.endpoint, longRequest, false, handlersFor(outcome, "1"),
+                          monotonicNow());
+        server.acceptAndRead(1);
+        server.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
+        if (round % 2 == 1)
+            server.processEventsUntil([&] { return outcome.body == "half"; });
+        end(server);
+        server.processEventsUntil([&] { return outcome.isFinished(); });
+        ASSERT_FALSE(outcome.isComplete) << "in round " << round;
+        ASSERT_EQ(outcome.failure, ExchangeFailure::CutOff) << "in round " << round;
+    }
+}
+
+// Guards against whole answers that are lost because their server has not read the request.
+TEST_P(EarlyAnswers, WithALengthAreComplete)
+{
+    ScriptedServer server;
+    UpstreamConnections connections;
+    Outcome outcome;
+    connections.start(server.endpoint, request + std::string(GetParam().requestBytes, 'a'), false,
+                      handlersFor(outcome, "1"), monotonicNow());
+    server.acceptAndRead(1);
+    server.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole");
+    end(server);
+    server.processEventsUntil([&] { return outcome.isFinished(); });
+    EXPECT_TRUE(outcome.isComplete);
+    EXPECT_EQ(outcome.body, "whole");
+}
+
+constexpr std::size_t uploadBytes = 3ULL * 1024 * 1024;
+constexpr std::size_t longUploadBytes = 12ULL * 1024 * 1024;
+
+INSTANTIATE_TEST_SUITE_P(
+        Ends, EarlyAnswers,
+        testing::Values(EarlyAnswer{ "Reset", EarlyEnd::Reset, uploadBytes },
+                        EarlyAnswer{ "ResetOfLongUpload", EarlyEnd::Reset, longUploadBytes },
+                        EarlyAnswer{ "CloseWithRequestUnread", EarlyEnd::CloseWithRequestUnread,
+                                     uploadBytes },
+                        EarlyAnswer{ "CloseWithAllRead", EarlyEnd::CloseWithAllRead,
+                                     longUploadBytes }),
+        [](const auto &testInfo) { return std::string(testInfo.param.name); });
+
+// Guards against a request that counts as received while it waits in the kernel of this machine.
+TEST(ListenSocket, TellsWhichBytesThePeerHasNotReceived)
+{
+    ScriptedServer server;
+    bool isOpened = false;
+    const std::unique_ptr<TcpStream> stream = TcpStream::open(
+            server.endpoint, { [&] { isOpened = true; }, {}, {}, {} });
+    server.acceptAndRead(0);
+    server.processEventsUntil([&] { return isOpened; });
+    stream->write(std::string(uploadBytes, 'a'));
+    EXPECT_FALSE(stream->isAllReceivedByPeer());
+    server.processEventsUntil([&] {
+        server.readWhatHasCome();
+        return stream->isAllReceivedByPeer();
+    });
+    EXPECT_TRUE(stream->isAllReceivedByPeer());
+}
+
 TEST(UpstreamConnections, OrderlyCloseCompletesAResponseWithoutLength)
 {
     ScriptedServer server;
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -158,10 +158,13 @@
 
 bool Peer::receives(const std::string &text)
 {
-    return waitFor([&] {
-        this->read();
-        return this->received.find(text) != std::string::npos;
-    });
+    return waitFor([&] { return this->hasReceived(text); });
+}
+
+bool Peer::hasReceived(const std::string &text)
+{
+    this->read();
+    return this->received.find(text) != std::string::npos;
 }
 
 bool Peer::isClosedByOtherEnd()
@@ -291,7 +294,7 @@
 Peer TwoHostsTest::ask(const std::string &host, const std::string &path, const std::string &body,
                        const std::string &version)
 {
-    Peer caller = Peer::connectTo(this->callersOf[host]);
+    Peer caller = this->connect(host);
     caller.send("POST " + path + " " + version
                 + "\r\nHost: h\r\nKey: secret\r\nId: 7\r\nContent-Length: "
                 + std::to_string(body.size()) + "\r\n\r\n" + body);
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -38,6 +38,9 @@
     /// Waits until \a text was received.
     bool receives(const std::string &text);
 
+    /// Reads a block of what has arrived. Whether \a text was received.
+    bool hasReceived(const std::string &text);
+
     /// Reads what has arrived. How often all that was received contains \a text.
     std::size_t countReceived(const std::string &text);
 
@@ -75,6 +78,12 @@
     Peer ask(const std::string &host, const std::string &path, const std::string &body = "body",
              const std::string &version = "HTTP/1.1");
 
+    /// A connection to the host called \a host.
+    Peer connect(const std::string &host) const
+    {
+        return Peer::connectTo(this->callersOf.at(host));
+    }
+
     /// Accepts the connection at the upstream and waits for the whole request.
     bool acceptAtUpstream(const std::string &end = "body");
 
