--- a/packages/http/include/azurewell/http/message_bounds.h
+++ b/packages/http/include/azurewell/http/message_bounds.h
@@ -47,6 +47,9 @@
 /// The body of an engine's answer to a report or order call, which is held whole.
 inline constexpr std::size_t maxReportBytes = 1024ULL * 1024;
 
+/// A value of the configuration service that hosts of their own read (docs/TICKETS.md: 1 MB).
+inline constexpr std::size_t maxTicketBytes = 1024ULL * 1024;
+
 /// The body of one answer of the platform's store, which is held whole: a page of the listing, or
 /// the changes of a watch.
 inline constexpr std::size_t maxStoreAnswerBytes = 16ULL * 1024 * 1024;
--- a/packages/proxy/src/http_call.cpp
+++ b/packages/http/src/http_call.cpp
@@ -1,4 +1,4 @@
-#include "azurewell/proxy/http_call.h"
+#include "azurewell/http/http_call.h"
 
 namespace azurewell {
 
--- a/packages/http/src/tcp_stream.cpp
+++ b/packages/http/src/tcp_stream.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <exception>
 
@@ -45,8 +46,8 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
-/// Connections that ended as a callback threw. All are on one thread.
-std::uint64_t faults = 0;
+/// Connections that ended as a callback threw, on any thread.
+std::atomic<std::uint64_t> faults{ 0 };
 
 /// A buffer that has become empty keeps no more than this.
 constexpr std::size_t maxKeptBytes = 2 * readBlockBytes;
@@ -101,13 +102,10 @@
     }
     stream->descriptor = UniqueFd();
     TcpStream *raw = stream.get();
-    QMetaObject::invokeMethod(
-            QCoreApplication::instance(),
-            [raw, destroyed = stream->isDestroyed] {
-                if (!*destroyed)
-                    raw->reportEnd(StreamEnd::ConnectFailed);
-            },
-            Qt::QueuedConnection);
+    QTimer::singleShot(0, [raw, destroyed = stream->isDestroyed] {
+        if (!*destroyed)
+            raw->reportEnd(StreamEnd::ConnectFailed);
+    });
     return stream;
 }
 
--- a/packages/proxy/include/azurewell/proxy/proxy.h
+++ b/packages/proxy/include/azurewell/proxy/proxy.h
@@ -4,11 +4,11 @@
 #include "azurewell/http/accept_queue.h"
 #include "azurewell/http/caller_connection.h"
 #include "azurewell/http/held_body.h"
+#include "azurewell/http/http_call.h"
 #include "azurewell/proxy/busy_answer.h"
 #include "azurewell/proxy/connect_probes.h"
 #include "azurewell/proxy/connection_limits.h"
 #include "azurewell/proxy/gossip_socket.h"
-#include "azurewell/proxy/http_call.h"
 #include "azurewell/proxy/proxy_metrics.h"
 #include "azurewell/proxy/wire_format.h"
 
--- a/packages/proxy/tests/http_call_test.cpp
+++ b/packages/proxy/tests/http_call_test.cpp
@@ -1,4 +1,4 @@
-#include "azurewell/proxy/http_call.h"
+#include "azurewell/http/http_call.h"
 
 #include "azurewell/http/clock.h"
 #include "azurewell/http/message.h"
--- a/packages/shell/include/azurewell/shell/engine_orders.h
+++ b/packages/shell/include/azurewell/shell/engine_orders.h
@@ -2,7 +2,7 @@
 
 #include "azurewell/host/actions.h"
 #include "azurewell/host/events.h"
-#include "azurewell/shell/upstream_pool.h"
+#include "azurewell/shell/bounded_calls.h"
 
 #include <QtCore/QObject>
 
@@ -24,7 +24,7 @@
 
 private:
     EventHandler handleEvent;
-    UpstreamPool pool;
+    BoundedCalls calls;
 };
 
 } // namespace azurewell
--- a/packages/shell/include/azurewell/shell/event_stream.h
+++ b/packages/shell/include/azurewell/shell/event_stream.h
@@ -11,7 +11,7 @@
 
 /// Longer server-sent events are rejected: an engine that never ends an event would otherwise
 /// exhaust the host's memory.
-inline constexpr qsizetype maxEventBytes = 1 << 20;
+inline constexpr qsizetype maxStreamedEventBytes = 1 << 20;
 
 /// The complete events at the front of a stream.
 struct CompleteEvents
@@ -37,7 +37,7 @@
 };
 
 /// Appends \a bytes and removes and returns all complete events; nothing after the end marker is
-/// returned. Errors: MessageInvalid if an event is longer than maxEventBytes.
+/// returned. Errors: MessageInvalid if an event is longer than maxStreamedEventBytes.
 Result<CompleteEvents> extractEvents(EventStream &stream, const QByteArray &bytes);
 
 /// Returns the value of the first data line in \a events, or an empty array.
--- a/packages/shell/include/azurewell/shell/platform_watcher.h
+++ b/packages/shell/include/azurewell/shell/platform_watcher.h
@@ -2,15 +2,15 @@
 
 #include "azurewell/host/events.h"
 #include "azurewell/http/clock.h"
+#include "azurewell/shell/bounded_calls.h"
 #include "azurewell/shell/settings.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
-#include <QtNetwork/QNetworkAccessManager>
-#include <QtNetwork/QNetworkProxy>
-#include <QtNetwork/QNetworkReply>
 
+#include <chrono>
 #include <functional>
+#include <optional>
 
 namespace azurewell {
 
@@ -43,21 +43,22 @@
     };
 
     void watch(Watch &watch);
+    void handleWatched(Watch &watch, const std::optional<CallAnswer> &answer);
     void handleHead(const QByteArray &value);
     void startHeadWatch();
     void readSnapshotIndex();
     void readSegment(std::uint64_t ticket, std::uint32_t segment, std::uint32_t count);
-    void readNextTicketAfter(int millis);
+    void readNextTicketAfter(std::chrono::milliseconds delay);
     void readNextTicket();
     void handleHostList(const QByteArray &value);
-    /// \a waitMillis: how long the service may block the read.
-    QNetworkReply *get(const QString &key, const QByteArray &query, int waitMillis);
+    /// \a wait: how long the service may block the read.
+    void get(const QString &key, const QByteArray &query, Span wait, HttpCalls::Handler handler);
 
     const Settings &settings;
     CurrentTicket inForce;
     ReadDelay readDelay;
     EventHandler handleEvent;
-    QNetworkAccessManager access;
+    BoundedCalls calls;
     Watch head;
     Watch hosts;
     std::uint64_t newestTicket = 0;
--- a/packages/shell/include/azurewell/shell/traffic_worker.h
+++ b/packages/shell/include/azurewell/shell/traffic_worker.h
@@ -79,6 +79,7 @@
     void callerBytesWritten(const RequestId &id);
     void reportProgress();
     void dropSlowReaders(Instant now);
+    void limitBuffered(std::size_t bytes);
     void attemptEnded(const RequestId &id, AttemptOutcome outcome);
     /// Whether the caller of a stream has its last token, so that nothing is left to resume.
     static bool hasLastToken(const Exchange &exchange);
@@ -98,7 +99,8 @@
     std::uint64_t nextSequence = 1;
     Report report;
     GuardedTcpServer *server = nullptr;
-    UpstreamPool pool;
+    UpstreamConnections connections;
+    std::size_t bufferedSinceSum = 0; ///< Bytes of responses since all were added up.
     std::unordered_map<RequestId, Exchange> exchanges;
     QTimer deadlineTimer;
     std::function<void()> onFinished;
--- a/packages/shell/include/azurewell/shell/upstream_attempt.h
+++ b/packages/shell/include/azurewell/shell/upstream_attempt.h
@@ -2,14 +2,15 @@
 
 #include "azurewell/host/actions.h"
 #include "azurewell/host/events.h"
+#include "azurewell/http/upstream_connections.h"
 #include "azurewell/shell/caller_request.h"
 #include "azurewell/shell/event_stream.h"
-#include "azurewell/shell/upstream_pool.h"
 
 #include <QtCore/QObject>
-#include <QtCore/QPointer>
 
+#include <cstddef>
 #include <functional>
+#include <optional>
 
 namespace azurewell {
 
@@ -19,6 +20,8 @@
 {
     std::function<void(const CompleteEvents &events)> onEvents;
     std::function<void(AttemptOutcome)> onEnded;
+    /// So many bytes of a response that isn't streamed were added to `body`. May end the attempt.
+    std::function<void(std::size_t bytes)> onBuffered;
 };
 
 /// One attempt of a request at one upstream.
@@ -27,8 +30,9 @@
 public:
     /// \a hasAnswerStarted: the caller has received the beginning of a streamed response, so only
     /// the rest of that stream may follow.
-    UpstreamAttempt(UpstreamPool &pool, const CallerRequest &request, const Dispatch &dispatch,
-                    bool hasAnswerStarted, Span idleTimeout, AttemptCallbacks callbacks);
+    UpstreamAttempt(UpstreamConnections &connections, const CallerRequest &request,
+                    const Dispatch &dispatch, bool hasAnswerStarted, Span idleTimeout,
+                    AttemptCallbacks callbacks);
     ~UpstreamAttempt() override;
 
     /// Ends the attempt as Silent if nothing was received by the idle deadline.
@@ -38,8 +42,11 @@
     {
         return this->isStream && this->events.isAnswerEnd();
     }
+    /// Ends the attempt as failed: the host holds too much of responses, and this one is the
+    /// longest.
+    void endOversized();
     /// Stops reading from the upstream while the caller does not read; only what has arrived and
-    /// the bounded read and socket buffers are held.
+    /// the socket's buffers are held.
     void pause();
     void resume();
     bool isPaused() const
@@ -54,25 +61,26 @@
     Tokens generated; ///< As reported by the response; non-streaming only.
 
 private:
-    void readHead();
-    bool isResponseToThisRequest() const;
-    void readBytes();
+    ExchangeHandlers handlers();
+    void closeConnection();
+    void readHead(const ResponseHead &head);
+    bool isResponseToThisRequest(const ResponseHead &head) const;
+    void readBytes(const QByteArray &bytes);
     void readStream(const QByteArray &bytes);
     bool isResponseOfAdapter(const QByteArray &json) const;
-    bool isCompleteResponse() const;
-    void finished();
+    void finish(std::optional<ExchangeFailure> failure);
     void end(AttemptOutcome outcome);
     AttemptOutcome outcomeOfResponse();
 
-    UpstreamPool &pool;
-    QPointer<QNetworkReply> reply;
+    UpstreamConnections &connections;
+    UpstreamConnections::Exchange exchange = 0;
+    bool isExchangeOver = false;
     RequestId id;
     std::string adapter; ///< Empty for services.
     bool isStream = false;
     bool mayRunTwice = true;
     bool hasAnswerStarted = false;
     Tokens resumeFrom;
-    bool isHeadChecked = false;
     bool isAdapterChecked = false;
     bool isEnded = false;
     bool isReadingPaused = false;
--- /dev/null
+++ b/packages/shell/src/bounded_calls.cpp
@@ -0,0 +1,79 @@
+#include "azurewell/shell/bounded_calls.h"
+
+#include "azurewell/http/clock.h"
+#include "azurewell/shell/settings.h"
+
+#include <QtNetwork/QHostInfo>
+
+#include <algorithm>
+
+namespace azurewell {
+
+namespace {
+
+constexpr std::chrono::milliseconds checkInterval{ 50 };
+
+/// Calls have connections of their own, on which no answer to a caller's request can come.
+bool isAnswerToCall(const ResponseHead &)
+{
+    return true;
+}
+
+/// The first IPv4 address of \a found with the port of \a address; an error if there is none.
+Result<Endpoint> endpointOf(const QHostInfo &found, const std::string &address)
+{
+    const QList<QHostAddress> addresses = found.addresses();
+    const auto usable = std::find_if(
+            addresses.begin(), addresses.end(), [](const QHostAddress &candidate) {
+                return candidate.protocol() == QAbstractSocket::IPv4Protocol;
+            });
+    if (usable == addresses.end())
+        return Error{ ResultCode::NoUpstream, address + ": no address has this name" };
+    return parseEndpoint(usable->toString().toStdString() + address.substr(address.rfind(':')));
+}
+
+} // namespace
+
+BoundedCalls::BoundedCalls()
+    : calls(this->connections, isAnswerToCall)
+{
+    QObject::connect(&this->timer, &QTimer::timeout, this, [this] {
+        const Instant now = monotonicNow();
+        this->calls.cancelOverdue(now);
+        this->connections.closeExpired(now);
+    });
+    this->timer.start(checkInterval);
+}
+
+void BoundedCalls::start(const std::string &address, const std::string &request, Instant deadline,
+                         std::size_t maxBodyBytes, HttpCalls::Handler handler)
+{
+    const Result<Endpoint> to = parseEndpoint(address);
+    if (!to) {
+        this->lookUp(address, request, deadline, maxBodyBytes, handler);
+        return;
+    }
+    this->calls.start(to.value(), request, deadline, maxBodyBytes, std::move(handler),
+                      monotonicNow());
+}
+
+void BoundedCalls::lookUp(const std::string &address, const std::string &request, Instant deadline,
+                          std::size_t maxBodyBytes, const HttpCalls::Handler &handler)
+{
+    const QString name = QString::fromStdString(address.substr(0, address.rfind(':')));
+    QHostInfo::lookupHost(name, this, [=, this](const QHostInfo &found) {
+        const Result<Endpoint> to = endpointOf(found, address);
+        const Instant now = monotonicNow();
+        if (to && now < deadline)
+            this->calls.start(to.value(), request, deadline, maxBodyBytes, handler, now);
+        else
+            handler(std::nullopt);
+    });
+}
+
+bool isSuccess(const std::optional<CallAnswer> &answer)
+{
+    return answer && answer->head.status >= 200 && answer->head.status < 300;
+}
+
+} // namespace azurewell
--- a/packages/shell/src/engine_orders.cpp
+++ b/packages/shell/src/engine_orders.cpp
@@ -1,28 +1,37 @@
 #include "azurewell/shell/engine_orders.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/shell/load_report.h"
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace azurewell {
 
 namespace {
 
-constexpr int reportTimeoutMillis = 1'000;
+constexpr Span reportTimeout = std::chrono::seconds(1);
 
-QNetworkRequest requestTo(const std::string &address, const char *path, int timeoutMillis)
+std::string requestTo(std::string_view method, const std::string &address, std::string_view path,
+                      std::string_view body, std::vector<HttpHeader> headers = {})
 {
-    QNetworkRequest request(QUrl("http://" + QString::fromStdString(address + path)));
-    request.setTransferTimeout(timeoutMillis);
-    request.setRawHeader("Content-Type", "application/json");
-    return request;
+    headers.push_back({ "Host", address });
+    headers.push_back({ "Content-Type", "application/json" });
+    return requestBytes(method, path, headers, body, method == "POST");
 }
 
 /// Returns the fencing number for which the engine rejected an order; 0 if it did not.
-FencingNumber highestFencingNumber(const QNetworkReply *reply)
+FencingNumber highestFencingNumber(const std::optional<CallAnswer> &answer)
 {
-    return FencingNumber{ reply->rawHeader("X-Fencing-Number").toULongLong() };
+    if (!answer)
+        return {};
+    const std::string_view text = headerValue(answer->head.headers, "X-Fencing-Number");
+    FencingNumber number;
+    std::from_chars(text.data(), text.data() + text.size(), number.value);
+    return number;
 }
 
 } // namespace
@@ -42,46 +51,40 @@
                 OrderEnded{ order.engine, order.adapter, order.isLoad, false, order.fencing, {} });
         return;
     }
-    const int timeoutMillis = static_cast<int>(toSeconds(order.notAfter - now) * 1000);
-    const char *path = order.isLoad ? "/v1/load_lora_adapter" : "/v1/unload_lora_adapter";
-    QNetworkRequest request = requestTo(order.address, path, timeoutMillis);
-    request.setRawHeader("X-Fencing-Number",
-                         QByteArray::number(static_cast<quint64>(order.fencing.value)));
+    const std::string_view path = order.isLoad ? "/v1/load_lora_adapter"
+                                               : "/v1/unload_lora_adapter";
     const std::string body = nlohmann::json{
         { "lora_name", order.adapter.value }, { "lora_path", order.adapter.value }
     }.dump();
-    QNetworkReply *reply = this->pool.send("POST", QByteArray::fromStdString(order.address),
-                                           request, QByteArray::fromStdString(body));
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, order] {
-        reply->deleteLater();
-        this->handleEvent(OrderEnded{ order.engine, order.adapter, order.isLoad,
-                                      reply->error() == QNetworkReply::NoError, order.fencing,
-                                      highestFencingNumber(reply) });
-    });
+    const std::string request = requestTo(
+            "POST", order.address, path, body,
+            { { "X-Fencing-Number", std::to_string(order.fencing.value) } });
+    this->calls.start(order.address, request, order.notAfter, maxReportBytes,
+                      [this, order](const std::optional<CallAnswer> &answer) {
+                          this->handleEvent(OrderEnded{ order.engine, order.adapter, order.isLoad,
+                                                        isSuccess(answer), order.fencing,
+                                                        highestFencingNumber(answer) });
+                      });
 }
 
 void EngineOrders::queryLoad(const QueryLoadReport &query)
 {
-    const QNetworkRequest request = requestTo(query.address, "/load", reportTimeoutMillis);
-    QNetworkReply *reply = this->pool.send("GET", QByteArray::fromStdString(query.address), request,
-                                           {});
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, query] {
-        reply->deleteLater();
-        const bool isAnswered = reply->error() == QNetworkReply::NoError;
-        LoadReported report = parseLoadReport(
-                query.engine, isAnswered ? reply->readAll().toStdString() : std::string());
-        report.queriedAt = query.queriedAt;
-        this->handleEvent(report);
-    });
+    this->calls.start(query.address, requestTo("GET", query.address, "/load", {}),
+                      monotonicNow() + reportTimeout, maxReportBytes,
+                      [this, query](const std::optional<CallAnswer> &answer) {
+                          LoadReported report = parseLoadReport(
+                                  query.engine, isSuccess(answer) ? answer->body : std::string());
+                          report.queriedAt = query.queriedAt;
+                          this->handleEvent(report);
+                      });
 }
 
 void EngineOrders::cancel(const CancelAttempt &attempt)
 {
     const std::string path = "/v1/requests/" + attempt.request.value + "/cancel";
-    const QNetworkRequest request = requestTo(attempt.address, path.c_str(), reportTimeoutMillis);
-    QNetworkReply *reply = this->pool.send("POST", QByteArray::fromStdString(attempt.address),
-                                           request, "{}");
-    QObject::connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+    this->calls.start(attempt.address, requestTo("POST", attempt.address, path, "{}"),
+                      monotonicNow() + reportTimeout, maxReportBytes,
+                      [](const std::optional<CallAnswer> &) {});
 }
 
 } // namespace azurewell
--- a/packages/shell/src/event_stream.cpp
+++ b/packages/shell/src/event_stream.cpp
@@ -106,7 +106,7 @@
         stream.finishedChoices += content.finishedChoices;
     }
     stream.partial.remove(0, taken);
-    if (stream.partial.size() > maxEventBytes)
+    if (stream.partial.size() > maxStreamedEventBytes)
         return Error{ ResultCode::MessageInvalid, "server-sent event longer than 1 MiB" };
     return whole;
 }
--- a/packages/shell/src/platform_watcher.cpp
+++ b/packages/shell/src/platform_watcher.cpp
@@ -1,9 +1,13 @@
 #include "azurewell/shell/platform_watcher.h"
 
+#include "azurewell/http/message.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/logging/log.h"
 #include "azurewell/tickets/json_reader.h"
 #include "azurewell/tickets/snapshot.h"
 
+#include <QtCore/QUrl>
+
 #include <utility>
 
 namespace azurewell {
@@ -11,18 +15,17 @@
 namespace {
 
 /// Limit for a confirmed ticket to be in force on all hosts.
-constexpr int propagationTimeoutMillis = 16'000;
+constexpr Span propagationTimeout = std::chrono::seconds(16);
 
-constexpr int retryDelayMillis = 1000;
-constexpr int watchSeconds = 10;
+constexpr std::chrono::milliseconds retryDelay{ 1000 };
+constexpr std::chrono::seconds watchTime{ 10 };
 
 /// Timeout of a read, in addition to the time that the service may block it.
-constexpr int responseSlackMillis = 1500;
+constexpr Span responseSlack = std::chrono::milliseconds(1500);
 
 // An unresponsive service looks like one without changes: the watch, the first read after it and
 // the read of the ticket must all end within the limit.
-static_assert(watchSeconds * 1000 + 3 * responseSlackMillis + retryDelayMillis
-              < propagationTimeoutMillis);
+static_assert(watchTime + 3 * responseSlack + retryDelay < propagationTimeout);
 
 } // namespace
 
@@ -54,7 +57,6 @@
     , readDelay(std::move(delay))
     , handleEvent(std::move(onEvent))
 {
-    this->access.setProxy(QNetworkProxy::NoProxy);
     this->head.key = "tickets/head";
     this->head.changed = [this](const QByteArray &value) {
         this->handleHead(value);
@@ -79,40 +81,50 @@
     this->watch(this->head);
 }
 
-QNetworkReply *PlatformWatcher::get(const QString &key, const QByteArray &query, int waitMillis)
+void PlatformWatcher::get(const QString &key, const QByteArray &query, Span wait,
+                          HttpCalls::Handler handler)
 {
-    const QString url = QString::fromStdString(this->settings.platform + "/v1/kv/"
-                                               + this->settings.keyPrefix + "/")
-            + key + "?raw" + QString::fromUtf8(query);
-    QNetworkRequest request{ QUrl(url) };
-    request.setTransferTimeout(waitMillis + responseSlackMillis);
-    return this->access.get(request);
+    constexpr int defaultPort = 80;
+    const QUrl url(QString::fromStdString(this->settings.platform + "/v1/kv/"
+                                          + this->settings.keyPrefix + "/")
+                   + key + "?raw" + QString::fromUtf8(query));
+    const std::string address = url.host().toStdString() + ":"
+            + std::to_string(url.port(defaultPort));
+    const QString target = url.toString(QUrl::FullyEncoded | QUrl::RemoveScheme
+                                        | QUrl::RemoveAuthority);
+    this->calls.start(address,
+                      requestBytes("GET", target.toStdString(), { { "Host", address } }, {}, false),
+                      monotonicNow() + wait + responseSlack, maxTicketBytes, std::move(handler));
 }
 
 void PlatformWatcher::watch(Watch &watch)
 {
     const bool isWaiting = watch.index != "0" && !watch.isProbe;
     const QByteArray known = isWaiting ? watch.index : QByteArray("0");
-    QNetworkReply *reply = this->get(
-            watch.key, "&index=" + known + "&wait=" + QByteArray::number(watchSeconds) + 's',
-            isWaiting ? watchSeconds * 1000 : 0);
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, &watch] {
-        reply->deleteLater();
-        watch.isProbe = reply->error() != QNetworkReply::NoError;
-        if (watch.isProbe) {
-            writeLog(LogLevel::Debug, "platform_unreachable",
-                     { { "key", watch.key.toStdString() } });
-            QTimer::singleShot(retryDelayMillis, this, [this, &watch] { this->watch(watch); });
-            return;
-        }
-        this->handleEvent(PlatformResponded{});
-        const QByteArray index = reply->rawHeader("X-Consul-Index");
-        const bool hasChanged = index != watch.index;
-        watch.index = index.isEmpty() ? QByteArray("0") : index;
-        if (hasChanged)
-            watch.changed(reply->readAll());
-        this->watch(watch);
-    });
+    const QByteArray query = "&index=" + known
+            + "&wait=" + QByteArray::number(static_cast<qint64>(watchTime.count())) + 's';
+    this->get(watch.key, query, isWaiting ? Span{ watchTime } : Span{},
+              [this, &watch](const std::optional<CallAnswer> &answer) {
+                  this->handleWatched(watch, answer);
+              });
+}
+
+void PlatformWatcher::handleWatched(Watch &watch, const std::optional<CallAnswer> &answer)
+{
+    watch.isProbe = !isSuccess(answer);
+    if (watch.isProbe) {
+        writeLog(LogLevel::Debug, "platform_unreachable", { { "key", watch.key.toStdString() } });
+        QTimer::singleShot(retryDelay, this, [this, &watch] { this->watch(watch); });
+        return;
+    }
+    this->handleEvent(PlatformResponded{});
+    const QByteArray index = QByteArray::fromStdString(
+            std::string(headerValue(answer->head.headers, "X-Consul-Index")));
+    const bool hasChanged = index != watch.index;
+    watch.index = index.isEmpty() ? QByteArray("0") : index;
+    if (hasChanged)
+        watch.changed(QByteArray::fromStdString(answer->body));
+    this->watch(watch);
 }
 
 void PlatformWatcher::handleHead(const QByteArray &value)
@@ -126,19 +138,18 @@
         return;
     }
     const TicketNumber next{ this->inForce().value + 1 };
-    this->readNextTicketAfter(static_cast<int>(toSeconds(this->readDelay(next)) * 1000));
+    this->readNextTicketAfter(
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->readDelay(next)));
 }
 
 void PlatformWatcher::readSnapshotIndex()
 {
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get("tickets/snapshot", {}, 0);
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply] {
-        reply->deleteLater();
+    this->get("tickets/snapshot", {}, {}, [this](const std::optional<CallAnswer> &answer) {
         this->isReadingTicket = false;
-        const bool isPresent = reply->error() == QNetworkReply::NoError;
-        const Result<SnapshotIndex> index = parseSnapshotIndex(reply->readAll().toStdString());
-        if (isPresent && index)
+        const Result<SnapshotIndex> index = parseSnapshotIndex(isSuccess(answer) ? answer->body
+                                                                                 : std::string());
+        if (index)
             this->readSegment(index.value().ticket.value, 0, index.value().segments);
         else // no snapshot is published: read all tickets from the first
             this->readNextTicket();
@@ -152,21 +163,19 @@
         return;
     }
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get(QString("tickets/segments/%1/%2").arg(ticket).arg(segment), {},
-                                     0);
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, ticket, segment, count] {
-        reply->deleteLater();
+    const QString key = QString("tickets/segments/%1/%2").arg(ticket).arg(segment);
+    this->get(key, {}, {}, [this, ticket, segment, count](const std::optional<CallAnswer> &answer) {
         this->isReadingTicket = false;
-        const bool isRead = reply->error() == QNetworkReply::NoError;
+        const bool isRead = isSuccess(answer);
         if (isRead)
-            this->handleEvent(SnapshotRead{ reply->readAll().toStdString() });
+            this->handleEvent(SnapshotRead{ answer->body });
         this->readSegment(ticket, isRead ? segment + 1 : count, count);
     });
 }
 
-void PlatformWatcher::readNextTicketAfter(int millis)
+void PlatformWatcher::readNextTicketAfter(std::chrono::milliseconds delay)
 {
-    QTimer::singleShot(millis, this, [this] { this->readNextTicket(); });
+    QTimer::singleShot(delay, this, [this] { this->readNextTicket(); });
 }
 
 void PlatformWatcher::readNextTicket()
@@ -175,14 +184,13 @@
     if (this->isReadingTicket || next > this->newestTicket)
         return;
     this->isReadingTicket = true;
-    QNetworkReply *reply = this->get("tickets/" + QString::number(next), {}, 0);
-    QObject::connect(reply, &QNetworkReply::finished, this, [this, reply, next] {
-        reply->deleteLater();
+    const QString key = "tickets/" + QString::number(next);
+    this->get(key, {}, {}, [this, next](const std::optional<CallAnswer> &answer) {
         this->isReadingTicket = false;
-        if (reply->error() == QNetworkReply::NoError)
-            this->handleEvent(TicketRead{ reply->readAll().toStdString() });
+        if (isSuccess(answer))
+            this->handleEvent(TicketRead{ answer->body });
         const bool isApplied = this->inForce().value >= next;
-        this->readNextTicketAfter(isApplied ? 0 : retryDelayMillis);
+        this->readNextTicketAfter(isApplied ? std::chrono::milliseconds{} : retryDelay);
     });
 }
 
--- a/packages/shell/src/traffic_worker.cpp
+++ b/packages/shell/src/traffic_worker.cpp
@@ -1,6 +1,7 @@
 #include "azurewell/shell/traffic_worker.h"
 
 #include "azurewell/http/listen_socket.h"
+#include "azurewell/http/message_bounds.h"
 #include "azurewell/logging/log.h"
 #include "azurewell/shell/http_text.h"
 
@@ -20,6 +21,8 @@
 constexpr qint64 maxUnsentBytes = 256 << 10;
 /// Reading resumes at or below this many unsent bytes.
 constexpr qint64 resumeUnsentBytes = 64 << 10;
+/// All responses that are held are added up once for so many bytes.
+constexpr std::size_t bufferedBytesBetweenSums = 64ULL << 10;
 /// How long a stopping process waits for callers that read their responses slowly.
 constexpr Span finishTimeout = fromSeconds(30);
 /// How long requests on the last accepted connections are still read, and refused as not run.
@@ -209,8 +212,11 @@
     callbacks.onEnded = [this, id](AttemptOutcome outcome) {
         this->attemptEnded(id, outcome);
     };
+    callbacks.onBuffered = [this](std::size_t bytes) {
+        this->limitBuffered(bytes);
+    };
     exchange.attempt = std::make_unique<UpstreamAttempt>(
-            this->pool, exchange.request, order, exchange.isHeadSent,
+            this->connections, exchange.request, order, exchange.isHeadSent,
             this->settings.upstreamIdleTimeout, std::move(callbacks));
 }
 
@@ -282,6 +288,28 @@
     }
 }
 
+/// Counts \a bytes that were added to a response. Over the bound of all responses that this thread
+/// holds, the attempt with the longest one ends.
+void TrafficWorker::limitBuffered(std::size_t bytes)
+{
+    this->bufferedSinceSum += bytes;
+    if (this->bufferedSinceSum < bufferedBytesBetweenSums)
+        return;
+    this->bufferedSinceSum = 0;
+    qsizetype held = 0;
+    UpstreamAttempt *longest = nullptr;
+    for (const auto &[id, exchange] : this->exchanges) {
+        if (!exchange.attempt)
+            continue;
+        held += exchange.attempt->body.capacity();
+        if (!longest || exchange.attempt->body.capacity() > longest->body.capacity())
+            longest = exchange.attempt.get();
+    }
+    const std::size_t most = maxHeldBytesOfHost / this->settings.trafficThreads;
+    if (longest && static_cast<std::size_t>(held) > most)
+        longest->endOversized();
+}
+
 void TrafficWorker::callerBytesWritten(const RequestId &id)
 {
     const auto found = this->exchanges.find(id);
@@ -436,6 +464,7 @@
     if (now < this->checksNotBefore)
         return;
     this->server->checkDeadlines(now);
+    this->connections.closeExpired(now);
     this->dropSlowReaders(now);
     std::vector<UpstreamAttempt *> attempts;
     for (auto &[id, exchange] : this->exchanges) {
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -1,6 +1,10 @@
 #include "azurewell/shell/upstream_attempt.h"
 
 #include "azurewell/http/clock.h"
+#include "azurewell/http/message.h"
+#include "azurewell/shell/settings.h"
+
+#include <QtCore/QTimer>
 
 #include <nlohmann/json.hpp>
 
@@ -10,37 +14,30 @@
 
 /// Limit of a non-streaming response, which is buffered until complete.
 constexpr qsizetype maxBufferedResponseBytes = 8 << 20;
-/// Limit of the library's buffer for a response that is not being read.
-constexpr qint64 readBufferBytes = 64 << 10;
+/// TCP sends a lost SYN again after 1 s.
+constexpr Span connectTimeout = std::chrono::seconds(2);
 
-/// Uses a new connection for a call that must not run twice: the upstream may be closing a reused
-/// connection, and the call could be lost with its outcome needlessly unknown. Requests with
-/// different peer verify names do not share connections; over plain HTTP the name has no other
-/// effect.
-void useOwnConnection(QNetworkRequest &request, const RequestId &id)
+/// The request to the upstream. Only the headers set here are forwarded, never the caller's key.
+std::string requestFor(const CallerRequest &caller, const Dispatch &dispatch)
 {
-    request.setPeerVerifyName(QString::fromStdString(id.value));
-    request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute, 1);
-    request.setRawHeader("Connection", "close");
-}
-
-/// Builds the upstream request. Only the headers set here are forwarded, never the caller's key.
-QNetworkRequest requestFor(const CallerRequest &caller, const Dispatch &dispatch)
-{
-    QNetworkRequest request(QUrl("http://" + QString::fromStdString(dispatch.address)
-                                 + QString::fromUtf8(caller.path)));
-    request.setRawHeader("X-Request-Id", QByteArray::fromStdString(dispatch.request.value));
+    std::vector<HttpHeader> headers{
+        { "Host", dispatch.address },
+        { "X-Request-Id", dispatch.request.value },
+        { "Accept", caller.isStream ? "text/event-stream" : "application/json" },
+    };
     if (!caller.contentType.isEmpty())
-        request.setRawHeader("Content-Type", caller.contentType);
-    request.setRawHeader("Accept", caller.isStream ? "text/event-stream" : "application/json");
+        headers.push_back({ "Content-Type", caller.contentType.toStdString() });
     if (!caller.callNumber.isEmpty())
-        request.setRawHeader("X-Call-Number", caller.callNumber);
+        headers.push_back({ "X-Call-Number", caller.callNumber.toStdString() });
     if (!dispatch.mayRunTwice)
-        useOwnConnection(request, dispatch.request);
+        headers.push_back({ "Connection", "close" });
     if (dispatch.resumeFrom.count > 0)
-        request.setRawHeader("X-Resume-From",
-                             QByteArray::number(static_cast<qint64>(dispatch.resumeFrom.count)));
-    return request;
+        headers.push_back({ "X-Resume-From", std::to_string(dispatch.resumeFrom.count) });
+    const bool hasBody = caller.method != "GET" && caller.method != "HEAD";
+    const std::string_view body(caller.body.constData(),
+                                static_cast<std::size_t>(caller.body.size()));
+    return requestBytes(caller.method.toStdString(), caller.path.toStdString(), headers,
+                        hasBody ? body : std::string_view(), hasBody);
 }
 
 Tokens completionTokens(const QByteArray &body)
@@ -52,23 +49,12 @@
     return Tokens{ json[path].get<std::int64_t>() };
 }
 
-/// Whether \a error only reflects the status of a completely received response. The codes in
-/// between are connection errors: 205 is a request that could not be resent, 399 a protocol
-/// failure.
-bool isStatusError(QNetworkReply::NetworkError error)
-{
-    const bool isClientError = error >= QNetworkReply::ContentAccessDenied
-            && error <= QNetworkReply::UnknownContentError
-            && error != QNetworkReply::ContentReSendError;
-    return isClientError || error >= QNetworkReply::InternalServerError;
-}
-
 } // namespace
 
-UpstreamAttempt::UpstreamAttempt(UpstreamPool &connections, const CallerRequest &request,
+UpstreamAttempt::UpstreamAttempt(UpstreamConnections &shared, const CallerRequest &request,
                                  const Dispatch &dispatch, bool hasBegun, Span limit,
                                  AttemptCallbacks reportTo)
-    : pool(connections)
+    : connections(shared)
     , id(dispatch.request)
     , adapter(request.arrived.adapter.value)
     , isStream(request.isStream)
@@ -80,21 +66,54 @@
     , callbacks(std::move(reportTo))
 {
     this->events.choices = request.choices;
-    const QByteArray address = QByteArray::fromStdString(dispatch.address);
-    this->reply = this->pool.send(request.method, address, requestFor(request, dispatch),
-                                  request.body);
-    this->reply->setReadBufferSize(readBufferBytes);
-    QObject::connect(this->reply, &QNetworkReply::readyRead, this, [this] { this->readBytes(); });
-    QObject::connect(this->reply, &QNetworkReply::finished, this, [this] { this->finished(); });
+    const Result<Endpoint> to = parseEndpoint(dispatch.address);
+    if (!to) {
+        this->isExchangeOver = true;
+        QTimer::singleShot(0, this, [this] { this->finish(ExchangeFailure::NotSent); });
+        return;
+    }
+    // A call that must not run twice takes a new connection: the upstream may be closing one that
+    // is reused, and the call could be lost with its outcome needlessly unknown.
+    const ConnectionChoice choice = this->mayRunTwice ? ConnectionChoice::Any
+                                                      : ConnectionChoice::New;
+    this->exchange = this->connections.start(to.value(), requestFor(request, dispatch),
+                                             request.method == "HEAD", this->handlers(),
+                                             monotonicNow(), connectTimeout, choice);
 }
 
 UpstreamAttempt::~UpstreamAttempt()
 {
-    if (!this->reply)
-        return;
-    this->reply->disconnect(this);
-    this->reply->abort(); // closes the connection to the engine
-    this->reply->deleteLater();
+    this->closeConnection();
+}
+
+ExchangeHandlers UpstreamAttempt::handlers()
+{
+    ExchangeHandlers given;
+    given.onHead = [this](const ResponseHead &head) {
+        this->readHead(head);
+    };
+    given.onBody = [this](const std::string &bytes) {
+        this->readBytes(QByteArray::fromStdString(bytes));
+    };
+    given.onComplete = [this] {
+        this->isExchangeOver = true;
+        this->finish(std::nullopt);
+    };
+    given.onFailure = [this](ExchangeFailure failure) {
+        this->isExchangeOver = true;
+        this->finish(failure);
+    };
+    given.matchesRequest = [](const ResponseHead &) {
+        return true; // readHead() ends the attempt by an answer to another request.
+    };
+    return given;
+}
+
+/// Closes the connection to the upstream, unless the exchange has ended.
+void UpstreamAttempt::closeConnection()
+{
+    if (!std::exchange(this->isExchangeOver, true))
+        this->connections.cancel(this->exchange);
 }
 
 void UpstreamAttempt::checkDeadline(Instant now)
@@ -106,55 +125,58 @@
 void UpstreamAttempt::pause()
 {
     this->isReadingPaused = true;
+    if (!this->isExchangeOver)
+        this->connections.pauseReading(this->exchange, true);
 }
 
 void UpstreamAttempt::resume()
 {
     this->isReadingPaused = false;
     this->idleDeadline = monotonicNow() + this->idleTimeout;
-    this->readBytes(); // readyRead is emitted only once per batch of bytes
+    if (!this->isExchangeOver)
+        this->connections.pauseReading(this->exchange, false);
 }
 
 /// Whether the response belongs to this request. An engine may mix up responses, or a reused
 /// connection may carry a response to an older request; a caller would then read another customer's
 /// text. Engines always return the request ID; plain services may omit it.
-bool UpstreamAttempt::isResponseToThisRequest() const
+bool UpstreamAttempt::isResponseToThisRequest(const ResponseHead &head) const
 {
-    const QByteArray answered = this->reply->rawHeader("X-Request-Id");
-    if (answered.isEmpty())
+    const std::string_view answered = headerValue(head.headers, "X-Request-Id");
+    if (answered.empty())
         return this->adapter.empty() || this->status != 200;
-    return answered == QByteArray::fromStdString(this->id.value);
+    return answered == this->id.value;
 }
 
-void UpstreamAttempt::readHead()
+void UpstreamAttempt::readHead(const ResponseHead &head)
 {
-    if (this->isHeadChecked)
+    if (this->isEnded)
         return;
-    this->isHeadChecked = true;
-    this->status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    this->contentType = this->reply->header(QNetworkRequest::ContentTypeHeader).toByteArray();
-    if (this->status != 0 && !this->isResponseToThisRequest()) {
-        this->pool.retire(this->reply); // later responses on this connection cannot be trusted
+    this->status = head.status;
+    this->contentType = QByteArray::fromStdString(
+            std::string(headerValue(head.headers, "Content-Type")));
+    if (!this->isResponseToThisRequest(head)) {
         this->end(AttemptOutcome::Mismatch);
         return;
     }
+    // No coding was asked for, and the caller would not be told of it.
+    if (headerCount(head.headers, "Content-Encoding") > 0) {
+        this->end(AttemptOutcome::Failed);
+        return;
+    }
     // Without this confirmation the engine restarts at the first token, and the caller would
     // receive the beginning twice.
-    const QByteArray resumedFrom = this->reply->rawHeader("X-Resumed-From");
+    const std::string_view resumedFrom = headerValue(head.headers, "X-Resumed-From");
     if (this->status == 200 && this->resumeFrom.count > 0
-        && resumedFrom.toLongLong() != this->resumeFrom.count)
+        && resumedFrom != std::to_string(this->resumeFrom.count))
         this->end(AttemptOutcome::NotResumable);
 }
 
-void UpstreamAttempt::readBytes()
+void UpstreamAttempt::readBytes(const QByteArray &bytes)
 {
-    if (this->isEnded || this->isReadingPaused)
-        return;
-    this->idleDeadline = monotonicNow() + this->idleTimeout;
-    this->readHead();
     if (this->isEnded)
         return;
-    const QByteArray bytes = this->reply->readAll();
+    this->idleDeadline = monotonicNow() + this->idleTimeout;
     if (this->isStream && this->status == 200) {
         this->readStream(bytes);
         return;
@@ -162,6 +184,14 @@
     this->body += bytes;
     if (this->body.size() > maxBufferedResponseBytes)
         this->end(AttemptOutcome::Failed);
+    else
+        this->callbacks.onBuffered(static_cast<std::size_t>(bytes.size()));
+}
+
+void UpstreamAttempt::endOversized()
+{
+    if (!this->isEnded)
+        this->end(AttemptOutcome::Failed);
 }
 
 bool UpstreamAttempt::isResponseOfAdapter(const QByteArray &text) const
@@ -210,37 +240,28 @@
     return AttemptOutcome::Done;
 }
 
-bool UpstreamAttempt::isCompleteResponse() const
-{
-    const QNetworkReply::NetworkError error = this->reply->error();
-    return this->status != 0 && (error == QNetworkReply::NoError || isStatusError(error));
-}
-
-void UpstreamAttempt::finished()
+/// The exchange has ended, without a whole response if there is a \a failure.
+void UpstreamAttempt::finish(std::optional<ExchangeFailure> failure)
 {
     if (this->isEnded)
         return;
     this->isReadingPaused = false;
-    this->readHead();
-    if (!this->isEnded && this->reply->bytesAvailable() > 0)
-        this->readBytes();
-    if (this->isEnded)
-        return;
-    if (this->reply->error() == QNetworkReply::ConnectionRefusedError) {
+    if (failure == ExchangeFailure::NotSent) {
         this->end(AttemptOutcome::NotSent);
         return;
     }
-    if (this->isStream && this->status == 200) {
-        const bool isWhole = this->events.isDone && this->reply->error() == QNetworkReply::NoError;
-        this->end(isWhole ? AttemptOutcome::Done : AttemptOutcome::Failed);
+    const bool isStreamed = this->isStream && this->status == 200;
+    if (failure || (isStreamed && !this->events.isDone)) {
+        this->end(AttemptOutcome::Failed);
         return;
     }
-    this->end(this->isCompleteResponse() ? this->outcomeOfResponse() : AttemptOutcome::Failed);
+    this->end(isStreamed ? AttemptOutcome::Done : this->outcomeOfResponse());
 }
 
 void UpstreamAttempt::end(AttemptOutcome outcome)
 {
     this->isEnded = true;
+    this->closeConnection();
     this->callbacks.onEnded(outcome);
 }
 
--- a/programs/azurewellctl/load_command.cpp
+++ b/programs/azurewellctl/load_command.cpp
@@ -1,5 +1,7 @@
 #include "azurewell/http/clock.h"
-#include "azurewell/shell/upstream_pool.h"
+#include "azurewell/http/message.h"
+#include "azurewell/http/upstream_connections.h"
+#include "azurewell/shell/settings.h"
 #include "commands.h"
 
 #include <fmt/format.h>
@@ -17,7 +19,9 @@
 
 namespace {
 
-constexpr int requestTimeoutMillis = 120'000;
+constexpr Span requestTimeout = std::chrono::seconds(120);
+constexpr std::chrono::milliseconds checkInterval{ 50 };
+constexpr Span connectTimeout = std::chrono::seconds(2);
 constexpr std::uint32_t compareRounds = 5;
 
 struct LoadOptions
@@ -48,7 +52,10 @@
     LoadRun(const LoadOptions &loadOptions, QByteArray callerKey)
         : options(loadOptions)
         , key(std::move(callerKey))
+        , to(parseEndpoint(loadOptions.address).value())
     {
+        QObject::connect(&this->timer, &QTimer::timeout, this, [this] { this->endOverdue(); });
+        this->timer.start(checkInterval);
     }
 
     LoadResults run()
@@ -64,7 +71,9 @@
 private:
     struct OpenRequest
     {
+        UpstreamConnections::Exchange exchange = 0;
         Instant startedAt;
+        Instant deadline;
         bool hasFirstToken = false;
         QByteArray bytes;
     };
@@ -79,43 +88,73 @@
                                    { "stream", true },
                                    { "max_tokens", this->options.maxTokens },
                                    { "prompt", "Draft a route justification." } };
-        QNetworkRequest request(QUrl("http://" + QString::fromStdString(this->options.address)
-                                     + "/v1/completions"));
-        request.setRawHeader("Content-Type", "application/json");
-        request.setRawHeader("X-Request-Id", "load-" + QByteArray::number(this->sent));
-        if (!this->key.isEmpty())
-            request.setRawHeader("Authorization", "Bearer " + this->key);
-        request.setTransferTimeout(requestTimeoutMillis);
         const std::shared_ptr<OpenRequest> state = std::make_shared<OpenRequest>();
         state->startedAt = monotonicNow();
-        QNetworkReply *reply = this->pool.send("POST",
-                                               QByteArray::fromStdString(this->options.address),
-                                               request, QByteArray::fromStdString(body.dump()));
-        QObject::connect(reply, &QNetworkReply::readyRead, this,
-                         [this, reply, state] { this->read(reply, *state); });
-        QObject::connect(reply, &QNetworkReply::finished, this,
-                         [this, reply, state] { this->finished(reply, *state); });
+        state->deadline = state->startedAt + requestTimeout;
+        std::vector<HttpHeader> headers{ { "Host", this->options.address },
+                                         { "Content-Type", "application/json" },
+                                         { "X-Request-Id", "load-" + std::to_string(this->sent) } };
+        if (!this->key.isEmpty())
+            headers.push_back({ "Authorization", "Bearer " + this->key.toStdString() });
+        const std::string request = requestBytes("POST", "/v1/completions", headers, body.dump(),
+                                                 true);
+        state->exchange = this->connections.start(this->to, request, false,
+                                                  this->handlersFor(state), state->startedAt,
+                                                  connectTimeout);
+        this->openRequests.push_back(state);
+    }
+
+    void endOverdue()
+    {
+        const Instant now = monotonicNow();
+        this->connections.closeExpired(now);
+        const std::vector<std::shared_ptr<OpenRequest>> states = this->openRequests;
+        for (const std::shared_ptr<OpenRequest> &state : states) {
+            if (now < state->deadline)
+                continue;
+            this->connections.cancel(state->exchange);
+            this->finished(state);
+        }
     }
 
-    void read(QNetworkReply *reply, OpenRequest &state)
+    ExchangeHandlers handlersFor(const std::shared_ptr<OpenRequest> &state)
     {
-        state.bytes += reply->readAll();
+        ExchangeHandlers handlers;
+        handlers.onHead = [](const ResponseHead &) {
+        };
+        handlers.onBody = [this, state](const std::string &bytes) {
+            this->read(bytes, *state);
+        };
+        handlers.onComplete = [this, state] {
+            this->finished(state);
+        };
+        handlers.onFailure = [this, state](ExchangeFailure) {
+            this->finished(state);
+        };
+        handlers.matchesRequest = [](const ResponseHead &) {
+            return true;
+        };
+        return handlers;
+    }
+
+    void read(const std::string &bytes, OpenRequest &state)
+    {
+        state.bytes += QByteArray::fromStdString(bytes);
         if (state.hasFirstToken || !state.bytes.startsWith("data: {"))
             return;
         state.hasFirstToken = true;
         this->results.firstTokenSeconds.push_back(toSeconds(monotonicNow() - state.startedAt));
     }
 
-    void finished(QNetworkReply *reply, OpenRequest &state)
+    void finished(const std::shared_ptr<OpenRequest> &state)
     {
-        this->read(reply, state);
-        reply->deleteLater();
-        this->results.totalSeconds.push_back(toSeconds(monotonicNow() - state.startedAt));
-        const std::uint64_t tokens = static_cast<std::uint64_t>(state.bytes.count("\"delta\""));
+        std::erase(this->openRequests, state);
+        this->results.totalSeconds.push_back(toSeconds(monotonicNow() - state->startedAt));
+        const std::uint64_t tokens = static_cast<std::uint64_t>(state->bytes.count("\"delta\""));
         this->results.tokens += tokens;
-        const bool isWhole = state.bytes.contains("data: [DONE]")
+        const bool isWhole = state->bytes.contains("data: [DONE]")
                 && tokens == this->options.maxTokens;
-        ++this->results.outcomes[isWhole ? "whole" : this->refusalIn(state.bytes)];
+        ++this->results.outcomes[isWhole ? "whole" : this->refusalIn(state->bytes)];
         --this->open;
         this->sendNext();
         if (this->open == 0)
@@ -135,7 +174,10 @@
 
     LoadOptions options;
     QByteArray key;
-    UpstreamPool pool;
+    Endpoint to;
+    UpstreamConnections connections;
+    std::vector<std::shared_ptr<OpenRequest>> openRequests;
+    QTimer timer;
     QEventLoop loop;
     LoadResults results;
     std::uint32_t sent = 0;
@@ -245,7 +287,12 @@
     CLI::App *command = app.add_subcommand("load",
                                            "Send streamed requests and report what callers see");
     const std::shared_ptr<LoadOptions> options = std::make_shared<LoadOptions>();
-    command->add_option("--address", options->address, "Where to send (IP:port)");
+    const auto isEndpoint = [](const std::string &text) {
+        const Result<Endpoint> endpoint = parseEndpoint(text);
+        return endpoint ? std::string() : endpoint.error().detail;
+    };
+    command->add_option("--address", options->address, "Where to send (IP:port)")
+            ->check(isEndpoint);
     command->add_option("--key-variable", options->keyVariable,
                         "Environment variable that holds the key");
     command->add_option("--model", options->model, "adapter@version")->required();
@@ -255,9 +302,10 @@
             ->check(CLI::Range(1, 2000));
     command->add_option("--max-tokens", options->maxTokens, "Tokens of each answer");
     command->add_option(
-            "--compare", options->compareAddress,
-            "An engine: send the same to it directly, in turns, and report what the host "
-            "adds");
+                   "--compare", options->compareAddress,
+                   "An engine: send the same to it directly, in turns, and report what the host "
+                   "adds")
+            ->check(isEndpoint);
     command->add_flag("--json", options->isJson, "Report as one line of JSON");
     command->callback([options, &exitCode] { exitCode = load(*options); });
 }
--- a/standins/include/azurewell/standins/flooding_server.h
+++ b/standins/include/azurewell/standins/flooding_server.h
@@ -4,12 +4,20 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace azurewell::standins {
 
+/// What a server does after the start of its answer, if it repeats nothing.
+enum class FloodEnd : std::uint8_t {
+    None,
+    Reset,
+    Close, ///< The kernel resets the connection if a part of the request is unread.
+};
+
 /// What a server sends after a request's head.
 struct Flood
 {
@@ -17,6 +25,7 @@
     std::string repeated; ///< Sent again and again until the connection is closed; empty: a whole
                           ///< answer.
     bool isByteByByte = false;
+    FloodEnd end = FloodEnd::None;
 };
 
 /// A server that is in trouble or, without a flood, sound. It has threads of its own, so that it
@@ -39,6 +48,7 @@
 private:
     void accept();
     void serve(int connection);
+    void endConnection(int connection);
     bool readHead(int connection) const;
     bool send(int connection, const std::string &bytes, std::size_t pieceBytes) const;
 
@@ -47,7 +57,8 @@
     std::atomic<bool> isStopping{ false };
     std::atomic<std::uint64_t> requestCount{ 0 };
     std::vector<std::thread> threads;
-    std::vector<UniqueFd> connections;
+    std::mutex mutex;                  ///< Of connections.
+    std::vector<UniqueFd> connections; ///< Those that are open.
     std::thread acceptor;
 };
 
--- a/standins/src/flooding_server.cpp
+++ b/standins/src/flooding_server.cpp
@@ -35,8 +35,11 @@
 {
     this->isStopping = true;
     this->acceptor.join();
-    for (const UniqueFd &connection : this->connections)
-        ::shutdown(connection.get(), SHUT_RDWR);
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        for (const UniqueFd &connection : this->connections)
+            ::shutdown(connection.get(), SHUT_RDWR);
+    }
     for (std::thread &thread : this->threads)
         thread.join();
 }
@@ -62,6 +65,7 @@
             continue;
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        const std::lock_guard<std::mutex> guard(this->mutex);
         this->connections.push_back(std::move(connection));
         this->threads.emplace_back([this, fd] { this->serve(fd); });
     }
@@ -75,10 +79,25 @@
         bool isOpen = this->send(connection, this->flood.start, blockBytes);
         while (isOpen && !bytes.empty())
             isOpen = this->send(connection, bytes, this->flood.isByteByByte ? 1 : blockBytes);
+        if (this->flood.end != FloodEnd::None) {
+            this->endConnection(connection);
+            return;
+        }
     }
     ::shutdown(connection, SHUT_RDWR);
 }
 
+/// Closes \a connection, with a reset if the flood ends so.
+void FloodingServer::endConnection(int connection)
+{
+    const linger reset{ 1, 0 };
+    if (this->flood.end == FloodEnd::Reset)
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::erase_if(this->connections,
+                  [connection](const UniqueFd &other) { return other.get() == connection; });
+}
+
 /// Reads a request without a body. False if the connection has ended.
 bool FloodingServer::readHead(int connection) const
 {
--- a/tests/sockets/host_fixture.cpp
+++ b/tests/sockets/host_fixture.cpp
@@ -33,6 +33,7 @@
 {
     this->platform.listen(0);
     this->service.listen(0);
+    this->serviceAddress = this->service.address();
     this->settings.self.incarnation = Incarnation{ 1 };
     this->settings.chartsDirectory = AZUREWELL_CHARTS_DIR;
     this->settings.trafficThreads = 1;
@@ -77,11 +78,20 @@
                                      { "batch_slots", this->engineOptions[index].batchSlots },
                                      { "adapter_slots", this->engineOptions[index].adapterSlots },
                                      { "checks_fencing", true } });
+    for (const std::string &address : this->moreEngineAddresses)
+        set["upstreams"].push_back({ { "id", "engine-at-" + address },
+                                     { "kind", "engine" },
+                                     { "zone", "centro" },
+                                     { "address", address },
+                                     { "base", "other-8b" },
+                                     { "batch_slots", 8 },
+                                     { "adapter_slots", 4 },
+                                     { "checks_fencing", true } });
     for (const char *name : { "filings", "permits" })
         set["upstreams"].push_back({ { "id", std::string(name) + "-1" },
                                      { "kind", "service" },
                                      { "zone", "centro" },
-                                     { "address", this->service.address() },
+                                     { "address", this->serviceAddress },
                                      { "service", name },
                                      { "batch_slots", 64 } });
     const nlohmann::json ticket{
--- a/tests/sockets/host_fixture.h
+++ b/tests/sockets/host_fixture.h
@@ -41,6 +41,8 @@
     std::shared_ptr<standins::WeightStore> store;
     std::vector<std::unique_ptr<standins::Engine>> engines;
     standins::PlainService service;
+    std::string serviceAddress;                   ///< Of both services; at first that of `service`.
+    std::vector<std::string> moreEngineAddresses; ///< Of engines with another base model.
     std::unique_ptr<ControlLoop> host;
     std::uint16_t port = 0;
     bool hasStopped = false; ///< The host's planned stop is complete.
--- a/tests/sockets/library_pitfalls_test.cpp
+++ b/tests/sockets/library_pitfalls_test.cpp
@@ -1,9 +1,14 @@
 #include "host_fixture.h"
 
+#include "azurewell/http/clock.h"
+#include "azurewell/http/message.h"
+#include "azurewell/shell/bounded_calls.h"
 #include "azurewell/shell/http_text.h"
-#include "azurewell/shell/upstream_pool.h"
 
 #include <QtCore/QTimer>
+#include <QtNetwork/QNetworkAccessManager>
+#include <QtNetwork/QNetworkProxy>
+#include <QtNetwork/QNetworkReply>
 
 #include <numeric>
 
@@ -40,6 +45,23 @@
     return waitUntil([reply] { return reply->isFinished(); });
 }
 
+/// Sends a call of this host; whether it ends without an answer.
+bool isUnanswered(const char *method, const std::string &address, const std::string &body)
+{
+    constexpr std::size_t maxBodyBytes = 1000;
+    BoundedCalls calls;
+    bool isEnded = false;
+    bool isAnswered = false;
+    calls.start(address,
+                requestBytes(method, "/v1/completions", { { "Host", address } }, body, true),
+                monotonicNow() + std::chrono::seconds(10), maxBodyBytes,
+                [&](const std::optional<CallAnswer> &answer) {
+                    isEnded = true;
+                    isAnswered = answer.has_value();
+                });
+    return waitUntil([&isEnded] { return isEnded; }) && !isAnswered;
+}
+
 } // namespace
 
 using LibraryPitfalls = HostFixture;
@@ -55,10 +77,7 @@
     ASSERT_TRUE(isFinished(plain.post(requestTo(this->service.address()), QByteArray("doubled"))));
     EXPECT_EQ(this->service.runsByBody["doubled"], 2U) << "the library no longer behaves this way";
 
-    UpstreamPool pool;
-    const QByteArray address = QByteArray::fromStdString(this->service.address());
-    const QNetworkRequest request = requestTo(this->service.address());
-    ASSERT_TRUE(isFinished(pool.send("POST", address, request, "once")));
+    ASSERT_TRUE(isUnanswered("POST", this->service.address(), "once"));
     EXPECT_EQ(this->service.runsByBody["once"], 1U);
 }
 
@@ -67,11 +86,9 @@
 TEST_F(LibraryPitfalls, ACallWithoutABodyIsSentOnce)
 {
     this->service.closesWithoutResponse = true;
-    UpstreamPool pool;
-    const QByteArray address = QByteArray::fromStdString(this->service.address());
     for (const char *method : { "POST", "PUT", "DELETE", "PATCH" }) {
         const std::uint64_t before = this->service.runs;
-        ASSERT_TRUE(isFinished(pool.send(method, address, requestTo(this->service.address()), {})));
+        ASSERT_TRUE(isUnanswered(method, this->service.address(), ""));
         EXPECT_EQ(this->service.runs, before + 1) << method;
     }
 }
--- a/tests/sockets/own_host_crowds_test.cpp
+++ b/tests/sockets/own_host_crowds_test.cpp
@@ -3,11 +3,14 @@
 #include "host_process.h"
 
 #include "azurewell/fleet/codec.h"
+#include "azurewell/standins/flooding_server.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <ostream>
+#include <vector>
 
 namespace azurewell::tests {
 
@@ -96,6 +99,72 @@
     this->expectBears(bodiesShortOfTheirEnd(this->process->config.operationsPort));
 }
 
+/// What a server that is no server of the protocol sends without end.
+struct EndlessAnswer
+{
+    const char *name;
+    const char *start;
+    const char *repeated;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessAnswer &answer)
+{
+    return out << answer.name;
+}
+
+class MemoryBesideAFloodingServer : public MemoryOfAHostOfItsOwn,
+                                    public ::testing::WithParamInterface<EndlessAnswer>
+{
+protected:
+    void SetUp() override
+    {
+        this->server = std::make_unique<standins::FloodingServer>(
+                standins::Flood{ GetParam().start, GetParam().repeated });
+        this->serviceAddress = fmt::format("127.0.0.1:{}", this->server->port());
+        this->moreEngineAddresses = { this->serviceAddress };
+        MemoryOfAHostOfItsOwn::SetUp();
+    }
+
+    std::unique_ptr<standins::FloodingServer> server;
+};
+
+// Guards against a server whose bytes fill the memory of the host that called it: answers to
+// reports, orders and callers' requests.
+TEST_P(MemoryBesideAFloodingServer, StaysWithinTheSmallestMachine)
+{
+    constexpr int callers = 8;
+    std::vector<std::unique_ptr<Caller>> calls;
+    for (int index = 0; index < callers; ++index) {
+        calls.push_back(std::make_unique<Caller>(this->port));
+        calls.back()->write("GET /services/permits/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                            + callerKey + "\r\n\r\n");
+    }
+    for (const std::unique_ptr<Caller> &caller : calls)
+        EXPECT_NE(caller->answer().code(), 0);
+    EXPECT_TRUE(waitUntil([this] { return this->server->requests() > callers; }));
+    EXPECT_TRUE(this->isServing());
+    EXPECT_TRUE(this->process->isRunning());
+    const std::int64_t peak = peakResidentBytes(this->process->processId());
+    fmt::print("{:.1f} MB at most\n", static_cast<double>(peak) / 1e6);
+    EXPECT_LE(peak, smallestMachineBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Floods, MemoryBesideAFloodingServer,
+        ::testing::Values(
+                EndlessAnswer{ "StatusLine", "HTTP/1.1 200 ", "OK" },
+                EndlessAnswer{ "Fields", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
+                EndlessAnswer{ "Field", "HTTP/1.1 200 OK\r\nX-A: ", "b" },
+                EndlessAnswer{ "InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+                EndlessAnswer{ "Body", "HTTP/1.1 200 OK\r\n\r\n", "b" },
+                EndlessAnswer{ "ChunkExtension",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", "b" },
+                EndlessAnswer{ "TrailerFields",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                               "X-A: b\r\n" },
+                EndlessAnswer{ "NoHead", "", "b" }),
+        [](const auto &testInfo) { return std::string(testInfo.param.name); });
+
 // Guards against idle connections that keep operators and load balancers out.
 TEST_F(MemoryOfAHostOfItsOwn, LeavesConnectionsForOperators)
 {
