A platform URL whose scheme is not http is refused at the start

Cause: hosts of their own speak plain HTTP to the ticket service since they read its answers with the platform's reader; another scheme would be called at port 80 without a word.

--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -85,6 +85,14 @@
     return key;
 }
 
+std::string readPlatform(JsonReader &reader)
+{
+    const std::string url = reader.text("platform");
+    if (!url.starts_with("http://"))
+        reader.reportError("platform", "must begin with http://");
+    return url;
+}
+
 LogLevel readLevel(JsonReader &reader)
 {
     const std::string level = reader.text("log_level", "info");
@@ -177,7 +185,7 @@
     settings.peers = readEndpoint(reader, "peers");
     settings.operations = readEndpoint(reader, "operations");
     settings.peerKey = readPeerKey(reader);
-    settings.platform = reader.text("platform");
+    settings.platform = readPlatform(reader);
     settings.keyPrefix = reader.text("key_prefix", "azurewell");
     settings.chartsDirectory = reader.text("charts");
     settings.trafficThreads = static_cast<std::uint32_t>(
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -35,6 +35,16 @@
     EXPECT_TRUE(answerHead(599, "a/b", 0, RequestId{}).startsWith("HTTP/1.1 599 "));
 }
 
+// Guards against a URL whose scheme isn't spoken and whose service is silently called without it.
+TEST(Settings, ThePlatformIsReachedByHttpOnly)
+{
+    std::string text(defaultSettingsText());
+    text.replace(text.find("http://"), 7, "https://");
+    const Result<Settings> settings = parseSettings(text);
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().detail, "platform: must begin with http://");
+}
+
 TEST(HttpText, ARefusalStatesWhetherTheRequestRan)
 {
     const QByteArray answer = refusalAnswer(Refuse{
