Calls of a host's control thread are not sent after their deadline

Cause: since calls go through HttpCalls, one whose connection opens up to 400 ms late was still sent; the library's timer ended such calls before. Change: BoundedCalls gives the connection no more time than the call has. Run: ACallIsNotSentAfterItsDeadline and the tests of PlatformWatcher pass; the new one was not run on the code before.

--- a/packages/shell/include/azurewell/shell/bounded_calls.h
+++ b/packages/shell/include/azurewell/shell/bounded_calls.h
@@ -21,11 +21,13 @@
 
     /// Sends \a request to \a address, "IP:port" or "name:port". \a handler is called once, never
     /// from within start(); empty if no whole answer with at most \a maxBodyBytes has come by
-    /// \a deadline.
+    /// \a deadline. Nothing is sent on a connection that opens after it.
     void start(const std::string &address, const std::string &request, Instant deadline,
                std::size_t maxBodyBytes, HttpCalls::Handler handler);
 
 private:
+    void send(const Endpoint &to, const std::string &request, Instant deadline,
+              std::size_t maxBodyBytes, HttpCalls::Handler handler);
     void lookUp(const std::string &address, const std::string &request, Instant deadline,
                 std::size_t maxBodyBytes, const HttpCalls::Handler &handler);
 
--- a/packages/shell/src/bounded_calls.cpp
+++ b/packages/shell/src/bounded_calls.cpp
@@ -53,8 +53,17 @@
         this->lookUp(address, request, deadline, maxBodyBytes, handler);
         return;
     }
-    this->calls.start(to.value(), request, deadline, maxBodyBytes, std::move(handler),
-                      monotonicNow());
+    this->send(to.value(), request, deadline, maxBodyBytes, std::move(handler));
+}
+
+/// An order that waits for its connection beyond its deadline must not be sent: another host may
+/// coordinate the engine by then.
+void BoundedCalls::send(const Endpoint &to, const std::string &request, Instant deadline,
+                        std::size_t maxBodyBytes, HttpCalls::Handler handler)
+{
+    const Instant now = monotonicNow();
+    this->calls.start(to, request, deadline, maxBodyBytes, std::move(handler), now,
+                      std::min(defaultConnectTimeout, deadline - now));
 }
 
 void BoundedCalls::lookUp(const std::string &address, const std::string &request, Instant deadline,
@@ -63,9 +72,8 @@
     const QString name = QString::fromStdString(address.substr(0, address.rfind(':')));
     QHostInfo::lookupHost(name, this, [=, this](const QHostInfo &found) {
         const Result<Endpoint> to = endpointOf(found, address);
-        const Instant now = monotonicNow();
-        if (to && now < deadline)
-            this->calls.start(to.value(), request, deadline, maxBodyBytes, handler, now);
+        if (to)
+            this->send(to.value(), request, deadline, maxBodyBytes, handler);
         else
             handler(std::nullopt);
     });
--- a/tests/sockets/library_pitfalls_test.cpp
+++ b/tests/sockets/library_pitfalls_test.cpp
@@ -46,19 +46,19 @@
 }
 
 /// Sends a call of this host; whether it ends without an answer.
-bool isUnanswered(const char *method, const std::string &address, const std::string &body)
+bool isUnanswered(const char *method, const std::string &address, const std::string &body,
+                  Span timeout = std::chrono::seconds(10))
 {
     constexpr std::size_t maxBodyBytes = 1000;
     BoundedCalls calls;
     bool isEnded = false;
     bool isAnswered = false;
-    calls.start(address,
-                requestBytes(method, "/v1/completions", { { "Host", address } }, body, true),
-                monotonicNow() + std::chrono::seconds(10), maxBodyBytes,
-                [&](const std::optional<CallAnswer> &answer) {
-                    isEnded = true;
-                    isAnswered = answer.has_value();
-                });
+    calls.start(
+            address, requestBytes(method, "/v1/completions", { { "Host", address } }, body, true),
+            monotonicNow() + timeout, maxBodyBytes, [&](const std::optional<CallAnswer> &answer) {
+                isEnded = true;
+                isAnswered = answer.has_value();
+            });
     return waitUntil([&isEnded] { return isEnded; }) && !isAnswered;
 }
 
@@ -93,6 +93,17 @@
     }
 }
 
+// Guards against an outdated order: its connection opens after its deadline.
+TEST_F(LibraryPitfalls, ACallIsNotSentAfterItsDeadline)
+{
+    ASSERT_TRUE(isUnanswered("POST", this->service.address(), "late", Span{ -1 }));
+    ASSERT_TRUE(isUnanswered("POST", this->service.address(), "late", std::chrono::seconds(-1)));
+    this->service.closesWithoutResponse = true;
+    ASSERT_TRUE(isUnanswered("POST", this->service.address(), "in time"));
+    EXPECT_EQ(this->service.runsByBody["in time"], 1U);
+    EXPECT_EQ(this->service.runsByBody["late"], 0U);
+}
+
 // Guards against the limit of QNetworkAccessManager, which opens six connections to an engine and
 // queues further requests: on an idle engine, the first token would wait for other callers'
 // answers.
