--- a/packages/shell/src/settings.cpp
+++ b/packages/shell/src/settings.cpp
@@ -87,7 +87,7 @@
 
 std::string readPlatform(JsonReader &reader)
 {
-    const std::string url = reader.text("platform");
+    std::string url = reader.text("platform");
     if (!url.starts_with("http://"))
         reader.reportError("platform", "must begin with http://");
     return url;
