An address without a port fails its call and not the process

Found by reading the change again. Cause: where such an address names a host that resolves, the port was cut out of it beyond its end, which throws in a callback of the event loop. Evidence: the new test failed before on the code as it stood (the address localhost), and passes; six tests of calls and of the ticket service's watcher pass.

--- a/packages/shell/src/bounded_calls.cpp
+++ b/packages/shell/src/bounded_calls.cpp
@@ -27,9 +27,11 @@
             addresses.begin(), addresses.end(), [](const QHostAddress &candidate) {
                 return candidate.protocol() == QAbstractSocket::IPv4Protocol;
             });
-    if (usable == addresses.end())
-        return Error{ ResultCode::NoUpstream, address + ": no address has this name" };
-    return parseEndpoint(usable->toString().toStdString() + address.substr(address.rfind(':')));
+    const std::size_t colon = address.rfind(':');
+    if (usable == addresses.end() || colon == std::string::npos)
+        return Error{ ResultCode::NoUpstream,
+                      address + ": no address has this name, or the port is missing" };
+    return parseEndpoint(usable->toString().toStdString() + address.substr(colon));
 }
 
 } // namespace
--- a/tests/sockets/library_pitfalls_test.cpp
+++ b/tests/sockets/library_pitfalls_test.cpp
@@ -104,6 +104,13 @@
     EXPECT_EQ(this->service.runsByBody["late"], 0U);
 }
 
+// Guards against a process that ends by an upstream's address that has a name and no port.
+TEST_F(LibraryPitfalls, ACallToAnAddressWithoutAPortFails)
+{
+    for (const char *address : { "localhost", "", ":", "localhost:" })
+        EXPECT_TRUE(isUnanswered("POST", address, "")) << address;
+}
+
 // Guards against the limit of QNetworkAccessManager, which opens six connections to an engine and
 // queues further requests: on an idle engine, the first token would wait for other callers'
 // answers.
