One check of a success, one place that cancels an attempt; a test fixture's grace without a global

Found by reading the change again; behaviour as before. isSuccess() stood in proxy and again in shell, the count of an open attempt as a possible run in endOverdue() and again in endAllRequests(). The grace of a stop is a member of the fixture.

--- a/packages/gateway/src/requests.cpp
+++ b/packages/gateway/src/requests.cpp
@@ -209,6 +209,15 @@
     place(state, record, now, actions);
 }
 
+/// Cancels the attempt of \a record, if one is in progress; the request may have run.
+void cancelAttempt(RequestRecord &record, Actions &actions)
+{
+    if (record.phase == RequestPhase::Waiting)
+        return;
+    ++record.possibleRuns;
+    actions.cancels.push_back({ record.arrivedRequest.request });
+}
+
 CallerStage stageOf(const RequestRecord &record, bool isSent)
 {
     if (!isSent)
@@ -494,10 +503,7 @@
 {
     while (!state.requests.empty()) {
         RequestRecord &record = state.requests.begin()->second;
-        if (record.phase != RequestPhase::Waiting) {
-            ++record.possibleRuns;
-            actions.cancels.push_back({ record.arrivedRequest.request });
-        }
+        cancelAttempt(record, actions);
         refuseAndForget(state, record,
                         record.possibleRuns > 0 ? ResultCode::OutcomeUnknown
                                                 : ResultCode::HostDraining,
@@ -509,10 +515,7 @@
 {
     while (const std::optional<RequestNumber> request = state.requestDeadlines.takeDue(now)) {
         RequestRecord &record = state.requests.at(*request);
-        if (record.phase != RequestPhase::Waiting) {
-            ++record.possibleRuns;
-            actions.cancels.push_back({ *request });
-        }
+        cancelAttempt(record, actions);
         if (record.phase == RequestPhase::AtUpstream) {
             const auto upstream = state.upstreams.find(record.upstream);
             if (upstream != state.upstreams.end() && !record.hasAnswerStarted)
--- a/packages/http/include/azurewell/http/message.h
+++ b/packages/http/include/azurewell/http/message.h
@@ -61,6 +61,12 @@
     return isValidStatus(status) && status >= firstFinal ? status : badGateway;
 }
 
+/// Whether \a head states that the request was carried out (RFC 9110, 15.3).
+constexpr bool isSuccess(const ResponseHead &head)
+{
+    return head.status >= 200 && head.status < 300;
+}
+
 /// The value of the first header called \a name, ignoring letter case; empty if there is none.
 std::string_view headerValue(const std::vector<HttpHeader> &headers, std::string_view name);
 
--- a/packages/proxy/src/proxy_requests.cpp
+++ b/packages/proxy/src/proxy_requests.cpp
@@ -62,11 +62,6 @@
     return text;
 }
 
-bool isSuccess(const ResponseHead &head)
-{
-    return head.status >= 200 && head.status < 300;
-}
-
 } // namespace
 
 void Proxy::dispatch(const Dispatch &toSend)
--- a/packages/proxy/tests/planned_stop_test.cpp
+++ b/packages/proxy/tests/planned_stop_test.cpp
@@ -12,18 +12,9 @@
 class PlannedStopTest : public TwoHostsTest
 {
 protected:
-    PlannedStopTest()
-    {
-        setStopGrace(grace);
-    }
-
-    ~PlannedStopTest() override
-    {
-        setStopGrace(std::chrono::seconds(8));
-    }
-
     void SetUp() override
     {
+        this->stopGrace = std::chrono::seconds(5);
         TwoHostsTest::SetUp();
         for (Route &route : this->serving->state().configuration.routes)
             route.timeout = longTimeout;
@@ -31,7 +22,6 @@
             route.timeout = longTimeout;
     }
 
-    static constexpr Span grace = std::chrono::seconds(5);
     static constexpr Span longTimeout = std::chrono::seconds(20);
 };
 
@@ -47,7 +37,8 @@
     EXPECT_FALSE(direct.isReset);
 }
 
-// Guards against the same for a request that another host has forwarded.
+// Guards against a forwarded request that may have run and gets no answer as the host that sent it
+// to the server ends.
 TEST_F(PlannedStopTest, AForwardedRequestIsAnsweredBeforeTheEnd)
 {
     Peer forwarded = this->ask("cut", "/file");
@@ -83,7 +74,7 @@
         EXPECT_EQ(caller.received.find("HTTP/1.1 503"), 0U);
         EXPECT_NE(caller.received.find("not_run"), std::string::npos);
     }
-    EXPECT_FALSE(this->acceptedAtUpstream());
+    EXPECT_FALSE(this->acceptWaitingAtUpstream());
 }
 
 // Guards against an upload that begins early in the grace, ends late and is passed on.
@@ -98,7 +89,7 @@
     caller.send("dy");
     ASSERT_TRUE(caller.receives("host_draining"));
     EXPECT_NE(caller.received.find("not_run"), std::string::npos);
-    EXPECT_FALSE(this->acceptedAtUpstream());
+    EXPECT_FALSE(this->acceptWaitingAtUpstream());
 }
 
 } // namespace
--- a/packages/proxy/tests/two_hosts.cpp
+++ b/packages/proxy/tests/two_hosts.cpp
@@ -20,8 +20,6 @@
 
 Span requestCost{};
 
-Span stopGrace = std::chrono::seconds(8);
-
 void spend(Span time)
 {
     const Instant until = monotonicNow() + time;
@@ -242,7 +240,7 @@
         settings.self.zone.value = "z";
         settings.self.address = freeEndpoint();
         settings.self.incarnation.value = 1;
-        settings.self.stopGrace = stopGrace;
+        settings.self.stopGrace = this->stopGrace;
         settings.callers = freeEndpoint();
         settings.readiness = freeEndpoint();
         settings.metrics = freeEndpoint();
@@ -258,11 +256,6 @@
     }
 }
 
-void TwoHostsTest::setStopGrace(Span grace)
-{
-    stopGrace = grace;
-}
-
 void TwoHostsTest::setRequestCost(Span cost)
 {
     requestCost = cost;
--- a/packages/proxy/tests/two_hosts.h
+++ b/packages/proxy/tests/two_hosts.h
@@ -100,11 +100,8 @@
         return this->readinessOf.at(host);
     }
 
-    /// Grace of the planned stops of hosts that are started from now on.
-    static void setStopGrace(Span grace);
-
-    /// Whether a connection waits at the upstream.
-    bool acceptedAtUpstream()
+    /// Accepts a connection that waits at the upstream. False if there is none.
+    bool acceptWaitingAtUpstream()
     {
         return this->acceptNext(this->upstream);
     }
@@ -112,8 +109,9 @@
     /// Processor time that reading a request takes at the hosts.
     static void setRequestCost(Span cost);
 
-    std::unique_ptr<Proxy> cutOff;  ///< Called "cut".
-    std::unique_ptr<Proxy> serving; ///< Called "serving".
+    Span stopGrace = std::chrono::seconds(8); ///< Grace of a planned stop; set before SetUp().
+    std::unique_ptr<Proxy> cutOff;            ///< Called "cut".
+    std::unique_ptr<Proxy> serving;           ///< Called "serving".
     Peer upstream;
     std::vector<Peer> upstreams; ///< Of acceptAllAtUpstream().
 
--- a/packages/shell/src/bounded_calls.cpp
+++ b/packages/shell/src/bounded_calls.cpp
@@ -83,7 +83,7 @@
 
 bool isSuccess(const std::optional<CallAnswer> &answer)
 {
-    return answer && answer->head.status >= 200 && answer->head.status < 300;
+    return answer && isSuccess(answer->head);
 }
 
 } // namespace azurewell
--- a/packages/shell/src/upstream_attempt.cpp
+++ b/packages/shell/src/upstream_attempt.cpp
@@ -104,7 +104,7 @@
         this->finish(failure);
     };
     given.matchesRequest = [](const ResponseHead &) {
-        return true; // readHead() ends the attempt by an answer to another request.
+        return true; // readHead() ends the attempt if the response is to another request.
     };
     return given;
 }
