--- a/packages/http/src/upstream_connection.cpp
+++ b/packages/http/src/upstream_connection.cpp
@@ -236,8 +236,8 @@
         return;
     }
     Exchange &current = *this->exchange;
-    // A server that ends while its request is still on the way has not ended its answer: nothing
-    // but the end of the connection shows where such an answer ends.
+    // A response without framing ends with its connection. A server that closes before it has
+    // received the whole request may have crashed in the middle of that response.
     if (how == StreamEnd::Finished && current.isHeadDelivered && !current.isUnrelated
         && this->stream->isAllReceivedByPeer() && current.reader.finish()) {
         this->keepsConnection = false;
--- a/packages/http/tests/caller_connection_test.cpp
+++ b/packages/http/tests/caller_connection_test.cpp
@@ -177,7 +177,7 @@
     EXPECT_EQ(this->requests, 1U);
 }
 
-// Guards against a status line that is none, whatever the answer was made from.
+// Guards against an invalid status line, whatever the answer was made from.
 TEST_F(CallerConnectionTest, SendsNoStatusThatIsNotFinal)
 {
     for (const int status : { -1, 0, 7, 99, 100, 101, 199, 600, 999, 2000 }) {
--- a/packages/proxy/tests/early_answers_test.cpp
+++ b/packages/proxy/tests/early_answers_test.cpp
@@ -46,7 +46,8 @@
     }
 
 private:
-    /// Accepts until a request comes: the host also asks whether the upstream still accepts.
+    /// Accepts connections until one carries a request: after a failure the host also opens one to
+    /// check whether the upstream still runs.
     bool acceptUpload()
     {
         this->upstreams.clear();
--- a/packages/shell/tests/shell_test.cpp
+++ b/packages/shell/tests/shell_test.cpp
@@ -26,7 +26,7 @@
     EXPECT_EQ(settings.error().detail, "seat: must be a number from 0.0 to 1000.0");
 }
 
-// Guards against a status line that is none, such as that of a stored answer.
+// Guards against an invalid status line, such as that of a stored answer.
 TEST(HttpText, AnAnswerHasAFinalStatus)
 {
     for (const int status : { -1, 0, 99, 100, 199, 600, 2000 })
@@ -35,7 +35,7 @@
     EXPECT_TRUE(answerHead(599, "a/b", 0, RequestId{}).startsWith("HTTP/1.1 599 "));
 }
 
-// Guards against a URL whose scheme isn't spoken and whose service is silently called without it.
+// Guards against an https URL whose service is called over plain HTTP without a warning.
 TEST(Settings, ThePlatformIsReachedByHttpOnly)
 {
     std::string text(defaultSettingsText());
--- a/tests/sockets/own_host_crowds_test.cpp
+++ b/tests/sockets/own_host_crowds_test.cpp
@@ -99,7 +99,7 @@
     this->expectBears(bodiesShortOfTheirEnd(this->process->config.operationsPort));
 }
 
-/// What a server that is no server of the protocol sends without end.
+/// What a faulty server sends without end.
 struct EndlessAnswer
 {
     const char *name;
